Serve a request through a router to an endpoint stand-in

The thinnest whole path: platform, engine and ledger stand-ins, a controller that forms groups from the instance list, a router that authenticates, chooses, dispatches and relays, and an operators' apply by one conditional update. The tests run all of them as separate processes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup format lint types unit test demo clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -c constraints.txt -e ".[test,plots]"
+	touch $@
+
+format: setup
+	$(BIN)/python -m isort --quiet sycamoredale tests
+	$(BIN)/python -m black --quiet sycamoredale tests
+
+lint: setup
+	$(BIN)/python -m isort --quiet --check sycamoredale tests
+	$(BIN)/python -m black --quiet --check sycamoredale tests
+	$(BIN)/python -m flake8 sycamoredale tests
+
+types: setup
+	$(BIN)/python -m mypy
+
+unit: setup
+	$(BIN)/python -m pytest -q
+
+test: lint types unit
+
+demo: setup
+	$(BIN)/python -m sycamoredale.standins.demo
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/sycamoredale/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line."""
+
+from sycamoredale import cli
+
+cli.main()
--- /dev/null
+++ b/sycamoredale/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which requests may run and which are refused."""
--- /dev/null
+++ b/sycamoredale/config/__init__.py
@@ -0,0 +1,1 @@
+"""Read, check, compare and distribute the operators' file."""
--- /dev/null
+++ b/sycamoredale/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Run the library as processes."""
--- /dev/null
+++ b/sycamoredale/daemons/options.py
@@ -0,0 +1,34 @@
+"""Hold the settings of the daemons, apart from the command line."""
+
+import dataclasses
+
+from sycamoredale.http import messages
+from sycamoredale import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonOptions:
+    """Hold what both daemons need."""
+
+    daemon: ids.DaemonId
+    zone: ids.ZoneName
+    platform: messages.Address
+    statsd: messages.Address | None
+    log_level: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterOptions:
+    """Hold the settings of a router."""
+
+    common: DaemonOptions
+    listen: messages.Address
+    drain_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControllerOptions:
+    """Hold the settings of a controller."""
+
+    common: DaemonOptions
+    interval_seconds: float
--- /dev/null
+++ b/sycamoredale/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Adapt model engines and plain services, one thin module each."""
--- /dev/null
+++ b/sycamoredale/error_codes.py
@@ -0,0 +1,105 @@
+"""List the codes that identify every error of the system.
+
+A code is stable: callers and operators may match on it.  The status is the
+HTTP status under which a caller sees the error.
+"""
+
+import dataclasses
+import enum
+from typing import Final
+
+
+class Execution(enum.Enum):
+    """State what is known about the execution of a refused request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorCode:
+    """Describe one kind of error."""
+
+    name: str
+    status: int
+    summary: str
+
+
+BY_NAME: Final[dict[str, ErrorCode]] = {}
+
+
+def _define(name: str, status: int, summary: str) -> ErrorCode:
+    code = ErrorCode(name, status, summary)
+    BY_NAME[name] = code
+    return code
+
+
+# Requests of callers.
+MALFORMED_REQUEST: Final = _define(
+    "malformed_request", 400, "the request is not valid HTTP or JSON"
+)
+UNKNOWN_KEY: Final = _define(
+    "unknown_key", 401, "the API key belongs to no organisation"
+)
+NOT_FOUND: Final = _define("not_found", 404, "the path names nothing")
+UNKNOWN_SERVICE: Final = _define(
+    "unknown_service", 404, "the service or model does not exist"
+)
+REQUEST_TIMEOUT: Final = _define(
+    "request_timeout", 408, "the caller sent its request too slowly"
+)
+BODY_TOO_LARGE: Final = _define(
+    "body_too_large", 413, "the request body exceeds the limit"
+)
+HEADERS_TOO_LARGE: Final = _define(
+    "headers_too_large", 431, "the request headers exceed the limit"
+)
+NO_ENDPOINT: Final = _define(
+    "no_endpoint", 503, "no endpoint can take the request now"
+)
+ENDPOINT_FAILED: Final = _define(
+    "endpoint_failed", 502, "the endpoint failed while it had the request"
+)
+DRAINING: Final = _define(
+    "draining", 503, "the router is stopping and takes no new request"
+)
+DEADLINE_EXCEEDED: Final = _define(
+    "deadline_exceeded", 504, "the deadline passed before the answer"
+)
+INTERNAL: Final = _define("internal", 500, "the router failed")
+
+# The platform.
+STORE_UNAVAILABLE: Final = _define(
+    "store_unavailable", 503, "the object API did not answer"
+)
+OUTCOME_UNKNOWN: Final = _define(
+    "outcome_unknown", 503, "the answer to a write was lost"
+)
+VERSION_CONFLICT: Final = _define(
+    "version_conflict", 409, "the object changed since it was read"
+)
+
+# Connections.
+CONNECTION_FAILED: Final = _define(
+    "connection_failed", 502, "the connection could not be opened"
+)
+CONNECTION_BROKEN: Final = _define(
+    "connection_broken", 502, "the connection broke during an exchange"
+)
+
+# Orders to engines.
+STALE_ORDER: Final = _define(
+    "stale_order", 409, "the engine refused an order with an old epoch"
+)
+ORDER_FAILED: Final = _define(
+    "order_failed", 502, "the engine did not carry out an order"
+)
+
+# Operators.
+INVALID_CONFIGURATION: Final = _define(
+    "invalid_configuration", 422, "the configuration has findings"
+)
+INVALID_SETTINGS: Final = _define(
+    "invalid_settings", 422, "the settings of a process have findings"
+)
--- /dev/null
+++ b/sycamoredale/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Form, order and repair groups of instances."""
--- /dev/null
+++ b/sycamoredale/http/__init__.py
@@ -0,0 +1,1 @@
+"""Speak HTTP/1.1 to callers, endpoints, the platform and peers."""
--- /dev/null
+++ b/sycamoredale/http/client.py
@@ -0,0 +1,208 @@
+"""Make HTTP/1.1 requests over pooled connections.
+
+A connection returns to the pool only after a complete exchange.  Whatever
+ends otherwise is closed, so that a late answer to an abandoned request
+can never be read as the answer to the next one.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+from typing import Final
+
+import curio
+import curio.socket
+import h11
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import messages
+
+RECEIVE_BYTES: Final = 65536
+MAX_IDLE_PER_ADDRESS: Final = 32
+CONNECT_SECONDS: Final = 2.0
+
+
+class Connection:
+    """Exchange requests and responses over one socket, one at a time."""
+
+    def __init__(self, address: messages.Address, sock: typing.Any) -> None:
+        """Take over a connected socket."""
+        self.address: Final = address
+        self.used = False
+        self._sock = sock
+        self._connection = h11.Connection(h11.CLIENT)
+
+    async def send(self, request: messages.Request) -> None:
+        """Write a request; raise ConnectionBroken."""
+        headers = request.headers.with_field("Host", str(self.address))
+        headers = headers.with_field("Content-Length", str(len(request.body)))
+        event = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=headers.fields,
+        )
+        data = self._connection.send(event) or b""
+        if request.body:
+            data += self._connection.send(h11.Data(data=request.body)) or b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        try:
+            await self._sock.sendall(data)
+        except OSError as error:
+            raise self._broken(str(error)) from error
+
+    async def read_head(self) -> messages.ResponseHead:
+        """Read the head of the response; raise ConnectionBroken."""
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise self._broken("the response has no head")
+        headers = messages.Headers(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers
+        )
+        return messages.ResponseHead(event.status_code, headers)
+
+    async def read_chunk(self) -> bytes:
+        """Read a piece of the body, empty at its complete end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        raise self._broken("the response was cut short")
+
+    async def read_body(self) -> bytes:
+        """Read the rest of the body; raise ConnectionBroken."""
+        parts: list[bytes] = []
+        while True:
+            part = await self.read_chunk()
+            if not part:
+                return b"".join(parts)
+            parts.append(part)
+
+    def finish_cycle(self) -> bool:
+        """Prepare for another request; tell whether that is possible."""
+        if self._connection.their_state is not h11.DONE:
+            return False
+        if self._connection.our_state is not h11.DONE:
+            return False
+        self._connection.start_next_cycle()
+        self.used = True
+        return True
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self._sock.close()
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._broken(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._sock.recv(RECEIVE_BYTES)
+            except OSError as error:
+                raise self._broken(str(error)) from error
+            self._connection.receive_data(data)
+
+    def _broken(self, reason: str) -> errors.ConnectionBroken:
+        return errors.ConnectionBroken(
+            error_codes.CONNECTION_BROKEN,
+            f"connection to {self.address} broke: {reason}",
+            error_codes.Execution.UNKNOWN,
+        )
+
+
+@dataclasses.dataclass
+class Pool:
+    """Keep idle connections by the address that they lead to."""
+
+    idle_by_address: dict[messages.Address, list[Connection]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    async def acquire(
+        self, address: messages.Address, fresh: bool = False
+    ) -> Connection:
+        """Return an idle or new connection; raise ConnectionFailed."""
+        idle = self.idle_by_address.get(address)
+        if idle and not fresh:
+            return idle.pop()
+        return await open_connection(address)
+
+    async def release(self, connection: Connection) -> None:
+        """Keep a connection after a complete exchange, else close it."""
+        idle = self.idle_by_address.setdefault(connection.address, [])
+        if len(idle) < MAX_IDLE_PER_ADDRESS and connection.finish_cycle():
+            idle.append(connection)
+            return
+        await connection.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self.idle_by_address.values():
+            for connection in idle:
+                await connection.close()
+        self.idle_by_address.clear()
+
+    async def call(
+        self,
+        address: messages.Address,
+        request: messages.Request,
+        seconds: float,
+        fresh: bool = False,
+    ) -> messages.Response:
+        """Make one exchange within the time; raise ConnectionFailed/Broken.
+
+        ConnectionBroken means that the request may have been executed.
+        """
+        connection = await self.acquire(address, fresh)
+        complete = False
+        try:
+            async with curio.timeout_after(seconds):
+                await connection.send(request)
+                head = await connection.read_head()
+                body = await connection.read_body()
+            complete = True
+            return messages.Response(head.status, head.headers, body)
+        except curio.TaskTimeout as error:
+            raise errors.ConnectionBroken(
+                error_codes.CONNECTION_BROKEN,
+                f"{address} did not answer within {seconds:g} s",
+                error_codes.Execution.UNKNOWN,
+            ) from error
+        finally:
+            if complete:
+                await self.release(connection)
+            else:
+                await connection.close()
+
+
+async def open_connection(address: messages.Address) -> Connection:
+    """Connect to the address; raise ConnectionFailed."""
+    try:
+        async with curio.timeout_after(CONNECT_SECONDS):
+            sock = await curio.open_connection(address.host, address.port)
+    except (OSError, curio.TaskTimeout) as error:
+        raise errors.ConnectionFailed(
+            error_codes.CONNECTION_FAILED,
+            f"connection to {address} failed: {error!r}",
+        ) from error
+    sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+    return Connection(address, sock)
+
+
+async def body_chunks(
+    connection: Connection,
+) -> collections.abc.AsyncIterator[bytes]:
+    """Yield the pieces of a response body until its complete end."""
+    while True:
+        chunk = await connection.read_chunk()
+        if not chunk:
+            return
+        yield chunk
--- /dev/null
+++ b/sycamoredale/http/messages.py
@@ -0,0 +1,116 @@
+"""Represent HTTP requests and responses.
+
+Header names are kept as received and compared without regard to case.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+import urllib.parse
+
+import msgspec
+
+JSON_TYPE: Final = "application/json"
+EVENT_STREAM_TYPE: Final = "text/event-stream"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Locate a listening socket by IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Return the address written as `host:port`; raise ValueError."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        raise ValueError(f"address {text!r} is not of the form host:port")
+    if int(port) > 65535:
+        raise ValueError(f"port {port} of address {text!r} is too large")
+    return Address(host, int(port))
+
+
+class Headers:
+    """Hold header fields in order of arrival."""
+
+    __slots__ = ("fields",)
+
+    def __init__(
+        self, fields: collections.abc.Iterable[tuple[str, str]] = ()
+    ) -> None:
+        """Copy the pairs of name and value."""
+        self.fields: list[tuple[str, str]] = list(fields)
+
+    def get(self, name: str) -> str | None:
+        """Return the first value under the name, without regard to case."""
+        wanted = name.lower()
+        for field, value in self.fields:
+            if field.lower() == wanted:
+                return value
+        return None
+
+    def with_field(self, name: str, value: str) -> "Headers":
+        """Return a copy in which the name has just this value."""
+        lowered = name.lower()
+        kept = [pair for pair in self.fields if pair[0].lower() != lowered]
+        return Headers([*kept, (name, value)])
+
+    def without(self, names: collections.abc.Set[str]) -> "Headers":
+        """Return a copy without the names, which are in lower case."""
+        return Headers(p for p in self.fields if p[0].lower() not in names)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """Hold one request with its whole body."""
+
+    method: str
+    target: str
+    headers: Headers = dataclasses.field(default_factory=Headers)
+    body: bytes = b""
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+    def query(self, name: str) -> str | None:
+        """Return the first value of a query parameter."""
+        query = self.target.partition("?")[2]
+        values = urllib.parse.parse_qs(query).get(name)
+        return values[0] if values else None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Hold the status and headers of a response."""
+
+    status: int
+    headers: Headers = dataclasses.field(default_factory=Headers)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """Hold one response with its whole body."""
+
+    status: int
+    headers: Headers = dataclasses.field(default_factory=Headers)
+    body: bytes = b""
+
+
+def json_request(method: str, target: str, value: object) -> Request:
+    """Return a request whose body is the value in JSON."""
+    headers = Headers([("Content-Type", JSON_TYPE)])
+    return Request(method, target, headers, msgspec.json.encode(value))
+
+
+def json_response(status: int, value: object) -> Response:
+    """Return a response whose body is the value in JSON."""
+    headers = Headers([("Content-Type", JSON_TYPE)])
+    return Response(status, headers, msgspec.json.encode(value))
--- /dev/null
+++ b/sycamoredale/ids.py
@@ -0,0 +1,25 @@
+"""Name the identifiers that cross module boundaries.
+
+Each identifier has a type of its own, so that a type checker refuses to
+mix, for example, an instance with an endpoint.
+"""
+
+import typing
+
+AdapterName = typing.NewType("AdapterName", str)
+DaemonId = typing.NewType("DaemonId", str)
+DomainName = typing.NewType("DomainName", str)
+EndpointId = typing.NewType("EndpointId", str)
+Epoch = typing.NewType("Epoch", int)
+Generation = typing.NewType("Generation", int)
+GroupId = typing.NewType("GroupId", str)
+IdempotencyKey = typing.NewType("IdempotencyKey", str)
+Incarnation = typing.NewType("Incarnation", int)
+InstanceId = typing.NewType("InstanceId", str)
+ObjectVersion = typing.NewType("ObjectVersion", int)
+OrganisationName = typing.NewType("OrganisationName", str)
+RequestId = typing.NewType("RequestId", str)
+ServiceName = typing.NewType("ServiceName", str)
+VersionName = typing.NewType("VersionName", str)
+WriteId = typing.NewType("WriteId", str)
+ZoneName = typing.NewType("ZoneName", str)
--- /dev/null
+++ b/sycamoredale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Keep daemons informed about each other."""
--- /dev/null
+++ b/sycamoredale/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Write logs, counters and histograms."""
--- /dev/null
+++ b/sycamoredale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapt the services of the platform, one thin module each."""
--- /dev/null
+++ b/sycamoredale/platform/instances.py
@@ -0,0 +1,71 @@
+"""Adapt the platform's list of instances, which lags behind the truth."""
+
+import dataclasses
+import enum
+from typing import Final
+
+import msgspec
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+
+CALL_SECONDS: Final = 2.0
+ENGINE: Final = "engine"
+
+
+class InstanceState(enum.Enum):
+    """State what the platform says of an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """Describe one endpoint instance.
+
+    `runs` is `engine` for an accelerator instance and otherwise the name
+    of the plain service that runs there.
+    """
+
+    id: ids.InstanceId
+    address: str
+    zone: ids.ZoneName
+    domain: ids.DomainName
+    runs: str = ENGINE
+    accelerators: int = 8
+    state: InstanceState = InstanceState.LIVE
+
+
+@dataclasses.dataclass
+class InstanceList:
+    """Read the list at one address."""
+
+    address: messages.Address
+    pool: client.Pool
+
+    async def read(self) -> list[Instance]:
+        """Return all listed instances; raise StoreUnavailable."""
+        request = messages.Request("GET", "/v1/instances")
+        try:
+            response = await self.pool.call(
+                self.address, request, CALL_SECONDS
+            )
+            if response.status != 200:
+                raise errors.StoreUnavailable(
+                    error_codes.STORE_UNAVAILABLE,
+                    f"the instance list answered status {response.status}",
+                )
+            return msgspec.json.decode(response.body, type=list[Instance])
+        except (errors.ConnectionFailed, errors.ConnectionBroken) as error:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"the instance list is unavailable: {error.message}",
+            ) from error
+        except msgspec.DecodeError as error:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"the instance list is malformed: {error}",
+            ) from error
--- /dev/null
+++ b/sycamoredale/platform/objects.py
@@ -0,0 +1,201 @@
+"""Adapt the object API of the platform.
+
+An object has a kind, a name, a version and a JSON value.  A write names the
+version that it replaces (0 where the object must not exist) and takes
+effect only if that is still the current one.  The wire format stands in
+this module alone.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+from typing import Final
+import urllib.parse
+
+import msgspec
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+
+ABSENT: Final = ids.ObjectVersion(0)
+MAX_VALUE_BYTES: Final = 1_000_000
+CALL_SECONDS: Final = 2.0
+WATCH_MARGIN_SECONDS: Final = 2.0
+VERSION_HEADER: Final = "If-Version"
+
+
+class CallKind(enum.Enum):
+    """Name the kinds of platform calls that are counted."""
+
+    READ = "read"
+    WRITE = "write"
+    LIST = "list"
+    WATCH = "watch"
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """Hold one object as the store returned it; `value` is JSON."""
+
+    name: str
+    version: ids.ObjectVersion
+    value: msgspec.Raw
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """Hold the objects of a kind, or those changed since a version."""
+
+    version: ids.ObjectVersion
+    objects: list[StoredObject] = []
+    deleted: list[str] = []
+
+
+class _Written(msgspec.Struct, frozen=True):
+    version: ids.ObjectVersion
+
+
+OnCall = collections.abc.Callable[[CallKind], None]
+
+
+@dataclasses.dataclass
+class ObjectStore:
+    """Call the object API at one address."""
+
+    address: messages.Address
+    pool: client.Pool
+    on_call: OnCall = lambda kind: None
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object or None; raise StoreUnavailable."""
+        response = await self._read(CallKind.READ, _path(kind, name))
+        if response.status == 404:
+            return None
+        return _decode(response, StoredObject)
+
+    async def list(self, kind: str) -> Listing:
+        """Return all objects of a kind; raise StoreUnavailable."""
+        response = await self._read(CallKind.LIST, _path(kind))
+        return _decode(response, Listing)
+
+    async def watch(
+        self, kind: str, after: ids.ObjectVersion, wait_seconds: float
+    ) -> Listing:
+        """Wait for changes after a version; raise StoreUnavailable."""
+        target = (
+            f"/v1/watch/{urllib.parse.quote(kind, safe='')}"
+            f"?after={after}&wait={wait_seconds:g}"
+        )
+        response = await self._read(
+            CallKind.WATCH, target, wait_seconds + WATCH_MARGIN_SECONDS
+        )
+        return _decode(response, Listing)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected: ids.ObjectVersion
+    ) -> ids.ObjectVersion:
+        """Write JSON over the expected version and return the new one.
+
+        Raises VersionConflict, StoreUnavailable if nothing was written, or
+        OutcomeUnknown if the answer was lost.
+        """
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueError(
+                f"value of {kind}/{name} has {len(value)} bytes, "
+                f"the store holds {MAX_VALUE_BYTES}"
+            )
+        request = messages.Request(
+            "PUT",
+            _path(kind, name),
+            messages.Headers([(VERSION_HEADER, str(expected))]),
+            value,
+        )
+        response = await self._write(request)
+        return _decode(response, _Written).version
+
+    async def delete(
+        self, kind: str, name: str, expected: ids.ObjectVersion
+    ) -> None:
+        """Delete an object at the expected version; raise as `put`."""
+        headers = messages.Headers([(VERSION_HEADER, str(expected))])
+        await self._write(
+            messages.Request("DELETE", _path(kind, name), headers)
+        )
+
+    async def _read(
+        self, kind: CallKind, target: str, seconds: float = CALL_SECONDS
+    ) -> messages.Response:
+        self.on_call(kind)
+        request = messages.Request("GET", target)
+        try:
+            response = await self.pool.call(self.address, request, seconds)
+        except errors.SycamoredaleError as error:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"read of {target} failed: {error.message}",
+            ) from error
+        if response.status not in (200, 404):
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"read of {target} answered status {response.status}",
+            )
+        return response
+
+    async def _write(self, request: messages.Request) -> messages.Response:
+        self.on_call(CallKind.WRITE)
+        target = request.target
+        try:
+            response = await self.pool.call(
+                self.address, request, CALL_SECONDS
+            )
+        except errors.ConnectionFailed as error:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"write of {target} failed: {error.message}",
+            ) from error
+        except errors.ConnectionBroken as error:
+            raise errors.OutcomeUnknown(
+                error_codes.OUTCOME_UNKNOWN,
+                f"the answer to the write of {target} was lost: "
+                f"{error.message}",
+                error_codes.Execution.UNKNOWN,
+            ) from error
+        if response.status == 409:
+            raise errors.VersionConflict(
+                error_codes.VERSION_CONFLICT,
+                f"object {target} changed since it was read",
+            )
+        if response.status in (429, 503):
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"write of {target} answered status {response.status}",
+            )
+        if response.status != 200:
+            raise errors.OutcomeUnknown(
+                error_codes.OUTCOME_UNKNOWN,
+                f"write of {target} answered status {response.status}",
+                error_codes.Execution.UNKNOWN,
+            )
+        return response
+
+
+def _path(kind: str, name: str | None = None) -> str:
+    path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
+    if name is None:
+        return path
+    return f"{path}/{urllib.parse.quote(name, safe='')}"
+
+
+_T = typing.TypeVar("_T")
+
+
+def _decode(response: messages.Response, kind: type[_T]) -> _T:
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise errors.StoreUnavailable(
+            error_codes.STORE_UNAVAILABLE,
+            f"the object API sent a malformed answer: {error}",
+        ) from error
--- /dev/null
+++ b/sycamoredale/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Carry one request to its whole answer or truthful refusal."""
--- /dev/null
+++ b/sycamoredale/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the endpoint that runs a request."""
--- /dev/null
+++ b/sycamoredale/standins/ledger.py
@@ -0,0 +1,86 @@
+"""Stand in for a plain service that books withdrawals.
+
+The ledger counts each execution by idempotency key, or by request id where
+a call has no key.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+import curio
+import msgspec
+
+from sycamoredale.http import messages
+from sycamoredale.http import server
+
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+KEY_HEADER: Final = "Idempotency-Key"
+
+
+class Faults(msgspec.Struct, frozen=True):
+    """Set what goes wrong, with times in seconds.
+
+    `lose_answers` closes that many connections after the execution.
+    """
+
+    delay: float = 0.0
+    lose_answers: int = 0
+    refuse: bool = False
+
+
+@dataclasses.dataclass
+class Ledger:
+    """Execute withdrawals and keep count."""
+
+    faults: Faults = Faults()
+    executions_by_key: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one request."""
+        request = exchange.request
+        match (request.method, request.path):
+            case ("PUT", "/standin/faults"):
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+                await exchange.respond(messages.json_response(200, {}))
+            case ("GET", "/standin/executions"):
+                await exchange.respond(
+                    messages.json_response(200, self.executions_by_key)
+                )
+            case ("POST", _):
+                await self._execute(exchange)
+            case ("GET", "/inventory"):
+                await exchange.respond(_with_id(request, self._summary()))
+            case _:
+                await exchange.respond(messages.json_response(404, {}))
+
+    async def _execute(self, exchange: server.Exchange) -> None:
+        request = exchange.request
+        if self.faults.refuse:
+            raise ConnectionResetError("refused on purpose")
+        key = request.headers.get(KEY_HEADER)
+        name = key or request.headers.get(REQUEST_ID_HEADER) or ""
+        self.executions_by_key[name] += 1
+        await curio.sleep(self.faults.delay)
+        if self.faults.lose_answers:
+            left = self.faults.lose_answers - 1
+            self.faults = msgspec.structs.replace(
+                self.faults, lose_answers=left
+            )
+            raise ConnectionResetError("the answer is lost on purpose")
+        body = {"booked": name, "execution": self.executions_by_key[name]}
+        await exchange.respond(_with_id(request, body))
+
+    def _summary(self) -> dict[str, int]:
+        return {"withdrawals": self.executions_by_key.total()}
+
+
+def _with_id(
+    request: messages.Request, body: dict[str, int] | dict[str, object]
+) -> messages.Response:
+    response = messages.json_response(200, body)
+    request_id = request.headers.get(REQUEST_ID_HEADER) or ""
+    headers = response.headers.with_field(REQUEST_ID_HEADER, request_id)
+    return dataclasses.replace(response, headers=headers)
--- /dev/null
+++ b/sycamoredale/standins/platform.py
@@ -0,0 +1,239 @@
+"""Stand in for the platform: object API, instance list and weight store.
+
+Everything lives in the memory of one process.  Faults are set over HTTP
+at `/standin/faults`; tests and demos change the instance list at
+`/standin/instances`.
+"""
+
+import collections
+import dataclasses
+import typing
+from typing import Final
+import urllib.parse
+
+import curio
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale.http import messages
+from sycamoredale.http import server
+from sycamoredale.platform import instances
+
+CHANGE_LOG_LENGTH: Final = 100_000
+
+
+class Faults(msgspec.Struct, frozen=True):
+    """Set what goes wrong, with times in seconds.
+
+    `lose_answers` drops the answers of that many writes after their effect.
+    `list_lag` delays what the instance list shows.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    list_lag: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Record one change of an object; `value` is None for a deletion."""
+
+    version: int
+    kind: str
+    name: str
+    value: bytes | None
+
+
+class Store:
+    """Hold objects, their versions and every change."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.version = 0
+        self.by_kind: dict[str, dict[str, Change]] = {}
+        self.log: list[Change] = []
+        self._changed = curio.Condition()
+
+    def get(self, kind: str, name: str) -> Change | None:
+        """Return the current state of an object."""
+        return self.by_kind.get(kind, {}).get(name)
+
+    def current_version(self, kind: str, name: str) -> int:
+        """Return the version of an object, 0 if it does not exist."""
+        change = self.get(kind, name)
+        return change.version if change else 0
+
+    async def put(self, kind: str, name: str, value: bytes | None) -> int:
+        """Write or delete an object and wake the watches."""
+        self.version += 1
+        change = Change(self.version, kind, name, value)
+        self.log.append(change)
+        by_name = self.by_kind.setdefault(kind, {})
+        if value is None:
+            by_name.pop(name, None)
+        else:
+            by_name[name] = change
+        async with self._changed:
+            await self._changed.notify_all()
+        return self.version
+
+    async def changes_after(
+        self, kind: str, after: int, wait: float
+    ) -> list[Change]:
+        """Return the changes of a kind, waiting for the first one."""
+        async with curio.ignore_after(wait):
+            async with self._changed:
+                while not (found := self._newer(kind, after)):
+                    await self._changed.wait()
+                return found
+        return []
+
+    def _newer(self, kind: str, after: int) -> list[Change]:
+        found: list[Change] = []
+        for change in reversed(self.log):
+            if change.version <= after:
+                break
+            if change.kind == kind:
+                found.append(change)
+        return found[::-1]
+
+
+class Platform:
+    """Answer the calls of the platform's interface."""
+
+    def __init__(self) -> None:
+        """Start with no objects, no instances and no faults."""
+        self.store: Final = Store()
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._listings: list[tuple[float, list[instances.Instance]]] = []
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one request."""
+        request = exchange.request
+        parts = [urllib.parse.unquote(p) for p in request.path.split("/") if p]
+        if parts[:1] == ["standin"]:
+            await exchange.respond(self._control(request, parts[1:]))
+            return
+        self.calls[f"{request.method} {parts[1] if parts[1:] else ''}"] += 1
+        await self._suffer_faults()
+        response = await self._answer(request, parts)
+        if request.method in ("PUT", "DELETE") and self.faults.lose_answers:
+            left = self.faults.lose_answers - 1
+            self.faults = msgspec.structs.replace(
+                self.faults, lose_answers=left
+            )
+            raise ConnectionResetError("the answer is lost on purpose")
+        await exchange.respond(response)
+
+    async def _suffer_faults(self) -> None:
+        if self.faults.down:
+            raise ConnectionResetError("the platform is down on purpose")
+        if self.faults.delay:
+            await curio.sleep(self.faults.delay)
+
+    async def _answer(
+        self, request: messages.Request, parts: list[str]
+    ) -> messages.Response:
+        match (request.method, parts):
+            case ("GET", ["v1", "objects", kind]):
+                return self._list(kind)
+            case ("GET", ["v1", "objects", kind, name]):
+                return self._get(kind, name)
+            case ("PUT", ["v1", "objects", kind, name]):
+                return await self._put(request, kind, name, request.body)
+            case ("DELETE", ["v1", "objects", kind, name]):
+                return await self._put(request, kind, name, None)
+            case ("GET", ["v1", "watch", kind]):
+                return await self._watch(request, kind)
+            case ("GET", ["v1", "instances"]):
+                return messages.json_response(200, self._lagging_list())
+        return messages.json_response(404, {"error": "not found"})
+
+    def _get(self, kind: str, name: str) -> messages.Response:
+        change = self.store.get(kind, name)
+        if change is None:
+            return messages.json_response(404, {"error": "no such object"})
+        return messages.json_response(200, _stored(change))
+
+    def _list(self, kind: str) -> messages.Response:
+        found = self.store.by_kind.get(kind, {}).values()
+        listing = {
+            "version": self.store.version,
+            "objects": [_stored(change) for change in found],
+        }
+        return messages.json_response(200, listing)
+
+    async def _put(
+        self,
+        request: messages.Request,
+        kind: str,
+        name: str,
+        value: bytes | None,
+    ) -> messages.Response:
+        expected = int(request.headers.get("If-Version") or 0)
+        current = self.store.current_version(kind, name)
+        if expected != current:
+            return messages.json_response(409, {"version": current})
+        version = await self.store.put(kind, name, value)
+        return messages.json_response(200, {"version": version})
+
+    async def _watch(
+        self, request: messages.Request, kind: str
+    ) -> messages.Response:
+        after = int(request.query("after") or 0)
+        wait = float(request.query("wait") or 0)
+        changes = await self.store.changes_after(kind, after, wait)
+        latest = {change.name: change for change in changes}
+        kept = [c for c in latest.values() if c.value is not None]
+        gone = [c.name for c in latest.values() if c.value is None]
+        version = changes[-1].version if changes else after
+        listing = {
+            "version": version,
+            "objects": [_stored(change) for change in kept],
+            "deleted": gone,
+        }
+        return messages.json_response(200, listing)
+
+    def _lagging_list(self) -> list[instances.Instance]:
+        visible_until = clock.monotonic() - self.faults.list_lag
+        visible: list[instances.Instance] = []
+        for time, listing in self._listings:
+            if time <= visible_until:
+                visible = listing
+        return visible
+
+    def _control(
+        self, request: messages.Request, parts: list[str]
+    ) -> messages.Response:
+        match (request.method, parts):
+            case ("PUT", ["faults"]):
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+                return messages.json_response(200, self.faults)
+            case ("PUT", ["instances"]):
+                listing = msgspec.json.decode(
+                    request.body, type=list[instances.Instance]
+                )
+                self._listings.append((clock.monotonic(), listing))
+                return messages.json_response(200, {})
+            case ("GET", ["calls"]):
+                return messages.json_response(200, dict(self.calls))
+            case ("GET", ["history", kind, name]):
+                return messages.json_response(200, self._history(kind, name))
+        return messages.json_response(404, {"error": "not found"})
+
+    def _history(self, kind: str, name: str) -> list[typing.Any]:
+        return [
+            msgspec.Raw(change.value or b"null")
+            for change in self.store.log
+            if change.kind == kind and change.name == name
+        ]
+
+
+def _stored(change: Change) -> dict[str, object]:
+    return {
+        "name": change.name,
+        "version": change.version,
+        "value": msgspec.Raw(change.value or b"null"),
+    }
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,174 @@
+"""Run daemons and stand-ins as processes for tests."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+import typing
+import urllib.error
+import urllib.request
+
+ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
+START_SECONDS: typing.Final = 20.0
+
+
+@dataclasses.dataclass
+class Process:
+    """Hold one process and the address that it listens on."""
+
+    popen: subprocess.Popen[str]
+    address: str = ""
+    log_lines: list[str] = dataclasses.field(default_factory=list)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Stop the process without ending it."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self, seconds: float = 20.0) -> int:
+        """Ask the process to stop and return its exit status."""
+        self.popen.terminate()
+        return self.popen.wait(seconds)
+
+
+class Fleet(contextlib.ExitStack):
+    """Start processes and end all of them at exit."""
+
+    def start(self, *arguments: str) -> Process:
+        """Start a module of the package with arguments."""
+        popen = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+        )
+        process = Process(popen)
+        self.callback(_end, popen)
+        threading.Thread(target=_collect, args=(process,), daemon=True).start()
+        return process
+
+    def standin(self, *arguments: str) -> Process:
+        """Start a stand-in and wait for its address."""
+        process = self.start("sycamoredale.standins", *arguments)
+        assert process.popen.stdout is not None
+        process.address = process.popen.stdout.readline().strip()
+        assert process.address, "the stand-in printed no address"
+        return process
+
+    def router(self, name: str, zone: str, platform: str) -> Process:
+        """Start a router and wait for its address."""
+        process = self.start(
+            "sycamoredale",
+            "router",
+            "--daemon-id",
+            name,
+            "--zone",
+            zone,
+            "--platform",
+            platform,
+            "--listen",
+            "127.0.0.1:0",
+        )
+        process.address = wait_for(lambda: _logged_address(process))
+        return process
+
+    def controller(self, name: str, zone: str, platform: str) -> Process:
+        """Start a controller."""
+        return self.start(
+            "sycamoredale",
+            "controller",
+            "--daemon-id",
+            name,
+            "--zone",
+            zone,
+            "--platform",
+            platform,
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Hold the answer to one request."""
+
+    status: int
+    headers: typing.Mapping[str, str]
+    body: bytes
+
+    def json(self) -> typing.Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def request(
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    headers: typing.Mapping[str, str] | None = None,
+    seconds: float = 30.0,
+) -> Answer:
+    """Make one request with a JSON body and return the answer."""
+    data = None if body is None else json.dumps(body).encode()
+    message = urllib.request.Request(
+        f"http://{address}{path}",
+        data=data,
+        method=method,
+        headers=dict(headers or {}),
+    )
+    try:
+        with urllib.request.urlopen(message, timeout=seconds) as response:
+            return Answer(response.status, response.headers, response.read())
+    except urllib.error.HTTPError as error:
+        return Answer(error.code, error.headers, error.read())
+
+
+_T = typing.TypeVar("_T")
+
+
+def wait_for(
+    probe: typing.Callable[[], _T], seconds: float = START_SECONDS
+) -> _T:
+    """Return the first true result of a probe."""
+    deadline = time.monotonic() + seconds
+    while True:
+        result = probe()
+        if result:
+            return result
+        if time.monotonic() > deadline:
+            raise AssertionError(f"nothing true within {seconds} s")
+        time.sleep(0.05)
+
+
+def _logged_address(process: Process) -> str:
+    for line in list(process.log_lines):
+        if "router_listening" in line:
+            return str(json.loads(line)["address"])
+    assert process.popen.poll() is None, "\n".join(process.log_lines)
+    return ""
+
+
+def _collect(process: Process) -> None:
+    assert process.popen.stderr is not None
+    for line in process.popen.stderr:
+        process.log_lines.append(line)
+
+
+def _end(popen: subprocess.Popen[str]) -> None:
+    popen.kill()
+    popen.wait()
