--- /dev/null
+++ b/sycamoredale/admission/admission.py
@@ -0,0 +1,32 @@
+"""Decide whether a call may run now, must wait or is refused."""
+
+import collections.abc
+import contextlib
+import dataclasses
+
+from sycamoredale import clock
+from sycamoredale import ids
+from sycamoredale.requests import call as call_module
+
+
+@dataclasses.dataclass
+class Admission:
+    """Count the open calls of each organisation."""
+
+    open_by_organisation: dict[ids.OrganisationName, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @contextlib.asynccontextmanager
+    async def admitted(
+        self, call: call_module.Call, now: clock.MonotonicTime
+    ) -> collections.abc.AsyncIterator[None]:
+        """Hold a place for the call while the block runs; raise Refusal."""
+        del now
+        name = call.organisation
+        count = self.open_by_organisation.get(name, 0)
+        self.open_by_organisation[name] = count + 1
+        try:
+            yield
+        finally:
+            self.open_by_organisation[name] -= 1
--- a/sycamoredale/cli.py
+++ b/sycamoredale/cli.py
@@ -57,6 +57,7 @@
 @click.option("--zone", required=True, help="Its availability zone.")
 @click.option("--platform", type=ADDRESS, required=True)
 @click.option("--listen", type=ADDRESS, default="127.0.0.1:8080")
+@click.option("--peer-listen", type=ADDRESS, default="127.0.0.1:0")
 @click.option("--statsd", type=ADDRESS, default=None)
 @click.option("--log-level", default="info")
 @click.option("--drain-seconds", type=float, default=30.0)
@@ -65,13 +66,17 @@
     zone: str,
     platform: messages.Address,
     listen: messages.Address,
+    peer_listen: messages.Address,
     statsd: messages.Address | None,
     log_level: str,
     drain_seconds: float,
 ) -> None:
     """Run a router."""
     common = _common(daemon_id, zone, platform, statsd, log_level)
-    router.run(options.RouterOptions(common, listen, drain_seconds))
+    settings = options.RouterOptions(
+        common, listen, peer_listen, drain_seconds
+    )
+    router.run(settings)
 
 
 @main.command("controller")
--- a/sycamoredale/daemons/options.py
+++ b/sycamoredale/daemons/options.py
@@ -23,6 +23,7 @@
 
     common: DaemonOptions
     listen: messages.Address
+    peer_listen: messages.Address
     drain_seconds: float
 
 
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -1,35 +1,32 @@
 """Run a router: take calls, decide, dispatch and relay.
 
-The router needs no controller.  It follows the configuration and the
-assignments in the object API and goes on with the last state that it has
+The router needs no controller.  It goes on with the last state that it has
 seen while the object API is down.
 """
 
 from typing import Final
 
 import curio
-import msgspec
 
-from sycamoredale.admission import organisations
-from sycamoredale import clock
-from sycamoredale.config import model as config_model
+from sycamoredale.admission import admission
 from sycamoredale.config import store as config_store
+from sycamoredale.daemons import callers
+from sycamoredale.daemons import followers
 from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
-from sycamoredale import errors
-from sycamoredale.groups import model as groups_model
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.membership import relay
+from sycamoredale.membership import service as peer_service
+from sycamoredale.membership import view
 from sycamoredale.observability import logs
 from sycamoredale.platform import objects
-from sycamoredale.requests import call as call_module
 from sycamoredale.requests import dispatch
+from sycamoredale.routing import choice
 from sycamoredale.routing import table
 
-WATCH_SECONDS: Final = 10.0
-RETRY_SECONDS: Final = 0.5
 LOG: Final = logs.get("router")
 
 
@@ -37,103 +34,69 @@
     """Join the parts of a router."""
 
     def __init__(self, settings: options.RouterOptions) -> None:
-        """Build the parts; nothing runs until `run`."""
+        """Build the parts; nothing listens until `run`."""
+        common = settings.common
         self._settings = settings
         self._pool = client.Pool()
-        self._store = objects.ObjectStore(settings.common.platform, self._pool)
-        self._accepted = config_store.NOTHING_ACCEPTED
+        self._store = objects.ObjectStore(common.platform, self._pool)
         self._table = table.RoutingTable()
-        self._dispatcher = dispatch.Dispatcher(
-            self._table, client.Pool(), settings.common.zone
+        self._configuration = followers.ConfigurationFollower(
+            self._store, self._on_accepted
         )
-        self._server = server.Server(self.handle)
+        self._assignments = followers.AssignmentFollower(
+            self._store, self._table
+        )
+        self._relay = relay.Relay(common.daemon)
+        chooser = choice.Chooser(self._table, common.zone)
+        callers_service = callers.CallerService(
+            configuration=lambda: self._configuration.accepted.configuration,
+            health=self._health,
+            admission=admission.Admission(),
+            dispatcher=dispatch.Dispatcher(chooser, client.Pool()),
+        )
+        self._server = server.Server(callers_service.handle)
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain."""
+        """Serve until a stop signal, then drain."""
         stop = stopping.StopSignal()
+        await self._start_peer_service()
+        await curio.spawn(self._configuration.run, daemon=True)
+        await curio.spawn(self._assignments.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
-        await curio.spawn(self._follow_configuration, daemon=True)
-        await curio.spawn(self._follow_assignments, daemon=True)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
         await stop.wait()
         complete = await self._server.drain(self._settings.drain_seconds)
         LOG.info("router_stopped", complete=complete)
 
-    async def handle(self, exchange: server.Exchange) -> None:
-        """Answer one request of a caller."""
-        if exchange.request.path == "/healthz":
-            await exchange.respond(self._health())
-            return
-        started = clock.monotonic()
-        configuration = self._accepted.configuration
-        organisation = organisations.authenticate(
-            configuration.organisations,
-            exchange.request.headers.get("Authorization"),
-        )
-        call = call_module.read(exchange.request, organisation, configuration)
-        await self._dispatcher.run(call, exchange)
-        LOG.debug(
-            "request_answered",
-            request=call.id,
-            seconds=clock.monotonic() - started,
+    async def _start_peer_service(self) -> None:
+        common = self._settings.common
+        members = view.MembershipView(
+            view.Peer(
+                common.daemon,
+                str(self._settings.peer_listen),
+                common.zone,
+                view.Role.ROUTER,
+                ids.Incarnation(0),
+            )
         )
+        peers = peer_service.PeerService(members, self._pool)
+        peer_server = server.Server(peers.handle)
+        bound = peer_server.bind(self._settings.peer_listen)
+        await peer_server.start()
+        LOG.info("peer_service_listening", address=str(bound))
+
+    def _on_accepted(self, accepted: config_store.Accepted) -> None:
+        self._table.apply_configuration(accepted.configuration)
 
     def _health(self) -> messages.Response:
         body = {
             "daemon": self._settings.common.daemon,
-            "generation": self._accepted.generation,
+            "generation": self._configuration.accepted.generation,
             "endpoints": len(self._table.by_id),
         }
         return messages.json_response(200, body)
 
-    async def _follow_configuration(self) -> None:
-        version = objects.ABSENT
-        while True:
-            try:
-                accepted = await config_store.read(self._store)
-                self._adopt(accepted)
-                version = max(version, accepted.version)
-                listing = await self._store.watch(
-                    config_model.KIND, version, WATCH_SECONDS
-                )
-                version = max(version, listing.version)
-            except errors.StoreUnavailable as error:
-                LOG.warning("store_unavailable", reason=error.message)
-                await curio.sleep(RETRY_SECONDS)
-
-    def _adopt(self, accepted: config_store.Accepted) -> None:
-        if accepted.generation <= self._accepted.generation:
-            return
-        self._accepted = accepted
-        self._table.apply_configuration(accepted.configuration)
-        LOG.info("configuration_in_force", generation=accepted.generation)
-
-    async def _follow_assignments(self) -> None:
-        version = ids.ObjectVersion(0)
-        while True:
-            try:
-                if version == objects.ABSENT:
-                    listing = await self._store.list(
-                        groups_model.ASSIGNMENT_KIND
-                    )
-                else:
-                    listing = await self._store.watch(
-                        groups_model.ASSIGNMENT_KIND, version, WATCH_SECONDS
-                    )
-                version = max(version, listing.version)
-                self._apply_assignments(listing)
-            except errors.StoreUnavailable as error:
-                LOG.warning("store_unavailable", reason=error.message)
-                await curio.sleep(RETRY_SECONDS)
-
-    def _apply_assignments(self, listing: objects.Listing) -> None:
-        for stored in listing.objects:
-            assignment = msgspec.json.decode(
-                stored.value, type=groups_model.Assignment
-            )
-            self._table.apply_assignment(assignment)
-
 
 def run(settings: options.RouterOptions) -> None:
     """Run a router until it is told to stop."""
--- /dev/null
+++ b/sycamoredale/membership/service.py
@@ -0,0 +1,69 @@
+"""Answer the requests of peers and make requests to them.
+
+Each part of a daemon registers the paths that it answers.  Bodies are
+JSON in both directions.
+"""
+
+import collections.abc
+import dataclasses
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.http import server
+from sycamoredale import ids
+from sycamoredale.membership import view
+
+PeerHandler = collections.abc.Callable[
+    [bytes], collections.abc.Awaitable[bytes]
+]
+
+
+@dataclasses.dataclass
+class PeerService:
+    """Exchange JSON with peers over HTTP."""
+
+    members: view.MembershipView
+    pool: client.Pool
+    handlers_by_path: dict[str, PeerHandler] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def register(self, path: str, handler: PeerHandler) -> None:
+        """Answer requests of peers to a path with a handler."""
+        self.handlers_by_path[path] = handler
+
+    async def call(
+        self, peer: ids.DaemonId, path: str, body: bytes, seconds: float
+    ) -> bytes:
+        """Return the peer's answer; raise ConnectionFailed or Broken."""
+        known = self.members.by_id.get(peer)
+        if known is None:
+            raise errors.ConnectionFailed(
+                error_codes.CONNECTION_FAILED, f"daemon {peer!r} is unknown"
+            )
+        headers = messages.Headers([("Content-Type", messages.JSON_TYPE)])
+        request = messages.Request("POST", path, headers, body)
+        address = messages.parse_address(known.address)
+        response = await self.pool.call(address, request, seconds)
+        if response.status != 200:
+            raise errors.ConnectionBroken(
+                error_codes.CONNECTION_BROKEN,
+                f"daemon {peer!r} answered status {response.status} "
+                f"to {path}",
+                error_codes.Execution.UNKNOWN,
+            )
+        return response.body
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one request of a peer."""
+        handler = self.handlers_by_path.get(exchange.request.path)
+        if handler is None:
+            raise errors.Refusal(
+                error_codes.NOT_FOUND,
+                f"path {exchange.request.path!r} names nothing",
+            )
+        body = await handler(exchange.request.body)
+        headers = messages.Headers([("Content-Type", messages.JSON_TYPE)])
+        await exchange.respond(messages.Response(200, headers, body))
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
@@ -29,11 +30,10 @@
 
 @dataclasses.dataclass
 class Dispatcher:
-    """Run calls on the endpoints of a routing table."""
+    """Run calls on the endpoints that a chooser names."""
 
-    routing_table: table.RoutingTable
+    chooser: choice.Chooser
     pool: client.Pool
-    own_zone: ids.ZoneName
 
     async def run(
         self, call: call_module.Call, exchange: server.Exchange
@@ -55,11 +55,7 @@
         tried: set[ids.EndpointId] = set()
         execution = error_codes.Execution.NOT_RUN
         for _ in range(MAX_ATTEMPTS):
-            endpoint = choice.least_in_flight(
-                self.routing_table.candidates(call.service.name),
-                self.own_zone,
-                tried,
-            )
+            endpoint = self.chooser.choose(call, tried, clock.monotonic())
             if endpoint is None:
                 break
             tried.add(endpoint.id)
--- a/sycamoredale/routing/choice.py
+++ b/sycamoredale/routing/choice.py
@@ -1,20 +1,32 @@
-"""Choose the endpoint that runs a request."""
+"""Choose the endpoint that runs a call."""
 
 import collections.abc
+import dataclasses
 
+from sycamoredale import clock
 from sycamoredale import ids
+from sycamoredale.requests import call as call_module
 from sycamoredale.routing import table
 
 
-def least_in_flight(
-    candidates: collections.abc.Iterable[table.Endpoint],
-    own_zone: ids.ZoneName,
-    excluded: collections.abc.Set[ids.EndpointId],
-) -> table.Endpoint | None:
-    """Return the least loaded candidate, in the own zone on a tie."""
-    usable = (c for c in candidates if c.id not in excluded)
-    return min(
-        usable,
-        key=lambda c: (c.in_flight, c.zone != own_zone, c.id),
-        default=None,
-    )
+@dataclasses.dataclass
+class Chooser:
+    """Choose among the endpoints of a routing table."""
+
+    routing_table: table.RoutingTable
+    own_zone: ids.ZoneName
+
+    def choose(
+        self,
+        call: call_module.Call,
+        excluded: collections.abc.Set[ids.EndpointId],
+        now: clock.MonotonicTime,
+    ) -> table.Endpoint | None:
+        """Return the endpoint for the call, or None if there is none."""
+        del now
+        candidates = self.routing_table.candidates(call.service.name)
+        return min(
+            (c for c in candidates if c.id not in excluded),
+            key=lambda c: (c.in_flight, c.zone != self.own_zone, c.id),
+            default=None,
+        )
