Split the orders from the stand-in of an engine and add a weight store

The orders part and the part that generates tokens change for different reasons, so they stand in modules of their own. Engines may now fetch weights from a store that serves a limited number of fetches at once, and report held weights, adapters, role and step time.

Ruled out: weights as part of the object API, whose values end at a megabyte.

--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -19,6 +19,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.standins import engine_orders
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 DEFAULT_TOKENS: Final = 16
@@ -45,6 +46,7 @@
     first_token_seconds: float = 0.02
     token_seconds: float = 0.005
     honours_fencing: bool = True
+    weight_store: str = ""
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -64,21 +66,24 @@
         """Start empty."""
         self.settings: Final = settings
         self.faults = Faults()
-        self.order: orders.Order | None = None
-        self.epoch = ids.Epoch(0)
-        self.phase = orders.Phase.EMPTY
+        self.orders: Final = engine_orders.OrderBook(
+            settings.instance,
+            settings.load_seconds,
+            settings.cold_seconds,
+            settings.honours_fencing,
+            engine_orders.weight_store(settings.weight_store, pool),
+        )
         self.executed_by_request: dict[str, int] = {}
         self.running = 0
         self._pool = pool
-        self._phase_ends = 0.0
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
         request = exchange.request
-        self._advance(clock.monotonic())
+        self.orders.advance(clock.monotonic())
         match (request.method, request.path):
             case ("POST", "/v1/orders"):
-                await exchange.respond(self._obey(request))
+                await exchange.respond(await self._obey(request))
             case ("GET", "/v1/state"):
                 await exchange.respond(
                     messages.json_response(200, self._state())
@@ -88,6 +93,10 @@
             case ("PUT", "/standin/faults"):
                 self.faults = msgspec.json.decode(request.body, type=Faults)
                 await exchange.respond(messages.json_response(200, {}))
+            case ("GET", "/standin/orders"):
+                await exchange.respond(
+                    messages.json_response(200, self.orders.obeyed)
+                )
             case ("GET", "/standin/executed"):
                 await exchange.respond(
                     messages.json_response(200, self.executed_by_request)
@@ -95,57 +104,26 @@
             case _:
                 await exchange.respond(messages.json_response(404, {}))
 
-    def _advance(self, now: clock.MonotonicTime) -> None:
-        if now < self._phase_ends:
-            return
-        if self.phase is orders.Phase.LOADING:
-            self.phase = orders.Phase.COLD
-            self._phase_ends += self.settings.cold_seconds
-            self._advance(now)
-        elif self.phase is orders.Phase.COLD:
-            self.phase = orders.Phase.READY
-
-    def _obey(self, request: messages.Request) -> messages.Response:
-        order = msgspec.json.decode(request.body, type=orders.Order)
-        if self.settings.honours_fencing and order.epoch < self.epoch:
-            return messages.json_response(409, self._state())
-        self.epoch = order.epoch
-        self.order = order
-        match order.action:
-            case orders.Action.LOAD:
-                self.phase = orders.Phase.LOADING
-                self._phase_ends = (
-                    clock.monotonic() + self.settings.load_seconds
-                )
-            case orders.Action.UNLOAD:
-                self.phase = orders.Phase.EMPTY
-                self.order = None
-            case orders.Action.DRAIN:
-                self.phase = orders.Phase.DRAINING
-        return messages.json_response(200, self._state())
+    async def _obey(self, request: messages.Request) -> messages.Response:
+        order = engine_orders.decode(request.body)
+        obeyed = await self.orders.obey(order, clock.monotonic())
+        return messages.json_response(200 if obeyed else 409, self._state())
 
     def _state(self) -> orders.EngineState:
-        order = self.order
-        return orders.EngineState(
-            instance=self.settings.instance,
-            phase=self.phase,
-            epoch=self.epoch,
-            group=order.group if order else None,
-            service=order.service if order else ids.ServiceName(""),
-            version=order.version if order else ids.VersionName(""),
-            running=self.running,
-        )
+        step = self.settings.token_seconds * self.faults.slow_factor
+        return self.orders.state(self.running, step)
 
     async def _generate(self, exchange: server.Exchange) -> None:
         request = exchange.request
-        if self.phase not in (orders.Phase.COLD, orders.Phase.READY):
+        phase = self.orders.phase
+        if phase not in engine_orders.SERVING:
             await exchange.respond(
-                messages.json_response(503, {"error": self.phase.value})
+                messages.json_response(503, {"error": phase.value})
             )
             return
-        if self.phase is orders.Phase.COLD:
+        if phase is orders.Phase.COLD:
             if self.running >= self.settings.cold_limit:
-                self.phase = orders.Phase.FAILED
+                self.orders.phase = orders.Phase.FAILED
                 raise ConnectionResetError("overloaded during cold start")
         await self._check_members()
         request_id = request.headers.get(REQUEST_ID_HEADER) or ""
@@ -158,9 +136,10 @@
             self.running -= 1
 
     async def _check_members(self) -> None:
-        if self.order is None:
+        order = self.orders.order
+        if order is None:
             return
-        for text in self.order.members[1:]:
+        for text in order.members[1:]:
             probe = messages.Request("GET", "/v1/state")
             await self._pool.call(
                 messages.parse_address(text), probe, MEMBER_PROBE_SECONDS
--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -18,6 +18,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.platform import instances
+from sycamoredale.standins import weights
 
 CHANGE_LOG_LENGTH: Final = 100_000
 
@@ -106,6 +107,7 @@
         """Start with no objects, no instances and no faults."""
         self.store: Final = Store()
         self.faults = Faults()
+        self.weights: Final = weights.Weights()
         self.calls: collections.Counter[str] = collections.Counter()
         self._listings: list[tuple[float, list[instances.Instance]]] = []
 
@@ -149,6 +151,10 @@
                 return await self._watch(request, kind)
             case ("GET", ["v1", "instances"]):
                 return messages.json_response(200, self._lagging_list())
+            case ("GET", ["v1", "weights"]):
+                return self.weights.limits()
+            case ("GET", ["v1", "weights", name]):
+                return await self.weights.fetch(name)
         return messages.json_response(404, {"error": "not found"})
 
     def _get(self, kind: str, name: str) -> messages.Response:
@@ -217,6 +223,13 @@
                 )
                 self._listings.append((clock.monotonic(), listing))
                 return messages.json_response(200, {})
+            case ("PUT", ["weights"]):
+                self.weights.settings = msgspec.json.decode(
+                    request.body, type=weights.Settings
+                )
+                return messages.json_response(200, {})
+            case ("GET", ["weights"]):
+                return self.weights.usage()
             case ("GET", ["calls"]):
                 return messages.json_response(200, dict(self.calls))
             case ("GET", ["history", kind, name]):
