--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -96,6 +96,10 @@
     "order_failed", 502, "the engine did not carry out an order"
 )
 
+LEASE_LOST: Final = _define(
+    "lease_lost", 409, "the daemon no longer holds the lease"
+)
+
 # Operators.
 INVALID_CONFIGURATION: Final = _define(
     "invalid_configuration", 422, "the configuration has findings"
--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -53,3 +53,7 @@
 
 class OrderFailed(SycamoredaleError):
     """Report that an engine did not confirm an order."""
+
+
+class LeaseLost(SycamoredaleError):
+    """Report that a daemon may no longer act for what a lease covers."""
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,145 @@
+"""Compare the lease with a naive lock under pauses and lost answers."""
+
+import curio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale import ids
+from sycamoredale import leases
+from tests import fake_store
+
+RATES = (0.996, 1.0, 1.004)
+FATES = strategies.sampled_from(fake_store.Fate)
+DAEMONS = strategies.integers(0, len(RATES) - 1)
+
+
+class Time:
+    """Advance true time; each daemon reads it at its own rate."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+
+    def reader(self, rate: float) -> leases.ReadClock:
+        offset = rate * 17.0
+        return lambda: clock.MonotonicTime(self.now * rate + offset)
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Run daemons against one lease; a paused one is simply not called."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = Time()
+        self.store = fake_store.FakeStore()
+        self.leases = [
+            leases.Lease(
+                self.store,
+                "domain",
+                ids.DaemonId(f"c{n}"),
+                self.time.reader(rate),
+            )
+            for n, rate in enumerate(RATES)
+        ]
+        self.highest_epoch = 0
+
+    @stateful.rule(daemon=DAEMONS, fate=FATES)
+    def tend(self, daemon: int, fate: fake_store.Fate) -> None:
+        self.store.fate = fate
+        try:
+            curio.run(self.leases[daemon].tend)
+        except errors.StoreUnavailable:
+            pass
+        self.store.fate = fake_store.Fate.ANSWERED
+
+    @stateful.rule(daemon=DAEMONS)
+    def release(self, daemon: int) -> None:
+        curio.run(self.leases[daemon].release)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.1, 1.4, 5.98, 6.07)))
+    def wait(self, seconds: float) -> None:
+        self.time.now += seconds
+
+    @stateful.rule()
+    def delayed_writes_arrive(self) -> None:
+        self.store.arrive()
+
+    @stateful.invariant()
+    def one_owner_at_most(self) -> None:
+        held = [x for x in self.leases if x.held(x.read_clock())]
+        assert len(held) <= 1
+        if held and held[0].tenure is not None:
+            assert held[0].tenure.epoch >= self.highest_epoch
+            self.highest_epoch = held[0].tenure.epoch
+
+
+TestLease = LeaseMachine.TestCase
+TestLease.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+
+
+def _lease(store: fake_store.FakeStore, time: Time, name: str) -> leases.Lease:
+    return leases.Lease(store, "domain", ids.DaemonId(name), time.reader(1.0))
+
+
+def test_lost_answer_counts_from_before_the_write() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    lease = _lease(store, time, "c1")
+    store.fate = fake_store.Fate.ANSWER_LOST
+    store.on_effect = lambda: time.advance(1.0)
+    assert curio.run(lease.tend)
+    time.now += leases.LEASE_SECONDS - 1.0
+    assert not lease.held(lease.read_clock())
+
+
+def test_resumed_holder_may_not_act() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    first, second = _lease(store, time, "c1"), _lease(store, time, "c2")
+    assert curio.run(first.tend)
+    assert not curio.run(second.tend)
+    time.now += leases.LEASE_SECONDS * 0.99
+    assert not curio.run(second.tend)
+    time.now += leases.LEASE_SECONDS * 0.03
+    with pytest.raises(errors.LeaseLost):
+        first.check(first.read_clock())
+    assert curio.run(second.tend)
+    assert not curio.run(first.tend)
+
+
+def test_fast_clock_waits_for_a_slow_one() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    slow, fast = (
+        leases.Lease(store, "domain", ids.DaemonId(name), time.reader(rate))
+        for name, rate in (("slow", RATES[0]), ("fast", RATES[-1]))
+    )
+    assert curio.run(slow.tend)
+    assert not curio.run(fast.tend)
+    time.now += leases.LEASE_SECONDS * 0.998
+    assert slow.held(slow.read_clock())
+    assert not curio.run(fast.tend)
+
+
+def test_tenure_outlasts_a_short_outage_and_no_longer() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    lease = _lease(store, time, "c1")
+    assert curio.run(lease.tend)
+    store.down = True
+    time.now += leases.LEASE_SECONDS * 0.9
+    with pytest.raises(errors.StoreUnavailable):
+        curio.run(lease.tend)
+    lease.check(lease.read_clock())
+    time.now += leases.LEASE_SECONDS * 0.2
+    assert not lease.held(lease.read_clock())
+    store.down = False
+    assert curio.run(lease.tend)
+    stored = store.by_name["lease/domain"]
+    record = msgspec.json.decode(stored.value, type=leases.LeaseRecord)
+    assert record.epoch == 2
