--- a/sycamoredale/config/model.py
+++ b/sycamoredale/config/model.py
@@ -37,6 +37,14 @@
     IGNORED = "ignored"
 
 
+class EngineRole(enum.Enum):
+    """Name the part of the work that the engines of a service take."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Declare how calls of a plain service under a path may be treated."""
 
@@ -57,6 +65,7 @@
     cold_limit: int = 2
     capacity: int = 32
     routes: list[Route] = []
+    role: EngineRole = EngineRole.MIXED
 
 
 class ModelVersion(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/sycamoredale/engines/model_engine.py
+++ b/sycamoredale/engines/model_engine.py
@@ -1,8 +1,15 @@
-"""Adapt the orders and reports of model engines."""
+"""Adapt the orders and reports of model engines.
 
+An order goes over a connection of its own, so that none can wait behind a
+connection that has gone silent.  The caller's guard is run once the
+connection stands, immediately before the first byte leaves.
+"""
+
+import collections.abc
 import dataclasses
 from typing import Final
 
+import curio
 import msgspec
 
 from sycamoredale.engines import orders
@@ -13,6 +20,8 @@
 
 CALL_SECONDS: Final = 2.0
 
+Guard = collections.abc.Callable[[], None]
+
 
 @dataclasses.dataclass
 class ModelEngines:
@@ -21,14 +30,27 @@
     pool: client.Pool
 
     async def order(
-        self, address: messages.Address, order: orders.Order
+        self, address: messages.Address, order: orders.Order, guard: Guard
     ) -> orders.EngineState:
-        """Give an order; raise StaleOrder or OrderFailed."""
+        """Give an order; raise StaleOrder, OrderFailed or what guard raises.
+
+        The whole exchange ends within the lifetime of the order.
+        """
         request = messages.json_request("POST", "/v1/orders", order)
         try:
-            response = await self.pool.call(address, request, CALL_SECONDS)
-        except (errors.ConnectionFailed, errors.ConnectionBroken) as error:
+            connection = await client.open_connection(address)
+        except errors.ConnectionFailed as error:
+            raise _failed(address, order, error.message) from error
+        try:
+            guard()
+            async with curio.timeout_after(order.lifetime_seconds):
+                response = await _exchange(connection, request)
+        except errors.ConnectionBroken as error:
             raise _failed(address, order, error.message) from error
+        except curio.TaskTimeout as error:
+            raise _failed(address, order, "no answer in time") from error
+        finally:
+            await connection.close()
         if response.status == 409:
             raise errors.StaleOrder(
                 error_codes.STALE_ORDER,
@@ -39,13 +61,27 @@
             raise _failed(address, order, f"status {response.status}")
         return _decode(address, response)
 
-    async def state(self, address: messages.Address) -> orders.EngineState:
+    async def state(
+        self,
+        address: messages.Address,
+        seconds: float = CALL_SECONDS,
+        fresh: bool = False,
+    ) -> orders.EngineState:
         """Return the reported state; raise ConnectionFailed or Broken."""
         request = messages.Request("GET", "/v1/state")
-        response = await self.pool.call(address, request, CALL_SECONDS)
+        response = await self.pool.call(address, request, seconds, fresh)
         return _decode(address, response)
 
 
+async def _exchange(
+    connection: client.Connection, request: messages.Request
+) -> messages.Response:
+    await connection.send(request)
+    head = await connection.read_head()
+    body = await connection.read_body()
+    return messages.Response(head.status, head.headers, body)
+
+
 def _decode(
     address: messages.Address, response: messages.Response
 ) -> orders.EngineState:
--- /dev/null
+++ b/sycamoredale/groups/assignments.py
@@ -0,0 +1,121 @@
+"""Know the assignments of all domains and write those of held domains.
+
+The object of a domain is replaced only at the version that was read, and
+each write carries an id.  After a lost answer the object is read again:
+either the id is there, or the round starts anew from what is there.
+"""
+
+import dataclasses
+from typing import Final
+import uuid
+
+import curio
+import msgspec
+
+from sycamoredale import errors
+from sycamoredale.groups import model
+from sycamoredale import ids
+from sycamoredale.observability import logs
+from sycamoredale.platform import objects
+
+WATCH_SECONDS: Final = 10.0
+RETRY_SECONDS: Final = 0.5
+LOG: Final = logs.get("groups.assignments")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """Hold an assignment and the version of its object."""
+
+    version: ids.ObjectVersion
+    assignment: model.Assignment
+
+
+@dataclasses.dataclass
+class AssignmentBook:
+    """Hold the assignments by domain."""
+
+    store: objects.ObjectStore
+    by_domain: dict[ids.DomainName, Known] = dataclasses.field(
+        default_factory=dict
+    )
+    complete: bool = False
+
+    async def follow(self) -> None:
+        """Follow the changes of all domains for ever."""
+        version = objects.ABSENT
+        while True:
+            try:
+                listing = await self._next(version)
+            except errors.StoreUnavailable as error:
+                LOG.warning("store_unavailable", reason=error.message)
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            version = max(version, listing.version)
+            for stored in listing.objects:
+                self.note(stored)
+            self.complete = True
+
+    async def refresh(self, domain: ids.DomainName) -> Known:
+        """Read the assignment of a domain; raise StoreUnavailable."""
+        stored = await self.store.get(model.ASSIGNMENT_KIND, domain)
+        if stored is not None:
+            self.note(stored)
+        return self.known(domain)
+
+    async def write(
+        self, assignment: model.Assignment, expected: ids.ObjectVersion
+    ) -> Known:
+        """Replace an assignment and return it as it stands then.
+
+        Raises VersionConflict, StoreUnavailable or OutcomeUnknown; the
+        caller has to refresh before it plans again.
+        """
+        marked = msgspec.structs.replace(
+            assignment, write_id=ids.WriteId(uuid.uuid4().hex)
+        )
+        try:
+            version = await self.store.put(
+                model.ASSIGNMENT_KIND,
+                marked.domain,
+                msgspec.json.encode(marked),
+                expected,
+            )
+        except errors.OutcomeUnknown:
+            known = await self.refresh(marked.domain)
+            if known.assignment.write_id != marked.write_id:
+                raise
+            return known
+        known = Known(version, marked)
+        self._keep_newer(known)
+        return known
+
+    def known(self, domain: ids.DomainName) -> Known:
+        """Return what is known of a domain."""
+        nothing = Known(objects.ABSENT, model.Assignment(domain))
+        return self.by_domain.get(domain, nothing)
+
+    def others(self, domain: ids.DomainName) -> list[model.Assignment]:
+        """Return the assignments of all other domains."""
+        return [
+            known.assignment
+            for name, known in sorted(self.by_domain.items())
+            if name != domain
+        ]
+
+    def note(self, stored: objects.StoredObject) -> None:
+        """Take over an object unless it is older than what is known."""
+        assignment = msgspec.json.decode(stored.value, type=model.Assignment)
+        self._keep_newer(Known(stored.version, assignment))
+
+    async def _next(self, version: ids.ObjectVersion) -> objects.Listing:
+        kind = model.ASSIGNMENT_KIND
+        if version == objects.ABSENT:
+            return await self.store.list(kind)
+        return await self.store.watch(kind, version, WATCH_SECONDS)
+
+    def _keep_newer(self, known: Known) -> None:
+        domain = known.assignment.domain
+        before = self.by_domain.get(domain)
+        if before is None or before.version < known.version:
+            self.by_domain[domain] = known
--- /dev/null
+++ b/sycamoredale/groups/domain_keeper.py
@@ -0,0 +1,290 @@
+"""Keep the groups of one fabric domain while its lease is held.
+
+Each round probes the instances of the domain, plans the next assignment
+from what they report, writes it and gives the orders that are due.  A
+round rests on nothing but the stored assignment and the reports, so that
+any controller can go on where another one stopped.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import model_engine
+from sycamoredale.engines import orders
+from sycamoredale import errors
+from sycamoredale.groups import assignments
+from sycamoredale.groups import health
+from sycamoredale.groups import load_slots
+from sycamoredale.groups import model
+from sycamoredale.groups import ordering
+from sycamoredale.groups import planning
+from sycamoredale.groups import probing
+from sycamoredale.groups import repair
+from sycamoredale.groups import retirement
+from sycamoredale.groups import stragglers
+from sycamoredale.groups import suspicion
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale import leases
+from sycamoredale.observability import logs
+from sycamoredale.platform import instances
+
+SLOT_RETRY_SECONDS: Final = 1.0
+LOG: Final = logs.get("groups.domain")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class World:
+    """Hold what all domains of this controller share in one round."""
+
+    configuration: config_model.Configuration
+    listed_by_id: dict[ids.InstanceId, instances.Instance]
+
+
+@dataclasses.dataclass
+class DomainKeeper:
+    """Run the rounds of one domain."""
+
+    domain: ids.DomainName
+    lease: leases.Lease
+    book: assignments.AssignmentBook
+    slots: load_slots.LoadSlots
+    engines: model_engine.ModelEngines
+    prober: probing.Prober
+    suspect: suspicion.SelfSuspicion
+    reports: health.HealthBook = dataclasses.field(
+        default_factory=health.HealthBook
+    )
+    finder: stragglers.StragglerFinder = dataclasses.field(
+        default_factory=stragglers.StragglerFinder
+    )
+    _draining_since: dict[ids.GroupId, clock.MonotonicTime] = (
+        dataclasses.field(default_factory=dict)
+    )
+    _granted: dict[ids.GroupId, int] | None = None
+    _slots_asked_at: clock.MonotonicTime | None = None
+
+    async def run_round(self, world: World) -> None:
+        """Probe, plan, write and order; raise StoreUnavailable and others.
+
+        Raises LeaseLost as soon as the lease has ended.
+        """
+        targets = self._targets(world)
+        await self.prober.probe_all(targets, self.reports)
+        if await self._suspects_itself(targets, world):
+            return
+        facts = self._facts(world)
+        known = await self._plan_and_write(facts)
+        await self._give_orders(known.assignment, facts)
+
+    async def _plan_and_write(self, facts: repair.Facts) -> assignments.Known:
+        known = self.book.known(self.domain)
+        situation = planning.Situation(
+            facts,
+            self.book.others(self.domain),
+            retirement.Slow(self.domain, self._stragglers()),
+            self._taken_over_at(),
+        )
+        planned = planning.plan(known.assignment, situation)
+        if planned is known.assignment:
+            return known
+        self._check_lease()
+        try:
+            known = await self.book.write(planned, known.version)
+        except (errors.VersionConflict, errors.OutcomeUnknown):
+            await self.book.refresh(self.domain)
+            raise
+        _log_changes(self.domain, known.assignment)
+        return known
+
+    async def _give_orders(
+        self, assignment: model.Assignment, facts: repair.Facts
+    ) -> None:
+        due = list(ordering.due(assignment, facts))
+        allowed = await self._within_slots(assignment, due, facts)
+        async with curio.TaskGroup() as group:
+            for item in allowed:
+                await group.spawn(self._give, item)
+
+    async def _give(self, item: ordering.DueOrder) -> None:
+        address = messages.parse_address(item.address)
+
+        def guard() -> None:
+            self._check_lease()
+            self.reports.note_order(item.instance, clock.monotonic())
+
+        try:
+            state = await self.engines.order(address, item.order, guard)
+        except errors.SycamoredaleError as error:
+            LOG.warning("order_failed", reason=error.message)
+            return
+        self.reports.note_report(item.instance, state, clock.monotonic())
+
+    async def _within_slots(
+        self,
+        assignment: model.Assignment,
+        due: list[ordering.DueOrder],
+        facts: repair.Facts,
+    ) -> collections.abc.Iterable[ordering.DueOrder]:
+        fetching = self._fetching(assignment)
+        wanted = dict(fetching)
+        for item in due:
+            if item.fetches:
+                group = item.order.group
+                wanted[group] = wanted.get(group, 0) + 1
+        await self._ask_for_slots(wanted, facts.now)
+        return list(_allowed(due, fetching, self._granted or {}))
+
+    async def _ask_for_slots(
+        self,
+        wanted: dict[ids.GroupId, int],
+        now: clock.MonotonicTime,
+    ) -> None:
+        granted = self._granted
+        if granted is not None:
+            enough = all(granted.get(g, 0) >= n for g, n in wanted.items())
+            if enough and granted.keys() == wanted.keys():
+                return
+        asked = self._slots_asked_at
+        if asked is not None and now < asked + SLOT_RETRY_SECONDS:
+            return
+        self._slots_asked_at = now
+        slots = [
+            load_slots.Slot(self.domain, group, count)
+            for group, count in sorted(wanted.items())
+        ]
+        try:
+            self._granted = await self.slots.take(
+                self.domain, slots, self._loads
+            )
+        except (errors.VersionConflict, errors.OutcomeUnknown) as error:
+            LOG.info("load_slots_contended", reason=error.message)
+
+    def _loads(self, slot: load_slots.Slot) -> bool:
+        known = self.book.by_domain.get(slot.domain)
+        assignment = known.assignment if known else None
+        return load_slots.is_loading(slot, assignment)
+
+    def _fetching(
+        self, assignment: model.Assignment
+    ) -> dict[ids.GroupId, int]:
+        """Count the engines of each forming group that fetch at present."""
+        counts: dict[ids.GroupId, int] = {}
+        for group in assignment.groups:
+            states = (self.reports.state(m.instance) for m in group.members)
+            count = sum(
+                state is not None
+                and state.phase is orders.Phase.LOADING
+                and state.group == group.id
+                and group.weights not in state.held
+                for state in states
+            )
+            if count:
+                counts[group.id] = count
+        return counts
+
+    async def _suspects_itself(
+        self, targets: list[instances.Instance], world: World
+    ) -> bool:
+        now = clock.monotonic()
+        failed = sum(not self.reports.reachable(i.id) for i in targets)
+        count = suspicion.ProbeCount(self.domain, len(targets), failed)
+        if failed > suspicion.SUSPECT_SHARE * len(targets):
+            witnesses = suspicion.witnesses(
+                world.listed_by_id.values(), self.domain
+            )
+            answers = [(w, await self.prober.answers(w)) for w in witnesses]
+            for witness, answered in answers:
+                self.suspect.note(
+                    suspicion.ProbeCount(witness.domain, 1, int(not answered)),
+                    now,
+                )
+        return self.suspect.note(count, now)
+
+    def _facts(self, world: World) -> repair.Facts:
+        now = clock.monotonic()
+        draining = {
+            group.id: self._draining_since.get(group.id, now)
+            for group in self.book.known(self.domain).assignment.groups
+            if group.state is model.GroupState.DRAINING
+        }
+        self._draining_since = draining
+        return repair.Facts(
+            world.configuration,
+            world.listed_by_id,
+            self.reports,
+            draining,
+            now,
+        )
+
+    def _targets(self, world: World) -> list[instances.Instance]:
+        found = {
+            instance.id: instance
+            for instance in world.listed_by_id.values()
+            if instance.domain == self.domain
+        }
+        for group in self.book.known(self.domain).assignment.groups:
+            for member in group.members:
+                if member.instance not in found:
+                    found[member.instance] = _unlisted(member, group)
+        for instance in found.values():
+            self.reports.expect(instance.id, instance.address)
+        self.reports.forget_all_but(set(found))
+        return list(found.values())
+
+    def _stragglers(self) -> frozenset[ids.InstanceId]:
+        states = (known.state for known in self.reports.by_id.values())
+        return self.finder.note(s for s in states if s is not None)
+
+    def _taken_over_at(self) -> clock.MonotonicTime:
+        self._check_lease()
+        tenure = self.lease.tenure
+        assert tenure is not None
+        return tenure.since
+
+    def _check_lease(self) -> None:
+        self.lease.check(clock.monotonic())
+
+
+def _allowed(
+    due: collections.abc.Iterable[ordering.DueOrder],
+    fetching: dict[ids.GroupId, int],
+    granted: dict[ids.GroupId, int],
+) -> collections.abc.Iterator[ordering.DueOrder]:
+    left = {
+        group: count - fetching.get(group, 0)
+        for group, count in granted.items()
+    }
+    for item in due:
+        if item.fetches:
+            group = item.order.group
+            left[group] = left.get(group, 0) - 1
+            if left[group] < 0:
+                continue
+        yield item
+
+
+def _unlisted(member: model.Member, group: model.Group) -> instances.Instance:
+    plain = not group.weights
+    return instances.Instance(
+        member.instance,
+        member.address,
+        group.zone,
+        ids.DomainName(""),
+        runs=group.service if plain else instances.ENGINE,
+    )
+
+
+def _log_changes(domain: ids.DomainName, assignment: model.Assignment) -> None:
+    states = {group.id: group.state.value for group in assignment.groups}
+    LOG.info(
+        "assignment_written",
+        domain=domain,
+        epoch=assignment.epoch,
+        groups=states,
+    )
--- /dev/null
+++ b/sycamoredale/groups/formation.py
@@ -0,0 +1,110 @@
+"""Choose the instances of new groups inside one fabric domain."""
+
+import collections.abc
+import dataclasses
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import orders
+from sycamoredale.groups import model
+from sycamoredale.groups import repair
+from sycamoredale import ids
+from sycamoredale.platform import instances
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidates:
+    """Hold the free instances of a domain, and when it was taken over."""
+
+    facts: repair.Facts
+    free: list[instances.Instance]
+    taken_over_at: clock.MonotonicTime
+
+    def choose(
+        self, service: config_model.Service, taken: set[ids.InstanceId]
+    ) -> list[instances.Instance]:
+        """Return the members of a new group, empty if there are too few.
+
+        Instances that hold the weights of the service come first.
+        """
+        plain = service.kind is config_model.ServiceKind.PLAIN
+        runs = service.name if plain else instances.ENGINE
+        size = 1 if plain else service.instances_per_replica
+        weights = model.weights_of(self.facts.configuration, service)
+        usable = [
+            instance
+            for instance in self.free
+            if instance.runs == runs
+            and instance.id not in taken
+            and self._usable(instance, service)
+        ]
+        usable.sort(key=lambda i: (not self._holds(i, weights), i.id))
+        return usable[:size] if len(usable) >= size else []
+
+    def _holds(self, instance: instances.Instance, weights: str) -> bool:
+        state = self.facts.book.state(instance.id)
+        return state is not None and weights in state.held
+
+    def _usable(
+        self, instance: instances.Instance, service: config_model.Service
+    ) -> bool:
+        book = self.facts.book
+        if not book.reachable(instance.id):
+            return False
+        if service.kind is config_model.ServiceKind.PLAIN:
+            return True
+        state = book.state(instance.id)
+        if state is None:
+            return False
+        if not self._ignores_fencing(service, state.service):
+            return True
+        empty = state.phase is orders.Phase.EMPTY and state.group is None
+        quiet = book.quiet(instance.id, self.taken_over_at, self.facts.now)
+        return empty and quiet
+
+    def _ignores_fencing(
+        self, service: config_model.Service, loaded: ids.ServiceName
+    ) -> bool:
+        if service.fencing is config_model.Fencing.IGNORED:
+            return True
+        before = self.facts.service(loaded)
+        if before is not None:
+            return before.fencing is config_model.Fencing.IGNORED
+        return loaded != "" and any(
+            other.fencing is config_model.Fencing.IGNORED
+            for other in self.facts.configuration.services
+        )
+
+
+def form(
+    names: collections.abc.Iterable[ids.ServiceName],
+    candidates: Candidates,
+    domain: ids.DomainName,
+    epoch: ids.Epoch,
+) -> collections.abc.Iterator[model.Group]:
+    """Yield a new group for each service name that finds its members."""
+    taken: set[ids.InstanceId] = set()
+    for name in names:
+        service = candidates.facts.service(name)
+        if service is None:
+            continue
+        members = candidates.choose(service, taken)
+        if not members:
+            continue
+        taken.update(member.id for member in members)
+        yield model.Group(
+            id=ids.GroupId(f"{domain}/{members[0].id}/{epoch}"),
+            service=service.name,
+            version=service.version,
+            zone=members[0].zone,
+            epoch=epoch,
+            state=model.GroupState.FORMING,
+            members=[model.Member(i.id, i.address) for i in members],
+            weights=_weights(candidates.facts, service),
+        )
+
+
+def _weights(facts: repair.Facts, service: config_model.Service) -> str:
+    if service.kind is config_model.ServiceKind.PLAIN:
+        return ""
+    return model.weights_of(facts.configuration, service)
--- /dev/null
+++ b/sycamoredale/groups/health.py
@@ -0,0 +1,183 @@
+"""Know what the instances of one fabric domain report of themselves.
+
+An instance counts as unreachable after a number of failed probes in a row,
+so that one lost packet changes nothing.
+"""
+
+import dataclasses
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.engines import orders
+from sycamoredale.groups import model
+from sycamoredale import ids
+from sycamoredale import leases
+
+FAILURES_UNTIL_UNREACHABLE: Final = 2
+REPLACE_AFTER_SECONDS: Final = 4.0
+FAILED_LOADS_UNTIL_AVOIDED: Final = 3
+NEVER_ORDERED: Final = ids.Epoch(0)
+SERVING_PHASES: Final = frozenset((orders.Phase.COLD, orders.Phase.READY))
+
+
+@dataclasses.dataclass
+class InstanceHealth:
+    """Hold the last report of one instance and when it came.
+
+    `state` is None for a plain service and before the first report.
+    """
+
+    address: str
+    state: orders.EngineState | None = None
+    asked_at: clock.MonotonicTime | None = None
+    failures: int = 0
+    failing_since: clock.MonotonicTime | None = None
+    ordered_at: clock.MonotonicTime | None = None
+    failed_loads: int = 0
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the instance answers."""
+        if self.failures >= FAILURES_UNTIL_UNREACHABLE:
+            return False
+        return self.asked_at is not None
+
+    def lost(self, now: clock.MonotonicTime) -> bool:
+        """Tell whether the instance has been unreachable for long."""
+        if self.reachable or self.failing_since is None:
+            return False
+        return now >= self.failing_since + REPLACE_AFTER_SECONDS
+
+
+@dataclasses.dataclass
+class HealthBook:
+    """Hold the health of instances by id."""
+
+    by_id: dict[ids.InstanceId, InstanceHealth] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def expect(self, instance: ids.InstanceId, address: str) -> None:
+        """Know an instance; a new address is a new machine."""
+        known = self.by_id.get(instance)
+        if known is None or known.address != address:
+            self.by_id[instance] = InstanceHealth(address)
+
+    def forget_all_but(self, kept: set[ids.InstanceId]) -> None:
+        """Drop the instances that are no longer listed or assigned."""
+        for instance in self.by_id.keys() - kept:
+            del self.by_id[instance]
+
+    def note_report(
+        self,
+        instance: ids.InstanceId,
+        state: orders.EngineState | None,
+        asked_at: clock.MonotonicTime,
+    ) -> None:
+        """Take over a report that was asked for at a time."""
+        known = self.by_id[instance]
+        if known.asked_at is not None and asked_at < known.asked_at:
+            return
+        known.failed_loads = _failed_loads(known, state)
+        known.state = state
+        known.asked_at = asked_at
+        known.failures = 0
+        known.failing_since = None
+
+    def note_failure(
+        self, instance: ids.InstanceId, now: clock.MonotonicTime
+    ) -> None:
+        """Count a probe that failed."""
+        known = self.by_id[instance]
+        known.failures += 1
+        if known.failing_since is None:
+            known.failing_since = now
+
+    def note_order(
+        self, instance: ids.InstanceId, now: clock.MonotonicTime
+    ) -> None:
+        """Remember when the last order to an instance may have left."""
+        self.by_id[instance].ordered_at = now
+
+    def reachable(self, instance: ids.InstanceId) -> bool:
+        """Tell whether an instance answers."""
+        known = self.by_id.get(instance)
+        return known is not None and known.reachable
+
+    def lost(self, instance: ids.InstanceId, now: clock.MonotonicTime) -> bool:
+        """Tell whether an instance has been unreachable for long."""
+        known = self.by_id.get(instance)
+        return known is not None and known.lost(now)
+
+    def state(self, instance: ids.InstanceId) -> orders.EngineState | None:
+        """Return the last report of an instance, None if there is none."""
+        known = self.by_id.get(instance)
+        return known.state if known else None
+
+    def fails_to_load(self, instance: ids.InstanceId) -> bool:
+        """Tell whether an instance has failed to load many times."""
+        known = self.by_id.get(instance)
+        return (
+            known is not None
+            and known.failed_loads >= FAILED_LOADS_UNTIL_AVOIDED
+        )
+
+    def restarted(self, instance: ids.InstanceId) -> bool:
+        """Tell whether an engine has forgotten every order."""
+        state = self.state(instance)
+        return state is not None and state.epoch == NEVER_ORDERED
+
+    def quiet(
+        self,
+        instance: ids.InstanceId,
+        taken_over_at: clock.MonotonicTime,
+        now: clock.MonotonicTime,
+    ) -> bool:
+        """Tell whether no order to the instance can still be under way.
+
+        The last report must have been asked for after that time.
+        """
+        known = self.by_id.get(instance)
+        if known is None or known.asked_at is None:
+            return False
+        last = max(taken_over_at, known.ordered_at or taken_over_at)
+        quiet_from = last + leases.with_allowance(
+            orders.ORDER_LIFETIME_SECONDS
+        )
+        return now >= quiet_from and known.asked_at >= quiet_from
+
+
+def confirms(
+    state: orders.EngineState | None,
+    group: model.Group,
+    adapters: list[str],
+) -> bool:
+    """Tell whether an engine serves in a group at the group's epoch."""
+    return (
+        loaded(state, group)
+        and state is not None
+        and state.phase in SERVING_PHASES
+        and set(adapters) <= set(state.adapters)
+    )
+
+
+def loaded(state: orders.EngineState | None, group: model.Group) -> bool:
+    """Tell whether an engine has taken the orders of a group."""
+    return (
+        state is not None
+        and state.epoch == group.epoch
+        and state.group == group.id
+        and state.phase not in (orders.Phase.EMPTY, orders.Phase.FAILED)
+    )
+
+
+def _failed_loads(
+    known: InstanceHealth, state: orders.EngineState | None
+) -> int:
+    if state is None or state.phase in SERVING_PHASES:
+        return 0
+    if state.phase is not orders.Phase.FAILED:
+        return known.failed_loads
+    before = known.state.phase if known.state else None
+    again = before is not orders.Phase.FAILED
+    return known.failed_loads + again
--- /dev/null
+++ b/sycamoredale/groups/keeper.py
@@ -0,0 +1,174 @@
+"""Run the group decisions of one controller.
+
+One task tends the leases, one reads the instance list, and each domain
+whose lease is held has a task of its own, so that a slow or broken domain
+holds up no other.
+"""
+
+import dataclasses
+import random
+import typing
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import model_engine
+from sycamoredale import errors
+from sycamoredale.groups import assignments
+from sycamoredale.groups import domain_keeper
+from sycamoredale.groups import lease_set
+from sycamoredale.groups import load_slots
+from sycamoredale.groups import probing
+from sycamoredale.groups import suspicion
+from sycamoredale.http import client
+from sycamoredale import ids
+from sycamoredale import leases
+from sycamoredale.observability import logs
+from sycamoredale.platform import instances
+from sycamoredale.platform import objects
+from sycamoredale.platform import weights
+
+TEND_SECONDS: Final = 0.4
+LIMITS_SECONDS: Final = 30.0
+MAX_PROBES_PER_SECOND: Final = 40.0
+SHRUNKEN_LISTS_UNTIL_BELIEVED: Final = 5
+LOG: Final = logs.get("groups.keeper")
+
+
+class GetConfiguration(typing.Protocol):
+    """Return the configuration in force, None before the first one."""
+
+    def __call__(self) -> config_model.Configuration | None:
+        """Return the configuration."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """Hold the adapters of the platform."""
+
+    store: objects.ObjectStore
+    listing: instances.InstanceList
+    weights: weights.WeightStore
+
+
+class GroupKeeper:
+    """Keep the groups of all domains whose leases are held."""
+
+    def __init__(
+        self,
+        owner: ids.DaemonId,
+        platform: Platform,
+        configuration: GetConfiguration,
+        interval_seconds: float,
+    ) -> None:
+        """Build the parts; nothing runs until `run`."""
+        self._platform = platform
+        self._configuration = configuration
+        self._interval = interval_seconds
+        self._engines = model_engine.ModelEngines(client.Pool())
+        self._leases = lease_set.LeaseSet(platform.store, owner)
+        self._book = assignments.AssignmentBook(platform.store)
+        self._slots = load_slots.LoadSlots(platform.store)
+        self._suspicion = suspicion.SelfSuspicion()
+        self._listed: dict[ids.InstanceId, instances.Instance] = {}
+        self._shrunken_lists = 0
+        self._kept: set[ids.DomainName] = set()
+
+    async def run(self) -> None:
+        """Act for ever."""
+        await curio.spawn(self._book.follow, daemon=True)
+        await curio.spawn(self._follow_list, daemon=True)
+        await curio.spawn(self._follow_limits, daemon=True)
+        while True:
+            try:
+                await self._tend()
+            except errors.SycamoredaleError as error:
+                LOG.warning("tending_failed", reason=error.message)
+            await curio.sleep(TEND_SECONDS * random.uniform(0.8, 1.2))
+
+    async def stop(self) -> None:
+        """Give back all leases."""
+        await self._leases.release()
+
+    async def _tend(self) -> None:
+        now = clock.monotonic()
+        if self._suspicion.suspects(now):
+            await self._leases.release()
+            return
+        domains = {i.domain for i in self._listed.values()}
+        domains |= self._book.by_domain.keys()
+        await self._leases.tend(domains, now)
+        for domain in domains - self._kept:
+            lease = self._leases.lease_of(domain)
+            if lease.held(clock.monotonic()):
+                self._kept.add(domain)
+                await curio.spawn(self._keep, domain, lease, daemon=True)
+
+    async def _keep(self, domain: ids.DomainName, lease: leases.Lease) -> None:
+        keeper = domain_keeper.DomainKeeper(
+            domain,
+            lease,
+            self._book,
+            self._slots,
+            self._engines,
+            probing.Prober(self._engines),
+            self._suspicion,
+        )
+        try:
+            while lease.held(clock.monotonic()):
+                await self._run_round(keeper)
+                await curio.sleep(self._pause_seconds())
+        finally:
+            self._suspicion.forget(domain)
+            self._kept.discard(domain)
+
+    async def _run_round(self, keeper: domain_keeper.DomainKeeper) -> None:
+        configuration = self._configuration()
+        if configuration is None or not self._listed:
+            return
+        if not self._book.complete:
+            return
+        world = domain_keeper.World(configuration, self._listed)
+        try:
+            await keeper.run_round(world)
+        except errors.SycamoredaleError as error:
+            LOG.warning(
+                "round_failed", domain=keeper.domain, reason=error.message
+            )
+        except Exception:
+            LOG.exception("round_broken", domain=keeper.domain)
+
+    async def _follow_list(self) -> None:
+        while True:
+            try:
+                self._note_list(await self._platform.listing.read())
+            except errors.StoreUnavailable as error:
+                LOG.warning("list_unavailable", reason=error.message)
+            await curio.sleep(self._interval)
+
+    def _note_list(self, listed: list[instances.Instance]) -> None:
+        """Take over a list; one that lost most must come several times."""
+        by_id = {instance.id: instance for instance in listed}
+        missing = len(self._listed.keys() - by_id.keys())
+        if 2 * missing > len(self._listed):
+            self._shrunken_lists += 1
+            if self._shrunken_lists < SHRUNKEN_LISTS_UNTIL_BELIEVED:
+                return
+        self._shrunken_lists = 0
+        self._listed = by_id
+
+    async def _follow_limits(self) -> None:
+        while True:
+            try:
+                limits = await self._platform.weights.limits()
+                self._slots.limit = limits.concurrent_fetches
+            except errors.StoreUnavailable as error:
+                LOG.warning("limits_unavailable", reason=error.message)
+            await curio.sleep(LIMITS_SECONDS)
+
+    def _pause_seconds(self) -> float:
+        probed = sum(i.domain in self._kept for i in self._listed.values())
+        pace = probed / MAX_PROBES_PER_SECOND
+        return max(self._interval, pace) * random.uniform(0.9, 1.1)
--- /dev/null
+++ b/sycamoredale/groups/lease_set.py
@@ -0,0 +1,112 @@
+"""Share the fabric domains among controllers by leases.
+
+Domains are hashed to a fixed number of shards with one lease each.  One
+listing shows all leases, so that waiting for them costs one read however
+many there are.  A controller takes one free lease at a time, so that
+controllers that wait together share them.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+import xxhash
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale import ids
+from sycamoredale import leases
+from sycamoredale.observability import logs
+from sycamoredale.platform import objects
+
+SHARDS: Final = 64
+LOOK_SECONDS: Final = leases.LEASE_SECONDS / 2
+LOG: Final = logs.get("groups.leases")
+
+
+@dataclasses.dataclass
+class LeaseSet:
+    """Hold the leases of all shards by name."""
+
+    store: objects.ObjectStore
+    owner: ids.DaemonId
+    by_name: dict[str, leases.Lease] = dataclasses.field(default_factory=dict)
+    _looked_at: clock.MonotonicTime | None = None
+    _more_free: bool = False
+
+    def lease_of(self, domain: ids.DomainName) -> leases.Lease:
+        """Return the lease that covers a domain."""
+        name = shard_name(domain)
+        if name not in self.by_name:
+            self.by_name[name] = leases.Lease(self.store, name, self.owner)
+        return self.by_name[name]
+
+    async def tend(
+        self,
+        domains: collections.abc.Iterable[ids.DomainName],
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Renew what is held and take one free lease of the domains."""
+        wanted = {shard_name(d): self.lease_of(d) for d in domains}
+        for lease in self.by_name.values():
+            if lease.tenure is not None:
+                await _tend(lease)
+        if self._more_free or self._look_due(now):
+            await self._look(wanted, now)
+
+    async def release(self) -> None:
+        """Give back all leases."""
+        for lease in self.by_name.values():
+            try:
+                await lease.release()
+            except errors.StoreUnavailable as error:
+                LOG.warning("release_failed", reason=error.message)
+
+    def _look_due(self, now: clock.MonotonicTime) -> bool:
+        looked = self._looked_at
+        return looked is None or now >= looked + LOOK_SECONDS
+
+    async def _look(
+        self, wanted: dict[str, leases.Lease], now: clock.MonotonicTime
+    ) -> None:
+        self._looked_at = now
+        missing = {n: x for n, x in wanted.items() if x.tenure is None}
+        if not missing:
+            self._more_free = False
+            return
+        listing = await self.store.list(leases.LEASE_KIND)
+        arrived = clock.monotonic()
+        stored_by_name = {stored.name: stored for stored in listing.objects}
+        for name, lease in missing.items():
+            lease.observe(stored_by_name.get(name), arrived)
+        free = [x for x in missing.values() if x.may_acquire(arrived)]
+        self._more_free = len(free) > 1
+        if free:
+            lease = self._pick(free)
+            if await _tend(lease):
+                LOG.info("lease_acquired", lease=lease.name)
+
+    def _pick(self, free: list[leases.Lease]) -> leases.Lease:
+        """Return the lease on which this owner collides least."""
+        return max(free, key=lambda x: _digest(f"{x.name} {self.owner}"))
+
+
+def shard_name(domain: ids.DomainName) -> str:
+    """Return the name of the lease that covers a domain."""
+    return f"groups-{_digest(domain) % SHARDS}"
+
+
+async def _tend(lease: leases.Lease) -> bool:
+    before = lease.tenure
+    try:
+        held = await lease.tend()
+    except errors.StoreUnavailable as error:
+        LOG.warning("lease_not_tended", lease=lease.name, reason=error.message)
+        return False
+    if before is not None and not held:
+        LOG.warning("lease_lost", lease=lease.name)
+    return held
+
+
+def _digest(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- a/sycamoredale/groups/model.py
+++ b/sycamoredale/groups/model.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sycamoredale.config import model as config_model
 from sycamoredale import ids
 
 ASSIGNMENT_KIND: Final = "assignment"
@@ -23,6 +24,16 @@
     DRAINING = "draining"
 
 
+class DrainReason(enum.Enum):
+    """State why a group takes no new work."""
+
+    ZONE_OUT = "zone_out"
+    LEAVING = "leaving"
+    STRAGGLER = "straggler"
+    OLD_VERSION = "old_version"
+    SURPLUS = "surplus"
+
+
 class Member(msgspec.Struct, frozen=True):
     """Name one instance of a group; `address` is `host:port`."""
 
@@ -43,15 +54,25 @@
     epoch: ids.Epoch
     state: GroupState
     members: list[Member]
+    weights: str = ""
+    drain_reason: DrainReason | None = None
 
 
 class Assignment(msgspec.Struct, frozen=True):
-    """Hold all groups of one fabric domain."""
+    """Hold all groups of one fabric domain.
+
+    `unusable` are free instances that no group is formed from, among them
+    those `avoided` because they were slow or failed to load.  `held` names
+    the weights that free instances had loaded last.
+    """
 
     domain: ids.DomainName
     epoch: ids.Epoch = ids.Epoch(0)
     groups: list[Group] = []
     write_id: ids.WriteId = ids.WriteId("")
+    unusable: list[ids.InstanceId] = []
+    avoided: list[ids.InstanceId] = []
+    held: dict[ids.InstanceId, str] = {}
 
 
 def instances_in_use(assignment: Assignment) -> set[ids.InstanceId]:
@@ -61,3 +82,20 @@
         for group in assignment.groups
         for member in group.members
     }
+
+
+def weights_of(
+    configuration: config_model.Configuration, service: config_model.Service
+) -> str:
+    """Return the name of the weights that a service needs now."""
+    for version in configuration.versions:
+        if version.service == service.name and version.name == service.version:
+            return version.weights
+    return f"{service.name}/{service.version}"
+
+
+def adapters_of(
+    configuration: config_model.Configuration, service: ids.ServiceName
+) -> list[str]:
+    """Return the weights of the adapters of a service."""
+    return [a.weights for a in configuration.adapters if a.service == service]
--- /dev/null
+++ b/sycamoredale/groups/ordering.py
@@ -0,0 +1,131 @@
+"""Derive the orders that bring engines in line with an assignment.
+
+Orders are derived anew in each round from what the engines report, so a
+lost order or a lost answer needs no record.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import orders
+from sycamoredale.groups import health
+from sycamoredale.groups import model
+from sycamoredale.groups import repair
+from sycamoredale import ids
+from sycamoredale.platform import instances
+
+REPEAT_LOAD_SECONDS: Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DueOrder:
+    """Hold an order and the instance that it is for.
+
+    `fetches` tells whether the engine has to fetch the weights.
+    """
+
+    instance: ids.InstanceId
+    address: str
+    order: orders.Order
+    fetches: bool = False
+
+
+def due(
+    assignment: model.Assignment, facts: repair.Facts
+) -> collections.abc.Iterator[DueOrder]:
+    """Yield the orders that the engines of a domain need now."""
+    for group in assignment.groups:
+        service = facts.service(group.service)
+        if service is None or service.kind is config_model.ServiceKind.PLAIN:
+            continue
+        for member in group.members:
+            if not facts.book.reachable(member.instance):
+                continue
+            found = _for_member(group, service, member, facts)
+            if found is not None:
+                yield found
+    yield from _unloads(assignment, facts)
+
+
+def _for_member(
+    group: model.Group,
+    service: config_model.Service,
+    member: model.Member,
+    facts: repair.Facts,
+) -> DueOrder | None:
+    state = facts.book.state(member.instance)
+    if state is None or state.epoch > group.epoch:
+        return None
+    action = _action(group, service, state, facts)
+    if action is None:
+        return None
+    if action is orders.Action.LOAD and _just_ordered(member, facts):
+        return None
+    order = orders.Order(
+        action=action,
+        epoch=group.epoch,
+        group=group.id,
+        service=group.service,
+        version=group.version,
+        weights=group.weights,
+        adapters=model.adapters_of(facts.configuration, group.service),
+        members=[m.address for m in group.members],
+        role=orders.Role(service.role.value),
+    )
+    fetches = action is orders.Action.LOAD and group.weights not in state.held
+    return DueOrder(member.instance, member.address, order, fetches)
+
+
+def _action(
+    group: model.Group,
+    service: config_model.Service,
+    state: orders.EngineState,
+    facts: repair.Facts,
+) -> orders.Action | None:
+    in_place = health.loaded(state, group)
+    if group.state is model.GroupState.DRAINING:
+        draining = state.phase is orders.Phase.DRAINING
+        return orders.Action.DRAIN if in_place and not draining else None
+    if not in_place:
+        forming = group.state is model.GroupState.FORMING
+        return orders.Action.LOAD if forming else None
+    if state.phase is orders.Phase.DRAINING:
+        return orders.Action.RESUME
+    wanted = model.adapters_of(facts.configuration, group.service)
+    same_role = state.role.value == service.role.value
+    if state.adapters != wanted or not same_role:
+        return orders.Action.UPDATE
+    return None
+
+
+def _just_ordered(member: model.Member, facts: repair.Facts) -> bool:
+    known = facts.book.by_id[member.instance]
+    if known.state is None or known.ordered_at is None:
+        return False
+    if known.state.phase is not orders.Phase.FAILED:
+        return False
+    wait = REPEAT_LOAD_SECONDS * (1 + known.failed_loads)
+    return facts.now < clock.MonotonicTime(known.ordered_at + wait)
+
+
+def _unloads(
+    assignment: model.Assignment, facts: repair.Facts
+) -> collections.abc.Iterator[DueOrder]:
+    in_use = model.instances_in_use(assignment)
+    for instance in facts.listed_by_id.values():
+        if instance.domain != assignment.domain or instance.id in in_use:
+            continue
+        if instance.runs != instances.ENGINE:
+            continue
+        state = facts.book.state(instance.id)
+        if state is None or not facts.book.reachable(instance.id):
+            continue
+        if state.phase is orders.Phase.EMPTY or state.group is None:
+            continue
+        order = orders.Order(
+            orders.Action.UNLOAD, assignment.epoch, state.group
+        )
+        yield DueOrder(instance.id, instance.address, order)
--- a/sycamoredale/groups/placement.py
+++ b/sycamoredale/groups/placement.py
@@ -1,13 +1,20 @@
-"""Plan the groups of one fabric domain.
+"""Decide in which fabric domain each missing group is formed.
 
-The plan keeps groups whose members are all alive and forms new ones from
-free instances while a service has fewer replicas than configured.
+Every controller computes the same allotment for all domains from the
+configuration, the instance list and the assignments, and carries out the
+part of the domains whose leases it holds.
+
+A group takes the domain in which it adds the fewest instances that no
+configured size can use any more; among equals, the domain that holds its
+weights, then the zone with the fewest replicas of the service, then the
+tightest fit.  While there is room for all, large groups choose first.
+Under scarcity the service with the largest missing share goes first,
+whoever owns it, and large groups only break ties.
 """
 
 import collections
 import collections.abc
-
-import msgspec
+import dataclasses
 
 from sycamoredale.config import model as config_model
 from sycamoredale.groups import model
@@ -15,73 +22,221 @@
 from sycamoredale.platform import instances
 
 
-def plan(
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """Hold how many groups a service is short of.
+
+    `runs` is what its instances must run.
+    """
+
+    service: ids.ServiceName
+    runs: str
+    size: int
+    wanted: int
+    missing: int
+    weights: str = ""
+    replicas_by_zone: collections.Counter[ids.ZoneName] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Room:
+    """Hold the free instances of one kind in a domain.
+
+    `held` counts them by the weights that they had loaded last.
+    """
+
+    domain: ids.DomainName
+    zone: ids.ZoneName
+    runs: str
+    free: int
+    held: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Place one group of a service in a domain."""
+
+    service: ids.ServiceName
+    domain: ids.DomainName
+
+
+def allot(
+    needs: collections.abc.Sequence[Need],
+    rooms: collections.abc.Sequence[Room],
+) -> list[Placement]:
+    """Return the placements for as many missing groups as there is room."""
+    by_size = _Allotment(needs, rooms)
+    largest_first = sorted(needs, key=lambda n: (-n.size, n.service))
+    for need in largest_first:
+        for _ in range(need.missing):
+            if not by_size.place(need):
+                break
+    if not any(by_size.missing.values()):
+        return by_size.placements
+    fair = _Allotment(needs, rooms)
+    fair.place_by_share()
+    return fair.placements
+
+
+def needs_of(
+    configuration: config_model.Configuration,
+    groups: collections.abc.Iterable[model.Group],
+) -> list[Need]:
+    """Return the need of each service; drained groups do not count.
+
+    Groups of an older version do not count either, so that the new version
+    is formed beside them wherever there is room.
+    """
+    counted = [g for g in groups if g.state is not model.GroupState.DRAINING]
+    return [
+        _need(configuration, service, counted)
+        for service in configuration.services
+    ]
+
+
+def rooms_of(
     configuration: config_model.Configuration,
     listed: collections.abc.Iterable[instances.Instance],
-    current: model.Assignment,
-    others: collections.abc.Iterable[model.Assignment],
-) -> model.Assignment:
-    """Return the wanted assignment of the domain of `current`."""
-    live = {
-        i.id: i
-        for i in listed
-        if i.domain == current.domain
-        and i.state is instances.InstanceState.LIVE
+    assignments: collections.abc.Iterable[model.Assignment],
+) -> list[Room]:
+    """Return the free instances by domain and kind, zones out left aside."""
+    out = {
+        zone.name
+        for zone in configuration.zones
+        if zone.state is config_model.ZoneState.OUT
     }
-    kept = [
-        group
-        for group in current.groups
-        if all(member.instance in live for member in group.members)
+    taken: set[ids.InstanceId] = set()
+    weights_by_id: dict[ids.InstanceId, str] = {}
+    for assignment in assignments:
+        taken |= model.instances_in_use(assignment)
+        taken.update(assignment.unusable)
+        weights_by_id.update(assignment.held)
+    free: dict[
+        tuple[ids.DomainName, ids.ZoneName, str], list[ids.InstanceId]
+    ] = collections.defaultdict(list)
+    for instance in listed:
+        if instance.state is not instances.InstanceState.LIVE:
+            continue
+        if instance.id in taken or instance.zone in out:
+            continue
+        key = (instance.domain, instance.zone, instance.runs)
+        free[key].append(instance.id)
+    return [
+        Room(
+            domain,
+            zone,
+            runs,
+            len(found),
+            collections.Counter(weights_by_id.get(i, "") for i in found),
+        )
+        for (domain, zone, runs), found in sorted(free.items())
     ]
-    replicas = collections.Counter(g.service for g in kept)
-    for other in others:
-        replicas.update(g.service for g in other.groups)
-    used = {m.instance for g in kept for m in g.members}
-    free = [i for i in live.values() if i.id not in used]
-    epoch = ids.Epoch(current.epoch + 1)
-    formed = list(_form(configuration, free, replicas, current.domain, epoch))
-    if len(kept) == len(current.groups) and not formed:
-        return current
-    return msgspec.structs.replace(current, epoch=epoch, groups=kept + formed)
-
-
-def _form(
-    configuration: config_model.Configuration,
-    free: list[instances.Instance],
-    replicas: collections.Counter[ids.ServiceName],
-    domain: ids.DomainName,
-    epoch: ids.Epoch,
-) -> collections.abc.Iterator[model.Group]:
-    for service in configuration.services:
-        runs = (
-            instances.ENGINE
-            if service.kind is config_model.ServiceKind.MODEL
-            else service.name
+
+
+def usable_remainder(free: int, sizes: collections.abc.Set[int]) -> int:
+    """Return the most of `free` instances that groups of the sizes fill."""
+    filled = [0] * (free + 1)
+    for count in range(1, free + 1):
+        filled[count] = max(
+            (filled[count - s] + s for s in sizes if s <= count),
+            default=0,
         )
-        usable = [i for i in free if i.runs == runs]
-        size = service.instances_per_replica
-        while replicas[service.name] < service.replicas:
-            members, usable = usable[:size], usable[size:]
-            if len(members) < size:
-                break
-            replicas[service.name] += 1
-            for member in members:
-                free.remove(member)
-            yield _group(service, members, domain, epoch)
+        filled[count] = max(filled[count], filled[count - 1])
+    return filled[free]
+
+
+class _Allotment:
+    """Fill rooms with groups."""
 
+    def __init__(
+        self,
+        needs: collections.abc.Sequence[Need],
+        rooms: collections.abc.Sequence[Room],
+    ) -> None:
+        self.placements: list[Placement] = []
+        self.missing = {need.service: need.missing for need in needs}
+        self._needs = needs
+        self._rooms = rooms
+        self._free = [room.free for room in rooms]
+        self._zones = {
+            need.service: need.replicas_by_zone.copy() for need in needs
+        }
+        self._filled: dict[tuple[str, int], int] = {}
 
-def _group(
+    def place_by_share(self) -> None:
+        """Place the neediest service first until nothing fits."""
+        open_needs = [need for need in self._needs if need.missing > 0]
+        while open_needs:
+            need = min(
+                open_needs,
+                key=lambda n: (-self._share(n), -n.size, n.service),
+            )
+            if not self.place(need) or not self.missing[need.service]:
+                open_needs.remove(need)
+
+    def place(self, need: Need) -> bool:
+        """Place one group of a service; tell whether there was room."""
+        fits = [
+            index
+            for index, room in enumerate(self._rooms)
+            if room.runs == need.runs and self._free[index] >= need.size
+        ]
+        if not fits or not self.missing[need.service]:
+            return False
+        best = min(fits, key=lambda index: self._cost(need, index))
+        room = self._rooms[best]
+        self._free[best] -= need.size
+        self._zones[need.service][room.zone] += 1
+        self.missing[need.service] -= 1
+        self.placements.append(Placement(need.service, room.domain))
+        return True
+
+    def _cost(self, need: Need, index: int) -> tuple[int, int, int, int, str]:
+        room = self._rooms[index]
+        free = self._free[index]
+        left = free - need.size
+        before = free - self._fill(need.runs, free)
+        after = left - self._fill(need.runs, left)
+        return (
+            after - before,
+            -min(need.size, room.held[need.weights]),
+            self._zones[need.service][room.zone],
+            left,
+            room.domain,
+        )
+
+    def _fill(self, runs: str, free: int) -> int:
+        key = (runs, free)
+        if key not in self._filled:
+            sizes = {n.size for n in self._needs if n.runs == runs}
+            self._filled[key] = usable_remainder(free, sizes)
+        return self._filled[key]
+
+    def _share(self, need: Need) -> float:
+        return self.missing[need.service] / max(1, need.wanted)
+
+
+def _need(
+    configuration: config_model.Configuration,
     service: config_model.Service,
-    members: list[instances.Instance],
-    domain: ids.DomainName,
-    epoch: ids.Epoch,
-) -> model.Group:
-    return model.Group(
-        id=ids.GroupId(f"{domain}/{members[0].id}"),
+    counted: list[model.Group],
+) -> Need:
+    own = [
+        group
+        for group in counted
+        if group.service == service.name and group.version == service.version
+    ]
+    plain = service.kind is config_model.ServiceKind.PLAIN
+    return Need(
         service=service.name,
-        version=service.version,
-        zone=members[0].zone,
-        epoch=epoch,
-        state=model.GroupState.FORMING,
-        members=[model.Member(i.id, i.address) for i in members],
+        runs=service.name if plain else instances.ENGINE,
+        size=1 if plain else service.instances_per_replica,
+        wanted=service.replicas,
+        missing=max(0, service.replicas - len(own)),
+        weights=model.weights_of(configuration, service),
+        replicas_by_zone=collections.Counter(group.zone for group in own),
     )
--- /dev/null
+++ b/sycamoredale/groups/probing.py
@@ -0,0 +1,65 @@
+"""Ask instances for their state, all at once and each within a bound."""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale.engines import model_engine
+from sycamoredale.engines import orders
+from sycamoredale import errors
+from sycamoredale.groups import health
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.platform import instances
+
+PROBE_SECONDS: Final = 1.0
+
+
+@dataclasses.dataclass
+class Prober:
+    """Probe engines by their report, plain services by a connection."""
+
+    engines: model_engine.ModelEngines
+
+    async def probe_all(
+        self,
+        targets: collections.abc.Iterable[instances.Instance],
+        book: health.HealthBook,
+    ) -> None:
+        """Probe the instances and note the results in the book."""
+        async with curio.TaskGroup() as group:
+            for instance in targets:
+                await group.spawn(self._probe, instance, book)
+
+    async def answers(self, instance: instances.Instance) -> bool:
+        """Tell whether one instance answers now."""
+        try:
+            await self._ask(instance, fresh=True)
+        except errors.SycamoredaleError:
+            return False
+        return True
+
+    async def _probe(
+        self, instance: instances.Instance, book: health.HealthBook
+    ) -> None:
+        asked_at = clock.monotonic()
+        known = book.by_id[instance.id]
+        try:
+            state = await self._ask(instance, fresh=known.failures > 0)
+        except errors.SycamoredaleError:
+            book.note_failure(instance.id, clock.monotonic())
+        else:
+            book.note_report(instance.id, state, asked_at)
+
+    async def _ask(
+        self, instance: instances.Instance, fresh: bool
+    ) -> orders.EngineState | None:
+        address = messages.parse_address(instance.address)
+        if instance.runs != instances.ENGINE:
+            connection = await client.open_connection(address)
+            await connection.close()
+            return None
+        return await self.engines.state(address, PROBE_SECONDS, fresh)
--- /dev/null
+++ b/sycamoredale/groups/repair.py
@@ -0,0 +1,184 @@
+"""Decide what becomes of each group that exists.
+
+A group is ready only while every member confirms its epoch.  As soon as
+one does not, the group goes back to forming, which takes it out of every
+routing table; if the member comes back unharmed, the group is ready again
+without a load.  A member that stays away, or is replaced, ends the group,
+and its survivors become free for a new one.  Where no member answers there
+is nothing to free: the group waits for its domain to come back.
+"""
+
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import orders
+from sycamoredale.groups import health
+from sycamoredale.groups import model
+from sycamoredale import ids
+from sycamoredale.platform import instances
+
+DRAIN_GRACE_SECONDS: Final = 3.0
+MAX_DRAIN_SECONDS: Final = 600.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Facts:
+    """Hold what the decisions on one domain rest on.
+
+    `draining_since_by_group` is kept by the caller from round to round.
+    """
+
+    configuration: config_model.Configuration
+    listed_by_id: dict[ids.InstanceId, instances.Instance]
+    book: health.HealthBook
+    draining_since_by_group: dict[ids.GroupId, clock.MonotonicTime]
+    now: clock.MonotonicTime
+
+    def service(self, name: ids.ServiceName) -> config_model.Service | None:
+        """Return the configured service of a name."""
+        for service in self.configuration.services:
+            if service.name == name:
+                return service
+        return None
+
+    def zone_out(self, name: ids.ZoneName) -> bool:
+        """Tell whether operators have taken a zone out."""
+        return any(
+            zone.name == name and zone.state is config_model.ZoneState.OUT
+            for zone in self.configuration.zones
+        )
+
+
+def revise(group: model.Group, facts: Facts) -> model.Group | None:
+    """Return the group in its next state, None to dissolve it."""
+    service = facts.service(group.service)
+    if service is None or _must_end(group, facts):
+        return None
+    match group.state:
+        case model.GroupState.READY:
+            return _revise_ready(group, service, facts)
+        case model.GroupState.FORMING:
+            return _revise_forming(group, service, facts)
+        case model.GroupState.DRAINING:
+            return _revise_draining(group, facts)
+
+
+def drain(group: model.Group, reason: model.DrainReason) -> model.Group:
+    """Return the group draining for a reason."""
+    return msgspec.structs.replace(
+        group, state=model.GroupState.DRAINING, drain_reason=reason
+    )
+
+
+def blamed(group: model.Group, facts: Facts) -> set[ids.InstanceId]:
+    """Return the members that fail to load while most others do not.
+
+    Where most fail, the version or the weight store is at fault.
+    """
+    failing = {
+        member.instance
+        for member in group.members
+        if facts.book.fails_to_load(member.instance)
+    }
+    return failing if 2 * len(failing) < len(group.members) else set()
+
+
+def confirmed(
+    group: model.Group, service: config_model.Service, facts: Facts
+) -> bool:
+    """Tell whether every member confirms the group's epoch."""
+    if service.kind is config_model.ServiceKind.PLAIN:
+        return all(facts.book.reachable(m.instance) for m in group.members)
+    adapters = model.adapters_of(facts.configuration, group.service)
+    if group.state is model.GroupState.READY:
+        adapters = []  # A ready group serves while it loads more adapters.
+    return all(
+        facts.book.reachable(m.instance)
+        and health.confirms(facts.book.state(m.instance), group, adapters)
+        for m in group.members
+    )
+
+
+def _must_end(group: model.Group, facts: Facts) -> bool:
+    if any(_replaced(member, facts) for member in group.members):
+        return True
+    if any(_fenced_out(member, group, facts) for member in group.members):
+        return True
+    if blamed(group, facts):
+        return True
+    lost = sum(facts.book.lost(m.instance, facts.now) for m in group.members)
+    return 0 < lost < len(group.members)
+
+
+def _replaced(member: model.Member, facts: Facts) -> bool:
+    listed = facts.listed_by_id.get(member.instance)
+    if listed is not None:
+        return listed.address != member.address
+    return not facts.book.reachable(member.instance)
+
+
+def _fenced_out(
+    member: model.Member, group: model.Group, facts: Facts
+) -> bool:
+    state = facts.book.state(member.instance)
+    return state is not None and state.epoch > group.epoch
+
+
+def _leaving(group: model.Group, facts: Facts) -> bool:
+    listed = (facts.listed_by_id.get(m.instance) for m in group.members)
+    return any(
+        i is None or i.state is instances.InstanceState.LEAVING for i in listed
+    )
+
+
+def _revise_ready(
+    group: model.Group, service: config_model.Service, facts: Facts
+) -> model.Group:
+    if facts.zone_out(group.zone):
+        return drain(group, model.DrainReason.ZONE_OUT)
+    if _leaving(group, facts):
+        return drain(group, model.DrainReason.LEAVING)
+    if not confirmed(group, service, facts):
+        return _forming(group)
+    return group
+
+
+def _revise_forming(
+    group: model.Group, service: config_model.Service, facts: Facts
+) -> model.Group | None:
+    if facts.zone_out(group.zone) or _leaving(group, facts):
+        return None
+    if confirmed(group, service, facts):
+        return msgspec.structs.replace(group, state=model.GroupState.READY)
+    return group
+
+
+def _revise_draining(group: model.Group, facts: Facts) -> model.Group | None:
+    if group.drain_reason is model.DrainReason.ZONE_OUT:
+        if facts.zone_out(group.zone):
+            return group
+        return _forming(group)
+    since = facts.draining_since_by_group.get(group.id, facts.now)
+    if facts.now >= since + MAX_DRAIN_SECONDS:
+        return None
+    if facts.now >= since + DRAIN_GRACE_SECONDS and _idle(group, facts):
+        return None
+    return group
+
+
+def _forming(group: model.Group) -> model.Group:
+    return msgspec.structs.replace(
+        group, state=model.GroupState.FORMING, drain_reason=None
+    )
+
+
+def _idle(group: model.Group, facts: Facts) -> bool:
+    state = facts.book.state(group.members[0].instance)
+    if state is None or not health.loaded(state, group):
+        return True
+    refuses = state.phase is orders.Phase.DRAINING
+    return refuses and state.running == 0 and state.waiting == 0
--- /dev/null
+++ b/sycamoredale/groups/retirement.py
@@ -0,0 +1,169 @@
+"""Choose the groups that may stop although they are sound.
+
+These are groups of an older version, groups beyond the wanted number,
+groups with a straggler and groups that stand in the way of a larger one.
+Each service gives up at most one at a time, and only if the ready groups
+left are still as many as wanted, or if it is the only way to a new version
+and another ready group remains.  Every controller computes the same choice
+for all domains.
+"""
+
+import collections.abc
+import dataclasses
+
+from sycamoredale.config import model as config_model
+from sycamoredale.groups import model
+from sycamoredale.groups import placement
+from sycamoredale import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retirement:
+    """Name a group to drain and why."""
+
+    group: ids.GroupId
+    reason: model.DrainReason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slow:
+    """Name the stragglers that are known in one domain."""
+
+    domain: ids.DomainName
+    instances: frozenset[ids.InstanceId] = frozenset()
+
+
+def choose(
+    configuration: config_model.Configuration,
+    groups: collections.abc.Sequence[model.Group],
+    needs: collections.abc.Sequence[placement.Need],
+    rooms: collections.abc.Sequence[placement.Room],
+    slow: Slow,
+) -> collections.abc.Iterator[Retirement]:
+    """Yield at most one retirement for each service."""
+    needs_by_service = {need.service: need for need in needs}
+    for service in configuration.services:
+        own = [
+            group
+            for group in groups
+            if group.service == service.name and _counts(group)
+        ]
+        need = needs_by_service[service.name]
+        found = _for_service(service, own, need, rooms, slow)
+        if found is not None:
+            yield found
+
+
+def _for_service(
+    service: config_model.Service,
+    own: list[model.Group],
+    need: placement.Need,
+    rooms: collections.abc.Sequence[placement.Room],
+    slow: Slow,
+) -> Retirement | None:
+    ready = [g for g in own if g.state is model.GroupState.READY]
+    old = [g for g in own if g.version != service.version]
+    current = [g for g in own if g.version == service.version]
+    if old:
+        return _roll_out(service, ready, old, current, need, rooms)
+    if len(current) > service.replicas:
+        return _surplus(service, ready, current)
+    return _replace_straggler(service, ready, need, rooms, slow)
+
+
+def _roll_out(
+    service: config_model.Service,
+    ready: list[model.Group],
+    old: list[model.Group],
+    current: list[model.Group],
+    need: placement.Need,
+    rooms: collections.abc.Sequence[placement.Room],
+) -> Retirement | None:
+    broken = [g for g in old if g.state is not model.GroupState.READY]
+    if broken:
+        return Retirement(_first(broken), model.DrainReason.OLD_VERSION)
+    if len(ready) > service.replicas:
+        return Retirement(_first(old), model.DrainReason.OLD_VERSION)
+    forming = [g for g in current if g.state is model.GroupState.FORMING]
+    if forming or fits(need, rooms):
+        return None  # The new group is formed first.
+    if len(ready) > 1 and len(ready) == service.replicas:
+        return Retirement(_first(old), model.DrainReason.OLD_VERSION)
+    return None
+
+
+def _surplus(
+    service: config_model.Service,
+    ready: list[model.Group],
+    current: list[model.Group],
+) -> Retirement | None:
+    forming = [g for g in current if g.state is model.GroupState.FORMING]
+    if len(ready) <= service.replicas:
+        if len(ready) < service.replicas:
+            return None  # It is not certain yet which of them will serve.
+        return Retirement(_newest(forming), model.DrainReason.SURPLUS)
+    return Retirement(_in_fullest_zone(ready), model.DrainReason.SURPLUS)
+
+
+def _replace_straggler(
+    service: config_model.Service,
+    ready: list[model.Group],
+    need: placement.Need,
+    rooms: collections.abc.Sequence[placement.Room],
+    slow: Slow,
+) -> Retirement | None:
+    if len(ready) < service.replicas or len(ready) < 2:
+        return None
+    found = [
+        group
+        for group in ready
+        if _slow_members(group, slow)
+        and _replaceable(group, need, rooms, slow)
+    ]
+    if not found:
+        return None
+    return Retirement(_first(found), model.DrainReason.STRAGGLER)
+
+
+def fits(
+    need: placement.Need, rooms: collections.abc.Sequence[placement.Room]
+) -> bool:
+    """Tell whether a domain has room for one more group."""
+    return any(r.runs == need.runs and r.free >= need.size for r in rooms)
+
+
+def _replaceable(
+    group: model.Group,
+    need: placement.Need,
+    rooms: collections.abc.Sequence[placement.Room],
+    slow: Slow,
+) -> bool:
+    if fits(need, rooms):
+        return True
+    spares = sum(
+        room.free
+        for room in rooms
+        if room.domain == slow.domain and room.runs == need.runs
+    )
+    return spares >= _slow_members(group, slow)
+
+
+def _counts(group: model.Group) -> bool:
+    return group.state is not model.GroupState.DRAINING
+
+
+def _slow_members(group: model.Group, slow: Slow) -> int:
+    return sum(member.instance in slow.instances for member in group.members)
+
+
+def _first(groups: list[model.Group]) -> ids.GroupId:
+    return min(group.id for group in groups)
+
+
+def _newest(groups: list[model.Group]) -> ids.GroupId:
+    return max(groups, key=lambda g: (g.epoch, g.id)).id
+
+
+def _in_fullest_zone(groups: list[model.Group]) -> ids.GroupId:
+    zones = [group.zone for group in groups]
+    return max(groups, key=lambda g: (zones.count(g.zone), g.epoch, g.id)).id
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -98,7 +98,7 @@
             self.tenure = None
         if self.tenure is None:
             await self._look()
-            if self._may_acquire(self.read_clock()):
+            if self.may_acquire(self.read_clock()):
                 await self._write(self.owner)
         elif renewal_due(self.tenure, self.lease_seconds, now):
             await self._write(self.owner)
@@ -116,6 +116,15 @@
             self._sighting = Sighting(version, now, record)
         self._adopt_own_write(self._sighting, now)
 
+    def may_acquire(self, now: clock.MonotonicTime) -> bool:
+        """Tell whether the lease as last seen is free to take."""
+        if self.tenure is not None or self._sighting is None:
+            return False
+        record = self._sighting.record
+        if record is not None and record.write_id in self._sent_by_write:
+            return True  # Nobody has written since this owner did.
+        return is_free(self._sighting, now)
+
     async def release(self) -> None:
         """Let another owner take the lease at once; raise StoreUnavailable.
 
@@ -136,14 +145,6 @@
         stored = await self.store.get(LEASE_KIND, self.name)
         self.observe(stored, self.read_clock())
 
-    def _may_acquire(self, now: clock.MonotonicTime) -> bool:
-        if self.tenure is not None or self._sighting is None:
-            return False
-        record = self._sighting.record
-        if record is not None and record.write_id in self._sent_by_write:
-            return True  # Nobody has written since this owner did.
-        return is_free(self._sighting, now)
-
     async def _write(self, owner: ids.DaemonId) -> None:
         record, expected = self._next_record(owner)
         self._sent_by_write[record.write_id] = self.read_clock()
