--- a/Makefile
+++ b/Makefile
@@ -12,13 +12,13 @@
 	touch $@
 
 format: setup
-	$(BIN)/python -m isort --quiet sycamoredale tests
-	$(BIN)/python -m black --quiet sycamoredale tests
+	$(BIN)/python -m isort --quiet sycamoredale tests benchmarks
+	$(BIN)/python -m black --quiet sycamoredale tests benchmarks
 
 lint: setup
-	$(BIN)/python -m isort --quiet --check sycamoredale tests
-	$(BIN)/python -m black --quiet --check sycamoredale tests
-	$(BIN)/python -m flake8 sycamoredale tests
+	$(BIN)/python -m isort --quiet --check sycamoredale tests benchmarks
+	$(BIN)/python -m black --quiet --check sycamoredale tests benchmarks
+	$(BIN)/python -m flake8 sycamoredale tests benchmarks
 
 types: setup
 	$(BIN)/python -m mypy
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system; each script prints one JSON line a figure."""
--- /dev/null
+++ b/benchmarks/site.py
@@ -0,0 +1,113 @@
+"""Start a small site of real processes for a measurement."""
+
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import tempfile
+import typing
+
+from tests import processes
+
+KEY: typing.Final = "benchmark-key"
+ZONE: typing.Final = "kochi"
+DOMAIN: typing.Final = "kochi-1"
+CLOCK_TICKS_PER_SECOND: typing.Final = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES: typing.Final = os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclasses.dataclass
+class Site:
+    """Hold the processes of one site with one model service."""
+
+    platform: processes.Process
+    engines: list[processes.Process]
+    controller: processes.Process
+    router: processes.Process
+
+
+def start(
+    fleet: processes.Fleet, engines: int, engine_settings: dict[str, object]
+) -> Site:
+    """Start a platform, engines, a controller and a router."""
+    platform = fleet.standin("platform")
+    started = []
+    listed = []
+    for number in range(engines):
+        settings = {"instance": f"e{number}", **engine_settings}
+        engine = fleet.standin("engine", "--settings", json.dumps(settings))
+        started.append(engine)
+        listed.append(
+            {
+                "id": f"e{number}",
+                "address": engine.address,
+                "zone": ZONE,
+                "domain": DOMAIN,
+            }
+        )
+    processes.request(platform.address, "PUT", "/standin/instances", listed)
+    _apply(fleet, platform, engines)
+    controller = fleet.controller("controller-1", ZONE, platform.address)
+    router = fleet.router("router-1", ZONE, platform.address)
+    processes.wait_for(lambda: _endpoints(router) == engines)
+    return Site(platform, started, controller, router)
+
+
+def cpu_seconds(process: processes.Process) -> float:
+    """Return the processor time that a process has used."""
+    stat = pathlib.Path(f"/proc/{process.popen.pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_SECOND
+
+
+def resident_bytes(process: processes.Process) -> int:
+    """Return the resident memory of a process."""
+    statm = pathlib.Path(f"/proc/{process.popen.pid}/statm").read_text()
+    return int(statm.split()[1]) * PAGE_BYTES
+
+
+def report(measure: str, value: float, unit: str, **facts: object) -> None:
+    """Print one figure as a JSON line."""
+    line = {"measure": measure, "value": round(value, 6), "unit": unit}
+    print(json.dumps({**line, **facts}), flush=True)
+
+
+def _endpoints(router: processes.Process) -> int:
+    health = processes.request(router.address, "GET", "/healthz")
+    return int(health.json()["endpoints"])
+
+
+def _apply(
+    fleet: processes.Fleet, platform: processes.Process, replicas: int
+) -> None:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    configuration = {
+        "services": [
+            {
+                "name": "assistant",
+                "kind": "model",
+                "replicas": replicas,
+                "version": "v1",
+                "capacity": 1000,
+                "cold_limit": 1000,
+            }
+        ],
+        "versions": [{"name": "v1", "service": "assistant", "weights": "w1"}],
+        "organisations": [
+            {
+                "name": "benchmark",
+                "key_sha256": digest,
+                "max_concurrent": 100000,
+            }
+        ],
+        "zones": [{"name": ZONE}],
+    }
+    with tempfile.TemporaryDirectory() as folder:
+        file = pathlib.Path(folder) / "site.yaml"
+        file.write_text(json.dumps(configuration))
+        applied = fleet.start(
+            "sycamoredale", "apply", str(file), "--platform", platform.address
+        )
+        if applied.popen.wait(20):
+            raise RuntimeError("".join(applied.log_lines))
--- /dev/null
+++ b/benchmarks/stream_client.py
@@ -0,0 +1,102 @@
+"""Open many streams at once and print what arrived as one JSON line.
+
+The times from request to first event and between events are printed in
+seconds, thinned to a bounded sample.
+"""
+
+import json
+import sys
+import time
+import typing
+
+import curio
+
+SAMPLE: typing.Final = 20_000
+EVENT: typing.Final = b"data: {"
+
+
+class Counter:
+    """Collect what all streams saw."""
+
+    def __init__(self) -> None:
+        """Start at nothing."""
+        self.events = 0
+        self.complete = 0
+        self.first_seconds: list[float] = []
+        self.gap_seconds: list[float] = []
+
+
+async def stream(
+    address: str, headers: str, tokens: int, number: int, counter: Counter
+) -> None:
+    """Read one streamed answer to its end."""
+    host, _, port = address.rpartition(":")
+    body = json.dumps(
+        {
+            "model": "assistant",
+            "prompt": f"stream {number}",
+            "max_tokens": tokens,
+            "stream": True,
+        }
+    )
+    request = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: {address}\r\n{headers}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    )
+    sock = await curio.open_connection(host, int(port))
+    started = time.perf_counter()
+    await sock.sendall(request.encode())
+    previous = 0.0
+    tail = b""
+    async with sock:
+        while True:
+            data = await sock.recv(65536)
+            now = time.perf_counter()
+            if not data:
+                return
+            events = (tail + data).count(EVENT)
+            tail = data[-len(EVENT) + 1 :]
+            counter.events += events
+            if events:
+                _record(counter, started, previous, now)
+                previous = now
+            if b"[DONE]" in data:
+                counter.complete += 1
+                return
+
+
+async def run(address: str, headers: str, streams: int, tokens: int) -> None:
+    """Run all streams and print the result."""
+    counter = Counter()
+    tasks = []
+    for number in range(streams):
+        tasks.append(
+            await curio.spawn(
+                stream, address, headers, tokens, number, counter
+            )
+        )
+        await curio.sleep(0.002)
+    for task in tasks:
+        await task.join()
+    result = {
+        "events": counter.events,
+        "complete": counter.complete,
+        "first": counter.first_seconds,
+        "gaps": counter.gap_seconds[:: 1 + len(counter.gap_seconds) // SAMPLE],
+    }
+    print(json.dumps(result))
+
+
+def _record(
+    counter: Counter, started: float, previous: float, now: float
+) -> None:
+    if previous:
+        counter.gap_seconds.append(now - previous)
+    else:
+        counter.first_seconds.append(now - started)
+
+
+if __name__ == "__main__":
+    curio.run(
+        run, sys.argv[1], sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
+    )
