Connect to IP numbers without a resolver thread

Cause: curio.open_connection resolves each address in a worker thread; under 400 streams the profile showed 64 such threads and connects past their limit. Starting a request still costs over 1 ms.

--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -185,15 +185,18 @@
 
 async def open_connection(address: messages.Address) -> Connection:
     """Connect to the address; raise ConnectionFailed."""
+    # Addresses are IP numbers; resolving them would cost a worker thread.
+    sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
     try:
+        sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         async with curio.timeout_after(CONNECT_SECONDS):
-            sock = await curio.open_connection(address.host, address.port)
+            await sock.connect((address.host, address.port))
     except (OSError, curio.TaskTimeout) as error:
+        await sock.close()
         raise errors.ConnectionFailed(
             error_codes.CONNECTION_FAILED,
             f"connection to {address} failed: {error!r}",
         ) from error
-    sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
     return Connection(address, sock)
 
 
