Relay all body bytes that have arrived in one write

Cause: the profile of 400 streams showed 37 % of the router in sendall, one for each chunk, while several chunks stood in the receive buffer.

--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -30,6 +30,7 @@
         """Take over a connected socket."""
         self.address: Final = address
         self.used = False
+        self._ended = False
         self._sock = sock
         self._connection = h11.Connection(h11.CLIENT)
 
@@ -65,13 +66,19 @@
         return messages.ResponseHead(event.status_code, headers)
 
     async def read_chunk(self) -> bytes:
-        """Read a piece of the body, empty at its complete end."""
+        """Read the body bytes that have arrived, empty at the end."""
+        if self._ended:
+            return b""
         event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
+        parts: list[bytes] = []
+        while isinstance(event, h11.Data):
+            parts.append(event.data)
+            event = self._next_received_event()
         if isinstance(event, h11.EndOfMessage):
-            return b""
-        raise self._broken("the response was cut short")
+            self._ended = True
+        elif event is not h11.NEED_DATA:
+            raise self._broken("the response was cut short")
+        return b"".join(parts)
 
     async def read_body(self) -> bytes:
         """Read the rest of the body; raise ConnectionBroken."""
@@ -89,6 +96,7 @@
         if self._connection.our_state is not h11.DONE:
             return False
         self._connection.start_next_cycle()
+        self._ended = False
         self.used = True
         return True
 
@@ -98,10 +106,7 @@
 
     async def _next_event(self) -> object:
         while True:
-            try:
-                event = self._connection.next_event()
-            except h11.RemoteProtocolError as error:
-                raise self._broken(str(error)) from error
+            event = self._next_received_event()
             if event is not h11.NEED_DATA:
                 return event
             try:
@@ -110,6 +115,12 @@
                 raise self._broken(str(error)) from error
             self._connection.receive_data(data)
 
+    def _next_received_event(self) -> object:
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise self._broken(str(error)) from error
+
     def _broken(self, reason: str) -> errors.ConnectionBroken:
         return errors.ConnectionBroken(
             error_codes.CONNECTION_BROKEN,
