--- a/sycamoredale/groups/lease_set.py
+++ b/sycamoredale/groups/lease_set.py
@@ -98,12 +98,12 @@
 
 async def _tend(lease: leases.Lease) -> bool:
     before = lease.tenure
+    held = False
     try:
         held = await lease.tend()
     except errors.StoreUnavailable as error:
         LOG.warning("lease_not_tended", lease=lease.name, reason=error.message)
-        return False
-    if before is not None and not held:
+    if before is not None and lease.tenure is None:
         LOG.warning("lease_lost", lease=lease.name)
     return held
 
--- /dev/null
+++ b/tests/test_group_takeover.py
@@ -0,0 +1,62 @@
+"""Test with real processes how controllers and store failures meet."""
+
+import collections.abc
+
+import pytest
+
+from tests import group_site
+from tests import processes
+
+
+@pytest.fixture
+def site() -> collections.abc.Iterator[group_site.GroupSite]:
+    """Run a platform and end all processes afterwards."""
+    with processes.Fleet() as fleet:
+        yield group_site.start(fleet)
+
+
+def _two_member_group_with_spare(site: group_site.GroupSite) -> None:
+    site.add_engines(("e0", "e1", "e2"), "d1")
+    site.publish()
+    site.apply(services=[group_site.service(1, 2)], zones=[{"name": "kochi"}])
+
+
+def test_second_controller_takes_over_from_a_paused_one(
+    site: group_site.GroupSite,
+) -> None:
+    _two_member_group_with_spare(site)
+    first = site.controller("c1")
+    site.wait_ready({"e0", "e1"})
+    site.controller("c2")
+    first.pause()
+    site.engines["e1"].kill()
+    site.wait_ready({"e0", "e2"}, seconds=40.0)
+    written = len(site.history("d1"))
+    orders = site.orders("e0")
+    first.resume()
+    processes.wait_for(
+        lambda: any("lease_lost" in line for line in first.log_lines)
+    )
+    assert site.orders("e0") == orders
+    history = site.history("d1")
+    assert len(history) == written
+    group_site.assert_sound(history)
+
+
+def test_lost_answers_and_a_store_that_is_down(
+    site: group_site.GroupSite,
+) -> None:
+    _two_member_group_with_spare(site)
+    site.faults(lose_answers=6)
+    controller = site.controller("c1")
+    site.wait_ready({"e0", "e1"})
+    site.faults(down=True)
+    processes.wait_for(
+        lambda: any("lease_lost" in line for line in controller.log_lines)
+    )
+    orders = site.orders("e0")
+    site.engines["e1"].kill()
+    site.faults()
+    site.wait_ready({"e0", "e2"})
+    assert site.orders("e0")[: len(orders)] == orders
+    group_site.assert_sound(site.history("d1"))
