Search for schedules that break the promises about groups

Two controllers keep one domain of engines that ignore fencing, while orders and writes are lost or late and engines die and return. Orders to such engines, the emptying ones too, now wait until no older one can be under way; before, an UNLOAD could be overtaken by a late LOAD.

--- a/sycamoredale/groups/domain_keeper.py
+++ b/sycamoredale/groups/domain_keeper.py
@@ -88,7 +88,6 @@
             facts,
             self.book.others(self.domain),
             retirement.Slow(self.domain, self._stragglers()),
-            self._taken_over_at(),
         )
         planned = planning.plan(known.assignment, situation)
         if planned is known.assignment:
@@ -113,17 +112,18 @@
 
     async def _give(self, item: ordering.DueOrder) -> None:
         address = messages.parse_address(item.address)
+        asked_at = self.lease.read_clock()
 
         def guard() -> None:
             self._check_lease()
-            self.reports.note_order(item.instance, clock.monotonic())
+            self.reports.note_order(item.instance, self.lease.read_clock())
 
         try:
             state = await self.engines.order(address, item.order, guard)
         except errors.SycamoredaleError as error:
             LOG.warning("order_failed", reason=error.message)
             return
-        self.reports.note_report(item.instance, state, clock.monotonic())
+        self.reports.note_report(item.instance, state, asked_at)
 
     async def _within_slots(
         self,
@@ -191,7 +191,7 @@
     async def _suspects_itself(
         self, targets: list[instances.Instance], world: World
     ) -> bool:
-        now = clock.monotonic()
+        now = self.lease.read_clock()
         failed = sum(not self.reports.reachable(i.id) for i in targets)
         count = suspicion.ProbeCount(self.domain, len(targets), failed)
         if failed > suspicion.SUSPECT_SHARE * len(targets):
@@ -207,7 +207,7 @@
         return self.suspect.note(count, now)
 
     def _facts(self, world: World) -> repair.Facts:
-        now = clock.monotonic()
+        now = self.lease.read_clock()
         draining = {
             group.id: self._draining_since.get(group.id, now)
             for group in self.book.known(self.domain).assignment.groups
@@ -219,6 +219,7 @@
             world.listed_by_id,
             self.reports,
             draining,
+            self._taken_over_at(),
             now,
         )
 
@@ -248,7 +249,7 @@
         return tenure.since
 
     def _check_lease(self) -> None:
-        self.lease.check(clock.monotonic())
+        self.lease.check(self.lease.read_clock())
 
 
 def _allowed(
--- a/sycamoredale/groups/formation.py
+++ b/sycamoredale/groups/formation.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 
-from sycamoredale import clock
 from sycamoredale.config import model as config_model
 from sycamoredale.engines import orders
 from sycamoredale.groups import model
@@ -14,11 +13,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Candidates:
-    """Hold the free instances of a domain, and when it was taken over."""
+    """Hold the free instances of a domain."""
 
     facts: repair.Facts
     free: list[instances.Instance]
-    taken_over_at: clock.MonotonicTime
 
     def choose(
         self, service: config_model.Service, taken: set[ids.InstanceId]
@@ -56,24 +54,11 @@
         state = book.state(instance.id)
         if state is None:
             return False
-        if not self._ignores_fencing(service, state.service):
+        ignores = service.fencing is config_model.Fencing.IGNORED
+        if not ignores and not self.facts.ignores_fencing(state.service):
             return True
         empty = state.phase is orders.Phase.EMPTY and state.group is None
-        quiet = book.quiet(instance.id, self.taken_over_at, self.facts.now)
-        return empty and quiet
-
-    def _ignores_fencing(
-        self, service: config_model.Service, loaded: ids.ServiceName
-    ) -> bool:
-        if service.fencing is config_model.Fencing.IGNORED:
-            return True
-        before = self.facts.service(loaded)
-        if before is not None:
-            return before.fencing is config_model.Fencing.IGNORED
-        return loaded != "" and any(
-            other.fencing is config_model.Fencing.IGNORED
-            for other in self.facts.configuration.services
-        )
+        return empty and self.facts.quiet(instance.id)
 
 
 def form(
--- a/sycamoredale/groups/ordering.py
+++ b/sycamoredale/groups/ordering.py
@@ -125,6 +125,9 @@
             continue
         if state.phase is orders.Phase.EMPTY or state.group is None:
             continue
+        ignores = facts.ignores_fencing(state.service)
+        if ignores and not facts.quiet(instance.id):
+            continue
         order = orders.Order(
             orders.Action.UNLOAD, assignment.epoch, state.group
         )
--- a/sycamoredale/groups/planning.py
+++ b/sycamoredale/groups/planning.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from sycamoredale import clock
 from sycamoredale.groups import formation
 from sycamoredale.groups import model
 from sycamoredale.groups import placement
@@ -22,7 +21,6 @@
     facts: repair.Facts
     others: list[model.Assignment]
     slow: retirement.Slow
-    taken_over_at: clock.MonotonicTime
 
 
 def plan(current: model.Assignment, situation: Situation) -> model.Assignment:
@@ -93,7 +91,6 @@
     candidates = formation.Candidates(
         situation.facts,
         list(_free(revised, situation.facts)),
-        situation.taken_over_at,
     )
     return list(formation.form(names, candidates, revised.domain, epoch))
 
--- a/sycamoredale/groups/probing.py
+++ b/sycamoredale/groups/probing.py
@@ -13,6 +13,7 @@
 from sycamoredale.groups import health
 from sycamoredale.http import client
 from sycamoredale.http import messages
+from sycamoredale import leases
 from sycamoredale.platform import instances
 
 PROBE_SECONDS: Final = 1.0
@@ -23,6 +24,7 @@
     """Probe engines by their report, plain services by a connection."""
 
     engines: model_engine.ModelEngines
+    read_clock: leases.ReadClock = clock.monotonic
 
     async def probe_all(
         self,
@@ -45,12 +47,12 @@
     async def _probe(
         self, instance: instances.Instance, book: health.HealthBook
     ) -> None:
-        asked_at = clock.monotonic()
+        asked_at = self.read_clock()
         known = book.by_id[instance.id]
         try:
             state = await self._ask(instance, fresh=known.failures > 0)
         except errors.SycamoredaleError:
-            book.note_failure(instance.id, clock.monotonic())
+            book.note_failure(instance.id, self.read_clock())
         else:
             book.note_report(instance.id, state, asked_at)
 
--- a/sycamoredale/groups/repair.py
+++ b/sycamoredale/groups/repair.py
@@ -29,13 +29,15 @@
 class Facts:
     """Hold what the decisions on one domain rest on.
 
-    `draining_since_by_group` is kept by the caller from round to round.
+    `draining_since_by_group` is kept by the caller from round to round;
+    `taken_over_at` is when the lease was acquired.
     """
 
     configuration: config_model.Configuration
     listed_by_id: dict[ids.InstanceId, instances.Instance]
     book: health.HealthBook
     draining_since_by_group: dict[ids.GroupId, clock.MonotonicTime]
+    taken_over_at: clock.MonotonicTime
     now: clock.MonotonicTime
 
     def service(self, name: ids.ServiceName) -> config_model.Service | None:
@@ -45,6 +47,24 @@
                 return service
         return None
 
+    def ignores_fencing(self, loaded: ids.ServiceName) -> bool:
+        """Tell whether the engine of a loaded service may obey old orders.
+
+        Nothing is known of a service that is no longer configured, so any
+        service whose engines ignore fencing speaks for it.
+        """
+        before = self.service(loaded)
+        if before is not None:
+            return before.fencing is config_model.Fencing.IGNORED
+        return any(
+            service.fencing is config_model.Fencing.IGNORED
+            for service in self.configuration.services
+        )
+
+    def quiet(self, instance: ids.InstanceId) -> bool:
+        """Tell whether no older order to an instance can still arrive."""
+        return self.book.quiet(instance, self.taken_over_at, self.now)
+
     def zone_out(self, name: ids.ZoneName) -> bool:
         """Tell whether operators have taken a zone out."""
         return any(
--- /dev/null
+++ b/tests/test_group_model.py
@@ -0,0 +1,340 @@
+"""Search for schedules that break the promises about groups.
+
+Two controllers keep one domain.  Orders and writes are lost or arrive late,
+engines die and return, the lease passes to and fro.
+"""
+
+import collections.abc
+import dataclasses
+
+import curio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import model_engine
+from sycamoredale.engines import orders
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.groups import assignments
+from sycamoredale.groups import domain_keeper
+from sycamoredale.groups import load_slots
+from sycamoredale.groups import model
+from sycamoredale.groups import probing
+from sycamoredale.groups import suspicion
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale import leases
+from sycamoredale.platform import instances
+from sycamoredale.standins import engine_orders
+from tests import fake_store
+
+DOMAIN = ids.DomainName("d")
+ENGINES = 5
+CONFIGURATION = config_model.Configuration(
+    services=[
+        config_model.Service(
+            ids.ServiceName(name),
+            config_model.ServiceKind.MODEL,
+            replicas=1,
+            instances_per_replica=2,
+            version=ids.VersionName("v1"),
+            fencing=config_model.Fencing.IGNORED,
+        )
+        for name in ("first", "second")
+    ]
+)
+
+
+@dataclasses.dataclass
+class Late:
+    """Hold an order that is still under way."""
+
+    port: int
+    order: orders.Order
+    sent: clock.MonotonicTime
+
+
+@dataclasses.dataclass
+class FakeEngines(model_engine.ModelEngines):
+    """Call engines in this process; delay or lose orders on request."""
+
+    pool: client.Pool = dataclasses.field(default_factory=client.Pool)
+    now: clock.MonotonicTime = clock.MonotonicTime(1000.0)
+    by_port: dict[int, engine_orders.OrderBook] = dataclasses.field(
+        default_factory=dict
+    )
+    dead: set[int] = dataclasses.field(default_factory=set)
+    delayed: set[int] = dataclasses.field(default_factory=set)
+    connect_seconds: float = 0.0
+    late: list[Late] = dataclasses.field(default_factory=list)
+
+    def read_clock(self) -> clock.MonotonicTime:
+        return self.now
+
+    async def order(
+        self,
+        address: messages.Address,
+        order: orders.Order,
+        guard: model_engine.Guard,
+    ) -> orders.EngineState:
+        self._connect(address.port)
+        self.now = clock.MonotonicTime(self.now + self.connect_seconds)
+        guard()
+        if address.port in self.delayed:
+            self.late.append(Late(address.port, order, self.now))
+            raise errors.OrderFailed(error_codes.ORDER_FAILED, "no answer")
+        await self.by_port[address.port].obey(order, self.now)
+        return await self.state(address)
+
+    async def state(
+        self,
+        address: messages.Address,
+        seconds: float = 0.0,
+        fresh: bool = False,
+    ) -> orders.EngineState:
+        self._connect(address.port)
+        book = self.by_port[address.port]
+        book.advance(self.now)
+        return book.state(running=0, step_seconds=0.0)
+
+    async def deliver(self) -> None:
+        """Let the late orders that are still within their time arrive."""
+        late, self.late = self.late, []
+        for item in late:
+            in_time = self.now < item.sent + item.order.lifetime_seconds
+            if in_time and item.port not in self.dead:
+                await self.by_port[item.port].obey(item.order, self.now)
+
+    def _connect(self, port: int) -> None:
+        if port in self.dead:
+            raise errors.ConnectionFailed(
+                error_codes.CONNECTION_FAILED, "dead on purpose"
+            )
+
+
+def _engine(port: int) -> engine_orders.OrderBook:
+    return engine_orders.OrderBook(
+        ids.InstanceId(f"e{port}"),
+        load_seconds=0.5,
+        cold_seconds=0.0,
+        honours_fencing=False,
+    )
+
+
+class GroupMachine(stateful.RuleBasedStateMachine):
+    """Run rounds of two controllers in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.engines = FakeEngines()
+        self.store = fake_store.FakeStore()
+        self.history: list[model.Assignment] = []
+        self.store.on_effect = self._record
+        self.listed: dict[ids.InstanceId, instances.Instance] = {}
+        for port in range(1, ENGINES + 1):
+            self.engines.by_port[port] = _engine(port)
+            instance = ids.InstanceId(f"e{port}")
+            self.listed[instance] = instances.Instance(
+                instance, f"127.0.0.1:{port}", ids.ZoneName("z"), DOMAIN
+            )
+        self.keepers = [self._keeper(name) for name in ("c1", "c2")]
+
+    def _keeper(self, name: str) -> domain_keeper.DomainKeeper:
+        lease = leases.Lease(
+            self.store, "lease", ids.DaemonId(name), self.engines.read_clock
+        )
+        return domain_keeper.DomainKeeper(
+            DOMAIN,
+            lease,
+            assignments.AssignmentBook(self.store),
+            load_slots.LoadSlots(self.store),
+            self.engines,
+            probing.Prober(self.engines, self.engines.read_clock),
+            suspicion.SelfSuspicion(),
+        )
+
+    @stateful.rule(
+        first=strategies.integers(0, 1),
+        rounds=strategies.integers(1, 4),
+        fate=strategies.sampled_from(fake_store.Fate),
+    )
+    def run_rounds(
+        self, first: int, rounds: int, fate: fake_store.Fate
+    ) -> None:
+        self.store.fate = fate
+        for _ in range(rounds):
+            curio.run(self._round, self.keepers[first])
+            self.engines.now = clock.MonotonicTime(self.engines.now + 0.6)
+        self.store.fate = fake_store.Fate.ANSWERED
+
+    async def _round(self, keeper: domain_keeper.DomainKeeper) -> None:
+        world = domain_keeper.World(CONFIGURATION, self.listed)
+        try:
+            if not await keeper.lease.tend():
+                return
+            await keeper.book.refresh(DOMAIN)
+            await keeper.run_round(world)
+        except errors.SycamoredaleError:
+            return  # The next round starts from what is there.
+
+    @stateful.rule(seconds=strategies.sampled_from((0.3, 1.0, 2.1, 6.1)))
+    def wait(self, seconds: float) -> None:
+        self.engines.now = clock.MonotonicTime(self.engines.now + seconds)
+
+    @stateful.rule(port=strategies.integers(1, ENGINES))
+    def delay(self, port: int) -> None:
+        self.engines.delayed ^= {port}
+
+    @stateful.rule()
+    def late_orders_arrive(self) -> None:
+        curio.run(self.engines.deliver)
+
+    @stateful.rule()
+    def late_writes_arrive(self) -> None:
+        self.store.arrive()
+        self._record()
+
+    @stateful.rule(port=strategies.integers(1, ENGINES))
+    def kill(self, port: int) -> None:
+        if len(self.engines.dead) < ENGINES - 3:
+            self.engines.dead.add(port)
+
+    @stateful.rule(port=strategies.integers(1, ENGINES))
+    def restart(self, port: int) -> None:
+        if port in self.engines.dead:
+            self.engines.dead.remove(port)
+            self.engines.by_port[port] = _engine(port)
+
+    @stateful.rule(port=strategies.integers(1, ENGINES))
+    def reconnect(self, port: int) -> None:
+        self.engines.dead.discard(port)
+
+    @stateful.invariant()
+    def no_instance_in_two_groups(self) -> None:
+        for assignment in self.history:
+            members = list(_members(assignment.groups))
+            assert len(members) == len(set(members))
+
+    @stateful.invariant()
+    def epochs_only_grow(self) -> None:
+        epochs = [assignment.epoch for assignment in self.history]
+        assert epochs == sorted(epochs)
+
+    @stateful.invariant()
+    def no_old_epoch_is_obeyed(self) -> None:
+        for book in self.engines.by_port.values():
+            epochs = [order.epoch for order in book.obeyed]
+            assert epochs == sorted(epochs)
+
+    def _record(self) -> None:
+        stored = self.store.by_name.get(f"{model.ASSIGNMENT_KIND}/{DOMAIN}")
+        if stored is not None:
+            found = msgspec.json.decode(stored.value, type=model.Assignment)
+            self.history.append(found)
+
+
+def _run(machine: GroupMachine, keeper: int, rounds: int) -> None:
+    machine.run_rounds(keeper, rounds, fake_store.Fate.ANSWERED)
+
+
+def _run_until_formed(machine: GroupMachine, keeper: int) -> None:
+    before = machine.history[-1].epoch if machine.history else 0
+    for _ in range(40):
+        _run(machine, keeper, 1)
+        formed = [g.epoch for a in machine.history[-1:] for g in a.groups]
+        if max(formed, default=0) > before:
+            return
+    raise AssertionError("no group was formed")
+
+
+def _machine(*dead: int) -> GroupMachine:
+    machine = GroupMachine()
+    machine.engines.dead.update(dead)
+    return machine
+
+
+def _members(
+    groups: collections.abc.Iterable[model.Group],
+) -> collections.abc.Iterator[ids.InstanceId]:
+    return (member.instance for group in groups for member in group.members)
+
+
+TestGroups = GroupMachine.TestCase
+TestGroups.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=50
+)
+
+
+def test_two_groups_form_on_five_engines() -> None:
+    machine = GroupMachine()
+    for _ in range(10):
+        _run(machine, 0, 4)
+    states = [group.state for group in machine.history[-1].groups]
+    assert states == [model.GroupState.READY] * 2
+
+
+def test_own_late_order_is_waited_out() -> None:
+    machine = _machine(4, 5)
+    machine.engines.delayed.add(1)
+    _run_until_formed(machine, 0)
+    formed = machine.history[-1].groups
+    machine.engines.dead.add(2)
+    while machine.history[-1].groups == formed:
+        _run(machine, 0, 1)
+    assert machine.engines.late
+    machine.engines.delayed.clear()
+    _run(machine, 0, 1)
+    machine.late_orders_arrive()
+    machine.no_old_epoch_is_obeyed()
+    _run_until_formed(machine, 0)
+
+
+def test_late_order_of_the_holder_before_is_waited_out() -> None:
+    machine = _machine(4, 5)
+    machine.engines.delayed.add(1)
+    _run_until_formed(machine, 0)
+    machine.wait(leases.LEASE_SECONDS / leases.RENEWALS_PER_LEASE)
+    curio.run(machine.keepers[0].lease.tend)
+    curio.run(machine.keepers[1].lease.tend)
+    machine.wait(leases.LEASE_SECONDS * 0.99)
+    first = machine.keepers[0]
+    world = domain_keeper.World(CONFIGURATION, machine.listed)
+    curio.run(first.run_round, world)
+    assert machine.engines.late[-1].sent == machine.engines.now
+    machine.wait(leases.LEASE_SECONDS * 0.03)
+    machine.engines.delayed.clear()
+    leaving = machine.listed[ids.InstanceId("e2")]
+    machine.listed[leaving.id] = msgspec.structs.replace(
+        leaving, state=instances.InstanceState.LEAVING
+    )
+    _run(machine, 1, 2)
+    machine.late_orders_arrive()
+    machine.no_old_epoch_is_obeyed()
+    _run_until_formed(machine, 1)
+
+
+def test_lease_is_checked_once_the_connection_stands() -> None:
+    machine = _machine()
+    machine.engines.connect_seconds = leases.LEASE_SECONDS
+    _run_until_formed(machine, 0)
+    assert not any(b.obeyed for b in machine.engines.by_port.values())
+
+
+def test_engine_is_emptied_before_it_changes_groups() -> None:
+    machine = _machine(4, 5)
+    _run_until_formed(machine, 0)
+    _run(machine, 0, 2)
+    machine.engines.dead.add(2)
+    _run_until_formed(machine, 0)
+    _run(machine, 0, 1)
+    actions = [o.action for o in machine.engines.by_port[1].obeyed]
+    assert actions == [
+        orders.Action.LOAD,
+        orders.Action.UNLOAD,
+        orders.Action.LOAD,
+    ]
