Move small groups so that large ones fit, and measure both planners

A service whose groups fit in no domain waited for ever although free instances of several domains together would do. Small groups are now formed elsewhere first and then drained. A settled plan is not repeated until the shared knowledge or the domain changes.

A test for each decision.

--- /dev/null
+++ b/benchmarks/group_downtime.py
@@ -0,0 +1,104 @@
+"""Measure how long a group is out when one of its members is lost.
+
+The controller and a greedy one each keep a group of two engines with
+spares, as processes against stand-ins.  A member is killed; the instance
+list drops it some seconds later and shows a new one.  Two times are
+printed: until no ready group contains the dead member, and until a whole
+group is ready again.
+
+Run `python -m benchmarks.group_downtime`.
+"""
+
+import collections.abc
+import random
+import statistics
+import time
+import typing
+
+from tests import group_site
+from tests import processes
+
+LOSSES: typing.Final = 8
+SEED: typing.Final = 1
+LIST_LAG_SECONDS: typing.Final = 5.0
+WAIT_SECONDS: typing.Final = 60.0
+PROBE_SECONDS: typing.Final = 0.02
+
+Start = collections.abc.Callable[[group_site.GroupSite], processes.Process]
+
+
+def measure(start: Start) -> tuple[list[float], list[float]]:
+    """Return the times out of the table and until ready again, seconds."""
+    source = random.Random(SEED)
+    out: list[float] = []
+    again: list[float] = []
+    with processes.Fleet() as fleet:
+        site = group_site.start(fleet)
+        site.add_engines([f"e{n}" for n in range(4)], "d1")
+        site.publish()
+        site.apply(
+            services=[group_site.service(1, 2)], zones=[{"name": "kochi"}]
+        )
+        start(site)
+        processes.wait_for(lambda: len(site.ready()) == 1)
+        for number in range(LOSSES):
+            dead = source.choice(sorted(site.ready()[0]))
+            killed_at = time.monotonic()
+            site.engines[dead].kill()
+            out.append(_until(site, killed_at, dead, whole=False))
+            again.append(_until(site, killed_at, dead, whole=True))
+            _replace(site, dead, f"r{number}")
+    return out, again
+
+
+def _until(
+    site: group_site.GroupSite, killed_at: float, dead: str, whole: bool
+) -> float:
+    while True:
+        ready = site.ready()
+        elapsed = time.monotonic() - killed_at
+        if elapsed > LIST_LAG_SECONDS and dead in site.listed:
+            del site.listed[dead]
+            del site.engines[dead]
+            site.publish()
+        without_dead = all(dead not in members for members in ready)
+        if without_dead and (ready or not whole):
+            return elapsed
+        if elapsed > WAIT_SECONDS:
+            raise TimeoutError(f"no recovery from the loss of {dead!r}")
+        time.sleep(PROBE_SECONDS)
+
+
+def _replace(site: group_site.GroupSite, dead: str, new: str) -> None:
+    site.listed.pop(dead, None)
+    site.engines.pop(dead, None)
+    site.add_engines([new], "d1")
+    site.publish()
+    time.sleep(2.0)
+
+
+def _start_naive(site: group_site.GroupSite) -> processes.Process:
+    return site.fleet.start(
+        "benchmarks.naive_controller", site.platform.address
+    )
+
+
+def _start_ours(site: group_site.GroupSite) -> processes.Process:
+    return site.fleet.controller("c1", "kochi", site.platform.address)
+
+
+def main() -> None:
+    """Print the times of both controllers."""
+    for name, start in (("greedy", _start_naive), ("ours", _start_ours)):
+        out, again = measure(start)
+        print(
+            f"{name}: {len(out)} losses, out of the table after "
+            f"median {statistics.median(out):.2f} s, "
+            f"worst {max(out):.2f} s; ready again after "
+            f"median {statistics.median(again):.2f} s, "
+            f"worst {max(again):.2f} s"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/stranded_accelerators.py
@@ -0,0 +1,243 @@
+"""Count stranded accelerators after random failures and returns.
+
+The planner and a greedy one see the same events.  Engines obey at once, so
+that only the decisions differ.  An accelerator is stranded if its instance
+is alive and in no ready group while services miss that many.  The time of
+one plan is measured at the size of the target as well.
+
+Run `python -m benchmarks.stranded_accelerators`.
+"""
+
+import collections.abc
+import random
+import statistics
+import time
+import typing
+
+from benchmarks import naive_placement
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import orders
+from sycamoredale.groups import health
+from sycamoredale.groups import model
+from sycamoredale.groups import planning
+from sycamoredale.groups import repair
+from sycamoredale.groups import retirement
+from sycamoredale import ids
+from sycamoredale.platform import instances
+
+EVENTS: typing.Final = 200
+SEEDS: typing.Final = range(5)
+ROUNDS_PER_EVENT: typing.Final = 12
+ROUND_SECONDS: typing.Final = 4.0
+DOMAINS: typing.Final = 8
+INSTANCES_PER_DOMAIN: typing.Final = 24
+
+Planner = collections.abc.Callable[
+    ["Fleet", model.Assignment, list[model.Assignment]], model.Assignment
+]
+
+
+def configuration(scale: int = 1) -> config_model.Configuration:
+    """Return services of mixed sizes that need most of the instances."""
+    sizes = {"large": (16, 6), "middle": (6, 8), "small": (2, 16)}
+    return config_model.Configuration(
+        services=[
+            config_model.Service(
+                ids.ServiceName(name),
+                config_model.ServiceKind.MODEL,
+                replicas=replicas * scale,
+                instances_per_replica=size,
+                version=ids.VersionName("v1"),
+            )
+            for name, (size, replicas) in sorted(sizes.items())
+        ]
+    )
+
+
+class Fleet:
+    """Hold the instances, their engines and the assignments."""
+
+    def __init__(self, domains: int, per_domain: int, scale: int) -> None:
+        """Start with all instances alive and no groups."""
+        self.configuration = configuration(scale)
+        self.all = {
+            instance.id: instance
+            for instance in _instances(domains, per_domain)
+        }
+        self.alive = dict(self.all)
+        self.now = clock.MonotonicTime(1000.0)
+        self.formed: set[tuple[ids.GroupId, ids.Epoch]] = set()
+        self.draining: dict[ids.GroupId, clock.MonotonicTime] = {}
+        self.by_domain = {
+            name: model.Assignment(name)
+            for name in sorted({i.domain for i in self.all.values()})
+        }
+
+    def settle(self, planner: Planner) -> None:
+        """Plan all domains until nothing changes."""
+        for _ in range(ROUNDS_PER_EVENT):
+            before = dict(self.by_domain)
+            for domain, current in before.items():
+                others = [
+                    a for name, a in self.by_domain.items() if name != domain
+                ]
+                planned = planner(self, current, others)
+                self.by_domain[domain] = planned
+                known = {(group.id, group.epoch) for group in current.groups}
+                now = {(group.id, group.epoch) for group in planned.groups}
+                self.formed |= now - known
+            self.now = clock.MonotonicTime(self.now + ROUND_SECONDS)
+            if before == self.by_domain:
+                return
+
+    def stranded_share(self) -> float:
+        """Return the stranded part of the accelerators that are alive."""
+        serving: set[ids.InstanceId] = set()
+        ready: dict[ids.ServiceName, int] = {}
+        for assignment in self.by_domain.values():
+            for group in assignment.groups:
+                if group.state is model.GroupState.READY:
+                    serving |= {m.instance for m in group.members}
+                    ready[group.service] = ready.get(group.service, 0) + 1
+        missing = sum(
+            max(0, s.replicas - ready.get(s.name, 0)) * s.instances_per_replica
+            for s in self.configuration.services
+        )
+        free = len(self.alive.keys() - serving)
+        return min(free, missing) / len(self.alive)
+
+    def facts(self, current: model.Assignment) -> repair.Facts:
+        """Return what a controller would know of a domain."""
+        book = health.HealthBook()
+        group_by_id = {
+            member.instance: group
+            for group in current.groups
+            for member in group.members
+        }
+        for instance in self.alive.values():
+            if instance.domain == current.domain:
+                book.expect(instance.id, instance.address)
+                state = _report(instance.id, group_by_id.get(instance.id))
+                book.note_report(instance.id, state, self.now)
+        for group in current.groups:
+            if group.state is model.GroupState.DRAINING:
+                self.draining.setdefault(group.id, self.now)
+        return repair.Facts(
+            self.configuration,
+            self.alive,
+            book,
+            self.draining,
+            clock.MonotonicTime(0.0),
+            self.now,
+        )
+
+
+def plan_ours(
+    fleet: Fleet, current: model.Assignment, others: list[model.Assignment]
+) -> model.Assignment:
+    """Plan as the controller does."""
+    situation = planning.Situation(
+        fleet.facts(current), others, retirement.Slow(current.domain)
+    )
+    return planning.plan(current, situation).assignment
+
+
+def plan_greedily(
+    fleet: Fleet, current: model.Assignment, others: list[model.Assignment]
+) -> model.Assignment:
+    """Plan greedily in the order of the configuration."""
+    planned = naive_placement.plan(
+        fleet.configuration, fleet.alive.values(), current, others
+    )
+    groups = [_ready(group) for group in planned.groups]
+    return model.Assignment(planned.domain, planned.epoch, groups)
+
+
+def run(planner: Planner, seed: int) -> tuple[list[float], int]:
+    """Return the stranded share after each event and the groups formed."""
+    fleet = Fleet(DOMAINS, INSTANCES_PER_DOMAIN, scale=1)
+    fleet.settle(planner)
+    fleet.formed.clear()
+    source = random.Random(seed)
+    shares = []
+    for _ in range(EVENTS):
+        dead = sorted(fleet.all.keys() - fleet.alive.keys())
+        if dead and source.random() < len(dead) / 20:
+            returned = source.choice(dead)
+            fleet.alive[returned] = fleet.all[returned]
+        else:
+            del fleet.alive[source.choice(sorted(fleet.alive))]
+        fleet.settle(planner)
+        shares.append(fleet.stranded_share())
+    return shares, len(fleet.formed)
+
+
+def plan_seconds() -> float:
+    """Return the time of one plan with 2,800 groups on 700 domains."""
+    fleet = Fleet(domains=700, per_domain=24, scale=93)
+    for domain, current in list(fleet.by_domain.items()):
+        fleet.by_domain[domain] = plan_greedily(
+            fleet, current, list(fleet.by_domain.values())
+        )
+    domain = min(fleet.by_domain)
+    current = fleet.by_domain.pop(domain)
+    others = list(fleet.by_domain.values())
+    started = time.perf_counter()
+    plan_ours(fleet, current, others)
+    return time.perf_counter() - started
+
+
+def main() -> None:
+    """Print the shares of both planners and the time of a plan."""
+    for name, planner in (("greedy", plan_greedily), ("ours", plan_ours)):
+        runs = [run(planner, seed) for seed in SEEDS]
+        means = [statistics.mean(shares) for shares, _ in runs]
+        ends = [shares[-1] for shares, _ in runs]
+        formed = statistics.mean(count for _, count in runs)
+        print(
+            f"{name}: stranded mean {statistics.mean(means):.2%}, worst seed "
+            f"{max(means):.2%}, after {EVENTS} events "
+            f"{statistics.mean(ends):.2%}, {formed:.0f} groups formed"
+        )
+    print(f"one plan at the size of the target: {plan_seconds():.3f} s")
+
+
+def _instances(
+    domains: int, per_domain: int
+) -> collections.abc.Iterator[instances.Instance]:
+    for domain in range(domains):
+        for number in range(per_domain):
+            name = f"d{domain:03}-{number:02}"
+            yield instances.Instance(
+                ids.InstanceId(name),
+                f"{name}:1",
+                ids.ZoneName(f"z{domain % 3}"),
+                ids.DomainName(f"d{domain:03}"),
+            )
+
+
+def _report(
+    instance: ids.InstanceId, group: model.Group | None
+) -> orders.EngineState:
+    if group is None:
+        return orders.EngineState(instance, orders.Phase.EMPTY)
+    draining = group.state is model.GroupState.DRAINING
+    phase = orders.Phase.DRAINING if draining else orders.Phase.READY
+    return orders.EngineState(instance, phase, group.epoch, group.id)
+
+
+def _ready(group: model.Group) -> model.Group:
+    return model.Group(
+        group.id,
+        group.service,
+        group.version,
+        group.zone,
+        group.epoch,
+        model.GroupState.READY,
+        group.members,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/sycamoredale/groups/assignments.py
+++ b/sycamoredale/groups/assignments.py
@@ -33,13 +33,14 @@
 
 @dataclasses.dataclass
 class AssignmentBook:
-    """Hold the assignments by domain."""
+    """Hold the assignments by domain and count their changes."""
 
     store: objects.ObjectStore
     by_domain: dict[ids.DomainName, Known] = dataclasses.field(
         default_factory=dict
     )
     complete: bool = False
+    changes: int = 0
 
     async def follow(self) -> None:
         """Follow the changes of all domains for ever."""
@@ -119,3 +120,4 @@
         before = self.by_domain.get(domain)
         if before is None or before.version < known.version:
             self.by_domain[domain] = known
+            self.changes += 1
--- a/sycamoredale/groups/domain_keeper.py
+++ b/sycamoredale/groups/domain_keeper.py
@@ -46,6 +46,23 @@
     listed_by_id: dict[ids.InstanceId, instances.Instance]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanBasis:
+    """Hold the shared knowledge that a plan rests on."""
+
+    configuration: config_model.Configuration
+    listed_by_id: dict[ids.InstanceId, instances.Instance]
+    changes: int
+
+    def same(self, other: "PlanBasis") -> bool:
+        """Tell whether another basis is this very knowledge."""
+        return (
+            self.configuration is other.configuration
+            and self.listed_by_id is other.listed_by_id
+            and self.changes == other.changes
+        )
+
+
 @dataclasses.dataclass
 class DomainKeeper:
     """Run the rounds of one domain."""
@@ -68,6 +85,7 @@
     )
     _granted: dict[ids.GroupId, int] | None = None
     _slots_asked_at: clock.MonotonicTime | None = None
+    _settled: PlanBasis | None = None
 
     async def run_round(self, world: World) -> None:
         """Probe, plan, write and order; raise StoreUnavailable and others.
@@ -89,7 +107,7 @@
             self.book.others(self.domain),
             retirement.Slow(self.domain, self._stragglers()),
         )
-        planned = planning.plan(known.assignment, situation)
+        planned = self._plan(known.assignment, situation)
         if planned is known.assignment:
             return known
         self._check_lease()
@@ -101,6 +119,21 @@
         _log_changes(self.domain, known.assignment)
         return known
 
+    def _plan(
+        self, current: model.Assignment, situation: planning.Situation
+    ) -> model.Assignment:
+        """Plan anew unless nothing has changed since a settled plan."""
+        facts = situation.facts
+        basis = PlanBasis(
+            facts.configuration, facts.listed_by_id, self.book.changes
+        )
+        if self._settled is not None and self._settled.same(basis):
+            if planning.revise(current, situation) == current:
+                return current
+        plan = planning.plan(current, situation)
+        self._settled = basis if plan.settled else None
+        return plan.assignment
+
     async def _give_orders(
         self, assignment: model.Assignment, facts: repair.Facts
     ) -> None:
--- a/sycamoredale/groups/keeper.py
+++ b/sycamoredale/groups/keeper.py
@@ -151,6 +151,9 @@
     def _note_list(self, listed: list[instances.Instance]) -> None:
         """Take over a list; one that lost most must come several times."""
         by_id = {instance.id: instance for instance in listed}
+        if by_id == self._listed:
+            self._shrunken_lists = 0
+            return
         missing = len(self._listed.keys() - by_id.keys())
         if 2 * missing > len(self._listed):
             self._shrunken_lists += 1
--- a/sycamoredale/groups/placement.py
+++ b/sycamoredale/groups/placement.py
@@ -26,7 +26,8 @@
 class Need:
     """Hold how many groups a service is short of.
 
-    `runs` is what its instances must run.
+    `runs` is what its instances must run, `surplus` how many groups there
+    are beyond the wanted ones, `barred` a domain that may take none.
     """
 
     service: ids.ServiceName
@@ -35,6 +36,8 @@
     wanted: int
     missing: int
     weights: str = ""
+    surplus: int = 0
+    barred: ids.DomainName | None = None
     replicas_by_zone: collections.Counter[ids.ZoneName] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -82,6 +85,11 @@
     return fair.placements
 
 
+def fits(need: Need, rooms: collections.abc.Iterable[Room]) -> bool:
+    """Tell whether a domain has room for one more group."""
+    return any(r.runs == need.runs and r.free >= need.size for r in rooms)
+
+
 def needs_of(
     configuration: config_model.Configuration,
     groups: collections.abc.Iterable[model.Group],
@@ -183,7 +191,9 @@
         fits = [
             index
             for index, room in enumerate(self._rooms)
-            if room.runs == need.runs and self._free[index] >= need.size
+            if room.runs == need.runs
+            and room.domain != need.barred
+            and self._free[index] >= need.size
         ]
         if not fits or not self.missing[need.service]:
             return False
@@ -238,5 +248,6 @@
         wanted=service.replicas,
         missing=max(0, service.replicas - len(own)),
         weights=model.weights_of(configuration, service),
+        surplus=max(0, len(own) - service.replicas),
         replicas_by_zone=collections.Counter(group.zone for group in own),
     )
--- a/sycamoredale/groups/planning.py
+++ b/sycamoredale/groups/planning.py
@@ -8,6 +8,7 @@
 from sycamoredale.groups import formation
 from sycamoredale.groups import model
 from sycamoredale.groups import placement
+from sycamoredale.groups import relocation
 from sycamoredale.groups import repair
 from sycamoredale.groups import retirement
 from sycamoredale import ids
@@ -23,47 +24,75 @@
     slow: retirement.Slow
 
 
-def plan(current: model.Assignment, situation: Situation) -> model.Assignment:
-    """Return the wanted assignment, `current` itself if nothing changes."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold the wanted assignment, `current` itself if nothing changes.
+
+    The plan is settled if the same one would follow from the same shared
+    knowledge and no change in the domain itself.
+    """
+
+    assignment: model.Assignment
+    settled: bool
+
+
+def revise(
+    current: model.Assignment, situation: Situation
+) -> model.Assignment:
+    """Return the assignment after what its own instances report."""
     facts = situation.facts
-    kept = _revise(current, facts)
-    revised = _with_groups(current, kept, situation)
-    groups = [
-        group
-        for assignment in (revised, *situation.others)
-        for group in assignment.groups
-    ]
-    needs = placement.needs_of(facts.configuration, groups)
+    revised = (repair.revise(group, facts) for group in current.groups)
+    kept = [group for group in revised if group is not None]
+    return _with_groups(current, kept, situation)
+
+
+def plan(current: model.Assignment, situation: Situation) -> Plan:
+    """Return the plan for one domain among all others."""
+    facts = situation.facts
+    revised = revise(current, situation)
+    known = [revised, *situation.others]
+    needs = placement.needs_of(
+        facts.configuration, (g for a in known for g in a.groups)
+    )
     rooms = placement.rooms_of(
-        facts.configuration,
-        facts.listed_by_id.values(),
-        [revised, *situation.others],
+        facts.configuration, facts.listed_by_id.values(), known
     )
-    kept = _retire(kept, groups, needs, rooms, situation)
+    moves = relocation.Moves(_placed(known, facts), needs, rooms)
+    kept = _retire(revised.groups, moves, situation)
     epoch = _next_epoch(current, facts)
-    formed = _form(revised, needs, rooms, situation, epoch)
+    needs = relocation.with_extra(needs, moves.extra_need())
+    names = [
+        item.service
+        for item in placement.allot(needs, rooms)
+        if item.domain == current.domain
+    ]
+    formed = _form(revised, names, situation, epoch)
     planned = _with_groups(current, kept + formed, situation)
     if planned == current:
-        return current
-    return msgspec.structs.replace(planned, epoch=epoch)
+        settled = not names and not situation.slow.instances
+        return Plan(current, settled)
+    return Plan(msgspec.structs.replace(planned, epoch=epoch), False)
 
 
-def _revise(
-    current: model.Assignment, facts: repair.Facts
-) -> list[model.Group]:
-    revised = (repair.revise(group, facts) for group in current.groups)
-    return [group for group in revised if group is not None]
+def _placed(
+    known: list[model.Assignment], facts: repair.Facts
+) -> list[relocation.Placed]:
+    configured = {s.name for s in facts.configuration.services}
+    return [
+        relocation.Placed(assignment.domain, group)
+        for assignment in known
+        for group in assignment.groups
+        if group.service in configured
+    ]
 
 
 def _retire(
     kept: list[model.Group],
-    groups: list[model.Group],
-    needs: list[placement.Need],
-    rooms: list[placement.Room],
+    moves: relocation.Moves,
     situation: Situation,
 ) -> list[model.Group]:
     chosen = retirement.choose(
-        situation.facts.configuration, groups, needs, rooms, situation.slow
+        situation.facts.configuration, moves, situation.slow
     )
     reason_by_group = {item.group: item.reason for item in chosen}
     return [
@@ -78,16 +107,10 @@
 
 def _form(
     revised: model.Assignment,
-    needs: list[placement.Need],
-    rooms: list[placement.Room],
+    names: list[ids.ServiceName],
     situation: Situation,
     epoch: ids.Epoch,
 ) -> list[model.Group]:
-    names = (
-        item.service
-        for item in placement.allot(needs, rooms)
-        if item.domain == revised.domain
-    )
     candidates = formation.Candidates(
         situation.facts,
         list(_free(revised, situation.facts)),
--- a/sycamoredale/groups/retirement.py
+++ b/sycamoredale/groups/retirement.py
@@ -14,6 +14,7 @@
 from sycamoredale.config import model as config_model
 from sycamoredale.groups import model
 from sycamoredale.groups import placement
+from sycamoredale.groups import relocation
 from sycamoredale import ids
 
 
@@ -35,21 +36,19 @@
 
 def choose(
     configuration: config_model.Configuration,
-    groups: collections.abc.Sequence[model.Group],
-    needs: collections.abc.Sequence[placement.Need],
-    rooms: collections.abc.Sequence[placement.Room],
+    moves: relocation.Moves,
     slow: Slow,
 ) -> collections.abc.Iterator[Retirement]:
     """Yield at most one retirement for each service."""
-    needs_by_service = {need.service: need for need in needs}
+    needs_by_service = {need.service: need for need in moves.needs}
     for service in configuration.services:
         own = [
-            group
-            for group in groups
-            if group.service == service.name and _counts(group)
+            placed.group
+            for placed in moves.placed
+            if placed.group.service == service.name and _counts(placed.group)
         ]
         need = needs_by_service[service.name]
-        found = _for_service(service, own, need, rooms, slow)
+        found = _for_service(service, own, need, moves, slow)
         if found is not None:
             yield found
 
@@ -58,16 +57,17 @@
     service: config_model.Service,
     own: list[model.Group],
     need: placement.Need,
-    rooms: collections.abc.Sequence[placement.Room],
+    moves: relocation.Moves,
     slow: Slow,
 ) -> Retirement | None:
     ready = [g for g in own if g.state is model.GroupState.READY]
     old = [g for g in own if g.version != service.version]
     current = [g for g in own if g.version == service.version]
+    rooms = moves.rooms
     if old:
         return _roll_out(service, ready, old, current, need, rooms)
     if len(current) > service.replicas:
-        return _surplus(service, ready, current)
+        return _surplus(service, ready, current, moves)
     return _replace_straggler(service, ready, need, rooms, slow)
 
 
@@ -85,7 +85,7 @@
     if len(ready) > service.replicas:
         return Retirement(_first(old), model.DrainReason.OLD_VERSION)
     forming = [g for g in current if g.state is model.GroupState.FORMING]
-    if forming or fits(need, rooms):
+    if forming or placement.fits(need, rooms):
         return None  # The new group is formed first.
     if len(ready) > 1 and len(ready) == service.replicas:
         return Retirement(_first(old), model.DrainReason.OLD_VERSION)
@@ -96,13 +96,18 @@
     service: config_model.Service,
     ready: list[model.Group],
     current: list[model.Group],
+    moves: relocation.Moves,
 ) -> Retirement | None:
+    if len(ready) < service.replicas:
+        return None  # It is not certain yet which of them will serve.
+    if len(ready) > service.replicas:
+        best = moves.best_surplus(ready)
+        chosen = best.id if best else _in_fullest_zone(ready)
+        return Retirement(chosen, model.DrainReason.SURPLUS)
+    if moves.blocked():
+        return None  # The forming group lets a ready one go.
     forming = [g for g in current if g.state is model.GroupState.FORMING]
-    if len(ready) <= service.replicas:
-        if len(ready) < service.replicas:
-            return None  # It is not certain yet which of them will serve.
-        return Retirement(_newest(forming), model.DrainReason.SURPLUS)
-    return Retirement(_in_fullest_zone(ready), model.DrainReason.SURPLUS)
+    return Retirement(_newest(forming), model.DrainReason.SURPLUS)
 
 
 def _replace_straggler(
@@ -125,20 +130,13 @@
     return Retirement(_first(found), model.DrainReason.STRAGGLER)
 
 
-def fits(
-    need: placement.Need, rooms: collections.abc.Sequence[placement.Room]
-) -> bool:
-    """Tell whether a domain has room for one more group."""
-    return any(r.runs == need.runs and r.free >= need.size for r in rooms)
-
-
 def _replaceable(
     group: model.Group,
     need: placement.Need,
     rooms: collections.abc.Sequence[placement.Room],
     slow: Slow,
 ) -> bool:
-    if fits(need, rooms):
+    if placement.fits(need, rooms):
         return True
     spares = sum(
         room.free
--- /dev/null
+++ b/tests/test_group_decisions.py
@@ -0,0 +1,322 @@
+"""Test the decisions about groups one at a time."""
+
+import collections.abc
+
+import curio
+import pytest
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import orders
+from sycamoredale import errors
+from sycamoredale.groups import assignments
+from sycamoredale.groups import health
+from sycamoredale.groups import load_slots
+from sycamoredale.groups import model
+from sycamoredale.groups import ordering
+from sycamoredale.groups import placement
+from sycamoredale.groups import planning
+from sycamoredale.groups import relocation
+from sycamoredale.groups import repair
+from sycamoredale.groups import retirement
+from sycamoredale.groups import stragglers
+from sycamoredale.groups import suspicion
+from sycamoredale import ids
+from sycamoredale.platform import instances
+from tests import fake_store
+
+START = clock.MonotonicTime(1000.0)
+DOMAIN = ids.DomainName("d")
+READY = model.GroupState.READY
+FORMING = model.GroupState.FORMING
+
+
+def _service(
+    name: str, replicas: int, size: int, version: str = "v1"
+) -> config_model.Service:
+    return config_model.Service(
+        ids.ServiceName(name),
+        config_model.ServiceKind.MODEL,
+        replicas,
+        size,
+        ids.VersionName(version),
+    )
+
+
+def _group(
+    *members: str,
+    state: model.GroupState = READY,
+    service: str = "s",
+    epoch: int = 1,
+    version: str = "v1",
+) -> model.Group:
+    return model.Group(
+        ids.GroupId(f"d/{members[0]}/{epoch}"),
+        ids.ServiceName(service),
+        ids.VersionName(version),
+        ids.ZoneName("z"),
+        ids.Epoch(epoch),
+        state,
+        [model.Member(ids.InstanceId(m), f"{m}:1") for m in members],
+        weights=f"{service}/{version}",
+    )
+
+
+def _instance(name: str, domain: str = "d") -> instances.Instance:
+    return instances.Instance(
+        ids.InstanceId(name),
+        f"{name}:1",
+        ids.ZoneName("z"),
+        ids.DomainName(domain),
+    )
+
+
+def _facts(
+    groups: collections.abc.Sequence[model.Group],
+    spares: collections.abc.Sequence[str] = (),
+    services: list[config_model.Service] | None = None,
+) -> repair.Facts:
+    """Return facts in which every member confirms its group."""
+    facts = repair.Facts(
+        config_model.Configuration(services=services or [_service("s", 1, 2)]),
+        {},
+        health.HealthBook(),
+        {},
+        START,
+        START,
+    )
+    group_by_id = {m.instance: g for g in groups for m in g.members}
+    for name in [*group_by_id, *map(ids.InstanceId, spares)]:
+        facts.listed_by_id[name] = _instance(name)
+        facts.book.expect(name, f"{name}:1")
+        facts.book.note_report(name, _report(name, group_by_id), START)
+    return facts
+
+
+def _report(
+    name: ids.InstanceId, group_by_id: dict[ids.InstanceId, model.Group]
+) -> orders.EngineState:
+    group = group_by_id.get(name)
+    if group is None:
+        return orders.EngineState(name, orders.Phase.EMPTY)
+    return orders.EngineState(name, orders.Phase.READY, group.epoch, group.id)
+
+
+def _at(facts: repair.Facts, seconds: float) -> repair.Facts:
+    return repair.Facts(
+        facts.configuration,
+        facts.listed_by_id,
+        facts.book,
+        facts.draining_since_by_group,
+        facts.taken_over_at,
+        clock.MonotonicTime(START + seconds),
+    )
+
+
+def _plan(facts: repair.Facts, *groups: model.Group) -> model.Assignment:
+    current = model.Assignment(DOMAIN, ids.Epoch(1), list(groups))
+    slow = retirement.Slow(DOMAIN)
+    return planning.plan(
+        current, planning.Situation(facts, [], slow)
+    ).assignment
+
+
+def test_silent_member_takes_the_group_out_and_comes_back() -> None:
+    group = _group("a", "b")
+    facts = _facts([group])
+    member = ids.InstanceId("b")
+    facts.book.note_failure(member, START)
+    assert repair.revise(group, facts) == group
+    facts.book.note_failure(member, START)
+    out = repair.revise(group, facts)
+    assert out is not None and out.state is FORMING
+    report = _report(member, {member: group})
+    facts.book.note_report(member, report, clock.MonotonicTime(START + 1))
+    assert repair.revise(out, facts) == group
+
+
+def test_silent_member_is_given_up_after_a_while() -> None:
+    group = _group("a", "b", state=FORMING)
+    facts = _facts([group])
+    for _ in range(2):
+        facts.book.note_failure(ids.InstanceId("b"), START)
+    soon = _at(facts, health.REPLACE_AFTER_SECONDS * 0.9)
+    late = _at(facts, health.REPLACE_AFTER_SECONDS * 1.1)
+    assert repair.revise(group, soon) == group
+    assert repair.revise(group, late) is None
+    for _ in range(2):
+        facts.book.note_failure(ids.InstanceId("a"), START)
+    assert repair.revise(group, late) == group
+
+
+@pytest.mark.parametrize(
+    ("phase", "epoch"),
+    [
+        (orders.Phase.EMPTY, 1),
+        (orders.Phase.LOADING, 1),
+        (orders.Phase.FAILED, 1),
+        (orders.Phase.DRAINING, 1),
+        (orders.Phase.READY, 0),
+    ],
+)
+def test_group_serves_only_while_all_confirm(
+    phase: orders.Phase, epoch: int
+) -> None:
+    group = _group("a", "b")
+    facts = _facts([group])
+    state = orders.EngineState(
+        ids.InstanceId("b"), phase, ids.Epoch(epoch), group.id
+    )
+    facts.book.note_report(state.instance, state, START)
+    revised = repair.revise(group, facts)
+    assert revised is not None and revised.state is FORMING
+
+
+def test_survivors_that_hold_the_weights_are_used_first() -> None:
+    facts = _facts([], spares=["a", "b", "c"])
+    for name in ("b", "c"):
+        holding = orders.EngineState(
+            ids.InstanceId(name), orders.Phase.EMPTY, held=["s/v1"]
+        )
+        facts.book.note_report(holding.instance, holding, START)
+    formed = _plan(facts).groups
+    assert [m.instance for m in formed[0].members] == ["b", "c"]
+
+
+def test_new_epoch_is_above_all_that_engines_report() -> None:
+    facts = _facts([], spares=["a", "b"])
+    ahead = orders.EngineState(
+        ids.InstanceId("a"), orders.Phase.EMPTY, ids.Epoch(41)
+    )
+    facts.book.note_report(ahead.instance, ahead, START)
+    assert _plan(facts).groups[0].epoch == 42
+
+
+def test_version_rolls_out_one_at_a_time_without_spares() -> None:
+    groups = [_group("a", "b"), _group("c", "d")]
+    services = [_service("s", 2, 2, version="v2")]
+    planned = _plan(_facts(groups, services=services), *groups)
+    states = [group.state for group in planned.groups]
+    assert states.count(READY) == 1
+
+
+def test_last_group_is_not_drained_for_a_version() -> None:
+    group = _group("a", "b")
+    services = [_service("s", 1, 2, version="v2")]
+    planned = _plan(_facts([group], services=services), group)
+    assert planned.groups == [group]
+
+
+def test_small_group_moves_to_make_room_for_a_large_one() -> None:
+    small = _group("a", "b", service="small")
+    services = [_service("large", 1, 3), _service("small", 1, 2)]
+    needs = placement.needs_of(
+        config_model.Configuration(services=services), [small]
+    )
+    rooms = [
+        placement.Room(DOMAIN, ids.ZoneName("z"), instances.ENGINE, 1),
+        placement.Room(
+            ids.DomainName("e"), ids.ZoneName("z"), instances.ENGINE, 2
+        ),
+    ]
+    moves = relocation.Moves([relocation.Placed(DOMAIN, small)], needs, rooms)
+    extra = relocation.with_extra(needs, moves.extra_need())
+    placements = placement.allot(extra, rooms)
+    assert [(p.service, p.domain) for p in placements] == [("small", "e")]
+
+
+def test_straggler_is_found_and_avoided() -> None:
+    finder = stragglers.StragglerFinder()
+    steps = {"a": 0.01, "b": 0.011, "c": 0.05}
+    states = [
+        orders.EngineState(
+            ids.InstanceId(name),
+            orders.Phase.READY,
+            group=ids.GroupId("g"),
+            step_seconds=step,
+        )
+        for name, step in steps.items()
+    ]
+    for _ in range(stragglers.REPORTS_UNTIL_SLOW - 1):
+        assert not finder.note(states)
+    slow = finder.note(states)
+    assert slow == {"c"}
+    groups = [_group("a", "b"), _group("c", "d")]
+    facts = _facts(groups, ["e"], [_service("s", 2, 2)])
+    current = model.Assignment(DOMAIN, ids.Epoch(1), groups)
+    situation = planning.Situation(
+        facts, [], retirement.Slow(DOMAIN, frozenset(slow))
+    )
+    planned = planning.plan(current, situation).assignment
+    drained = planned.groups[1]
+    assert drained.drain_reason is model.DrainReason.STRAGGLER
+    assert planning.plan(planned, situation).assignment.avoided == ["c"]
+
+
+def test_one_failing_member_is_avoided_but_not_a_failing_version() -> None:
+    group = _group("a", "b", "c", state=FORMING)
+    facts = _facts([group], services=[_service("s", 1, 3)])
+    for name, expected in (("a", {"a"}), ("b", set())):
+        facts.book.by_id[ids.InstanceId(name)].failed_loads = 3
+        assert repair.blamed(group, facts) == expected
+
+
+def test_suspects_itself_only_over_several_domains() -> None:
+    def count(domain: str, failed: int) -> suspicion.ProbeCount:
+        return suspicion.ProbeCount(ids.DomainName(domain), 4, failed)
+
+    assert not suspicion.cut_off([count("a", 4)])
+    assert not suspicion.cut_off([count("a", 4), count("b", 0)])
+    assert not suspicion.cut_off([count("a", 4), count("b", 0), count("c", 1)])
+    assert suspicion.cut_off([count("a", 4), count("b", 3)])
+
+
+def test_loads_take_slots_and_give_them_back() -> None:
+    store = fake_store.FakeStore()
+    slots = load_slots.LoadSlots(store, limit=3)
+    first, second = ids.DomainName("a"), ids.DomainName("b")
+
+    def take(
+        domain: ids.DomainName, fetches: int, loading: bool = True
+    ) -> dict[ids.GroupId, int]:
+        group = ids.GroupId(f"{domain}/g")
+        wanted = [load_slots.Slot(domain, group, fetches)] if fetches else []
+        return curio.run(slots.take, domain, wanted, lambda slot: loading)
+
+    store.fate = fake_store.Fate.ANSWER_LOST
+    assert take(first, 2) == {"a/g": 2}
+    assert take(second, 2) == {"b/g": 1}
+    assert take(first, 0) == {}
+    assert take(second, 2) == {"b/g": 2}
+    assert take(first, 3) == {"a/g": 1}
+    assert take(first, 3, loading=False) == {"a/g": 3}
+    store.fate = fake_store.Fate.LOST
+    with pytest.raises(errors.OutcomeUnknown):
+        take(first, 1)
+
+
+def test_lost_answer_of_an_assignment_is_settled_by_reading() -> None:
+    store = fake_store.FakeStore()
+    book = assignments.AssignmentBook(store)
+    store.fate = fake_store.Fate.ANSWER_LOST
+    wanted = model.Assignment(DOMAIN, ids.Epoch(1))
+    known = curio.run(book.write, wanted, ids.ObjectVersion(0))
+    assert known.version == 1
+    store.fate = fake_store.Fate.LOST
+    with pytest.raises(errors.OutcomeUnknown):
+        curio.run(book.write, wanted, known.version)
+
+
+def test_adapters_and_roles_change_by_order() -> None:
+    group = _group("a", "b")
+    facts = _facts([group])
+    facts.configuration.adapters.append(
+        config_model.Adapter(
+            ids.AdapterName("x"), ids.ServiceName("s"), "x-weights"
+        )
+    )
+    current = model.Assignment(DOMAIN, ids.Epoch(1), [group])
+    due = list(ordering.due(current, facts))
+    assert [item.order.action for item in due] == [orders.Action.UPDATE] * 2
+    assert due[0].order.adapters == ["x-weights"]
+    assert repair.revise(group, facts) == group
