Fetch no weights before the limits of the weight store are known

Before the first answer of the weight store a controller took any number of fetches as allowed. Now it grants none until the limits are known.

--- a/sycamoredale/groups/keeper.py
+++ b/sycamoredale/groups/keeper.py
@@ -165,11 +165,11 @@
     async def _follow_limits(self) -> None:
         while True:
             try:
-                limits = await self._platform.weights.limits()
-                self._slots.limit = limits.concurrent_fetches
+                self._slots.limits = await self._platform.weights.limits()
             except errors.StoreUnavailable as error:
                 LOG.warning("limits_unavailable", reason=error.message)
-            await curio.sleep(LIMITS_SECONDS)
+            known = self._slots.limits is not None
+            await curio.sleep(LIMITS_SECONDS if known else self._interval)
 
     def _pause_seconds(self) -> float:
         probed = sum(i.domain in self._kept for i in self._listed.values())
--- a/sycamoredale/groups/load_slots.py
+++ b/sycamoredale/groups/load_slots.py
@@ -18,6 +18,7 @@
 from sycamoredale.groups import model
 from sycamoredale import ids
 from sycamoredale.platform import objects
+from sycamoredale.platform import weights
 
 SLOTS_KIND: Final = "load-slots"
 SLOTS_NAME: Final = "weights"
@@ -43,10 +44,10 @@
 
 @dataclasses.dataclass
 class LoadSlots:
-    """Take and give back slots; `limit` is None where there is none."""
+    """Take and give back slots; nothing is fetched under unknown limits."""
 
     store: objects.ObjectStore
-    limit: int | None = None
+    limits: weights.WeightLimits | None = None
 
     async def take(
         self,
@@ -60,13 +61,16 @@
         Raises StoreUnavailable, OutcomeUnknown or VersionConflict; the
         caller may then fetch no more than before.
         """
-        if self.limit is None:
+        if self.limits is None:
+            return {}
+        limit = self.limits.concurrent_fetches
+        if limit is None:
             return {slot.group: slot.fetches for slot in wanted}
         stored = await self.store.get(SLOTS_KIND, SLOTS_NAME)
         version = stored.version if stored else objects.ABSENT
         before = _decode(stored).slots
         others = [s for s in before if s.domain != domain and loading(s)]
-        mine = admit(others, wanted, self.limit)
+        mine = admit(others, wanted, limit)
         if others + mine != before:
             await self._write(others + mine, version)
         return {slot.group: slot.fetches for slot in mine}
--- a/sycamoredale/groups/suspicion.py
+++ b/sycamoredale/groups/suspicion.py
@@ -12,12 +12,14 @@
 
 from sycamoredale import clock
 from sycamoredale import ids
+from sycamoredale.observability import logs
 from sycamoredale.platform import instances
 
 SUSPECT_SHARE: Final = 0.5
 MIN_DOMAINS: Final = 2
 MAX_WITNESSES: Final = 4
 STAND_BACK_SECONDS: Final = 15.0
+LOG: Final = logs.get("groups.suspicion")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +48,7 @@
                 now + STAND_BACK_SECONDS
             )
             self.by_domain.clear()
+            LOG.warning("stands_back", seconds=STAND_BACK_SECONDS)
         return self.suspects(now)
 
     def suspects(self, now: clock.MonotonicTime) -> bool:
--- a/tests/test_group_decisions.py
+++ b/tests/test_group_decisions.py
@@ -23,6 +23,7 @@
 from sycamoredale.groups import suspicion
 from sycamoredale import ids
 from sycamoredale.platform import instances
+from sycamoredale.platform import weights
 from tests import fake_store
 
 START = clock.MonotonicTime(1000.0)
@@ -273,7 +274,10 @@
 
 def test_loads_take_slots_and_give_them_back() -> None:
     store = fake_store.FakeStore()
-    slots = load_slots.LoadSlots(store, limit=3)
+    unknown = load_slots.LoadSlots(store)
+    slot = load_slots.Slot(DOMAIN, ids.GroupId("g"), 1)
+    assert curio.run(unknown.take, DOMAIN, [slot], lambda s: True) == {}
+    slots = load_slots.LoadSlots(store, weights.WeightLimits(3))
     first, second = ids.DomainName("a"), ids.DomainName("b")
 
     def take(
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -30,6 +30,7 @@
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.platform import instances
+from sycamoredale.platform import weights
 from sycamoredale.standins import engine_orders
 from tests import fake_store
 
@@ -152,7 +153,7 @@
             DOMAIN,
             lease,
             assignments.AssignmentBook(self.store),
-            load_slots.LoadSlots(self.store),
+            load_slots.LoadSlots(self.store, weights.WeightLimits()),
             self.engines,
             probing.Prober(self.engines, self.engines.read_clock),
             suspicion.SelfSuspicion(),
--- a/tests/test_group_recovery.py
+++ b/tests/test_group_recovery.py
@@ -35,7 +35,7 @@
     assert epochs == sorted(epochs)
 
 
-def test_member_that_pauses_returns_without_a_load(
+def test_members_that_pause_return_without_a_load(
     site: group_site.GroupSite,
 ) -> None:
     site.add_engines(("e0", "e1"), "d1")
@@ -43,9 +43,11 @@
     site.apply(services=[group_site.service(1, 2)], zones=[{"name": "kochi"}])
     site.controller("c1")
     site.wait_ready({"e0", "e1"})
-    site.engines["e1"].pause()
+    for engine in site.engines.values():
+        engine.pause()
     site.wait_ready()
-    site.engines["e1"].resume()
+    for engine in site.engines.values():
+        engine.resume()
     site.wait_ready({"e0", "e1"})
     actions = [order["action"] for order in site.orders("e0")]
     assert actions == ["load"]
