Add a proxy that injects faults between real processes

Tests of failures need faults on the wire that no stand-in can make: bytes that stall, connections that stay silent for good while new ones work, an answer lost after the effect, one pair partitioned while others connect. A proxy in the daemons themselves was ruled out, as it would test code that does not run in production; source addresses cannot tell apart processes on one loopback interface, so the owner of a socket names the source.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,10 +26,14 @@
     address: str = ""
     log_lines: list[str] = dataclasses.field(default_factory=list)
 
+    @property
+    def log(self) -> str:
+        """Return what the process has logged so far."""
+        return "".join(list(self.log_lines))
+
     def kill(self) -> None:
         """End the process at once."""
-        self.popen.kill()
-        self.popen.wait()
+        _end(self.popen)
 
     def pause(self) -> None:
         """Stop the process without ending it."""
@@ -48,6 +52,11 @@
 class Fleet(contextlib.ExitStack):
     """Start processes and end all of them at exit."""
 
+    def __init__(self) -> None:
+        """Start with no process."""
+        super().__init__()
+        self._proxy: Process | None = None
+
     def start(self, *arguments: str) -> Process:
         """Start a module of the package with arguments."""
         popen = subprocess.Popen(
@@ -66,11 +75,56 @@
     def standin(self, *arguments: str) -> Process:
         """Start a stand-in and wait for its address."""
         process = self.start("sycamoredale.standins", *arguments)
-        assert process.popen.stdout is not None
-        process.address = process.popen.stdout.readline().strip()
-        assert process.address, "the stand-in printed no address"
+        _read_address(process)
         return process
 
+    def proxied(self, address: str) -> str:
+        """Return an address that leads to another through the proxy."""
+        answer = request(
+            self.control_address, "POST", "/links", {"upstream": address}
+        )
+        return str(answer.json()["address"])
+
+    def set_faults(self, proxied: str, **faults: object) -> None:
+        """Replace the faults of a proxied address; see `proxy.Faults`."""
+        path = f"/links/{proxied.rpartition(':')[2]}"
+        answer = request(self.control_address, "PUT", path, faults)
+        assert answer.status == 200, answer.body
+
+    def cut(self, proxied: str) -> None:
+        """Close the open connections of a proxied address."""
+        self._act(proxied, "/cut")
+
+    def silence(self, proxied: str) -> None:
+        """Make the open connections of a proxied address silent for good."""
+        self._act(proxied, "/silence")
+
+    def proxy_counts(self, proxied: str) -> dict[str, int]:
+        """Return what happened at a proxied address; see `proxy.Counts`."""
+        return self._act(proxied, "", "GET")
+
+    def name_source(self, name: str, process: Process) -> None:
+        """Let `blocked_sources` of the faults name a process."""
+        pids = {name: process.popen.pid}
+        request(self.control_address, "PUT", "/sources", pids)
+
+    @property
+    def control_address(self) -> str:
+        """Return the address that controls the proxy of this fleet."""
+        if self._proxy is None:
+            self._proxy = self.start("tests.proxy")
+            _read_address(self._proxy)
+        return self._proxy.address
+
+    def _act(
+        self, proxied: str, action: str, method: str = "POST"
+    ) -> dict[str, int]:
+        path = f"/links/{proxied.rpartition(':')[2]}{action}"
+        counts: dict[str, int] = request(
+            self.control_address, method, path
+        ).json()
+        return counts
+
     def router(self, name: str, zone: str, platform: str) -> Process:
         """Start a router and wait for its address."""
         process = self.start(
@@ -163,6 +217,12 @@
     return ""
 
 
+def _read_address(process: Process) -> None:
+    assert process.popen.stdout is not None
+    process.address = process.popen.stdout.readline().strip()
+    assert process.address, f"no address printed: {process.log}"
+
+
 def _collect(process: Process) -> None:
     assert process.popen.stderr is not None
     for line in process.popen.stderr:
@@ -170,5 +230,8 @@
 
 
 def _end(popen: subprocess.Popen[str]) -> None:
-    popen.kill()
+    if popen.poll() is None:
+        popen.kill()
     popen.wait()
+    if popen.stdout is not None:
+        popen.stdout.close()
--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,293 @@
+"""Pass TCP connections on and inject faults, under control over HTTP.
+
+One process holds many links.  A link listens on a port of its own and leads
+to one upstream address; the port is its name.  Faults hold for a link until
+they are replaced, actions happen once:
+
+    POST /links            {"upstream": "127.0.0.1:8080"} -> {"address": ...}
+    PUT  /links/PORT       Faults
+    POST /links/PORT/cut       close all open connections
+    POST /links/PORT/silence   no byte passes on the open ones any more
+    GET  /links/PORT       counts of connections and cut answers
+    PUT  /sources          {"router-1": PID}
+
+A source is a process that connects.  The proxy finds it by the owner of the
+socket, so that one pair can be partitioned while others still connect.
+"""
+
+import collections.abc
+import dataclasses
+import pathlib
+import random
+import socket
+import sys
+import typing
+from typing import Final
+
+import click
+import curio
+import curio.network
+import msgspec
+
+from sycamoredale.http import messages
+from sycamoredale.http import server
+
+PIECE_BYTES: Final = 65536
+POLL_SECONDS: Final = 0.01
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set what goes wrong on a link; times are in seconds.
+
+    `delay` holds for each piece in either direction.  `blocked` lets no byte
+    pass until it is taken back; `blocked_sources` does so for some sources.
+    `drop` is the share of new connections that stay silent for good.
+    `cut_answers` forwards that many requests and cuts the connection in
+    place of the answer, if `cut_answers_to` is in the request.
+    """
+
+    delay: float = 0.0
+    blocked: bool = False
+    blocked_sources: list[str] = []
+    refuse: bool = False
+    drop: float = 0.0
+    cut_answers: int = 0
+    cut_answers_to: str = ""
+    cut_after_bytes: int | None = None
+
+
+class Counts(msgspec.Struct):
+    """Count what happened on a link."""
+
+    accepted: int = 0
+    open: int = 0
+    cut_answers: int = 0
+    silenced: int = 0
+
+
+@dataclasses.dataclass(eq=False)
+class Connection:
+    """Hold both sockets of one connection."""
+
+    client: typing.Any
+    upstream: typing.Any
+    source: str
+    silent: bool = False
+    cut: bool = False
+    last_request: bytes = b""
+    answered_bytes: int = 0
+
+    async def close(self) -> None:
+        """Break the connection on both sides."""
+        self.cut = True
+        for sock in (self.client, self.upstream):
+            try:
+                await sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # That side is closed already.
+
+
+class Link:
+    """Pass connections on to one upstream address."""
+
+    def __init__(
+        self, upstream: messages.Address, pids: dict[str, int], seed: int
+    ) -> None:
+        """Listen on a free port."""
+        self.faults = Faults()
+        self.counts = Counts()
+        self.connections: set[Connection] = set()
+        self._upstream = upstream
+        self._pids = pids
+        self._random = random.Random(seed)
+        self._sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+        self.port: Final[int] = self._sock.getsockname()[1]
+
+    async def run(self) -> None:
+        """Accept connections for ever."""
+        while True:
+            sock, peer = await self._sock.accept()
+            self.counts.accepted += 1
+            if self.faults.refuse:
+                await sock.close()
+                continue
+            await curio.spawn(self._serve, sock, peer[1], daemon=True)
+
+    async def cut(self) -> None:
+        """Close all open connections."""
+        for connection in list(self.connections):
+            await connection.close()
+
+    def silence(self) -> None:
+        """Let no byte pass on the open connections any more."""
+        for connection in self.connections:
+            connection.silent = True
+        self.counts.silenced += len(self.connections)
+
+    async def _serve(self, client: typing.Any, port: int) -> None:
+        source = find_source(port, self._pids) if self._pids else ""
+        dropped = self._random.random() < self.faults.drop
+        async with client:
+            try:
+                upstream = await curio.open_connection(
+                    self._upstream.host, self._upstream.port
+                )
+            except OSError:
+                return
+            async with upstream:
+                connection = Connection(client, upstream, source, dropped)
+                self.connections.add(connection)
+                self.counts.open += 1
+                try:
+                    await self._pump_both(connection)
+                finally:
+                    self.counts.open -= 1
+                    self.connections.discard(connection)
+
+    async def _pump_both(self, connection: Connection) -> None:
+        client, upstream = connection.client, connection.upstream
+        for sock in (client, upstream):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        async with curio.TaskGroup() as group:
+            await group.spawn(
+                self._pump, connection, client, upstream, self._pass_request
+            )
+            await group.spawn(
+                self._pump, connection, upstream, client, self._pass_answer
+            )
+
+    async def _pump(
+        self,
+        connection: Connection,
+        reader: typing.Any,
+        writer: typing.Any,
+        may_pass: collections.abc.Callable[[Connection, bytes], bool],
+    ) -> None:
+        try:
+            while piece := await reader.recv(PIECE_BYTES):
+                await self._hold(connection)
+                if not may_pass(connection, piece):
+                    await connection.close()
+                    return
+                await writer.sendall(piece)
+            await self._hold(connection)
+            await writer.shutdown(socket.SHUT_WR)
+        except OSError:
+            await self._hold(connection)
+            await connection.close()
+
+    async def _hold(self, connection: Connection) -> None:
+        await curio.sleep(self.faults.delay)
+        while connection.silent or self._blocks(connection):
+            if connection.cut:
+                return
+            await curio.sleep(POLL_SECONDS)
+
+    def _blocks(self, connection: Connection) -> bool:
+        faults = self.faults
+        return faults.blocked or connection.source in faults.blocked_sources
+
+    def _pass_request(self, connection: Connection, piece: bytes) -> bool:
+        connection.last_request = piece
+        return not connection.cut
+
+    def _pass_answer(self, connection: Connection, piece: bytes) -> bool:
+        faults = self.faults
+        connection.answered_bytes += len(piece)
+        limit = faults.cut_after_bytes
+        if limit is not None and connection.answered_bytes > limit:
+            return False
+        wanted = faults.cut_answers_to.encode()
+        if faults.cut_answers and wanted in connection.last_request:
+            left = faults.cut_answers - 1
+            self.faults = msgspec.structs.replace(faults, cut_answers=left)
+            self.counts.cut_answers += 1
+            return False
+        return not connection.cut
+
+
+@dataclasses.dataclass
+class Proxy:
+    """Hold the links by port and answer the control requests."""
+
+    seed: int = 0
+    link_by_port: dict[int, Link] = dataclasses.field(default_factory=dict)
+    pid_by_source: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one control request."""
+        request = exchange.request
+        parts = [part for part in request.path.split("/") if part]
+        if (request.method, parts) == ("POST", ["links"]):
+            answer: object = await self._open(request)
+        elif parts[0] == "sources":
+            self.pid_by_source.update(msgspec.json.decode(request.body))
+            answer = {}
+        else:
+            link = self.link_by_port[int(parts[1])]
+            answer = await _control(link, request, parts[2:])
+        await exchange.respond(messages.json_response(200, answer))
+
+    async def _open(self, request: messages.Request) -> dict[str, str]:
+        wanted = msgspec.json.decode(request.body, type=dict[str, str])
+        upstream = messages.parse_address(wanted["upstream"])
+        seed = self.seed + len(self.link_by_port)
+        link = Link(upstream, self.pid_by_source, seed)
+        self.link_by_port[link.port] = link
+        await curio.spawn(link.run, daemon=True)
+        return {"address": f"127.0.0.1:{link.port}"}
+
+
+async def _control(
+    link: Link, request: messages.Request, action: list[str]
+) -> Counts:
+    if action == ["cut"]:
+        await link.cut()
+    elif action == ["silence"]:
+        link.silence()
+    elif request.method == "PUT":
+        link.faults = msgspec.json.decode(request.body, type=Faults)
+    return link.counts
+
+
+def find_source(port: int, pid_by_source: dict[str, int]) -> str:
+    """Return the source whose process owns the socket at a local port."""
+    inode = ""
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        if int(fields[1].rpartition(":")[2], 16) == port:
+            inode = f"socket:[{fields[9]}]"
+            break
+    for source, pid in pid_by_source.items():
+        if inode and inode in _open_files(pid):
+            return source
+    return ""
+
+
+def _open_files(pid: int) -> collections.abc.Iterator[str]:
+    directory = pathlib.Path(f"/proc/{pid}/fd")
+    try:
+        for entry in directory.iterdir():
+            yield str(entry.readlink())
+    except OSError:
+        return  # The process has ended or closed the file.
+
+
+@click.command()
+@click.option("--seed", default=0)
+def main(seed: int) -> None:
+    """Run a proxy and print the address of its control interface."""
+    curio.run(_run, seed)
+
+
+async def _run(seed: int) -> None:
+    http_server = server.Server(Proxy(seed).handle)
+    bound = http_server.bind(messages.Address("127.0.0.1", 0))
+    await http_server.start()
+    sys.stdout.write(f"{bound}\n")
+    sys.stdout.flush()
+    await curio.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
