Let stand-ins record what they executed, obeyed and stored

A checker must see every execution, order and object change with its time, also those of a process that was killed. The records therefore go to a file line by line (--record); reading them over HTTP at the end was ruled out, because a killed or paused stand-in does not answer.

--- a/sycamoredale/standins/__main__.py
+++ b/sycamoredale/standins/__main__.py
@@ -1,6 +1,7 @@
 """Run one stand-in as a process; print its bound address on one line."""
 
 import collections.abc
+import pathlib
 import typing
 
 import click
@@ -10,10 +11,12 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale import ids
 from sycamoredale.observability import logs
 from sycamoredale.standins import engine
 from sycamoredale.standins import ledger
 from sycamoredale.standins import platform
+from sycamoredale.standins import records
 
 
 @click.group()
@@ -22,35 +25,50 @@
     logs.configure("warning")
 
 
-def _listen_option(
+def _common_options(
     command: collections.abc.Callable[..., None],
 ) -> collections.abc.Callable[..., None]:
-    return click.option("--listen", default="127.0.0.1:0")(command)
+    record = click.option("--record", type=click.Path(path_type=pathlib.Path))
+    return click.option("--listen", default="127.0.0.1:0")(record(command))
 
 
 @main.command("platform")
-@_listen_option
-def run_platform(listen: str) -> None:
+@_common_options
+def run_platform(listen: str, record: pathlib.Path | None) -> None:
     """Run the platform."""
-    curio.run(_serve, listen, platform.Platform)
+    recorder = records.Recorder(record)
+    curio.run(_serve, listen, lambda: platform.Platform(recorder))
 
 
 @main.command("engine")
-@_listen_option
+@_common_options
 @click.option("--settings", required=True, help="JSON of the settings.")
-def run_engine(listen: str, settings: str) -> None:
+def run_engine(
+    listen: str, record: pathlib.Path | None, settings: str
+) -> None:
     """Run the model engine of one instance."""
     parsed = msgspec.json.decode(settings, type=engine.Settings)
-    curio.run(_serve, listen, lambda: engine.Engine(parsed, client.Pool()))
+    recorder = records.Recorder(record)
+    curio.run(
+        _serve,
+        listen,
+        lambda: engine.Engine(parsed, client.Pool(), recorder),
+    )
 
 
 @main.command("ledger")
-@_listen_option
+@_common_options
 @click.option("--instance", default="ledger")
-def run_ledger(listen: str, instance: str) -> None:
+def run_ledger(
+    listen: str, record: pathlib.Path | None, instance: str
+) -> None:
     """Run the plain service that books withdrawals."""
-    del instance
-    curio.run(_serve, listen, ledger.Ledger)
+    recorder = records.Recorder(record)
+    curio.run(
+        _serve,
+        listen,
+        lambda: ledger.Ledger(ids.InstanceId(instance), recorder),
+    )
 
 
 class _Standin(typing.Protocol):
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -19,6 +19,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.standins import records
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 DEFAULT_TOKENS: Final = 16
@@ -60,7 +61,12 @@
 class Engine:
     """Carry out orders and generate tokens."""
 
-    def __init__(self, settings: Settings, pool: client.Pool) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        pool: client.Pool,
+        recorder: records.Recorder,
+    ) -> None:
         """Start empty."""
         self.settings: Final = settings
         self.faults = Faults()
@@ -70,6 +76,7 @@
         self.executed_by_request: dict[str, int] = {}
         self.running = 0
         self._pool = pool
+        self._recorder = recorder
         self._phase_ends = 0.0
 
     async def handle(self, exchange: server.Exchange) -> None:
@@ -109,6 +116,11 @@
         order = msgspec.json.decode(request.body, type=orders.Order)
         if self.settings.honours_fencing and order.epoch < self.epoch:
             return messages.json_response(409, self._state())
+        self._recorder.write(
+            records.Obeyed(
+                clock.monotonic(), self.settings.instance, order, self.running
+            )
+        )
         self.epoch = order.epoch
         self.order = order
         match order.action:
@@ -144,6 +156,14 @@
             )
             return
         if self.phase is orders.Phase.COLD:
+            self._recorder.write(
+                records.ColdLoad(
+                    clock.monotonic(),
+                    self.settings.instance,
+                    self.running + 1,
+                    self.settings.cold_limit,
+                )
+            )
             if self.running >= self.settings.cold_limit:
                 self.phase = orders.Phase.FAILED
                 raise ConnectionResetError("overloaded during cold start")
@@ -152,10 +172,34 @@
         count = self.executed_by_request.get(request_id, 0)
         self.executed_by_request[request_id] = count + 1
         self.running += 1
+        prompt = msgspec.json.decode(request.body, type=Prompt)
+        self._record_start(request_id, prompt)
         try:
-            await self._write_answer(exchange, request_id)
+            await self._write_answer(exchange, prompt, request_id)
         finally:
             self.running -= 1
+            self._recorder.write(
+                records.Ended(
+                    clock.monotonic(),
+                    self.settings.instance,
+                    request_id,
+                    exchange.finished,
+                )
+            )
+
+    def _record_start(self, request_id: str, prompt: Prompt) -> None:
+        order = self.order
+        self._recorder.write(
+            records.Executed(
+                clock.monotonic(),
+                self.settings.instance,
+                request_id,
+                marker=marker(prompt),
+                group=order.group if order else "",
+                epoch=self.epoch,
+                members=order.members if order else [],
+            )
+        )
 
     async def _check_members(self) -> None:
         if self.order is None:
@@ -167,9 +211,8 @@
             )
 
     async def _write_answer(
-        self, exchange: server.Exchange, request_id: str
+        self, exchange: server.Exchange, prompt: Prompt, request_id: str
     ) -> None:
-        prompt = msgspec.json.decode(exchange.request.body, type=Prompt)
         chat = exchange.request.path == "/v1/chat/completions"
         if self.faults.swap_request_ids:
             request_id = "another-request"
@@ -215,6 +258,13 @@
             await curio.sleep(self.settings.token_seconds * slow)
 
 
+def marker(prompt: Prompt) -> str:
+    """Return the text by which records name the request of a prompt."""
+    if prompt.messages:
+        return str(prompt.messages[-1].get("content", ""))
+    return prompt.prompt
+
+
 def token_at(prompt: Prompt, index: int) -> str:
     """Return the token at an index of the answer to a prompt."""
     text = msgspec.json.encode([prompt.model, prompt.messages, prompt.prompt])
--- a/sycamoredale/standins/ledger.py
+++ b/sycamoredale/standins/ledger.py
@@ -11,8 +11,11 @@
 import curio
 import msgspec
 
+from sycamoredale import clock
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale import ids
+from sycamoredale.standins import records
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 KEY_HEADER: Final = "Idempotency-Key"
@@ -33,6 +36,10 @@
 class Ledger:
     """Execute withdrawals and keep count."""
 
+    instance: ids.InstanceId = ids.InstanceId("ledger")
+    recorder: records.Recorder = dataclasses.field(
+        default_factory=records.Recorder
+    )
     faults: Faults = Faults()
     executions_by_key: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
@@ -63,6 +70,15 @@
         key = request.headers.get(KEY_HEADER)
         name = key or request.headers.get(REQUEST_ID_HEADER) or ""
         self.executions_by_key[name] += 1
+        self.recorder.write(
+            records.Executed(
+                clock.monotonic(),
+                self.instance,
+                request.headers.get(REQUEST_ID_HEADER) or "",
+                marker=request.body.decode(),
+                key=key or "",
+            )
+        )
         await curio.sleep(self.faults.delay)
         if self.faults.lose_answers:
             left = self.faults.lose_answers - 1
--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -18,6 +18,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.platform import instances
+from sycamoredale.standins import records
 
 CHANGE_LOG_LENGTH: Final = 100_000
 
@@ -48,9 +49,10 @@
 class Store:
     """Hold objects, their versions and every change."""
 
-    def __init__(self) -> None:
+    def __init__(self, recorder: records.Recorder) -> None:
         """Start empty."""
         self.version = 0
+        self._recorder = recorder
         self.by_kind: dict[str, dict[str, Change]] = {}
         self.log: list[Change] = []
         self._changed = curio.Condition()
@@ -69,6 +71,10 @@
         self.version += 1
         change = Change(self.version, kind, name, value)
         self.log.append(change)
+        raw = None if value is None else msgspec.Raw(value)
+        self._recorder.write(
+            records.Changed(clock.monotonic(), kind, name, self.version, raw)
+        )
         by_name = self.by_kind.setdefault(kind, {})
         if value is None:
             by_name.pop(name, None)
@@ -102,9 +108,10 @@
 class Platform:
     """Answer the calls of the platform's interface."""
 
-    def __init__(self) -> None:
+    def __init__(self, recorder: records.Recorder) -> None:
         """Start with no objects, no instances and no faults."""
-        self.store: Final = Store()
+        self.store: Final = Store(recorder)
+        self._recorder = recorder
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self._listings: list[tuple[float, list[instances.Instance]]] = []
@@ -215,7 +222,9 @@
                 listing = msgspec.json.decode(
                     request.body, type=list[instances.Instance]
                 )
-                self._listings.append((clock.monotonic(), listing))
+                now = clock.monotonic()
+                self._listings.append((now, listing))
+                self._recorder.write(records.Listed(now, listing))
                 return messages.json_response(200, {})
             case ("GET", ["calls"]):
                 return messages.json_response(200, dict(self.calls))
