Check recordings of a run against the ten promises by name

One function a promise reads what callers, endpoints and the object history recorded and gives the tries and the reason of each break.

--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -8,6 +8,7 @@
 import collections.abc
 import dataclasses
 import hashlib
+import os
 from typing import Final
 
 import curio
@@ -24,6 +25,7 @@
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 DEFAULT_TOKENS: Final = 16
 MEMBER_PROBE_SECONDS: Final = 0.3
+CRASHING_TEXT: Final = "crash-the-engine"
 
 
 class Faults(msgspec.Struct, frozen=True):
@@ -95,6 +97,9 @@
             case ("PUT", "/standin/faults"):
                 self.faults = msgspec.json.decode(request.body, type=Faults)
                 await exchange.respond(messages.json_response(200, {}))
+            case ("PUT", "/standin/cold"):
+                self._turn_cold(clock.monotonic())
+                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/executed"):
                 await exchange.respond(
                     messages.json_response(200, self.executed_by_request)
@@ -112,6 +117,10 @@
         elif self.phase is orders.Phase.COLD:
             self.phase = orders.Phase.READY
 
+    def _turn_cold(self, now: clock.MonotonicTime) -> None:
+        self.phase = orders.Phase.COLD
+        self._phase_ends = now + self.settings.cold_seconds
+
     def _obey(self, request: messages.Request) -> messages.Response:
         order = msgspec.json.decode(request.body, type=orders.Order)
         if self.settings.honours_fencing and order.epoch < self.epoch:
@@ -174,6 +183,8 @@
         self.running += 1
         prompt = msgspec.json.decode(request.body, type=Prompt)
         self._record_start(request_id, prompt)
+        if CRASHING_TEXT in marker(prompt):
+            os._exit(1)
         try:
             await self._write_answer(exchange, prompt, request_id)
         finally:
--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -71,7 +71,7 @@
         self.version += 1
         change = Change(self.version, kind, name, value)
         self.log.append(change)
-        raw = None if value is None else msgspec.Raw(value)
+        raw = msgspec.Raw(value or b"null")
         self._recorder.write(
             records.Changed(clock.monotonic(), kind, name, self.version, raw)
         )
--- a/sycamoredale/standins/records.py
+++ b/sycamoredale/standins/records.py
@@ -60,13 +60,13 @@
 
 
 class Changed(msgspec.Struct, frozen=True, tag=True):
-    """Report a change of an object; a deletion has no value."""
+    """Report a change of an object; a deletion has the value null."""
 
     time: float
     kind: str
     name: str
     version: int
-    value: msgspec.Raw | None
+    value: msgspec.Raw
 
 
 class Listed(msgspec.Struct, frozen=True, tag=True):
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,241 @@
+"""Test that the checker detects each broken promise and passes a good run."""
+
+import json
+import pathlib
+
+import msgspec
+import pytest
+
+from sycamoredale.engines import orders
+from sycamoredale.groups import model as groups_model
+from sycamoredale import ids
+from sycamoredale.platform import instances
+from sycamoredale.standins import records
+from tests import checker
+
+LEADER = ids.InstanceId("a1")
+MEMBER = ids.InstanceId("a2")
+GROUP = ids.GroupId("d1/a1")
+ADDRESSES = ["10.0.0.1:1", "10.0.0.2:1"]
+
+
+def test_good_run_breaks_nothing_and_tries_everything() -> None:
+    verdicts = checker.check(checker.Recording(_good()))
+    assert [v.promise for v in verdicts] == list(checker.Promise)
+    assert [v.broken for v in verdicts] == [[]] * len(verdicts)
+    assert all(v.tried for v in verdicts)
+
+
+BREAKS: list[tuple[set[checker.Promise], list[checker.Record]]] = []
+
+
+def _break(
+    promise: checker.Promise | set[checker.Promise], *extra: checker.Record
+) -> None:
+    promises = promise if isinstance(promise, set) else {promise}
+    BREAKS.append((promises, list(extra)))
+
+
+def _listing(state: instances.InstanceState) -> list[instances.Instance]:
+    return [
+        instances.Instance(
+            name,
+            address,
+            ids.ZoneName("z1"),
+            ids.DomainName("d1"),
+            state=state,
+        )
+        for name, address in zip((LEADER, MEMBER), ADDRESSES)
+    ]
+
+
+def _order(
+    action: orders.Action = orders.Action.LOAD,
+    epoch: int = 1,
+    group: ids.GroupId = GROUP,
+) -> orders.Order:
+    return orders.Order(action, ids.Epoch(epoch), group, members=ADDRESSES)
+
+
+def _obeyed(
+    time: float,
+    instance: ids.InstanceId,
+    order: orders.Order,
+    running: int = 0,
+) -> records.Obeyed:
+    return records.Obeyed(time, instance, order, running)
+
+
+def _executed(
+    time: float,
+    marker: str,
+    key: str = "",
+    epoch: int = 1,
+    group: str = GROUP,
+    instance: ids.InstanceId = LEADER,
+) -> records.Executed:
+    return records.Executed(
+        time, instance, f"r-{time}", marker, key, group, epoch, ADDRESSES
+    )
+
+
+def _call(
+    time: float,
+    marker: str,
+    outcome: checker.Outcome = checker.Outcome.WHOLE,
+    execution: str = "",
+    key: str = "",
+) -> checker.Call:
+    return checker.Call(
+        time,
+        time + 0.5,
+        marker,
+        "router-1",
+        outcome,
+        idempotent=not key,
+        key=key,
+        execution=execution,
+    )
+
+
+def _assignment(
+    time: float, domain: str, *members: ids.InstanceId
+) -> records.Changed:
+    group = groups_model.Group(
+        ids.GroupId(domain),
+        ids.ServiceName("s"),
+        ids.VersionName("v"),
+        ids.ZoneName("z1"),
+        ids.Epoch(1),
+        groups_model.GroupState.READY,
+        [groups_model.Member(m, m) for m in members],
+    )
+    value = groups_model.Assignment(ids.DomainName(domain), groups=[group])
+    raw = msgspec.Raw(msgspec.json.encode(value))
+    return records.Changed(time, "assignment", domain, int(time * 10), raw)
+
+
+def _pointer(time: float, generation: int) -> records.Changed:
+    raw = msgspec.Raw(json.dumps({"generation": generation}).encode())
+    return records.Changed(
+        time, "configuration", "current", int(time * 10), raw
+    )
+
+
+def _good() -> list[checker.Record]:
+    return [
+        records.Listed(0.0, _listing(instances.InstanceState.LIVE)),
+        _pointer(0.1, 1),
+        checker.Accepted(0.2, 0.1, 1),
+        _assignment(0.3, "d1", LEADER, MEMBER),
+        records.Changed(0.35, "assignment", "d0", 3, msgspec.Raw(b"null")),
+        _obeyed(0.4, LEADER, _order()),
+        _obeyed(0.4, MEMBER, _order()),
+        records.ColdLoad(0.9, LEADER, 2, 2),
+        _executed(1.1, "m1"),
+        records.Ended(1.3, LEADER, "r-1.1", True),
+        _call(1.0, "m1"),
+        _executed(2.1, "m2", key="k2"),
+        records.Ended(2.3, LEADER, "r-2.1", True),
+        _call(2.0, "m2", key="k2"),
+        _call(3.0, "m3", checker.Outcome.REFUSED, "not_run"),
+        _call(3.5, "m4", checker.Outcome.REFUSED, "unknown", key="k4"),
+        _executed(3.6, "m4", key="k4"),
+        records.Ended(3.7, LEADER, "r-3.6", True),
+        checker.InForce(1.0, "router-1", 1),
+        checker.InForce(19.0, "router-1", 1),
+        checker.PlannedStop(30.0, 31.0, "router-1"),
+        _call(29.9, "m5"),
+        _pointer(40.0, 2),
+        checker.Accepted(40.1, 40.0, 2, ["z1"]),
+        checker.InForce(60.0, "router-1", 2),
+        _executed(44.0, "m6"),
+        records.Ended(44.1, LEADER, "r-44.0", True),
+        _pointer(70.0, 3),
+        checker.Accepted(70.1, 70.0, 3, []),
+        _executed(80.0, "m7"),
+        records.Ended(80.1, LEADER, "r-80.0", True),
+        records.Listed(90.0, _listing(instances.InstanceState.LEAVING)),
+        _executed(91.0, "m8"),
+        records.Ended(91.1, LEADER, "r-91.0", True),
+        _obeyed(99.0, LEADER, _order(orders.Action.UNLOAD, 2)),
+        _obeyed(99.0, MEMBER, _order(orders.Action.UNLOAD, 2)),
+    ]
+
+
+_break(
+    checker.Promise.FULL_GROUP,
+    _obeyed(2.0, MEMBER, _order(orders.Action.UNLOAD)),
+)
+_break(
+    checker.Promise.FULL_GROUP,
+    _obeyed(2.0, MEMBER, _order(group=ids.GroupId("other"))),
+)
+_break(checker.Promise.FULL_GROUP, _obeyed(2.0, MEMBER, _order(epoch=2)))
+_break(checker.Promise.FULL_GROUP, checker.Outage(1.5, 3.0, MEMBER))
+_break(
+    checker.Promise.FULL_GROUP, checker.Outage(1.5, 1.6, MEMBER, killed=True)
+)
+_break(checker.Promise.ONE_GROUP, _assignment(5.0, "d2", MEMBER))
+_break(checker.Promise.ONE_GROUP, _obeyed(100.0, MEMBER, _order()))
+_break(
+    {checker.Promise.ONE_GROUP, checker.Promise.FULL_GROUP},
+    _executed(1.2, "m9", group="other", instance=ids.InstanceId("a9")),
+)
+_break(checker.Promise.COLD_START, records.ColdLoad(5.0, LEADER, 3, 2))
+_break(checker.Promise.ZONE_OUT, _executed(46.0, "m9"))
+_break(checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", checker.Outcome.WRONG))
+_break(checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", checker.Outcome.CUT))
+_break(checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", checker.Outcome.SILENT))
+_break(checker.Promise.TRUE_REFUSAL, _executed(3.2, "m3"))
+_break(checker.Promise.TRUE_REFUSAL, _executed(9.2, "m3"))
+_break(checker.Promise.AT_MOST_ONCE, _executed(9.2, "m2", key="k2"))
+_break(checker.Promise.LEAVING, _executed(96.0, "m9"))
+_break(
+    checker.Promise.GRACEFUL_STOP,
+    _call(29.8, "m9", checker.Outcome.CUT),
+    checker.Outage(30.0, 31.0, "router-1"),
+)
+_break(
+    checker.Promise.GRACEFUL_STOP,
+    _obeyed(99.5, LEADER, _order(orders.Action.LOAD, 3), running=1),
+)
+_break(checker.Promise.CONFIGURATION, _pointer(100.0, 1))
+_break(checker.Promise.CONFIGURATION, checker.InForce(61.0, "router-1", 1))
+_break(checker.Promise.CONFIGURATION, checker.Accepted(71.0, 70.0, 4))
+_break(
+    checker.Promise.CONFIGURATION,
+    checker.InForce(1.0, "router-2", 1),
+    checker.InForce(60.0, "router-2", 1),
+)
+
+
+@pytest.mark.parametrize(("promises", "extra"), BREAKS)
+def test_detects_a_break(
+    promises: set[checker.Promise], extra: list[checker.Record]
+) -> None:
+    verdicts = checker.check(checker.Recording([*_good(), *extra]))
+    broken = {v.promise for v in verdicts if v.broken}
+    assert broken == promises
+
+
+def test_every_promise_has_a_break() -> None:
+    assert set().union(*(p for p, _ in BREAKS)) == set(checker.Promise)
+
+
+def test_lost_calls_of_a_dead_router_are_no_break() -> None:
+    extra = [
+        _call(5.0, "m9", checker.Outcome.CUT),
+        checker.Outage(5.2, 9.0, "router-1"),
+    ]
+    verdicts = checker.check(checker.Recording([*_good(), *extra]))
+    assert not [v for v in verdicts if v.broken]
+
+
+def test_records_are_read_back(tmp_path: pathlib.Path) -> None:
+    for number, record in enumerate(_good()):
+        path = tmp_path / f"{number % 3}.jsonl"
+        with path.open("ab") as file:
+            file.write(msgspec.json.encode(record) + b"\n")
+    read = checker.Recording(checker.read(tmp_path))
+    assert checker.check(read) == checker.check(checker.Recording(_good()))
