--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -9,6 +9,7 @@
 import curio
 
 from sycamoredale.admission import admission
+from sycamoredale import clock
 from sycamoredale.config import store as config_store
 from sycamoredale.daemons import callers
 from sycamoredale.daemons import followers
@@ -23,10 +24,17 @@
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
 from sycamoredale.platform import objects
+from sycamoredale.requests import call
+from sycamoredale.requests import claim_service
+from sycamoredale.requests import claim_writer
 from sycamoredale.requests import dispatch
+from sycamoredale.requests import once
+from sycamoredale.requests import poison
 from sycamoredale.routing import choice
 from sycamoredale.routing import table
 
+DRAIN_LISTEN_SECONDS: Final = 2.0
+SETTLE_SECONDS: Final = 5.0
 LOG: Final = logs.get("router")
 
 
@@ -47,14 +55,34 @@
             self._store, self._table
         )
         self._relay = relay.Relay(common.daemon)
-        chooser = choice.Chooser(self._table, common.zone)
+        self._members = view.MembershipView(
+            view.Peer(
+                common.daemon,
+                str(settings.peer_listen),
+                common.zone,
+                view.Role.ROUTER,
+                ids.Incarnation(0),
+            )
+        )
+        self._peers = peer_service.PeerService(self._members, self._pool)
+        self._dispatcher = dispatch.Dispatcher(
+            choice.Chooser(self._table, common.zone),
+            client.Pool(),
+            poison.PoisonList(self._relay),
+        )
+        self._once = self._build_once()
         callers_service = callers.CallerService(
             configuration=lambda: self._configuration.accepted.configuration,
             health=self._health,
             admission=admission.Admission(),
-            dispatcher=dispatch.Dispatcher(chooser, client.Pool()),
+            dispatcher=self._dispatcher,
+            once=self._once,
+        )
+        self._server = server.Server(
+            callers_service.handle,
+            request_id_header=call.REQUEST_ID_HEADER,
+            paths_served_while_draining=frozenset((callers.HEALTH_PATH,)),
         )
-        self._server = server.Server(callers_service.handle)
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
@@ -62,26 +90,45 @@
         await self._start_peer_service()
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
+        await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
         await stop.wait()
-        complete = await self._server.drain(self._settings.drain_seconds)
-        LOG.info("router_stopped", complete=complete)
+        await self._drain()
 
-    async def _start_peer_service(self) -> None:
-        common = self._settings.common
-        members = view.MembershipView(
-            view.Peer(
-                common.daemon,
-                str(self._settings.peer_listen),
-                common.zone,
-                view.Role.ROUTER,
-                ids.Incarnation(0),
-            )
+    async def _drain(self) -> None:
+        LOG.info("router_draining")
+        complete = await self._server.drain(
+            self._settings.drain_seconds, DRAIN_LISTEN_SECONDS
         )
-        peers = peer_service.PeerService(members, self._pool)
-        peer_server = server.Server(peers.handle)
+        settled = False
+        async with curio.ignore_after(SETTLE_SECONDS):
+            await self._once.settle()
+            settled = True
+        LOG.info("router_stopped", complete=complete, settled=settled)
+
+    def _build_once(self) -> once.OnceRunner:
+        writer = claim_writer.ClaimWriter(
+            self._store,
+            lambda: (
+                self._configuration.accepted.configuration.limits
+            ).result_retention_seconds,
+        )
+        service = claim_service.ClaimService(
+            writer, self._members, self._peers
+        )
+        self._peers.register(claim_service.PEER_PATH, service.answer_peer)
+        self._relay.subscribe(
+            relay.Topic.POISON,
+            lambda notice: self._dispatcher.poison_list.hear(
+                notice, clock.monotonic()
+            ),
+        )
+        return once.OnceRunner(self._dispatcher, service)
+
+    async def _start_peer_service(self) -> None:
+        peer_server = server.Server(self._peers.handle)
         bound = peer_server.bind(self._settings.peer_listen)
         await peer_server.start()
         LOG.info("peer_service_listening", address=str(bound))
@@ -90,12 +137,14 @@
         self._table.apply_configuration(accepted.configuration)
 
     def _health(self) -> messages.Response:
+        draining = self._server.draining
         body = {
             "daemon": self._settings.common.daemon,
+            "draining": draining,
             "generation": self._configuration.accepted.generation,
             "endpoints": len(self._table.by_id),
         }
-        return messages.json_response(200, body)
+        return messages.json_response(503 if draining else 200, body)
 
 
 def run(settings: options.RouterOptions) -> None:
--- /dev/null
+++ b/sycamoredale/engines/completions.py
@@ -0,0 +1,236 @@
+"""Adapt the calls of model engines: completions, resume, cancel, progress.
+
+A stream is a series of server-sent events with one token each, ended by the
+event `[DONE]`.  A stream is resumed by sending the request once more with
+the number of tokens and the text that the caller has already; the engine
+goes on with the next token.  The wire format stands in this module alone.
+"""
+
+import dataclasses
+import enum
+from typing import Final
+import urllib.parse
+
+import msgspec
+
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+
+EVENT_END: Final = b"\n\n"
+DATA: Final = b"data: "
+DONE_EVENT: Final = b"data: [DONE]\n\n"
+ERROR_MARK: Final = b'"error"'
+COMPACT_BYTES: Final = 16 * 1024
+PROBE_SECONDS: Final = 1.0
+CANCEL_SECONDS: Final = 1.0
+REFUSING_PHASES: Final = frozenset(("empty", "loading", "draining", "not_run"))
+
+
+class RunState(enum.Enum):
+    """State what an engine knows of a request."""
+
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """Report how far an engine has come with a request."""
+
+    state: RunState = RunState.UNKNOWN
+    tokens: int = 0
+    failed: bool = False
+
+
+class Resume(msgspec.Struct, frozen=True):
+    """Tell an engine what of an answer the caller has already."""
+
+    tokens: int
+    text: str
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    text: str | None = None
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+    error: msgspec.Raw | None = None
+
+
+class _Refused(msgspec.Struct):
+    error: str = ""
+
+
+_EVENT_DECODER: Final = msgspec.json.Decoder(_Event)
+_BODY_DECODER: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+@dataclasses.dataclass
+class Stream:
+    """Follow one stream over all endpoints that take part in it.
+
+    Only whole events are passed on, so that the next endpoint can go on
+    after the last one.
+    """
+
+    done: bool = False
+    fault: str | None = None
+    _rest: bytes = b""
+    _delivered: list[bytes] = dataclasses.field(default_factory=list)
+    _delivered_bytes: int = 0
+    _tokens: int = 0
+    _texts: list[str] = dataclasses.field(default_factory=list)
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Return the whole events that can go to the caller now.
+
+        What follows an error that the engine reports is dropped, and
+        `fault` tells of it.
+        """
+        data = self._rest + chunk if self._rest else chunk
+        end = data.rfind(EVENT_END)
+        if end < 0:
+            self._rest = data
+            return b""
+        end += len(EVENT_END)
+        self._rest = data[end:]
+        events = data[:end] if self._rest else data
+        if ERROR_MARK in events:
+            events = self._before_error(events)
+        if events.endswith(DONE_EVENT):
+            self.done = True
+            return events
+        self._remember(events)
+        return events
+
+    def restart(self) -> None:
+        """Drop the event that the last endpoint left unfinished."""
+        self._rest = b""
+        self.fault = None
+
+    def resume(self, request: messages.Request) -> messages.Request:
+        """Return the request that asks another engine for the rest."""
+        self._compact()
+        if not self._tokens:
+            return request
+        fields = _BODY_DECODER.decode(request.body)
+        resume = Resume(self._tokens, "".join(self._texts))
+        fields["resume"] = msgspec.Raw(msgspec.json.encode(resume))
+        body = msgspec.json.encode(fields)
+        return dataclasses.replace(request, body=body)
+
+    def _remember(self, events: bytes) -> None:
+        self._delivered.append(events)
+        self._delivered_bytes += len(events)
+        if self._delivered_bytes > COMPACT_BYTES:
+            self._compact()
+
+    def _compact(self) -> None:
+        for event in b"".join(self._delivered).split(EVENT_END):
+            text = _text_of(event)
+            if text:
+                self._tokens += 1
+                self._texts.append(text)
+        self._texts = ["".join(self._texts)]
+        self._delivered.clear()
+        self._delivered_bytes = 0
+
+    def _before_error(self, events: bytes) -> bytes:
+        kept: list[bytes] = []
+        for event in events.split(EVENT_END)[:-1]:
+            if _is_error(event):
+                self.fault = event.decode("latin-1")
+                break
+            kept.append(event + EVENT_END)
+        return b"".join(kept)
+
+
+@dataclasses.dataclass
+class Completions:
+    """Ask engines about the requests that they run."""
+
+    pool: client.Pool
+
+    async def progress(
+        self, address: messages.Address, request_id: ids.RequestId
+    ) -> Progress:
+        """Return an engine's word on a request, over a new connection.
+
+        Raises ConnectionFailed or ConnectionBroken if it does not answer.
+        """
+        request = messages.Request("GET", _path(request_id))
+        response = await self.pool.call(
+            address, request, PROBE_SECONDS, fresh=True
+        )
+        try:
+            return msgspec.json.decode(response.body, type=Progress)
+        except msgspec.DecodeError as error:
+            raise errors.EndpointFault(
+                f"engine {address} sent a malformed progress: {error}"
+            ) from error
+
+    async def cancel(
+        self, address: messages.Address, request_id: ids.RequestId
+    ) -> None:
+        """Tell an engine to stop a request; raise as `progress`."""
+        request = messages.Request("POST", f"{_path(request_id)}/cancel")
+        await self.pool.call(address, request, CANCEL_SECONDS, fresh=True)
+
+
+def refused_before_running(status: int, body: bytes) -> bool:
+    """Tell whether an engine's answer means that it did not run a call."""
+    if status != 503:
+        return False
+    try:
+        refused = msgspec.json.decode(body, type=_Refused)
+    except msgspec.DecodeError:
+        return False
+    return refused.error in REFUSING_PHASES
+
+
+def is_whole(body: bytes) -> bool:
+    """Tell whether the body of an answer in one piece is JSON."""
+    try:
+        msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
+def error_event(value: object) -> bytes:
+    """Return the event that ends a stream that cannot be completed."""
+    return b"event: error\n" + DATA + msgspec.json.encode(value) + EVENT_END
+
+
+def _path(request_id: ids.RequestId) -> str:
+    return f"/v1/requests/{urllib.parse.quote(request_id, safe='')}"
+
+
+def _decode(event: bytes) -> _Event | None:
+    data = event.removeprefix(DATA)
+    try:
+        return _EVENT_DECODER.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+def _text_of(event: bytes) -> str:
+    decoded = _decode(event) if event else None
+    if decoded is None or not decoded.choices:
+        return ""
+    choice = decoded.choices[0]
+    return choice.text or choice.delta.content or ""
+
+
+def _is_error(event: bytes) -> bool:
+    decoded = _decode(event)
+    return decoded is not None and decoded.error is not None
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -46,6 +46,9 @@
 UNKNOWN_SERVICE: Final = _define(
     "unknown_service", 404, "the service or model does not exist"
 )
+TOO_MANY_CONNECTIONS: Final = _define(
+    "too_many_connections", 503, "the daemon holds its limit of connections"
+)
 REQUEST_TIMEOUT: Final = _define(
     "request_timeout", 408, "the caller sent its request too slowly"
 )
@@ -64,6 +67,32 @@
 DRAINING: Final = _define(
     "draining", 503, "the router is stopping and takes no new request"
 )
+IN_PROGRESS: Final = _define(
+    "request_in_progress", 409, "a request with the same key is running"
+)
+KEY_REUSED: Final = _define(
+    "idempotency_key_reused",
+    422,
+    "the idempotency key belongs to another request",
+)
+EXECUTION_UNKNOWN: Final = _define(
+    "execution_unknown",
+    409,
+    "it is not known whether the request with this key ran",
+)
+RESULT_NOT_KEPT: Final = _define(
+    "result_not_kept",
+    409,
+    "the request with this key ran, and its answer was too long to keep",
+)
+CLAIMS_UNAVAILABLE: Final = _define(
+    "claims_unavailable", 503, "no claim can be made for the request now"
+)
+POISONED: Final = _define(
+    "request_crashes_endpoints",
+    422,
+    "endpoints crashed each time they ran this request",
+)
 DEADLINE_EXCEEDED: Final = _define(
     "deadline_exceeded", 504, "the deadline passed before the answer"
 )
--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -35,6 +35,24 @@
     """Report that a connection failed after bytes may have left."""
 
 
+class EndpointFault(ConnectionBroken):
+    """Report that an endpoint sent an error in place of an answer."""
+
+    def __init__(self, message: str) -> None:
+        """Build the error; the request may have run."""
+        super().__init__(
+            error_codes.ENDPOINT_FAILED, message, error_codes.Execution.UNKNOWN
+        )
+
+
+class NotRun(ConnectionFailed):
+    """Report that an endpoint refused a request before running it."""
+
+    def __init__(self, message: str) -> None:
+        """Build the error."""
+        super().__init__(error_codes.NO_ENDPOINT, message)
+
+
 class StoreUnavailable(SycamoredaleError):
     """Report that the object API did not take a call."""
 
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -21,6 +21,7 @@
 RECEIVE_BYTES: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
 CONNECT_SECONDS: Final = 2.0
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 
 
 class Connection:
@@ -73,13 +74,17 @@
             return b""
         raise self._broken("the response was cut short")
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Read the rest of the body; raise ConnectionBroken."""
         parts: list[bytes] = []
+        size = 0
         while True:
             part = await self.read_chunk()
             if not part:
                 return b"".join(parts)
+            size += len(part)
+            if size > max_bytes:
+                raise self._broken(f"the body exceeds {max_bytes} bytes")
             parts.append(part)
 
     def finish_cycle(self) -> bool:
@@ -92,6 +97,13 @@
         self.used = True
         return True
 
+    def sever(self) -> None:
+        """Make the exchange under way fail, whoever waits for it."""
+        try:
+            self._sock.shutdown(curio.socket.SHUT_RDWR)
+        except OSError:
+            pass  # The other end was faster.
+
     async def close(self) -> None:
         """Close the socket."""
         await self._sock.close()
--- /dev/null
+++ b/sycamoredale/http/exchange.py
@@ -0,0 +1,133 @@
+"""Hold one request of a caller and write its answer."""
+
+import typing
+from typing import Final
+
+import curio
+import h11
+
+from sycamoredale.http import messages
+
+RECEIVE_BYTES: Final = 65536
+BUFFERED_BYTES: Final = 65536
+NO_BODY_STATUSES: Final = frozenset((204, 304))
+
+
+class Exchange:
+    """Hold one request and write its answer.
+
+    `answer_fields` are added to the headers of every answer.  `intact` is
+    false while a write is under way and stays so if the write is cut off;
+    nothing may be written after that.
+    """
+
+    def __init__(
+        self,
+        request: messages.Request,
+        connection: h11.Connection,
+        sock: typing.Any,
+    ) -> None:
+        """Bind the request to the connection that it arrived on."""
+        self.request: Final = request
+        self.request_id = ""
+        self.answer_fields: list[tuple[str, str]] = []
+        self.started = False
+        self.finished = False
+        self.intact = True
+        self.closing = False
+        self._connection = connection
+        self._sock = sock
+
+    async def respond(self, response: messages.Response) -> None:
+        """Write a whole answer in one piece."""
+        headers = self._headers(_with_length(response, self.request.method))
+        head = h11.Response(status_code=response.status, headers=headers)
+        self.started = True
+        parts = [self._connection.send(head)]
+        if response.body and self.request.method != "HEAD":
+            parts.append(self._connection.send(h11.Data(data=response.body)))
+        parts.append(self._connection.send(h11.EndOfMessage()))
+        await self._send(b"".join(p for p in parts if p))
+        self.finished = True
+
+    async def start(self, head: messages.ResponseHead) -> None:
+        """Write the head of an answer whose body follows in pieces."""
+        event = h11.Response(
+            status_code=head.status, headers=self._headers(head.headers)
+        )
+        self.started = True
+        await self._send(self._connection.send(event) or b"")
+
+    async def write(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        if data:
+            event = h11.Data(data=data)
+            await self._send(self._connection.send(event) or b"")
+
+    async def finish(self) -> None:
+        """Mark the answer as complete."""
+        await self._send(self._connection.send(h11.EndOfMessage()) or b"")
+        self.finished = True
+
+    async def wait_for_disconnect(self) -> None:
+        """Return when the caller has closed its side.
+
+        A caller that sends more than a little during the answer is not
+        read any further, and its leaving shows at the next write.
+        """
+        buffered = 0
+        while buffered < BUFFERED_BYTES:
+            try:
+                data = await self._sock.recv(RECEIVE_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            buffered += len(data)
+            self._connection.receive_data(data)
+        await _never()
+
+    async def _send(self, data: bytes) -> None:
+        if not self.intact:
+            raise ConnectionAbortedError("an earlier write was cut off")
+        self.intact = False
+        await self._sock.sendall(data)
+        self.intact = True
+
+    def _headers(self, headers: messages.Headers) -> list[tuple[bytes, bytes]]:
+        for name, value in self.answer_fields:
+            headers = headers.with_field(name, value)
+        if self.closing:
+            headers = headers.with_field("Connection", "close")
+        return encode(headers)
+
+
+def encode(headers: messages.Headers) -> list[tuple[bytes, bytes]]:
+    """Return header fields as bytes."""
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.fields
+    ]
+
+
+def decode(
+    fields: typing.Iterable[tuple[bytes, bytes]],
+) -> messages.Headers:
+    """Return header fields as text."""
+    return messages.Headers(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in fields
+    )
+
+
+def _with_length(response: messages.Response, method: str) -> messages.Headers:
+    headers = response.headers
+    if response.status in NO_BODY_STATUSES:
+        return headers.without({"content-length"})
+    if method == "HEAD" and headers.get("Content-Length") is not None:
+        return headers
+    return headers.with_field("Content-Length", str(len(response.body)))
+
+
+async def _never() -> None:
+    await curio.Event().wait()
--- /dev/null
+++ b/sycamoredale/http/reading.py
@@ -0,0 +1,107 @@
+"""Read the requests of callers within limits."""
+
+import dataclasses
+import typing
+from typing import Final
+
+import curio
+import h11
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import exchange as exchange_module
+from sycamoredale.http import messages
+
+RECEIVE_BYTES: Final = 65536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bound what callers may send and how many connections they hold."""
+
+    header_bytes: int = 32 * 1024
+    body_bytes: int = 2 * 1024 * 1024
+    request_seconds: float = 30.0
+    idle_seconds: float = 75.0
+    connections: int = 8192
+
+
+async def read_request(
+    sock: typing.Any, connection: h11.Connection, limits: Limits
+) -> messages.Request | None:
+    """Return the next request, or None at the end of the connection.
+
+    Raises Refusal if the request is malformed, too large or too slow.
+    """
+    try:
+        async with curio.timeout_after(limits.request_seconds):
+            head = await _next_event(sock, connection)
+            if not isinstance(head, h11.Request):
+                return None
+            _check_length(head, limits)
+            body = await _read_body(sock, connection, limits)
+    except h11.RemoteProtocolError as error:
+        raise _protocol_error(error) from error
+    except curio.TaskTimeout as error:
+        raise errors.Refusal(
+            error_codes.REQUEST_TIMEOUT,
+            f"the request did not arrive within {limits.request_seconds:g} s",
+        ) from error
+    return messages.Request(
+        method=head.method.decode("ascii"),
+        target=head.target.decode("latin-1"),
+        headers=exchange_module.decode(head.headers),
+        body=body,
+    )
+
+
+async def _read_body(
+    sock: typing.Any, connection: h11.Connection, limits: Limits
+) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = await _next_event(sock, connection)
+        if isinstance(event, h11.EndOfMessage):
+            return b"".join(parts)
+        if not isinstance(event, h11.Data):
+            raise h11.RemoteProtocolError("the body was cut short")
+        size += len(event.data)
+        if size > limits.body_bytes:
+            raise _body_too_large(limits)
+        parts.append(bytes(event.data))
+
+
+async def _next_event(sock: typing.Any, connection: h11.Connection) -> object:
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await sock.sendall(connection.send(go_on))
+        connection.receive_data(await sock.recv(RECEIVE_BYTES))
+
+
+def _check_length(head: h11.Request, limits: Limits) -> None:
+    # Refused before the caller is told to go on with the body.
+    for name, value in head.headers:
+        if name == b"content-length" and int(value) > limits.body_bytes:
+            raise _body_too_large(limits)
+
+
+def _body_too_large(limits: Limits) -> errors.Refusal:
+    return errors.Refusal(
+        error_codes.BODY_TOO_LARGE,
+        f"the request body exceeds {limits.body_bytes} bytes",
+    )
+
+
+def _protocol_error(error: h11.RemoteProtocolError) -> errors.Refusal:
+    if error.error_status_hint == error_codes.HEADERS_TOO_LARGE.status:
+        return errors.Refusal(
+            error_codes.HEADERS_TOO_LARGE, "the request headers are too large"
+        )
+    return errors.Refusal(
+        error_codes.MALFORMED_REQUEST, f"the request is not HTTP: {error}"
+    )
--- /dev/null
+++ b/sycamoredale/http/refusals.py
@@ -0,0 +1,75 @@
+"""Word errors as JSON answers to callers."""
+
+import dataclasses
+import math
+
+import msgspec
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import messages
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """Tell a caller what went wrong and what is known of execution."""
+
+    code: str
+    message: str
+    execution: str
+    retry_after: float | None = None
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Hold the JSON body of a refusal."""
+
+    error: ErrorDetail
+
+
+def body_of(error: errors.SycamoredaleError) -> ErrorBody:
+    """Return the JSON body that reports an error."""
+    return ErrorBody(
+        ErrorDetail(
+            error.code.name,
+            error.message,
+            error.execution.value,
+            error.retry_after,
+        )
+    )
+
+
+def response_of(error: errors.SycamoredaleError) -> messages.Response:
+    """Return the JSON answer that reports an error to a caller."""
+    response = messages.json_response(error.code.status, body_of(error))
+    if error.retry_after is None:
+        return response
+    headers = response.headers.with_field(
+        "Retry-After", str(max(1, math.ceil(error.retry_after)))
+    )
+    return dataclasses.replace(response, headers=headers)
+
+
+def internal() -> errors.SycamoredaleError:
+    """Return the error for a fault inside the daemon."""
+    return errors.Refusal(
+        error_codes.INTERNAL,
+        "the request failed inside the daemon",
+        error_codes.Execution.UNKNOWN,
+    )
+
+
+def draining() -> errors.Refusal:
+    """Return the refusal of a request that reaches a stopping daemon."""
+    return errors.Refusal(
+        error_codes.DRAINING,
+        "this daemon is stopping; repeat the request on a new connection",
+        retry_after=1.0,
+    )
+
+
+def too_many_connections(limit: int) -> errors.Refusal:
+    """Return the refusal of a connection above the limit."""
+    return errors.Refusal(
+        error_codes.TOO_MANY_CONNECTIONS,
+        f"this daemon holds its limit of {limit} connections",
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/sycamoredale/requests/attempt.py
@@ -0,0 +1,221 @@
+"""Run a call once on one endpoint.
+
+An attempt knows whether a byte of its request may have left, which decides
+what a refusal may say.  Its connection is kept only after a complete
+exchange; whatever else happens, it is closed.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale.engines import completions
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.http import server
+from sycamoredale.requests import call as call_module
+from sycamoredale.routing import table
+
+REST_SECONDS: Final = 1.0
+
+
+@dataclasses.dataclass(eq=False)
+class Attempt:
+    """Hold one call on one endpoint.
+
+    `heard` is set whenever something arrives; the silence watch clears it.
+    `dispatch_before` is the last moment at which the request may be sent.
+    """
+
+    call: call_module.Call
+    endpoint: table.Endpoint
+    request: messages.Request
+    dispatch_before: clock.MonotonicTime | None = None
+    connection: client.Connection | None = None
+    sent: bool = False
+    heard: bool = False
+    answered: bool = False
+    severed: str | None = None
+    gone: bool = False
+    accompanied: bool = False
+
+    def sever(self, reason: str, gone: bool) -> None:
+        """Make the exchange fail; `gone` says the endpoint is lost too."""
+        self.severed = reason
+        self.gone = gone
+        if self.connection is not None:
+            self.connection.sever()
+
+
+async def fetch(attempt: Attempt, pool: client.Pool) -> messages.Response:
+    """Return the whole answer of an endpoint.
+
+    Raises ConnectionFailed if the endpoint did not run the request and
+    ConnectionBroken if it may have.
+    """
+    async with _exchange(attempt, pool) as connection:
+        head = await _read_head(attempt, connection)
+        body = await connection.read_body()
+        _check_whole(attempt, head, body)
+    return messages.Response(head.status, answer_headers(attempt, head), body)
+
+
+async def relay_stream(
+    attempt: Attempt,
+    pool: client.Pool,
+    stream: completions.Stream,
+    exchange: server.Exchange,
+) -> None:
+    """Pass the events of a stream on to the caller; raise as `fetch`."""
+    async with _exchange(attempt, pool) as connection:
+        head = await _read_head(attempt, connection)
+        if head.status != 200:
+            body = await connection.read_body()
+            _check_whole(attempt, head, body)
+            if exchange.started:
+                raise _broken(attempt, f"status {head.status} to a resume")
+            headers = answer_headers(attempt, head)
+            await exchange.respond(
+                messages.Response(head.status, headers, body)
+            )
+            return
+        await _relay_events(attempt, connection, head, stream, exchange)
+        await exchange.finish()
+        await _read_rest(connection)
+
+
+async def _read_rest(connection: client.Connection) -> None:
+    # The caller has its whole answer; the end of the body decides only
+    # whether the connection can be used again.
+    with contextlib.suppress(errors.ConnectionBroken):
+        async with curio.ignore_after(REST_SECONDS):
+            while await connection.read_chunk():
+                pass
+
+
+async def _relay_events(
+    attempt: Attempt,
+    connection: client.Connection,
+    head: messages.ResponseHead,
+    stream: completions.Stream,
+    exchange: server.Exchange,
+) -> None:
+    while not stream.done:
+        chunk = await connection.read_chunk()
+        attempt.heard = True
+        if not chunk:
+            raise _broken(attempt, "the stream ended without its last event")
+        events = stream.feed(chunk)
+        if events:
+            if not exchange.started:
+                headers = answer_headers(attempt, head)
+                await exchange.start(messages.ResponseHead(200, headers))
+            await exchange.write(events)
+        if stream.fault is not None:
+            raise errors.EndpointFault(
+                f"endpoint {attempt.endpoint.id} ended a stream with "
+                f"{stream.fault}"
+            )
+
+
+def answer_headers(
+    attempt: Attempt, head: messages.ResponseHead
+) -> messages.Headers:
+    """Return the headers of an endpoint that go on to the caller."""
+    dropped = {
+        "connection",
+        "transfer-encoding",
+        "keep-alive",
+        call_module.REQUEST_ID_HEADER.lower(),
+    }
+    if attempt.call.upstream.method != "HEAD":
+        dropped.add("content-length")
+    return head.headers.without(dropped)
+
+
+@contextlib.asynccontextmanager
+async def _exchange(
+    attempt: Attempt, pool: client.Pool
+) -> collections.abc.AsyncIterator[client.Connection]:
+    attempt.accompanied = attempt.endpoint.in_flight > 0
+    attempt.endpoint.in_flight += 1
+    complete = False
+    try:
+        # An idle connection may have been closed by the other end, and a
+        # request lost on it could not be told from one that ran.
+        fresh = not attempt.call.idempotent
+        connection = await pool.acquire(attempt.endpoint.address, fresh)
+        attempt.connection = connection
+        _check_dispatch(attempt)
+        attempt.sent = True
+        await connection.send(attempt.request)
+        yield connection
+        complete = True
+    except errors.NotRun:
+        attempt.sent = False
+        raise
+    finally:
+        attempt.endpoint.in_flight -= 1
+        if attempt.connection is not None:
+            if complete:
+                await pool.release(attempt.connection)
+            else:
+                await attempt.connection.close()
+
+
+async def _read_head(
+    attempt: Attempt, connection: client.Connection
+) -> messages.ResponseHead:
+    head = await connection.read_head()
+    attempt.heard = True
+    attempt.answered = True
+    echoed = head.headers.get(call_module.REQUEST_ID_HEADER)
+    if attempt.call.is_model and head.status == 503 and echoed is None:
+        body = await connection.read_body()
+        if completions.refused_before_running(head.status, body):
+            raise errors.NotRun(
+                f"endpoint {attempt.endpoint.id} takes no request"
+            )
+    if echoed != attempt.call.id:
+        raise _broken(
+            attempt,
+            f"it answered request {echoed!r} in place of "
+            f"{attempt.call.id!r}",
+        )
+    return head
+
+
+def _check_whole(
+    attempt: Attempt, head: messages.ResponseHead, body: bytes
+) -> None:
+    if not attempt.call.is_model:
+        return
+    if completions.refused_before_running(head.status, body):
+        raise errors.NotRun(f"endpoint {attempt.endpoint.id} takes no request")
+    if head.status >= 500 or not completions.is_whole(body):
+        raise errors.EndpointFault(
+            f"endpoint {attempt.endpoint.id} answered status {head.status} "
+            "or malformed JSON"
+        )
+
+
+def _check_dispatch(attempt: Attempt) -> None:
+    before = attempt.dispatch_before
+    if before is not None and clock.monotonic() > before:
+        raise errors.NotRun(
+            "the claim was too old when the request was about to be sent"
+        )
+
+
+def _broken(attempt: Attempt, reason: str) -> errors.ConnectionBroken:
+    return errors.ConnectionBroken(
+        error_codes.CONNECTION_BROKEN,
+        f"endpoint {attempt.endpoint.id}: {reason}",
+        error_codes.Execution.UNKNOWN,
+    )
--- a/sycamoredale/requests/call.py
+++ b/sycamoredale/requests/call.py
@@ -3,7 +3,6 @@
 import dataclasses
 import functools
 from typing import Final
-import uuid
 
 import msgspec
 
@@ -16,6 +15,9 @@
 COMPLETION_PATHS: Final = ("/v1/chat/completions", "/v1/completions")
 SERVICE_PREFIX: Final = "/services/"
 REQUEST_ID_HEADER: Final = "X-Request-Id"
+CALLER_REQUEST_ID_HEADER: Final = "X-Caller-Request-Id"
+MAX_KEY_CHARACTERS: Final = 255
+MAX_CALLER_ID_CHARACTERS: Final = 255
 IDEMPOTENCY_KEY_HEADER: Final = "Idempotency-Key"
 DEADLINE_HEADER: Final = "X-Deadline-Seconds"
 PRIORITY_HEADER: Final = "X-Priority"
@@ -43,27 +45,47 @@
     key: ids.IdempotencyKey | None
     deadline_seconds: float
 
+    @property
+    def is_model(self) -> bool:
+        """Tell whether a model engine answers the call."""
+        return self.service.kind is model.ServiceKind.MODEL
+
 
 def read(
     request: messages.Request,
     organisation: model.Organisation,
     configuration: model.Configuration,
+    request_id: ids.RequestId,
 ) -> Call:
     """Return the call in a request; raise Refusal."""
+    source = _Source(request, organisation, configuration, request_id)
     if request.path in COMPLETION_PATHS:
-        return _read_completion(request, organisation, configuration)
+        return _read_completion(source)
     if request.path.startswith(SERVICE_PREFIX):
-        return _read_plain(request, organisation, configuration)
+        return _read_plain(source)
     raise errors.Refusal(
         error_codes.NOT_FOUND, f"path {request.path!r} names nothing"
     )
 
 
-def _read_completion(
-    request: messages.Request,
-    organisation: model.Organisation,
-    configuration: model.Configuration,
-) -> Call:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Source:
+    request: messages.Request
+    organisation: model.Organisation
+    configuration: model.Configuration
+    request_id: ids.RequestId
+
+
+def caller_request_id(request: messages.Request) -> str | None:
+    """Return the request id that the caller gave, if it can be echoed."""
+    given = request.headers.get(REQUEST_ID_HEADER)
+    if given is None or len(given) > MAX_CALLER_ID_CHARACTERS:
+        return None
+    return given
+
+
+def _read_completion(source: _Source) -> Call:
+    request = source.request
     if request.method != "POST":
         raise errors.Refusal(
             error_codes.MALFORMED_REQUEST,
@@ -71,17 +93,15 @@
         )
     try:
         completion = _COMPLETION_DECODER.decode(request.body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.Refusal(
             error_codes.MALFORMED_REQUEST, f"request body: {error}"
         ) from error
     service = _find_service(
-        configuration, completion.model, model.ServiceKind.MODEL
+        source.configuration, completion.model, model.ServiceKind.MODEL
     )
     return _build(
-        request,
-        organisation,
-        configuration,
+        source,
         service,
         target=request.target,
         idempotent=True,
@@ -89,23 +109,20 @@
     )
 
 
-def _read_plain(
-    request: messages.Request,
-    organisation: model.Organisation,
-    configuration: model.Configuration,
-) -> Call:
+def _read_plain(source: _Source) -> Call:
+    request = source.request
     rest = request.target.removeprefix(SERVICE_PREFIX)
     name, separator, tail = rest.partition("/")
-    service = _find_service(configuration, name, model.ServiceKind.PLAIN)
+    service = _find_service(
+        source.configuration, name, model.ServiceKind.PLAIN
+    )
     target = separator + tail
     if not target:
         raise errors.Refusal(
             error_codes.NOT_FOUND, f"path {request.path!r} names nothing"
         )
     return _build(
-        request,
-        organisation,
-        configuration,
+        source,
         service,
         target=target,
         idempotent=_is_idempotent(service, request.method, target),
@@ -114,29 +131,39 @@
 
 
 def _build(
-    request: messages.Request,
-    organisation: model.Organisation,
-    configuration: model.Configuration,
+    source: _Source,
     service: model.Service,
     *,
     target: str,
     idempotent: bool,
     stream: bool,
 ) -> Call:
-    request_id = ids.RequestId(uuid.uuid4().hex)
-    key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
+    request = source.request
     return Call(
-        id=request_id,
-        organisation=organisation.name,
+        id=source.request_id,
+        organisation=source.organisation.name,
         service=service,
-        upstream=_upstream(request, target, request_id),
+        upstream=_upstream(request, target, source.request_id),
         idempotent=idempotent,
         stream=stream,
-        key=ids.IdempotencyKey(key) if key else None,
-        deadline_seconds=_deadline(request, configuration),
+        key=_key(request),
+        deadline_seconds=_deadline(request, source.configuration),
     )
 
 
+def _key(request: messages.Request) -> ids.IdempotencyKey | None:
+    key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
+    if key is None:
+        return None
+    if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        raise errors.Refusal(
+            error_codes.MALFORMED_REQUEST,
+            f"header {IDEMPOTENCY_KEY_HEADER} must have 1 to "
+            f"{MAX_KEY_CHARACTERS} characters, it has {len(key)}",
+        )
+    return ids.IdempotencyKey(key)
+
+
 def _upstream(
     request: messages.Request, target: str, request_id: ids.RequestId
 ) -> messages.Request:
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -1,163 +1,255 @@
 """Carry one call to an endpoint and its answer back to the caller.
 
-A call may move to another endpoint while it is certain that the first one
-did not run it, or when it is idempotent and the caller has no byte of an
-answer yet.
+An idempotent call moves on to another endpoint when one fails, and a stream
+goes on after the last token that the caller has.  Any other call is sent at
+most once; `once` keeps that under an idempotency key.
 """
 
 import dataclasses
+import typing
 from typing import Final
 
 import curio
 
 from sycamoredale import clock
+from sycamoredale.engines import completions
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
 from sycamoredale.http import messages
+from sycamoredale.http import refusals
 from sycamoredale.http import server
-from sycamoredale import ids
 from sycamoredale.observability import logs
+from sycamoredale.requests import attempt as attempt_module
 from sycamoredale.requests import call as call_module
+from sycamoredale.requests import poison
+from sycamoredale.requests import silence
+from sycamoredale.requests import tries as tries_module
 from sycamoredale.routing import choice
 from sycamoredale.routing import table
 
-MAX_ATTEMPTS: Final = 3
-NO_ENDPOINT_RETRY_SECONDS: Final = 2.0
-DONE_EVENT: Final = b"data: [DONE]"
 LOG: Final = logs.get("requests.dispatch")
 
 
+class CallerGone(Exception):
+    """Report that the caller closed its connection."""
+
+
 @dataclasses.dataclass
 class Dispatcher:
     """Run calls on the endpoints that a chooser names."""
 
     chooser: choice.Chooser
     pool: client.Pool
+    poison_list: poison.PoisonList = dataclasses.field(
+        default_factory=poison.PoisonList
+    )
+
+    def __post_init__(self) -> None:
+        """Build the parts that ask endpoints about requests."""
+        self.engines = completions.Completions(self.pool)
+        self.silence_watch = silence.SilenceWatch(self.pool, self.engines)
 
     async def run(
         self, call: call_module.Call, exchange: server.Exchange
     ) -> None:
-        """Write the whole answer to the call; raise Refusal."""
+        """Write the whole answer to an idempotent call; raise Refusal."""
+        self.poison_list.check(call, clock.monotonic())
+        tries = tries_module.Tries(call)
         try:
             async with curio.timeout_after(call.deadline_seconds):
-                await self._run_attempts(call, exchange)
-        except curio.TaskTimeout as error:
-            raise errors.Refusal(
-                error_codes.DEADLINE_EXCEEDED,
-                f"the deadline of {call.deadline_seconds:g} s passed",
-                error_codes.Execution.UNKNOWN,
-            ) from error
-
-    async def _run_attempts(
-        self, call: call_module.Call, exchange: server.Exchange
-    ) -> None:
-        tried: set[ids.EndpointId] = set()
-        execution = error_codes.Execution.NOT_RUN
-        for _ in range(MAX_ATTEMPTS):
-            endpoint = self.chooser.choose(call, tried, clock.monotonic())
+                await _beside_caller(self._run_tries, tries, exchange)
+        except curio.TaskTimeout:
+            await _end(exchange, deadline_refusal(call, tries.execution))
+        except errors.Refusal as refusal:
+            await _end(exchange, refusal)
+        except CallerGone:
+            LOG.info("caller_gone", request=call.id)
+
+    async def run_once(
+        self,
+        tries: tries_module.Tries,
+        dispatch_before: clock.MonotonicTime | None = None,
+    ) -> messages.Response:
+        """Return the answer to a call that is sent at most once.
+
+        Raises Refusal.  `tries.execution` is unknown from the moment at
+        which a byte may have left.
+        """
+        call = tries.call
+        while tries.may_go_on():
+            endpoint = self._choose(tries)
             if endpoint is None:
                 break
-            tried.add(endpoint.id)
+            attempt = attempt_module.Attempt(
+                call, endpoint, call.upstream, dispatch_before
+            )
+            tries.execution = error_codes.Execution.UNKNOWN
+            self.silence_watch.add(attempt, clock.monotonic())
             try:
-                await self._run_on(endpoint, call, exchange)
-                return
+                return await attempt_module.fetch(attempt, self.pool)
             except errors.ConnectionFailed as error:
-                LOG.info("attempt_not_run", reason=error.message)
+                self._log(attempt, error)
             except errors.ConnectionBroken as error:
-                LOG.info("attempt_broken", reason=error.message)
-                execution = error_codes.Execution.UNKNOWN
-                if exchange.started or not call.idempotent:
-                    break
-        raise _refusal(call, execution)
+                self._log(attempt, error)
+                await self._count_crash(attempt, tries)
+                break
+            finally:
+                self.silence_watch.remove(attempt)
+                if not attempt.sent:
+                    tries.execution = error_codes.Execution.NOT_RUN
+        raise tries.refusal()
+
+    async def _run_tries(
+        self, tries: tries_module.Tries, exchange: server.Exchange
+    ) -> None:
+        stream = completions.Stream()
+        while tries.may_go_on():
+            endpoint = self._choose(tries)
+            if endpoint is None:
+                break
+            attempt = attempt_module.Attempt(
+                tries.call, endpoint, stream.resume(tries.call.upstream)
+            )
+            if await self._try(attempt, tries, stream, exchange):
+                return
+            stream.restart()
+        raise tries.refusal()
 
-    async def _run_on(
+    async def _try(
         self,
-        endpoint: table.Endpoint,
-        call: call_module.Call,
+        attempt: attempt_module.Attempt,
+        tries: tries_module.Tries,
+        stream: completions.Stream,
         exchange: server.Exchange,
-    ) -> None:
-        endpoint.in_flight += 1
-        connection = None
-        complete = False
+    ) -> bool:
+        self.silence_watch.add(attempt, clock.monotonic())
         try:
-            connection = await self.pool.acquire(endpoint.address)
-            await connection.send(call.upstream)
-            head = await connection.read_head()
-            _check_request_id(call, head, endpoint)
-            await _relay(connection, head, call, exchange)
-            complete = True
+            if tries.call.stream:
+                await attempt_module.relay_stream(
+                    attempt, self.pool, stream, exchange
+                )
+            else:
+                response = await attempt_module.fetch(attempt, self.pool)
+                self.silence_watch.remove(attempt)
+                await exchange.respond(response)
+            return True
+        except errors.ConnectionFailed as error:
+            self._log(attempt, error)
+            tries.gone.add(attempt.endpoint.id)
+        except errors.ConnectionBroken as error:
+            self._log(attempt, error)
+            await self._count_crash(attempt, tries)
+        except (curio.CancelledError, OSError):
+            await self._cancel(attempt)
+            raise
         finally:
-            endpoint.in_flight -= 1
-            if connection is not None:
-                if complete:
-                    await self.pool.release(connection)
-                else:
-                    await connection.close()
-
-
-async def _relay(
-    connection: client.Connection,
-    head: messages.ResponseHead,
-    call: call_module.Call,
-    exchange: server.Exchange,
-) -> None:
-    headers = _answer_headers(head.headers)
-    if not call.stream or head.status != 200:
-        body = await connection.read_body()
-        response = messages.Response(head.status, headers, body)
-        await exchange.respond(response)
-        return
-    last = b""
-    async for chunk in client.body_chunks(connection):
-        if not exchange.started:
-            await exchange.start(messages.ResponseHead(200, headers))
-        await exchange.write(chunk)
-        last = (last + chunk)[-2 * len(DONE_EVENT) :]
-    if DONE_EVENT not in last:
-        raise errors.ConnectionBroken(
-            error_codes.CONNECTION_BROKEN,
-            f"the stream of request {call.id} ended without its last event",
-            error_codes.Execution.UNKNOWN,
+            self.silence_watch.remove(attempt)
+            if attempt.sent:
+                tries.execution = error_codes.Execution.UNKNOWN
+        return False
+
+    def _choose(self, tries: tries_module.Tries) -> table.Endpoint | None:
+        tries.attempts += 1
+        for excluded in tries.exclusions():
+            endpoint = self.chooser.choose(
+                tries.call, excluded, clock.monotonic()
+            )
+            if endpoint is not None:
+                tries.tried.add(endpoint.id)
+                return endpoint
+        return None
+
+    async def _count_crash(
+        self, attempt: attempt_module.Attempt, tries: tries_module.Tries
+    ) -> None:
+        if not await silence.is_lost(attempt, self.engines):
+            await self._cancel(attempt)
+            return
+        tries.gone.add(attempt.endpoint.id)
+        if attempt.severed is not None:
+            return  # A pause or a partition; no sign of a crash.
+        tries.crashes += 1
+        crash = poison.Crash(
+            poison.fingerprint_of(attempt.call),
+            attempt.endpoint.id,
+            attempt.endpoint.domain,
+            alone=not attempt.accompanied,
         )
-    await exchange.finish()
+        self.poison_list.observe(crash, clock.monotonic())
 
+    async def _cancel(self, attempt: attempt_module.Attempt) -> None:
+        # Closing the connection may not reach an engine behind a broken
+        # path, so the cancellation goes over a new one as well.
+        if attempt.sent and attempt.call.is_model:
+            await curio.spawn(self._cancel_in_background, attempt, daemon=True)
 
-def _check_request_id(
-    call: call_module.Call,
-    head: messages.ResponseHead,
-    endpoint: table.Endpoint,
-) -> None:
-    echoed = head.headers.get(call_module.REQUEST_ID_HEADER)
-    if echoed != call.id:
-        raise errors.ConnectionBroken(
-            error_codes.CONNECTION_BROKEN,
-            f"endpoint {endpoint.id} answered request {echoed!r} in place "
-            f"of {call.id!r}",
-            error_codes.Execution.UNKNOWN,
-        )
-
+    async def _cancel_in_background(
+        self, attempt: attempt_module.Attempt
+    ) -> None:
+        try:
+            await self.engines.cancel(
+                attempt.endpoint.address, attempt.call.id
+            )
+        except (errors.ConnectionFailed, errors.ConnectionBroken) as error:
+            LOG.info("cancel_failed", reason=error.message)
 
-def _answer_headers(headers: messages.Headers) -> messages.Headers:
-    return headers.without(
-        {"connection", "content-length", "transfer-encoding", "keep-alive"}
-    )
+    def _log(
+        self,
+        attempt: attempt_module.Attempt,
+        error: errors.SycamoredaleError,
+    ) -> None:
+        LOG.info(
+            "attempt_failed",
+            request=attempt.call.id,
+            endpoint=attempt.endpoint.id,
+            sent=attempt.sent,
+            reason=attempt.severed or error.message,
+        )
 
 
-def _refusal(
+def deadline_refusal(
     call: call_module.Call, execution: error_codes.Execution
 ) -> errors.Refusal:
-    if execution is error_codes.Execution.NOT_RUN:
-        return errors.Refusal(
-            error_codes.NO_ENDPOINT,
-            f"no endpoint of service {call.service.name!r} can take the "
-            "request now",
-            execution,
-            NO_ENDPOINT_RETRY_SECONDS,
-        )
+    """Return the refusal of a call whose deadline has passed."""
     return errors.Refusal(
-        error_codes.ENDPOINT_FAILED,
-        f"an endpoint of service {call.service.name!r} failed while it had "
-        "the request",
+        error_codes.DEADLINE_EXCEEDED,
+        f"the deadline of {call.deadline_seconds:g} s passed",
         execution,
     )
+
+
+async def _end(exchange: server.Exchange, refusal: errors.Refusal) -> None:
+    """Refuse a call, or end a stream so that nobody takes it for whole."""
+    if not exchange.started:
+        raise refusal
+    LOG.info("stream_cut", request=exchange.request_id, code=refusal.code.name)
+    if exchange.intact and not exchange.finished:
+        body = refusals.body_of(refusal)
+        await exchange.write(completions.error_event(body))
+
+
+async def _beside_caller(
+    work: typing.Callable[..., typing.Awaitable[None]],
+    tries: tries_module.Tries,
+    exchange: server.Exchange,
+) -> None:
+    """Run work until it ends or the caller leaves; raise CallerGone."""
+    worker = await curio.spawn(work, tries, exchange, daemon=True)
+    watcher = await curio.spawn(_watch_caller, exchange, worker, daemon=True)
+    try:
+        await worker.join()
+    except curio.TaskError as error:
+        cause = error.__cause__
+        if isinstance(cause, curio.TaskCancelled):
+            raise CallerGone() from error
+        assert cause is not None
+        raise cause from None
+    finally:
+        await watcher.cancel()
+        await worker.cancel()
+
+
+async def _watch_caller(exchange: server.Exchange, worker: typing.Any) -> None:
+    await exchange.wait_for_disconnect()
+    await worker.cancel(blocking=False)
--- /dev/null
+++ b/sycamoredale/requests/once.py
@@ -0,0 +1,238 @@
+"""Run a non-idempotent call at most once.
+
+Under an idempotency key, a claim in the object API comes before the
+dispatch, and its outcome is kept for whoever repeats the key.  The call
+runs in a task of its own: a caller that leaves or a deadline that passes
+ends the waiting, not the execution, so that its outcome is still kept.
+Without a key the call is sent at most once and never repeated.
+"""
+
+import dataclasses
+import hashlib
+import typing
+from typing import Final
+
+import curio
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import messages
+from sycamoredale.http import server
+from sycamoredale import ids
+from sycamoredale.membership import view
+from sycamoredale.observability import logs
+from sycamoredale.requests import call as call_module
+from sycamoredale.requests import claim_service
+from sycamoredale.requests import claims
+from sycamoredale.requests import dispatch
+from sycamoredale.requests import tries as tries_module
+
+DISPATCH_SECONDS: Final = 10.0
+EXECUTION_SECONDS: Final = 600.0
+STORE_RETRY_SECONDS: Final = 2.0
+IN_PROGRESS_RETRY_SECONDS: Final = 1.0
+DRAIN_POLL_SECONDS: Final = 0.05
+REPLAYED_HEADER: Final = "Idempotent-Replayed"
+LOG: Final = logs.get("requests.once")
+
+
+@dataclasses.dataclass
+class OnceRunner:
+    """Run non-idempotent calls on the endpoints of a dispatcher."""
+
+    dispatcher: dispatch.Dispatcher
+    service: claim_service.ClaimService
+    open_executions: int = 0
+
+    async def run(
+        self, call: call_module.Call, exchange: server.Exchange
+    ) -> None:
+        """Write the answer to the call; raise Refusal."""
+        self.dispatcher.poison_list.check(call, clock.monotonic())
+        if call.key is None:
+            await self._run_without_key(call, exchange)
+            return
+        begun = clock.monotonic()
+        operation = self._take(call, call.key)
+        verdict = await self._ask(operation)
+        if verdict.decision is claims.Decision.GRANTED:
+            await self._run_claimed(call, operation, begun, exchange)
+            return
+        await exchange.respond(self._known_answer(call, verdict))
+
+    async def settle(self) -> None:
+        """Return when no execution is open and every outcome is kept."""
+        while self.open_executions or self.service.unsettled:
+            await curio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _run_without_key(
+        self, call: call_module.Call, exchange: server.Exchange
+    ) -> None:
+        tries = tries_module.Tries(call)
+        try:
+            async with curio.timeout_after(call.deadline_seconds):
+                response = await self.dispatcher.run_once(tries)
+        except curio.TaskTimeout as error:
+            raise dispatch.deadline_refusal(call, tries.execution) from error
+        await exchange.respond(response)
+
+    async def _ask(self, operation: claims.Take) -> claims.Verdict:
+        try:
+            return await self.service.take(operation)
+        except errors.SycamoredaleError as error:
+            raise errors.Refusal(
+                error_codes.CLAIMS_UNAVAILABLE,
+                f"no claim can be made for the request now: {error.message}",
+                error_codes.Execution.NOT_RUN,
+                STORE_RETRY_SECONDS,
+            ) from error
+
+    async def _run_claimed(
+        self,
+        call: call_module.Call,
+        operation: claims.Take,
+        begun: clock.MonotonicTime,
+        exchange: server.Exchange,
+    ) -> None:
+        tries = tries_module.Tries(call)
+        self.open_executions += 1
+        task = await curio.spawn(
+            self._execute, tries, operation, begun, daemon=True
+        )
+        try:
+            async with curio.timeout_after(call.deadline_seconds):
+                response = await _join(task)
+        except curio.TaskTimeout as error:
+            if tries.execution is error_codes.Execution.NOT_RUN:
+                await task.cancel()
+            raise dispatch.deadline_refusal(call, tries.execution) from error
+        await exchange.respond(response)
+
+    async def _execute(
+        self,
+        tries: tries_module.Tries,
+        operation: claims.Take,
+        begun: clock.MonotonicTime,
+    ) -> messages.Response:
+        before = clock.MonotonicTime(begun + DISPATCH_SECONDS)
+        response = None
+        try:
+            async with curio.ignore_after(EXECUTION_SECONDS):
+                response = await self.dispatcher.run_once(tries, before)
+            if response is None:
+                raise tries.refusal()
+            return response
+        finally:
+            async with curio.disable_cancellation():
+                await self._conclude(tries, operation, response)
+                self.open_executions -= 1
+
+    async def _conclude(
+        self,
+        tries: tries_module.Tries,
+        operation: claims.Take,
+        response: messages.Response | None,
+    ) -> None:
+        name = operation.name
+        if response is not None:
+            headers = tuple(response.headers.fields)
+            outcome = claims.keep(response.status, headers, response.body)
+            await self.service.record(name, operation.claim.attempt, outcome)
+        elif tries.execution is error_codes.Execution.NOT_RUN:
+            await self.service.release(name, operation.claim)
+        else:
+            await self.service.record(name, operation.claim.attempt, None)
+
+    def _take(
+        self, call: call_module.Call, key: ids.IdempotencyKey
+    ) -> claims.Take:
+        own = self.service.members.own
+        claim = claims.Claim(
+            request_digest=_digest(call),
+            attempt=call.id,
+            owner=own.id,
+            incarnation=own.incarnation,
+            claimed_at=clock.wall(),
+        )
+        name = claims.name_of(call.organisation, call.service.name, key)
+        return claims.Take(name, claim)
+
+    def _known_answer(
+        self, call: call_module.Call, verdict: claims.Verdict
+    ) -> messages.Response:
+        claim = verdict.claim
+        match verdict.decision:
+            case claims.Decision.FINISHED if claim is not None:
+                return _replay(claim)
+            case claims.Decision.MISMATCH:
+                raise errors.Refusal(
+                    error_codes.KEY_REUSED,
+                    f"key {call.key!r} belongs to a request with another "
+                    "method, path or body",
+                )
+            case claims.Decision.RUNNING if claim is not None:
+                raise self._running_refusal(call, claim)
+            case claims.Decision.FULL:
+                raise errors.Refusal(
+                    error_codes.CLAIMS_UNAVAILABLE,
+                    "the store holds all the claims that it can",
+                    retry_after=STORE_RETRY_SECONDS,
+                )
+        raise _unknown_refusal(call)
+
+    def _running_refusal(
+        self, call: call_module.Call, claim: claims.Claim
+    ) -> errors.Refusal:
+        owner = self.service.members.by_id.get(claim.owner)
+        if (
+            owner is None
+            or owner.incarnation != claim.incarnation
+            or owner.state in (view.PeerState.DEAD, view.PeerState.LEFT)
+        ):
+            return _unknown_refusal(call)
+        return errors.Refusal(
+            error_codes.IN_PROGRESS,
+            f"a request with key {call.key!r} is running",
+            error_codes.Execution.UNKNOWN,
+            IN_PROGRESS_RETRY_SECONDS,
+        )
+
+
+def _replay(claim: claims.Claim) -> messages.Response:
+    outcome = claim.outcome
+    if outcome is None or outcome.body is None:
+        raise errors.Refusal(
+            error_codes.RESULT_NOT_KEPT,
+            "the request with this key ran, and its answer is not kept",
+            error_codes.Execution.RAN,
+        )
+    headers = messages.Headers(outcome.headers)
+    headers = headers.with_field(REPLAYED_HEADER, "true")
+    return messages.Response(outcome.status, headers, outcome.body)
+
+
+def _unknown_refusal(call: call_module.Call) -> errors.Refusal:
+    return errors.Refusal(
+        error_codes.EXECUTION_UNKNOWN,
+        f"a request with key {call.key!r} was sent to an endpoint and its "
+        "outcome is not known; it is not run again",
+        error_codes.Execution.UNKNOWN,
+    )
+
+
+def _digest(call: call_module.Call) -> str:
+    request = call.upstream
+    head = msgspec.json.encode([request.method, request.target])
+    return hashlib.sha256(head + b"\0" + request.body).hexdigest()[:32]
+
+
+async def _join(task: typing.Any) -> messages.Response:
+    try:
+        response = await task.join()
+    except curio.TaskError as error:
+        assert error.__cause__ is not None
+        raise error.__cause__ from None
+    assert isinstance(response, messages.Response)
+    return response
--- /dev/null
+++ b/sycamoredale/requests/tries.py
@@ -0,0 +1,63 @@
+"""Keep count of the attempts of one call."""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale import ids
+from sycamoredale.requests import call as call_module
+from sycamoredale.requests import poison
+
+MAX_ATTEMPTS: Final = 6
+NO_ENDPOINT_RETRY_SECONDS: Final = 2.0
+
+
+@dataclasses.dataclass
+class Tries:
+    """Know where a call has been and what may have run."""
+
+    call: call_module.Call
+    attempts: int = 0
+    crashes: int = 0
+    execution: error_codes.Execution = error_codes.Execution.NOT_RUN
+    gone: set[ids.EndpointId] = dataclasses.field(default_factory=set)
+    tried: set[ids.EndpointId] = dataclasses.field(default_factory=set)
+
+    def may_go_on(self) -> bool:
+        """Tell whether another attempt is within bounds."""
+        return (
+            self.attempts < MAX_ATTEMPTS
+            and self.crashes < poison.MAX_CRASHES_PER_CALL
+        )
+
+    def exclusions(
+        self,
+    ) -> collections.abc.Iterator[collections.abc.Set[ids.EndpointId]]:
+        """Yield what to exclude from choice, the best set first.
+
+        An endpoint whose connection alone broke is better than none.
+        """
+        yield self.tried
+        if self.gone != self.tried:
+            yield self.gone
+
+    def refusal(self) -> errors.Refusal:
+        """Return the refusal of a call that is given up."""
+        if self.crashes >= poison.MAX_CRASHES_PER_CALL:
+            return poison.refusal(self.crashes, self.execution)
+        service = self.call.service.name
+        if self.execution is error_codes.Execution.NOT_RUN:
+            return errors.Refusal(
+                error_codes.NO_ENDPOINT,
+                f"no endpoint of service {service!r} can take the request now",
+                retry_after=NO_ENDPOINT_RETRY_SECONDS,
+            )
+        return errors.Refusal(
+            error_codes.ENDPOINT_FAILED,
+            f"an endpoint of service {service!r} failed while it had the "
+            "request",
+            self.execution,
+            NO_ENDPOINT_RETRY_SECONDS if self.call.idempotent else None,
+        )
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -23,6 +23,7 @@
     zone: ids.ZoneName
     address: messages.Address
     in_flight: int = 0
+    domain: ids.DomainName = ids.DomainName("")
 
 
 @dataclasses.dataclass
@@ -71,15 +72,16 @@
         for assignment in self._by_domain.values():
             for group in assignment.groups:
                 if group.state is groups_model.GroupState.READY:
-                    endpoint = _endpoint(group)
+                    endpoint = _endpoint(group, assignment.domain)
                     self.by_id[endpoint.id] = known.get(endpoint.id, endpoint)
 
 
-def _endpoint(group: groups_model.Group) -> Endpoint:
+def _endpoint(group: groups_model.Group, domain: ids.DomainName) -> Endpoint:
     return Endpoint(
         id=ids.EndpointId(f"{group.id}@{group.epoch}"),
         service=group.service,
         version=group.version,
         zone=group.zone,
         address=messages.parse_address(group.members[0].address),
+        domain=domain,
     )
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -1,16 +1,8 @@
-"""Stand in for the model engine of one instance.
+"""Stand in for the model engine of one instance."""
 
-An answer is a fixed function of the request, so that a checker can compare
-it byte for byte: token number i of a prompt is derived from a digest of
-the prompt and i.
-"""
-
-import collections.abc
-import dataclasses
-import hashlib
+import os
 from typing import Final
 
-import curio
 import msgspec
 
 from sycamoredale import clock
@@ -19,19 +11,10 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.standins import generation
 
-REQUEST_ID_HEADER: Final = "X-Request-Id"
-DEFAULT_TOKENS: Final = 16
 MEMBER_PROBE_SECONDS: Final = 0.3
-
-
-class Faults(msgspec.Struct, frozen=True):
-    """Set what goes wrong with this engine, with times in seconds."""
-
-    cut_after_tokens: int | None = None
-    silent_after_tokens: int | None = None
-    swap_request_ids: bool = False
-    slow_factor: float = 1.0
+REQUESTS_PREFIX: Final = "/v1/requests/"
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -47,27 +30,18 @@
     honours_fencing: bool = True
 
 
-class Prompt(msgspec.Struct, frozen=True):
-    """Hold what the stand-in reads of a call."""
-
-    model: str = ""
-    messages: list[dict[str, object]] = []
-    prompt: str = ""
-    max_tokens: int = DEFAULT_TOKENS
-    stream: bool = False
-
-
 class Engine:
     """Carry out orders and generate tokens."""
 
     def __init__(self, settings: Settings, pool: client.Pool) -> None:
         """Start empty."""
         self.settings: Final = settings
-        self.faults = Faults()
+        self.generator: Final = generation.Generator(
+            settings.first_token_seconds, settings.token_seconds, os._exit
+        )
         self.order: orders.Order | None = None
         self.epoch = ids.Epoch(0)
         self.phase = orders.Phase.EMPTY
-        self.executed_by_request: dict[str, int] = {}
         self.running = 0
         self._pool = pool
         self._phase_ends = 0.0
@@ -86,15 +60,38 @@
             case ("POST", "/v1/chat/completions" | "/v1/completions"):
                 await self._generate(exchange)
             case ("PUT", "/standin/faults"):
-                self.faults = msgspec.json.decode(request.body, type=Faults)
+                self.generator.faults = msgspec.json.decode(
+                    request.body, type=generation.Faults
+                )
                 await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/executed"):
                 await exchange.respond(
-                    messages.json_response(200, self.executed_by_request)
+                    messages.json_response(
+                        200, self.generator.executed_by_request
+                    )
                 )
+            case ("GET", "/standin/resumed"):
+                await exchange.respond(
+                    messages.json_response(
+                        200, self.generator.resumed_by_request
+                    )
+                )
+            case ("GET" | "POST", path) if path.startswith(REQUESTS_PREFIX):
+                await exchange.respond(self._request_state(request))
             case _:
                 await exchange.respond(messages.json_response(404, {}))
 
+    def _request_state(self, request: messages.Request) -> messages.Response:
+        name = request.path.removeprefix(REQUESTS_PREFIX)
+        request_id, _, action = name.partition("/")
+        if action == "cancel":
+            self.generator.cancel(request_id)
+        progress = msgspec.structs.replace(
+            self.generator.progress(request_id),
+            failed=self.phase is orders.Phase.FAILED,
+        )
+        return messages.json_response(200, progress)
+
     def _advance(self, now: clock.MonotonicTime) -> None:
         if now < self._phase_ends:
             return
@@ -137,7 +134,6 @@
         )
 
     async def _generate(self, exchange: server.Exchange) -> None:
-        request = exchange.request
         if self.phase not in (orders.Phase.COLD, orders.Phase.READY):
             await exchange.respond(
                 messages.json_response(503, {"error": self.phase.value})
@@ -148,12 +144,9 @@
                 self.phase = orders.Phase.FAILED
                 raise ConnectionResetError("overloaded during cold start")
         await self._check_members()
-        request_id = request.headers.get(REQUEST_ID_HEADER) or ""
-        count = self.executed_by_request.get(request_id, 0)
-        self.executed_by_request[request_id] = count + 1
         self.running += 1
         try:
-            await self._write_answer(exchange, request_id)
+            await self.generator.write_answer(exchange)
         finally:
             self.running -= 1
 
@@ -165,84 +158,3 @@
             await self._pool.call(
                 messages.parse_address(text), probe, MEMBER_PROBE_SECONDS
             )
-
-    async def _write_answer(
-        self, exchange: server.Exchange, request_id: str
-    ) -> None:
-        prompt = msgspec.json.decode(exchange.request.body, type=Prompt)
-        chat = exchange.request.path == "/v1/chat/completions"
-        if self.faults.swap_request_ids:
-            request_id = "another-request"
-        if prompt.stream:
-            await self._stream(exchange, prompt, request_id, chat)
-            return
-        tokens = [token async for token in self._tokens(prompt)]
-        body = whole_answer(prompt, "".join(tokens), chat)
-        response = messages.json_response(200, body)
-        headers = response.headers.with_field(REQUEST_ID_HEADER, request_id)
-        await exchange.respond(dataclasses.replace(response, headers=headers))
-
-    async def _stream(
-        self,
-        exchange: server.Exchange,
-        prompt: Prompt,
-        request_id: str,
-        chat: bool,
-    ) -> None:
-        headers = messages.Headers(
-            [
-                ("Content-Type", messages.EVENT_STREAM_TYPE),
-                (REQUEST_ID_HEADER, request_id),
-            ]
-        )
-        await exchange.start(messages.ResponseHead(200, headers))
-        async for token in self._tokens(prompt):
-            await exchange.write(stream_event(prompt, token, chat))
-        await exchange.write(b"data: [DONE]\n\n")
-        await exchange.finish()
-
-    async def _tokens(
-        self, prompt: Prompt
-    ) -> collections.abc.AsyncIterator[str]:
-        slow = self.faults.slow_factor
-        await curio.sleep(self.settings.first_token_seconds * slow)
-        for index in range(prompt.max_tokens):
-            if index == self.faults.cut_after_tokens:
-                raise ConnectionResetError("cut on purpose")
-            if index == self.faults.silent_after_tokens:
-                await curio.sleep(3600)
-            yield token_at(prompt, index)
-            await curio.sleep(self.settings.token_seconds * slow)
-
-
-def token_at(prompt: Prompt, index: int) -> str:
-    """Return the token at an index of the answer to a prompt."""
-    text = msgspec.json.encode([prompt.model, prompt.messages, prompt.prompt])
-    digest = hashlib.sha256(text + str(index).encode()).hexdigest()
-    return f"{digest[:4]} "
-
-
-def expected_text(prompt: Prompt) -> str:
-    """Return the whole text that answers a prompt."""
-    return "".join(token_at(prompt, i) for i in range(prompt.max_tokens))
-
-
-def whole_answer(prompt: Prompt, text: str, chat: bool) -> dict[str, object]:
-    """Return the body of an answer that is not streamed."""
-    choice: dict[str, object] = {"index": 0, "finish_reason": "stop"}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return {"model": prompt.model, "choices": [choice]}
-
-
-def stream_event(prompt: Prompt, token: str, chat: bool) -> bytes:
-    """Return the event that carries one token."""
-    choice: dict[str, object] = {"index": 0}
-    if chat:
-        choice["delta"] = {"content": token}
-    else:
-        choice["text"] = token
-    event = {"model": prompt.model, "choices": [choice]}
-    return b"data: " + msgspec.json.encode(event) + b"\n\n"
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from sycamoredale.standins import engine
+from sycamoredale.standins import generation
 from tests import processes
 
 KEY = "test-key"
@@ -173,5 +173,5 @@
 
 
 def _expected(prompt: dict[str, object]) -> str:
-    decoded = msgspec.convert(prompt, engine.Prompt)
-    return engine.expected_text(decoded)
+    decoded = msgspec.convert(prompt, generation.Prompt)
+    return generation.expected_text(decoded)
