--- a/Makefile
+++ b/Makefile
@@ -12,13 +12,13 @@
 	touch $@
 
 format: setup
-	$(BIN)/python -m isort --quiet sycamoredale tests benchmarks
-	$(BIN)/python -m black --quiet sycamoredale tests benchmarks
+	$(BIN)/python -m isort --quiet sycamoredale tests benchmarks demo
+	$(BIN)/python -m black --quiet sycamoredale tests benchmarks demo
 
 lint: setup
-	$(BIN)/python -m isort --quiet --check sycamoredale tests benchmarks
-	$(BIN)/python -m black --quiet --check sycamoredale tests benchmarks
-	$(BIN)/python -m flake8 sycamoredale tests benchmarks
+	$(BIN)/python -m isort --quiet --check sycamoredale tests benchmarks demo
+	$(BIN)/python -m black --quiet --check sycamoredale tests benchmarks demo
+	$(BIN)/python -m flake8 sycamoredale tests benchmarks demo
 
 types: setup
 	$(BIN)/python -m mypy
@@ -29,7 +29,7 @@
 test: lint types unit
 
 demo: setup
-	$(BIN)/python -m sycamoredale.standins.demo
+	$(BIN)/python -m demo
 
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Show the whole path on stand-ins and end by itself."""
--- /dev/null
+++ b/demo/client.py
@@ -0,0 +1,114 @@
+"""Call routers as a caller behind the platform's balancer would.
+
+A call goes to the next router when the connection fails or the answer is
+cut short.  That is safe for a chat call, and for a withdrawal because it
+carries an idempotency key.
+"""
+
+import dataclasses
+import http.client
+import itertools
+import json
+import threading
+import typing
+from typing import Final
+
+KEY: Final = "demo-key"
+MAX_TRIES: Final = 6
+CALL_SECONDS: Final = 30.0
+DONE: Final = b"data: [DONE]"
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Hold one whole answer and how many tries it took."""
+
+    status: int
+    body: bytes
+    tries: int
+
+    def text(self) -> str:
+        """Return the text of a streamed chat answer."""
+        events = self.body.decode().split("\n\n")
+        data = (e.removeprefix("data: ") for e in events if e)
+        parts = (json.loads(d) for d in data if d != "[DONE]")
+        return "".join(
+            part["choices"][0]["delta"].get("content") or ""
+            for part in parts
+            if part["choices"]
+        )
+
+
+class Balancer:
+    """Spread calls over routers in turn."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        """Know the routers by address."""
+        self._addresses = itertools.cycle(addresses)
+        self._lock = threading.Lock()
+
+    def chat(self, text: str, tokens: int) -> Answer:
+        """Return a streamed chat answer."""
+        body = {
+            "model": "assistant",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": tokens,
+            "stream": True,
+        }
+        return self._call("/v1/chat/completions", body, {}, _stream_is_whole)
+
+    def withdraw(self, bottle: int, key: str) -> Answer:
+        """Book one withdrawal under an idempotency key."""
+        return self._call(
+            "/services/bookings/withdrawals",
+            {"bottle": bottle},
+            {"Idempotency-Key": key},
+            _booking_is_final,
+        )
+
+    def _call(
+        self,
+        path: str,
+        body: object,
+        headers: dict[str, str],
+        is_final: typing.Callable[[int, bytes], bool],
+    ) -> Answer:
+        answer = Answer(0, b"", 0)
+        for tries in range(1, MAX_TRIES + 1):
+            try:
+                status, data = _post(self._next(), path, body, headers)
+            except (OSError, http.client.HTTPException):
+                continue
+            answer = Answer(status, data, tries)
+            if is_final(status, data):
+                return answer
+        return answer
+
+    def _next(self) -> str:
+        with self._lock:
+            return next(self._addresses)
+
+
+def _post(
+    address: str, path: str, body: object, headers: dict[str, str]
+) -> tuple[int, bytes]:
+    connection = http.client.HTTPConnection(address, timeout=CALL_SECONDS)
+    authorization = {"Authorization": f"Bearer {KEY}"}
+    try:
+        connection.request(
+            "POST", path, json.dumps(body), {**authorization, **headers}
+        )
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+def _stream_is_whole(status: int, body: bytes) -> bool:
+    return status == 200 and DONE in body
+
+
+def _booking_is_final(status: int, body: bytes) -> bool:
+    if status == 200:
+        return True
+    return json.loads(body)["error"]["execution"] != "not_run"
