--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -19,6 +19,7 @@
 from sycamoredale.http import server
 from sycamoredale.platform import instances
 from sycamoredale.standins import records
+from sycamoredale.standins import weights
 
 CHANGE_LOG_LENGTH: Final = 100_000
 
@@ -113,6 +114,7 @@
         self.store: Final = Store(recorder)
         self._recorder = recorder
         self.faults = Faults()
+        self.weights: Final = weights.Weights()
         self.calls: collections.Counter[str] = collections.Counter()
         self._listings: list[tuple[float, list[instances.Instance]]] = []
 
@@ -156,6 +158,10 @@
                 return await self._watch(request, kind)
             case ("GET", ["v1", "instances"]):
                 return messages.json_response(200, self._lagging_list())
+            case ("GET", ["v1", "weights"]):
+                return self.weights.limits()
+            case ("GET", ["v1", "weights", name]):
+                return await self.weights.fetch(name)
         return messages.json_response(404, {"error": "not found"})
 
     def _get(self, kind: str, name: str) -> messages.Response:
@@ -226,6 +232,13 @@
                 self._listings.append((now, listing))
                 self._recorder.write(records.Listed(now, listing))
                 return messages.json_response(200, {})
+            case ("PUT", ["weights"]):
+                self.weights.settings = msgspec.json.decode(
+                    request.body, type=weights.Settings
+                )
+                return messages.json_response(200, {})
+            case ("GET", ["weights"]):
+                return self.weights.usage()
             case ("GET", ["calls"]):
                 return messages.json_response(200, dict(self.calls))
             case ("GET", ["history", kind, name]):
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -281,8 +281,16 @@
     recording: Recording,
 ) -> collections.abc.Iterator[str]:
     running: dict[tuple[str, str], records.Executed] = {}
-    spans = [*recording.of(records.Executed), *recording.of(records.Ended)]
+    spans = [
+        *recording.of(records.Executed),
+        *recording.of(records.Ended),
+        *(o for o in recording.of(Outage) if o.killed),
+    ]
     for record in sorted(spans, key=lambda r: r.time):
+        if isinstance(record, Outage):
+            for key in [k for k in running if k[0] == record.name]:
+                del running[key]
+            continue
         key = (record.instance, record.request_id)
         if isinstance(record, records.Ended):
             running.pop(key, None)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -112,10 +112,16 @@
     def control_address(self) -> str:
         """Return the address that controls the proxy of this fleet."""
         if self._proxy is None:
-            self._proxy = self.start("tests.proxy")
-            _read_address(self._proxy)
+            self.start_proxy()
+        assert self._proxy is not None
         return self._proxy.address
 
+    def start_proxy(self) -> None:
+        """Start the proxy before threads ask for it."""
+        proxy = self.start("tests.proxy")
+        _read_address(proxy)
+        self._proxy = proxy
+
     def _act(
         self, proxied: str, action: str, method: str = "POST"
     ) -> dict[str, int]:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -223,6 +223,19 @@
     assert set().union(*(p for p, _ in BREAKS)) == set(checker.Promise)
 
 
+def test_executions_of_a_killed_engine_end_with_it() -> None:
+    extra = [
+        _executed(92.0, "m9"),
+        checker.Outage(92.5, 93.0, LEADER, killed=True),
+        _obeyed(93.5, LEADER, _order(epoch=2)),
+        _obeyed(93.5, MEMBER, _order(epoch=2)),
+        _executed(94.0, "m10", epoch=2),
+        records.Ended(94.1, LEADER, "r-94.0", True),
+    ]
+    verdicts = checker.check(checker.Recording([*_good(), *extra]))
+    assert not [v for v in verdicts if v.broken]
+
+
 def test_lost_calls_of_a_dead_router_are_no_break() -> None:
     extra = [
         _call(5.0, "m9", checker.Outcome.CUT),
