Test claims against a dictionary and the ledger's own count

The stateful test found that a release over the mark of an earlier attempt wrote nothing, so that a delayed write of the released claim could still arrive; it writes now.

--- a/sycamoredale/requests/claims.py
+++ b/sycamoredale/requests/claims.py
@@ -204,9 +204,7 @@
 @apply.register
 def _(operation: Release, target: OpenShard) -> Verdict:
     known = target.shard.by_name.get(operation.name)
-    if known is not None and known.attempt != operation.claim.attempt:
-        return Verdict(Decision.DONE, known)
-    if known is not None and known.state is not ClaimState.RUNNING:
+    if known is not None and not _is_releasable(known, operation):
         return Verdict(Decision.DONE, known)
     # Written even where no claim stands: the new version of the object
     # defeats a copy of the take that is still on its way.
@@ -224,6 +222,11 @@
     return Verdict(Decision.GRANTED, operation.claim)
 
 
+def _is_releasable(known: Claim, operation: Release) -> bool:
+    same = known.attempt == operation.claim.attempt
+    return known.state is (ClaimState.RUNNING if same else ClaimState.RELEASED)
+
+
 def _ended(known: Claim, outcome: Outcome | None, size_bytes: int) -> Claim:
     if outcome is None:
         return msgspec.structs.replace(known, state=ClaimState.UNKNOWN)
--- a/sycamoredale/requests/once.py
+++ b/sycamoredale/requests/once.py
@@ -150,7 +150,7 @@
     ) -> claims.Take:
         own = self.service.members.own
         claim = claims.Claim(
-            request_digest=_digest(call),
+            request_digest=request_digest(call.upstream),
             attempt=call.id,
             owner=own.id,
             incarnation=own.incarnation,
@@ -200,6 +200,12 @@
         )
 
 
+def request_digest(request: messages.Request) -> str:
+    """Return the digest that tells whether a key is used for one request."""
+    head = msgspec.json.encode([request.method, request.target])
+    return hashlib.sha256(head + b"\0" + request.body).hexdigest()[:32]
+
+
 def _replay(claim: claims.Claim) -> messages.Response:
     outcome = claim.outcome
     if outcome is None or outcome.body is None:
@@ -222,12 +228,6 @@
     )
 
 
-def _digest(call: call_module.Call) -> str:
-    request = call.upstream
-    head = msgspec.json.encode([request.method, request.target])
-    return hashlib.sha256(head + b"\0" + request.body).hexdigest()[:32]
-
-
 async def _join(task: typing.Any) -> messages.Response:
     try:
         response = await task.join()
--- a/sycamoredale/standins/ledger.py
+++ b/sycamoredale/standins/ledger.py
@@ -37,6 +37,9 @@
     executions_by_key: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    executions_by_request: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -49,6 +52,10 @@
                 await exchange.respond(
                     messages.json_response(200, self.executions_by_key)
                 )
+            case ("GET", "/standin/requests"):
+                await exchange.respond(
+                    messages.json_response(200, self.executions_by_request)
+                )
             case ("POST", _):
                 await self._execute(exchange)
             case ("GET", "/inventory"):
@@ -61,7 +68,9 @@
         if self.faults.refuse:
             raise ConnectionResetError("refused on purpose")
         key = request.headers.get(KEY_HEADER)
-        name = key or request.headers.get(REQUEST_ID_HEADER) or ""
+        request_id = request.headers.get(REQUEST_ID_HEADER) or ""
+        name = key or request_id
+        self.executions_by_request[request_id] += 1
         self.executions_by_key[name] += 1
         await curio.sleep(self.faults.delay)
         if self.faults.lose_answers:
--- /dev/null
+++ b/tests/memory_store.py
@@ -0,0 +1,98 @@
+"""Hold objects in memory behind the interface of the object API."""
+
+import collections
+import dataclasses
+import enum
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.platform import objects
+
+
+class Fault(enum.Enum):
+    """Name what happens to one write."""
+
+    NONE = "none"
+    ANSWER_LOST = "answer_lost"
+    WRITE_LOST = "write_lost"
+    WRITE_LATE = "write_late"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """Hold one write that is still on its way."""
+
+    name: str
+    value: bytes
+    expected: int
+
+
+class MemoryStore(objects.ObjectStore):
+    """Keep versions as the object API does, and lose answers on demand."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__(messages.Address("127.0.0.1", 1), client.Pool())
+        self.by_name: dict[str, tuple[int, bytes]] = {}
+        self.faults: collections.deque[Fault] = collections.deque()
+        self.late: list[Write] = []
+        self.down = False
+        self.writes = 0
+        self._version = 0
+
+    async def get(self, kind, name):
+        """Return an object or None."""
+        self._check_up()
+        if name not in self.by_name:
+            return None
+        version, value = self.by_name[name]
+        return objects.StoredObject(name, version, value)
+
+    async def put(self, kind, name, value, expected):
+        """Write under the next fault in line."""
+        self._check_up()
+        self.writes += 1
+        write = Write(name, value, expected)
+        match self.faults.popleft() if self.faults else Fault.NONE:
+            case Fault.NONE:
+                return self._apply(write)
+            case Fault.REFUSED:
+                raise _unavailable()
+            case Fault.ANSWER_LOST:
+                try:
+                    self._apply(write)
+                except errors.VersionConflict:
+                    pass  # The answer that tells of it is lost as well.
+            case Fault.WRITE_LATE:
+                self.late.append(write)
+        raise errors.OutcomeUnknown(error_codes.OUTCOME_UNKNOWN, "lost")
+
+    def deliver_late(self) -> None:
+        """Let the writes arrive that were still on their way."""
+        for write in self.late:
+            try:
+                self._apply(write)
+            except errors.VersionConflict:
+                pass  # Too late.
+        self.late.clear()
+
+    def _apply(self, write: Write) -> int:
+        version, _ = self.by_name.get(write.name, (0, b""))
+        if version != write.expected:
+            raise errors.VersionConflict(
+                error_codes.VERSION_CONFLICT, "another version"
+            )
+        self._version += 1
+        self.by_name[write.name] = (self._version, write.value)
+        return self._version
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise _unavailable()
+
+
+def _unavailable() -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(error_codes.STORE_UNAVAILABLE, "down")
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,260 @@
+"""Test that a non-idempotent call runs at most once, whatever fails."""
+
+import collections.abc
+import concurrent.futures
+import random
+import time
+import urllib.error
+
+import msgspec
+import pytest
+
+from sycamoredale.http import messages
+from sycamoredale.requests import claims
+from sycamoredale.requests import once
+from tests import processes
+from tests import sites
+
+SEEDS = (1, 2)
+
+
+@pytest.fixture(scope="module")
+def site() -> collections.abc.Iterator[sites.Site]:
+    """Run a ledger behind two routers that do not know each other."""
+    with processes.Fleet() as fleet:
+        yield sites.start(fleet, routers=2)
+
+
+@pytest.fixture(autouse=True)
+def no_faults(site: sites.Site) -> collections.abc.Iterator[None]:
+    """Clear all faults after each test."""
+    yield
+    sites.set_faults(site.platform)
+    sites.set_faults(site.ledger)
+
+
+def test_repeated_key_returns_the_recorded_answer(site: sites.Site) -> None:
+    first = site.withdraw("repeated")
+    again = processes.wait_for(lambda: _if_replayed(site, "repeated", 1))
+    assert first.status == again.status == 200
+    assert again.body == first.body
+    assert again.headers["X-Request-Id"] != first.headers["X-Request-Id"]
+    assert site.executions()["repeated"] == 1
+
+
+def test_key_with_another_body_is_refused(site: sites.Site) -> None:
+    site.withdraw("reused", body="one")
+    answer = site.withdraw("reused", router=1, body="two")
+    assert answer.status == 422
+    error = answer.json()["error"]
+    assert error["code"] == "idempotency_key_reused"
+    assert error["execution"] == "not_run"
+    assert site.executions()["reused"] == 1
+
+
+def test_key_in_progress_is_refused_and_says_so(site: sites.Site) -> None:
+    sites.set_faults(site.ledger, delay=1.0)
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        first = pool.submit(site.withdraw, "slow")
+        processes.wait_for(lambda: "slow" in site.executions())
+        same = site.withdraw("slow")
+        other = site.withdraw("slow", router=1)
+    assert same.json()["error"]["code"] == "request_in_progress"
+    assert same.headers["Retry-After"] == "1"
+    # The second router knows nothing of the first.
+    assert other.json()["error"]["code"] == "execution_unknown"
+    assert same.json()["error"]["execution"] == "unknown"
+    assert first.result().status == 200
+    assert site.executions()["slow"] == 1
+
+
+def test_lost_answer_is_unknown_for_ever(site: sites.Site) -> None:
+    sites.set_faults(site.ledger, lose_answers=1)
+    assert _refused(site.withdraw("lost")) == ("endpoint_failed", "unknown")
+    for router in (0, 1):
+        processes.wait_for(
+            lambda: _refused(site.withdraw("lost", router))
+            == ("execution_unknown", "unknown")
+        )
+    assert site.executions()["lost"] == 1
+
+
+def test_claim_of_a_vanished_owner_is_never_run(site: sites.Site) -> None:
+    """Store the claim that a router killed before dispatch leaves."""
+    name = claims.name_of("concierge", "bookings", "left-behind")
+    path = f"/v1/objects/claims/shard-{claims.shard_of(name):03d}"
+    request = messages.Request("POST", "/withdrawals", body=b'"bottle"')
+    digest = once.request_digest(request)
+    claim = claims.Claim(digest, "attempt", "router-gone", 7, time.time())
+    known = processes.request(site.platform.address, "GET", path)
+    by_name, version = {}, 0
+    if known.status == 200:
+        version = known.json()["version"]
+        by_name = known.json()["value"]["by_name"]
+    value = {"by_name": {**by_name, name: msgspec.to_builtins(claim)}}
+    written = processes.request(
+        site.platform.address, "PUT", path, value, {"If-Version": str(version)}
+    )
+    assert written.status == 200
+    for router in (0, 1, 0):
+        refused = _refused(site.withdraw("left-behind", router))
+        assert refused == ("execution_unknown", "unknown")
+    assert "left-behind" not in site.executions()
+
+
+def test_deadline_ends_the_waiting_and_keeps_the_outcome(
+    site: sites.Site,
+) -> None:
+    sites.set_faults(site.ledger, delay=1.0)
+    late = site.withdraw("late", **{"X-Deadline-Seconds": "0.3"})
+    assert _refused(late) == ("deadline_exceeded", "unknown")
+    answer = processes.wait_for(lambda: _if_replayed(site, "late", 0))
+    assert answer.json() == {"booked": "late", "execution": 1}
+    assert site.executions()["late"] == 1
+
+
+def test_store_down_refuses_at_once_and_runs_nothing(
+    site: sites.Site,
+) -> None:
+    sites.set_faults(site.platform, down=True)
+    for _ in range(3):
+        answer = site.withdraw("store-down")
+        assert _refused(answer) == ("claims_unavailable", "not_run")
+        assert answer.headers["Retry-After"] == "2"
+    assert "store-down" not in site.executions()
+    sites.set_faults(site.platform)
+    answer = processes.wait_for(lambda: _if_ok(site, "store-down"))
+    assert answer.json() == {"booked": "store-down", "execution": 1}
+
+
+def test_slow_store_refuses_and_runs_nothing(site: sites.Site) -> None:
+    sites.set_faults(site.platform, delay=3.0)
+    started = time.monotonic()
+    answer = site.withdraw("store-slow", **{"X-Deadline-Seconds": "20"})
+    assert _refused(answer) == ("claims_unavailable", "not_run")
+    assert time.monotonic() - started < 10
+    sites.set_faults(site.platform)
+    assert "store-slow" not in site.executions()
+
+
+def test_lost_answers_of_the_store_run_once(site: sites.Site) -> None:
+    sites.set_faults(site.platform, lose_answers=2)
+    answer = processes.wait_for(lambda: _if_ok(site, "store-lost"))
+    assert answer.json() == {"booked": "store-lost", "execution": 1}
+    assert site.executions()["store-lost"] == 1
+
+
+def test_without_a_key_nothing_is_sent_twice(site: sites.Site) -> None:
+    before = sum(site.executions().values())
+    sites.set_faults(site.ledger, lose_answers=1)
+    assert _refused(site.withdraw(None)) == ("endpoint_failed", "unknown")
+    assert sum(site.executions().values()) == before + 1
+
+
+def test_router_killed_during_execution_leaves_it_unknown() -> None:
+    with processes.Fleet() as fleet:
+        site = sites.start(fleet, routers=2)
+        sites.set_faults(site.ledger, delay=0.5)
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            first = pool.submit(site.withdraw, "cut")
+            processes.wait_for(lambda: "cut" in site.executions())
+            site.routers[0].kill()
+            assert isinstance(first.exception(), ConnectionError)
+        for _ in range(3):
+            refused = _refused(site.withdraw("cut", router=1))
+            assert refused == ("execution_unknown", "unknown")
+        assert site.executions()["cut"] == 1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_schedules_of_faults(seed: int) -> None:
+    """Kill, pause and cut at random; the ledger never counts two."""
+    chance = random.Random(seed)
+    with processes.Fleet() as fleet:
+        site = sites.start(fleet, routers=3)
+        keys = [f"{seed}-{n}" for n in range(60)]
+        with concurrent.futures.ThreadPoolExecutor(12) as pool:
+            callers = [
+                pool.submit(_insist, site, key, random.Random(key))
+                for key in keys
+            ]
+            _disturb(site, chance)
+            answers = dict(zip(keys, [c.result() for c in callers]))
+        _check(site, answers)
+
+
+def _disturb(site: sites.Site, chance: random.Random) -> None:
+    victims = [0, 1]
+    for _ in range(9):
+        match chance.randrange(6):
+            case 0:
+                sites.set_faults(site.platform, lose_answers=3)
+            case 1:
+                sites.set_faults(site.ledger, lose_answers=2, delay=0.05)
+            case 2:
+                sites.set_faults(site.platform, down=True)
+            case 3:
+                paused = chance.choice(site.routers)
+                if paused.popen.poll() is None:
+                    paused.pause()
+                    time.sleep(0.4)
+                    paused.resume()
+            case 4 if victims:
+                site.routers[victims.pop()].kill()
+            case _:
+                sites.set_faults(site.ledger, delay=0.2)
+        time.sleep(0.15)
+        sites.set_faults(site.platform)
+    sites.set_faults(site.ledger)
+
+
+def _insist(
+    site: sites.Site, key: str, chance: random.Random
+) -> list[processes.Answer]:
+    """Repeat a key at changing routers, as an impatient caller does."""
+    time.sleep(chance.random() * 3)
+    answers: list[processes.Answer] = []
+    for _ in range(4):
+        router = chance.randrange(len(site.routers))
+        try:
+            answers.append(site.withdraw(key, router))
+        except (urllib.error.URLError, ConnectionError, TimeoutError):
+            continue
+    return answers
+
+
+def _check(
+    site: sites.Site, answers: dict[str, list[processes.Answer]]
+) -> None:
+    by_key = site.executions()
+    by_request = site.executions("requests")
+    assert set(by_key.values()) == {1}
+    for key, seen in answers.items():
+        whole = {a.body for a in seen if a.status == 200}
+        assert whole <= {b'{"booked":"%s","execution":1}' % key.encode()}
+        if whole:
+            assert by_key[key] == 1
+        for answer in seen:
+            if _refused(answer)[1] == "not_run":
+                assert answer.headers["X-Request-Id"] not in by_request
+    finished = sum(any(a.status == 200 for a in s) for s in answers.values())
+    assert finished > len(answers) / 4
+
+
+def _if_replayed(
+    site: sites.Site, key: str, router: int
+) -> processes.Answer | None:
+    answer = site.withdraw(key, router)
+    return answer if answer.headers.get("Idempotent-Replayed") else None
+
+
+def _if_ok(site: sites.Site, key: str) -> processes.Answer | None:
+    answer = site.withdraw(key)
+    return answer if answer.status == 200 else None
+
+
+def _refused(answer: processes.Answer) -> tuple[str, str]:
+    if answer.status == 200:
+        return ("", "")
+    error = answer.json()["error"]
+    return error["code"], error["execution"]
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,361 @@
+"""Compare claims with a naive dictionary over a store that loses answers."""
+
+import dataclasses
+import itertools
+import json
+
+import curio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale import ids
+from sycamoredale.membership import view
+from sycamoredale.requests import claim_service
+from sycamoredale.requests import claim_writer
+from sycamoredale.requests import claims
+from tests import memory_store
+
+KEYS = ("key-1", "key-2", "key-3")
+SHARD = 0
+SECONDS = 5.0
+FAULTS = strategies.lists(
+    strategies.sampled_from(memory_store.Fault), max_size=3
+)
+
+
+@pytest.fixture(autouse=True)
+def no_waiting(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claim_writer, "RECORD_GATHER_SECONDS", 0.0)
+    monkeypatch.setattr(claim_writer, "RETRY_SECONDS", 0.0)
+    monkeypatch.setattr(claim_writer, "DOWN_SECONDS", 0.0)
+    monkeypatch.setattr(claim_service, "SETTLE_RETRY_SECONDS", 0.0)
+
+
+@dataclasses.dataclass
+class Held:
+    """Hold what the naive dictionary knows under one key."""
+
+    take: claims.Take
+    outcome: claims.Outcome | None = None
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """Run operations through two writers and through a dictionary."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.kernel = curio.Kernel()
+        self.store = memory_store.MemoryStore()
+        self.writers = [
+            claim_writer.ClaimWriter(self.store, lambda: 1e12)
+            for _ in range(2)
+        ]
+        self.held: dict[str, Held] = {}
+        self.granted: dict[str, list[str]] = {}
+        self.numbers = itertools.count()
+
+    def teardown(self) -> None:
+        self.kernel.run(shutdown=True)
+
+    def apply(self, writer, operation):
+        return self.kernel.run(
+            self.writers[writer].apply, SHARD, operation, SECONDS
+        )
+
+    def settle(self, writer, operation):
+        while True:
+            try:
+                return self.apply(writer, operation)
+            except errors.SycamoredaleError:
+                continue
+
+    @stateful.rule(
+        writer=strategies.integers(0, 1),
+        key=strategies.sampled_from(KEYS),
+        digest=strategies.sampled_from(("a", "b")),
+        faults=FAULTS,
+        repeated=strategies.booleans(),
+    )
+    def take(self, writer, key, digest, faults, repeated):
+        operation = _take(key, digest, f"attempt-{next(self.numbers)}")
+        self.store.faults.extend(faults)
+        try:
+            verdict = self.apply(writer, operation)
+        except errors.SycamoredaleError:
+            # Nothing was dispatched, so the claim is given back.
+            self.settle(1 - writer, claims.Release(key, operation.claim))
+            return
+        finally:
+            self.store.faults.clear()
+        assert verdict.decision is self.expected(key, digest)
+        if verdict.decision is claims.Decision.GRANTED:
+            self.held[key] = Held(operation)
+            self.granted.setdefault(key, []).append(operation.claim.attempt)
+            if repeated:
+                again = self.apply(1 - writer, operation)
+                assert again.decision is claims.Decision.GRANTED
+        if verdict.decision is claims.Decision.FINISHED:
+            assert verdict.claim.outcome == self.held[key].outcome
+
+    def expected(self, key, digest):
+        held = self.held.get(key)
+        if held is None:
+            return claims.Decision.GRANTED
+        if held.take.claim.request_digest != digest:
+            return claims.Decision.MISMATCH
+        if held.outcome is None:
+            return claims.Decision.RUNNING
+        return claims.Decision.FINISHED
+
+    @stateful.rule(
+        writer=strategies.integers(0, 1),
+        key=strategies.sampled_from(KEYS),
+        body=strategies.binary(max_size=4),
+        faults=FAULTS,
+    )
+    def record(self, writer, key, body, faults):
+        held = self.held.get(key)
+        if held is None or held.outcome is not None:
+            return
+        outcome = claims.keep(200, (), body)
+        attempt = held.take.claim.attempt
+        self.store.faults.extend(faults)
+        self.settle(writer, claims.Record(key, attempt, outcome))
+        self.store.faults.clear()
+        held.outcome = outcome
+
+    @stateful.rule(
+        writer=strategies.integers(0, 1),
+        key=strategies.sampled_from(KEYS),
+        faults=FAULTS,
+    )
+    def release(self, writer, key, faults):
+        held = self.held.get(key)
+        if held is None or held.outcome is not None:
+            return
+        self.store.faults.extend(faults)
+        self.settle(writer, claims.Release(key, held.take.claim))
+        self.store.faults.clear()
+        del self.held[key]
+        # A copy of the take that arrives now must not bring it back.
+        late = self.apply(1 - writer, held.take)
+        assert late.decision is not claims.Decision.GRANTED
+
+    @stateful.rule()
+    def deliver_late_writes(self):
+        self.store.deliver_late()
+
+    @stateful.invariant()
+    def the_store_holds_what_the_dictionary_holds(self):
+        if not self.store.by_name:
+            return
+        ((_, value),) = self.store.by_name.values()
+        by_name = json.loads(value).get("by_name", {})
+        open_names = {
+            name: claim["attempt"]
+            for name, claim in by_name.items()
+            if claim.get("state") != "released"
+        }
+        assert open_names == {
+            key: held.take.claim.attempt for key, held in self.held.items()
+        }
+
+
+def test_claims_agree_with_a_dictionary() -> None:
+    stateful.run_state_machine_as_test(
+        ClaimsMachine,
+        settings=hypothesis.settings(
+            max_examples=400, stateful_step_count=25, deadline=None
+        ),
+    )
+
+
+class LinkedPeers:
+    """Deliver calls to peers in this process, or fail them."""
+
+    def __init__(self) -> None:
+        self.service_by_id: dict[str, claim_service.ClaimService] = {}
+        self.broken = False
+        self.calls = 0
+
+    async def call(self, peer, path, body, seconds):
+        assert path == claim_service.PEER_PATH
+        self.calls += 1
+        answer = await self.service_by_id[peer].answer_peer(body)
+        if self.broken:
+            raise errors.ConnectionBroken(
+                error_codes.CONNECTION_BROKEN, "the answer is lost"
+            )
+        return answer
+
+
+def test_routers_send_claims_to_the_home_router() -> None:
+    store, peers, services = _two_routers()
+    name = next(n for n in _names() if _home(n, services[0]) == "router-1")
+
+    async def scenario():
+        return [
+            (await service.take(_take(name, "a", f"by-{number}"))).decision
+            for number, service in enumerate(services)
+        ]
+
+    assert curio.run(scenario) == [
+        claims.Decision.GRANTED,
+        claims.Decision.RUNNING,
+    ]
+    assert peers.calls == 1
+    assert store.writes == 1
+
+
+def test_lost_answer_of_the_home_router_grants_once() -> None:
+    store, peers, services = _two_routers()
+    peers.broken = True
+    name = next(n for n in _names() if _home(n, services[0]) == "router-0")
+
+    async def scenario():
+        first = await services[1].take(_take(name, "a", "one"))
+        second = await services[1].take(_take(name, "a", "two"))
+        return first.decision, second.decision
+
+    assert curio.run(scenario) == (
+        claims.Decision.GRANTED,
+        claims.Decision.RUNNING,
+    )
+    assert store.writes == 1
+
+
+def test_two_homes_grant_once() -> None:
+    store = memory_store.MemoryStore()
+    services = [_service(store, LinkedPeers(), n, [n]) for n in range(8)]
+    name = next(_names())
+
+    async def scenario():
+        tasks = [
+            await curio.spawn(s.take, _take(name, "a", s.members.own.id))
+            for s in services
+        ]
+        return [(await task.join()).decision for task in tasks]
+
+    decisions = curio.run(scenario)
+    assert decisions.count(claims.Decision.GRANTED) == 1
+    assert decisions.count(claims.Decision.RUNNING) == 7
+
+
+def test_store_down_is_told_at_once_and_claims_nothing() -> None:
+    store, _, services = _two_routers()
+    store.down = True
+    name = next(_names())
+
+    async def scenario():
+        with pytest.raises(errors.SycamoredaleError):
+            await services[0].take(_take(name, "a", "one"))
+        store.down = False
+        await _until(lambda: services[0].unsettled == 0)
+        return await services[0].take(_take(name, "a", "two"))
+
+    assert curio.run(scenario).decision is claims.Decision.GRANTED
+
+
+def test_claim_with_unknown_outcome_is_given_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claim_writer, "MAX_TRIES", 1)
+    store, _, services = _two_routers()
+    store.faults.append(memory_store.Fault.ANSWER_LOST)
+    name = next(n for n in _names() if _home(n, services[0]) == "router-0")
+
+    async def scenario():
+        with pytest.raises(errors.OutcomeUnknown):
+            await services[0].take(_take(name, "a", "one"))
+        await _until(lambda: services[0].unsettled == 0)
+        return await services[0].take(_take(name, "a", "two"))
+
+    assert curio.run(scenario).decision is claims.Decision.GRANTED
+
+
+def test_concurrent_claims_share_writes() -> None:
+    store = memory_store.MemoryStore()
+    service = _service(store, LinkedPeers(), 0, [0])
+    names = [
+        n
+        for n in itertools.islice(_names(), 64 * 40)
+        if claims.shard_of(n) == SHARD
+    ]
+
+    async def scenario():
+        tasks = [
+            await curio.spawn(service.take, _take(name, "a", name))
+            for name in names
+        ]
+        return [(await task.join()).decision for task in tasks]
+
+    assert set(curio.run(scenario)) == {claims.Decision.GRANTED}
+    assert len(names) > 20
+    assert store.writes <= 2
+
+
+def test_a_full_shard_takes_no_claim_but_keeps_outcomes() -> None:
+    full = claims.OpenShard(claims.Shard(), claims.TAKE_LIMIT_BYTES + 1)
+    verdict = claims.apply(_take("new", "a", "one"), full)
+    assert verdict.decision is claims.Decision.FULL
+    full.shard.by_name["old"] = _take("old", "a", "two").claim
+    full.size_bytes = claims.RECORD_LIMIT_BYTES + 1
+    outcome = claims.keep(201, (), b"body")
+    verdict = claims.apply(claims.Record("old", "two", outcome), full)
+    assert verdict.claim.state is claims.ClaimState.FINISHED
+    assert verdict.claim.outcome == claims.Outcome(201)
+
+
+def test_claims_outlive_the_retention_by_a_margin() -> None:
+    shard = claims.Shard({"old": _take("old", "a", "one").claim})
+    target = claims.OpenShard(shard, 0)
+    target.expire(1000.0 + 86400 * 1.05, 86400.0)
+    assert "old" in shard.by_name
+    target.expire(1000.0 + 86400 * 1.11, 86400.0)
+    assert not shard.by_name
+
+
+def _take(name, digest, attempt):
+    claim = claims.Claim(digest, attempt, "router-1", 0, 1000.0)
+    return claims.Take(name, claim)
+
+
+def _names():
+    for number in itertools.count():
+        yield claims.name_of("org", "bookings", ids.IdempotencyKey(number))
+
+
+def _home(name, service):
+    home = claim_service.home_of(claims.shard_of(name), service.members)
+    return home.id
+
+
+def _two_routers():
+    store = memory_store.MemoryStore()
+    peers = LinkedPeers()
+    services = [_service(store, peers, n, [0, 1]) for n in range(2)]
+    for service in services:
+        peers.service_by_id[service.members.own.id] = service
+    return store, peers, services
+
+
+def _service(store, peers, own, known):
+    routers = [
+        view.Peer(f"router-{n}", "", "kochi", view.Role.ROUTER, 0)
+        for n in known
+    ]
+    members = view.MembershipView(
+        next(r for r in routers if r.id == f"router-{own}")
+    )
+    members.by_id.update({r.id: r for r in routers})
+    writer = claim_writer.ClaimWriter(store, lambda: 1e12)
+    return claim_service.ClaimService(writer, members, peers)
+
+
+async def _until(condition):
+    while not condition():
+        await curio.sleep(0.01)
