Judge endpoints by what each router sees of them

Cause: a dead group left routing only when the lagging instance list said so, and each router had to find out alone. Health takes an endpoint out after one failed exchange, tells peers by notice and lets one idempotent request probe it. Endpoints that are slow against their peers, or that jump above their own past, are found from first-token times.

Ruled out: taking endpoints out after several failures (each costs a call) and telling peers without bound (one router that is cut off would empty routing everywhere); a router that sees nearly all endpoints fail suspects itself, and a peer is believed about half of the endpoints at most.

--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -9,6 +9,7 @@
 import curio
 
 from sycamoredale.admission import admission
+from sycamoredale import clock
 from sycamoredale.config import store as config_store
 from sycamoredale.daemons import callers
 from sycamoredale.daemons import followers
@@ -25,6 +26,7 @@
 from sycamoredale.platform import objects
 from sycamoredale.requests import dispatch
 from sycamoredale.routing import choice
+from sycamoredale.routing import health
 from sycamoredale.routing import table
 
 LOG: Final = logs.get("router")
@@ -47,7 +49,12 @@
             self._store, self._table
         )
         self._relay = relay.Relay(common.daemon)
-        chooser = choice.Chooser(self._table, common.zone)
+        endpoint_health = health.Health(self._relay)
+        self._relay.subscribe(
+            relay.Topic.ENDPOINT,
+            lambda notice: endpoint_health.hear(notice, clock.monotonic()),
+        )
+        chooser = choice.Chooser(self._table, common.zone, endpoint_health)
         callers_service = callers.CallerService(
             configuration=lambda: self._configuration.accepted.configuration,
             health=self._health,
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -20,6 +20,7 @@
 from sycamoredale.observability import logs
 from sycamoredale.requests import call as call_module
 from sycamoredale.routing import choice
+from sycamoredale.routing import health
 from sycamoredale.routing import table
 
 MAX_ATTEMPTS: Final = 3
@@ -64,8 +65,10 @@
                 return
             except errors.ConnectionFailed as error:
                 LOG.info("attempt_not_run", reason=error.message)
+                self._observe(endpoint, health.Outcome.UNREACHABLE)
             except errors.ConnectionBroken as error:
                 LOG.info("attempt_broken", reason=error.message)
+                self._observe(endpoint, health.Outcome.BROKEN)
                 execution = error_codes.Execution.UNKNOWN
                 if exchange.started or not call.idempotent:
                     break
@@ -87,6 +90,7 @@
             _check_request_id(call, head, endpoint)
             await _relay(connection, head, call, exchange)
             complete = True
+            self._observe(endpoint, health.Outcome.ANSWERED)
         finally:
             endpoint.in_flight -= 1
             if connection is not None:
@@ -95,6 +99,13 @@
                 else:
                     await connection.close()
 
+    def _observe(
+        self, endpoint: table.Endpoint, outcome: health.Outcome
+    ) -> None:
+        self.chooser.health.observe(
+            endpoint.id, outcome, None, None, clock.monotonic()
+        )
+
 
 async def _relay(
     connection: client.Connection,
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -22,16 +22,26 @@
     version: ids.VersionName
     zone: ids.ZoneName
     address: messages.Address
+    domain: ids.DomainName = ids.DomainName("")
+    group: ids.GroupId = ids.GroupId("")
+    epoch: ids.Epoch = ids.Epoch(0)
     in_flight: int = 0
 
 
+OnChange = collections.abc.Callable[[], None]
+
+
 @dataclasses.dataclass
 class RoutingTable:
-    """Hold the endpoints by id."""
+    """Hold the endpoints by id and call back when they change."""
 
     by_id: dict[ids.EndpointId, Endpoint] = dataclasses.field(
         default_factory=dict
     )
+    on_change: list[OnChange] = dataclasses.field(default_factory=list)
+    _by_service: dict[ids.ServiceName, list[Endpoint]] = dataclasses.field(
+        default_factory=dict
+    )
     _by_domain: dict[ids.DomainName, groups_model.Assignment] = (
         dataclasses.field(default_factory=dict)
     )
@@ -46,6 +56,7 @@
             for zone in configuration.zones
             if zone.state is config_model.ZoneState.OUT
         )
+        self._changed()
 
     def apply_assignment(self, assignment: groups_model.Assignment) -> None:
         """Replace the groups of one domain, unless they are older."""
@@ -59,27 +70,40 @@
         self, service: ids.ServiceName
     ) -> collections.abc.Iterator[Endpoint]:
         """Yield the endpoints of a service that may take new work."""
-        for endpoint in self.by_id.values():
-            if endpoint.service != service:
-                continue
+        for endpoint in self._by_service.get(service, ()):
             if endpoint.zone not in self._zones_out:
                 yield endpoint
 
+    def is_zone_out(self, zone: ids.ZoneName) -> bool:
+        """Tell if operators have taken the availability zone out."""
+        return zone in self._zones_out
+
     def _rebuild(self) -> None:
         known = self.by_id
         self.by_id = {}
         for assignment in self._by_domain.values():
             for group in assignment.groups:
                 if group.state is groups_model.GroupState.READY:
-                    endpoint = _endpoint(group)
+                    endpoint = _endpoint(assignment.domain, group)
                     self.by_id[endpoint.id] = known.get(endpoint.id, endpoint)
+        self._by_service = {}
+        for endpoint in self.by_id.values():
+            self._by_service.setdefault(endpoint.service, []).append(endpoint)
+        self._changed()
+
+    def _changed(self) -> None:
+        for callback in self.on_change:
+            callback()
 
 
-def _endpoint(group: groups_model.Group) -> Endpoint:
+def _endpoint(domain: ids.DomainName, group: groups_model.Group) -> Endpoint:
     return Endpoint(
         id=ids.EndpointId(f"{group.id}@{group.epoch}"),
         service=group.service,
         version=group.version,
         zone=group.zone,
         address=messages.parse_address(group.members[0].address),
+        domain=domain,
+        group=group.id,
+        epoch=group.epoch,
     )
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,158 @@
+"""Test what a router concludes from its own exchanges."""
+
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale import ids
+from sycamoredale.membership import relay
+from sycamoredale.routing import health
+
+ENDPOINTS = [ids.EndpointId(f"e{n}") for n in range(8)]
+SERVICE = ids.ServiceName("assistant")
+
+
+class _Notices(relay.Relay):
+    """Keep what is published."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__(ids.DaemonId("router-1"))
+        self.published: list[relay.Notice] = []
+
+    def publish(
+        self, topic: relay.Topic, key: str, value: object
+    ) -> relay.Notice:
+        """Keep the notice."""
+        notice = super().publish(topic, key, value)
+        self.published.append(notice)
+        return notice
+
+
+def _health() -> tuple[health.Health, _Notices]:
+    notices = _Notices()
+    judged = health.Health(notices)
+    judged.follow({e: SERVICE for e in ENDPOINTS})
+    return judged, notices
+
+
+def _time(seconds: float) -> clock.MonotonicTime:
+    return clock.MonotonicTime(seconds)
+
+
+def _observe(
+    judged: health.Health,
+    number: int,
+    outcome: health.Outcome,
+    now: float,
+    first_token: float | None = None,
+) -> None:
+    judged.observe(ENDPOINTS[number], outcome, first_token, None, _time(now))
+
+
+def test_out_at_once_and_back_by_one_probe() -> None:
+    judged, notices = _health()
+    _observe(judged, 0, health.Outcome.BROKEN, 10.0)
+    assert not judged.may_take(ENDPOINTS[0], True, _time(10.1))
+    assert [n.key for n in notices.published] == ["e0"]
+    assert judged.may_take(ENDPOINTS[0], True, _time(10.6))
+    assert not judged.may_take(ENDPOINTS[0], False, _time(10.6))
+    judged.started(ENDPOINTS[0], _time(10.6))
+    assert not judged.may_take(ENDPOINTS[0], True, _time(10.7))
+    _observe(judged, 0, health.Outcome.ANSWERED, 10.8)
+    assert judged.may_take(ENDPOINTS[0], False, _time(10.8))
+
+
+def test_probe_delay_grows_with_each_failure() -> None:
+    judged, _ = _health()
+    _observe(judged, 0, health.Outcome.SILENT, 0.0)
+    _observe(judged, 0, health.Outcome.SILENT, 0.5)
+    assert not judged.may_take(ENDPOINTS[0], True, _time(1.4))
+    assert judged.may_take(ENDPOINTS[0], True, _time(1.5))
+
+
+def test_notice_of_a_peer_takes_an_endpoint_out() -> None:
+    seer, notices = _health()
+    hearer, _ = _health()
+    _observe(seer, 0, health.Outcome.UNREACHABLE, 0.0)
+    hearer.hear(notices.published[0], _time(0.1))
+    assert not hearer.may_take(ENDPOINTS[0], True, _time(0.2))
+
+
+def test_router_cut_off_does_not_condemn_all_endpoints() -> None:
+    judged, notices = _health()
+    for number in range(len(ENDPOINTS)):
+        _observe(judged, number, health.Outcome.UNREACHABLE, 1.0)
+    assert judged.suspects_itself(_time(1.0))
+    assert len(notices.published) < health.SELF_SUSPICION_ENDPOINTS
+
+
+def test_failures_among_answers_are_told() -> None:
+    judged, notices = _health()
+    for number in range(4, 8):
+        _observe(judged, number, health.Outcome.ANSWERED, 1.0)
+    for number in range(4):
+        _observe(judged, number, health.Outcome.UNREACHABLE, 1.0)
+    assert not judged.suspects_itself(_time(1.0))
+    assert len(notices.published) == 4
+
+
+def test_one_peer_is_believed_about_a_share_only() -> None:
+    judged, _ = _health()
+    payload = msgspec.Raw(
+        msgspec.json.encode(
+            health.Report(health.State.OUT, health.Outcome.BROKEN)
+        )
+    )
+    for endpoint in ENDPOINTS:
+        judged.hear(
+            relay.Notice(
+                relay.Topic.ENDPOINT,
+                endpoint,
+                ids.DaemonId("router-2"),
+                1,
+                payload,
+            ),
+            _time(0.0),
+        )
+    taken = [e for e in ENDPOINTS if judged.may_take(e, True, _time(0.1))]
+    assert len(taken) == len(ENDPOINTS) // 2
+
+
+def _answer_all(
+    judged: health.Health, rounds: int, seconds: list[float]
+) -> None:
+    for number in range(rounds):
+        for index, first in enumerate(seconds):
+            _observe(
+                judged, index, health.Outcome.ANSWERED, number * 1.0, first
+            )
+
+
+def test_endpoint_that_turns_cold_again_is_noticed() -> None:
+    judged, _ = _health()
+    cold: list[ids.EndpointId] = []
+    judged.on_cold_again = lambda endpoint, now: cold.append(endpoint)
+    _answer_all(judged, 20, [0.05] * 8)
+    for step in range(3):
+        _observe(judged, 0, health.Outcome.ANSWERED, 21.0 + step, 0.6)
+    assert ENDPOINTS[0] in cold
+    assert set(cold) == {ENDPOINTS[0]}
+
+
+def test_load_that_slows_all_alike_turns_none_cold() -> None:
+    judged, _ = _health()
+    cold: list[ids.EndpointId] = []
+    judged.on_cold_again = lambda endpoint, now: cold.append(endpoint)
+    _answer_all(judged, 20, [0.05] * 8)
+    for step in range(10):
+        for number in range(8):
+            now = 21.0 + step + number / 8
+            _observe(judged, number, health.Outcome.ANSWERED, now, 0.5)
+    assert cold == []
+
+
+def test_straggler_is_slower_than_its_peers() -> None:
+    judged, _ = _health()
+    _answer_all(judged, 10, [0.05] * 7 + [0.4])
+    assert judged.latencies.slowness(ENDPOINTS[7], _time(20.0)) > 4
+    assert judged.latencies.slowness(ENDPOINTS[0], _time(20.0)) == 1
