Hold the load of cold endpoints to slots over all routers

Cause: an endpoint in cold start falls over above its limit, and each router counted its own requests only. Slots are now leased by conditional update of one object a domain; the holder counts its lease from before the write, everyone else from after the first read that showed it plus the longest request. Endpoints are cold until their engines report ready and they have served some calls; the record of that grows in rounds, so a warm endpoint that turns cold again falls back to slots everywhere.

Ruled out: dividing the limit by the number of routers (they disagree about it, and a limit of two does not divide by eight) and a fixed home router (it may have no calls for the service).

--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -15,6 +15,7 @@
 from sycamoredale.daemons import followers
 from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
+from sycamoredale.engines import reports
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
@@ -26,8 +27,11 @@
 from sycamoredale.platform import objects
 from sycamoredale.requests import dispatch
 from sycamoredale.routing import choice
+from sycamoredale.routing import cold_keeper
+from sycamoredale.routing import cold_start
 from sycamoredale.routing import health
 from sycamoredale.routing import table
+from sycamoredale.routing import warmth_store
 
 LOG: Final = logs.get("router")
 
@@ -54,11 +58,26 @@
             relay.Topic.ENDPOINT,
             lambda notice: endpoint_health.hear(notice, clock.monotonic()),
         )
-        chooser = choice.Chooser(self._table, common.zone, endpoint_health)
+        cold = cold_start.ColdStart(self._table)
+        self._warmth = warmth_store.WarmthStore(
+            cold, self._store, self._relay, common.zone
+        )
+        self._cold_keeper = cold_keeper.ColdKeeper(
+            cold,
+            self._store,
+            reports.EngineReports(self._pool),
+            self._warmth,
+            lambda: self._configuration.accepted.configuration,
+            common.daemon,
+            common.zone,
+        )
+        chooser = choice.Chooser(
+            self._table, common.zone, endpoint_health, cold
+        )
         callers_service = callers.CallerService(
             configuration=lambda: self._configuration.accepted.configuration,
             health=self._health,
-            admission=admission.Admission(),
+            admission=admission.Admission(chooser),
             dispatcher=dispatch.Dispatcher(chooser, client.Pool()),
         )
         self._server = server.Server(callers_service.handle)
@@ -69,6 +88,8 @@
         await self._start_peer_service()
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
+        await curio.spawn(self._warmth.run, daemon=True)
+        await curio.spawn(self._cold_keeper.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
--- /dev/null
+++ b/sycamoredale/engines/reports.py
@@ -0,0 +1,82 @@
+"""Adapt the load reports and cache events of engines.
+
+Reports lag: a count may be seconds old.  Cache events are numbered; some
+arrive late and some never, so a gap in the numbers means that what was
+known of the engine's cache may be wrong.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from sycamoredale.engines import model_engine
+from sycamoredale.engines import orders
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+
+RUNNING_HEADER: Final = "X-Load-Running"
+WAITING_HEADER: Final = "X-Load-Waiting"
+CALL_SECONDS: Final = 1.0
+BLOCK_BYTES: Final = 256
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """Report prefix blocks that an engine has stored and dropped."""
+
+    sequence: int
+    stored: list[int] = []
+    dropped: list[int] = []
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Hold how many requests an engine said that it had."""
+
+    running: int
+    waiting: int
+
+
+@dataclasses.dataclass
+class EngineReports:
+    """Ask engines for their reports."""
+
+    pool: client.Pool
+
+    async def states(
+        self, addresses: collections.abc.Iterable[messages.Address]
+    ) -> collections.abc.AsyncIterator[orders.EngineState]:
+        """Yield the states of a group's engines; raise Failed or Broken."""
+        engines = model_engine.ModelEngines(self.pool)
+        for address in addresses:
+            yield await engines.state(address)
+
+    async def cache_events(
+        self, address: messages.Address, after: int
+    ) -> list[CacheEvent]:
+        """Return the events after a number; raise Failed or Broken."""
+        request = messages.Request("GET", f"/v1/cache-events?after={after}")
+        response = await self.pool.call(address, request, CALL_SECONDS)
+        try:
+            return msgspec.json.decode(response.body, type=list[CacheEvent])
+        except msgspec.DecodeError as error:
+            raise errors.ConnectionBroken(
+                error_codes.CONNECTION_BROKEN,
+                f"engine {address} sent malformed cache events: {error}",
+            ) from error
+
+
+def load_on_answer(headers: messages.Headers) -> Load | None:
+    """Return the load that an answer carries, None if it carries none."""
+    running = headers.get(RUNNING_HEADER)
+    waiting = headers.get(WAITING_HEADER)
+    if running is None or not running.isdecimal():
+        return None
+    return Load(int(running), _count(waiting))
+
+
+def _count(text: str | None) -> int:
+    return int(text) if text is not None and text.isdecimal() else 0
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -88,6 +88,10 @@
     "connection_broken", 502, "the connection broke during an exchange"
 )
 
+COLD_SLOT_LOST: Final = _define(
+    "cold_slot_lost", 503, "the router holds no slot of a cold endpoint"
+)
+
 # Orders to engines.
 STALE_ORDER: Final = _define(
     "stale_order", 409, "the engine refused an order with an old epoch"
--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -31,6 +31,10 @@
     """Report that no byte of a request left, for want of a connection."""
 
 
+class SlotLost(ConnectionFailed):
+    """Report that no byte left, for want of a cold start slot."""
+
+
 class ConnectionBroken(SycamoredaleError):
     """Report that a connection failed after bytes may have left."""
 
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -63,6 +63,8 @@
             try:
                 await self._run_on(endpoint, call, exchange)
                 return
+            except errors.SlotLost as error:
+                LOG.info("attempt_not_run", reason=error.message)
             except errors.ConnectionFailed as error:
                 LOG.info("attempt_not_run", reason=error.message)
                 self._observe(endpoint, health.Outcome.UNREACHABLE)
@@ -83,8 +85,11 @@
         endpoint.in_flight += 1
         connection = None
         complete = False
+        sent = False
         try:
             connection = await self.pool.acquire(endpoint.address)
+            self.chooser.confirm(endpoint, clock.monotonic())
+            sent = True
             await connection.send(call.upstream)
             head = await connection.read_head()
             _check_request_id(call, head, endpoint)
@@ -93,6 +98,8 @@
             self._observe(endpoint, health.Outcome.ANSWERED)
         finally:
             endpoint.in_flight -= 1
+            if sent:
+                self.chooser.finished(endpoint, complete, clock.monotonic())
             if connection is not None:
                 if complete:
                     await self.pool.release(connection)
--- a/sycamoredale/routing/choice.py
+++ b/sycamoredale/routing/choice.py
@@ -4,8 +4,11 @@
 import dataclasses
 
 from sycamoredale import clock
+from sycamoredale import error_codes
+from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.requests import call as call_module
+from sycamoredale.routing import cold_start
 from sycamoredale.routing import health as health_module
 from sycamoredale.routing import table
 
@@ -17,9 +20,11 @@
     routing_table: table.RoutingTable
     own_zone: ids.ZoneName
     health: health_module.Health
+    cold: cold_start.ColdStart
 
     def __post_init__(self) -> None:
         """Follow the changes of the table."""
+        self.health.on_cold_again = self.cold.cold_again
         self.routing_table.on_change.append(self._follow_table)
 
     def choose(
@@ -29,14 +34,9 @@
         now: clock.MonotonicTime,
     ) -> table.Endpoint | None:
         """Return the endpoint for the call, or None if there is none."""
-        candidates = self.routing_table.candidates(call.service.name)
+        self.cold.demand(call.service.name, now)
         endpoint = min(
-            (
-                c
-                for c in candidates
-                if c.id not in excluded
-                and self.health.may_take(c.id, call.idempotent, now)
-            ),
+            (c for c in self._usable(call, now) if c.id not in excluded),
             key=lambda c: (c.in_flight, c.zone != self.own_zone, c.id),
             default=None,
         )
@@ -44,7 +44,50 @@
             self.health.started(endpoint.id, now)
         return endpoint
 
+    def has_room(
+        self, call: call_module.Call, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell if an endpoint could take the call now."""
+        self.cold.demand(call.service.name, now)
+        return any(True for _ in self._usable(call, now))
+
+    def _usable(
+        self, call: call_module.Call, now: clock.MonotonicTime
+    ) -> collections.abc.Iterator[table.Endpoint]:
+        for endpoint in self.routing_table.candidates(call.service.name):
+            if not self.health.may_take(endpoint.id, call.idempotent, now):
+                continue
+            room = self.cold.room(
+                endpoint, call.service, call.deadline_seconds, now
+            )
+            if room > 0:
+                yield endpoint
+
+    def confirm(
+        self, endpoint: table.Endpoint, now: clock.MonotonicTime
+    ) -> None:
+        """Raise SlotLost if a request may no longer leave."""
+        if not self.cold.confirm(endpoint.id, now):
+            raise errors.SlotLost(
+                error_codes.COLD_SLOT_LOST,
+                f"endpoint {endpoint.id} is in cold start and this router "
+                "holds no slot of it any more",
+            )
+
+    def finished(
+        self,
+        endpoint: table.Endpoint,
+        complete: bool,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Note the end of an exchange whose request has left."""
+        if complete:
+            self.cold.served_well(endpoint.id)
+        else:
+            self.cold.abandoned(endpoint.id, now)
+
     def _follow_table(self) -> None:
+        self.cold.follow_table(clock.monotonic())
         self.health.follow(
             {e.id: e.service for e in self.routing_table.by_id.values()}
         )
--- /dev/null
+++ b/sycamoredale/routing/cold_keeper.py
@@ -0,0 +1,244 @@
+"""Keep leases on the slots of cold endpoints and learn when they are warm.
+
+One task for each fabric domain renews the leases there and polls the
+engines.  It exists only while calls want cold endpoints of the domain.
+While the object API is down the leases lapse; the poll goes on, since an
+engine that reports ready is warm whoever holds the slots.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+from typing import Final
+import uuid
+
+import curio
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.engines import orders
+from sycamoredale.engines import reports
+from sycamoredale import errors
+from sycamoredale import ids
+from sycamoredale.observability import logs
+from sycamoredale.platform import objects
+from sycamoredale.routing import cold_slots
+from sycamoredale.routing import cold_start
+from sycamoredale.routing import table
+from sycamoredale.routing import warmth_store
+
+TICK_SECONDS: Final = 0.1
+POLL_SECONDS: Final = 1.0
+OTHER_ZONE_SECONDS: Final = 5.0
+MAX_DOMAINS: Final = 16
+MAX_JITTER_SECONDS: Final = 0.1
+LOG: Final = logs.get("routing.cold")
+
+
+class _Held(enum.Enum):
+    SOME = "some"
+    NONE = "none"
+    UNKNOWN = "unknown"
+
+
+RENEW_SECONDS_BY_HELD: Final = {
+    _Held.SOME: cold_slots.LEASE_SECONDS / 3,
+    _Held.NONE: 3.0,
+    _Held.UNKNOWN: 1.0,
+}
+STEP_SECONDS_BY_HELD: Final = {
+    _Held.SOME: 0.5,
+    _Held.NONE: 0.5,
+    _Held.UNKNOWN: 2.0,
+}
+
+CurrentConfiguration = collections.abc.Callable[[], config_model.Configuration]
+
+
+@dataclasses.dataclass
+class ColdKeeper:
+    """Run the tasks of the domains that have wanted cold endpoints."""
+
+    cold: cold_start.ColdStart
+    store: objects.ObjectStore
+    engine_reports: reports.EngineReports
+    warmth_store: warmth_store.WarmthStore
+    configuration: CurrentConfiguration
+    daemon: ids.DaemonId
+    own_zone: ids.ZoneName
+    _domains: set[ids.DomainName] = dataclasses.field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        """Name this run of the process."""
+        self._holder = cold_slots.Holder(f"{self.daemon}/{uuid.uuid4().hex}")
+        self._observer = cold_slots.LeaseObserver()
+        self._random = random.Random(self._holder)
+
+    async def run(self) -> None:
+        """Start and end tasks of domains for ever."""
+        while True:
+            await curio.sleep(TICK_SECONDS)
+            for domain in self._wanted_domains(clock.monotonic()):
+                if len(self._domains) >= MAX_DOMAINS:
+                    break
+                self._domains.add(domain)
+                await curio.spawn(self._keep, domain, daemon=True)
+
+    def _wanted_domains(self, now: clock.MonotonicTime) -> set[ids.DomainName]:
+        return {
+            endpoint.domain
+            for endpoint in self.cold.wanted_endpoints(now)
+            if self._is_ours(endpoint, now)
+        } - self._domains
+
+    def _is_ours(
+        self, endpoint: table.Endpoint, now: clock.MonotonicTime
+    ) -> bool:
+        if endpoint.zone == self.own_zone:
+            return True
+        since = self.cold.by_id[endpoint.id].since
+        return now - since >= OTHER_ZONE_SECONDS
+
+    async def _keep(self, domain: ids.DomainName) -> None:
+        try:
+            await curio.sleep(self._random.uniform(0, MAX_JITTER_SECONDS))
+            await self._keep_while_wanted(domain)
+        finally:
+            self._domains.discard(domain)
+
+    async def _keep_while_wanted(self, domain: ids.DomainName) -> None:
+        held = _Held.NONE
+        renew_at = clock.MonotonicTime(0)
+        while wanted := self.cold.wanted(domain, clock.monotonic()):
+            if clock.monotonic() >= renew_at:
+                held = await self._renew(domain)
+                renew_at = clock.MonotonicTime(
+                    clock.monotonic() + RENEW_SECONDS_BY_HELD[held]
+                )
+            if held is not _Held.NONE:
+                async with curio.TaskGroup() as group:
+                    for endpoint in wanted:
+                        await group.spawn(self._poll, endpoint)
+            await curio.sleep(STEP_SECONDS_BY_HELD[held])
+        await self._renew(domain)
+
+    async def _renew(self, domain: ids.DomainName) -> "_Held":
+        try:
+            stored = await self.store.get(cold_slots.KIND, domain)
+        except errors.StoreUnavailable as error:
+            LOG.warning("cold_slots_not_read", reason=error.message)
+            return _Held.UNKNOWN
+        now = clock.monotonic()
+        current, version = _decode(domain, stored)
+        self._observer.observe(current, now)
+        wishes = list(self._wishes(domain, now))
+        leased = {x.endpoint for x in current.leases}
+        idle = self.cold.idle(leased, now) - {x.endpoint for x in wishes}
+        planned = cold_slots.renew(
+            current,
+            self._holder,
+            wishes,
+            idle,
+            lambda lease: self._observer.is_over(lease, now),
+        )
+        if planned.leases == current.leases:
+            return _Held.NONE
+        self.cold.give_up(idle)
+        return await self._write(planned, version)
+
+    async def _write(
+        self, planned: cold_slots.DomainSlots, version: ids.ObjectVersion
+    ) -> "_Held":
+        marked = msgspec.structs.replace(
+            planned, write_id=ids.WriteId(uuid.uuid4().hex)
+        )
+        before_write = clock.monotonic()
+        try:
+            await self.store.put(
+                cold_slots.KIND,
+                planned.domain,
+                msgspec.json.encode(marked),
+                version,
+            )
+        except errors.VersionConflict:
+            return _Held.NONE
+        except errors.StoreUnavailable as error:
+            LOG.warning("cold_slots_not_written", reason=error.message)
+            return _Held.UNKNOWN
+        except errors.OutcomeUnknown:
+            if not await self._has_taken_effect(marked):
+                return _Held.UNKNOWN
+        own = [x for x in marked.leases if x.holder == self._holder]
+        self.cold.lease(own, before_write)
+        return _Held.SOME if own else _Held.NONE
+
+    async def _has_taken_effect(self, marked: cold_slots.DomainSlots) -> bool:
+        try:
+            stored = await self.store.get(cold_slots.KIND, marked.domain)
+        except errors.StoreUnavailable:
+            return False
+        current, _ = _decode(marked.domain, stored)
+        return current.write_id == marked.write_id
+
+    def _wishes(
+        self, domain: ids.DomainName, now: clock.MonotonicTime
+    ) -> collections.abc.Iterator[cold_slots.Wish]:
+        configuration = self.configuration()
+        services = {s.name: s for s in configuration.services}
+        longest = configuration.limits.default_deadline_seconds
+        for endpoint in self.cold.wanted(domain, now):
+            service = services.get(endpoint.service)
+            if service is not None:
+                yield cold_slots.Wish(endpoint.id, service.cold_limit, longest)
+
+    async def _poll(self, endpoint: table.Endpoint) -> None:
+        kind = self._kind(endpoint)
+        if kind is config_model.ServiceKind.MODEL:
+            await self._poll_engines(endpoint)
+        record = self.cold.end_if_warm(endpoint, kind)
+        if record is not None:
+            self.cold.learn(record, clock.monotonic())
+            LOG.info("cold_start_ended", endpoint=endpoint.id)
+            await self.warmth_store.publish(endpoint.domain, record)
+
+    async def _poll_engines(self, endpoint: table.Endpoint) -> None:
+        asked_at = clock.monotonic()
+        running = 0
+        is_ready = True
+        try:
+            async with curio.timeout_after(POLL_SECONDS):
+                async for state in self.engine_reports.states(
+                    endpoint.members
+                ):
+                    running += state.running + state.waiting
+                    if not _is_ready(endpoint, state):
+                        is_ready = False
+                        break
+        except (curio.TaskTimeout, errors.SycamoredaleError):
+            return
+        self.cold.reported(endpoint, is_ready, running, asked_at)
+
+    def _kind(self, endpoint: table.Endpoint) -> config_model.ServiceKind:
+        for service in self.configuration().services:
+            if service.name == endpoint.service:
+                return service.kind
+        return config_model.ServiceKind.PLAIN
+
+
+def _is_ready(endpoint: table.Endpoint, state: orders.EngineState) -> bool:
+    return (
+        state.phase is orders.Phase.READY
+        and state.epoch == endpoint.epoch
+        and state.group == endpoint.group
+    )
+
+
+def _decode(
+    domain: ids.DomainName, stored: objects.StoredObject | None
+) -> tuple[cold_slots.DomainSlots, ids.ObjectVersion]:
+    if stored is None:
+        return cold_slots.DomainSlots(domain), objects.ABSENT
+    decoded = msgspec.json.decode(stored.value, type=cold_slots.DomainSlots)
+    return decoded, stored.version
--- /dev/null
+++ b/sycamoredale/routing/cold_start.py
@@ -0,0 +1,312 @@
+"""Bound what this router sends to endpoints in cold start.
+
+An endpoint is cold from the time that it exists until its engines report
+ready and it has served some requests well.  While it is cold, this router
+sends only as many requests as it holds slots for, under a lease that is
+checked again right before the first byte leaves.  A request that ended
+without its whole answer may still run there, so it keeps its slot for the
+longest time that it may take.
+
+After the cold start the allowed concurrency doubles at a fixed pace until
+it reaches the capacity.  The same ramp follows the return of a zone.
+"""
+
+import collections.abc
+import dataclasses
+import math
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale import ids
+from sycamoredale.routing import cold_slots
+from sycamoredale.routing import table
+from sycamoredale.routing import warmth
+
+SERVED_WELL: Final = 4
+READY_REPORTS: Final = 2
+QUIET_READY_REPORTS: Final = 6
+RAMP_DOUBLING_SECONDS: Final = 1.0
+DEMAND_SECONDS: Final = 10.0
+REPORT_LAG_SECONDS: Final = 3.0
+MAX_UNPLACED: Final = 10_000
+NEVER: Final = clock.MonotonicTime(-math.inf)
+
+
+@dataclasses.dataclass
+class ColdEndpoint:
+    """Hold what this router knows of one endpoint's cold start."""
+
+    warmth: warmth.Warmth
+    since: clock.MonotonicTime
+    ramp_from: clock.MonotonicTime = NEVER
+    slots: int = 0
+    request_seconds: float = 0.0
+    lease_until: clock.MonotonicTime = NEVER
+    is_settled: bool = True
+    served: int = 0
+    ready_reports: int = 0
+    abandoned_until: list[clock.MonotonicTime] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass
+class ColdStart:
+    """Hold the cold start of each endpoint by its id."""
+
+    routing_table: table.RoutingTable
+    routers: collections.abc.Callable[[], int] = lambda: 1
+    by_id: dict[ids.EndpointId, ColdEndpoint] = dataclasses.field(
+        default_factory=dict
+    )
+    on_change: collections.abc.Callable[[warmth.Warmth], None] = (
+        lambda record: None
+    )
+    _cold: set[ids.EndpointId] = dataclasses.field(default_factory=set)
+    _unplaced: dict[ids.EndpointId, warmth.Warmth] = dataclasses.field(
+        default_factory=dict
+    )
+    _called_at_by_service: dict[ids.ServiceName, clock.MonotonicTime] = (
+        dataclasses.field(default_factory=dict)
+    )
+    _zones_out: set[ids.ZoneName] = dataclasses.field(default_factory=set)
+
+    def follow_table(self, now: clock.MonotonicTime) -> None:
+        """Know the endpoints of the table; start ramps of zones."""
+        endpoints = self.routing_table.by_id
+        self.by_id = {
+            id: self.by_id.get(id)
+            or ColdEndpoint(warmth.Warmth(id), since=now)
+            for id in endpoints
+        }
+        self._cold = {id for id, x in self.by_id.items() if not x.warmth.warm}
+        for id in [id for id in self._unplaced if id in self.by_id]:
+            self.learn(self._unplaced.pop(id), now)
+        zones = {e.zone for e in endpoints.values()}
+        out = {z for z in zones if self.routing_table.is_zone_out(z)}
+        returned = (self._zones_out - out) & zones
+        self._zones_out = out
+        for endpoint in endpoints.values():
+            if endpoint.zone in returned:
+                self.by_id[endpoint.id].ramp_from = now
+
+    def is_cold(self, endpoint: ids.EndpointId) -> bool:
+        """Tell if the endpoint is in cold start."""
+        known = self.by_id.get(endpoint)
+        return known is None or not known.warmth.warm
+
+    def room(
+        self,
+        endpoint: table.Endpoint,
+        service: config_model.Service,
+        deadline_seconds: float,
+        now: clock.MonotonicTime,
+    ) -> int:
+        """Return how many more requests this router may send there."""
+        known = self.by_id.get(endpoint.id)
+        if known is None:
+            return 0
+        if known.warmth.warm:
+            return self._ramp(known, service, now) - endpoint.in_flight
+        if not self._holds(known, now):
+            return 0
+        if deadline_seconds > known.request_seconds:
+            return 0
+        slots = min(known.slots, service.cold_limit)
+        return slots - self._open(endpoint, known, now)
+
+    def confirm(
+        self, endpoint: ids.EndpointId, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell if a chosen request may still leave for the endpoint."""
+        known = self.by_id.get(endpoint)
+        if known is None:
+            return False
+        return known.warmth.warm or self._holds(known, now)
+
+    def demand(
+        self, service: ids.ServiceName, now: clock.MonotonicTime
+    ) -> None:
+        """Note that a call of the service wants an endpoint."""
+        self._called_at_by_service[service] = now
+
+    def served_well(self, endpoint: ids.EndpointId) -> None:
+        """Note a whole answer of the endpoint."""
+        known = self.by_id.get(endpoint)
+        if known is not None and not known.warmth.warm:
+            known.served += 1
+
+    def abandoned(
+        self, endpoint: ids.EndpointId, now: clock.MonotonicTime
+    ) -> None:
+        """Keep the slot of a request that may still run there."""
+        known = self.by_id.get(endpoint)
+        if known is not None and not known.warmth.warm:
+            until = clock.MonotonicTime(now + known.request_seconds)
+            known.abandoned_until.append(until)
+
+    def cold_again(
+        self, endpoint: ids.EndpointId, now: clock.MonotonicTime
+    ) -> None:
+        """Note that this router saw a warm endpoint turn cold."""
+        known = self.by_id.get(endpoint)
+        if known is not None and known.warmth.warm:
+            self.learn(warmth.cold_again(known.warmth), now)
+            self.on_change(known.warmth)
+
+    def learn(self, record: warmth.Warmth, now: clock.MonotonicTime) -> None:
+        """Take over a record, unless a newer one is known."""
+        known = self.by_id.get(record.endpoint)
+        if known is None:
+            self._keep_unplaced(record)
+            return
+        holds = warmth.newer(known.warmth, record)
+        if holds == known.warmth:
+            return
+        was_warm = known.warmth.warm
+        known.warmth = holds
+        known.served = 0
+        known.ready_reports = 0
+        known.since = now
+        if holds.warm:
+            self._cold.discard(record.endpoint)
+            known.ramp_from = known.ramp_from if was_warm else now
+        else:
+            self._cold.add(record.endpoint)
+            known.is_settled = False
+
+    def reported(
+        self,
+        endpoint: table.Endpoint,
+        is_ready: bool,
+        running: int,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Learn from a report of the engines of an endpoint."""
+        known = self.by_id.get(endpoint.id)
+        if known is None or known.warmth.warm:
+            return
+        is_stale = known.warmth.round and (
+            now - known.since < REPORT_LAG_SECONDS
+        )
+        if is_stale:
+            return
+        if running <= endpoint.in_flight:
+            known.is_settled = True
+        known.ready_reports = known.ready_reports + 1 if is_ready else 0
+
+    def end_if_warm(
+        self, endpoint: table.Endpoint, kind: config_model.ServiceKind
+    ) -> warmth.Warmth | None:
+        """Return the record that ends the cold start, if it is over."""
+        known = self.by_id.get(endpoint.id)
+        if known is None or known.warmth.warm:
+            return None
+        served = known.served >= SERVED_WELL
+        ready = known.ready_reports >= READY_REPORTS
+        quiet = known.ready_reports >= QUIET_READY_REPORTS
+        if kind is config_model.ServiceKind.PLAIN:
+            over = served
+        else:
+            over = (served and ready) or quiet
+        if not over:
+            return None
+        return warmth.Warmth(endpoint.id, known.warmth.round, True)
+
+    def wanted(
+        self, domain: ids.DomainName, now: clock.MonotonicTime
+    ) -> list[table.Endpoint]:
+        """Return the cold endpoints of a domain that calls could use."""
+        return [e for e in self.wanted_endpoints(now) if e.domain == domain]
+
+    def wanted_endpoints(
+        self, now: clock.MonotonicTime
+    ) -> collections.abc.Iterator[table.Endpoint]:
+        """Yield the cold endpoints of services called lately."""
+        for endpoint_id in self._cold:
+            endpoint = self.routing_table.by_id.get(endpoint_id)
+            if endpoint is None:
+                continue
+            if self._open(endpoint, self.by_id[endpoint_id], now):
+                yield endpoint
+                continue
+            if endpoint.zone in self._zones_out:
+                continue
+            called = self._called_at_by_service.get(endpoint.service, NEVER)
+            if now - called < DEMAND_SECONDS:
+                yield endpoint
+
+    def idle(
+        self,
+        endpoints: collections.abc.Iterable[ids.EndpointId],
+        now: clock.MonotonicTime,
+    ) -> set[ids.EndpointId]:
+        """Return the known ones without a request of this router."""
+        return {
+            endpoint_id
+            for endpoint_id in endpoints
+            if (endpoint := self.routing_table.by_id.get(endpoint_id))
+            and not self._open(endpoint, self.by_id[endpoint_id], now)
+        }
+
+    def lease(
+        self,
+        leases: collections.abc.Iterable[cold_slots.Lease],
+        before_write: clock.MonotonicTime,
+    ) -> None:
+        """Take over own leases whose write is confirmed."""
+        for lease in leases:
+            known = self.by_id.get(lease.endpoint)
+            if known is None:
+                continue
+            known.slots = lease.slots
+            known.request_seconds = lease.request_seconds
+            known.lease_until = clock.MonotonicTime(
+                before_write + lease.lease_seconds
+            )
+
+    def give_up(
+        self, endpoints: collections.abc.Iterable[ids.EndpointId]
+    ) -> None:
+        """Stop using slots, before a write may give them away."""
+        for endpoint_id in endpoints:
+            known = self.by_id.get(endpoint_id)
+            if known is not None:
+                known.lease_until = NEVER
+
+    def _keep_unplaced(self, record: warmth.Warmth) -> None:
+        known = self._unplaced.pop(record.endpoint, record)
+        self._unplaced[record.endpoint] = warmth.newer(known, record)
+        if len(self._unplaced) > MAX_UNPLACED:
+            del self._unplaced[next(iter(self._unplaced))]
+
+    def _holds(self, known: ColdEndpoint, now: clock.MonotonicTime) -> bool:
+        if now >= known.lease_until:
+            return False
+        settled_at = known.since + known.request_seconds
+        return known.is_settled or now >= settled_at
+
+    def _open(
+        self,
+        endpoint: table.Endpoint,
+        known: ColdEndpoint,
+        now: clock.MonotonicTime,
+    ) -> int:
+        known.abandoned_until = [
+            until for until in known.abandoned_until if until > now
+        ]
+        return endpoint.in_flight + len(known.abandoned_until)
+
+    def _ramp(
+        self,
+        known: ColdEndpoint,
+        service: config_model.Service,
+        now: clock.MonotonicTime,
+    ) -> int:
+        doublings = (now - known.ramp_from) / RAMP_DOUBLING_SECONDS
+        if doublings >= math.log2(service.capacity / service.cold_limit):
+            return service.capacity
+        total: float = service.cold_limit * math.pow(2.0, doublings)
+        share = math.ceil(total / max(1, self.routers()))
+        return max(1, min(share, service.capacity))
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -25,6 +25,7 @@
     domain: ids.DomainName = ids.DomainName("")
     group: ids.GroupId = ids.GroupId("")
     epoch: ids.Epoch = ids.Epoch(0)
+    members: tuple[messages.Address, ...] = ()
     in_flight: int = 0
 
 
@@ -97,13 +98,15 @@
 
 
 def _endpoint(domain: ids.DomainName, group: groups_model.Group) -> Endpoint:
+    members = tuple(messages.parse_address(m.address) for m in group.members)
     return Endpoint(
         id=ids.EndpointId(f"{group.id}@{group.epoch}"),
         service=group.service,
         version=group.version,
         zone=group.zone,
-        address=messages.parse_address(group.members[0].address),
+        address=members[0],
         domain=domain,
         group=group.id,
         epoch=group.epoch,
+        members=members,
     )
--- /dev/null
+++ b/sycamoredale/routing/warmth_store.py
@@ -0,0 +1,158 @@
+"""Spread which endpoints are warm: by the object API and by notices.
+
+Reads ask only for what changed since the last one.  They are frequent
+while endpoints of the own zone are cold, and rare otherwise.
+"""
+
+import dataclasses
+from typing import Final
+
+import curio
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale import ids
+from sycamoredale.membership import relay
+from sycamoredale.observability import logs
+from sycamoredale.platform import objects
+from sycamoredale.routing import cold_start
+from sycamoredale.routing import warmth
+
+COLD_POLL_SECONDS: Final = 1.0
+WATCH_SECONDS: Final = 0.01
+WARM_POLL_SECONDS: Final = 10.0
+WRITE_ATTEMPTS: Final = 4
+LOG: Final = logs.get("routing.warmth")
+
+
+@dataclasses.dataclass
+class WarmthStore:
+    """Exchange warmth records with the object API and the peers."""
+
+    cold: cold_start.ColdStart
+    store: objects.ObjectStore
+    notices: relay.Relay
+    own_zone: ids.ZoneName
+    _unwritten_by_domain: dict[
+        ids.DomainName, dict[ids.EndpointId, warmth.Warmth]
+    ] = dataclasses.field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Listen to notices and to what this router sees."""
+        self.notices.subscribe(relay.Topic.COLD_SLOTS, self._hear)
+        self.cold.on_change = self.changed
+
+    async def run(self) -> None:
+        """Read and write records for ever."""
+        version = objects.ABSENT
+        read_at = cold_start.NEVER
+        while True:
+            now = clock.monotonic()
+            if now - read_at >= WARM_POLL_SECONDS or self._wants_cold(now):
+                try:
+                    version = await self._read(version)
+                    read_at = now
+                    await self._write_all()
+                except errors.SycamoredaleError as error:
+                    LOG.warning("warmth_not_exchanged", reason=error.message)
+            await curio.sleep(COLD_POLL_SECONDS)
+
+    async def publish(
+        self, domain: ids.DomainName, record: warmth.Warmth
+    ) -> None:
+        """Tell the peers and the object API; the latter when it is up."""
+        self._queue(domain, record)
+        try:
+            await self._write(domain)
+        except errors.SycamoredaleError as error:
+            LOG.warning("warmth_not_written", reason=error.message)
+
+    def changed(self, record: warmth.Warmth) -> None:
+        """Tell what this router has seen; it is written a little later."""
+        endpoint = self.cold.routing_table.by_id.get(record.endpoint)
+        if endpoint is not None:
+            LOG.warning("endpoint_turned_cold", endpoint=record.endpoint)
+            self._queue(endpoint.domain, record)
+
+    def _queue(self, domain: ids.DomainName, record: warmth.Warmth) -> None:
+        self.notices.publish(relay.Topic.COLD_SLOTS, record.endpoint, record)
+        unwritten = self._unwritten_by_domain.setdefault(domain, {})
+        unwritten[record.endpoint] = record
+
+    def _hear(self, notice: relay.Notice) -> None:
+        try:
+            record = msgspec.json.decode(notice.payload, type=warmth.Warmth)
+        except msgspec.DecodeError:
+            return
+        self.cold.learn(record, clock.monotonic())
+
+    async def _read(self, version: ids.ObjectVersion) -> ids.ObjectVersion:
+        if version == objects.ABSENT:
+            listing = await self.store.list(warmth.KIND)
+        else:
+            listing = await self.store.watch(
+                warmth.KIND, version, WATCH_SECONDS
+            )
+        for stored in listing.objects:
+            for record in _decode(stored).records:
+                self.cold.learn(record, clock.monotonic())
+        return max(version, listing.version)
+
+    async def _write_all(self) -> None:
+        for domain in list(self._unwritten_by_domain):
+            await self._write(domain)
+
+    async def _write(self, domain: ids.DomainName) -> None:
+        for _ in range(WRITE_ATTEMPTS):
+            if not self._unwritten_by_domain.get(domain):
+                return
+            written = dict(self._unwritten_by_domain[domain])
+            try:
+                await self._write_once(domain)
+            except errors.VersionConflict:
+                continue
+            self._forget(domain, written)
+
+    async def _write_once(self, domain: ids.DomainName) -> None:
+        stored = await self.store.get(warmth.KIND, domain)
+        current = warmth.DomainWarmth(domain)
+        version = objects.ABSENT
+        if stored is not None:
+            current = _decode(stored)
+            version = stored.version
+        merged = warmth.merge(current, self._records(domain))
+        if merged.records != current.records:
+            value = msgspec.json.encode(merged)
+            await self.store.put(warmth.KIND, domain, value, version)
+
+    def _forget(
+        self,
+        domain: ids.DomainName,
+        written: dict[ids.EndpointId, warmth.Warmth],
+    ) -> None:
+        unwritten = self._unwritten_by_domain[domain]
+        for endpoint, record in written.items():
+            if unwritten.get(endpoint) == record:
+                del unwritten[endpoint]
+        if not unwritten:
+            del self._unwritten_by_domain[domain]
+
+    def _records(
+        self, domain: ids.DomainName
+    ) -> dict[ids.EndpointId, warmth.Warmth]:
+        return {
+            endpoint.id: self.cold.by_id[endpoint.id].warmth
+            for endpoint in self.cold.routing_table.by_id.values()
+            if endpoint.domain == domain and endpoint.id in self.cold.by_id
+        }
+
+    def _wants_cold(self, now: clock.MonotonicTime) -> bool:
+        return any(
+            endpoint.zone == self.own_zone
+            for endpoint in self.cold.wanted_endpoints(now)
+        )
+
+
+def _decode(stored: objects.StoredObject) -> warmth.DomainWarmth:
+    return msgspec.json.decode(stored.value, type=warmth.DomainWarmth)
