Let the engine stand-in report load and cache events and bear little when cold

Each answer carries the load as it was one lag ago; cache events are numbered and some are lost on purpose. The stand-in keeps the highest concurrency of its cold starts, so that tests can hold it against the limit, and it ends a request at the deadline that the router now forwards: slots of a router that is gone come back only because requests end.

--- a/sycamoredale/engines/reports.py
+++ b/sycamoredale/engines/reports.py
@@ -5,11 +5,11 @@
 known of the engine's cache may be wrong.
 """
 
-import collections.abc
 import dataclasses
 from typing import Final
 
 import msgspec
+import xxhash
 
 from sycamoredale.engines import model_engine
 from sycamoredale.engines import orders
@@ -22,6 +22,7 @@
 WAITING_HEADER: Final = "X-Load-Waiting"
 CALL_SECONDS: Final = 1.0
 BLOCK_BYTES: Final = 256
+MAX_BLOCKS: Final = 64
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
@@ -46,13 +47,9 @@
 
     pool: client.Pool
 
-    async def states(
-        self, addresses: collections.abc.Iterable[messages.Address]
-    ) -> collections.abc.AsyncIterator[orders.EngineState]:
-        """Yield the states of a group's engines; raise Failed or Broken."""
-        engines = model_engine.ModelEngines(self.pool)
-        for address in addresses:
-            yield await engines.state(address)
+    async def state(self, address: messages.Address) -> orders.EngineState:
+        """Return the state of one engine; raise Failed or Broken."""
+        return await model_engine.ModelEngines(self.pool).state(address)
 
     async def cache_events(
         self, address: messages.Address, after: int
@@ -69,6 +66,30 @@
             ) from error
 
 
+class _PromptText(msgspec.Struct):
+    messages: msgspec.Raw = msgspec.Raw(b"")
+    prompt: msgspec.Raw = msgspec.Raw(b"")
+
+
+_PROMPT_DECODER: Final = msgspec.json.Decoder(_PromptText)
+
+
+def prompt_blocks(body: bytes) -> list[int]:
+    """Return the chained hashes of the whole blocks of a prompt's text."""
+    try:
+        text = _PROMPT_DECODER.decode(body)
+    except msgspec.DecodeError:
+        return []
+    data = bytes(text.messages) or bytes(text.prompt)
+    chained = xxhash.xxh3_64()
+    blocks = []
+    whole = len(data) - len(data) % BLOCK_BYTES
+    for start in range(0, min(whole, MAX_BLOCKS * BLOCK_BYTES), BLOCK_BYTES):
+        chained.update(data[start : start + BLOCK_BYTES])
+        blocks.append(chained.intdigest())
+    return blocks
+
+
 def load_on_answer(headers: messages.Headers) -> Load | None:
     """Return the load that an answer carries, None if it carries none."""
     running = headers.get(RUNNING_HEADER)
--- a/sycamoredale/requests/call.py
+++ b/sycamoredale/requests/call.py
@@ -124,24 +124,29 @@
     stream: bool,
 ) -> Call:
     request_id = ids.RequestId(uuid.uuid4().hex)
+    deadline_seconds = _deadline(request, configuration)
     key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
     return Call(
         id=request_id,
         organisation=organisation.name,
         service=service,
-        upstream=_upstream(request, target, request_id),
+        upstream=_upstream(request, target, request_id, deadline_seconds),
         idempotent=idempotent,
         stream=stream,
         key=ids.IdempotencyKey(key) if key else None,
-        deadline_seconds=_deadline(request, configuration),
+        deadline_seconds=deadline_seconds,
     )
 
 
 def _upstream(
-    request: messages.Request, target: str, request_id: ids.RequestId
+    request: messages.Request,
+    target: str,
+    request_id: ids.RequestId,
+    deadline_seconds: float,
 ) -> messages.Request:
     kept = request.headers.without(_not_forwarded())
     headers = kept.with_field(REQUEST_ID_HEADER, request_id)
+    headers = headers.with_field(DEADLINE_HEADER, f"{deadline_seconds:g}")
     return messages.Request(request.method, target, headers, request.body)
 
 
--- a/sycamoredale/routing/cold_keeper.py
+++ b/sycamoredale/routing/cold_keeper.py
@@ -209,9 +209,8 @@
         is_ready = True
         try:
             async with curio.timeout_after(POLL_SECONDS):
-                async for state in self.engine_reports.states(
-                    endpoint.members
-                ):
+                for address in endpoint.members:
+                    state = await self.engine_reports.state(address)
                     running += state.running + state.waiting
                     if not _is_ready(endpoint, state):
                         is_ready = False
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -19,8 +19,11 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.standins import engine_load
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
+DEADLINE_HEADER: Final = "X-Deadline-Seconds"
+NO_DEADLINE_SECONDS: Final = 3600.0
 DEFAULT_TOKENS: Final = 16
 MEMBER_PROBE_SECONDS: Final = 0.3
 
@@ -45,6 +48,10 @@
     first_token_seconds: float = 0.02
     token_seconds: float = 0.005
     honours_fencing: bool = True
+    report_lag_seconds: float = 0.0
+    lose_cache_events_every: int = 0
+    cold_factor: float = 3.0
+    prefill_block_seconds: float = 0.0
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -68,7 +75,12 @@
         self.epoch = ids.Epoch(0)
         self.phase = orders.Phase.EMPTY
         self.executed_by_request: dict[str, int] = {}
-        self.running = 0
+        self.load: Final = engine_load.Load(
+            settings.capacity, settings.report_lag_seconds
+        )
+        self.cache: Final = engine_load.PrefixCache(
+            settings.lose_cache_events_every
+        )
         self._pool = pool
         self._phase_ends = 0.0
 
@@ -85,6 +97,15 @@
                 )
             case ("POST", "/v1/chat/completions" | "/v1/completions"):
                 await self._generate(exchange)
+            case ("GET", "/v1/cache-events"):
+                after = int(request.query("after") or 0)
+                events = self.cache.events_after(after)
+                await exchange.respond(messages.json_response(200, events))
+            case ("PUT", "/standin/cold"):
+                self._turn_cold(clock.monotonic())
+                await exchange.respond(messages.json_response(200, {}))
+            case ("GET", "/standin/load"):
+                await exchange.respond(self._load_record())
             case ("PUT", "/standin/faults"):
                 self.faults = msgspec.json.decode(request.body, type=Faults)
                 await exchange.respond(messages.json_response(200, {}))
@@ -105,6 +126,20 @@
         elif self.phase is orders.Phase.COLD:
             self.phase = orders.Phase.READY
 
+    def _turn_cold(self, now: clock.MonotonicTime) -> None:
+        self.phase = orders.Phase.COLD
+        self._phase_ends = now + self.settings.cold_seconds
+
+    def _load_record(self) -> messages.Response:
+        record = {
+            "running": self.load.running,
+            "max_running_cold": self.load.max_running_cold,
+            "overloads": self.load.overloads,
+            "cache_hits": self.cache.hits,
+            "cache_lookups": self.cache.lookups,
+        }
+        return messages.json_response(200, record)
+
     def _obey(self, request: messages.Request) -> messages.Response:
         order = msgspec.json.decode(request.body, type=orders.Order)
         if self.settings.honours_fencing and order.epoch < self.epoch:
@@ -126,6 +161,7 @@
 
     def _state(self) -> orders.EngineState:
         order = self.order
+        load = self.load.reported(clock.monotonic())
         return orders.EngineState(
             instance=self.settings.instance,
             phase=self.phase,
@@ -133,29 +169,48 @@
             group=order.group if order else None,
             service=order.service if order else ids.ServiceName(""),
             version=order.version if order else ids.VersionName(""),
-            running=self.running,
+            running=load.running,
+            waiting=load.waiting,
         )
 
     async def _generate(self, exchange: server.Exchange) -> None:
-        request = exchange.request
         if self.phase not in (orders.Phase.COLD, orders.Phase.READY):
             await exchange.respond(
                 messages.json_response(503, {"error": self.phase.value})
             )
             return
-        if self.phase is orders.Phase.COLD:
-            if self.running >= self.settings.cold_limit:
+        is_cold = self.phase is orders.Phase.COLD
+        overloads = self.load.overloads
+        try:
+            async with self.load.place(is_cold, self.settings.cold_limit):
+                await self._check_members()
+                await self._execute(exchange)
+        finally:
+            if self.load.overloads > overloads:
                 self.phase = orders.Phase.FAILED
-                raise ConnectionResetError("overloaded during cold start")
-        await self._check_members()
-        request_id = request.headers.get(REQUEST_ID_HEADER) or ""
+
+    async def _execute(self, exchange: server.Exchange) -> None:
+        headers = exchange.request.headers
+        request_id = headers.get(REQUEST_ID_HEADER) or ""
         count = self.executed_by_request.get(request_id, 0)
         self.executed_by_request[request_id] = count + 1
-        self.running += 1
+        longest = float(headers.get(DEADLINE_HEADER) or NO_DEADLINE_SECONDS)
         try:
-            await self._write_answer(exchange, request_id)
-        finally:
-            self.running -= 1
+            async with curio.timeout_after(longest):
+                await self._prefill(exchange.request.body)
+                await self._write_answer(exchange, request_id)
+        except curio.TaskTimeout as error:
+            raise ConnectionResetError("the deadline passed") from error
+
+    async def _prefill(self, body: bytes) -> None:
+        settings = self.settings
+        missing = self.cache.use(body)
+        seconds = missing * settings.prefill_block_seconds
+        if self.phase is orders.Phase.COLD:
+            seconds += (settings.cold_factor - 1) * (
+                settings.first_token_seconds
+            )
+        await curio.sleep(seconds)
 
     async def _check_members(self) -> None:
         if self.order is None:
@@ -180,6 +235,7 @@
         body = whole_answer(prompt, "".join(tokens), chat)
         response = messages.json_response(200, body)
         headers = response.headers.with_field(REQUEST_ID_HEADER, request_id)
+        headers = self.load.added_to(headers, clock.monotonic())
         await exchange.respond(dataclasses.replace(response, headers=headers))
 
     async def _stream(
@@ -195,6 +251,7 @@
                 (REQUEST_ID_HEADER, request_id),
             ]
         )
+        headers = self.load.added_to(headers, clock.monotonic())
         await exchange.start(messages.ResponseHead(200, headers))
         async for token in self._tokens(prompt):
             await exchange.write(stream_event(prompt, token, chat))
