--- a/sycamoredale/routing/cold_start.py
+++ b/sycamoredale/routing/cold_start.py
@@ -73,23 +73,23 @@
     _zones_out: set[ids.ZoneName] = dataclasses.field(default_factory=set)
 
     def follow_table(self, now: clock.MonotonicTime) -> None:
-        """Know the endpoints of the table; start ramps of zones."""
-        endpoints = self.routing_table.by_id
+        """Know the endpoints of the table; start ramps of zones.
+
+        A draining endpoint is cold by the time that it comes back.
+        """
+        ready = self.routing_table.by_id
+        draining = self.routing_table.draining_by_id
         self.by_id = {
             id: self.by_id.get(id)
             or ColdEndpoint(warmth.Warmth(id), since=now)
-            for id in endpoints
+            for id in (*ready, *draining)
         }
         self._cold = {id for id, x in self.by_id.items() if not x.warmth.warm}
         for id in [id for id in self._unplaced if id in self.by_id]:
             self.learn(self._unplaced.pop(id), now)
-        zones = {e.zone for e in endpoints.values()}
-        out = {z for z in zones if self.routing_table.is_zone_out(z)}
-        returned = (self._zones_out - out) & zones
-        self._zones_out = out
-        for endpoint in endpoints.values():
-            if endpoint.zone in returned:
-                self.by_id[endpoint.id].ramp_from = now
+        for id in draining:
+            self.cold_again(id, now)
+        self._follow_zones(now)
 
     def is_cold(self, endpoint: ids.EndpointId) -> bool:
         """Tell if the endpoint is in cold start."""
@@ -225,12 +225,14 @@
     ) -> collections.abc.Iterator[table.Endpoint]:
         """Yield the cold endpoints of services called lately."""
         for endpoint_id in self._cold:
-            endpoint = self.routing_table.by_id.get(endpoint_id)
+            endpoint = self.routing_table.find(endpoint_id)
             if endpoint is None:
                 continue
             if self._open(endpoint, self.by_id[endpoint_id], now):
                 yield endpoint
                 continue
+            if endpoint_id in self.routing_table.draining_by_id:
+                continue
             if endpoint.zone in self._zones_out:
                 continue
             called = self._called_at_by_service.get(endpoint.service, NEVER)
@@ -246,7 +248,7 @@
         return {
             endpoint_id
             for endpoint_id in endpoints
-            if (endpoint := self.routing_table.by_id.get(endpoint_id))
+            if (endpoint := self.routing_table.find(endpoint_id))
             and not self._open(endpoint, self.by_id[endpoint_id], now)
         }
 
@@ -275,6 +277,16 @@
             if known is not None:
                 known.lease_until = NEVER
 
+    def _follow_zones(self, now: clock.MonotonicTime) -> None:
+        endpoints = self.routing_table.by_id.values()
+        zones = {e.zone for e in endpoints}
+        out = {z for z in zones if self.routing_table.is_zone_out(z)}
+        returned = (self._zones_out - out) & zones
+        self._zones_out = out
+        for endpoint in endpoints:
+            if endpoint.zone in returned:
+                self.by_id[endpoint.id].ramp_from = now
+
     def _keep_unplaced(self, record: warmth.Warmth) -> None:
         known = self._unplaced.pop(record.endpoint, record)
         self._unplaced[record.endpoint] = warmth.newer(known, record)
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -34,11 +34,17 @@
 
 @dataclasses.dataclass
 class RoutingTable:
-    """Hold the endpoints by id and call back when they change."""
+    """Hold the endpoints by id and call back when they change.
+
+    `draining_by_id` holds those that finish their requests only.
+    """
 
     by_id: dict[ids.EndpointId, Endpoint] = dataclasses.field(
         default_factory=dict
     )
+    draining_by_id: dict[ids.EndpointId, Endpoint] = dataclasses.field(
+        default_factory=dict
+    )
     on_change: list[OnChange] = dataclasses.field(default_factory=list)
     _by_service: dict[ids.ServiceName, list[Endpoint]] = dataclasses.field(
         default_factory=dict
@@ -75,18 +81,26 @@
             if endpoint.zone not in self._zones_out:
                 yield endpoint
 
+    def find(self, endpoint: ids.EndpointId) -> Endpoint | None:
+        """Return an endpoint, draining or not."""
+        return self.by_id.get(endpoint) or self.draining_by_id.get(endpoint)
+
     def is_zone_out(self, zone: ids.ZoneName) -> bool:
         """Tell if operators have taken the availability zone out."""
         return zone in self._zones_out
 
     def _rebuild(self) -> None:
-        known = self.by_id
+        known = self.by_id | self.draining_by_id
         self.by_id = {}
+        self.draining_by_id = {}
         for assignment in self._by_domain.values():
             for group in assignment.groups:
+                endpoint = _endpoint(assignment.domain, group)
+                endpoint = known.get(endpoint.id, endpoint)
                 if group.state is groups_model.GroupState.READY:
-                    endpoint = _endpoint(assignment.domain, group)
-                    self.by_id[endpoint.id] = known.get(endpoint.id, endpoint)
+                    self.by_id[endpoint.id] = endpoint
+                elif group.state is groups_model.GroupState.DRAINING:
+                    self.draining_by_id[endpoint.id] = endpoint
         self._by_service = {}
         for endpoint in self.by_id.values():
             self._by_service.setdefault(endpoint.service, []).append(endpoint)
--- a/sycamoredale/routing/warmth_store.py
+++ b/sycamoredale/routing/warmth_store.py
@@ -70,7 +70,7 @@
 
     def changed(self, record: warmth.Warmth) -> None:
         """Tell what this router has seen; it is written a little later."""
-        endpoint = self.cold.routing_table.by_id.get(record.endpoint)
+        endpoint = self.cold.routing_table.find(record.endpoint)
         if endpoint is not None:
             LOG.warning("endpoint_turned_cold", endpoint=record.endpoint)
             self._queue(endpoint.domain, record)
@@ -141,10 +141,12 @@
     def _records(
         self, domain: ids.DomainName
     ) -> dict[ids.EndpointId, warmth.Warmth]:
+        routing_table = self.cold.routing_table
         return {
-            endpoint.id: self.cold.by_id[endpoint.id].warmth
-            for endpoint in self.cold.routing_table.by_id.values()
-            if endpoint.domain == domain and endpoint.id in self.cold.by_id
+            id: known.warmth
+            for id, known in self.cold.by_id.items()
+            if (endpoint := routing_table.find(id))
+            and endpoint.domain == domain
         }
 
     def _wants_cold(self, now: clock.MonotonicTime) -> bool:
