--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -10,6 +10,7 @@
 
 from sycamoredale.admission import admission
 from sycamoredale import clock
+from sycamoredale.config import model as config_model
 from sycamoredale.config import store as config_store
 from sycamoredale.daemons import callers
 from sycamoredale.daemons import followers
@@ -25,7 +26,12 @@
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
 from sycamoredale.platform import objects
+from sycamoredale.requests import call
+from sycamoredale.requests import claim_service
+from sycamoredale.requests import claim_writer
 from sycamoredale.requests import dispatch
+from sycamoredale.requests import once
+from sycamoredale.requests import poison
 from sycamoredale.routing import choice
 from sycamoredale.routing import cold_keeper
 from sycamoredale.routing import cold_start
@@ -33,6 +39,8 @@
 from sycamoredale.routing import table
 from sycamoredale.routing import warmth_store
 
+DRAIN_LISTEN_SECONDS: Final = 2.0
+SETTLE_SECONDS: Final = 5.0
 LOG: Final = logs.get("router")
 
 
@@ -53,34 +61,35 @@
             self._store, self._table
         )
         self._relay = relay.Relay(common.daemon)
-        endpoint_health = health.Health(self._relay)
-        self._relay.subscribe(
-            relay.Topic.ENDPOINT,
-            lambda notice: endpoint_health.hear(notice, clock.monotonic()),
-        )
-        cold = cold_start.ColdStart(self._table)
-        self._warmth = warmth_store.WarmthStore(
-            cold, self._store, self._relay, common.zone
-        )
-        self._cold_keeper = cold_keeper.ColdKeeper(
-            cold,
-            self._store,
-            reports.EngineReports(self._pool),
-            self._warmth,
-            lambda: self._configuration.accepted.configuration,
-            common.daemon,
-            common.zone,
+        self._members = view.MembershipView(
+            view.Peer(
+                common.daemon,
+                str(settings.peer_listen),
+                common.zone,
+                view.Role.ROUTER,
+                ids.Incarnation(0),
+            )
         )
-        chooser = choice.Chooser(
-            self._table, common.zone, endpoint_health, cold
+        self._peers = peer_service.PeerService(self._members, self._pool)
+        self._chooser = self._build_chooser()
+        self._dispatcher = dispatch.Dispatcher(
+            self._chooser,
+            client.Pool(),
+            poison.PoisonList(self._relay),
         )
+        self._once = self._build_once()
         callers_service = callers.CallerService(
-            configuration=lambda: self._configuration.accepted.configuration,
+            configuration=self._current,
             health=self._health,
-            admission=admission.Admission(chooser),
-            dispatcher=dispatch.Dispatcher(chooser, client.Pool()),
+            admission=admission.Admission(self._chooser),
+            dispatcher=self._dispatcher,
+            once=self._once,
+        )
+        self._server = server.Server(
+            callers_service.handle,
+            request_id_header=call.REQUEST_ID_HEADER,
+            paths_served_while_draining=frozenset((callers.HEALTH_PATH,)),
         )
-        self._server = server.Server(callers_service.handle)
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
@@ -90,26 +99,70 @@
         await curio.spawn(self._assignments.run, daemon=True)
         await curio.spawn(self._warmth.run, daemon=True)
         await curio.spawn(self._cold_keeper.run, daemon=True)
+        await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
         await stop.wait()
-        complete = await self._server.drain(self._settings.drain_seconds)
-        LOG.info("router_stopped", complete=complete)
+        await self._drain()
 
-    async def _start_peer_service(self) -> None:
-        common = self._settings.common
-        members = view.MembershipView(
-            view.Peer(
-                common.daemon,
-                str(self._settings.peer_listen),
-                common.zone,
-                view.Role.ROUTER,
-                ids.Incarnation(0),
-            )
+    async def _drain(self) -> None:
+        LOG.info("router_draining")
+        complete = await self._server.drain(
+            self._settings.drain_seconds, DRAIN_LISTEN_SECONDS
         )
-        peers = peer_service.PeerService(members, self._pool)
-        peer_server = server.Server(peers.handle)
+        settled = False
+        async with curio.ignore_after(SETTLE_SECONDS):
+            await self._once.settle()
+            settled = True
+        LOG.info("router_stopped", complete=complete, settled=settled)
+
+    def _current(self) -> config_model.Configuration:
+        return self._configuration.accepted.configuration
+
+    def _build_chooser(self) -> choice.Chooser:
+        zone = self._settings.common.zone
+        endpoint_health = health.Health(self._relay)
+        self._relay.subscribe(
+            relay.Topic.ENDPOINT,
+            lambda notice: endpoint_health.hear(notice, clock.monotonic()),
+        )
+        cold = cold_start.ColdStart(self._table)
+        self._warmth = warmth_store.WarmthStore(
+            cold, self._store, self._relay, zone
+        )
+        self._cold_keeper = cold_keeper.ColdKeeper(
+            cold,
+            self._store,
+            reports.EngineReports(self._pool),
+            self._warmth,
+            self._current,
+            self._settings.common.daemon,
+            zone,
+        )
+        return choice.Chooser(self._table, zone, endpoint_health, cold)
+
+    def _build_once(self) -> once.OnceRunner:
+        writer = claim_writer.ClaimWriter(
+            self._store,
+            lambda: (
+                self._configuration.accepted.configuration.limits
+            ).result_retention_seconds,
+        )
+        service = claim_service.ClaimService(
+            writer, self._members, self._peers
+        )
+        self._peers.register(claim_service.PEER_PATH, service.answer_peer)
+        self._relay.subscribe(
+            relay.Topic.POISON,
+            lambda notice: self._dispatcher.poison_list.hear(
+                notice, clock.monotonic()
+            ),
+        )
+        return once.OnceRunner(self._dispatcher, service)
+
+    async def _start_peer_service(self) -> None:
+        peer_server = server.Server(self._peers.handle)
         bound = peer_server.bind(self._settings.peer_listen)
         await peer_server.start()
         LOG.info("peer_service_listening", address=str(bound))
@@ -118,12 +171,14 @@
         self._table.apply_configuration(accepted.configuration)
 
     def _health(self) -> messages.Response:
+        draining = self._server.draining
         body = {
             "daemon": self._settings.common.daemon,
+            "draining": draining,
             "generation": self._configuration.accepted.generation,
             "endpoints": len(self._table.by_id),
         }
-        return messages.json_response(200, body)
+        return messages.json_response(503 if draining else 200, body)
 
 
 def run(settings: options.RouterOptions) -> None:
--- a/sycamoredale/routing/choice.py
+++ b/sycamoredale/routing/choice.py
@@ -6,6 +6,7 @@
 from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
+from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.requests import call as call_module
 from sycamoredale.routing import cold_start
@@ -35,8 +36,9 @@
     ) -> table.Endpoint | None:
         """Return the endpoint for the call, or None if there is none."""
         self.cold.demand(call.service.name, now)
+        usable = self._usable(call, now) or self._usable(call, now, False)
         endpoint = min(
-            (c for c in self._usable(call, now) if c.id not in excluded),
+            (c for c in usable if c.id not in excluded),
             key=lambda c: (c.in_flight, c.zone != self.own_zone, c.id),
             default=None,
         )
@@ -49,19 +51,25 @@
     ) -> bool:
         """Tell if an endpoint could take the call now."""
         self.cold.demand(call.service.name, now)
-        return any(True for _ in self._usable(call, now))
+        return bool(self._usable(call, now) or self._usable(call, now, False))
 
     def _usable(
-        self, call: call_module.Call, now: clock.MonotonicTime
-    ) -> collections.abc.Iterator[table.Endpoint]:
-        for endpoint in self.routing_table.candidates(call.service.name):
-            if not self.health.may_take(endpoint.id, call.idempotent, now):
-                continue
-            room = self.cold.room(
+        self,
+        call: call_module.Call,
+        now: clock.MonotonicTime,
+        healthy: bool = True,
+    ) -> list[table.Endpoint]:
+        # While all endpoints look unhealthy, trying one beats refusing.
+        return [
+            endpoint
+            for endpoint in self.routing_table.candidates(call.service.name)
+            if not healthy
+            or self.health.may_take(endpoint.id, call.idempotent, now)
+            if self.cold.room(
                 endpoint, call.service, call.deadline_seconds, now
             )
-            if room > 0:
-                yield endpoint
+            > 0
+        ]
 
     def confirm(
         self, endpoint: table.Endpoint, now: clock.MonotonicTime
@@ -74,16 +82,31 @@
                 "holds no slot of it any more",
             )
 
+    def heard_load(
+        self,
+        endpoint: table.Endpoint,
+        headers: messages.Headers,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Learn from the load that an answer carries."""
+        del endpoint, headers, now
+
     def finished(
         self,
         endpoint: table.Endpoint,
-        complete: bool,
+        outcome: health_module.Outcome,
+        sent: bool,
+        first_token_seconds: float | None,
+        token_gap_seconds: float | None,
         now: clock.MonotonicTime,
     ) -> None:
-        """Note the end of an exchange whose request has left."""
-        if complete:
+        """Learn from the end of an exchange; `sent` if it may have run."""
+        self.health.observe(
+            endpoint.id, outcome, first_token_seconds, token_gap_seconds, now
+        )
+        if outcome is health_module.Outcome.ANSWERED:
             self.cold.served_well(endpoint.id)
-        else:
+        elif sent:
             self.cold.abandoned(endpoint.id, now)
 
     def _follow_table(self) -> None:
--- a/sycamoredale/standins/engine_load.py
+++ b/sycamoredale/standins/engine_load.py
@@ -15,7 +15,6 @@
 
 from sycamoredale import clock
 from sycamoredale.engines import reports
-from sycamoredale.http import messages
 
 CACHE_BLOCKS: Final = 4096
 EVENTS_KEPT: Final = 1024
@@ -67,18 +66,13 @@
             shown = load
         return shown
 
-    def added_to(
-        self, headers: messages.Headers, now: clock.MonotonicTime
-    ) -> messages.Headers:
-        """Return the headers of an answer with the load added."""
+    def fields(self, now: clock.MonotonicTime) -> list[tuple[str, str]]:
+        """Return the headers of an answer that report the load."""
         load = self.reported(now)
-        return messages.Headers(
-            [
-                *headers.fields,
-                (reports.RUNNING_HEADER, str(load.running)),
-                (reports.WAITING_HEADER, str(load.waiting)),
-            ]
-        )
+        return [
+            (reports.RUNNING_HEADER, str(load.running)),
+            (reports.WAITING_HEADER, str(load.waiting)),
+        ]
 
     async def _enter(self) -> None:
         self.waiting += 1
