--- a/sycamoredale/requests/call.py
+++ b/sycamoredale/requests/call.py
@@ -139,15 +139,18 @@
     stream: bool,
 ) -> Call:
     request = source.request
+    deadline_seconds = _deadline(request, source.configuration)
     return Call(
         id=source.request_id,
         organisation=source.organisation.name,
         service=service,
-        upstream=_upstream(request, target, source.request_id),
+        upstream=_upstream(
+            request, target, source.request_id, deadline_seconds
+        ),
         idempotent=idempotent,
         stream=stream,
         key=_key(request),
-        deadline_seconds=_deadline(request, source.configuration),
+        deadline_seconds=deadline_seconds,
     )
 
 
@@ -165,10 +168,14 @@
 
 
 def _upstream(
-    request: messages.Request, target: str, request_id: ids.RequestId
+    request: messages.Request,
+    target: str,
+    request_id: ids.RequestId,
+    deadline_seconds: float,
 ) -> messages.Request:
     kept = request.headers.without(_not_forwarded())
     headers = kept.with_field(REQUEST_ID_HEADER, request_id)
+    headers = headers.with_field(DEADLINE_HEADER, f"{deadline_seconds:g}")
     return messages.Request(request.method, target, headers, request.body)
 
 
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -3,6 +3,7 @@
 import os
 from typing import Final
 
+import curio
 import msgspec
 
 from sycamoredale import clock
@@ -11,9 +12,12 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.standins import engine_load
 from sycamoredale.standins import engine_orders
 from sycamoredale.standins import generation
 
+DEADLINE_HEADER: Final = "X-Deadline-Seconds"
+NO_DEADLINE_SECONDS: Final = 3600.0
 MEMBER_PROBE_SECONDS: Final = 0.3
 REQUESTS_PREFIX: Final = "/v1/requests/"
 
@@ -30,6 +34,10 @@
     token_seconds: float = 0.005
     honours_fencing: bool = True
     weight_store: str = ""
+    report_lag_seconds: float = 0.0
+    lose_cache_events_every: int = 0
+    cold_factor: float = 3.0
+    prefill_block_seconds: float = 0.0
 
 
 class Engine:
@@ -48,7 +56,12 @@
             settings.honours_fencing,
             engine_orders.weight_store(settings.weight_store, pool),
         )
-        self.running = 0
+        self.load: Final = engine_load.Load(
+            settings.capacity, settings.report_lag_seconds
+        )
+        self.cache: Final = engine_load.PrefixCache(
+            settings.lose_cache_events_every
+        )
         self._pool = pool
 
     async def handle(self, exchange: server.Exchange) -> None:
@@ -64,6 +77,15 @@
                 )
             case ("POST", "/v1/chat/completions" | "/v1/completions"):
                 await self._generate(exchange)
+            case ("GET", "/v1/cache-events"):
+                after = int(request.query("after") or 0)
+                events = self.cache.events_after(after)
+                await exchange.respond(messages.json_response(200, events))
+            case ("PUT", "/standin/cold"):
+                self.orders.turn_cold(clock.monotonic())
+                await exchange.respond(messages.json_response(200, {}))
+            case ("GET", "/standin/load"):
+                await exchange.respond(self._load_record())
             case ("PUT", "/standin/faults"):
                 self.generator.faults = msgspec.json.decode(
                     request.body, type=generation.Faults
@@ -90,6 +112,16 @@
             case _:
                 await exchange.respond(messages.json_response(404, {}))
 
+    def _load_record(self) -> messages.Response:
+        record = {
+            "running": self.load.running,
+            "max_running_cold": self.load.max_running_cold,
+            "overloads": self.load.overloads,
+            "cache_hits": self.cache.hits,
+            "cache_lookups": self.cache.lookups,
+        }
+        return messages.json_response(200, record)
+
     async def _obey(self, request: messages.Request) -> messages.Response:
         order = engine_orders.decode(request.body)
         obeyed = await self.orders.obey(order, clock.monotonic())
@@ -108,7 +140,9 @@
 
     def _state(self) -> orders.EngineState:
         step = self.settings.token_seconds * self.generator.faults.slow_factor
-        return self.orders.state(self.running, step)
+        load = self.load.reported(clock.monotonic())
+        state = self.orders.state(load.running, step)
+        return msgspec.structs.replace(state, waiting=load.waiting)
 
     async def _generate(self, exchange: server.Exchange) -> None:
         phase = self.orders.phase
@@ -117,16 +151,38 @@
                 messages.json_response(503, {"error": phase.value})
             )
             return
-        if phase is orders.Phase.COLD:
-            if self.running >= self.settings.cold_limit:
-                self.orders.phase = orders.Phase.FAILED
-                raise ConnectionResetError("overloaded during cold start")
-        await self._check_members()
-        self.running += 1
+        is_cold = phase is orders.Phase.COLD
+        overloads = self.load.overloads
         try:
-            await self.generator.write_answer(exchange)
+            async with self.load.place(is_cold, self.settings.cold_limit):
+                await self._check_members()
+                await self._execute(exchange)
         finally:
-            self.running -= 1
+            if self.load.overloads > overloads:
+                self.orders.phase = orders.Phase.FAILED
+
+    async def _execute(self, exchange: server.Exchange) -> None:
+        request = exchange.request
+        longest = request.headers.get(DEADLINE_HEADER)
+        seconds = float(longest) if longest else NO_DEADLINE_SECONDS
+        load_fields = self.load.fields(clock.monotonic())
+        exchange.answer_fields.extend(load_fields)
+        try:
+            async with curio.timeout_after(seconds):
+                await self._prefill(request.body)
+                await self.generator.write_answer(exchange)
+        except curio.TaskTimeout as error:
+            raise ConnectionResetError("the deadline passed") from error
+
+    async def _prefill(self, body: bytes) -> None:
+        settings = self.settings
+        missing = self.cache.use(body)
+        seconds = missing * settings.prefill_block_seconds
+        if self.orders.phase is orders.Phase.COLD:
+            seconds += (settings.cold_factor - 1) * (
+                settings.first_token_seconds
+            )
+        await curio.sleep(seconds)
 
     async def _check_members(self) -> None:
         order = self.orders.order
