--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -10,11 +10,13 @@
 
 from sycamoredale.admission import admission
 from sycamoredale import clock
+from sycamoredale.config import model as config_model
 from sycamoredale.config import store as config_store
 from sycamoredale.daemons import callers
 from sycamoredale.daemons import followers
 from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
+from sycamoredale.engines import reports
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
@@ -31,7 +33,11 @@
 from sycamoredale.requests import once
 from sycamoredale.requests import poison
 from sycamoredale.routing import choice
+from sycamoredale.routing import cold_keeper
+from sycamoredale.routing import cold_start
+from sycamoredale.routing import health
 from sycamoredale.routing import table
+from sycamoredale.routing import warmth_store
 
 DRAIN_LISTEN_SECONDS: Final = 2.0
 SETTLE_SECONDS: Final = 5.0
@@ -65,16 +71,17 @@
             )
         )
         self._peers = peer_service.PeerService(self._members, self._pool)
+        self._chooser = self._build_chooser()
         self._dispatcher = dispatch.Dispatcher(
-            choice.Chooser(self._table, common.zone),
+            self._chooser,
             client.Pool(),
             poison.PoisonList(self._relay),
         )
         self._once = self._build_once()
         callers_service = callers.CallerService(
-            configuration=lambda: self._configuration.accepted.configuration,
+            configuration=self._current,
             health=self._health,
-            admission=admission.Admission(),
+            admission=admission.Admission(self._chooser),
             dispatcher=self._dispatcher,
             once=self._once,
         )
@@ -90,6 +97,8 @@
         await self._start_peer_service()
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
+        await curio.spawn(self._warmth.run, daemon=True)
+        await curio.spawn(self._cold_keeper.run, daemon=True)
         await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
@@ -108,6 +117,31 @@
             settled = True
         LOG.info("router_stopped", complete=complete, settled=settled)
 
+    def _current(self) -> config_model.Configuration:
+        return self._configuration.accepted.configuration
+
+    def _build_chooser(self) -> choice.Chooser:
+        zone = self._settings.common.zone
+        endpoint_health = health.Health(self._relay)
+        self._relay.subscribe(
+            relay.Topic.ENDPOINT,
+            lambda notice: endpoint_health.hear(notice, clock.monotonic()),
+        )
+        cold = cold_start.ColdStart(self._table)
+        self._warmth = warmth_store.WarmthStore(
+            cold, self._store, self._relay, zone
+        )
+        self._cold_keeper = cold_keeper.ColdKeeper(
+            cold,
+            self._store,
+            reports.EngineReports(self._pool),
+            self._warmth,
+            self._current,
+            self._settings.common.daemon,
+            zone,
+        )
+        return choice.Chooser(self._table, zone, endpoint_health, cold)
+
     def _build_once(self) -> once.OnceRunner:
         writer = claim_writer.ClaimWriter(
             self._store,
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -82,7 +82,11 @@
             if endpoint is None:
                 break
             attempt = attempt_module.Attempt(
-                call, endpoint, call.upstream, dispatch_before
+                call,
+                endpoint,
+                call.upstream,
+                dispatch_before,
+                chooser=self.chooser,
             )
             tries.execution = error_codes.Execution.UNKNOWN
             self.silence_watch.add(attempt, clock.monotonic())
@@ -109,7 +113,10 @@
             if endpoint is None:
                 break
             attempt = attempt_module.Attempt(
-                tries.call, endpoint, stream.resume(tries.call.upstream)
+                tries.call,
+                endpoint,
+                stream.resume(tries.call.upstream),
+                chooser=self.chooser,
             )
             if await self._try(attempt, tries, stream, exchange):
                 return
