--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -13,6 +13,7 @@
 from sycamoredale import ids
 from sycamoredale.standins import engine_orders
 from sycamoredale.standins import generation
+from sycamoredale.standins import records
 
 MEMBER_PROBE_SECONDS: Final = 0.3
 REQUESTS_PREFIX: Final = "/v1/requests/"
@@ -35,7 +36,12 @@
 class Engine:
     """Carry out orders and generate tokens."""
 
-    def __init__(self, settings: Settings, pool: client.Pool) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        pool: client.Pool,
+        recorder: records.Recorder,
+    ) -> None:
         """Start empty."""
         self.settings: Final = settings
         self.generator: Final = generation.Generator(
@@ -50,6 +56,7 @@
         )
         self.running = 0
         self._pool = pool
+        self._recorder = recorder
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -69,6 +76,9 @@
                     request.body, type=generation.Faults
                 )
                 await exchange.respond(messages.json_response(200, {}))
+            case ("PUT", "/standin/cold"):
+                self.orders.turn_cold(clock.monotonic())
+                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/orders"):
                 await exchange.respond(
                     messages.json_response(200, self.orders.obeyed)
@@ -92,7 +102,14 @@
 
     async def _obey(self, request: messages.Request) -> messages.Response:
         order = engine_orders.decode(request.body)
-        obeyed = await self.orders.obey(order, clock.monotonic())
+        now = clock.monotonic()
+        obeyed = await self.orders.obey(order, now)
+        if obeyed:
+            self._recorder.write(
+                records.Obeyed(
+                    now, self.settings.instance, order, self.running
+                )
+            )
         return messages.json_response(200 if obeyed else 409, self._state())
 
     def _request_state(self, request: messages.Request) -> messages.Response:
@@ -118,15 +135,49 @@
             )
             return
         if phase is orders.Phase.COLD:
+            self._recorder.write(
+                records.ColdLoad(
+                    clock.monotonic(),
+                    self.settings.instance,
+                    self.running + 1,
+                    self.settings.cold_limit,
+                )
+            )
             if self.running >= self.settings.cold_limit:
                 self.orders.phase = orders.Phase.FAILED
                 raise ConnectionResetError("overloaded during cold start")
         await self._check_members()
         self.running += 1
+        request_id = self._record_start(exchange.request)
         try:
             await self.generator.write_answer(exchange)
         finally:
             self.running -= 1
+            self._recorder.write(
+                records.Ended(
+                    clock.monotonic(),
+                    self.settings.instance,
+                    request_id,
+                    exchange.finished,
+                )
+            )
+
+    def _record_start(self, request: messages.Request) -> str:
+        request_id = request.headers.get(generation.REQUEST_ID_HEADER) or ""
+        prompt = msgspec.json.decode(request.body, type=generation.Prompt)
+        order = self.orders.order
+        self._recorder.write(
+            records.Executed(
+                clock.monotonic(),
+                self.settings.instance,
+                request_id,
+                marker=generation.marker(prompt),
+                group=order.group if order else "",
+                epoch=self.orders.epoch,
+                members=order.members if order else [],
+            )
+        )
+        return request_id
 
     async def _check_members(self) -> None:
         order = self.orders.order
--- a/sycamoredale/standins/engine_orders.py
+++ b/sycamoredale/standins/engine_orders.py
@@ -76,6 +76,11 @@
                 self._update(order)
         return True
 
+    def turn_cold(self, now: clock.MonotonicTime) -> None:
+        """Go back to cold start without a warning."""
+        self.phase = orders.Phase.COLD
+        self._phase_ends = clock.MonotonicTime(now + self.cold_seconds)
+
     def state(self, running: int, step_seconds: float) -> orders.EngineState:
         """Return the report of this engine."""
         order = self.order
--- a/sycamoredale/standins/generation.py
+++ b/sycamoredale/standins/generation.py
@@ -202,6 +202,13 @@
         raise ConnectionResetError("the text to resume from is wrong")
 
 
+def marker(prompt: Prompt) -> str:
+    """Return the text by which records name the request of a prompt."""
+    if prompt.messages:
+        return str(prompt.messages[-1].get("content", ""))
+    return prompt.prompt
+
+
 def token_at(prompt: Prompt, index: int) -> str:
     """Return the token at an index of the answer to a prompt."""
     text = msgspec.json.encode([prompt.model, prompt.messages, prompt.prompt])
--- /dev/null
+++ b/tests/scenarios/runner.py
@@ -0,0 +1,240 @@
+"""Play scenarios from data files and print promise by promise.
+
+python -m tests.scenarios.runner --seed 1            # the long matrix
+python -m tests.scenarios.runner --only kill-router  # one of them
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import itertools
+import pathlib
+import random
+import sys
+import tempfile
+import threading
+import time
+from typing import Final
+
+import click
+import msgspec
+
+from tests import checker
+from tests import processes
+from tests.scenarios import actions
+from tests.scenarios import load as load_module
+from tests.scenarios import site as site_module
+
+DIRECTORY: Final = pathlib.Path(__file__).parent
+SETTLE_SECONDS: Final = 0.5
+MAX_LATER_SECONDS: Final = 2.0
+
+
+class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe one run; see the YAML files beside this module.
+
+    `answered` is the least share of calls that must be answered in the end.
+    """
+
+    name: str
+    about: str
+    seconds: float
+    events: list[actions.Event]
+    ci: bool = False
+    seed: int = 1
+    answered: float = 0.0
+    load: load_module.Load = load_module.Load()
+    shape: site_module.Shape = site_module.Shape()
+    engines: site_module.EngineSettings = site_module.EngineSettings()
+    new_work_seconds: float = 5.0
+    configuration_seconds: float = 18.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """Hold what came out of one run."""
+
+    scenario: str
+    verdicts: list[checker.Verdict]
+    seconds: list[load_module.Second]
+    calls: list[checker.Call]
+
+    @property
+    def answered(self) -> float:
+        """Return the share of calls that were answered in the end."""
+        total = sum(s.calls for s in self.seconds)
+        return sum(s.answered for s in self.seconds) / max(1, total)
+
+
+def read_all() -> list[Scenario]:
+    """Return the scenarios of all data files."""
+    return [
+        msgspec.yaml.decode(path.read_bytes(), type=Scenario)
+        for path in sorted(DIRECTORY.glob("*.yaml"))
+    ]
+
+
+def pair(one: Scenario, other: Scenario, seed: int) -> Scenario:
+    """Return both scenarios at once, the second one somewhat later."""
+    later = random.Random(seed).uniform(0, MAX_LATER_SECONDS)
+    moved = [
+        msgspec.structs.replace(event, at=event.at + later)
+        for event in other.events
+    ]
+    larger = max(
+        one.shape, other.shape, key=lambda s: (len(s.zones), s.routers)
+    )
+    return msgspec.structs.replace(
+        one,
+        name=f"{one.name} + {other.name}",
+        seconds=max(one.seconds, other.seconds + later),
+        events=[*one.events, *moved],
+        answered=0.0,
+        seed=seed,
+        shape=larger,
+        configuration_seconds=max(
+            one.configuration_seconds, other.configuration_seconds
+        ),
+    )
+
+
+def play(scenario: Scenario) -> Report:
+    """Run a scenario and check the recording."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        processes.Fleet() as fleet,
+    ):
+        site = site_module.Site(
+            fleet, pathlib.Path(directory), scenario.shape, scenario.engines
+        )
+        generator = load_module.Generator(site.targets, scenario.seed)
+        started = time.monotonic()
+        with _background(site, generator, scenario) as failures:
+            planned = load_module.schedule(
+                scenario.load, scenario.seconds, scenario.seed
+            )
+            generator.run(planned)
+        time.sleep(SETTLE_SECONDS)
+        site.sample()
+        if failures:
+            raise failures[0]
+        limits = checker.Limits(
+            scenario.new_work_seconds,
+            scenario.configuration_seconds,
+            site_module.LIST_LAG_SECONDS,
+        )
+        recording = site.recording(generator.calls, limits)
+        seconds = list(load_module.by_second(generator.calls, started))
+    verdicts = checker.check(recording)
+    return Report(scenario.name, verdicts, seconds, generator.calls)
+
+
+class _background:
+    """Run the events and the sampler beside the load."""
+
+    def __init__(
+        self,
+        site: site_module.Site,
+        generator: load_module.Generator,
+        scenario: Scenario,
+    ) -> None:
+        self._site = site
+        self._generator = generator
+        self._scenario = scenario
+        self._ended = threading.Event()
+        self._failures: list[Exception] = []
+        self._threads = [
+            threading.Thread(target=self._run_event, args=(event,))
+            for event in scenario.events
+        ]
+        self._sampler = threading.Thread(target=self._sample)
+
+    def __enter__(self) -> list[Exception]:
+        self._started = time.monotonic()
+        for thread in [*self._threads, self._sampler]:
+            thread.start()
+        return self._failures
+
+    def __exit__(self, *exception: object) -> None:
+        for thread in self._threads:
+            thread.join()
+        self._ended.set()
+        self._sampler.join()
+
+    def _run_event(self, event: actions.Event) -> None:
+        time.sleep(max(0.0, self._started + event.at - time.monotonic()))
+        try:
+            actions.BY_NAME[event.do](self._site, self._generator, event)
+        except Exception as failure:
+            self._failures.append(failure)
+
+    def _sample(self) -> None:
+        while not self._ended.wait(site_module.SAMPLE_SECONDS):
+            self._site.sample()
+
+
+def _matrix(
+    scenarios: list[Scenario], seed: int
+) -> collections.abc.Iterator[Scenario]:
+    source = random.Random(seed)
+    for scenario in scenarios:
+        yield msgspec.structs.replace(scenario, seed=seed)
+    pairs = list(itertools.combinations(scenarios, 2))
+    source.shuffle(pairs)
+    for one, other in pairs:
+        yield pair(one, other, source.randrange(2**31))
+
+
+def _print_report(report: Report) -> None:
+    print(f"{report.scenario}: {report.answered:.3f} answered", flush=True)
+    for verdict in report.verdicts:
+        for reason in verdict.broken[:3]:
+            print(f"  broken: {verdict.promise.value}: {reason}")
+    outcomes = collections.Counter(
+        (c.outcome.value, c.code, c.execution) for c in report.calls
+    )
+    for (outcome, code, execution), count in sorted(outcomes.items()):
+        print(f"  {count} {outcome} {code} {execution}")
+
+
+def _print_totals(reports: list[Report]) -> bool:
+    tried: collections.Counter[checker.Promise] = collections.Counter()
+    broken: collections.Counter[checker.Promise] = collections.Counter()
+    for report in reports:
+        for verdict in report.verdicts:
+            tried[verdict.promise] += verdict.tried
+            broken[verdict.promise] += len(verdict.broken)
+    print(f"\n{len(reports)} runs\n{'promise':52}{'tried':>8}{'broken':>8}")
+    for promise in checker.Promise:
+        print(f"{promise.value:52}{tried[promise]:8}{broken[promise]:8}")
+    return not broken.total()
+
+
+@click.command()
+@click.option("--seed", default=1, help="Seed of calls and pairs.")
+@click.option("--minutes", default=10.0, help="No run starts after this.")
+@click.option("--only", default="", help="Name of a single scenario.")
+@click.option("--curve", is_flag=True, help="Print each second of a run.")
+def main(seed: int, minutes: float, only: str, curve: bool) -> None:
+    """Play the matrix of scenarios and print promise by promise."""
+    scenarios = [s for s in read_all() if only in ("", s.name)]
+    until = time.monotonic() + minutes * 60
+    reports = []
+    for scenario in _matrix(scenarios, seed):
+        if time.monotonic() > until - scenario.seconds:
+            break
+        try:
+            report = play(scenario)
+        except (AssertionError, OSError) as failure:
+            print(f"{scenario.name}: not run: {failure}", flush=True)
+            continue
+        reports.append(report)
+        _print_report(report)
+        if curve:
+            for second in report.seconds:
+                print(f"  {second}")
+    sys.exit(0 if _print_totals(reports) else 1)
+
+
+if __name__ == "__main__":
+    main()
