Compare our routers with a naive one on the same seeded calls

The naive router is one process without memory or queue that chooses at random and resends what fails. When the ledger executes bookings and its answers are cut, the naive router books some of them twice and ours none; the test asserts both, so that it fails if either side stops to differ.

--- /dev/null
+++ b/tests/naive.py
@@ -0,0 +1,100 @@
+"""Serve as the plainest router there could be, to compare with ours.
+
+One process without memory or queue: it sends each call to an endpoint
+chosen at random and, if that fails, to another one.  It learns the
+endpoints once, from its command line.
+"""
+
+import random
+import sys
+from typing import Final
+
+import click
+import curio
+import msgspec
+
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.http import server
+
+MAX_ATTEMPTS: Final = 3
+CALL_SECONDS: Final = 6.0
+SERVICE_PREFIX: Final = "/services/"
+DROPPED_FIELDS: Final = frozenset(
+    ("host", "content-length", "connection", "transfer-encoding")
+)
+
+
+class NaiveRouter:
+    """Pass calls on at random."""
+
+    def __init__(self, by_service: dict[str, list[str]], seed: int) -> None:
+        """Keep the addresses of the endpoints of each service."""
+        self._by_service = by_service
+        self._random = random.Random(seed)
+        self._calls = 0
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answer one call."""
+        request, service = self._forwarded(exchange.request)
+        for _ in range(MAX_ATTEMPTS):
+            address = self._random.choice(self._by_service[service])
+            try:
+                async with curio.timeout_after(CALL_SECONDS):
+                    response = await _call(address, request)
+            except (errors.SycamoredaleError, curio.TaskTimeout):
+                continue
+            await exchange.respond(response)
+            return
+        body = {"error": {"code": "failed", "execution": "not_run"}}
+        await exchange.respond(messages.json_response(502, body))
+
+    def _forwarded(
+        self, request: messages.Request
+    ) -> tuple[messages.Request, str]:
+        self._calls += 1
+        headers = request.headers.without(DROPPED_FIELDS)
+        headers = headers.with_field("X-Request-Id", f"naive-{self._calls}")
+        service, target = "assistant", request.target
+        if target.startswith(SERVICE_PREFIX):
+            service, _, rest = target[len(SERVICE_PREFIX) :].partition("/")
+            target = f"/{rest}"
+        forwarded = messages.Request(
+            request.method, target, headers, request.body
+        )
+        return forwarded, service
+
+
+async def _call(address: str, request: messages.Request) -> messages.Response:
+    connection = await client.open_connection(messages.parse_address(address))
+    try:
+        await connection.send(request)
+        head = await connection.read_head()
+        body = await connection.read_body()
+    finally:
+        await connection.close()
+    headers = head.headers.without(DROPPED_FIELDS)
+    return messages.Response(head.status, headers, body)
+
+
+@click.command()
+@click.option("--endpoints", required=True, help="JSON, by service.")
+@click.option("--seed", default=1)
+def main(endpoints: str, seed: int) -> None:
+    """Run the naive router and print its address."""
+    by_service = msgspec.json.decode(endpoints, type=dict[str, list[str]])
+    curio.run(_run, NaiveRouter(by_service, seed))
+
+
+async def _run(router: NaiveRouter) -> None:
+    http_server = server.Server(router.handle)
+    bound = http_server.bind(messages.Address("127.0.0.1", 0))
+    await http_server.start()
+    sys.stdout.write(f"{bound}\n")
+    sys.stdout.flush()
+    await curio.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -74,7 +74,11 @@
 
     def standin(self, *arguments: str) -> Process:
         """Start a stand-in and wait for its address."""
-        process = self.start("sycamoredale.standins", *arguments)
+        return self.listening("sycamoredale.standins", *arguments)
+
+    def listening(self, *arguments: str) -> Process:
+        """Start a module that prints its address, and wait for that."""
+        process = self.start(*arguments)
         _read_address(process)
         return process
 
@@ -118,9 +122,7 @@
 
     def start_proxy(self) -> None:
         """Start the proxy before threads ask for it."""
-        proxy = self.start("tests.proxy")
-        _read_address(proxy)
-        self._proxy = proxy
+        self._proxy = self.listening("tests.proxy")
 
     def _act(
         self, proxied: str, action: str, method: str = "POST"
--- a/tests/scenarios/load.py
+++ b/tests/scenarios/load.py
@@ -68,8 +68,11 @@
 class Generator:
     """Make the calls of a schedule from a bounded number of threads."""
 
-    def __init__(self, targets: Targets, seed: int) -> None:
+    def __init__(
+        self, targets: Targets, seed: int, key_prefix: str = "key"
+    ) -> None:
         """Keep the place to look up routers."""
+        self._key_prefix = key_prefix
         self.calls: list[checker.Call] = []
         self._targets = targets
         self._random = random.Random(seed)
@@ -93,8 +96,8 @@
 
     def _call(self, planned: Planned) -> None:
         if planned.booking:
-            key = f"key-{planned.number}"
-            message = _booking(planned.number)
+            key = f"{self._key_prefix}-{planned.number}"
+            message = _booking(planned.number, key)
             marker = message.body
         else:
             key = ""
@@ -188,11 +191,9 @@
     return _Message("/v1/completions", json.dumps(prompt), expected, stream)
 
 
-def _booking(number: int) -> _Message:
+def _booking(number: int, key: str) -> _Message:
     path = "/services/bookings/withdrawals"
-    return _Message(
-        path, json.dumps({"bottle": number}), expected=f"key-{number}"
-    )
+    return _Message(path, json.dumps({"bottle": number}), expected=key)
 
 
 def _exchange(address: str, message: _Message, key: str) -> _Answer:
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -100,8 +100,8 @@
     )
 
 
-def play(scenario: Scenario) -> Report:
-    """Run a scenario and check the recording."""
+def play(scenario: Scenario, naive: bool = False) -> Report:
+    """Run a scenario against our routers or a naive one; check it."""
     with (
         tempfile.TemporaryDirectory() as directory,
         processes.Fleet() as fleet,
@@ -109,6 +109,8 @@
         site = site_module.Site(
             fleet, pathlib.Path(directory), scenario.shape, scenario.engines
         )
+        if naive:
+            site.start_naive()
         generator = load_module.Generator(site.targets, scenario.seed)
         started = time.monotonic()
         with _background(site, generator, scenario) as failures:
--- a/tests/scenarios/site.py
+++ b/tests/scenarios/site.py
@@ -152,6 +152,22 @@
         if role == "router":
             self.router_names.append(name)
 
+    def start_naive(self) -> None:
+        """Put one naive router in the place of all routers."""
+        answer = processes.request(
+            self.platform.address, "GET", "/v1/objects/assignment"
+        )
+        by_service: dict[str, list[str]] = {}
+        for stored in answer.json()["objects"]:
+            for group in stored["value"]["groups"]:
+                addresses = by_service.setdefault(group["service"], [])
+                addresses.append(group["members"][0]["address"])
+        naive = self.fleet.listening(
+            "tests.naive", "--endpoints", json.dumps(by_service)
+        )
+        self.daemons["naive-1"] = naive
+        self.router_names[:] = ["naive-1"]
+
     def restart(self, name: str) -> None:
         """Start a killed process again; an instance keeps its address."""
         if name in self.daemons:
--- /dev/null
+++ b/tests/test_differential.py
@@ -0,0 +1,102 @@
+"""Compare our routers with a naive one on the same seeded calls."""
+
+import collections.abc
+import dataclasses
+import pathlib
+import random
+
+import pytest
+
+from tests import processes
+from tests.scenarios import load
+from tests.scenarios import site as site_module
+
+SEED = 7
+PROMPTS = 12
+HEADERS = {"Authorization": f"Bearer {load.KEY}"}
+
+
+@dataclasses.dataclass
+class Pair:
+    """Hold a site with one of our routers and a naive one."""
+
+    site: site_module.Site
+    ours: str
+    naive: str
+
+
+@pytest.fixture(scope="module")
+def pair(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> collections.abc.Iterator[Pair]:
+    """Run a small site with one of our routers and a naive one."""
+    shape = site_module.Shape(
+        zones=("kochi",), engines_per_zone=4, routers=1, controllers=1
+    )
+    with processes.Fleet() as fleet:
+        directory: pathlib.Path = tmp_path_factory.mktemp("site")
+        site = site_module.Site(
+            fleet, directory, shape, site_module.EngineSettings()
+        )
+        ours = site.targets()[0].address
+        site.start_naive()
+        yield Pair(site, ours, site.targets()[0].address)
+
+
+def test_same_completions_without_faults(pair: Pair) -> None:
+    source = random.Random(SEED)
+    for number in range(PROMPTS):
+        prompt = {
+            "model": "assistant",
+            "messages": [{"role": "user", "content": f"question {number}"}],
+            "max_tokens": source.randint(1, 20),
+            "stream": source.random() < 0.5,
+        }
+        path = "/v1/chat/completions"
+        ours, naive = (
+            processes.request(address, "POST", path, prompt, HEADERS)
+            for address in (pair.ours, pair.naive)
+        )
+        assert ours.status == naive.status == 200
+        assert ours.body == naive.body
+
+
+def test_same_bookings_without_faults(pair: Pair) -> None:
+    for number in range(PROMPTS):
+        ours, naive = (
+            processes.request(
+                address,
+                "POST",
+                "/services/bookings/withdrawals",
+                {"bottle": number},
+                {**HEADERS, "Idempotency-Key": f"{router}-{number}"},
+            )
+            for router, address in zip(("one", "two"), (pair.ours, pair.naive))
+        )
+        assert ours.status == naive.status == 200
+        assert ours.json() == {"booked": f"one-{number}", "execution": 1}
+        assert naive.json() == {"booked": f"two-{number}", "execution": 1}
+
+
+def test_lost_answers_double_bookings_of_the_naive_router_only(
+    pair: Pair,
+) -> None:
+    assert _doubled(pair, pair.ours, "three") == 0
+    assert _doubled(pair, pair.naive, "four") > 0
+
+
+def _doubled(pair: Pair, address: str, prefix: str) -> int:
+    target = load.Target(prefix, address)
+    generator = load.Generator(lambda: [target], SEED, prefix)
+    pair.site.fleet.set_faults(
+        pair.site.link("kochi-ledger"), cut_answers=4, cut_answers_to="POST"
+    )
+    bookings = load.Load(assistant=0, bookings=10)
+    generator.run(load.schedule(bookings, 2.0, SEED))
+    ledger = pair.site.process("kochi-ledger").address
+    answer = processes.request(ledger, "GET", "/standin/executions")
+    return sum(
+        count > 1
+        for key, count in answer.json().items()
+        if key.startswith(prefix)
+    )
