Add make soak and make measure

make soak plays the scenarios singly and then in seeded pairs, at most ten minutes unless MINUTES says otherwise, and prints each promise with tries and breaks. make measure runs every script of benchmarks/ and writes the page and its plots from their lines alone; a script that fails stands there as not run. Two scripts come with it: what the naive router and ours lose and double, and success and slow answers each second around a zone change.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint types unit test demo clean
+SEED ?= 1
+MINUTES ?= 10
+
+.PHONY: setup format lint types unit test demo soak measure clean
 
 setup: $(VENV)/.ready
 
@@ -31,5 +34,13 @@
 demo: setup
 	$(BIN)/python -m demo
 
+# Plays the scenarios of tests/scenarios, singly and then in pairs.
+soak: setup
+	$(BIN)/python -m tests.scenarios.runner --seed $(SEED) --minutes $(MINUTES)
+
+# Runs benchmarks/ and writes docs/measurements.md with its plots.
+measure: setup
+	$(BIN)/python -m benchmarks.run
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/benchmarks/compare_naive.py
@@ -0,0 +1,47 @@
+"""Measure what our routers and a naive one lose and double under faults."""
+
+import statistics
+
+from benchmarks import site
+from tests import checker
+from tests.scenarios import runner
+
+SCENARIOS = ("lost-ledger-answers", "kill-instance", "cold-again")
+
+
+def main() -> None:
+    """Play the same seeded calls and faults against both."""
+    scenario_by_name = {s.name: s for s in runner.read_all()}
+    for name in SCENARIOS:
+        for variant in ("ours", "naive"):
+            report = runner.play(scenario_by_name[name], variant == "naive")
+            _report(name, variant, report)
+
+
+def _report(name: str, variant: str, report: runner.Report) -> None:
+    calls = len({call.marker for call in report.calls})
+    doubled = {
+        verdict.promise: len(verdict.broken) for verdict in report.verdicts
+    }[checker.Promise.AT_MOST_ONCE]
+    facts: dict[str, object] = {"variant": variant, "calls": calls}
+    figures = (
+        ("unanswered_share", 1 - report.answered, "of calls"),
+        ("doubled_bookings", doubled, "bookings"),
+        ("extra_tries", len(report.calls) - calls, "tries"),
+        ("median_seconds", _median_seconds(report.calls), "s"),
+    )
+    for quantity, value, unit in figures:
+        site.report(f"{name}.{quantity}", value, unit, **facts)
+
+
+def _median_seconds(calls: list[checker.Call]) -> float:
+    answered = [
+        call.ended - call.time
+        for call in calls
+        if call.outcome is checker.Outcome.WHOLE
+    ]
+    return statistics.median(answered)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/zone_curve.py
@@ -0,0 +1,37 @@
+"""Measure success and slow answers each second while a zone goes and returns.
+
+Calls carry long answers, so that streams are open when the zone leaves.
+"""
+
+import msgspec
+
+from benchmarks import site
+from tests.scenarios import load
+from tests.scenarios import runner
+from tests.scenarios import site as site_module
+
+LOAD = load.Load(assistant=60, bookings=15)
+ENGINES = site_module.EngineSettings(token_seconds=0.02)
+
+
+def main() -> None:
+    """Play the scenario against our routers and the naive one."""
+    scenario = next(s for s in runner.read_all() if s.name == "zone-out-in")
+    scenario = msgspec.structs.replace(scenario, load=LOAD, engines=ENGINES)
+    for variant in ("ours", "naive"):
+        report = runner.play(scenario, variant == "naive")
+        for second in report.seconds:
+            facts: dict[str, object] = {
+                "variant": variant,
+                "size": second.second,
+                "size_unit": "s",
+                "calls": second.calls,
+            }
+            share = second.answered / second.calls
+            site.report("zone_curve.success", share, "of calls", **facts)
+            p99 = second.p99_seconds
+            site.report("zone_curve.p99", p99, "s", **facts)
+
+
+if __name__ == "__main__":
+    main()
