Measure the zone change after the endpoints have ended their cold start

At 75 calls a second routers refuse part of the calls as no_endpoint while they learn that endpoints are warm (55 of 630 calls in the first two seconds of one run); the curve shall show the zone change alone, so the zone leaves four seconds later. The load generator had too few threads for slow seconds (6 calls sent in one of them); it has 200 now.

--- a/benchmarks/zone_curve.py
+++ b/benchmarks/zone_curve.py
@@ -11,13 +11,24 @@
 from tests.scenarios import site as site_module
 
 LOAD = load.Load(assistant=60, bookings=15)
+WARM_SECONDS = 4.0
 ENGINES = site_module.EngineSettings(token_seconds=0.02)
 
 
 def main() -> None:
     """Play the scenario against our routers and the naive one."""
     scenario = next(s for s in runner.read_all() if s.name == "zone-out-in")
-    scenario = msgspec.structs.replace(scenario, load=LOAD, engines=ENGINES)
+    later = [
+        msgspec.structs.replace(event, at=event.at + WARM_SECONDS)
+        for event in scenario.events
+    ]
+    scenario = msgspec.structs.replace(
+        scenario,
+        load=LOAD,
+        engines=ENGINES,
+        events=later,
+        seconds=scenario.seconds + WARM_SECONDS,
+    )
     for variant in ("ours", "naive"):
         report = runner.play(scenario, variant == "naive")
         for second in report.seconds:
--- a/tests/scenarios/load.py
+++ b/tests/scenarios/load.py
@@ -21,7 +21,7 @@
 CALLER_SECONDS: Final = 9.0
 MAX_TRIES: Final = 4
 RETRY_SECONDS: Final = 0.3
-WORKERS: Final = 48
+WORKERS: Final = 200
 
 
 class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
