--- a/sycamoredale/admission/admission.py
+++ b/sycamoredale/admission/admission.py
@@ -1,4 +1,13 @@
-"""Decide whether a call may run now, must wait or is refused."""
+"""Decide whether a call may run now, must wait or is refused.
+
+The capacity of a service is divided among organisations over all routers.
+Each router lets an organisation use the part of its share that matches
+the part of its calls that arrive there, so that an organisation gets the
+same through one router as through all.
+
+A call that cannot be expected to end before its deadline is refused as
+soon as that is known, with the time after which it may come back.
+"""
 
 import collections.abc
 import contextlib
@@ -7,38 +16,206 @@
 
 import curio
 
+from sycamoredale.admission import queue
+from sycamoredale.admission import shares
+from sycamoredale.admission import usage
 from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale import error_codes
+from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.requests import call as call_module
 from sycamoredale.routing import choice
 
-MAX_WAIT_SECONDS: Final = 5.0
-POLL_SECONDS: Final = 0.02
+TICK_SECONDS: Final = 0.05
+NO_ROOM_SECONDS: Final = 5.0
+MIN_RETRY_SECONDS: Final = 1.0
+MAX_RETRY_SECONDS: Final = 60.0
+CAPACITY_SECONDS: Final = 0.5
+
+CurrentConfiguration = collections.abc.Callable[[], config_model.Configuration]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Capacity:
+    requests: float
+    read_at: clock.MonotonicTime
 
 
 @dataclasses.dataclass
 class Admission:
-    """Count the open calls of each organisation."""
+    """Hold the queue of each service."""
 
     chooser: choice.Chooser
-    open_by_organisation: dict[ids.OrganisationName, int] = dataclasses.field(
+    board: usage.UsageBoard
+    configuration: CurrentConfiguration
+    queue_by_service: dict[ids.ServiceName, queue.ServiceQueue] = (
+        dataclasses.field(default_factory=dict)
+    )
+    _capacity_by_service: dict[ids.ServiceName, _Capacity] = dataclasses.field(
         default_factory=dict
     )
 
+    def __post_init__(self) -> None:
+        """Learn when a call has been given an endpoint."""
+        self.chooser.on_chosen = self._placed
+
+    async def run(self) -> None:
+        """Look at all queues again and again; tell peers the usage."""
+        while True:
+            await curio.sleep(TICK_SECONDS)
+            now = clock.monotonic()
+            for service in list(self.queue_by_service.values()):
+                await self._refuse_hopeless(service, now)
+                await self._start_calls(service, now)
+            self.board.publish_if_due(self._wanted_by_service(), now)
+
     @contextlib.asynccontextmanager
     async def admitted(
         self, call: call_module.Call, now: clock.MonotonicTime
     ) -> collections.abc.AsyncIterator[None]:
         """Hold a place for the call while the block runs; raise Refusal."""
-        ends = now + min(call.deadline_seconds, MAX_WAIT_SECONDS)
-        while not self.chooser.has_room(call, clock.monotonic()):
-            if clock.monotonic() >= ends:
-                break
-            await curio.sleep(POLL_SECONDS)
-        name = call.organisation
-        count = self.open_by_organisation.get(name, 0)
-        self.open_by_organisation[name] = count + 1
+        service = self._queue(call.service.name)
+        waiter = queue.Waiter(
+            call, now, clock.MonotonicTime(now + call.deadline_seconds)
+        )
+        self._check_queue(service, call)
+        service.add(waiter)
         try:
+            ahead = service.waiting_of(call.organisation) - 1
+            allowance = self.allowance(service, now)
+            _check_wait(service, waiter, ahead, allowance, now)
+            await self._start_calls(service, now)
+            await waiter.decided.wait()
+            if waiter.refusal is not None:
+                raise waiter.refusal
             yield
         finally:
-            self.open_by_organisation[name] -= 1
+            ended = clock.monotonic()
+            service.finish(waiter, ended)
+            await self._start_calls(service, ended)
+
+    def allowance(
+        self, service: queue.ServiceQueue, now: clock.MonotonicTime
+    ) -> queue.Allowance:
+        """Return what may run on this router now."""
+        here = service.wanted()
+        everywhere = here + self.board.elsewhere(service.service, now)
+        organisations = {o.name: o for o in self.configuration().organisations}
+        demands = {}
+        for name, wanted in everywhere.items():
+            organisation = organisations.get(name)
+            bound = organisation.max_concurrent if organisation else wanted
+            weight = organisation.weight if organisation else 1
+            demands[name] = shares.Demand(min(wanted, bound), weight)
+        capacity = self._capacity(service.service, now)
+        divided = shares.divide(
+            capacity * self.board.known_share(now), demands
+        )
+        by_organisation = {
+            name: divided[name] * count / everywhere[name]
+            for name, count in here.items()
+        }
+        return queue.Allowance(sum(by_organisation.values()), by_organisation)
+
+    async def _start_calls(
+        self, service: queue.ServiceQueue, now: clock.MonotonicTime
+    ) -> None:
+        allowance = self.allowance(service, now)
+        while (waiter := service.next(allowance)) is not None:
+            unplaced = len(service.unplaced)
+            if not self.chooser.has_room(waiter.call, unplaced, now):
+                return
+            service.start(waiter, now)
+            await waiter.decided.set()
+
+    async def _refuse_hopeless(
+        self, service: queue.ServiceQueue, now: clock.MonotonicTime
+    ) -> None:
+        allowance = self.allowance(service, now)
+        for ahead, waiter in service.waiting():
+            try:
+                _check_wait(service, waiter, ahead, allowance, now)
+                self._check_room(waiter, now)
+            except errors.Refusal as refusal:
+                service.remove(waiter)
+                waiter.refusal = refusal
+                await waiter.decided.set()
+
+    def _check_queue(
+        self, service: queue.ServiceQueue, call: call_module.Call
+    ) -> None:
+        bound = self.configuration().limits.queue_per_organisation
+        if service.waiting_of(call.organisation) >= bound:
+            raise errors.Refusal(
+                error_codes.QUEUE_FULL,
+                f"{bound} calls of organisation {call.organisation!r} wait "
+                f"for service {call.service.name!r} already",
+                retry_after=_retry_seconds(bound * service.service_seconds),
+            )
+
+    def _check_room(
+        self, waiter: queue.Waiter, now: clock.MonotonicTime
+    ) -> None:
+        if now - waiter.arrived_at < NO_ROOM_SECONDS:
+            return
+        if self._capacity(waiter.call.service.name, now):
+            return
+        raise errors.Refusal(
+            error_codes.NO_ENDPOINT,
+            f"no endpoint of service {waiter.call.service.name!r} can take "
+            "the request now",
+            retry_after=NO_ROOM_SECONDS,
+        )
+
+    def _capacity(
+        self, name: ids.ServiceName, now: clock.MonotonicTime
+    ) -> float:
+        known = self._capacity_by_service.get(name)
+        if known is None or now - known.read_at >= CAPACITY_SECONDS:
+            requests = sum(
+                self.chooser.capacity(service, now)
+                for service in self.configuration().services
+                if service.name == name
+            )
+            known = _Capacity(requests, now)
+            self._capacity_by_service[name] = known
+        return known.requests
+
+    def _placed(self, call: call_module.Call) -> None:
+        self._queue(call.service.name).unplaced.discard(call.id)
+
+    def _queue(self, name: ids.ServiceName) -> queue.ServiceQueue:
+        return self.queue_by_service.setdefault(name, queue.ServiceQueue(name))
+
+    def _wanted_by_service(
+        self,
+    ) -> dict[ids.ServiceName, usage.ByOrganisation]:
+        return {
+            name: dict(wanted)
+            for name, service in self.queue_by_service.items()
+            if (wanted := service.wanted())
+        }
+
+
+def _retry_seconds(expected: float) -> float:
+    return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, expected))
+
+
+def _check_wait(
+    service: queue.ServiceQueue,
+    waiter: queue.Waiter,
+    ahead: int,
+    allowance: queue.Allowance,
+    now: clock.MonotonicTime,
+) -> None:
+    wait = service.wait_seconds(waiter.call.organisation, ahead, allowance)
+    expected = wait + service.service_seconds
+    if now + expected <= waiter.ends_at:
+        return
+    raise errors.Refusal(
+        error_codes.OVERLOADED,
+        f"service {service.service!r} is expected to take {expected:.1f} s, "
+        "which is past the deadline",
+        retry_after=_retry_seconds(wait),
+    )
--- /dev/null
+++ b/sycamoredale/admission/shares.py
@@ -0,0 +1,39 @@
+"""Divide capacity among organisations by weighted max-min fairness.
+
+No organisation gets more than it wants.  What one leaves is divided among
+the others by weight, so that capacity stands idle only when all have what
+they want.
+"""
+
+import collections.abc
+import dataclasses
+
+from sycamoredale import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Hold how many requests an organisation wants to run at once."""
+
+    wanted: float
+    weight: float = 1.0
+
+
+def divide(
+    capacity: float,
+    by_organisation: collections.abc.Mapping[ids.OrganisationName, Demand],
+) -> dict[ids.OrganisationName, float]:
+    """Return the share of each organisation in the capacity."""
+    shares: dict[ids.OrganisationName, float] = {}
+    left = capacity
+    weight_left = sum(d.weight for d in by_organisation.values())
+    modest_first = sorted(
+        by_organisation.items(),
+        key=lambda item: item[1].wanted / item[1].weight,
+    )
+    for name, demand in modest_first:
+        fair = left * demand.weight / weight_left
+        shares[name] = min(demand.wanted, fair)
+        left -= shares[name]
+        weight_left -= demand.weight
+    return shares
--- /dev/null
+++ b/sycamoredale/admission/usage.py
@@ -0,0 +1,105 @@
+"""Know what organisations use on all routers together.
+
+Each router tells the others how many requests of each organisation it has
+running and waiting.  The time between two notices grows with the number
+of routers, so that all notices together stay within a fixed rate at each
+receiver.  A router that falls silent is left out after a few periods; the
+capacity of routers not heard of is left to them.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale import ids
+from sycamoredale.membership import relay
+
+MIN_PERIOD_SECONDS: Final = 0.5
+RECEIVED_BYTES_PER_SECOND: Final = 600
+NOTICE_OVERHEAD_BYTES: Final = 120
+EXPIRY_PERIODS: Final = 4
+
+ByOrganisation = dict[ids.OrganisationName, int]
+
+
+class RouterUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Tell what one router has running and waiting, by service."""
+
+    period_seconds: float
+    wanted_by_service: dict[ids.ServiceName, ByOrganisation] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    usage: RouterUsage
+    expires_at: clock.MonotonicTime
+
+
+@dataclasses.dataclass
+class UsageBoard:
+    """Hold the usage of the other routers by their id."""
+
+    notices: relay.Relay
+    routers: collections.abc.Callable[[], int] = lambda: 1
+    _heard_by_id: dict[ids.DaemonId, _Heard] = dataclasses.field(
+        default_factory=dict
+    )
+    _publish_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
+
+    def hear(self, notice: relay.Notice, now: clock.MonotonicTime) -> None:
+        """Take over the usage of a peer."""
+        if notice.origin == self.notices.own:
+            return
+        try:
+            usage = msgspec.json.decode(notice.payload, type=RouterUsage)
+        except msgspec.DecodeError:
+            return
+        expires = now + EXPIRY_PERIODS * usage.period_seconds
+        self._heard_by_id[notice.origin] = _Heard(
+            usage, clock.MonotonicTime(expires)
+        )
+
+    def publish_if_due(
+        self,
+        wanted_by_service: dict[ids.ServiceName, ByOrganisation],
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Tell the peers what this router has, at the bounded rate."""
+        if now < self._publish_at:
+            return
+        size = len(msgspec.json.encode(wanted_by_service))
+        received = self.routers() * (size + NOTICE_OVERHEAD_BYTES)
+        period = max(MIN_PERIOD_SECONDS, received / RECEIVED_BYTES_PER_SECOND)
+        self._publish_at = clock.MonotonicTime(now + period)
+        self.notices.publish(
+            relay.Topic.USAGE,
+            self.notices.own,
+            RouterUsage(period, wanted_by_service),
+        )
+
+    def elsewhere(
+        self, service: ids.ServiceName, now: clock.MonotonicTime
+    ) -> collections.Counter[ids.OrganisationName]:
+        """Return what the other routers have, by organisation."""
+        self._expire(now)
+        total: collections.Counter[ids.OrganisationName] = (
+            collections.Counter()
+        )
+        for heard in self._heard_by_id.values():
+            total.update(heard.usage.wanted_by_service.get(service, {}))
+        return total
+
+    def known_share(self, now: clock.MonotonicTime) -> float:
+        """Return the share of the routers whose usage is known."""
+        self._expire(now)
+        known = len(self._heard_by_id) + 1
+        return min(1.0, known / max(1, self.routers()))
+
+    def _expire(self, now: clock.MonotonicTime) -> None:
+        gone = [d for d, h in self._heard_by_id.items() if now > h.expires_at]
+        for daemon in gone:
+            del self._heard_by_id[daemon]
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -9,6 +9,7 @@
 import curio
 
 from sycamoredale.admission import admission
+from sycamoredale.admission import usage
 from sycamoredale import clock
 from sycamoredale.config import model as config_model
 from sycamoredale.config import store as config_store
@@ -78,10 +79,11 @@
             poison.PoisonList(self._relay),
         )
         self._once = self._build_once()
+        self._admission = self._build_admission()
         callers_service = callers.CallerService(
             configuration=self._current,
             health=self._health,
-            admission=admission.Admission(self._chooser),
+            admission=self._admission,
             dispatcher=self._dispatcher,
             once=self._once,
         )
@@ -98,6 +100,7 @@
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
         await curio.spawn(self._warmth.run, daemon=True)
+        await curio.spawn(self._admission.run, daemon=True)
         await curio.spawn(self._cold_keeper.run, daemon=True)
         await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
@@ -127,7 +130,7 @@
             relay.Topic.ENDPOINT,
             lambda notice: endpoint_health.hear(notice, clock.monotonic()),
         )
-        cold = cold_start.ColdStart(self._table)
+        cold = cold_start.ColdStart(self._table, self._count_routers)
         self._warmth = warmth_store.WarmthStore(
             cold, self._store, self._relay, zone
         )
@@ -142,6 +145,17 @@
         )
         return choice.Chooser(self._table, zone, endpoint_health, cold)
 
+    def _build_admission(self) -> admission.Admission:
+        board = usage.UsageBoard(self._relay, self._count_routers)
+        self._relay.subscribe(
+            relay.Topic.USAGE,
+            lambda notice: board.hear(notice, clock.monotonic()),
+        )
+        return admission.Admission(self._chooser, board, self._current)
+
+    def _count_routers(self) -> int:
+        return sum(1 for _ in self._members.usable_routers())
+
     def _build_once(self) -> once.OnceRunner:
         writer = claim_writer.ClaimWriter(
             self._store,
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -64,6 +64,12 @@
 ENDPOINT_FAILED: Final = _define(
     "endpoint_failed", 502, "the endpoint failed while it had the request"
 )
+QUEUE_FULL: Final = _define(
+    "queue_full", 429, "too many calls of the organisation wait"
+)
+OVERLOADED: Final = _define(
+    "overloaded", 503, "the call could not end before its deadline"
+)
 DRAINING: Final = _define(
     "draining", 503, "the router is stopping and takes no new request"
 )
--- a/sycamoredale/requests/call.py
+++ b/sycamoredale/requests/call.py
@@ -1,6 +1,7 @@
 """Describe the call of a caller, as read from its HTTP request."""
 
 import dataclasses
+import enum
 import functools
 from typing import Final
 
@@ -32,6 +33,13 @@
 _COMPLETION_DECODER: Final = msgspec.json.Decoder(_Completion)
 
 
+class Priority(enum.Enum):
+    """Order the calls that wait; interactive ones go first."""
+
+    INTERACTIVE = "interactive"
+    BATCH = "batch"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """Hold what is decided from; `upstream` goes to the endpoint."""
@@ -44,6 +52,10 @@
     stream: bool
     key: ids.IdempotencyKey | None
     deadline_seconds: float
+    priority: Priority = Priority.INTERACTIVE
+    session: str | None = None
+    version: ids.VersionName | None = None
+    adapter: ids.AdapterName | None = None
 
     @property
     def is_model(self) -> bool:
@@ -97,16 +109,20 @@
         raise errors.Refusal(
             error_codes.MALFORMED_REQUEST, f"request body: {error}"
         ) from error
+    name, version, adapter = _read_model_name(
+        completion.model, source.configuration
+    )
     service = _find_service(
-        source.configuration, completion.model, model.ServiceKind.MODEL
+        source.configuration, name, model.ServiceKind.MODEL
     )
-    return _build(
+    call = _build(
         source,
         service,
         target=request.target,
         idempotent=True,
         stream=completion.stream,
     )
+    return dataclasses.replace(call, version=version, adapter=adapter)
 
 
 def _read_plain(source: _Source) -> Call:
@@ -151,9 +167,51 @@
         stream=stream,
         key=_key(request),
         deadline_seconds=deadline_seconds,
+        priority=_priority(request),
+        session=request.headers.get(SESSION_HEADER),
+    )
+
+
+def _read_model_name(
+    text: str, configuration: model.Configuration
+) -> tuple[str, ids.VersionName | None, ids.AdapterName | None]:
+    """Return service, version and adapter of `s`, `s@v` or `s:a`."""
+    name, at, version = text.partition("@")
+    if at:
+        known = {(v.service, v.name) for v in configuration.versions}
+        if (name, version) not in known:
+            raise _unknown(f"version {version!r} of service {name!r}")
+        return name, ids.VersionName(version), None
+    name, colon, adapter = text.partition(":")
+    if not colon:
+        return name, None, None
+    if (name, adapter) not in {
+        (a.service, a.name) for a in configuration.adapters
+    }:
+        raise _unknown(f"adapter {adapter!r} of service {name!r}")
+    return name, None, ids.AdapterName(adapter)
+
+
+def _unknown(what: str) -> errors.Refusal:
+    return errors.Refusal(
+        error_codes.UNKNOWN_SERVICE, f"{what} does not exist"
     )
 
 
+def _priority(request: messages.Request) -> Priority:
+    text = request.headers.get(PRIORITY_HEADER)
+    if text is None:
+        return Priority.INTERACTIVE
+    try:
+        return Priority(text.lower())
+    except ValueError as error:
+        raise errors.Refusal(
+            error_codes.MALFORMED_REQUEST,
+            f"header {PRIORITY_HEADER} has the value {text!r}, "
+            "which is no priority",
+        ) from error
+
+
 def _key(request: messages.Request) -> ids.IdempotencyKey | None:
     key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
     if key is None:
--- a/sycamoredale/routing/cold_start.py
+++ b/sycamoredale/routing/cold_start.py
@@ -116,6 +116,33 @@
         slots = min(known.slots, service.cold_limit)
         return slots - self._open(endpoint, known, now)
 
+    def capacity(
+        self,
+        endpoint: table.Endpoint,
+        service: config_model.Service,
+        now: clock.MonotonicTime,
+    ) -> float:
+        """Return how many requests the endpoint can run at once."""
+        known = self.by_id.get(endpoint.id)
+        if known is None:
+            return 0.0
+        if known.warmth.warm:
+            return min(_ramped(known, service, now), service.capacity)
+        return known.slots if self._holds(known, now) else 0.0
+
+    def held_endpoints(
+        self, service: ids.ServiceName, now: clock.MonotonicTime
+    ) -> collections.abc.Iterator[table.Endpoint]:
+        """Yield the cold endpoints of a service that have slots here."""
+        for endpoint_id in self._cold:
+            endpoint = self.routing_table.by_id.get(endpoint_id)
+            if endpoint is None or endpoint.service != service:
+                continue
+            if endpoint.zone in self._zones_out:
+                continue
+            if self._holds(self.by_id[endpoint_id], now):
+                yield endpoint
+
     def confirm(
         self, endpoint: ids.EndpointId, now: clock.MonotonicTime
     ) -> bool:
@@ -316,9 +343,19 @@
         service: config_model.Service,
         now: clock.MonotonicTime,
     ) -> int:
-        doublings = (now - known.ramp_from) / RAMP_DOUBLING_SECONDS
-        if doublings >= math.log2(service.capacity / service.cold_limit):
+        total = _ramped(known, service, now)
+        if total >= service.capacity:
             return service.capacity
-        total: float = service.cold_limit * math.pow(2.0, doublings)
-        share = math.ceil(total / max(1, self.routers()))
-        return max(1, min(share, service.capacity))
+        return max(1, math.ceil(total / max(1, self.routers())))
+
+
+def _ramped(
+    known: ColdEndpoint,
+    service: config_model.Service,
+    now: clock.MonotonicTime,
+) -> float:
+    """Return what all routers may send, at most about the capacity."""
+    doublings = (now - known.ramp_from) / RAMP_DOUBLING_SECONDS
+    if doublings >= math.log2(service.capacity / service.cold_limit):
+        return service.capacity
+    return service.cold_limit * math.pow(2.0, doublings)
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -52,6 +52,9 @@
     _by_domain: dict[ids.DomainName, groups_model.Assignment] = (
         dataclasses.field(default_factory=dict)
     )
+    _zone_lists: (
+        dict[ids.ServiceName, dict[ids.ZoneName, list[Endpoint]]] | None
+    ) = None
     _zones_out: frozenset[ids.ZoneName] = frozenset()
 
     def apply_configuration(
@@ -81,6 +84,19 @@
             if endpoint.zone not in self._zones_out:
                 yield endpoint
 
+    def by_zone(
+        self, service: ids.ServiceName
+    ) -> dict[ids.ZoneName, list[Endpoint]]:
+        """Return the endpoints of a service that may take new work."""
+        if self._zone_lists is None:
+            self._zone_lists = {}
+            for name in self._by_service:
+                lists: dict[ids.ZoneName, list[Endpoint]] = {}
+                for endpoint in self.candidates(name):
+                    lists.setdefault(endpoint.zone, []).append(endpoint)
+                self._zone_lists[name] = lists
+        return self._zone_lists.get(service, {})
+
     def find(self, endpoint: ids.EndpointId) -> Endpoint | None:
         """Return an endpoint, draining or not."""
         return self.by_id.get(endpoint) or self.draining_by_id.get(endpoint)
@@ -107,6 +123,7 @@
         self._changed()
 
     def _changed(self) -> None:
+        self._zone_lists = None
         for callback in self.on_change:
             callback()
 
