--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,315 @@
+"""Test fair shares, queues and early refusals."""
+
+import dataclasses
+import typing
+
+import curio
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sycamoredale.admission import admission
+from sycamoredale.admission import retry_budget
+from sycamoredale.admission import shares
+from sycamoredale.admission import usage
+from sycamoredale import clock
+from sycamoredale.config import model
+from sycamoredale import errors
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.membership import relay
+from sycamoredale.requests import call as call_module
+
+LARGE = ids.OrganisationName("large")
+SMALL = ids.OrganisationName("small")
+SERVICE = model.Service(
+    ids.ServiceName("assistant"), model.ServiceKind.MODEL, 1
+)
+CONFIGURATION = model.Configuration(
+    services=[SERVICE],
+    organisations=[
+        model.Organisation(LARGE, "", max_concurrent=1000),
+        model.Organisation(SMALL, "", max_concurrent=1000),
+    ],
+    limits=model.Limits(queue_per_organisation=50),
+)
+
+
+def _naive_shares(
+    capacity: float, demands: dict[ids.OrganisationName, shares.Demand]
+) -> dict[ids.OrganisationName, float]:
+    """Pour the capacity out in small steps to those who want more."""
+    got = dict.fromkeys(demands, 0.0)
+    step = capacity / 4000
+    for _ in range(4000):
+        hungry = [n for n, d in demands.items() if got[n] < d.wanted]
+        if not hungry:
+            break
+        lowest = min(hungry, key=lambda n: got[n] / demands[n].weight)
+        got[lowest] += step
+    return got
+
+
+@hypothesis.given(
+    capacity=strategies.floats(1, 100),
+    wanted=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 60), strategies.integers(1, 4)
+        ),
+        min_size=1,
+        max_size=6,
+    ),
+)
+def test_shares_match_pouring(
+    capacity: float, wanted: list[tuple[int, int]]
+) -> None:
+    demands = {
+        ids.OrganisationName(f"o{n}"): shares.Demand(want, weight)
+        for n, (want, weight) in enumerate(wanted)
+    }
+    divided = shares.divide(capacity, demands)
+    naive = _naive_shares(capacity, demands)
+    for name, share in divided.items():
+        assert share == pytest.approx(naive[name], abs=capacity / 400)
+
+
+@dataclasses.dataclass
+class _Endpoints:
+    """Stand in for the chooser with a fixed number of places."""
+
+    places: float
+    on_chosen: typing.Any = None
+
+    def has_room(self, call: object, unplaced: int, now: object) -> bool:
+        return True
+
+    def capacity(self, service: object, now: object) -> float:
+        return self.places
+
+
+@dataclasses.dataclass
+class _Router:
+    """Hold the admission of one router and count what runs."""
+
+    admission: admission.Admission
+    running: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    async def call(
+        self, organisation: ids.OrganisationName, seconds: float
+    ) -> None:
+        """Run one call for a time."""
+        call = _call(organisation, 60.0)
+        async with self.admission.admitted(call, clock.monotonic()):
+            count = self.running.get(organisation, 0)
+            self.running[organisation] = count + 1
+            await curio.sleep(seconds)
+
+
+def _routers(count: int, places: float) -> list[_Router]:
+    routers = []
+    notices: list[relay.Relay] = []
+    for number in range(count):
+        own = _Wire(ids.DaemonId(f"router-{number}"), peers=notices)
+        notices.append(own)
+        board = usage.UsageBoard(own, lambda: count)
+        own.subscribe(
+            relay.Topic.USAGE,
+            lambda notice, board=board: board.hear(  # type: ignore[misc]
+                notice, clock.monotonic()
+            ),
+        )
+        endpoints = typing.cast(typing.Any, _Endpoints(places))
+        routers.append(
+            _Router(
+                admission.Admission(endpoints, board, lambda: CONFIGURATION)
+            )
+        )
+    return routers
+
+
+@dataclasses.dataclass
+class _Wire(relay.Relay):
+    """Deliver each notice to all peers at once."""
+
+    peers: list[relay.Relay] = dataclasses.field(default_factory=list)
+
+    def publish(
+        self, topic: relay.Topic, key: str, value: object
+    ) -> relay.Notice:
+        """Deliver the notice."""
+        notice = super().publish(topic, key, value)
+        for peer in self.peers:
+            if peer is not self:
+                peer.deliver(notice)
+        return notice
+
+
+def _call(
+    organisation: ids.OrganisationName,
+    deadline: float,
+    priority: call_module.Priority = call_module.Priority.INTERACTIVE,
+) -> call_module.Call:
+    return call_module.Call(
+        id=ids.RequestId(f"{organisation}-{next(_NUMBERS)}"),
+        organisation=organisation,
+        service=SERVICE,
+        upstream=messages.Request("GET", "/"),
+        idempotent=True,
+        stream=False,
+        key=None,
+        deadline_seconds=deadline,
+        priority=priority,
+    )
+
+
+_NUMBERS = iter(range(1_000_000))
+
+
+def test_one_router_or_all_gets_the_same() -> None:
+    routers = _routers(4, places=8)
+
+    async def repeat(router: _Router, name: ids.OrganisationName) -> None:
+        while True:
+            await router.call(name, 0.05)
+
+    def ran(name: ids.OrganisationName) -> int:
+        return sum(router.running.get(name, 0) for router in routers)
+
+    async def act() -> None:
+        for router in routers:
+            await curio.spawn(router.admission.run, daemon=True)
+            for _ in range(8):
+                await curio.spawn(repeat, routers[0], LARGE, daemon=True)
+                await curio.spawn(repeat, router, SMALL, daemon=True)
+        await curio.sleep(1.0)
+        before = ran(LARGE), ran(SMALL)
+        await curio.sleep(1.5)
+        large = ran(LARGE) - before[0]
+        small = ran(SMALL) - before[1]
+        assert 0.75 < large / small < 1.33
+
+    curio.run(act)
+
+
+def test_small_organisation_goes_before_the_backlog_of_a_large_one() -> None:
+    (router,) = _routers(1, places=2)
+
+    async def act() -> None:
+        for _ in range(40):
+            await curio.spawn(router.call, LARGE, 0.05, daemon=True)
+        await curio.sleep(0.1)
+        async with curio.timeout_after(0.5):
+            await router.call(SMALL, 0.0)
+
+    curio.run(act)
+
+
+def test_hopeless_calls_are_refused_at_once_with_a_time() -> None:
+    (router,) = _routers(1, places=1)
+
+    async def act() -> None:
+        await router.call(LARGE, 0.2)
+        for _ in range(20):
+            await curio.spawn(router.call, LARGE, 0.2, daemon=True)
+        await curio.sleep(0.01)
+        started = clock.monotonic()
+        with pytest.raises(errors.Refusal) as refused:
+            async with router.admission.admitted(
+                _call(LARGE, 1.0), clock.monotonic()
+            ):
+                pass
+        assert clock.monotonic() - started < 0.5
+        assert refused.value.code.name == "overloaded"
+        assert refused.value.retry_after is not None
+        assert refused.value.retry_after > 2.0
+
+    curio.run(act)
+
+
+def test_a_queue_that_slows_down_refuses_before_the_deadline() -> None:
+    (router,) = _routers(1, places=1)
+
+    async def act() -> None:
+        await curio.spawn(router.admission.run, daemon=True)
+        await router.call(LARGE, 0.05)
+        await curio.spawn(router.call, LARGE, 1.0, daemon=True)
+        await curio.spawn(router.call, LARGE, 1.0, daemon=True)
+        await curio.sleep(0.01)
+        started = clock.monotonic()
+        with pytest.raises(errors.Refusal):
+            async with router.admission.admitted(
+                _call(LARGE, 2.0), clock.monotonic()
+            ):
+                pass
+        assert clock.monotonic() - started < 1.95
+
+    curio.run(act)
+
+
+def test_queue_of_an_organisation_is_bounded() -> None:
+    (router,) = _routers(1, places=1)
+
+    async def act() -> None:
+        for _ in range(51):
+            await curio.spawn(router.call, LARGE, 5.0, daemon=True)
+        await curio.sleep(0.01)
+        with pytest.raises(errors.Refusal) as refused:
+            await router.call(LARGE, 0.0)
+        assert refused.value.code.name == "queue_full"
+        await curio.spawn(router.call, SMALL, 0.0, daemon=True)
+
+    curio.run(act)
+
+
+def test_batch_waits_behind_interactive_but_does_not_starve() -> None:
+    turns = 30
+    (router,) = _routers(1, places=1)
+    order: list[call_module.Priority] = []
+
+    async def run(priority: call_module.Priority) -> None:
+        call = _call(LARGE, 60.0, priority)
+        async with router.admission.admitted(call, clock.monotonic()):
+            order.append(priority)
+            await curio.sleep(0.005)
+
+    async def act() -> None:
+        tasks = [
+            await curio.spawn(run, call_module.Priority.BATCH)
+            for _ in range(turns // 2)
+        ]
+        tasks += [
+            await curio.spawn(run, call_module.Priority.INTERACTIVE)
+            for _ in range(turns // 2)
+        ]
+        for task in tasks:
+            await task.join()
+
+    curio.run(act)
+    first_half = order[: turns // 2]
+    batches = first_half.count(call_module.Priority.BATCH)
+    assert 1 <= batches <= 4
+
+
+def test_allowance_shrinks_to_the_routers_that_are_heard() -> None:
+    board = usage.UsageBoard(relay.Relay(ids.DaemonId("a")), lambda: 4)
+    assert board.known_share(clock.MonotonicTime(0.0)) == 0.25
+    heard = relay.Relay(ids.DaemonId("b")).publish(
+        relay.Topic.USAGE,
+        "b",
+        usage.RouterUsage(1.0, {SERVICE.name: {LARGE: 3}}),
+    )
+    board.hear(heard, clock.MonotonicTime(0.0))
+    assert board.known_share(clock.MonotonicTime(1.0)) == 0.5
+    now = clock.MonotonicTime(1.0)
+    assert board.elsewhere(SERVICE.name, now) == {LARGE: 3}
+    assert board.known_share(clock.MonotonicTime(9.0)) == 0.25
+
+
+def test_retries_stay_a_share_of_calls() -> None:
+    budget = retry_budget.RetryBudget()
+    taken = 0
+    for _ in range(1000):
+        budget.deposit(SERVICE.name)
+        taken += budget.take(SERVICE.name)
+    assert taken <= retry_budget.MAX_TOKENS + 0.1 * 1000
+    assert budget.tokens_by_service[SERVICE.name] < 1.0
