--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint types unit test demo clean
+SEED ?= 1
+MINUTES ?= 10
+
+.PHONY: setup format lint types unit test demo soak measure clean
 
 setup: $(VENV)/.ready
 
@@ -12,13 +15,13 @@
 	touch $@
 
 format: setup
-	$(BIN)/python -m isort --quiet sycamoredale tests benchmarks
-	$(BIN)/python -m black --quiet sycamoredale tests benchmarks
+	$(BIN)/python -m isort --quiet sycamoredale tests benchmarks demo
+	$(BIN)/python -m black --quiet sycamoredale tests benchmarks demo
 
 lint: setup
-	$(BIN)/python -m isort --quiet --check sycamoredale tests benchmarks
-	$(BIN)/python -m black --quiet --check sycamoredale tests benchmarks
-	$(BIN)/python -m flake8 sycamoredale tests benchmarks
+	$(BIN)/python -m isort --quiet --check sycamoredale tests benchmarks demo
+	$(BIN)/python -m black --quiet --check sycamoredale tests benchmarks demo
+	$(BIN)/python -m flake8 sycamoredale tests benchmarks demo
 
 types: setup
 	$(BIN)/python -m mypy
@@ -29,7 +32,15 @@
 test: lint types unit
 
 demo: setup
-	$(BIN)/python -m sycamoredale.standins.demo
+	$(BIN)/python -m demo
+
+# Plays the scenarios of tests/scenarios, singly and then in pairs.
+soak: setup
+	$(BIN)/python -m tests.scenarios.runner --seed $(SEED) --minutes $(MINUTES)
+
+# Runs benchmarks/ and writes docs/measurements.md with its plots.
+measure: setup
+	$(BIN)/python -m benchmarks.run
 
 clean:
 	rm -rf $(VENV) build *.egg-info
