Give up a member whose host refuses connections within a second

A silent member may be paused and is given four seconds. A refused connection means that the process is gone and what it had loaded with it, so waiting gains nothing.

--- a/sycamoredale/groups/health.py
+++ b/sycamoredale/groups/health.py
@@ -1,7 +1,9 @@
 """Know what the instances of one fabric domain report of themselves.
 
 An instance counts as unreachable after a number of failed probes in a row,
-so that one lost packet changes nothing.
+so that one lost packet changes nothing.  A silent one may be paused and come
+back with all it had loaded, so it is given time.  One whose host refuses
+connections has lost its process, and with it what was loaded.
 """
 
 import dataclasses
@@ -15,6 +17,7 @@
 
 FAILURES_UNTIL_UNREACHABLE: Final = 2
 REPLACE_AFTER_SECONDS: Final = 4.0
+REPLACE_REFUSING_AFTER_SECONDS: Final = 1.0
 FAILED_LOADS_UNTIL_AVOIDED: Final = 3
 NEVER_ORDERED: Final = ids.Epoch(0)
 SERVING_PHASES: Final = frozenset((orders.Phase.COLD, orders.Phase.READY))
@@ -32,6 +35,7 @@
     asked_at: clock.MonotonicTime | None = None
     failures: int = 0
     failing_since: clock.MonotonicTime | None = None
+    refuses: bool = False
     ordered_at: clock.MonotonicTime | None = None
     failed_loads: int = 0
 
@@ -46,7 +50,10 @@
         """Tell whether the instance has been unreachable for long."""
         if self.reachable or self.failing_since is None:
             return False
-        return now >= self.failing_since + REPLACE_AFTER_SECONDS
+        wait = REPLACE_AFTER_SECONDS
+        if self.refuses:
+            wait = REPLACE_REFUSING_AFTER_SECONDS
+        return now >= self.failing_since + wait
 
 
 @dataclasses.dataclass
@@ -85,10 +92,14 @@
         known.failing_since = None
 
     def note_failure(
-        self, instance: ids.InstanceId, now: clock.MonotonicTime
+        self,
+        instance: ids.InstanceId,
+        now: clock.MonotonicTime,
+        refuses: bool = False,
     ) -> None:
-        """Count a probe that failed."""
+        """Count a probe that failed, as refused or without an answer."""
         known = self.by_id[instance]
+        known.refuses = refuses
         known.failures += 1
         if known.failing_since is None:
             known.failing_since = now
--- a/sycamoredale/groups/probing.py
+++ b/sycamoredale/groups/probing.py
@@ -51,8 +51,9 @@
         known = book.by_id[instance.id]
         try:
             state = await self._ask(instance, fresh=known.failures > 0)
-        except errors.SycamoredaleError:
-            book.note_failure(instance.id, self.read_clock())
+        except errors.SycamoredaleError as error:
+            refuses = isinstance(error.__cause__, ConnectionRefusedError)
+            book.note_failure(instance.id, self.read_clock(), refuses)
         else:
             book.note_report(instance.id, state, asked_at)
 
--- a/tests/test_group_decisions.py
+++ b/tests/test_group_decisions.py
@@ -150,6 +150,16 @@
     assert repair.revise(group, late) == group
 
 
+def test_refusing_member_is_given_up_sooner_than_a_silent_one() -> None:
+    group = _group("a", "b", state=FORMING)
+    facts = _facts([group])
+    soon = _at(facts, health.REPLACE_REFUSING_AFTER_SECONDS)
+    for refuses, expected in ((False, group), (True, None)):
+        for _ in range(2):
+            facts.book.note_failure(ids.InstanceId("b"), START, refuses)
+        assert repair.revise(group, soon) == expected
+
+
 @pytest.mark.parametrize(
     ("phase", "epoch"),
     [
