Move groups only as far as the whole move can be done

Now the extra group has one target, the group to drain is the one that the move was planned for, and one move is under way at a time.

--- /dev/null
+++ b/benchmarks/controller_cost.py
@@ -0,0 +1,83 @@
+"""Measure what a controller spends while nothing happens.
+
+One controller keeps groups of two engines in 1, 2, 4 and 8 domains.  For
+each size the platform calls a second by kind and the share of a core are
+printed, and the slope of the share over the instances.
+
+Run `python -m benchmarks.controller_cost`.
+"""
+
+import os
+import pathlib
+import time
+import typing
+
+from tests import group_site
+from tests import processes
+
+DOMAINS: typing.Final = (1, 2, 4, 8)
+SECONDS: typing.Final = 15.0
+ENGINES_PER_DOMAIN: typing.Final = 4
+CPU_FIELDS: typing.Final = slice(13, 15)
+
+
+def measure(domains: int) -> tuple[dict[str, float], float]:
+    """Return the calls a second by kind and the share of a core."""
+    with processes.Fleet() as fleet:
+        site = group_site.start(fleet)
+        for domain in range(domains):
+            names = [f"d{domain}-{n}" for n in range(ENGINES_PER_DOMAIN)]
+            site.add_engines(names, f"d{domain}")
+        site.publish()
+        groups = domains * ENGINES_PER_DOMAIN // 2
+        site.apply(
+            services=[group_site.service(groups, 2)],
+            zones=[{"name": "kochi"}],
+        )
+        controller = fleet.controller("c1", "kochi", site.platform.address)
+        processes.wait_for(lambda: len(site.ready()) == groups, 60.0)
+        time.sleep(2.0)
+        calls = _calls(site)
+        cpu = _cpu_seconds(controller.popen.pid)
+        time.sleep(SECONDS)
+        after = _calls(site)
+        share = (_cpu_seconds(controller.popen.pid) - cpu) / SECONDS
+        rates = {
+            kind: (count - calls.get(kind, 0)) / SECONDS
+            for kind, count in after.items()
+        }
+    return rates, share
+
+
+def main() -> None:
+    """Print the cost by the number of domains and its slope."""
+    shares: list[tuple[int, float]] = []
+    for domains in DOMAINS:
+        rates, share = measure(domains)
+        instances = domains * ENGINES_PER_DOMAIN
+        shares.append((instances, share))
+        shown = ", ".join(
+            f"{kind} {rate:.2f}/s"
+            for kind, rate in sorted(rates.items())
+            if rate
+        )
+        print(f"{domains} domains, {instances} instances: {shown}; ", end="")
+        print(f"{share:.2%} of a core")
+    (least, low), (most, high) = shares[0], shares[-1]
+    slope = (high - low) / (most - least)
+    print(f"slope: {slope:.4%} of a core for each instance")
+
+
+def _calls(site: group_site.GroupSite) -> dict[str, int]:
+    answer = processes.request(site.platform.address, "GET", "/standin/calls")
+    return dict(answer.json())
+
+
+def _cpu_seconds(pid: int) -> float:
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    ticks = sum(int(field) for field in stat.split()[CPU_FIELDS])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/stranded_accelerators.py
+++ b/benchmarks/stranded_accelerators.py
@@ -74,8 +74,17 @@
             for name in sorted({i.domain for i in self.all.values()})
         }
 
-    def settle(self, planner: Planner) -> None:
-        """Plan all domains until nothing changes."""
+    def suffer_event(self, source: random.Random) -> None:
+        """Lose an instance or get one back."""
+        dead = sorted(self.all.keys() - self.alive.keys())
+        if dead and source.random() < len(dead) / 20:
+            returned = source.choice(dead)
+            self.alive[returned] = self.all[returned]
+        else:
+            del self.alive[source.choice(sorted(self.alive))]
+
+    def settle(self, planner: Planner) -> bool:
+        """Plan all domains until nothing changes; tell whether that came."""
         for _ in range(ROUNDS_PER_EVENT):
             before = dict(self.by_domain)
             for domain, current in before.items():
@@ -89,7 +98,8 @@
                 self.formed |= now - known
             self.now = clock.MonotonicTime(self.now + ROUND_SECONDS)
             if before == self.by_domain:
-                return
+                return True
+        return False
 
     def stranded_share(self) -> float:
         """Return the stranded part of the accelerators that are alive."""
@@ -162,12 +172,7 @@
     source = random.Random(seed)
     shares = []
     for _ in range(EVENTS):
-        dead = sorted(fleet.all.keys() - fleet.alive.keys())
-        if dead and source.random() < len(dead) / 20:
-            returned = source.choice(dead)
-            fleet.alive[returned] = fleet.all[returned]
-        else:
-            del fleet.alive[source.choice(sorted(fleet.alive))]
+        fleet.suffer_event(source)
         fleet.settle(planner)
         shares.append(fleet.stranded_share())
     return shares, len(fleet.formed)
--- a/sycamoredale/groups/keeper.py
+++ b/sycamoredale/groups/keeper.py
@@ -32,6 +32,8 @@
 
 TEND_SECONDS: Final = 0.4
 LIMITS_SECONDS: Final = 30.0
+LIST_SECONDS: Final = 1.0
+IDLE_LIST_SECONDS: Final = 3.0
 MAX_PROBES_PER_SECOND: Final = 40.0
 SHRUNKEN_LISTS_UNTIL_BELIEVED: Final = 5
 LOG: Final = logs.get("groups.keeper")
@@ -146,7 +148,8 @@
                 self._note_list(await self._platform.listing.read())
             except errors.StoreUnavailable as error:
                 LOG.warning("list_unavailable", reason=error.message)
-            await curio.sleep(self._interval)
+            idle = bool(self._listed) and not self._kept
+            await curio.sleep(IDLE_LIST_SECONDS if idle else LIST_SECONDS)
 
     def _note_list(self, listed: list[instances.Instance]) -> None:
         """Take over a list; one that lost most must come several times."""
--- a/sycamoredale/groups/placement.py
+++ b/sycamoredale/groups/placement.py
@@ -27,7 +27,7 @@
     """Hold how many groups a service is short of.
 
     `runs` is what its instances must run, `surplus` how many groups there
-    are beyond the wanted ones, `barred` a domain that may take none.
+    are beyond the wanted ones, `only` the one domain that may take any.
     """
 
     service: ids.ServiceName
@@ -37,7 +37,7 @@
     missing: int
     weights: str = ""
     surplus: int = 0
-    barred: ids.DomainName | None = None
+    only: ids.DomainName | None = None
     replicas_by_zone: collections.Counter[ids.ZoneName] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -192,7 +192,7 @@
             index
             for index, room in enumerate(self._rooms)
             if room.runs == need.runs
-            and room.domain != need.barred
+            and need.only in (None, room.domain)
             and self._free[index] >= need.size
         ]
         if not fits or not self.missing[need.service]:
--- a/sycamoredale/groups/relocation.py
+++ b/sycamoredale/groups/relocation.py
@@ -22,6 +22,14 @@
     group: model.Group
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """Move a group to a domain, or end it where the target is None."""
+
+    group: model.Group
+    target: ids.DomainName | None
+
+
 @dataclasses.dataclass(frozen=True)
 class Moves:
     """Look for moves among all groups, given the needs and the rooms."""
@@ -41,34 +49,30 @@
 
     def extra_need(self) -> placement.Need | None:
         """Return the need for a group that lets another one go."""
+        if any(need.surplus for need in self.needs):
+            return None
+        if any(_makes_room(placed.group) for placed in self.placed):
+            return None
         for need in self.blocked():
             for domain in self._domains_by_gap(need):
-                moved = self._clear(domain, need)
-                if moved:
-                    return self._once_more(moved[0], domain)
+                steps = self._clear(domain, need)
+                if steps:
+                    return self._once_more(steps[0])
         return None
 
-    def best_surplus(
-        self, groups: collections.abc.Sequence[model.Group]
-    ) -> model.Group | None:
-        """Return the group whose end helps a blocked need the most."""
-        blocked = self.blocked()
-        if not blocked:
-            return None
-        known = {placed.group.id: placed.domain for placed in self.placed}
-
-        def gap(group: model.Group) -> int:
-            free = self._free(known[group.id], blocked[0].runs)
-            return abs(blocked[0].size - free - len(group.members))
-
-        return min(groups, key=lambda group: (gap(group), group.id))
+    def best_surplus(self, service: ids.ServiceName) -> model.Group | None:
+        """Return the group of a service whose end lets a blocked need fit."""
+        for need in self.blocked():
+            for domain in self._domains_by_gap(need):
+                for step in self._clear(domain, need, service):
+                    if step.target is None:
+                        return step.group
+        return None
 
-    def _once_more(
-        self, group: model.Group, domain: ids.DomainName
-    ) -> placement.Need | None:
+    def _once_more(self, step: Step) -> placement.Need | None:
         for need in self.needs:
-            if need.service == group.service and not need.surplus:
-                return dataclasses.replace(need, missing=1, barred=domain)
+            if need.service == step.group.service:
+                return dataclasses.replace(need, missing=1, only=step.target)
         return None
 
     def _domains_by_gap(self, need: placement.Need) -> list[ids.DomainName]:
@@ -79,27 +83,38 @@
         )
 
     def _clear(
-        self, domain: ids.DomainName, need: placement.Need
-    ) -> list[model.Group]:
-        """Return the groups to move out of a domain, none if in vain."""
+        self,
+        domain: ids.DomainName,
+        need: placement.Need,
+        surplus: ids.ServiceName | None = None,
+    ) -> list[Step]:
+        """Return the steps that make room in a domain, none if in vain.
+
+        One group of the `surplus` service needs no room elsewhere.
+        """
         gap = need.size - self._free(domain, need.runs)
-        elsewhere = [
-            room.free
+        elsewhere = {
+            room.domain: room.free
             for room in self.rooms
             if room.domain != domain and room.runs == need.runs
-        ]
-        moved: list[model.Group] = []
+        }
+        steps: list[Step] = []
         for group in self._movable(domain, need, gap):
             if gap <= 0:
                 break
             size = len(group.members)
-            fits = [free for free in elsewhere if free >= size]
+            if group.service == surplus:
+                surplus = None
+                steps.append(Step(group, None))
+                gap -= size
+                continue
+            fits = [(n, d) for d, n in elsewhere.items() if n >= size]
             if fits:
-                elsewhere.remove(min(fits))
-                elsewhere.append(min(fits) - size)
-                moved.append(group)
+                target = min(fits)[1]
+                elsewhere[target] -= size
+                steps.append(Step(group, target))
                 gap -= size
-        return moved if gap <= 0 else []
+        return steps if gap <= 0 else []
 
     def _movable(
         self, domain: ids.DomainName, need: placement.Need, gap: int
@@ -132,3 +147,7 @@
     if extra is None:
         return list(needs)
     return [extra if n.service == extra.service else n for n in needs]
+
+
+def _makes_room(group: model.Group) -> bool:
+    return group.drain_reason is model.DrainReason.SURPLUS
--- a/sycamoredale/groups/retirement.py
+++ b/sycamoredale/groups/retirement.py
@@ -101,7 +101,7 @@
     if len(ready) < service.replicas:
         return None  # It is not certain yet which of them will serve.
     if len(ready) > service.replicas:
-        best = moves.best_surplus(ready)
+        best = moves.best_surplus(service.name)
         chosen = best.id if best else _in_fullest_zone(ready)
         return Retirement(chosen, model.DrainReason.SURPLUS)
     if moves.blocked():
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,10 +2,12 @@
 
 import collections
 import functools
+import random
 
 import hypothesis
 from hypothesis import strategies
 
+from benchmarks import stranded_accelerators
 from sycamoredale.groups import placement
 from sycamoredale import ids
 from sycamoredale.platform import instances
@@ -145,3 +147,12 @@
             if placed[need.service] < need.missing:
                 ahead = (placed[other.service] - 1) / other.wanted
                 assert ahead <= placed[need.service] / need.wanted + 1e-9
+
+
+def test_plans_of_all_domains_settle_after_each_failure() -> None:
+    fleet = stranded_accelerators.Fleet(domains=8, per_domain=24, scale=1)
+    source = random.Random(0)
+    assert fleet.settle(stranded_accelerators.plan_ours)
+    for _ in range(60):
+        fleet.suffer_event(source)
+        assert fleet.settle(stranded_accelerators.plan_ours)
