--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -9,10 +9,12 @@
 import dataclasses
 import datetime
 import json
+import math
 import os
 import pathlib
 import platform
 import re
+import statistics
 import subprocess
 import sys
 import typing
@@ -24,6 +26,7 @@
 PAGE: Final = ROOT / "docs" / "measurements.md"
 PLOTS: Final = ROOT / "docs" / "plots"
 SCRIPT_SECONDS: Final = 240
+FIT_SIZES: Final = 4
 OWN_FIELDS: Final = frozenset(
     ("measure", "value", "unit", "size", "size_unit", "variant")
 )
@@ -97,6 +100,7 @@
         if result.figures:
             yield ""
             yield from _table(result)
+            yield from _fits(result)
         if plots:
             for name in _plotted(result):
                 yield ""
@@ -183,6 +187,40 @@
         )
 
 
+def _fits(result: Result) -> collections.abc.Iterator[str]:
+    """Yield a straight line through each curve of at least four sizes."""
+    rows = [
+        row
+        for name, curves in _plotted(result).items()
+        for variant, figures in curves.items()
+        if len({f["size"] for f in figures}) >= FIT_SIZES
+        for row in [_fit(name, variant, figures)]
+    ]
+    if rows:
+        yield ""
+        yield "| fit of | variant | slope | error of the slope | at size 0 |"
+        yield "|---|---|---|---|---|"
+        yield from rows
+
+
+def _fit(name: str, variant: str, figures: list[dict[str, typing.Any]]) -> str:
+    sizes = [float(f["size"]) for f in figures]
+    values = [float(f["value"]) for f in figures]
+    slope, start = statistics.linear_regression(sizes, values)
+    squares = sum(
+        (value - start - slope * size) ** 2
+        for size, value in zip(sizes, values)
+    )
+    mean = statistics.fmean(sizes)
+    spread = sum((size - mean) ** 2 for size in sizes)
+    error = math.sqrt(squares / (len(sizes) - 2) / spread)
+    unit = f"{figures[0]['unit']}/{figures[0].get('size_unit', 'size')}"
+    return (
+        f"| {name} | {variant} | {slope:.4g} {unit} | {error:.2g} "
+        f"| {start:.4g} {figures[0]['unit']} |"
+    )
+
+
 def _plotted(
     result: Result,
 ) -> dict[str, dict[str, list[dict[str, typing.Any]]]]:
--- a/benchmarks/stream_client.py
+++ b/benchmarks/stream_client.py
@@ -82,7 +82,7 @@
         "events": counter.events,
         "complete": counter.complete,
         "first": counter.first_seconds,
-        "gaps": counter.gap_seconds[:: 1 + len(counter.gap_seconds) // SAMPLE],
+        "gap": counter.gap_seconds[:: 1 + len(counter.gap_seconds) // SAMPLE],
     }
     print(json.dumps(result))
 
