--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -13,6 +13,7 @@
 KEY: typing.Final = "benchmark-key"
 ZONE: typing.Final = "kochi"
 DOMAIN: typing.Final = "kochi-1"
+COLD_START_SECONDS: typing.Final = 60.0
 CLOCK_TICKS_PER_SECOND: typing.Final = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES: typing.Final = os.sysconf("SC_PAGE_SIZE")
 
@@ -51,6 +52,7 @@
     controller = fleet.controller("controller-1", ZONE, platform.address)
     router = fleet.router("router-1", ZONE, platform.address)
     processes.wait_for(lambda: _endpoints(router) == engines)
+    _end_cold_start(router, engines)
     return Site(platform, started, controller, router)
 
 
@@ -73,6 +75,21 @@
     print(json.dumps({**line, **facts}), flush=True)
 
 
+def _end_cold_start(router: processes.Process, engines: int) -> None:
+    """Call the endpoints until none of them is in cold start."""
+    body = {"model": "assistant", "prompt": "warm", "max_tokens": 1}
+    headers = {"Authorization": f"Bearer {KEY}"}
+
+    def ended() -> int:
+        for _ in range(engines):
+            processes.request(
+                router.address, "POST", "/v1/completions", body, headers
+            )
+        return sum("cold_start_ended" in x for x in router.log_lines)
+
+    processes.wait_for(lambda: ended() >= engines, COLD_START_SECONDS)
+
+
 def _endpoints(router: processes.Process) -> int:
     health = processes.request(router.address, "GET", "/healthz")
     return int(health.json()["endpoints"])
