Split the checker and name sources of the proxy by both ports

The proxy took the first socket with a matching local port for the source; a socket in TIME_WAIT under the same port made test_blocks_one_source_only fail once.

--- a/benchmarks/compare_naive.py
+++ b/benchmarks/compare_naive.py
@@ -4,6 +4,7 @@
 
 from benchmarks import site
 from tests import checker
+from tests import recordings
 from tests.scenarios import runner
 
 SCENARIOS = ("lost-ledger-answers", "kill-instance", "cold-again")
@@ -34,11 +35,11 @@
         site.report(f"{name}.{quantity}", value, unit, **facts)
 
 
-def _median_seconds(calls: list[checker.Call]) -> float:
+def _median_seconds(calls: list[recordings.Call]) -> float:
     answered = [
         call.ended - call.time
         for call in calls
-        if call.outcome is checker.Outcome.WHOLE
+        if call.outcome is recordings.Outcome.WHOLE
     ]
     return statistics.median(answered)
 
--- /dev/null
+++ b/tests/group_promises.py
@@ -0,0 +1,243 @@
+"""Judge the promises about groups, instances and zones.
+
+Each function yields one text a try: empty if the promise held, and the
+reason if it broke.
+"""
+
+import bisect
+import collections
+import collections.abc
+from typing import Final
+
+import msgspec
+
+from sycamoredale.engines import orders
+from sycamoredale.groups import model as groups_model
+from sycamoredale.platform import instances
+from sycamoredale.standins import records
+from tests import recordings
+
+NULL: Final = msgspec.Raw(b"null")
+MEMBER_PROBE_SECONDS: Final = 0.3
+
+
+def full_group(
+    recording: recordings.Recording,
+) -> collections.abc.Iterator[str]:
+    """Judge whether all members of a group that serves belong to it."""
+    obeyed_by_instance = _group_by(recording.of(records.Obeyed))
+    instance_by_address = recording.instance_by_address()
+    for execution in recording.of(records.Executed):
+        for address in execution.members:
+            instance = instance_by_address.get(address)
+            name = instance.id if instance else address
+            order = _last_order(
+                obeyed_by_instance[name],
+                recording.state_since(name, execution.time),
+                execution.time,
+            )
+            yield _member_fault(recording, execution, name, order)
+
+
+def _member_fault(
+    recording: recordings.Recording,
+    execution: records.Executed,
+    member: str,
+    order: orders.Order | None,
+) -> str:
+    title = f"request {execution.request_id} ran on {execution.instance}"
+    if order is None or order.group != execution.group:
+        return f"{title} while member {member} was not in {execution.group}"
+    if order.action is orders.Action.UNLOAD:
+        return f"{title} while member {member} was unloaded"
+    loaded = order.action is orders.Action.LOAD
+    if loaded and order.epoch != execution.epoch:
+        return f"{title} while member {member} had epoch {order.epoch}"
+    before = execution.time - MEMBER_PROBE_SECONDS
+    if any(
+        o.name == member and o.time < before and execution.time < o.until
+        for o in recording.of(recordings.Outage)
+    ):
+        return f"{title} while member {member} was down"
+    return ""
+
+
+def one_group(
+    recording: recordings.Recording,
+) -> collections.abc.Iterator[str]:
+    """Judge whether an instance ever stood in two groups."""
+    yield from _assignments_overlap(recording)
+    newest: dict[str, int] = {}
+    for obeyed in recording.of(records.Obeyed):
+        epoch = obeyed.order.epoch
+        stale = epoch < newest.get(obeyed.instance, 0)
+        newest[obeyed.instance] = max(epoch, newest.get(obeyed.instance, 0))
+        yield (
+            f"instance {obeyed.instance} obeyed epoch {epoch} after "
+            f"{newest[obeyed.instance]}"
+            if stale
+            else ""
+        )
+    yield from _executions_overlap(recording)
+
+
+def _assignments_overlap(
+    recording: recordings.Recording,
+) -> collections.abc.Iterator[str]:
+    groups_by_domain: dict[str, list[groups_model.Group]] = {}
+    for change in recording.of(records.Changed):
+        if change.kind != groups_model.ASSIGNMENT_KIND:
+            continue
+        groups_by_domain[change.name] = []
+        if change.value != NULL:
+            assignment = msgspec.json.decode(
+                change.value, type=groups_model.Assignment
+            )
+            groups_by_domain[change.name] = assignment.groups
+        uses = collections.Counter(
+            member.instance
+            for groups in groups_by_domain.values()
+            for group in groups
+            for member in group.members
+        )
+        twice = [name for name, count in uses.items() if count > 1]
+        yield f"instances {twice} are in two groups" if twice else ""
+
+
+def _executions_overlap(
+    recording: recordings.Recording,
+) -> collections.abc.Iterator[str]:
+    running: dict[tuple[str, str], records.Executed] = {}
+    spans = [
+        *recording.of(records.Executed),
+        *recording.of(records.Ended),
+        *(o for o in recording.of(recordings.Outage) if o.killed),
+    ]
+    for record in sorted(spans, key=lambda r: r.time):
+        if isinstance(record, recordings.Outage):
+            for key in [k for k in running if k[0] == record.name]:
+                del running[key]
+            continue
+        key = (record.instance, record.request_id)
+        if isinstance(record, records.Ended):
+            running.pop(key, None)
+            continue
+        yield next(
+            filter(None, (_shared(record, r) for r in running.values())), ""
+        )
+        running[key] = record
+
+
+def _shared(one: records.Executed, other: records.Executed) -> str:
+    if (one.group, one.epoch) == (other.group, other.epoch):
+        return ""
+    shared = set(one.members) & set(other.members)
+    if not shared:
+        return ""
+    return (
+        f"{sorted(shared)} served {one.group}@{one.epoch} and "
+        f"{other.group}@{other.epoch} at once"
+    )
+
+
+def cold_start(
+    recording: recordings.Recording,
+) -> collections.abc.Iterator[str]:
+    """Judge the load of each endpoint in cold start."""
+    for load in recording.of(records.ColdLoad):
+        yield (
+            f"instance {load.instance} got {load.running} requests in cold "
+            f"start and bears {load.limit}"
+            if load.running > load.limit
+            else ""
+        )
+
+
+def zone_out(recording: recordings.Recording) -> collections.abc.Iterator[str]:
+    """Judge whether new work stops in a zone that was taken out."""
+    zones = {
+        instance.id: instance.zone
+        for instance in recording.instance_by_address().values()
+    }
+    grace = recording.limits.new_work_seconds
+    for zone, start, end in _zone_spans(recording):
+        yield ""
+        for execution in recording.of(records.Executed):
+            late = start + grace < execution.time < end
+            if late and zones.get(execution.instance) == zone:
+                yield (
+                    f"request {execution.request_id} began on "
+                    f"{execution.instance} {execution.time - start:.1f} s "
+                    f"after zone {zone} was taken out"
+                )
+
+
+def _zone_spans(
+    recording: recordings.Recording,
+) -> collections.abc.Iterator[tuple[str, float, float]]:
+    accepted = recording.of(recordings.Accepted)
+    for index, one in enumerate(accepted):
+        before = accepted[index - 1].zones_out if index else []
+        for zone in set(one.zones_out) - set(before):
+            ends = (
+                a.begun for a in accepted[index:] if zone not in a.zones_out
+            )
+            yield zone, one.time, next(ends, float("inf"))
+
+
+def leaving(recording: recordings.Recording) -> collections.abc.Iterator[str]:
+    """Judge whether new work stops on an instance that leaves."""
+    instance_by_address = recording.instance_by_address()
+    limits = recording.limits
+    grace = limits.new_work_seconds + limits.list_lag_seconds
+    for name, start, end in _leaving_spans(recording):
+        yield ""
+        for execution in recording.of(records.Executed):
+            members = {
+                i.id
+                for i in map(instance_by_address.get, execution.members)
+                if i is not None
+            } | {execution.instance}
+            if name in members and start + grace < execution.time < end:
+                yield (
+                    f"request {execution.request_id} began on "
+                    f"{execution.instance} {execution.time - start:.1f} s "
+                    f"after {name} was listed as leaving"
+                )
+
+
+def _leaving_spans(
+    recording: recordings.Recording,
+) -> collections.abc.Iterator[tuple[str, float, float]]:
+    since: dict[str, float] = {}
+    for listed in recording.of(records.Listed):
+        live = {
+            i.id
+            for i in listed.instances
+            if i.state is instances.InstanceState.LIVE
+        }
+        for name in live & set(since):
+            yield name, since.pop(name), listed.time
+        for instance in listed.instances:
+            if instance.id not in live:
+                since.setdefault(instance.id, listed.time)
+    for name, start in since.items():
+        yield name, start, float("inf")
+
+
+def _last_order(
+    obeyed: list[records.Obeyed], start: float, end: float
+) -> orders.Order | None:
+    index = bisect.bisect(obeyed, end, key=lambda o: o.time)
+    if not index or obeyed[index - 1].time < start:
+        return None
+    return obeyed[index - 1].order
+
+
+def _group_by(
+    obeyed: list[records.Obeyed],
+) -> collections.defaultdict[str, list[records.Obeyed]]:
+    by_instance = collections.defaultdict(list)
+    for record in obeyed:
+        by_instance[record.instance].append(record)
+    return by_instance
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -125,7 +125,7 @@
         self.counts.silenced += len(self.connections)
 
     async def _serve(self, client: typing.Any, port: int) -> None:
-        source = find_source(port, self._pids) if self._pids else ""
+        source = find_source(port, self.port, self._pids)
         dropped = self._random.random() < self.faults.drop
         async with client:
             try:
@@ -250,12 +250,17 @@
     return link.counts
 
 
-def find_source(port: int, pid_by_source: dict[str, int]) -> str:
-    """Return the source whose process owns the socket at a local port."""
+def find_source(
+    port: int, link_port: int, pid_by_source: dict[str, int]
+) -> str:
+    """Return the source that owns the socket from a port to a link."""
+    if not pid_by_source:
+        return ""
     inode = ""
+    ends = (f":{port:04X}", f":{link_port:04X}")
     for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if int(fields[1].rpartition(":")[2], 16) == port:
+        if fields[1].endswith(ends[0]) and fields[2].endswith(ends[1]):
             inode = f"socket:[{fields[9]}]"
             break
     for source, pid in pid_by_source.items():
--- /dev/null
+++ b/tests/recordings.py
@@ -0,0 +1,150 @@
+"""Hold what a run recorded: stand-ins, callers and the scenario runner."""
+
+import collections
+import collections.abc
+import dataclasses
+import enum
+import pathlib
+import typing
+from typing import Final
+
+import msgspec
+
+from sycamoredale.platform import instances
+from sycamoredale.standins import records
+
+
+class Outcome(enum.Enum):
+    """State what a caller got."""
+
+    WHOLE = "whole"
+    WRONG = "wrong"
+    CUT = "cut"
+    SILENT = "silent"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+
+
+class Call(msgspec.Struct, frozen=True, tag=True):
+    """Report one try of a caller; UNREACHED is a refused connection."""
+
+    time: float
+    ended: float
+    marker: str
+    router: str
+    outcome: Outcome
+    idempotent: bool = True
+    key: str = ""
+    status: int = 0
+    code: str = ""
+    execution: str = ""
+
+
+class Outage(msgspec.Struct, frozen=True, tag=True):
+    """Report that a process was paused, cut off or killed."""
+
+    time: float
+    until: float
+    name: str
+    killed: bool = False
+
+
+class PlannedStop(msgspec.Struct, frozen=True, tag=True):
+    """Report that a router was asked to stop and when it ended."""
+
+    time: float
+    until: float
+    daemon: str
+
+
+class Accepted(msgspec.Struct, frozen=True, tag=True):
+    """Report an accepted configuration; `begun` is when it was sent."""
+
+    time: float
+    begun: float
+    generation: int
+    zones_out: list[str] = []
+
+
+class InForce(msgspec.Struct, frozen=True, tag=True):
+    """Report the generation that a daemon said was in force."""
+
+    time: float
+    daemon: str
+    generation: int
+
+
+Record: typing.TypeAlias = (
+    records.Record | Call | Outage | PlannedStop | Accepted | InForce
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bound what counts as prompt, in seconds."""
+
+    new_work_seconds: float = 5.0
+    configuration_seconds: float = 18.0
+    list_lag_seconds: float = 0.0
+
+
+_R = typing.TypeVar("_R")
+
+
+class Recording:
+    """Hold the records of one run in order of time."""
+
+    def __init__(
+        self,
+        found: collections.abc.Iterable[Record],
+        limits: Limits = Limits(),
+    ) -> None:
+        """Sort the records."""
+        self.limits: Final = limits
+        self._by_type: dict[type, list[typing.Any]] = collections.defaultdict(
+            list
+        )
+        for record in sorted(found, key=lambda r: r.time):
+            self._by_type[type(record)].append(record)
+
+    def of(self, kind: type[_R]) -> list[_R]:
+        """Return the records of a type."""
+        return self._by_type[kind]
+
+    def instance_by_address(self) -> dict[str, instances.Instance]:
+        """Return every instance that was ever listed."""
+        return {
+            instance.address: instance
+            for listed in self.of(records.Listed)
+            for instance in listed.instances
+        }
+
+    def is_out(self, name: str, start: float, end: float) -> bool:
+        """Tell whether a process had an outage in a span of time."""
+        return any(
+            outage.name == name and outage.time <= end and start < outage.until
+            for outage in self.of(Outage)
+        )
+
+    def state_since(self, name: str, time: float) -> float:
+        """Return when a process last lost its state before a time."""
+        return max(
+            (
+                outage.time
+                for outage in self.of(Outage)
+                if outage.name == name
+                and outage.killed
+                and outage.until <= time
+            ),
+            default=0.0,
+        )
+
+
+def read(
+    directory: pathlib.Path,
+) -> collections.abc.Iterator[Record]:
+    """Yield the records in all files of a directory."""
+    decoder = msgspec.json.Decoder(Record)
+    for path in sorted(directory.glob("*.jsonl")):
+        for line in path.read_bytes().splitlines():
+            yield decoder.decode(line)
--- a/tests/scenarios/actions.py
+++ b/tests/scenarios/actions.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from tests import checker
 from tests import processes
+from tests import recordings
 from tests.scenarios import load
 from tests.scenarios import site as site_module
 
@@ -185,7 +185,7 @@
         started = time.monotonic()
         process.terminate(30.0)
         site.records.append(
-            checker.PlannedStop(started, time.monotonic(), name)
+            recordings.PlannedStop(started, time.monotonic(), name)
         )
 
 
@@ -248,7 +248,7 @@
 ) -> None:
     ended = time.monotonic() if until is None else until
     for name in names:
-        site.records.append(checker.Outage(started, ended, name, killed))
+        site.records.append(recordings.Outage(started, ended, name, killed))
 
 
 BY_NAME: Final[dict[str, Action]] = {
--- a/tests/scenarios/load.py
+++ b/tests/scenarios/load.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from sycamoredale.standins import generation
-from tests import checker
+from tests import recordings
 
 KEY: Final = "load-key"
 DEADLINE_SECONDS: Final = 6.0
@@ -73,7 +73,7 @@
     ) -> None:
         """Keep the place to look up routers."""
         self._key_prefix = key_prefix
-        self.calls: list[checker.Call] = []
+        self.calls: list[recordings.Call] = []
         self._targets = targets
         self._random = random.Random(seed)
         self._lock = threading.Lock()
@@ -105,19 +105,19 @@
             message = _prompt(marker, planned.stream)
         for _ in range(MAX_TRIES):
             outcome = self._try(message, marker, key)
-            if outcome in (checker.Outcome.WHOLE, checker.Outcome.WRONG):
+            if outcome in (recordings.Outcome.WHOLE, recordings.Outcome.WRONG):
                 return
             time.sleep(RETRY_SECONDS)
 
     def _try(
         self, message: "_Message", marker: str, key: str
-    ) -> checker.Outcome:
+    ) -> recordings.Outcome:
         targets = self._targets()
         with self._lock:
             target = self._random.choice(targets)
         started = time.monotonic()
         answer = _exchange(target.address, message, key)
-        call = checker.Call(
+        call = recordings.Call(
             started,
             time.monotonic(),
             marker,
@@ -144,16 +144,16 @@
 
 
 def by_second(
-    calls: collections.abc.Iterable[checker.Call], started: float
+    calls: collections.abc.Iterable[recordings.Call], started: float
 ) -> collections.abc.Iterator[Second]:
     """Yield the success share and the slowest answers of each second."""
-    tries_by_marker: dict[str, list[checker.Call]] = {}
+    tries_by_marker: dict[str, list[recordings.Call]] = {}
     for call in sorted(calls, key=lambda c: c.time):
         tries_by_marker.setdefault(call.marker, []).append(call)
     times_by_second: dict[int, list[float]] = {}
     for tries in tries_by_marker.values():
         second = int(tries[0].time - started)
-        answered = tries[-1].outcome is checker.Outcome.WHOLE
+        answered = tries[-1].outcome is recordings.Outcome.WHOLE
         spent = tries[-1].ended - tries[0].time if answered else -1.0
         times_by_second.setdefault(second, []).append(spent)
     for second, times in sorted(times_by_second.items()):
@@ -172,7 +172,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Answer:
-    outcome: checker.Outcome
+    outcome: recordings.Outcome
     status: int = 0
     code: str = ""
     execution: str = ""
@@ -208,15 +208,15 @@
     try:
         connection.connect()
     except OSError:
-        return _Answer(checker.Outcome.UNREACHED)
+        return _Answer(recordings.Outcome.UNREACHED)
     try:
         connection.request("POST", message.path, message.body, headers)
         response = connection.getresponse()
         body = response.read()
     except TimeoutError:
-        return _Answer(checker.Outcome.SILENT)
+        return _Answer(recordings.Outcome.SILENT)
     except (OSError, http.client.HTTPException):
-        return _Answer(checker.Outcome.CUT)
+        return _Answer(recordings.Outcome.CUT)
     finally:
         connection.close()
     return _judge(response.status, body, message)
@@ -227,16 +227,16 @@
         if status != 200:
             error = json.loads(body)["error"]
             return _Answer(
-                checker.Outcome.REFUSED,
+                recordings.Outcome.REFUSED,
                 status,
                 error["code"],
                 error["execution"],
             )
         text = _text(body, message)
     except (ValueError, KeyError, TypeError):
-        return _Answer(checker.Outcome.WRONG, status)
+        return _Answer(recordings.Outcome.WRONG, status)
     whole = text == message.expected
-    outcome = checker.Outcome.WHOLE if whole else checker.Outcome.WRONG
+    outcome = recordings.Outcome.WHOLE if whole else recordings.Outcome.WRONG
     return _Answer(outcome, status)
 
 
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -23,6 +23,7 @@
 
 from tests import checker
 from tests import processes
+from tests import recordings
 from tests.scenarios import actions
 from tests.scenarios import load as load_module
 from tests.scenarios import site as site_module
@@ -59,7 +60,7 @@
     scenario: str
     verdicts: list[checker.Verdict]
     seconds: list[load_module.Second]
-    calls: list[checker.Call]
+    calls: list[recordings.Call]
 
     @property
     def answered(self) -> float:
@@ -122,7 +123,7 @@
         site.sample()
         if failures:
             raise failures[0]
-        limits = checker.Limits(
+        limits = recordings.Limits(
             scenario.new_work_seconds,
             scenario.configuration_seconds,
             site_module.LIST_LAG_SECONDS,
--- a/tests/scenarios/site.py
+++ b/tests/scenarios/site.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from tests import checker
 from tests import processes
+from tests import recordings
 from tests.scenarios import load
 
 POISON_TEXT: Final = "crash-the-engine"
@@ -77,7 +77,7 @@
         """Start everything and wait until each router sees every endpoint."""
         self.fleet: Final = fleet
         self.shape: Final = shape
-        self.records: list[checker.Record] = []
+        self.records: list[recordings.Record] = []
         self.daemons: dict[str, processes.Process] = {}
         self.router_names: list[str] = []
         self.links: dict[str, str] = {}
@@ -220,7 +220,7 @@
         now = time.monotonic()
         generation = int(found.group(1))
         self.records.append(
-            checker.Accepted(now, begun, generation, zones_out)
+            recordings.Accepted(now, begun, generation, zones_out)
         )
         return True
 
@@ -230,14 +230,14 @@
             now = time.monotonic()
             generation = self.health(name).get("generation")
             if generation is not None:
-                self.records.append(checker.InForce(now, name, generation))
+                self.records.append(recordings.InForce(now, name, generation))
 
     def recording(
-        self, calls: list[checker.Call], limits: checker.Limits
-    ) -> checker.Recording:
+        self, calls: list[recordings.Call], limits: recordings.Limits
+    ) -> recordings.Recording:
         """Join what all processes recorded."""
-        found = checker.read(self._directory)
-        return checker.Recording([*found, *calls, *self.records], limits)
+        found = recordings.read(self._directory)
+        return recordings.Recording([*found, *calls, *self.records], limits)
 
     def _configuration(self, zones_out: list[str]) -> dict[str, object]:
         zones = self.shape.zones
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -12,6 +12,7 @@
 from sycamoredale.platform import instances
 from sycamoredale.standins import records
 from tests import checker
+from tests import recordings
 
 LEADER = ids.InstanceId("a1")
 MEMBER = ids.InstanceId("a2")
@@ -20,17 +21,17 @@
 
 
 def test_good_run_breaks_nothing_and_tries_everything() -> None:
-    verdicts = checker.check(checker.Recording(_good()))
+    verdicts = checker.check(recordings.Recording(_good()))
     assert [v.promise for v in verdicts] == list(checker.Promise)
     assert [v.broken for v in verdicts] == [[]] * len(verdicts)
     assert all(v.tried for v in verdicts)
 
 
-BREAKS: list[tuple[set[checker.Promise], list[checker.Record]]] = []
+BREAKS: list[tuple[set[checker.Promise], list[recordings.Record]]] = []
 
 
 def _break(
-    promise: checker.Promise | set[checker.Promise], *extra: checker.Record
+    promise: checker.Promise | set[checker.Promise], *extra: recordings.Record
 ) -> None:
     promises = promise if isinstance(promise, set) else {promise}
     BREAKS.append((promises, list(extra)))
@@ -82,11 +83,11 @@
 def _call(
     time: float,
     marker: str,
-    outcome: checker.Outcome = checker.Outcome.WHOLE,
+    outcome: recordings.Outcome = recordings.Outcome.WHOLE,
     execution: str = "",
     key: str = "",
-) -> checker.Call:
-    return checker.Call(
+) -> recordings.Call:
+    return recordings.Call(
         time,
         time + 0.5,
         marker,
@@ -122,11 +123,11 @@
     )
 
 
-def _good() -> list[checker.Record]:
+def _good() -> list[recordings.Record]:
     return [
         records.Listed(0.0, _listing(instances.InstanceState.LIVE)),
         _pointer(0.1, 1),
-        checker.Accepted(0.2, 0.1, 1),
+        recordings.Accepted(0.2, 0.1, 1),
         _assignment(0.3, "d1", LEADER, MEMBER),
         records.Changed(0.35, "assignment", "d0", 3, msgspec.Raw(b"null")),
         _obeyed(0.4, LEADER, _order()),
@@ -138,21 +139,21 @@
         _executed(2.1, "m2", key="k2"),
         records.Ended(2.3, LEADER, "r-2.1", True),
         _call(2.0, "m2", key="k2"),
-        _call(3.0, "m3", checker.Outcome.REFUSED, "not_run"),
-        _call(3.5, "m4", checker.Outcome.REFUSED, "unknown", key="k4"),
+        _call(3.0, "m3", recordings.Outcome.REFUSED, "not_run"),
+        _call(3.5, "m4", recordings.Outcome.REFUSED, "unknown", key="k4"),
         _executed(3.6, "m4", key="k4"),
         records.Ended(3.7, LEADER, "r-3.6", True),
-        checker.InForce(1.0, "router-1", 1),
-        checker.InForce(19.0, "router-1", 1),
-        checker.PlannedStop(30.0, 31.0, "router-1"),
+        recordings.InForce(1.0, "router-1", 1),
+        recordings.InForce(19.0, "router-1", 1),
+        recordings.PlannedStop(30.0, 31.0, "router-1"),
         _call(29.9, "m5"),
         _pointer(40.0, 2),
-        checker.Accepted(40.1, 40.0, 2, ["z1"]),
-        checker.InForce(60.0, "router-1", 2),
+        recordings.Accepted(40.1, 40.0, 2, ["z1"]),
+        recordings.InForce(60.0, "router-1", 2),
         _executed(44.0, "m6"),
         records.Ended(44.1, LEADER, "r-44.0", True),
         _pointer(70.0, 3),
-        checker.Accepted(70.1, 70.0, 3, []),
+        recordings.Accepted(70.1, 70.0, 3, []),
         _executed(80.0, "m7"),
         records.Ended(80.1, LEADER, "r-80.0", True),
         records.Listed(90.0, _listing(instances.InstanceState.LEAVING)),
@@ -172,9 +173,10 @@
     _obeyed(2.0, MEMBER, _order(group=ids.GroupId("other"))),
 )
 _break(checker.Promise.FULL_GROUP, _obeyed(2.0, MEMBER, _order(epoch=2)))
-_break(checker.Promise.FULL_GROUP, checker.Outage(1.5, 3.0, MEMBER))
+_break(checker.Promise.FULL_GROUP, recordings.Outage(1.5, 3.0, MEMBER))
 _break(
-    checker.Promise.FULL_GROUP, checker.Outage(1.5, 1.6, MEMBER, killed=True)
+    checker.Promise.FULL_GROUP,
+    recordings.Outage(1.5, 1.6, MEMBER, killed=True),
 )
 _break(checker.Promise.ONE_GROUP, _assignment(5.0, "d2", MEMBER))
 _break(checker.Promise.ONE_GROUP, _obeyed(100.0, MEMBER, _order()))
@@ -184,37 +186,41 @@
 )
 _break(checker.Promise.COLD_START, records.ColdLoad(5.0, LEADER, 3, 2))
 _break(checker.Promise.ZONE_OUT, _executed(46.0, "m9"))
-_break(checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", checker.Outcome.WRONG))
-_break(checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", checker.Outcome.CUT))
-_break(checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", checker.Outcome.SILENT))
+_break(
+    checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", recordings.Outcome.WRONG)
+)
+_break(checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", recordings.Outcome.CUT))
+_break(
+    checker.Promise.WHOLE_ANSWER, _call(5.0, "m9", recordings.Outcome.SILENT)
+)
 _break(checker.Promise.TRUE_REFUSAL, _executed(3.2, "m3"))
 _break(checker.Promise.TRUE_REFUSAL, _executed(9.2, "m3"))
 _break(checker.Promise.AT_MOST_ONCE, _executed(9.2, "m2", key="k2"))
 _break(checker.Promise.LEAVING, _executed(96.0, "m9"))
 _break(
     checker.Promise.GRACEFUL_STOP,
-    _call(29.8, "m9", checker.Outcome.CUT),
-    checker.Outage(30.0, 31.0, "router-1"),
+    _call(29.8, "m9", recordings.Outcome.CUT),
+    recordings.Outage(30.0, 31.0, "router-1"),
 )
 _break(
     checker.Promise.GRACEFUL_STOP,
     _obeyed(99.5, LEADER, _order(orders.Action.LOAD, 3), running=1),
 )
 _break(checker.Promise.CONFIGURATION, _pointer(100.0, 1))
-_break(checker.Promise.CONFIGURATION, checker.InForce(61.0, "router-1", 1))
-_break(checker.Promise.CONFIGURATION, checker.Accepted(71.0, 70.0, 4))
+_break(checker.Promise.CONFIGURATION, recordings.InForce(61.0, "router-1", 1))
+_break(checker.Promise.CONFIGURATION, recordings.Accepted(71.0, 70.0, 4))
 _break(
     checker.Promise.CONFIGURATION,
-    checker.InForce(1.0, "router-2", 1),
-    checker.InForce(60.0, "router-2", 1),
+    recordings.InForce(1.0, "router-2", 1),
+    recordings.InForce(60.0, "router-2", 1),
 )
 
 
 @pytest.mark.parametrize(("promises", "extra"), BREAKS)
 def test_detects_a_break(
-    promises: set[checker.Promise], extra: list[checker.Record]
+    promises: set[checker.Promise], extra: list[recordings.Record]
 ) -> None:
-    verdicts = checker.check(checker.Recording([*_good(), *extra]))
+    verdicts = checker.check(recordings.Recording([*_good(), *extra]))
     broken = {v.promise for v in verdicts if v.broken}
     assert broken == promises
 
@@ -226,22 +232,22 @@
 def test_executions_of_a_killed_engine_end_with_it() -> None:
     extra = [
         _executed(92.0, "m9"),
-        checker.Outage(92.5, 93.0, LEADER, killed=True),
+        recordings.Outage(92.5, 93.0, LEADER, killed=True),
         _obeyed(93.5, LEADER, _order(epoch=2)),
         _obeyed(93.5, MEMBER, _order(epoch=2)),
         _executed(94.0, "m10", epoch=2),
         records.Ended(94.1, LEADER, "r-94.0", True),
     ]
-    verdicts = checker.check(checker.Recording([*_good(), *extra]))
+    verdicts = checker.check(recordings.Recording([*_good(), *extra]))
     assert not [v for v in verdicts if v.broken]
 
 
 def test_lost_calls_of_a_dead_router_are_no_break() -> None:
     extra = [
-        _call(5.0, "m9", checker.Outcome.CUT),
-        checker.Outage(5.2, 9.0, "router-1"),
+        _call(5.0, "m9", recordings.Outcome.CUT),
+        recordings.Outage(5.2, 9.0, "router-1"),
     ]
-    verdicts = checker.check(checker.Recording([*_good(), *extra]))
+    verdicts = checker.check(recordings.Recording([*_good(), *extra]))
     assert not [v for v in verdicts if v.broken]
 
 
@@ -250,5 +256,5 @@
         path = tmp_path / f"{number % 3}.jsonl"
         with path.open("ab") as file:
             file.write(msgspec.json.encode(record) + b"\n")
-    read = checker.Recording(checker.read(tmp_path))
-    assert checker.check(read) == checker.check(checker.Recording(_good()))
+    read = recordings.Recording(recordings.read(tmp_path))
+    assert checker.check(read) == checker.check(recordings.Recording(_good()))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -128,7 +128,7 @@
 
 
 def test_unknown_port_has_no_source() -> None:
-    assert proxy.find_source(1, {"own": os.getpid()}) == ""
+    assert proxy.find_source(1, 2, {"own": os.getpid()}) == ""
 
 
 def test_paused_process_can_be_killed(fleet: processes.Fleet) -> None:
