--- a/sycamoredale/engines/completions.py
+++ b/sycamoredale/engines/completions.py
@@ -63,7 +63,7 @@
 
 class _Event(msgspec.Struct):
     choices: list[_Choice] = []
-    error: msgspec.Raw | None = None
+    error: object = None
 
 
 class _Refused(msgspec.Struct):
@@ -112,6 +112,11 @@
         self._remember(events)
         return events
 
+    def tokens(self) -> int:
+        """Return how many tokens have gone to the caller."""
+        self._compact()
+        return self._tokens
+
     def restart(self) -> None:
         """Drop the event that the last endpoint left unfinished."""
         self._rest = b""
@@ -119,8 +124,7 @@
 
     def resume(self, request: messages.Request) -> messages.Request:
         """Return the request that asks another engine for the rest."""
-        self._compact()
-        if not self._tokens:
+        if not self.tokens():
             return request
         fields = _BODY_DECODER.decode(request.body)
         resume = Resume(self._tokens, "".join(self._texts))
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -17,6 +17,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import messages
+from sycamoredale.http import sockets
 
 RECEIVE_BYTES: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
@@ -107,10 +108,7 @@
 
     def sever(self) -> None:
         """Make the exchange under way fail, whoever waits for it."""
-        try:
-            self._sock.shutdown(curio.socket.SHUT_RDWR)
-        except OSError:
-            pass  # The other end was faster.
+        sockets.shut_down(self._sock, curio.socket.SHUT_RDWR)
 
     async def close(self) -> None:
         """Close the socket."""
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -27,6 +27,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import reading
 from sycamoredale.http import refusals
+from sycamoredale.http import sockets
 from sycamoredale.observability import logs
 
 Exchange = exchange_module.Exchange
@@ -232,7 +233,7 @@
         if not data:
             return
         await connection.sock.sendall(data)
-        connection.sock.shutdown(curio.socket.SHUT_WR)
+        sockets.shut_down(connection.sock, curio.socket.SHUT_WR)
         await _discard(connection.sock)
 
     def _refusal_bytes(
@@ -264,12 +265,8 @@
 def _close_if_idle(connection: _Connection) -> None:
     # The waiting task wakes up from the shutdown and ends.  A request that
     # has arrived already is read and refused by that task.
-    if not connection.idle:
-        return
-    try:
-        connection.sock.shutdown(curio.socket.SHUT_RD)
-    except OSError as error:
-        LOG.debug("connection_ended", reason=str(error))
+    if connection.idle:
+        sockets.shut_down(connection.sock, curio.socket.SHUT_RD)
 
 
 async def _discard(sock: typing.Any) -> None:
--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -36,6 +36,7 @@
     call: call_module.Call
     endpoint: table.Endpoint
     request: messages.Request
+    stream: completions.Stream | None = None
     dispatch_before: clock.MonotonicTime | None = None
     connection: client.Connection | None = None
     sent: bool = False
@@ -73,6 +74,7 @@
     exchange: server.Exchange,
 ) -> None:
     """Pass the events of a stream on to the caller; raise as `fetch`."""
+    attempt.stream = stream
     async with _exchange(attempt, pool) as connection:
         head = await _read_head(attempt, connection)
         if head.status != 200:
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -82,7 +82,10 @@
             if endpoint is None:
                 break
             attempt = attempt_module.Attempt(
-                call, endpoint, call.upstream, dispatch_before
+                call,
+                endpoint,
+                call.upstream,
+                dispatch_before=dispatch_before,
             )
             tries.execution = error_codes.Execution.UNKNOWN
             self.silence_watch.add(attempt, clock.monotonic())
--- a/sycamoredale/requests/silence.py
+++ b/sycamoredale/requests/silence.py
@@ -23,18 +23,21 @@
 TICK_SECONDS: Final = 0.25
 FIRST_ANSWER_SECONDS: Final = 2.8
 TOKEN_GAP_SECONDS: Final = 1.0
-STALL_SECONDS: Final = 8.0
+STALL_SECONDS: Final = 4.0
 PLAIN_SECONDS: Final = 10.0
 FAILED_PROBES: Final = 2
 LOG: Final = logs.get("requests.silence")
 
 
 @dataclasses.dataclass(eq=False)
-class _Watched:
+class Watched:
+    """Hold an attempt and what the last probe told of it."""
+
     attempt: attempt_module.Attempt
     silent_since: clock.MonotonicTime
     next_probe: clock.MonotonicTime
     tokens: int = -1
+    tokens_since: clock.MonotonicTime = clock.MonotonicTime(0.0)
     failed_probes: int = 0
     probing: bool = False
 
@@ -45,7 +48,7 @@
 
     pool: client.Pool
     engines: completions.Completions
-    _watched_by_attempt: dict[int, _Watched] = dataclasses.field(
+    _watched_by_attempt: dict[int, Watched] = dataclasses.field(
         default_factory=dict
     )
 
@@ -53,7 +56,7 @@
         self, attempt: attempt_module.Attempt, now: clock.MonotonicTime
     ) -> None:
         """Start to watch an attempt."""
-        watched = _Watched(attempt, now, _after(now, FIRST_ANSWER_SECONDS))
+        watched = Watched(attempt, now, _after(now, FIRST_ANSWER_SECONDS))
         self._watched_by_attempt[id(attempt)] = watched
 
     def remove(self, attempt: attempt_module.Attempt) -> None:
@@ -67,9 +70,9 @@
             for watched in self.due(clock.monotonic()):
                 await curio.spawn(self._probe, watched, daemon=True)
 
-    def due(self, now: clock.MonotonicTime) -> list[_Watched]:
+    def due(self, now: clock.MonotonicTime) -> list[Watched]:
         """Return the attempts to ask about now."""
-        found: list[_Watched] = []
+        found: list[Watched] = []
         for watched in self._watched_by_attempt.values():
             attempt = watched.attempt
             if attempt.heard:
@@ -83,7 +86,7 @@
                 found.append(watched)
         return found
 
-    async def _probe(self, watched: _Watched) -> None:
+    async def _probe(self, watched: Watched) -> None:
         attempt = watched.attempt
         try:
             if attempt.call.is_model:
@@ -101,7 +104,7 @@
                 reason=attempt.severed,
             )
 
-    async def _probe_engine(self, watched: _Watched) -> None:
+    async def _probe_engine(self, watched: Watched) -> None:
         attempt = watched.attempt
         try:
             progress = await self.engines.progress(
@@ -112,13 +115,15 @@
             return
         if attempt.heard:
             return
-        silent_seconds = clock.monotonic() - watched.silent_since
-        reason = judge(progress, watched.tokens, attempt, silent_seconds)
-        watched.tokens = progress.tokens
+        now = clock.monotonic()
+        reason = judge(progress, watched, now)
+        if progress.tokens != watched.tokens:
+            watched.tokens = progress.tokens
+            watched.tokens_since = now
         if reason is not None:
             self._sever(watched, reason, gone=progress.failed)
 
-    async def _probe_plain(self, watched: _Watched) -> None:
+    async def _probe_plain(self, watched: Watched) -> None:
         attempt = watched.attempt
         try:
             probe = await client.open_connection(attempt.endpoint.address)
@@ -133,31 +138,33 @@
         if attempt.call.idempotent and silent_seconds > PLAIN_SECONDS:
             self._sever(watched, "nothing arrived", gone=False)
 
-    def _sever(self, watched: _Watched, reason: str, gone: bool) -> None:
+    def _sever(self, watched: Watched, reason: str, gone: bool) -> None:
         if id(watched.attempt) in self._watched_by_attempt:
             watched.attempt.sever(reason, gone)
 
 
 def judge(
     progress: completions.Progress,
-    tokens_before: int,
-    attempt: attempt_module.Attempt,
-    silent_seconds: float,
+    watched: Watched,
+    now: clock.MonotonicTime,
 ) -> str | None:
     """Return why a silent exchange with an engine is lost, or None.
 
-    `tokens_before` is what the last probe found, -1 if there was none.
+    `watched` holds what the last probe found, -1 tokens if there was none.
+    A token that an engine has had for a whole gap would have arrived.  A
+    request that waits for its first token is left in its queue.
     """
     if progress.failed:
         return "the engine has failed"
     if progress.state is not completions.RunState.RUNNING:
         return f"the engine says {progress.state.value} of the request"
-    grew = 0 <= tokens_before < progress.tokens
-    if attempt.call.stream and grew:
-        return "the engine generates tokens that do not arrive"
-    stalled = tokens_before == progress.tokens and attempt.answered
-    if stalled and silent_seconds > STALL_SECONDS:
-        return "the engine generates no tokens"
+    stream = watched.attempt.stream
+    if stream is not None and progress.tokens > stream.tokens():
+        return "the engine generated tokens that did not arrive"
+    if progress.tokens != watched.tokens:
+        return None
+    if progress.tokens and now - watched.tokens_since > STALL_SECONDS:
+        return "the engine generates no more tokens"
     return None
 
 
--- a/sycamoredale/standins/generation.py
+++ b/sycamoredale/standins/generation.py
@@ -21,7 +21,7 @@
 DEFAULT_TOKENS: Final = 16
 REQUESTS_KEPT: Final = 4096
 POISON_EXIT_STATUS: Final = 70
-SILENCE_SECONDS: Final = 3600
+SILENCE_POLL_SECONDS: Final = 0.05
 
 
 class Faults(msgspec.Struct, frozen=True):
@@ -163,8 +163,7 @@
                 raise ConnectionResetError("an error on purpose")
             await exchange.write(stream_event(prompt, token, chat))
         if self.faults.silent_after_tokens is not None:
-            run.state = completions.RunState.FINISHED
-            await curio.sleep(SILENCE_SECONDS)
+            await _stay_silent(run)
         await exchange.write(completions.DONE_EVENT)
         await exchange.finish()
 
@@ -183,12 +182,18 @@
             if index == faults.cut_after_tokens:
                 raise ConnectionResetError("cut on purpose")
             if index == faults.stall_after_tokens:
-                await curio.sleep(SILENCE_SECONDS)
+                await _stay_silent(run)
             run.tokens = index + 1
             yield token_at(prompt, index)
             await curio.sleep(self.token_seconds * faults.slow_factor)
 
 
+async def _stay_silent(run: Run) -> None:
+    while run.state is completions.RunState.RUNNING:
+        await curio.sleep(SILENCE_POLL_SECONDS)
+    raise ConnectionResetError("the request was cancelled")
+
+
 async def _cancel_when_gone(exchange: server.Exchange, run: Run) -> None:
     await exchange.wait_for_disconnect()
     if run.state is completions.RunState.RUNNING:
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,83 @@
+"""Test how a silent exchange is judged."""
+
+import pytest
+
+from sycamoredale.config import model
+from sycamoredale.engines import completions
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.requests import attempt as attempt_module
+from sycamoredale.requests import call
+from sycamoredale.requests import silence
+from sycamoredale.routing import table
+
+RUNNING = completions.RunState.RUNNING
+NOW = 100.0
+
+
+@pytest.mark.parametrize(
+    ("progress", "tokens", "since", "stream", "lost"),
+    [
+        (completions.Progress(RUNNING, 0), -1, 0.0, True, False),
+        # Waiting in the engine's queue, however long.
+        (completions.Progress(RUNNING, 0), 0, 0.0, True, False),
+        # Slow, but no sign yet of a lost connection.
+        (completions.Progress(RUNNING, 1), 1, 98.0, True, False),
+        (completions.Progress(RUNNING, 1), 1, 95.0, True, True),
+        # The caller has one token of a stream.
+        (completions.Progress(RUNNING, 2), -1, 0.0, True, True),
+        # An answer in one piece arrives only at its end.
+        (completions.Progress(RUNNING, 6), 5, 99.0, False, False),
+        (completions.Progress(RUNNING, 6), 6, 90.0, False, True),
+        (completions.Progress(RUNNING, 6, failed=True), 5, 99.0, False, True),
+        (completions.Progress(), -1, 0.0, False, True),
+        (completions.Progress(completions.RunState.FINISHED), 5, 0, True, 1),
+    ],
+)
+def test_judgement(
+    progress: completions.Progress,
+    tokens: int,
+    since: float,
+    stream: bool,
+    lost: bool,
+) -> None:
+    watched = silence.Watched(_attempt(stream), 0.0, 0.0, tokens, since)
+    assert bool(silence.judge(progress, watched, NOW)) == bool(lost)
+
+
+def test_a_probe_is_due_after_silence_only() -> None:
+    pool = client.Pool()
+    watch = silence.SilenceWatch(pool, completions.Completions(pool))
+    attempt = _attempt(stream=True)
+    watch.add(attempt, 0.0)
+    assert watch.due(silence.FIRST_ANSWER_SECONDS - 0.1) == []
+    attempt.heard = True
+    assert watch.due(silence.FIRST_ANSWER_SECONDS + 0.1) == []
+    assert len(watch.due(silence.FIRST_ANSWER_SECONDS + 1.2)) == 1
+    # One probe at a time.
+    assert watch.due(silence.FIRST_ANSWER_SECONDS + 9.0) == []
+    watch.remove(attempt)
+    assert watch.due(NOW) == []
+
+
+def _attempt(stream: bool) -> attempt_module.Attempt:
+    service = model.Service("assistant", model.ServiceKind.MODEL, 1)
+    request = messages.Request("POST", "/v1/completions")
+    read = call.Call(
+        id="request-1",
+        organisation="organisation-1",
+        service=service,
+        upstream=request,
+        idempotent=True,
+        stream=stream,
+        key=None,
+        deadline_seconds=60.0,
+    )
+    endpoint = table.Endpoint(
+        "e1", "assistant", "v1", "kochi", messages.Address("127.0.0.1", 1)
+    )
+    attempt = attempt_module.Attempt(read, endpoint, request)
+    if stream:
+        attempt.stream = completions.Stream()
+        attempt.stream.feed(b'data: {"choices":[{"text":"t "}]}\n\n')
+    return attempt
