--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -18,6 +18,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.platform import instances
+from sycamoredale.standins import records
 from sycamoredale.standins import weights
 
 CHANGE_LOG_LENGTH: Final = 100_000
@@ -49,9 +50,10 @@
 class Store:
     """Hold objects, their versions and every change."""
 
-    def __init__(self) -> None:
+    def __init__(self, recorder: records.Recorder) -> None:
         """Start empty."""
         self.version = 0
+        self._recorder = recorder
         self.by_kind: dict[str, dict[str, Change]] = {}
         self.log: list[Change] = []
         self._changed = curio.Condition()
@@ -70,6 +72,10 @@
         self.version += 1
         change = Change(self.version, kind, name, value)
         self.log.append(change)
+        raw = msgspec.Raw(value or b"null")
+        self._recorder.write(
+            records.Changed(clock.monotonic(), kind, name, self.version, raw)
+        )
         by_name = self.by_kind.setdefault(kind, {})
         if value is None:
             by_name.pop(name, None)
@@ -103,9 +109,10 @@
 class Platform:
     """Answer the calls of the platform's interface."""
 
-    def __init__(self) -> None:
+    def __init__(self, recorder: records.Recorder) -> None:
         """Start with no objects, no instances and no faults."""
-        self.store: Final = Store()
+        self.store: Final = Store(recorder)
+        self._recorder = recorder
         self.faults = Faults()
         self.weights: Final = weights.Weights()
         self.calls: collections.Counter[str] = collections.Counter()
@@ -221,7 +228,9 @@
                 listing = msgspec.json.decode(
                     request.body, type=list[instances.Instance]
                 )
-                self._listings.append((clock.monotonic(), listing))
+                now = clock.monotonic()
+                self._listings.append((now, listing))
+                self._recorder.write(records.Listed(now, listing))
                 return messages.json_response(200, {})
             case ("PUT", ["weights"]):
                 self.weights.settings = msgspec.json.decode(
--- /dev/null
+++ b/tests/scenarios/actions.py
@@ -0,0 +1,273 @@
+"""Disturb a site as the events of a scenario say."""
+
+import collections.abc
+import threading
+import time
+from typing import Final
+
+import msgspec
+
+from tests import checker
+from tests import processes
+from tests.scenarios import load
+from tests.scenarios import site as site_module
+
+POISON_TRIES: Final = 4
+REVIVE_SECONDS: Final = 0.3
+
+
+class Event(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Name an action, its time from the start and what it acts on.
+
+    `target` is a process, `link` a proxied connection; a zone names all of
+    its instances.  What lasts is taken back after `seconds`.
+    """
+
+    at: float
+    do: str
+    target: str = ""
+    link: str = ""
+    seconds: float = 0.0
+    set: dict[str, object] = {}
+    zones_out: list[str] = []
+
+
+Action = collections.abc.Callable[
+    [site_module.Site, load.Generator, Event], None
+]
+
+
+def kill(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Lose instances or daemons; they come back after the time, if any."""
+    names = site.names(event.target)
+    started = time.monotonic()
+    for name in names:
+        site.process(name).kill()
+        _set_listed(site, name, "gone")
+    _leave_balancer(site, names)
+    _come_back(site, event, names, started)
+
+
+def crash(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """End processes whose instances stay listed."""
+    names = site.names(event.target)
+    started = time.monotonic()
+    for name in names:
+        site.process(name).kill()
+    _leave_balancer(site, names)
+    _come_back(site, event, names, started)
+
+
+def pause(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Pause processes and let them go on."""
+    names = site.names(event.target)
+    started = time.monotonic()
+    for name in names:
+        site.process(name).pause()
+    time.sleep(event.seconds)
+    for name in names:
+        site.process(name).resume()
+    _record_outage(site, names, started, killed=False)
+
+
+def faults(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Set faults of links."""
+    names = site.names(event.link)
+    started = time.monotonic()
+    for name in names:
+        site.fleet.set_faults(site.link(name), **event.set)
+    if event.seconds:
+        time.sleep(event.seconds)
+        for name in names:
+            site.fleet.set_faults(site.link(name))
+    blocked = [n.partition(">")[0] for n in names]
+    _record_outage(site, blocked, started, killed=False)
+
+
+def silence(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Make the open connections of links silent for good."""
+    for name in site.names(event.link):
+        site.fleet.silence(site.link(name))
+
+
+def cut(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Close the open connections of links."""
+    for name in site.names(event.link):
+        site.fleet.cut(site.link(name))
+
+
+def platform(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Set faults of the platform."""
+    site.set_platform(**event.set)
+    if event.seconds:
+        time.sleep(event.seconds)
+        site.set_platform()
+
+
+def standin(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Set faults of endpoint stand-ins."""
+    for name in site.names(event.target):
+        address = site.process(name).address
+        merged = {"poison": site_module.POISON_TEXT, **event.set}
+        processes.request(address, "PUT", "/standin/faults", merged)
+
+
+def cold(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Turn engines cold again."""
+    for name in site.names(event.target):
+        if not name.endswith("ledger"):
+            address = site.process(name).address
+            processes.request(address, "PUT", "/standin/cold")
+
+
+def apply(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Apply a configuration with some zones out."""
+    site.apply(event.zones_out)
+
+
+def race(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Let two operators apply at once, until one succeeded."""
+    threads = [
+        threading.Thread(target=site.apply, args=(event.zones_out,))
+        for _ in range(2)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def leave(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """List instances as leaving, and end them after the time, if any."""
+    names = site.names(event.target)
+    for name in names:
+        _set_listed(site, name, "leaving")
+    if event.seconds:
+        time.sleep(event.seconds)
+        for name in names:
+            site.process(name).kill()
+            _set_listed(site, name, "gone")
+
+
+def replace_routers(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Replace each router in turn by a new one, while calls go on."""
+    for name in list(site.router_names):
+        site.start_daemon(f"{name}-new")
+        processes.wait_for(lambda: site.health(f"{name}-new").get("endpoints"))
+        process = site.daemons[name]
+        site.router_names.remove(name)
+        started = time.monotonic()
+        process.terminate(30.0)
+        site.records.append(
+            checker.PlannedStop(started, time.monotonic(), name)
+        )
+
+
+def poison(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Send a request that crashes each engine, again and again."""
+    text = f"{site_module.POISON_TEXT} {event.at}"
+    generator.call_text(text, POISON_TRIES)
+
+
+def revive(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Start crashed engines again until the time is over."""
+    until = time.monotonic() + event.seconds
+    while time.monotonic() < until:
+        time.sleep(REVIVE_SECONDS)
+        for instance in site.instance_by_id.values():
+            if instance.process.popen.poll() is not None:
+                started = time.monotonic() - REVIVE_SECONDS
+                site.restart(instance.id)
+                _record_outage(site, [instance.id], started, killed=True)
+
+
+def _leave_balancer(site: site_module.Site, names: list[str]) -> None:
+    for name in names:
+        if name in site.router_names:
+            site.router_names.remove(name)
+
+
+def _come_back(
+    site: site_module.Site, event: Event, names: list[str], started: float
+) -> None:
+    if not event.seconds:
+        _record_outage(site, names, started, killed=True, until=float("inf"))
+        return
+    time.sleep(max(0.0, started + event.seconds - time.monotonic()))
+    for name in names:
+        site.restart(name)
+    _record_outage(site, names, started, killed=True)
+    for name in names:
+        _set_listed(site, name, "live")
+
+
+def _set_listed(site: site_module.Site, name: str, state: str) -> None:
+    instance = site.instance_by_id.get(name)
+    if instance is not None:
+        instance.state = state
+        site.list_instances()
+
+
+def _record_outage(
+    site: site_module.Site,
+    names: list[str],
+    started: float,
+    *,
+    killed: bool,
+    until: float | None = None,
+) -> None:
+    ended = time.monotonic() if until is None else until
+    for name in names:
+        site.records.append(checker.Outage(started, ended, name, killed))
+
+
+BY_NAME: Final[dict[str, Action]] = {
+    action.__name__: action
+    for action in (
+        apply,
+        cold,
+        crash,
+        cut,
+        faults,
+        kill,
+        leave,
+        pause,
+        platform,
+        poison,
+        race,
+        replace_routers,
+        revive,
+        silence,
+        standin,
+    )
+}
