--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -1,5 +1,6 @@
 """Hold one request of a caller and write its answer."""
 
+import collections.abc
 import typing
 from typing import Final
 
@@ -20,7 +21,8 @@
 
     `answer_fields` are added to the headers of every answer.  `intact` is
     false while a write is under way and stays so if the write is cut off;
-    nothing may be written after that.
+    nothing may be written after that.  `closing` says that the answer told
+    the caller of the connection's end.
     """
 
     def __init__(
@@ -28,6 +30,7 @@
         request: messages.Request,
         connection: h11.Connection,
         sock: typing.Any,
+        is_draining: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         """Bind the request to the connection that it arrived on."""
         self.request: Final = request
@@ -40,6 +43,7 @@
         self._chunked = False
         self._connection = connection
         self._sock = sock
+        self._is_draining = is_draining
 
     async def respond(self, response: messages.Response) -> None:
         """Write a whole answer in one piece."""
@@ -106,6 +110,9 @@
     def _headers(self, headers: messages.Headers) -> list[tuple[bytes, bytes]]:
         for name, value in self.answer_fields:
             headers = headers.with_field(name, value)
+        # Decided with the head: whoever was not told that the connection
+        # closes may send another request on it.
+        self.closing = self._is_draining()
         if self.closing:
             headers = headers.with_field("Connection", "close")
         return encode(headers)
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -175,10 +175,12 @@
             return False
         if request is None:
             return False
-        exchange = Exchange(request, protocol, connection.sock)
+        exchange = Exchange(
+            request, protocol, connection.sock, lambda: self.draining
+        )
         self._identify(exchange)
         await self._handle(exchange)
-        if not exchange.finished or exchange.closing or self.draining:
+        if not exchange.finished or exchange.closing:
             return False
         return (
             protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
@@ -200,11 +202,9 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         try:
-            if self.draining:
-                exchange.closing = True
-                path = exchange.request.path
-                if path not in self._paths_served_while_draining:
-                    raise refusals.draining()
+            path = exchange.request.path
+            if self.draining and path not in self._paths_served_while_draining:
+                raise refusals.draining()
             await self._handler(exchange)
         except errors.SycamoredaleError as error:
             await self._answer_error(exchange, error)
@@ -219,8 +219,6 @@
     ) -> None:
         if exchange.started:
             return
-        if self.draining:
-            exchange.closing = True
         try:
             await exchange.respond(refusals.response_of(error))
         except OSError as failure:
--- a/sycamoredale/standins/generation.py
+++ b/sycamoredale/standins/generation.py
@@ -39,6 +39,7 @@
     swap_request_ids: bool = False
     slow_factor: float = 1.0
     error_after_tokens: int | None = None
+    cut_inside_token: int | None = None
     malformed: bool = False
     poison: str = ""
     poison_after_tokens: int = 0
@@ -161,7 +162,11 @@
             if run.tokens - 1 == self.faults.error_after_tokens:
                 await exchange.write(b'data: {"error": {"code": "x"}}\n\n')
                 raise ConnectionResetError("an error on purpose")
-            await exchange.write(stream_event(prompt, token, chat))
+            event = stream_event(prompt, token, chat)
+            if run.tokens - 1 == self.faults.cut_inside_token:
+                await exchange.write(event[: len(event) // 2])
+                raise ConnectionResetError("cut on purpose")
+            await exchange.write(event)
         if self.faults.silent_after_tokens is not None:
             await _stay_silent(run)
         await exchange.write(completions.DONE_EVENT)
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -37,6 +37,7 @@
         {"cut_after_tokens": 0},
         {"cut_after_tokens": 7},
         {"cut_after_tokens": TOKENS - 1},
+        {"cut_inside_token": 6},
         {"error_after_tokens": 5},
         {"silent_after_tokens": 7},
         {"swap_request_ids": True},
