--- a/sycamoredale/cli.py
+++ b/sycamoredale/cli.py
@@ -60,7 +60,7 @@
 @click.option("--peer-listen", type=ADDRESS, default="127.0.0.1:0")
 @click.option("--statsd", type=ADDRESS, default=None)
 @click.option("--log-level", default="info")
-@click.option("--drain-seconds", type=float, default=30.0)
+@click.option("--drain-seconds", type=float, default=90.0)
 def run_router(
     daemon_id: str,
     zone: str,
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -135,6 +135,14 @@
         self.used = True
         return True
 
+    def is_usable(self) -> bool:
+        """Tell whether an idle connection has had no word from its end.
+
+        Whatever arrives between two exchanges, the end of the connection
+        included, belongs to no request.
+        """
+        return sockets.is_quiet(self._sock)
+
     def sever(self) -> None:
         """Make the exchange under way fail, whoever waits for it."""
         sockets.shut_down(self._sock, curio.socket.SHUT_RDWR)
@@ -184,8 +192,11 @@
     ) -> Connection:
         """Return an idle or new connection; raise ConnectionFailed."""
         idle = self.idle_by_address.get(address)
-        if idle and not fresh:
-            return idle.pop()
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.is_usable():
+                return connection
+            await connection.close()
         return await open_connection(address)
 
     async def release(self, connection: Connection) -> None:
--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -1,5 +1,6 @@
 """Act on sockets without a wait."""
 
+import socket
 import typing
 
 
@@ -13,3 +14,14 @@
         sock._socket.shutdown(how)
     except OSError:
         pass
+
+
+def is_quiet(sock: typing.Any) -> bool:
+    """Tell whether a socket is open and has nothing to read."""
+    try:
+        sock._socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/tests/http_servers.py
+++ b/tests/http_servers.py
@@ -29,6 +29,7 @@
         self.handled: list[str] = []
         self.drained: bool | None = None
         self.slow_seconds = 0.4
+        self.echoed_id: str | None = None
         self._commands: typing.Any = curio.UniversalQueue()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -63,6 +64,8 @@
         self.handled.append(request.path)
         if request.path == "/slow":
             await curio.sleep(self.slow_seconds)
+        if self.echoed_id is not None:
+            exchange.answer_fields.append((ID_HEADER, self.echoed_id))
         value = {"path": request.path, "size": len(request.body)}
         await exchange.respond(messages.json_response(200, value))
 
--- /dev/null
+++ b/tests/test_attempt.py
@@ -0,0 +1,105 @@
+"""Test one attempt on one endpoint."""
+
+import collections.abc
+import contextlib
+
+import curio
+import pytest
+
+from sycamoredale import clock
+from sycamoredale.config import model
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.http import reading
+from sycamoredale.requests import attempt as attempt_module
+from sycamoredale.requests import call
+from sycamoredale.routing import table
+from tests import http_servers
+
+
+@pytest.fixture(name="running")
+def run_server() -> collections.abc.Iterator[http_servers.RunningServer]:
+    """Run an endpoint that soon closes idle connections."""
+    limits = reading.Limits(idle_seconds=0.05)
+    with http_servers.running(limits) as running:
+        yield running
+
+
+def test_a_claim_that_is_too_old_is_not_dispatched(
+    running: http_servers.RunningServer,
+) -> None:
+    attempt = _attempt(running, idempotent=False)
+    attempt.dispatch_before = clock.MonotonicTime(clock.monotonic() - 0.01)
+    with pytest.raises(errors.NotRun):
+        curio.run(attempt_module.fetch, attempt, client.Pool())
+    assert not attempt.sent
+    assert running.handled == []
+    fresh = _attempt(running, idempotent=False)
+    fresh.dispatch_before = clock.MonotonicTime(clock.monotonic() + 30)
+    with contextlib.suppress(errors.ConnectionBroken):
+        curio.run(attempt_module.fetch, fresh, client.Pool())
+    assert fresh.sent
+    assert running.handled == ["/withdrawals"]
+
+
+def test_connection_that_ended_while_idle_is_not_used(
+    running: http_servers.RunningServer,
+) -> None:
+    async def scenario() -> None:
+        pool = client.Pool()
+        for _ in range(3):
+            request = messages.Request("GET", "/")
+            await pool.call(running.address, request, 5.0)
+            await curio.sleep(0.2)
+
+    curio.run(scenario)
+    assert len(running.handled) == 3
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_no_idle_connection_carries_a_non_idempotent_request(
+    idempotent: bool,
+) -> None:
+    """Its end may be under way, and would leave the outcome unknown."""
+    with http_servers.running() as running:
+        running.echoed_id = "request-1"
+        pool = client.Pool()
+
+        async def scenario() -> None:
+            await pool.call(running.address, messages.Request("GET", "/"), 5.0)
+            attempt = _attempt(running, idempotent)
+            await attempt_module.fetch(attempt, pool)
+
+        curio.run(scenario)
+        idle = pool.idle_by_address[running.address]
+        assert len(idle) == (1 if idempotent else 2)
+
+
+def test_answer_to_another_request_is_refused_and_its_connection_closed(
+    running: http_servers.RunningServer,
+) -> None:
+    pool = client.Pool()
+    running.echoed_id = "another"
+    with pytest.raises(errors.ConnectionBroken, match="another"):
+        curio.run(attempt_module.fetch, _attempt(running, True), pool)
+    assert not any(pool.idle_by_address.values())
+
+
+def _attempt(
+    running: http_servers.RunningServer, idempotent: bool
+) -> attempt_module.Attempt:
+    service = model.Service("bookings", model.ServiceKind.PLAIN, 1)
+    request = messages.Request("POST", "/withdrawals")
+    read = call.Call(
+        id="request-1",
+        organisation="organisation-1",
+        service=service,
+        upstream=request,
+        idempotent=idempotent,
+        stream=False,
+        key=None,
+        deadline_seconds=60.0,
+    )
+    endpoint = table.Endpoint("e1", "bookings", "v1", "kochi", running.address)
+    return attempt_module.Attempt(read, endpoint, request)
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -107,10 +107,13 @@
     assert answer.json()["error"]["execution"] == "unknown"
 
 
-def test_caller_gone_cancels_at_the_engine(site: sites.Site) -> None:
-    prompt = _prompt("gone", stream=True, tokens=2000)
-    with contextlib.closing(_open_stream(site, prompt)) as sock:
-        sock.recv(1024)
+@pytest.mark.parametrize("stream", [True, False])
+def test_caller_gone_cancels_at_the_engine(
+    site: sites.Site, stream: bool
+) -> None:
+    """Leave before anything can be written to the caller, too."""
+    prompt = _prompt("gone", stream=stream, tokens=4000)
+    with contextlib.closing(_open_stream(site, prompt)):
         processes.wait_for(lambda: _running(site) == 1)
     processes.wait_for(lambda: _running(site) == 0, 5.0)
 
