--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -64,6 +64,12 @@
 ENDPOINT_FAILED: Final = _define(
     "endpoint_failed", 502, "the endpoint failed while it had the request"
 )
+QUEUE_FULL: Final = _define(
+    "queue_full", 429, "too many calls of the organisation wait"
+)
+OVERLOADED: Final = _define(
+    "overloaded", 503, "the call could not end before its deadline"
+)
 DRAINING: Final = _define(
     "draining", 503, "the router is stopping and takes no new request"
 )
@@ -117,6 +123,10 @@
     "connection_broken", 502, "the connection broke during an exchange"
 )
 
+COLD_SLOT_LOST: Final = _define(
+    "cold_slot_lost", 503, "the router holds no slot of a cold endpoint"
+)
+
 # Orders to engines.
 STALE_ORDER: Final = _define(
     "stale_order", 409, "the engine refused an order with an old epoch"
--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -14,12 +14,15 @@
 
 from sycamoredale import clock
 from sycamoredale.engines import completions
+from sycamoredale.engines import reports
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.requests import call as call_module
+from sycamoredale.routing import choice
+from sycamoredale.routing import health
 from sycamoredale.routing import table
 
 REST_SECONDS: Final = 1.0
@@ -45,6 +48,10 @@
     severed: str | None = None
     gone: bool = False
     accompanied: bool = False
+    chooser: choice.Chooser | None = None
+    sent_at: clock.MonotonicTime | None = None
+    first_event_at: clock.MonotonicTime | None = None
+    events: int = 0
 
     def sever(self, reason: str, gone: bool) -> None:
         """Make the exchange fail; `gone` says the endpoint is lost too."""
@@ -115,6 +122,7 @@
             raise _broken(attempt, "the stream ended without its last event")
         events = stream.feed(chunk)
         if events:
+            _count_events(attempt, events)
             if not exchange.started:
                 headers = answer_headers(attempt, head)
                 await exchange.start(messages.ResponseHead(200, headers))
@@ -135,6 +143,8 @@
         "transfer-encoding",
         "keep-alive",
         call_module.REQUEST_ID_HEADER.lower(),
+        reports.RUNNING_HEADER.lower(),
+        reports.WAITING_HEADER.lower(),
     }
     if attempt.call.upstream.method != "HEAD":
         dropped.add("content-length")
@@ -147,7 +157,7 @@
 ) -> collections.abc.AsyncIterator[client.Connection]:
     attempt.accompanied = attempt.endpoint.in_flight > 0
     attempt.endpoint.in_flight += 1
-    complete = False
+    outcome = health.Outcome.ABANDONED
     try:
         # An idle connection may have been closed by the other end, and a
         # request lost on it could not be told from one that ran.
@@ -156,16 +166,20 @@
         attempt.connection = connection
         _check_dispatch(attempt)
         attempt.sent = True
+        attempt.sent_at = clock.monotonic()
         await connection.send(attempt.request)
         yield connection
-        complete = True
-    except errors.NotRun:
-        attempt.sent = False
+        outcome = health.Outcome.ANSWERED
+    except errors.SycamoredaleError as error:
+        outcome = _outcome(attempt, error)
+        if isinstance(error, errors.NotRun):
+            attempt.sent = False
         raise
     finally:
         attempt.endpoint.in_flight -= 1
+        _tell_chooser(attempt, outcome)
         if attempt.connection is not None:
-            if complete:
+            if outcome is health.Outcome.ANSWERED:
                 await pool.release(attempt.connection)
             else:
                 await attempt.connection.close()
@@ -177,6 +191,10 @@
     head = await connection.read_head()
     attempt.heard = True
     attempt.answered = True
+    if attempt.chooser is not None:
+        attempt.chooser.heard_load(
+            attempt.endpoint, head.headers, clock.monotonic()
+        )
     echoed = head.headers.get(call_module.REQUEST_ID_HEADER)
     if attempt.call.is_model and head.status == 503 and echoed is None:
         body = await connection.read_body()
@@ -213,6 +231,46 @@
         raise errors.NotRun(
             "the claim was too old when the request was about to be sent"
         )
+    if attempt.chooser is not None:
+        attempt.chooser.confirm(attempt.endpoint, clock.monotonic())
+
+
+def _count_events(attempt: Attempt, events: bytes) -> None:
+    if attempt.first_event_at is None:
+        attempt.first_event_at = clock.monotonic()
+    attempt.events += events.count(completions.EVENT_END)
+
+
+def _outcome(
+    attempt: Attempt, error: errors.SycamoredaleError
+) -> health.Outcome:
+    if isinstance(error, errors.SlotLost):
+        return health.Outcome.ABANDONED
+    if isinstance(error, errors.NotRun):
+        refused = health.Outcome.REFUSED
+        return refused if attempt.sent else health.Outcome.ABANDONED
+    if isinstance(error, errors.ConnectionFailed):
+        return health.Outcome.UNREACHABLE
+    if attempt.severed is None:
+        return health.Outcome.BROKEN
+    # A silent connection alone tells nothing about the endpoint.
+    silent = health.Outcome.SILENT
+    return silent if attempt.gone else health.Outcome.ABANDONED
+
+
+def _tell_chooser(attempt: Attempt, outcome: health.Outcome) -> None:
+    if attempt.chooser is None:
+        return
+    now = clock.monotonic()
+    first_token = None
+    gap = None
+    if attempt.first_event_at is not None and attempt.sent_at is not None:
+        first_token = attempt.first_event_at - attempt.sent_at
+        if attempt.events > 1:
+            gap = (now - attempt.first_event_at) / (attempt.events - 1)
+    attempt.chooser.finished(
+        attempt.endpoint, outcome, attempt.sent, first_token, gap, now
+    )
 
 
 def _broken(attempt: Attempt, reason: str) -> errors.ConnectionBroken:
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -22,20 +22,39 @@
     version: ids.VersionName
     zone: ids.ZoneName
     address: messages.Address
-    in_flight: int = 0
     domain: ids.DomainName = ids.DomainName("")
+    group: ids.GroupId = ids.GroupId("")
+    epoch: ids.Epoch = ids.Epoch(0)
+    members: tuple[messages.Address, ...] = ()
+    in_flight: int = 0
+
+
+OnChange = collections.abc.Callable[[], None]
 
 
 @dataclasses.dataclass
 class RoutingTable:
-    """Hold the endpoints by id."""
+    """Hold the endpoints by id and call back when they change.
+
+    `draining_by_id` holds those that finish their requests only.
+    """
 
     by_id: dict[ids.EndpointId, Endpoint] = dataclasses.field(
         default_factory=dict
     )
+    draining_by_id: dict[ids.EndpointId, Endpoint] = dataclasses.field(
+        default_factory=dict
+    )
+    on_change: list[OnChange] = dataclasses.field(default_factory=list)
+    _by_service: dict[ids.ServiceName, list[Endpoint]] = dataclasses.field(
+        default_factory=dict
+    )
     _by_domain: dict[ids.DomainName, groups_model.Assignment] = (
         dataclasses.field(default_factory=dict)
     )
+    _zone_lists: (
+        dict[ids.ServiceName, dict[ids.ZoneName, list[Endpoint]]] | None
+    ) = None
     _zones_out: frozenset[ids.ZoneName] = frozenset()
 
     def apply_configuration(
@@ -47,6 +66,7 @@
             for zone in configuration.zones
             if zone.state is config_model.ZoneState.OUT
         )
+        self._changed()
 
     def apply_assignment(self, assignment: groups_model.Assignment) -> None:
         """Replace the groups of one domain, unless they are older."""
@@ -60,28 +80,64 @@
         self, service: ids.ServiceName
     ) -> collections.abc.Iterator[Endpoint]:
         """Yield the endpoints of a service that may take new work."""
-        for endpoint in self.by_id.values():
-            if endpoint.service != service:
-                continue
+        for endpoint in self._by_service.get(service, ()):
             if endpoint.zone not in self._zones_out:
                 yield endpoint
 
+    def by_zone(
+        self, service: ids.ServiceName
+    ) -> dict[ids.ZoneName, list[Endpoint]]:
+        """Return the endpoints of a service that may take new work."""
+        if self._zone_lists is None:
+            self._zone_lists = {}
+            for name in self._by_service:
+                lists: dict[ids.ZoneName, list[Endpoint]] = {}
+                for endpoint in self.candidates(name):
+                    lists.setdefault(endpoint.zone, []).append(endpoint)
+                self._zone_lists[name] = lists
+        return self._zone_lists.get(service, {})
+
+    def find(self, endpoint: ids.EndpointId) -> Endpoint | None:
+        """Return an endpoint, draining or not."""
+        return self.by_id.get(endpoint) or self.draining_by_id.get(endpoint)
+
+    def is_zone_out(self, zone: ids.ZoneName) -> bool:
+        """Tell if operators have taken the availability zone out."""
+        return zone in self._zones_out
+
     def _rebuild(self) -> None:
-        known = self.by_id
+        known = self.by_id | self.draining_by_id
         self.by_id = {}
+        self.draining_by_id = {}
         for assignment in self._by_domain.values():
             for group in assignment.groups:
+                endpoint = _endpoint(assignment.domain, group)
+                endpoint = known.get(endpoint.id, endpoint)
                 if group.state is groups_model.GroupState.READY:
-                    endpoint = _endpoint(group, assignment.domain)
-                    self.by_id[endpoint.id] = known.get(endpoint.id, endpoint)
+                    self.by_id[endpoint.id] = endpoint
+                elif group.state is groups_model.GroupState.DRAINING:
+                    self.draining_by_id[endpoint.id] = endpoint
+        self._by_service = {}
+        for endpoint in self.by_id.values():
+            self._by_service.setdefault(endpoint.service, []).append(endpoint)
+        self._changed()
+
+    def _changed(self) -> None:
+        self._zone_lists = None
+        for callback in self.on_change:
+            callback()
 
 
-def _endpoint(group: groups_model.Group, domain: ids.DomainName) -> Endpoint:
+def _endpoint(domain: ids.DomainName, group: groups_model.Group) -> Endpoint:
+    members = tuple(messages.parse_address(m.address) for m in group.members)
     return Endpoint(
         id=ids.EndpointId(f"{group.id}@{group.epoch}"),
         service=group.service,
         version=group.version,
         zone=group.zone,
-        address=messages.parse_address(group.members[0].address),
+        address=members[0],
         domain=domain,
+        group=group.id,
+        epoch=group.epoch,
+        members=members,
     )
--- a/sycamoredale/standins/engine_orders.py
+++ b/sycamoredale/standins/engine_orders.py
@@ -68,16 +68,13 @@
                 self.phase = orders.Phase.DRAINING
             case orders.Action.RESUME:
                 if self.phase is orders.Phase.DRAINING:
-                    self.phase = orders.Phase.COLD
-                    self._phase_ends = clock.MonotonicTime(
-                        now + self.cold_seconds
-                    )
+                    self.turn_cold(now)
             case orders.Action.UPDATE:
                 self._update(order)
         return True
 
     def turn_cold(self, now: clock.MonotonicTime) -> None:
-        """Go back to cold start without a warning."""
+        """Start a cold start, as after a resume or without an order."""
         self.phase = orders.Phase.COLD
         self._phase_ends = clock.MonotonicTime(now + self.cold_seconds)
 
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -8,12 +8,14 @@
 import collections.abc
 import dataclasses
 import itertools
+import json
 import pathlib
 import random
 import sys
 import tempfile
 import threading
 import time
+import typing
 from typing import Final
 
 import click
@@ -98,8 +100,8 @@
     )
 
 
-def play(scenario: Scenario) -> Report:
-    """Run a scenario and check the recording."""
+def play(scenario: Scenario, naive: bool = False) -> Report:
+    """Run a scenario against our routers or a naive one; check it."""
     with (
         tempfile.TemporaryDirectory() as directory,
         processes.Fleet() as fleet,
@@ -107,6 +109,8 @@
         site = site_module.Site(
             fleet, pathlib.Path(directory), scenario.shape, scenario.engines
         )
+        if naive:
+            site.start_naive()
         generator = load_module.Generator(site.targets, scenario.seed)
         started = time.monotonic()
         with _background(site, generator, scenario) as failures:
@@ -197,6 +201,18 @@
         print(f"  {count} {outcome} {code} {execution}")
 
 
+def _write_counts(report: Report, file: typing.TextIO) -> None:
+    for verdict in report.verdicts:
+        line = {
+            "scenario": report.scenario,
+            "promise": verdict.promise.value,
+            "tried": verdict.tried,
+            "broken": len(verdict.broken),
+        }
+        file.write(json.dumps(line) + "\n")
+    file.flush()
+
+
 def _print_totals(reports: list[Report]) -> bool:
     tried: collections.Counter[checker.Promise] = collections.Counter()
     broken: collections.Counter[checker.Promise] = collections.Counter()
@@ -215,7 +231,14 @@
 @click.option("--minutes", default=10.0, help="No run starts after this.")
 @click.option("--only", default="", help="Name of a single scenario.")
 @click.option("--curve", is_flag=True, help="Print each second of a run.")
-def main(seed: int, minutes: float, only: str, curve: bool) -> None:
+@click.option("--counts", type=click.File("a"), help="Append the counts.")
+def main(
+    seed: int,
+    minutes: float,
+    only: str,
+    curve: bool,
+    counts: typing.TextIO | None,
+) -> None:
     """Play the matrix of scenarios and print promise by promise."""
     scenarios = [s for s in read_all() if only in ("", s.name)]
     until = time.monotonic() + minutes * 60
@@ -230,6 +253,8 @@
             continue
         reports.append(report)
         _print_report(report)
+        if counts is not None:
+            _write_counts(report, counts)
         if curve:
             for second in report.seconds:
                 print(f"  {second}")
