--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -85,7 +85,7 @@
                 call,
                 endpoint,
                 call.upstream,
-                dispatch_before,
+                dispatch_before=dispatch_before,
                 chooser=self.chooser,
             )
             tries.execution = error_codes.Execution.UNKNOWN
