Join daemons into a fleet with heartbeats, relay and freshness

Cause: every daemon stood alone: it held a watch of its own and could not tell an outage of the object API from being cut off itself.

A daemon now registers, keeps relations with a bounded number of peers on hash rings, suspects silent peers only after a fresh connection and indirect probes failed, and refutes what is wrongly said of it. Freshness is passed on as durations; a router past the bound serves only if most daemons that it asked are out of touch with the object API too.

Ruled out: a random probe of any member, which needs a connection to each of 380 daemons or a new one for each probe; notices with generations, since the number in each heartbeat does the same and repairs losses.

Parts of a configuration are cut by entity, so that a change sends one small part; platform calls are counted and bounded by a shared budget.

--- a/sycamoredale/cli.py
+++ b/sycamoredale/cli.py
@@ -58,6 +58,7 @@
 @click.option("--platform", type=ADDRESS, required=True)
 @click.option("--listen", type=ADDRESS, default="127.0.0.1:8080")
 @click.option("--peer-listen", type=ADDRESS, default="127.0.0.1:0")
+@click.option("--seed", type=ADDRESS, multiple=True)
 @click.option("--statsd", type=ADDRESS, default=None)
 @click.option("--log-level", default="info")
 @click.option("--drain-seconds", type=float, default=30.0)
@@ -67,22 +68,24 @@
     platform: messages.Address,
     listen: messages.Address,
     peer_listen: messages.Address,
+    seed: tuple[messages.Address, ...],
     statsd: messages.Address | None,
     log_level: str,
     drain_seconds: float,
 ) -> None:
     """Run a router."""
-    common = _common(daemon_id, zone, platform, statsd, log_level)
-    settings = options.RouterOptions(
-        common, listen, peer_listen, drain_seconds
+    common = _common(
+        daemon_id, zone, platform, statsd, log_level, peer_listen, seed
     )
-    router.run(settings)
+    router.run(options.RouterOptions(common, listen, drain_seconds))
 
 
 @main.command("controller")
 @click.option("--daemon-id", required=True, help="Name of this daemon.")
 @click.option("--zone", required=True, help="Its availability zone.")
 @click.option("--platform", type=ADDRESS, required=True)
+@click.option("--peer-listen", type=ADDRESS, default="127.0.0.1:0")
+@click.option("--seed", type=ADDRESS, multiple=True)
 @click.option("--statsd", type=ADDRESS, default=None)
 @click.option("--log-level", default="info")
 @click.option("--interval-seconds", type=float, default=0.5)
@@ -90,12 +93,16 @@
     daemon_id: str,
     zone: str,
     platform: messages.Address,
+    peer_listen: messages.Address,
+    seed: tuple[messages.Address, ...],
     statsd: messages.Address | None,
     log_level: str,
     interval_seconds: float,
 ) -> None:
     """Run a controller."""
-    common = _common(daemon_id, zone, platform, statsd, log_level)
+    common = _common(
+        daemon_id, zone, platform, statsd, log_level, peer_listen, seed
+    )
     controller.run(options.ControllerOptions(common, interval_seconds))
 
 
@@ -134,6 +141,8 @@
     platform: messages.Address,
     statsd: messages.Address | None,
     log_level: str,
+    peer_listen: messages.Address,
+    seeds: tuple[messages.Address, ...],
 ) -> options.DaemonOptions:
     return options.DaemonOptions(
         ids.DaemonId(daemon_id),
@@ -141,4 +150,6 @@
         platform,
         statsd,
         log_level,
+        peer_listen,
+        seeds,
     )
--- /dev/null
+++ b/sycamoredale/config/parts.py
@@ -0,0 +1,113 @@
+"""Split a configuration into parts that change apart from each other.
+
+The entities of a section are spread over shards by a hash of their names,
+so that the change of one entity changes one small part, wherever in the
+file it stands.  The number of shards doubles as a section grows.  A part
+is named by the digest of its content and never changes.
+"""
+
+import collections
+import collections.abc
+import hashlib
+import typing
+from typing import Final
+
+import msgspec
+import xxhash
+
+from sycamoredale.config import model
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale import ids
+
+ENTITIES_A_SHARD: Final = 32
+DIGEST_BYTES: Final = 16
+LIMITS_SECTION: Final = "limits"
+
+TYPE_BY_SECTION: Final[dict[str, typing.Any]] = {
+    "services": list[model.Service],
+    "versions": list[model.ModelVersion],
+    "adapters": list[model.Adapter],
+    "organisations": list[model.Organisation],
+    "zones": list[model.Zone],
+    LIMITS_SECTION: list[model.Limits],
+}
+
+
+class Part(msgspec.Struct, frozen=True):
+    """Hold one shard of a section; `entities` is a list in JSON."""
+
+    section: str
+    entities: msgspec.Raw
+
+
+def digest_of(part: Part) -> str:
+    """Return the name of a part, in hex."""
+    content = part.section.encode() + b"\0" + bytes(part.entities)
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def split(configuration: model.Configuration) -> dict[str, Part]:
+    """Return the parts of a configuration by digest."""
+    parts = [
+        part
+        for section in TYPE_BY_SECTION
+        for part in _split_section(configuration, section)
+    ]
+    return {digest_of(part): part for part in parts}
+
+
+def join(
+    parts: collections.abc.Iterable[Part],
+) -> model.Configuration:
+    """Return the configuration of all its parts; raise SycamoredaleError."""
+    found: dict[str, list[typing.Any]] = collections.defaultdict(list)
+    for part in parts:
+        kind = TYPE_BY_SECTION.get(part.section)
+        if kind is None:
+            raise errors.SycamoredaleError(
+                error_codes.INVALID_CONFIGURATION,
+                f"section {part.section!r} is unknown to this version",
+            )
+        found[part.section] += msgspec.json.decode(part.entities, type=kind)
+    limits = found.pop(LIMITS_SECTION, [model.Limits()])[0]
+    for entities in found.values():
+        entities.sort(key=lambda entity: str(entity.name))
+    return model.Configuration(limits=limits, **found)
+
+
+def _split_section(
+    configuration: model.Configuration, section: str
+) -> collections.abc.Iterator[Part]:
+    if section == LIMITS_SECTION:
+        yield _encode(section, [configuration.limits])
+        return
+    entities = getattr(configuration, section)
+    count = shard_count(len(entities))
+    by_shard: dict[int, list[typing.Any]] = collections.defaultdict(list)
+    for entity in sorted(entities, key=lambda e: str(e.name)):
+        by_shard[_shard(entity, count)].append(entity)
+    for shard in sorted(by_shard):
+        yield _encode(section, by_shard[shard])
+
+
+def shard_count(entities: int) -> int:
+    """Return the number of shards of a section, a power of two."""
+    count = 1
+    while count * ENTITIES_A_SHARD < entities:
+        count *= 2
+    return count
+
+
+def _shard(entity: typing.Any, count: int) -> int:
+    name = _qualified_name(entity)
+    return xxhash.xxh64_intdigest(name.encode()) % count
+
+
+def _qualified_name(entity: typing.Any) -> str:
+    service = getattr(entity, "service", ids.ServiceName(""))
+    return f"{service}/{entity.name}"
+
+
+def _encode(section: str, entities: list[typing.Any]) -> Part:
+    return Part(section, msgspec.Raw(msgspec.json.encode(entities)))
--- /dev/null
+++ b/sycamoredale/config/propagation.py
@@ -0,0 +1,111 @@
+"""Pass the configuration in force from daemon to daemon.
+
+A daemon that is behind names the generation that it has; the answer holds
+the pointer and the parts that are not in that generation.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from sycamoredale.config import parts as parts_module
+from sycamoredale.config import store as config_store
+from sycamoredale import errors
+from sycamoredale import ids
+from sycamoredale.membership import service
+from sycamoredale.observability import logs
+
+PATH: Final = "/peer/configuration"
+FETCH_SECONDS: Final = 2.0
+GENERATIONS_REMEMBERED: Final = 8
+LOG: Final = logs.get("config.propagation")
+
+
+class Request(msgspec.Struct, frozen=True, array_like=True):
+    """Name the generation in force at the sender, 0 for none."""
+
+    generation: ids.Generation
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what is in force and the parts that the asker lacks."""
+
+    generation: ids.Generation
+    version: ids.ObjectVersion
+    digests: list[str]
+    parts: list[parts_module.Part]
+
+
+@dataclasses.dataclass
+class Propagation:
+    """Answer peers that are behind and fetch from peers that are ahead."""
+
+    peers: service.PeerService
+    accepted: config_store.Accepted = config_store.NOTHING_ACCEPTED
+    _digests_by_generation: collections.OrderedDict[
+        ids.Generation, frozenset[str]
+    ] = dataclasses.field(default_factory=collections.OrderedDict)
+
+    def __post_init__(self) -> None:
+        """Answer the requests of peers."""
+        self.peers.register(PATH, self._answer)
+
+    def on_accepted(self, accepted: config_store.Accepted) -> None:
+        """Pass on this configuration from now on."""
+        self.accepted = accepted
+        remembered = self._digests_by_generation
+        remembered[accepted.generation] = frozenset(accepted.parts_by_digest)
+        while len(remembered) > GENERATIONS_REMEMBERED:
+            remembered.popitem(last=False)
+
+    async def fetch(self, peer: ids.DaemonId) -> config_store.Accepted | None:
+        """Return what is in force at a peer, None if that fails."""
+        try:
+            answer = await self._ask(peer, self.accepted.generation)
+            missing = _missing(answer, self.accepted)
+            if missing:
+                answer = await self._ask(peer, ids.Generation(0))
+        except (errors.SycamoredaleError, msgspec.DecodeError) as error:
+            LOG.info("fetch_failed", peer=peer, reason=str(error))
+            return None
+        return _assemble(answer, self.accepted)
+
+    async def _ask(
+        self, peer: ids.DaemonId, generation: ids.Generation
+    ) -> Answer:
+        body = msgspec.json.encode(Request(generation))
+        found = await self.peers.call(peer, PATH, body, FETCH_SECONDS)
+        return msgspec.json.decode(found, type=Answer)
+
+    async def _answer(self, body: bytes) -> bytes:
+        request = msgspec.json.decode(body, type=Request)
+        known: frozenset[str] = self._digests_by_generation.get(
+            request.generation, frozenset()
+        )
+        by_digest = self.accepted.parts_by_digest
+        answer = Answer(
+            self.accepted.generation,
+            self.accepted.version,
+            list(by_digest),
+            [part for d, part in by_digest.items() if d not in known],
+        )
+        return msgspec.json.encode(answer)
+
+
+def _missing(answer: Answer, known: config_store.Accepted) -> set[str]:
+    sent = {parts_module.digest_of(part) for part in answer.parts}
+    return set(answer.digests) - sent - set(known.parts_by_digest)
+
+
+def _assemble(
+    answer: Answer, known: config_store.Accepted
+) -> config_store.Accepted | None:
+    sent = {parts_module.digest_of(part): part for part in answer.parts}
+    available = {**known.parts_by_digest, **sent}
+    if not set(answer.digests) <= set(available):
+        LOG.warning("parts_missing", generation=answer.generation)
+        return None
+    chosen = {digest: available[digest] for digest in answer.digests}
+    return config_store.build(answer.generation, answer.version, chosen)
--- a/sycamoredale/config/store.py
+++ b/sycamoredale/config/store.py
@@ -1,41 +1,53 @@
 """Keep accepted configurations in the object API.
 
-A file is split into parts under the size that the store holds; each part
-is named by its digest and never changes.  One conditional update of the
+The parts of a file are written first; one conditional update of the
 pointer object then accepts the file as a whole, so a half-finished upload
 has no effect.
+
+A part carries the generation that it was last uploaded for.  An uploader
+that finds an unreferenced part in place writes it again with its own
+generation.  So a part may be deleted, at the version that was read, when
+it is not referenced and its generation is not above the accepted one:
+whoever uploaded it has been accepted or has lost.
 """
 
 import collections.abc
 import dataclasses
-import hashlib
 from typing import Final
 import uuid
 
 import msgspec
 
 from sycamoredale.config import model
+from sycamoredale.config import parts as parts_module
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.platform import objects
 
-PART_TEXT_CHARACTERS: Final = 400_000
+READ_ATTEMPTS: Final = 3
 
 
-class Part(msgspec.Struct, frozen=True):
-    """Hold one piece of a configuration in JSON text."""
+class StoredPart(msgspec.Struct, frozen=True):
+    """Hold a part and the generation that it was last uploaded for."""
 
-    text: str
+    generation: ids.Generation
+    part: parts_module.Part
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """Hold a configuration with its generation and pointer version."""
+    """Hold a configuration with its generation and pointer version.
+
+    `parts_by_digest` allows passing it on without encoding it again.
+    """
 
     generation: ids.Generation
     version: ids.ObjectVersion
     configuration: model.Configuration
+    parts_by_digest: collections.abc.Mapping[str, parts_module.Part] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 NOTHING_ACCEPTED: Final = Accepted(
@@ -43,17 +55,55 @@
 )
 
 
-async def read(store: objects.ObjectStore) -> Accepted:
-    """Return the accepted configuration; raise StoreUnavailable."""
-    stored = await store.get(model.KIND, model.POINTER_NAME)
-    if stored is None:
-        return NOTHING_ACCEPTED
-    pointer = decode_pointer(stored)
-    texts = [await _read_part(store, digest) for digest in pointer.parts]
-    configuration = msgspec.json.decode(
-        "".join(texts), type=model.Configuration
+async def read(
+    store: objects.ObjectStore, known: Accepted = NOTHING_ACCEPTED
+) -> Accepted:
+    """Return the accepted configuration; raise StoreUnavailable.
+
+    Parts that `known` holds are not read again.
+    """
+    for _ in range(READ_ATTEMPTS):
+        stored = await store.get(model.KIND, model.POINTER_NAME)
+        if stored is None:
+            return NOTHING_ACCEPTED
+        accepted = await read_parts(store, stored, known)
+        if accepted is not None:
+            return accepted
+    raise errors.StoreUnavailable(
+        error_codes.STORE_UNAVAILABLE,
+        "parts of the accepted configuration are not in the store",
     )
-    return Accepted(pointer.generation, stored.version, configuration)
+
+
+async def read_parts(
+    store: objects.ObjectStore, stored: objects.StoredObject, known: Accepted
+) -> Accepted | None:
+    """Return the configuration that a pointer names.
+
+    The result is None if a part is gone, because a newer file has been
+    accepted since; raises StoreUnavailable.
+    """
+    pointer = decode_pointer(stored)
+    by_digest: dict[str, parts_module.Part] = {}
+    for digest in pointer.parts:
+        part = known.parts_by_digest.get(digest)
+        if part is None:
+            found = await store.get(model.PART_KIND, digest)
+            if found is None:
+                return None
+            part = _decode_part(found).part
+        by_digest[digest] = part
+    return build(pointer.generation, stored.version, by_digest)
+
+
+def build(
+    generation: ids.Generation,
+    version: ids.ObjectVersion,
+    parts_by_digest: dict[str, parts_module.Part],
+) -> Accepted:
+    """Return an accepted configuration; raise SycamoredaleError."""
+    configuration = parts_module.join(parts_by_digest.values())
+    return Accepted(generation, version, configuration, parts_by_digest)
 
 
 async def accept(
@@ -66,16 +116,46 @@
     Raises VersionConflict if another operator was faster and
     StoreUnavailable if the store is down; both change nothing.
     """
-    digests = []
-    for text in _split(configuration):
-        digests.append(await _write_part(store, text))
+    generation = ids.Generation(seen.generation + 1)
+    by_digest = parts_module.split(configuration)
+    for digest, part in by_digest.items():
+        if digest not in seen.parts_by_digest:
+            await _write_part(store, digest, StoredPart(generation, part))
     pointer = model.Pointer(
-        generation=ids.Generation(seen.generation + 1),
-        parts=digests,
+        generation=generation,
+        parts=list(by_digest),
         write_id=ids.WriteId(uuid.uuid4().hex),
     )
-    version = await _write_pointer(store, pointer, seen.version)
-    return Accepted(pointer.generation, version, configuration)
+    version = await _write_pointer(store, pointer, seen)
+    return Accepted(generation, version, configuration, by_digest)
+
+
+async def remove_old_parts(store: objects.ObjectStore) -> int:
+    """Delete parts that nobody can need; return how many.
+
+    Raises StoreUnavailable.
+    """
+    listing = await store.list(model.PART_KIND)
+    stored = await store.get(model.KIND, model.POINTER_NAME)
+    if stored is None:
+        return 0
+    pointer = decode_pointer(stored)
+    removed = 0
+    for candidate in listing.objects:
+        if candidate.name in pointer.parts:
+            continue
+        if _decode_part(candidate).generation > pointer.generation:
+            continue
+        try:
+            await store.delete(
+                model.PART_KIND,
+                candidate.name,
+                candidate.version,
+            )
+            removed += 1
+        except (errors.VersionConflict, errors.OutcomeUnknown):
+            continue
+    return removed
 
 
 def decode_pointer(stored: objects.StoredObject) -> model.Pointer:
@@ -83,46 +163,57 @@
     return msgspec.json.decode(stored.value, type=model.Pointer)
 
 
-def _split(
-    configuration: model.Configuration,
-) -> collections.abc.Iterator[str]:
-    text = msgspec.json.encode(configuration).decode()
-    for start in range(0, len(text), PART_TEXT_CHARACTERS):
-        yield text[start : start + PART_TEXT_CHARACTERS]
-
-
-async def _read_part(store: objects.ObjectStore, digest: str) -> str:
-    stored = await store.get(model.PART_KIND, digest)
-    if stored is None:
-        raise errors.StoreUnavailable(
-            error_codes.STORE_UNAVAILABLE,
-            f"configuration part {digest} is not in the store",
-        )
-    return msgspec.json.decode(stored.value, type=Part).text
+async def _write_part(
+    store: objects.ObjectStore, digest: str, part: StoredPart
+) -> None:
+    value = msgspec.json.encode(part)
+    expected = objects.ABSENT
+    for _ in range(READ_ATTEMPTS):
+        try:
+            await store.put(model.PART_KIND, digest, value, expected)
+            return
+        except (errors.VersionConflict, errors.OutcomeUnknown):
+            found = await store.get(model.PART_KIND, digest)
+        expected = objects.ABSENT if found is None else found.version
+        if found and _decode_part(found).generation >= part.generation:
+            return
+    raise errors.StoreUnavailable(
+        error_codes.STORE_UNAVAILABLE,
+        f"configuration part {digest} could not be written",
+    )
 
 
-async def _write_part(store: objects.ObjectStore, text: str) -> str:
-    digest = hashlib.sha256(text.encode()).hexdigest()
-    value = msgspec.json.encode(Part(text))
+async def _write_pointer(
+    store: objects.ObjectStore, pointer: model.Pointer, seen: Accepted
+) -> ids.ObjectVersion:
+    value = msgspec.json.encode(pointer)
     try:
-        await store.put(model.PART_KIND, digest, value, objects.ABSENT)
-    except errors.VersionConflict:
-        pass  # The name is the digest, so the same part is there already.
-    return digest
+        return await store.put(
+            model.KIND, model.POINTER_NAME, value, seen.version
+        )
+    except (errors.OutcomeUnknown, errors.VersionConflict) as error:
+        return await _resolve(store, pointer, seen, error)
 
 
-async def _write_pointer(
+async def _resolve(
     store: objects.ObjectStore,
     pointer: model.Pointer,
-    expected: ids.ObjectVersion,
+    seen: Accepted,
+    error: errors.SycamoredaleError,
 ) -> ids.ObjectVersion:
-    value = msgspec.json.encode(pointer)
-    try:
-        return await store.put(model.KIND, model.POINTER_NAME, value, expected)
-    except errors.OutcomeUnknown:
-        stored = await store.get(model.KIND, model.POINTER_NAME)
-        if stored is None:
-            raise
-        if decode_pointer(stored).write_id != pointer.write_id:
-            raise
+    """Tell from the stored pointer whether a write took effect."""
+    stored = await store.get(model.KIND, model.POINTER_NAME)
+    found = decode_pointer(stored) if stored else None
+    if stored and found and found.write_id == pointer.write_id:
         return stored.version
+    if found is None or found.generation <= seen.generation:
+        raise error
+    raise errors.VersionConflict(
+        error_codes.VERSION_CONFLICT,
+        f"the file was prepared against generation {seen.generation}, "
+        f"but generation {found.generation} has been accepted since",
+    )
+
+
+def _decode_part(stored: objects.StoredObject) -> StoredPart:
+    return msgspec.json.decode(stored.value, type=StoredPart)
--- a/sycamoredale/daemons/controller.py
+++ b/sycamoredale/daemons/controller.py
@@ -8,6 +8,7 @@
 
 from sycamoredale.config import model as config_model
 from sycamoredale.config import store as config_store
+from sycamoredale.daemons import fleet
 from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
 from sycamoredale.engines import model_engine
@@ -18,6 +19,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.membership import view
 from sycamoredale.observability import logs
 from sycamoredale.platform import instances
 from sycamoredale.platform import objects
@@ -31,17 +33,21 @@
     def __init__(self, settings: options.ControllerOptions) -> None:
         """Build the parts; nothing runs until `run`."""
         pool = client.Pool()
+        joined = fleet.join(settings.common, view.Role.CONTROLLER)
         self._settings = settings
-        self._store = objects.ObjectStore(settings.common.platform, pool)
+        self._node = joined.node
+        self._store = joined.store
         self._list = instances.InstanceList(settings.common.platform, pool)
         self._engines = model_engine.ModelEngines(pool)
 
     async def run(self) -> None:
         """Act until SIGTERM or SIGINT."""
         stop = stopping.StopSignal()
+        await self._node.start()
         await curio.spawn(self._act, daemon=True)
         LOG.info("controller_started")
         await stop.wait()
+        await self._node.stop()
         LOG.info("controller_stopped")
 
     async def _act(self) -> None:
--- /dev/null
+++ b/sycamoredale/daemons/fleet.py
@@ -0,0 +1,53 @@
+"""Join a daemon to the platform and to its peers."""
+
+import dataclasses
+
+from sycamoredale import clock
+from sycamoredale.daemons import options
+from sycamoredale.http import client
+from sycamoredale.membership import node as node_module
+from sycamoredale.membership import view
+from sycamoredale.platform import budget
+from sycamoredale.platform import objects
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Joined:
+    """Hold the store, its budget and the node of one daemon."""
+
+    store: objects.ObjectStore
+    call_budget: budget.CallBudget
+    node: node_module.Node
+
+
+def join(settings: options.DaemonOptions, role: view.Role) -> Joined:
+    """Build the parts; nothing listens until the node is started."""
+    started = clock.wall()
+    live = _LiveDaemons()
+    call_budget = budget.CallBudget(
+        live, settings.reads_per_second, settings.writes_per_second
+    )
+    store = objects.ObjectStore(
+        settings.platform, client.Pool(), call_budget=call_budget
+    )
+    identity = node_module.Identity(
+        settings.daemon,
+        settings.zone,
+        role,
+        settings.peer_listen,
+        settings.seeds,
+    )
+    node = node_module.Node(identity, store, started)
+    live.node = node
+    return Joined(store, call_budget, node)
+
+
+@dataclasses.dataclass
+class _LiveDaemons:
+    """Count the daemons that share the budget."""
+
+    node: node_module.Node | None = None
+
+    def __call__(self) -> int:
+        """Return the count, 1 before there is a node."""
+        return self.node.live_daemons() if self.node else 1
--- a/sycamoredale/daemons/followers.py
+++ b/sycamoredale/daemons/followers.py
@@ -1,27 +1,39 @@
 """Follow the configuration and the assignments in the object API.
 
-Followers go on with the last state that they have seen while the object
-API is down, and never go back to an older one.
+Few daemons of each zone poll the object API; the others hear from them.  A
+daemon that no longer hears polls for itself, ever more rarely while that
+fails.  Followers go on with the last state that they have seen while the
+object API is down, and never go back to an older one.
 """
 
 import collections.abc
 import dataclasses
+import random
 from typing import Final
 
 import curio
 import msgspec
 
+from sycamoredale import clock
 from sycamoredale.config import model as config_model
+from sycamoredale.config import propagation
 from sycamoredale.config import store as config_store
+from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.groups import model as groups_model
 from sycamoredale import ids
+from sycamoredale.membership import exchange
+from sycamoredale.membership import mirror
+from sycamoredale.membership import node as node_module
 from sycamoredale.observability import logs
+from sycamoredale.platform import backoff
 from sycamoredale.platform import objects
 from sycamoredale.routing import table
 
-WATCH_SECONDS: Final = 10.0
-RETRY_SECONDS: Final = 0.5
+POLL_WAIT_SECONDS: Final = 0.8
+POLL_RETRY_SECONDS: Final = 1.0
+ASSIGNMENT_WAIT_SECONDS: Final = 5.0
+TICK_SECONDS: Final = 0.1
 LOG: Final = logs.get("followers")
 
 OnAccepted = collections.abc.Callable[[config_store.Accepted], None]
@@ -32,31 +44,118 @@
     """Keep the newest configuration in force."""
 
     store: objects.ObjectStore
+    node: node_module.Node
     on_accepted: OnAccepted
     accepted: config_store.Accepted = config_store.NOTHING_ACCEPTED
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
+    _version: ids.ObjectVersion = objects.ABSENT
+    _fetching: ids.Generation = ids.Generation(0)
+
+    def __post_init__(self) -> None:
+        """Hear from peers which generation they have."""
+        self.propagation = propagation.Propagation(self.node.peers)
+        self.node.listen_to_progress(self._on_progress)
 
     async def run(self) -> None:
         """Follow for ever."""
-        version = objects.ABSENT
+        waits = backoff.Backoff(self.rng)
         while True:
+            now = clock.monotonic()
+            watcher = self.node.is_watcher()
+            if not watcher and not self.node.freshness.is_stale(now):
+                waits.reset()
+                await curio.sleep(TICK_SECONDS)
+                continue
             try:
-                accepted = await config_store.read(self.store)
-                self.adopt(accepted)
-                version = max(version, accepted.version)
-                listing = await self.store.watch(
-                    config_model.KIND, version, WATCH_SECONDS
-                )
-                version = max(version, listing.version)
-            except errors.StoreUnavailable as error:
-                LOG.warning("store_unavailable", reason=error.message)
-                await curio.sleep(RETRY_SECONDS)
+                await self._poll()
+                waits.reset()
+            except errors.SycamoredaleError as error:
+                LOG.info("poll_failed", reason=error.message)
+                # A watcher keeps its pace, which is within the budget, so
+                # that its zone knows at once when the store returns.
+                pace = POLL_RETRY_SECONDS * self.rng.uniform(0.5, 1.0)
+                wait = pace if watcher else waits.next_seconds()
+                await curio.sleep(wait)
+
+    async def _poll(self) -> None:
+        """Wait for a change for a short time; raise StoreUnavailable."""
+        started = clock.monotonic()
+        if self._version == objects.ABSENT:
+            stored = await self._list()
+        else:
+            stored = await self._watch()
+        if stored is not None:
+            await self._take_over(stored)
+        self.node.freshness.on_poll(started)
+
+    async def _list(self) -> objects.StoredObject | None:
+        listing = await self.store.list(config_model.KIND)
+        self._advance(listing)
+        return _pointer(listing)
+
+    async def _watch(self) -> objects.StoredObject | None:
+        try:
+            listing = await self.store.watch(
+                config_model.KIND, self._version, POLL_WAIT_SECONDS
+            )
+        except errors.WatchExpired:
+            self._version = objects.ABSENT
+            return await self._list()
+        self._advance(listing)
+        return _pointer(listing)
+
+    def _advance(self, listing: objects.Listing) -> None:
+        if listing.version < self._version:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"the store answered its state of version {listing.version}, "
+                f"but has shown version {self._version}",
+            )
+        self._version = listing.version
+
+    async def _take_over(self, stored: objects.StoredObject) -> None:
+        pointer = config_store.decode_pointer(stored)
+        if pointer.generation < self.accepted.generation:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"the store answered generation {pointer.generation}, but "
+                f"generation {self.accepted.generation} is in force",
+            )
+        if pointer.generation == self.accepted.generation:
+            return
+        found = await config_store.read_parts(
+            self.store, stored, self.accepted
+        )
+        if found is None:
+            found = await config_store.read(self.store, self.accepted)
+        self.adopt(found)
+
+    async def _on_progress(
+        self, peer: ids.DaemonId, progress: exchange.Progress
+    ) -> None:
+        """Fetch from a peer that has a newer configuration in force."""
+        generation = progress.generation
+        if generation <= max(self._fetching, self.accepted.generation):
+            return
+        self._fetching = generation
+        await curio.spawn(self._fetch, peer, daemon=True)
+
+    async def _fetch(self, peer: ids.DaemonId) -> None:
+        try:
+            found = await self.propagation.fetch(peer)
+            if found is not None:
+                self.adopt(found)
+        finally:
+            self._fetching = self.accepted.generation
 
     def adopt(self, accepted: config_store.Accepted) -> None:
         """Put a configuration in force if it is newer."""
         if accepted.generation <= self.accepted.generation:
             return
         self.accepted = accepted
+        self.propagation.on_accepted(accepted)
         self.on_accepted(accepted)
+        self.node.advance(generation=accepted.generation)
         LOG.info("configuration_in_force", generation=accepted.generation)
 
 
@@ -65,29 +164,64 @@
     """Keep the routing table up to date with the assignments."""
 
     store: objects.ObjectStore
+    node: node_module.Node
     routing_table: table.RoutingTable
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
+    _fetching: bool = False
+
+    def __post_init__(self) -> None:
+        """Hear from peers how far they have followed."""
+        self.mirror = mirror.Mirror(
+            groups_model.ASSIGNMENT_KIND, self.node.peers, self._apply
+        )
+        self.node.listen_to_progress(self._on_progress)
 
     async def run(self) -> None:
         """Follow for ever."""
-        version = objects.ABSENT
+        waits = backoff.Backoff(self.rng)
         while True:
+            stale = self.node.freshness.is_stale(clock.monotonic())
+            if not self.node.is_watcher() and not stale:
+                waits.reset()
+                await curio.sleep(TICK_SECONDS)
+                continue
             try:
-                listing = await self._next(version)
-                version = max(version, listing.version)
-                self._apply(listing)
-            except errors.StoreUnavailable as error:
-                LOG.warning("store_unavailable", reason=error.message)
-                await curio.sleep(RETRY_SECONDS)
-
-    async def _next(self, version: ids.ObjectVersion) -> objects.Listing:
-        kind = groups_model.ASSIGNMENT_KIND
-        if version == objects.ABSENT:
-            return await self.store.list(kind)
-        return await self.store.watch(kind, version, WATCH_SECONDS)
-
-    def _apply(self, listing: objects.Listing) -> None:
-        for stored in listing.objects:
+                await self.mirror.poll(self.store, ASSIGNMENT_WAIT_SECONDS)
+                waits.reset()
+            except errors.SycamoredaleError as error:
+                LOG.info("poll_failed", reason=error.message)
+                await curio.sleep(waits.next_seconds())
+
+    async def _on_progress(
+        self, peer: ids.DaemonId, progress: exchange.Progress
+    ) -> None:
+        """Fetch from a peer that knows newer assignments."""
+        if self._fetching or progress.assignments <= self.mirror.watched:
+            return
+        self._fetching = True
+        await curio.spawn(self._fetch, peer, daemon=True)
+
+    async def _fetch(self, peer: ids.DaemonId) -> None:
+        try:
+            await self.mirror.fetch(peer)
+        except errors.SycamoredaleError as error:
+            LOG.info("fetch_failed", peer=peer, reason=error.message)
+        finally:
+            self._fetching = False
+
+    def _apply(self, change: mirror.Change) -> None:
+        for stored in change.changed:
             assignment = msgspec.json.decode(
                 stored.value, type=groups_model.Assignment
             )
             self.routing_table.apply_assignment(assignment)
+        for name in change.deleted:
+            self.routing_table.remove_domain(ids.DomainName(name))
+        self.node.advance(assignments=self.mirror.version)
+
+
+def _pointer(listing: objects.Listing) -> objects.StoredObject | None:
+    for stored in listing.objects:
+        if stored.name == config_model.POINTER_NAME:
+            return stored
+    return None
--- a/sycamoredale/daemons/options.py
+++ b/sycamoredale/daemons/options.py
@@ -4,6 +4,7 @@
 
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.platform import budget
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,6 +16,10 @@
     platform: messages.Address
     statsd: messages.Address | None
     log_level: str
+    peer_listen: messages.Address
+    seeds: tuple[messages.Address, ...] = ()
+    reads_per_second: float = budget.READS_PER_SECOND
+    writes_per_second: float = budget.WRITES_PER_SECOND
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,7 +28,6 @@
 
     common: DaemonOptions
     listen: messages.Address
-    peer_listen: messages.Address
     drain_seconds: float
 
 
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -9,20 +9,20 @@
 import curio
 
 from sycamoredale.admission import admission
+from sycamoredale import clock
 from sycamoredale.config import store as config_store
 from sycamoredale.daemons import callers
+from sycamoredale.daemons import fleet
 from sycamoredale.daemons import followers
 from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
-from sycamoredale import ids
-from sycamoredale.membership import relay
-from sycamoredale.membership import service as peer_service
+from sycamoredale.membership import freshness
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
+from sycamoredale.platform import budget
 from sycamoredale.requests import dispatch
 from sycamoredale.routing import choice
 from sycamoredale.routing import table
@@ -37,65 +37,55 @@
         """Build the parts; nothing listens until `run`."""
         common = settings.common
         self._settings = settings
-        self._pool = client.Pool()
-        self._store = objects.ObjectStore(common.platform, self._pool)
+        joined = fleet.join(common, view.Role.ROUTER)
+        following = joined.store.with_priority(budget.Priority.FOLLOW)
+        self._node = joined.node
+        self._store = joined.store
         self._table = table.RoutingTable()
         self._configuration = followers.ConfigurationFollower(
-            self._store, self._on_accepted
+            following, self._node, self._on_accepted
         )
         self._assignments = followers.AssignmentFollower(
-            self._store, self._table
+            following, self._node, self._table
         )
-        self._relay = relay.Relay(common.daemon)
         chooser = choice.Chooser(self._table, common.zone)
         callers_service = callers.CallerService(
             configuration=lambda: self._configuration.accepted.configuration,
             health=self._health,
             admission=admission.Admission(),
             dispatcher=dispatch.Dispatcher(chooser, client.Pool()),
+            standing=self._node.standing,
         )
         self._server = server.Server(callers_service.handle)
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
         stop = stopping.StopSignal()
-        await self._start_peer_service()
+        await self._node.start()
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
         await stop.wait()
+        await curio.spawn(self._node.stop, daemon=True)
         complete = await self._server.drain(self._settings.drain_seconds)
         LOG.info("router_stopped", complete=complete)
 
-    async def _start_peer_service(self) -> None:
-        common = self._settings.common
-        members = view.MembershipView(
-            view.Peer(
-                common.daemon,
-                str(self._settings.peer_listen),
-                common.zone,
-                view.Role.ROUTER,
-                ids.Incarnation(0),
-            )
-        )
-        peers = peer_service.PeerService(members, self._pool)
-        peer_server = server.Server(peers.handle)
-        bound = peer_server.bind(self._settings.peer_listen)
-        await peer_server.start()
-        LOG.info("peer_service_listening", address=str(bound))
-
     def _on_accepted(self, accepted: config_store.Accepted) -> None:
         self._table.apply_configuration(accepted.configuration)
 
     def _health(self) -> messages.Response:
+        standing = self._node.standing(clock.monotonic())
         body = {
             "daemon": self._settings.common.daemon,
             "generation": self._configuration.accepted.generation,
             "endpoints": len(self._table.by_id),
+            "peers": self._node.live_daemons(),
+            "standing": standing.value,
         }
-        return messages.json_response(200, body)
+        isolated = standing is freshness.Standing.ISOLATED
+        return messages.json_response(503 if isolated else 200, body)
 
 
 def run(settings: options.RouterOptions) -> None:
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -64,6 +64,11 @@
 DRAINING: Final = _define(
     "draining", 503, "the router is stopping and takes no new request"
 )
+ISOLATED: Final = _define(
+    "isolated",
+    503,
+    "the router is cut off and cannot learn which zones take new work",
+)
 DEADLINE_EXCEEDED: Final = _define(
     "deadline_exceeded", 504, "the deadline passed before the answer"
 )
@@ -79,6 +84,12 @@
 VERSION_CONFLICT: Final = _define(
     "version_conflict", 409, "the object changed since it was read"
 )
+WATCH_EXPIRED: Final = _define(
+    "watch_expired", 503, "the object API forgot changes that are needed"
+)
+BUDGET_EXHAUSTED: Final = _define(
+    "budget_exhausted", 503, "the calls of this daemon are used up for now"
+)
 
 # Connections.
 CONNECTION_FAILED: Final = _define(
--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -47,6 +47,10 @@
     """Report that a conditional update met another version."""
 
 
+class WatchExpired(SycamoredaleError):
+    """Report that the object API forgot changes that a watch needs."""
+
+
 class StaleOrder(SycamoredaleError):
     """Report that an engine refused an order with an old epoch."""
 
--- a/sycamoredale/membership/service.py
+++ b/sycamoredale/membership/service.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+from typing import Final
 
 from sycamoredale import error_codes
 from sycamoredale import errors
@@ -43,15 +44,28 @@
             raise errors.ConnectionFailed(
                 error_codes.CONNECTION_FAILED, f"daemon {peer!r} is unknown"
             )
-        headers = messages.Headers([("Content-Type", messages.JSON_TYPE)])
-        request = messages.Request("POST", path, headers, body)
-        address = messages.parse_address(known.address)
-        response = await self.pool.call(address, request, seconds)
+        return await self.call_at(known.address, path, body, seconds)
+
+    async def call_at(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        seconds: float,
+        fresh: bool = False,
+    ) -> bytes:
+        """Return the answer of the daemon at `host:port`; raise as `call`.
+
+        `fresh` demands a new connection.
+        """
+        request = messages.Request("POST", path, _PLAIN_HEADERS, body)
+        where = messages.parse_address(address)
+        response = await self.pool.call(where, request, seconds, fresh)
         if response.status != 200:
             raise errors.ConnectionBroken(
                 error_codes.CONNECTION_BROKEN,
-                f"daemon {peer!r} answered status {response.status} "
-                f"to {path}",
+                f"the daemon at {address} answered status "
+                f"{response.status} to {path}",
                 error_codes.Execution.UNKNOWN,
             )
         return response.body
@@ -65,5 +79,8 @@
                 f"path {exchange.request.path!r} names nothing",
             )
         body = await handler(exchange.request.body)
-        headers = messages.Headers([("Content-Type", messages.JSON_TYPE)])
-        await exchange.respond(messages.Response(200, headers, body))
+        await exchange.respond(messages.Response(200, _PLAIN_HEADERS, body))
+
+
+# Both ends know that the body is JSON; a heartbeat spares the header.
+_PLAIN_HEADERS: Final = messages.Headers()
--- /dev/null
+++ b/sycamoredale/platform/budget.py
@@ -0,0 +1,105 @@
+"""Share the calls that the platform takes among the daemons.
+
+Each daemon takes the total rate divided by the daemons that it believes
+live.  Nobody has to be asked, and daemons whose views differ a little
+exceed the total only by that little.  A token bucket smooths the rate.
+The less a call matters, the more tokens it must leave for others.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import enum
+from typing import Final
+
+from sycamoredale import clock
+
+READS_PER_SECOND: Final = 2000.0
+WRITES_PER_SECOND: Final = 300.0
+BURST_SECONDS: Final = 10.0
+
+
+class CallKind(enum.Enum):
+    """Name the kinds of platform calls that are counted."""
+
+    READ = "read"
+    WRITE = "write"
+    LIST = "list"
+    WATCH = "watch"
+
+
+class Priority(enum.Enum):
+    """Order the uses of the platform, the most important first."""
+
+    CLAIM = "claim"
+    LEASE = "lease"
+    FOLLOW = "follow"
+    BACKGROUND = "background"
+
+
+RESERVE_BY_PRIORITY: Final = {
+    Priority.CLAIM: 0.0,
+    Priority.LEASE: 0.1,
+    Priority.FOLLOW: 0.25,
+    Priority.BACKGROUND: 0.5,
+}
+
+LiveDaemons = collections.abc.Callable[[], int]
+
+
+@dataclasses.dataclass
+class _Bucket:
+    total_per_second: float
+    tokens: float | None = None
+    filled: clock.MonotonicTime = clock.MonotonicTime(0.0)
+
+    def take(
+        self, live: int, reserve: float, now: clock.MonotonicTime
+    ) -> bool:
+        rate = self.total_per_second / max(live, 1)
+        size = max(rate * BURST_SECONDS, 1.0)
+        if self.tokens is None:
+            self.tokens = size
+        else:
+            grown = self.tokens + rate * (now - self.filled)
+            self.tokens = min(size, grown)
+        self.filled = now
+        if self.tokens - 1.0 < reserve * size and reserve:
+            return False
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class CallBudget:
+    """Hold the share of this daemon and count its calls by kind."""
+
+    def __init__(
+        self,
+        live: LiveDaemons,
+        reads_per_second: float = READS_PER_SECOND,
+        writes_per_second: float = WRITES_PER_SECOND,
+    ) -> None:
+        """Start with full buckets."""
+        self._live = live
+        self._reads = _Bucket(reads_per_second)
+        self._writes = _Bucket(writes_per_second)
+        self.calls_by_kind: Final[collections.Counter[CallKind]] = (
+            collections.Counter()
+        )
+        self.refused_by_priority: Final[collections.Counter[Priority]] = (
+            collections.Counter()
+        )
+
+    def take(
+        self, kind: CallKind, priority: Priority, now: clock.MonotonicTime
+    ) -> bool:
+        """Count a call that may be made; tell whether it may."""
+        bucket = self._writes if kind is CallKind.WRITE else self._reads
+        reserve = RESERVE_BY_PRIORITY[priority]
+        if not bucket.take(self._live(), reserve, now):
+            self.refused_by_priority[priority] += 1
+            return False
+        self.calls_by_kind[kind] += 1
+        return True
--- a/sycamoredale/platform/objects.py
+++ b/sycamoredale/platform/objects.py
@@ -8,18 +8,19 @@
 
 import collections.abc
 import dataclasses
-import enum
 import typing
 from typing import Final
 import urllib.parse
 
 import msgspec
 
+from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.platform import budget
 
 ABSENT: Final = ids.ObjectVersion(0)
 MAX_VALUE_BYTES: Final = 1_000_000
@@ -28,13 +29,7 @@
 VERSION_HEADER: Final = "If-Version"
 
 
-class CallKind(enum.Enum):
-    """Name the kinds of platform calls that are counted."""
-
-    READ = "read"
-    WRITE = "write"
-    LIST = "list"
-    WATCH = "watch"
+CallKind = budget.CallKind
 
 
 class StoredObject(msgspec.Struct, frozen=True):
@@ -62,11 +57,17 @@
 
 @dataclasses.dataclass
 class ObjectStore:
-    """Call the object API at one address."""
+    """Call the object API at one address, within a budget if given."""
 
     address: messages.Address
     pool: client.Pool
     on_call: OnCall = lambda kind: None
+    call_budget: budget.CallBudget | None = None
+    priority: budget.Priority = budget.Priority.LEASE
+
+    def with_priority(self, priority: budget.Priority) -> "ObjectStore":
+        """Return the same store for calls of another importance."""
+        return dataclasses.replace(self, priority=priority)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object or None; raise StoreUnavailable."""
@@ -83,7 +84,11 @@
     async def watch(
         self, kind: str, after: ids.ObjectVersion, wait_seconds: float
     ) -> Listing:
-        """Wait for changes after a version; raise StoreUnavailable."""
+        """Wait for changes after a version; raise StoreUnavailable.
+
+        Raises WatchExpired if the store no longer knows all changes since
+        that version; the kind must then be listed again.
+        """
         target = (
             f"/v1/watch/{urllib.parse.quote(kind, safe='')}"
             f"?after={after}&wait={wait_seconds:g}"
@@ -91,6 +96,11 @@
         response = await self._read(
             CallKind.WATCH, target, wait_seconds + WATCH_MARGIN_SECONDS
         )
+        if response.status == 410:
+            raise errors.WatchExpired(
+                error_codes.WATCH_EXPIRED,
+                f"changes of {kind} after version {after} are forgotten",
+            )
         return _decode(response, Listing)
 
     async def put(
@@ -127,7 +137,7 @@
     async def _read(
         self, kind: CallKind, target: str, seconds: float = CALL_SECONDS
     ) -> messages.Response:
-        self.on_call(kind)
+        self._count(kind, target)
         request = messages.Request("GET", target)
         try:
             response = await self.pool.call(self.address, request, seconds)
@@ -136,7 +146,7 @@
                 error_codes.STORE_UNAVAILABLE,
                 f"read of {target} failed: {error.message}",
             ) from error
-        if response.status not in (200, 404):
+        if response.status not in (200, 404, 410):
             raise errors.StoreUnavailable(
                 error_codes.STORE_UNAVAILABLE,
                 f"read of {target} answered status {response.status}",
@@ -144,8 +154,8 @@
         return response
 
     async def _write(self, request: messages.Request) -> messages.Response:
-        self.on_call(CallKind.WRITE)
         target = request.target
+        self._count(CallKind.WRITE, target)
         try:
             response = await self.pool.call(
                 self.address, request, CALL_SECONDS
@@ -180,6 +190,17 @@
             )
         return response
 
+    def _count(self, kind: CallKind, target: str) -> None:
+        if self.call_budget is not None:
+            now = clock.monotonic()
+            if not self.call_budget.take(kind, self.priority, now):
+                raise errors.StoreUnavailable(
+                    error_codes.BUDGET_EXHAUSTED,
+                    f"the budget for {kind.value} calls leaves none for "
+                    f"{target} with priority {self.priority.value}",
+                )
+        self.on_call(kind)
+
 
 def _path(kind: str, name: str | None = None) -> str:
     path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -55,6 +55,11 @@
         self._by_domain[assignment.domain] = assignment
         self._rebuild()
 
+    def remove_domain(self, domain: ids.DomainName) -> None:
+        """Drop all groups of a domain whose assignment was deleted."""
+        if self._by_domain.pop(domain, None) is not None:
+            self._rebuild()
+
     def candidates(
         self, service: ids.ServiceName
     ) -> collections.abc.Iterator[Endpoint]:
--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -26,13 +26,15 @@
     """Set what goes wrong, with times in seconds.
 
     `lose_answers` drops the answers of that many writes after their effect.
-    `list_lag` delays what the instance list shows.
+    `list_lag` delays what the instance list shows.  While `older_version`
+    is set, reads and watches show the state as of that version.
     """
 
     down: bool = False
     delay: float = 0.0
     lose_answers: int = 0
     list_lag: float = 0.0
+    older_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,12 +55,26 @@
         self.version = 0
         self.by_kind: dict[str, dict[str, Change]] = {}
         self.log: list[Change] = []
+        self.forgotten_version = 0
         self._changed = curio.Condition()
 
     def get(self, kind: str, name: str) -> Change | None:
         """Return the current state of an object."""
         return self.by_kind.get(kind, {}).get(name)
 
+    def forget_log(self) -> None:
+        """Forget the changes so far; the objects stay."""
+        self.forgotten_version = self.version
+        self.log.clear()
+
+    def as_of(self, kind: str, version: int) -> dict[str, Change]:
+        """Return the objects of a kind as they were at a version."""
+        by_name: dict[str, Change] = {}
+        for change in self.log:
+            if change.version <= version and change.kind == kind:
+                by_name[change.name] = change
+        return {n: c for n, c in by_name.items() if c.value is not None}
+
     def current_version(self, kind: str, name: str) -> int:
         """Return the version of an object, 0 if it does not exist."""
         change = self.get(kind, name)
@@ -78,18 +94,17 @@
             await self._changed.notify_all()
         return self.version
 
-    async def changes_after(
+    async def wait_for_change(
         self, kind: str, after: int, wait: float
-    ) -> list[Change]:
-        """Return the changes of a kind, waiting for the first one."""
+    ) -> None:
+        """Return at a change of a kind or after the seconds to wait."""
         async with curio.ignore_after(wait):
             async with self._changed:
-                while not (found := self._newer(kind, after)):
+                while not self.newer(kind, after):
                     await self._changed.wait()
-                return found
-        return []
 
-    def _newer(self, kind: str, after: int) -> list[Change]:
+    def newer(self, kind: str, after: int) -> list[Change]:
+        """Return the changes of a kind after a version."""
         found: list[Change] = []
         for change in reversed(self.log):
             if change.version <= after:
@@ -107,6 +122,7 @@
         self.store: Final = Store()
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
+        self.calls_by_second: collections.Counter[int] = collections.Counter()
         self._listings: list[tuple[float, list[instances.Instance]]] = []
 
     async def handle(self, exchange: server.Exchange) -> None:
@@ -117,6 +133,7 @@
             await exchange.respond(self._control(request, parts[1:]))
             return
         self.calls[f"{request.method} {parts[1] if parts[1:] else ''}"] += 1
+        self.calls_by_second[int(clock.monotonic())] += 1
         await self._suffer_faults()
         response = await self._answer(request, parts)
         if request.method in ("PUT", "DELETE") and self.faults.lose_answers:
@@ -152,15 +169,25 @@
         return messages.json_response(404, {"error": "not found"})
 
     def _get(self, kind: str, name: str) -> messages.Response:
-        change = self.store.get(kind, name)
+        change = self._objects(kind).get(name)
         if change is None:
             return messages.json_response(404, {"error": "no such object"})
         return messages.json_response(200, _stored(change))
 
+    def _objects(self, kind: str) -> dict[str, Change]:
+        older = self.faults.older_version
+        if older is None:
+            return self.store.by_kind.get(kind, {})
+        return self.store.as_of(kind, older)
+
+    def _visible_version(self) -> int:
+        older = self.faults.older_version
+        return self.store.version if older is None else older
+
     def _list(self, kind: str) -> messages.Response:
-        found = self.store.by_kind.get(kind, {}).values()
+        found = self._objects(kind).values()
         listing = {
-            "version": self.store.version,
+            "version": self._visible_version(),
             "objects": [_stored(change) for change in found],
         }
         return messages.json_response(200, listing)
@@ -184,11 +211,18 @@
     ) -> messages.Response:
         after = int(request.query("after") or 0)
         wait = float(request.query("wait") or 0)
-        changes = await self.store.changes_after(kind, after, wait)
+        if after < self.store.forgotten_version:
+            return messages.json_response(410, {"error": "forgotten"})
+        await self.store.wait_for_change(kind, after, wait)
+        if self.faults.down:
+            raise ConnectionResetError("the platform is down on purpose")
+        changes = self.store.newer(kind, after)
+        if self.faults.older_version is not None:
+            changes = []
         latest = {change.name: change for change in changes}
         kept = [c for c in latest.values() if c.value is not None]
         gone = [c.name for c in latest.values() if c.value is None]
-        version = changes[-1].version if changes else after
+        version = self._visible_version()
         listing = {
             "version": version,
             "objects": [_stored(change) for change in kept],
@@ -219,6 +253,15 @@
                 return messages.json_response(200, {})
             case ("GET", ["calls"]):
                 return messages.json_response(200, dict(self.calls))
+            case ("GET", ["calls_by_second"]):
+                rates = [
+                    {"second": second, "calls": calls}
+                    for second, calls in sorted(self.calls_by_second.items())
+                ]
+                return messages.json_response(200, rates)
+            case ("PUT", ["forget_log"]):
+                self.store.forget_log()
+                return messages.json_response(200, {})
             case ("GET", ["history", kind, name]):
                 return messages.json_response(200, self._history(kind, name))
         return messages.json_response(404, {"error": "not found"})
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -71,7 +71,9 @@
         assert process.address, "the stand-in printed no address"
         return process
 
-    def router(self, name: str, zone: str, platform: str) -> Process:
+    def router(
+        self, name: str, zone: str, platform: str, *more: str
+    ) -> Process:
         """Start a router and wait for its address."""
         process = self.start(
             "sycamoredale",
@@ -84,6 +86,7 @@
             platform,
             "--listen",
             "127.0.0.1:0",
+            *more,
         )
         process.address = wait_for(lambda: _logged_address(process))
         return process
