Report all findings of the operators' file and refuse when isolated

Cause: the file was read by a decoder that stops at the first fault and knows no lines; apply took whatever generation it found; a router that could learn of no change went on giving out work.

Settings of daemons are read as text and reported together. A router beyond the freshness bound answers 'isolated', not run, unless most daemons that it asked are out of touch too.

Seen to fail without the decision: the router cut from all served when always allowed; the outage stopped all routers when never allowed; the router cut from the store kept the zone when peers were not heard.

A model's version must now be defined in the file, so the whole-path test defines the one that it names.

--- /dev/null
+++ b/sycamoredale/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Define the commands of the command line."""
--- /dev/null
+++ b/sycamoredale/commands/daemons.py
@@ -0,0 +1,84 @@
+"""Define the commands that run the daemons.
+
+Settings arrive as text, so that all findings can be reported together.
+"""
+
+import collections.abc
+import typing
+
+import click
+
+from sycamoredale.commands import outcome
+from sycamoredale.daemons import controller
+from sycamoredale.daemons import options
+from sycamoredale.daemons import router
+from sycamoredale.daemons import settings
+from sycamoredale.platform import budget
+
+_Command = collections.abc.Callable[..., None]
+
+
+def _setting(
+    name: str, default: str | None, explanation: str
+) -> collections.abc.Callable[[_Command], _Command]:
+    return click.option(
+        f"--{name}",
+        default=default,
+        envvar=settings.variable(name),
+        show_envvar=True,
+        show_default=default is not None,
+        help=explanation,
+    )
+
+
+def _common_settings(command: _Command) -> _Command:
+    declared = (
+        _setting("daemon-id", None, "Name of this daemon."),
+        _setting("zone", None, "Availability zone of this daemon."),
+        _setting("platform", None, "Address of the object API."),
+        _setting("peer-listen", "127.0.0.1:0", "Address for peers."),
+        _setting("seeds", None, "Addresses of peers, with commas between."),
+        _setting("statsd", None, "Address of the statsd server."),
+        _setting("log-level", "info", "debug, info, warning or error."),
+        _setting(
+            "platform-reads-per-second",
+            f"{budget.READS_PER_SECOND:g}",
+            "Reads that the platform takes from all daemons.",
+        ),
+        _setting(
+            "platform-writes-per-second",
+            f"{budget.WRITES_PER_SECOND:g}",
+            "Writes that the platform takes from all daemons.",
+        ),
+    )
+    for option in reversed(declared):
+        command = option(command)
+    return command
+
+
+@click.command("router")
+@_common_settings
+@_setting("listen", "127.0.0.1:8080", "Address for callers.")
+@_setting("drain-seconds", "30", "Time for open calls at a stop.")
+def run_router(**text_by_name: typing.Any) -> None:
+    """Run a router."""
+    with outcome.reported(as_json=False):
+        router.run(options.read_router(_by_flag(text_by_name)))
+
+
+@click.command("controller")
+@_common_settings
+@_setting("interval-seconds", "0.5", "Time between rounds.")
+def run_controller(**text_by_name: typing.Any) -> None:
+    """Run a controller."""
+    with outcome.reported(as_json=False):
+        controller.run(options.read_controller(_by_flag(text_by_name)))
+
+
+def _by_flag(
+    text_by_parameter: collections.abc.Mapping[str, str | None],
+) -> dict[str, str | None]:
+    return {
+        parameter.replace("_", "-"): text
+        for parameter, text in text_by_parameter.items()
+    }
--- /dev/null
+++ b/sycamoredale/commands/operators.py
@@ -0,0 +1,215 @@
+"""Define the commands of operators on the configuration."""
+
+import collections.abc
+import pathlib
+import sys
+from typing import Final
+
+import click
+import curio
+import msgspec
+import yaml
+
+from sycamoredale.commands import fleet_status
+from sycamoredale.commands import outcome
+from sycamoredale.commands import parameters
+from sycamoredale.config import difference
+from sycamoredale.config import model
+from sycamoredale.config import parser
+from sycamoredale.config import store
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.platform import objects
+
+DEFAULT_WAIT_SECONDS: Final = 0.0
+
+
+class Checked(msgspec.Struct, frozen=True):
+    """Report a file without findings to a program."""
+
+    file: str
+    services: int
+    organisations: int
+    zones: int
+
+
+class Planned(msgspec.Struct, frozen=True):
+    """Report what applying a file would change."""
+
+    generation: ids.Generation
+    differences: list[str]
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """Report an accepted file."""
+
+    generation: ids.Generation
+    differences: list[str]
+
+
+class Got(msgspec.Struct, frozen=True):
+    """Report the accepted configuration."""
+
+    generation: ids.Generation
+    configuration: model.Configuration
+
+
+@click.command("check")
+@parameters.FILE
+@parameters.JSON
+def check(file: pathlib.Path, as_json: bool) -> None:
+    """Report all findings of a file; change nothing."""
+    with outcome.reported(as_json):
+        found = _parse(file)
+        report = Checked(
+            str(file),
+            len(found.services),
+            len(found.organisations),
+            len(found.zones),
+        )
+        parameters.show(report, f"{file}: no findings", as_json)
+
+
+@click.command("plan")
+@parameters.FILE
+@parameters.PLATFORM
+@parameters.JSON
+def plan(
+    file: pathlib.Path, platform: messages.Address, as_json: bool
+) -> None:
+    """Show what applying a file would change; change nothing."""
+    with outcome.reported(as_json):
+        wanted = _parse(file)
+        seen = curio.run(store.read, _store(platform))
+        changes = list(difference.describe(seen.configuration, wanted))
+        text = _plan_text(seen.generation, changes)
+        parameters.show(Planned(seen.generation, changes), text, as_json)
+
+
+@click.command("apply")
+@parameters.FILE
+@parameters.PLATFORM
+@click.option(
+    "--expect-generation",
+    type=int,
+    default=None,
+    help="Apply only if this generation, as plan showed, is accepted still.",
+)
+@click.option(
+    "--wait-seconds",
+    type=float,
+    default=DEFAULT_WAIT_SECONDS,
+    help="Wait until every daemon has the file in force.",
+)
+@parameters.JSON
+def apply(
+    file: pathlib.Path,
+    platform: messages.Address,
+    expect_generation: int | None,
+    wait_seconds: float,
+    as_json: bool,
+) -> None:
+    """Accept a configuration file as a whole."""
+    with outcome.reported(as_json):
+        wanted = _parse(file)
+        applied = curio.run(_apply, wanted, platform, expect_generation)
+        text = f"accepted as generation {applied.generation}"
+        lines = [*(f"  {line}" for line in applied.differences), text]
+        parameters.show(applied, "\n".join(lines), as_json)
+        if wait_seconds:
+            _wait(platform, applied.generation, wait_seconds)
+
+
+@click.command("get")
+@parameters.PLATFORM
+@parameters.JSON
+def get(platform: messages.Address, as_json: bool) -> None:
+    """Print the accepted configuration."""
+    with outcome.reported(as_json):
+        seen = curio.run(store.read, _store(platform))
+        plain = msgspec.to_builtins(seen.configuration)
+        text = yaml.safe_dump(plain, sort_keys=False, allow_unicode=True)
+        parameters.show(
+            Got(seen.generation, seen.configuration),
+            f"# generation {seen.generation}\n{text}".rstrip(),
+            as_json,
+        )
+
+
+@click.command("status")
+@parameters.PLATFORM
+@parameters.JSON
+def status(platform: messages.Address, as_json: bool) -> None:
+    """Tell which daemons have the accepted configuration in force."""
+    with outcome.reported(as_json):
+        report = curio.run(fleet_status.read, _store(platform))
+        text = "\n".join(fleet_status.lines(report))
+        parameters.show(report, text, as_json)
+    if not fleet_status.everywhere(report):
+        sys.exit(outcome.ExitCode.NOT_IN_FORCE)
+
+
+def _parse(file: pathlib.Path) -> model.Configuration:
+    try:
+        text = file.read_bytes()
+    except OSError as error:
+        raise errors.SycamoredaleError(
+            error_codes.INVALID_CONFIGURATION,
+            f"file {str(file)!r} cannot be read: {error.strerror}",
+        ) from error
+    return parser.parse(text, str(file))
+
+
+def _store(platform: messages.Address) -> objects.ObjectStore:
+    return objects.ObjectStore(platform, client.Pool())
+
+
+async def _apply(
+    wanted: model.Configuration,
+    platform: messages.Address,
+    expected: int | None,
+) -> Applied:
+    object_store = _store(platform)
+    seen = await store.read(object_store)
+    if expected is not None and seen.generation != expected:
+        raise errors.VersionConflict(
+            error_codes.VERSION_CONFLICT,
+            f"the file was prepared against generation {expected}, but "
+            f"generation {seen.generation} is accepted; nothing was changed",
+        )
+    changes = list(difference.describe(seen.configuration, wanted))
+    accepted = await store.accept(object_store, seen, wanted)
+    try:
+        await store.remove_old_parts(object_store)
+    except errors.SycamoredaleError as error:
+        click.echo(f"old parts were left in place: {error}", err=True)
+    return Applied(accepted.generation, changes)
+
+
+def _wait(
+    platform: messages.Address, generation: ids.Generation, seconds: float
+) -> None:
+    report = curio.run(
+        fleet_status.wait, _store(platform), generation, seconds
+    )
+    for line in fleet_status.lines(report):
+        click.echo(line, err=True)
+    if not fleet_status.everywhere(report):
+        sys.exit(outcome.ExitCode.NOT_IN_FORCE)
+
+
+def _plan_text(
+    generation: ids.Generation,
+    changes: collections.abc.Sequence[str],
+) -> str:
+    head = f"generation {generation} is accepted"
+    if not changes:
+        return f"{head}; the file changes nothing"
+    body = "\n".join(f"  {change}" for change in changes)
+    return (
+        f"{head}; the file would\n{body}\n"
+        f"apply it with --expect-generation {generation}"
+    )
--- /dev/null
+++ b/sycamoredale/commands/outcome.py
@@ -0,0 +1,108 @@
+"""End commands with documented exit codes."""
+
+import collections.abc
+import contextlib
+import enum
+import functools
+import sys
+
+import click
+import msgspec
+
+from sycamoredale.config import findings
+from sycamoredale.daemons import settings
+from sycamoredale import errors
+
+
+class ExitCode(enum.IntEnum):
+    """Number the ends of a command; programs may rely on them."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    FINDINGS = 3
+    CONFLICT = 4
+    STORE_UNAVAILABLE = 5
+    OUTCOME_UNKNOWN = 6
+    NOT_IN_FORCE = 7
+
+
+class ErrorReport(msgspec.Struct, frozen=True):
+    """Show an error to a program."""
+
+    code: str
+    message: str
+    found: list[findings.Finding] = msgspec.field(
+        default_factory=list, name="findings"
+    )
+
+
+@contextlib.contextmanager
+def reported(as_json: bool) -> collections.abc.Iterator[None]:
+    """Print an error of the block and exit with its code."""
+    try:
+        yield
+    except errors.SycamoredaleError as error:
+        if as_json:
+            click.echo(msgspec.json.encode(_report(error)))
+        else:
+            click.echo(_text(error), err=True)
+        sys.exit(exit_code(error))
+
+
+@functools.singledispatch
+def exit_code(error: errors.SycamoredaleError) -> ExitCode:
+    """Return the exit code for an error."""
+    del error
+    return ExitCode.FAILED
+
+
+@exit_code.register
+def _invalid_settings(error: settings.InvalidSettings) -> ExitCode:
+    del error
+    return ExitCode.USAGE
+
+
+@exit_code.register
+def _invalid_file(error: findings.InvalidFile) -> ExitCode:
+    del error
+    return ExitCode.FINDINGS
+
+
+@exit_code.register
+def _conflict(error: errors.VersionConflict) -> ExitCode:
+    del error
+    return ExitCode.CONFLICT
+
+
+@exit_code.register
+def _unavailable(error: errors.StoreUnavailable) -> ExitCode:
+    del error
+    return ExitCode.STORE_UNAVAILABLE
+
+
+@exit_code.register
+def _unknown(error: errors.OutcomeUnknown) -> ExitCode:
+    del error
+    return ExitCode.OUTCOME_UNKNOWN
+
+
+@functools.singledispatch
+def _text(error: errors.SycamoredaleError) -> str:
+    return f"{error.code.name}: {error.message}"
+
+
+@_text.register
+def _file_text(error: findings.InvalidFile) -> str:
+    count = len(error.findings)
+    return f"{error.message}\n{count} finding{'s' * (count != 1)}"
+
+
+@_text.register
+def _settings_text(error: settings.InvalidSettings) -> str:
+    return error.message
+
+
+def _report(error: errors.SycamoredaleError) -> ErrorReport:
+    found = error.findings if isinstance(error, findings.InvalidFile) else []
+    return ErrorReport(error.code.name, error.message, found)
--- /dev/null
+++ b/sycamoredale/commands/parameters.py
@@ -0,0 +1,56 @@
+"""Define parameters that several commands share."""
+
+import pathlib
+import typing
+from typing import Final
+
+import click
+import msgspec
+
+from sycamoredale.http import messages
+
+
+class AddressType(click.ParamType[messages.Address]):
+    """Convert `host:port` on the command line."""
+
+    name = "address"
+
+    def convert(
+        self,
+        value: typing.Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> messages.Address:
+        """Return the address; raise click.BadParameter."""
+        if isinstance(value, messages.Address):
+            return value
+        try:
+            return messages.parse_address(value)
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+FILE: Final = click.argument(
+    "file", type=click.Path(path_type=pathlib.Path, dir_okay=False)
+)
+PLATFORM: Final = click.option(
+    "--platform",
+    type=AddressType(),
+    required=True,
+    envvar="SYCAMOREDALE_PLATFORM",
+    show_envvar=True,
+    help="Address of the object API.",
+)
+JSON: Final = click.option(
+    "--json",
+    "as_json",
+    is_flag=True,
+    envvar="SYCAMOREDALE_JSON",
+    show_envvar=True,
+    help="Print JSON for programs.",
+)
+
+
+def show(report: msgspec.Struct, text: str, as_json: bool) -> None:
+    """Print a report as JSON or its text."""
+    click.echo(msgspec.json.encode(report) if as_json else text)
--- /dev/null
+++ b/sycamoredale/config/difference.py
@@ -0,0 +1,116 @@
+"""Say in words how one configuration differs from another."""
+
+import collections.abc
+import enum
+import functools
+import typing
+from typing import Final
+
+import msgspec
+
+from sycamoredale.config import model
+
+SECTIONS: Final = (
+    "zones",
+    "services",
+    "versions",
+    "adapters",
+    "organisations",
+)
+SECRET_FIELDS: Final = frozenset(("key_sha256",))
+
+
+def describe(
+    old: model.Configuration, new: model.Configuration
+) -> collections.abc.Iterator[str]:
+    """Yield one sentence for each difference, nothing if there is none."""
+    for section in SECTIONS:
+        yield from _section(getattr(old, section), getattr(new, section))
+    if old.limits != new.limits:
+        yield f"change limits: {_changes(old.limits, new.limits)}"
+
+
+def _section(
+    old: collections.abc.Iterable[typing.Any],
+    new: collections.abc.Iterable[typing.Any],
+) -> collections.abc.Iterator[str]:
+    old_by_title = {_title(entity): entity for entity in old}
+    new_by_title = {_title(entity): entity for entity in new}
+    for title, entity in old_by_title.items():
+        if title not in new_by_title:
+            yield f"remove {title}"
+        elif new_by_title[title] != entity:
+            yield _change(entity, new_by_title[title])
+    for title, entity in new_by_title.items():
+        if title not in old_by_title:
+            yield f"add {title}: {_added(entity)}"
+
+
+@functools.singledispatch
+def _title(entity: object) -> str:
+    """Return how to call an entity."""
+    raise TypeError(f"entity {entity!r} has no title")
+
+
+@_title.register
+def _service_title(entity: model.Service) -> str:
+    return f"service {entity.name!r}"
+
+
+@_title.register
+def _version_title(entity: model.ModelVersion) -> str:
+    return f"version {entity.name!r} of service {entity.service!r}"
+
+
+@_title.register
+def _adapter_title(entity: model.Adapter) -> str:
+    return f"adapter {entity.name!r} of service {entity.service!r}"
+
+
+@_title.register
+def _organisation_title(entity: model.Organisation) -> str:
+    return f"organisation {entity.name!r}"
+
+
+@_title.register
+def _zone_title(entity: model.Zone) -> str:
+    return f"availability zone {entity.name!r}"
+
+
+def _change(old: typing.Any, new: typing.Any) -> str:
+    if isinstance(old, model.Zone) and old.state is not new.state:
+        if new.state is model.ZoneState.OUT:
+            return f"take {_title(new)} out of service"
+        return f"bring {_title(new)} back into service"
+    return f"change {_title(new)}: {_changes(old, new)}"
+
+
+def _changes(old: msgspec.Struct, new: msgspec.Struct) -> str:
+    return ", ".join(
+        _field(name, getattr(old, name), getattr(new, name))
+        for name in old.__struct_fields__
+        if getattr(old, name) != getattr(new, name)
+    )
+
+
+def _field(name: str, old: object, new: object) -> str:
+    if name in SECRET_FIELDS:
+        return f"{name} replaced"
+    return f"{name} from {_word(old)} to {_word(new)}"
+
+
+def _added(entity: msgspec.Struct) -> str:
+    shown = (
+        f"{name} {_word(getattr(entity, name))}"
+        for name in entity.__struct_fields__
+        if name not in ("name", "service", *SECRET_FIELDS)
+    )
+    return ", ".join(shown)
+
+
+def _word(value: object) -> str:
+    if isinstance(value, enum.Enum):
+        return str(value.value)
+    if isinstance(value, list):
+        return msgspec.json.encode(value).decode()
+    return repr(value) if isinstance(value, str) else str(value)
--- a/sycamoredale/config/parser.py
+++ b/sycamoredale/config/parser.py
@@ -1,17 +1,18 @@
 """Parse the operators' YAML file into a configuration."""
 
-import msgspec
-
+from sycamoredale.config import checks
+from sycamoredale.config import findings
 from sycamoredale.config import model
-from sycamoredale import error_codes
-from sycamoredale import errors
+from sycamoredale.config import reader
+
 
+def parse(text: bytes, file: str = "configuration") -> model.Configuration:
+    """Return the configuration in YAML text.
 
-def parse(text: bytes) -> model.Configuration:
-    """Return the configuration in YAML text; raise SycamoredaleError."""
-    try:
-        return msgspec.yaml.decode(text, type=model.Configuration)
-    except msgspec.MsgspecError as error:
-        raise errors.SycamoredaleError(
-            error_codes.INVALID_CONFIGURATION, str(error)
-        ) from error
+    Raises findings.InvalidFile with all findings; `file` names the text.
+    """
+    configuration, document = reader.read(text)
+    found = [*document.found, *checks.check(document)]
+    if found or configuration is None:
+        raise findings.InvalidFile(file, found)
+    return configuration
--- a/sycamoredale/daemons/options.py
+++ b/sycamoredale/daemons/options.py
@@ -1,11 +1,15 @@
 """Hold the settings of the daemons, apart from the command line."""
 
+import collections.abc
 import dataclasses
 
+from sycamoredale.daemons import settings
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.platform import budget
 
+TextByName = collections.abc.Mapping[str, str | None]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DaemonOptions:
@@ -37,3 +41,40 @@
 
     common: DaemonOptions
     interval_seconds: float
+
+
+def read_router(text_by_name: TextByName) -> RouterOptions:
+    """Return the settings of a router; raise InvalidSettings."""
+    reader = settings.Reader(text_by_name)
+    found = RouterOptions(
+        common=_read_common(reader),
+        listen=reader.address("listen"),
+        drain_seconds=reader.positive("drain-seconds"),
+    )
+    reader.finish()
+    return found
+
+
+def read_controller(text_by_name: TextByName) -> ControllerOptions:
+    """Return the settings of a controller; raise InvalidSettings."""
+    reader = settings.Reader(text_by_name)
+    found = ControllerOptions(
+        common=_read_common(reader),
+        interval_seconds=reader.positive("interval-seconds"),
+    )
+    reader.finish()
+    return found
+
+
+def _read_common(reader: settings.Reader) -> DaemonOptions:
+    return DaemonOptions(
+        daemon=ids.DaemonId(reader.name("daemon-id")),
+        zone=ids.ZoneName(reader.name("zone")),
+        platform=reader.address("platform"),
+        statsd=reader.optional_address("statsd"),
+        log_level=reader.log_level("log-level"),
+        peer_listen=reader.address("peer-listen"),
+        seeds=reader.addresses("seeds"),
+        reads_per_second=reader.positive("platform-reads-per-second"),
+        writes_per_second=reader.positive("platform-writes-per-second"),
+    )
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import curio
+import msgspec
 
 from sycamoredale import clock
 from sycamoredale.http import client
@@ -18,6 +19,7 @@
 from sycamoredale.membership import registry
 from sycamoredale.membership import relay
 from sycamoredale.membership import service
+from sycamoredale.membership import status
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
 from sycamoredale.platform import budget
@@ -87,6 +89,7 @@
         self.registry: Final = registry.Registry(
             store.with_priority(budget.Priority.BACKGROUND), self.members
         )
+        self.peers.register(status.PATH, self._answer_status)
         self._identity = identity
         self._server = server.Server(self.peers.handle, PEER_LIMITS)
 
@@ -142,6 +145,20 @@
         voters = {peer.id for peer in self.members.voters()}
         return self.freshness.standing(voters, now)
 
+    async def _answer_status(self, body: bytes) -> bytes:
+        del body
+        now = clock.monotonic()
+        age = self.freshness.age(now)
+        report = status.DaemonStatus(
+            daemon=self.members.own.id,
+            generation=self.progress.generation,
+            standing=self.standing(now),
+            age_seconds=round(age, 3) if age != float("inf") else -1.0,
+            daemons_alive=self.live_daemons(),
+            watcher=self.is_watcher(),
+        )
+        return msgspec.json.encode(report)
+
     async def _meet_seeds(self) -> None:
         while self._identity.seeds:
             if len(self.members.by_id) == 1:
--- /dev/null
+++ b/tests/sites.py
@@ -0,0 +1,191 @@
+"""Build small sites of routers before a counting endpoint."""
+
+import contextlib
+import dataclasses
+import hashlib
+import json
+import pathlib
+import socket
+import threading
+import typing
+
+from tests import processes
+
+KEY: typing.Final = "site-key"
+HEADERS: typing.Final = {"Authorization": f"Bearer {KEY}"}
+BUFFER_BYTES: typing.Final = 65536
+
+
+class Forwarder:
+    """Forward TCP connections to an address until cut."""
+
+    def __init__(self, target: str) -> None:
+        """Listen on a free port."""
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._open: list[socket.socket] = []
+        self._cut = False
+        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self) -> None:
+        """Go silent: accept and keep connections, but forward nothing."""
+        self._cut = True
+
+    def heal(self) -> None:
+        """Close the silent connections and forward new ones."""
+        self._cut = False
+        for sock in self._open:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self._open.clear()
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self._listener.accept()
+            self._open.append(near)
+            if self._cut:
+                continue
+            try:
+                far = socket.create_connection(self._target)
+            except OSError:
+                near.close()
+                continue
+            self._open.append(far)
+            for pair in ((near, far), (far, near)):
+                threading.Thread(
+                    target=self._pump, args=pair, daemon=True
+                ).start()
+
+    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(BUFFER_BYTES):
+                if not self._cut:
+                    sink.sendall(data)
+            sink.shutdown(socket.SHUT_RDWR)
+
+
+@dataclasses.dataclass
+class Site:
+    """Hold a platform, routers and the ledger in zone kochi.
+
+    Only the last router reaches the platform through the forwarder.
+    """
+
+    fleet: processes.Fleet
+    platform: processes.Process
+    ledger: processes.Process
+    forwarder: Forwarder
+    routers: list[processes.Process]
+    file: pathlib.Path
+
+    def apply(self, zone_state: str, *more: str) -> processes.Process:
+        """Apply the file with a state of the zone; return the process."""
+        self.file.write_text(configuration(zone_state))
+        process = self.fleet.start(
+            "sycamoredale",
+            "apply",
+            str(self.file),
+            "--platform",
+            self.platform.address,
+            *more,
+        )
+        process.popen.wait(20)
+        return process
+
+    def executions(self) -> int:
+        """Return how many calls the ledger has executed."""
+        answer = processes.request(
+            self.ledger.address, "GET", "/standin/executions"
+        )
+        return sum(answer.json().values())
+
+    def faults(self, **faults: object) -> None:
+        """Set the faults of the platform."""
+        processes.request(
+            self.platform.address, "PUT", "/standin/faults", faults
+        )
+
+
+def call(router: processes.Process) -> processes.Answer:
+    """Ask a router for a read of the ledger."""
+    return processes.request(
+        router.address, "POST", "/services/ledger/x", {}, HEADERS
+    )
+
+
+def health(router: processes.Process) -> typing.Any:
+    """Return what a router says of itself."""
+    return processes.request(router.address, "GET", "/healthz").json()
+
+
+def build(
+    fleet: processes.Fleet, file: pathlib.Path, routers: int = 4
+) -> Site:
+    """Start a site and wait until every router can serve."""
+    platform = fleet.standin("platform")
+    ledger = fleet.standin("ledger")
+    forwarder = Forwarder(platform.address)
+    site = Site(fleet, platform, ledger, forwarder, [], file)
+    _assign(platform, ledger)
+    applied = site.apply("in")
+    assert applied.popen.returncode == 0, applied.log_lines
+    for number in range(routers):
+        last = number == routers - 1
+        site.routers.append(
+            fleet.router(
+                f"router-{number}",
+                ("kochi", "thrissur")[number % 2],
+                forwarder.address if last else platform.address,
+            )
+        )
+    for router in site.routers:
+        processes.wait_for(lambda r=router: _is_ready(r, routers))
+    return site
+
+
+def configuration(zone_state: str) -> str:
+    """Return an operators' file with a state of zone kochi."""
+    return f"""
+services:
+  - name: ledger
+    kind: plain
+    replicas: 1
+    routes: [{{path: /x, methods: [POST], idempotent: true}}]
+organisations:
+  - name: concierge
+    key_sha256: {hashlib.sha256(KEY.encode()).hexdigest()}
+zones: [{{name: kochi, state: "{zone_state}"}}, {{name: thrissur}}]
+"""
+
+
+def _is_ready(router: processes.Process, daemons: int) -> bool:
+    found = health(router)
+    return bool(
+        found["peers"] == daemons
+        and found["endpoints"] == 1
+        and found["generation"] >= 1
+        and found["standing"] == "fresh"
+    )
+
+
+def _assign(platform: processes.Process, ledger: processes.Process) -> None:
+    group = {
+        "id": "g1",
+        "service": "ledger",
+        "version": "",
+        "zone": "kochi",
+        "epoch": 1,
+        "state": "ready",
+        "members": [{"instance": "i1", "address": ledger.address}],
+    }
+    body = {"domain": "kochi-1", "epoch": 1, "groups": [group]}
+    answer = processes.request(
+        platform.address,
+        "PUT",
+        "/v1/objects/assignment/kochi-1",
+        json.loads(json.dumps(body)),
+        {"If-Version": "0"},
+    )
+    assert answer.status == 200
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -118,7 +118,7 @@
     set_faults(daemons.platform, down=True)
     daemons.routers[0].kill()
     seed = _peer_address(daemons.routers[1])
-    back = daemons.start_router(0, "--seed", seed)
+    back = daemons.start_router(0, "--seeds", seed)
     processes.wait_for(lambda: health(back)["generation"] == 1)
     processes.wait_for(lambda: health(back)["standing"] == "store_down")
     for router in daemons.routers[1:]:
--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,81 @@
+"""Test who gives out work when the store, peers or both are out of reach."""
+
+import collections.abc
+import pathlib
+import time
+
+import pytest
+
+from tests import processes
+from tests import sites
+
+BOUND_SECONDS = 3.0
+
+
+@pytest.fixture
+def site(tmp_path: pathlib.Path) -> collections.abc.Iterator[sites.Site]:
+    """Run four routers; the last one's way to the store can be cut."""
+    with processes.Fleet() as fleet:
+        yield sites.build(fleet, tmp_path / "site.yaml")
+
+
+def test_router_cut_from_the_store_hears_of_a_zone(site: sites.Site) -> None:
+    site.forwarder.cut()
+    time.sleep(1.0)
+    applied = site.apply("out")
+    assert applied.popen.returncode == 0, applied.log_lines
+    processes.wait_for(
+        lambda: all(_code(r) == "no_endpoint" for r in site.routers),
+        BOUND_SECONDS,
+    )
+    assert sites.health(site.routers[-1])["standing"] == "fresh"
+
+
+def test_router_cut_from_all_gives_out_no_work(site: sites.Site) -> None:
+    cut = site.routers[-1]
+    site.forwarder.cut()
+    for router in site.routers[:-1]:
+        router.pause()
+    applied = site.apply("out")
+    assert applied.popen.returncode == 0, applied.log_lines
+    time.sleep(BOUND_SECONDS)
+    before = site.executions()
+    for _ in range(10):
+        answer = sites.call(cut)
+        error = answer.json()["error"]
+        assert (error["code"], error["execution"]) == ("isolated", "not_run")
+        assert answer.headers["Retry-After"]
+        time.sleep(0.1)
+    assert site.executions() == before
+    for router in site.routers[:-1]:
+        router.resume()
+    site.forwarder.heal()
+    site.apply("in")
+    processes.wait_for(lambda: sites.call(cut).status == 200)
+
+
+def test_outage_of_the_store_stops_nobody(site: sites.Site) -> None:
+    site.faults(down=True)
+    _serve_all(site.routers, 4.0)
+    site.routers[0].kill()
+    _serve_all(site.routers[1:], 6.0)
+    site.faults(down=False)
+    assert site.apply("out").popen.returncode == 0
+    processes.wait_for(
+        lambda: all(_code(r) == "no_endpoint" for r in site.routers[1:]),
+        BOUND_SECONDS,
+    )
+
+
+def _serve_all(routers: list[processes.Process], seconds: float) -> None:
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        for router in routers:
+            answer = sites.call(router)
+            assert answer.status == 200, answer.body
+        time.sleep(0.05)
+
+
+def _code(router: processes.Process) -> str:
+    answer = sites.call(router)
+    return "" if answer.status == 200 else str(answer.json()["error"]["code"])
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -27,6 +27,10 @@
       - path: /withdrawals
         methods: [POST]
         idempotent: false
+versions:
+  - name: v1
+    service: assistant
+    weights: assistant-v1
 organisations:
   - name: concierge
     key_sha256: {hashlib.sha256(KEY.encode()).hexdigest()}
