--- a/sycamoredale/membership/overlay.py
+++ b/sycamoredale/membership/overlay.py
@@ -41,10 +41,17 @@
 def watchers(
     members: view.MembershipView, zone: ids.ZoneName
 ) -> list[view.Peer]:
-    """Return the daemons of a zone that poll the object API."""
+    """Return the daemons of a zone that poll the object API.
+
+    Routers come first, because they follow all that is shared.
+    """
     usable = [p for p in members.usable() if p.zone == zone]
     count = -(-len(usable) // DAEMONS_PER_WATCHER)
-    return sorted(usable, key=lambda p: _hash(p.id, "watcher"))[:count]
+    ordered = sorted(
+        usable,
+        key=lambda p: (p.role is not view.Role.ROUTER, _hash(p.id, "watcher")),
+    )
+    return ordered[:count]
 
 
 def is_watcher(members: view.MembershipView) -> bool:
