Start a mirror from peers and answer the whole after a list

Cause: a mirror that listed the object API afresh knew no deletions from before, so a peer that had missed one kept the deleted object; found by the property test over schedules of writes, polls, fetches and older states. A mirror now answers the whole to whoever is behind its last list, and starts from a peer where there is one, so that this is rare. Ruled out: tombstone objects in the store, which nobody would remove.

--- a/sycamoredale/daemons/followers.py
+++ b/sycamoredale/daemons/followers.py
@@ -33,6 +33,7 @@
 POLL_WAIT_SECONDS: Final = 0.8
 POLL_RETRY_SECONDS: Final = 1.0
 ASSIGNMENT_WAIT_SECONDS: Final = 5.0
+PEERS_FIRST_SECONDS: Final = 1.5
 TICK_SECONDS: Final = 0.1
 LOG: Final = logs.get("followers")
 
@@ -178,6 +179,7 @@
 
     async def run(self) -> None:
         """Follow for ever."""
+        await self._start_from_a_peer()
         waits = backoff.Backoff(self.rng)
         while True:
             stale = self.node.freshness.is_stale(clock.monotonic())
@@ -192,6 +194,16 @@
                 LOG.info("poll_failed", reason=error.message)
                 await curio.sleep(waits.next_seconds())
 
+    async def _start_from_a_peer(self) -> None:
+        """Give peers a short time, for a list makes them read the whole."""
+        deadline = clock.monotonic() + PEERS_FIRST_SECONDS
+        while self.mirror.watched == objects.ABSENT:
+            if clock.monotonic() > deadline:
+                return
+            if self.node.has_listed_no_peer():
+                return
+            await curio.sleep(TICK_SECONDS)
+
     async def _on_progress(
         self, peer: ids.DaemonId, progress: exchange.Progress
     ) -> None:
--- a/sycamoredale/membership/mirror.py
+++ b/sycamoredale/membership/mirror.py
@@ -52,8 +52,9 @@
 class Mirror:
     """Hold the objects of a kind by name.
 
-    `version` is that of the last change; `watched` is how far the object
-    API has been seen to have no further change.
+    `version` is that of the last change, or of the last time that the
+    whole was read; `watched` is how far the object API has been seen to
+    have no further change.
     """
 
     kind: str
@@ -112,6 +113,11 @@
         present = {stored.name for stored in listing.objects}
         gone = [name for name in self.by_name if name not in present]
         self._take(objects.Listing(listing.version, listing.objects, gone))
+        # What was deleted before is not known here, so a peer that is
+        # behind this version needs the whole.
+        self.version = max(self.version, listing.version)
+        self._complete_since = listing.version
+        self._deleted_at.clear()
 
     def _take(self, listing: objects.Listing) -> None:
         changed = [
@@ -153,7 +159,7 @@
 
     async def _answer(self, body: bytes) -> bytes:
         after = msgspec.json.decode(body, type=Request).after
-        whole = after <= self._complete_since
+        whole = after < self._complete_since
         answer = Answer(
             version=self.version,
             whole=whole,
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -134,6 +134,10 @@
             self._watcher = overlay.is_watcher(self.members)
         return self._watcher
 
+    def has_listed_no_peer(self) -> bool:
+        """Tell whether the object API showed that there is no peer."""
+        return self.registry.listed and self.live_daemons() == 1
+
     def live_daemons(self) -> int:
         """Return how many daemons share the budget of the platform."""
         return sum(1 for _ in self.members.usable())
--- a/sycamoredale/membership/registry.py
+++ b/sycamoredale/membership/registry.py
@@ -46,6 +46,7 @@
     store: objects.ObjectStore
     members: view.MembershipView
     rng: random.Random = dataclasses.field(default_factory=random.Random)
+    listed: bool = False
 
     async def run(self) -> None:
         """Register and read the list, now and then again."""
@@ -78,6 +79,7 @@
                 await self._remove(registration.id, stored.version)
                 continue
             self.members.merge(_peer(registration), now)
+        self.listed = True
         if not registered:
             await self._write(own_version)
 
--- /dev/null
+++ b/tests/test_shared_state.py
@@ -0,0 +1,313 @@
+"""Test mirrors, the budget of calls and the cleaning up of parts.
+
+A small store in memory stands in for the object API, so that schedules can
+be chosen freely.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+import curio
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from sycamoredale import clock
+from sycamoredale.config import model
+from sycamoredale.config import store as config_store
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.membership import mirror
+from sycamoredale.membership import service
+from sycamoredale.membership import view
+from sycamoredale.platform import backoff
+from sycamoredale.platform import budget
+from sycamoredale.platform import objects
+
+NOWHERE: typing.Final = messages.Address("127.0.0.1", 1)
+KIND: typing.Final = "thing"
+
+
+@dataclasses.dataclass
+class MemoryStore(objects.ObjectStore):
+    """Hold objects in memory; answers may show an older state."""
+
+    version: int = 0
+    history: list[dict[tuple[str, str], objects.StoredObject]] = (
+        dataclasses.field(default_factory=lambda: [{}])
+    )
+    shown: int | None = None
+    before_pointer: collections.abc.Callable[[], typing.Any] | None = None
+
+    @property
+    def current(self) -> dict[tuple[str, str], objects.StoredObject]:
+        """Return the objects as the store shows them now."""
+        return self.history[self._shown_version()]
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        """Return an object."""
+        return self.current.get((kind, name))
+
+    async def list(self, kind: str) -> objects.Listing:
+        """Return the objects of a kind."""
+        found = [o for (k, _), o in self.current.items() if k == kind]
+        return objects.Listing(self._shown_version(), found)
+
+    async def watch(
+        self, kind: str, after: ids.ObjectVersion, wait_seconds: float
+    ) -> objects.Listing:
+        """Return what changed; the log holds the last eight versions."""
+        del wait_seconds
+        if after < self.version - 8:
+            raise errors.WatchExpired(error_codes.WATCH_EXPIRED, "forgotten")
+        shown = self._shown_version()
+        then = self.history[min(after, shown)]
+        return objects.Listing(
+            ids.ObjectVersion(shown),
+            [
+                o
+                for (k, _), o in self.current.items()
+                if k == kind and o.version > after
+            ],
+            [n for k, n in then if k == kind and (k, n) not in self.current],
+        )
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected: ids.ObjectVersion
+    ) -> ids.ObjectVersion:
+        """Write on the expected version."""
+        if kind == model.KIND and self.before_pointer:
+            before, self.before_pointer = self.before_pointer, None
+            await before()
+        return self._change(kind, name, value, expected)
+
+    async def delete(
+        self, kind: str, name: str, expected: ids.ObjectVersion
+    ) -> None:
+        """Delete the expected version."""
+        self._change(kind, name, None, expected)
+
+    def _change(
+        self,
+        kind: str,
+        name: str,
+        value: bytes | None,
+        expected: ids.ObjectVersion,
+    ) -> ids.ObjectVersion:
+        latest = dict(self.history[-1])
+        found = latest.pop((kind, name), None)
+        if (found.version if found else 0) != expected:
+            raise errors.VersionConflict(
+                error_codes.VERSION_CONFLICT, "the version differs"
+            )
+        self.version += 1
+        version = ids.ObjectVersion(self.version)
+        if value is not None:
+            latest[kind, name] = objects.StoredObject(
+                name, version, msgspec.Raw(value)
+            )
+        self.history.append(latest)
+        return version
+
+    def _shown_version(self) -> ids.ObjectVersion:
+        shown = self.version if self.shown is None else self.shown
+        return ids.ObjectVersion(min(shown, self.version))
+
+
+@dataclasses.dataclass
+class LocalPeers(service.PeerService):
+    """Reach other daemons of the test by a call."""
+
+    others: dict[ids.DaemonId, service.PeerService] = dataclasses.field(
+        default_factory=dict
+    )
+
+    async def call(
+        self, peer: ids.DaemonId, path: str, body: bytes, seconds: float
+    ) -> bytes:
+        """Let the other daemon answer."""
+        return await self.others[peer].handlers_by_path[path](body)
+
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["put", "delete", "poll", "fetch", "older"]),
+        strategies.integers(0, 2),
+        strategies.integers(0, 2),
+    ),
+    max_size=40,
+)
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(_STEPS)
+def test_mirrors_follow_the_store_and_never_go_back(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    curio.run(_follow, steps)
+
+
+async def _follow(steps: list[tuple[str, int, int]]) -> None:
+    store = MemoryStore(NOWHERE, client.Pool())
+    mirrors = _mirrors(3)
+    seen: list[dict[str, int]] = [{} for _ in mirrors]
+    for action, first, second in steps:
+        name = f"n{second}"
+        held = store.history[-1].get((KIND, name))
+        version = held.version if held else objects.ABSENT
+        if action == "put":
+            await store.put(KIND, name, b"1", version)
+        elif action == "delete" and held:
+            await store.delete(KIND, name, version)
+        elif action == "older":
+            store.shown = max(0, store.version - second) if second else None
+        elif action == "poll":
+            await mirrors[first].poll(store, 0.0)
+        elif action == "fetch" and first != second:
+            await mirrors[first].fetch(ids.DaemonId(f"d{second}"))
+        for index, found in enumerate(mirrors):
+            for stored in found.by_name.values():
+                last = seen[index].get(stored.name, 0)
+                assert stored.version >= last, "an object went back"
+                seen[index][stored.name] = stored.version
+    store.shown = None
+    await mirrors[0].poll(store, 0.0)
+    expected = {n: o for (_, n), o in store.current.items()}
+    assert mirrors[0].by_name == expected
+    if mirrors[0].version > mirrors[1].watched:
+        await mirrors[1].fetch(ids.DaemonId("d0"))
+    assert set(mirrors[1].by_name) == set(expected)
+
+
+def _mirrors(count: int) -> list[mirror.Mirror]:
+    services = [
+        LocalPeers(
+            view.MembershipView(
+                view.Peer(
+                    ids.DaemonId(f"d{n}"),
+                    "127.0.0.1:1",
+                    ids.ZoneName("kochi"),
+                    view.Role.ROUTER,
+                    ids.Incarnation(1),
+                )
+            ),
+            client.Pool(),
+        )
+        for n in range(count)
+    ]
+    for one in services:
+        one.others = {s.members.own.id: s for s in services}
+    return [mirror.Mirror(KIND, s, lambda change: None) for s in services]
+
+
+_FILES = strategies.integers(0, 3)
+
+
+@hypothesis.settings(max_examples=200)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(_FILES, strategies.none() | _FILES), max_size=8
+    )
+)
+def test_cleaning_up_never_breaks_what_is_accepted(
+    races: list[tuple[int, int | None]],
+) -> None:
+    curio.run(_race, races)
+
+
+async def _race(races: list[tuple[int, int | None]]) -> None:
+    """Let a cleaner and perhaps a second operator act within an upload."""
+    store = MemoryStore(NOWHERE, client.Pool())
+    for slow, fast in races:
+        seen = await config_store.read(store)
+        store.before_pointer = _between(store, seen, fast)
+        if fast is None:
+            await config_store.accept(store, seen, _file(slow))
+        else:
+            with pytest.raises(errors.VersionConflict) as caught:
+                await config_store.accept(store, seen, _file(slow))
+            assert f"against generation {seen.generation}" in str(caught.value)
+        accepted = await config_store.read(store)
+        assert accepted.generation == seen.generation + 1
+        assert accepted.configuration == _file(slow if fast is None else fast)
+        await config_store.remove_old_parts(store)
+        parts = await store.list(model.PART_KIND)
+        names = {o.name for o in parts.objects}
+        assert names == set(accepted.parts_by_digest)
+
+
+def _between(
+    store: MemoryStore, seen: config_store.Accepted, fast: int | None
+) -> collections.abc.Callable[[], typing.Any]:
+    async def act() -> None:
+        await config_store.remove_old_parts(store)
+        if fast is not None:
+            await config_store.accept(store, seen, _file(fast))
+        await config_store.remove_old_parts(store)
+
+    return act
+
+
+def _file(number: int) -> model.Configuration:
+    zones = [model.Zone(ids.ZoneName(f"z{n}")) for n in range(number)]
+    return model.Configuration(zones=zones)
+
+
+def test_budget_is_shared_and_keeps_a_reserve_for_claims() -> None:
+    read = budget.CallKind.READ
+    start = clock.MonotonicTime(0.0)
+    share = budget.CallBudget(lambda: 10, reads_per_second=100.0)
+    granted = {
+        priority: _drain(share, read, priority, start)
+        for priority in reversed(budget.Priority)
+    }
+    assert granted[budget.Priority.BACKGROUND] == 50
+    assert granted[budget.Priority.FOLLOW] == 25
+    assert sum(granted.values()) == 100
+    second = clock.MonotonicTime(1.0)
+    assert _drain(share, read, budget.Priority.CLAIM, second) == 10
+    assert share.calls_by_kind[read] == 110
+
+
+def test_store_refuses_calls_beyond_the_budget() -> None:
+    share = budget.CallBudget(lambda: 1, reads_per_second=0.001)
+    store = objects.ObjectStore(NOWHERE, client.Pool(), call_budget=share)
+
+    async def read_twice() -> list[str]:
+        codes = []
+        for _ in range(2):
+            with pytest.raises(errors.StoreUnavailable) as caught:
+                await store.with_priority(budget.Priority.CLAIM).get("a", "b")
+            codes.append(caught.value.code.name)
+        return codes
+
+    assert curio.run(read_twice) == ["store_unavailable", "budget_exhausted"]
+
+
+def test_backoff_spreads_and_is_bounded() -> None:
+    waits = backoff.Backoff(random.Random(7))
+    drawn = [waits.next_seconds() for _ in range(200)]
+    assert drawn[0] <= backoff.FIRST_SECONDS
+    assert max(drawn) <= backoff.CAP_SECONDS
+    late = drawn[20:]
+    assert min(late) < 0.2 * backoff.CAP_SECONDS < max(late)
+    waits.reset()
+    assert waits.next_seconds() <= backoff.FIRST_SECONDS
+
+
+def _drain(
+    share: budget.CallBudget,
+    kind: budget.CallKind,
+    priority: budget.Priority,
+    now: clock.MonotonicTime,
+) -> int:
+    taken = 0
+    while share.take(kind, priority, now):
+        taken += 1
+    return taken
