Test acceptance and spread of configurations through real processes

Operators race through the command line, a daemon is paused, the store shows an older state, its watch log is cut, an assignment is deleted, and the store returns after an outage.

--- /dev/null
+++ b/tests/test_configuration_in_force.py
@@ -0,0 +1,154 @@
+"""Test acceptance and spread of configurations through real processes."""
+
+import collections.abc
+import json
+import re
+import time
+import typing
+
+import pytest
+
+from tests import processes
+from tests import sites
+
+
+@pytest.fixture(scope="module")
+def site(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> collections.abc.Iterator[sites.Site]:
+    """Run four routers that all tests of the module share."""
+    with processes.Fleet() as fleet:
+        file = tmp_path_factory.mktemp("site") / "site.yaml"
+        yield sites.build(fleet, file)
+
+
+def test_racing_operator_gets_a_conflict(site: sites.Site) -> None:
+    planned = _command(site, "plan", str(site.file), "--json")
+    generation = json.loads(_output(planned))["generation"]
+    site.file.write_text(sites.configuration("in"))
+    expected = ("--expect-generation", str(generation))
+    racing = [
+        site.fleet.start(
+            "sycamoredale",
+            "apply",
+            str(site.file),
+            "--platform",
+            site.platform.address,
+            *expected,
+        )
+        for _ in range(4)
+    ]
+    codes = sorted(process.popen.wait(20) for process in racing)
+    assert codes == [0, 4, 4, 4]
+    loser = next(p for p in racing if p.popen.returncode == 4)
+    processes.wait_for(lambda: loser.log_lines)
+    numbers = re.findall(r"generation (\d+)", loser.log_lines[-1])
+    assert numbers == [str(generation), str(generation + 1)]
+
+
+def test_status_tells_who_has_it_in_force(site: sites.Site) -> None:
+    applied = site.apply("in", "--wait-seconds", "10")
+    assert applied.popen.returncode == 0, applied.log_lines
+    paused = site.routers[1]
+    paused.pause()
+    try:
+        applied = site.apply("in", "--wait-seconds", "1")
+        assert applied.popen.returncode == 7
+        report = json.loads(_output(_command(site, "status", "--json")))
+    finally:
+        paused.resume()
+    in_force = {d["daemon"]: d["in_force"] for d in report["daemons"]}
+    assert not in_force.pop("router-1")
+    assert list(in_force.values()) == [True] * 3
+    processes.wait_for(
+        lambda: sites.health(paused)["generation"] == report["generation"]
+    )
+
+
+def test_older_state_of_the_store_changes_nothing(site: sites.Site) -> None:
+    old_version = _store_version(site)
+    site.apply("in", "--wait-seconds", "10")
+    generation = sites.health(site.routers[0])["generation"]
+    site.faults(older_version=old_version)
+    started = site.fleet.router("router-9", "kochi", site.platform.address)
+    processes.wait_for(
+        lambda: sites.health(started)["generation"] == generation
+    )
+    for router in [*site.routers, started]:
+        found = sites.health(router)
+        assert found["generation"] == generation
+        assert found["endpoints"] == 1
+    site.faults()
+    assert started.terminate() == 0
+
+
+def test_cut_watch_log_and_deleted_assignment_are_noticed(
+    site: sites.Site,
+) -> None:
+    listed = processes.request(
+        site.platform.address, "GET", "/v1/objects/assignment/kochi-1"
+    ).json()
+    site.faults(down=True)
+    time.sleep(1.0)
+    processes.request(site.platform.address, "PUT", "/standin/faults", {})
+    for method, version in (("DELETE", listed["version"]), ("PUT", 0)):
+        processes.request(site.platform.address, "PUT", "/standin/forget_log")
+        processes.request(
+            site.platform.address,
+            method,
+            "/v1/objects/assignment/kochi-1",
+            listed["value"],
+            {"If-Version": str(version)},
+        )
+        processes.request(site.platform.address, "PUT", "/standin/forget_log")
+        count = 1 if method == "PUT" else 0
+        for router in site.routers:
+            processes.wait_for(
+                lambda r=router: sites.health(r)["endpoints"] == count
+            )
+
+
+def test_calls_do_not_surge_when_the_store_returns(site: sites.Site) -> None:
+    time.sleep(3.0)
+    before = _peak(site, since=_last_second(site) - 2)
+    site.faults(down=True)
+    time.sleep(4.0)
+    returned = _last_second(site)
+    site.faults()
+    time.sleep(3.0)
+    assert _peak(site, since=returned) <= 3 * before + 10
+
+
+def _peak(site: sites.Site, since: int) -> int:
+    return max(r["calls"] for r in _rates(site) if r["second"] >= since)
+
+
+def _last_second(site: sites.Site) -> int:
+    return int(_rates(site)[-1]["second"])
+
+
+def _rates(site: sites.Site) -> list[typing.Any]:
+    answer = processes.request(
+        site.platform.address, "GET", "/standin/calls_by_second"
+    )
+    return list(answer.json())
+
+
+def _store_version(site: sites.Site) -> int:
+    answer = processes.request(
+        site.platform.address, "GET", "/v1/objects/configuration"
+    )
+    return int(answer.json()["version"])
+
+
+def _command(site: sites.Site, *arguments: str) -> processes.Process:
+    process = site.fleet.start(
+        "sycamoredale", *arguments, "--platform", site.platform.address
+    )
+    process.popen.wait(20)
+    return process
+
+
+def _output(process: processes.Process) -> str:
+    assert process.popen.stdout is not None
+    return process.popen.stdout.read()
