--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -20,13 +20,21 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.membership import freshness
+from sycamoredale.membership import relay
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
 from sycamoredale.platform import budget
+from sycamoredale.requests import call
+from sycamoredale.requests import claim_service
+from sycamoredale.requests import claim_writer
 from sycamoredale.requests import dispatch
+from sycamoredale.requests import once
+from sycamoredale.requests import poison
 from sycamoredale.routing import choice
 from sycamoredale.routing import table
 
+DRAIN_LISTEN_SECONDS: Final = 2.0
+SETTLE_SECONDS: Final = 5.0
 LOG: Final = logs.get("router")
 
 
@@ -48,15 +56,25 @@
         self._assignments = followers.AssignmentFollower(
             following, self._node, self._table
         )
-        chooser = choice.Chooser(self._table, common.zone)
+        self._dispatcher = dispatch.Dispatcher(
+            choice.Chooser(self._table, common.zone),
+            client.Pool(),
+            poison.PoisonList(self._node.relay),
+        )
+        self._once = self._build_once()
         callers_service = callers.CallerService(
             configuration=lambda: self._configuration.accepted.configuration,
             health=self._health,
             admission=admission.Admission(),
-            dispatcher=dispatch.Dispatcher(chooser, client.Pool()),
+            dispatcher=self._dispatcher,
+            once=self._once,
             standing=self._node.standing,
         )
-        self._server = server.Server(callers_service.handle)
+        self._server = server.Server(
+            callers_service.handle,
+            request_id_header=call.REQUEST_ID_HEADER,
+            paths_served_while_draining=frozenset((callers.HEALTH_PATH,)),
+        )
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
@@ -64,28 +82,60 @@
         await self._node.start()
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
+        await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
         await stop.wait()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        LOG.info("router_draining")
         await curio.spawn(self._node.stop, daemon=True)
-        complete = await self._server.drain(self._settings.drain_seconds)
-        LOG.info("router_stopped", complete=complete)
+        complete = await self._server.drain(
+            self._settings.drain_seconds, DRAIN_LISTEN_SECONDS
+        )
+        settled = False
+        async with curio.ignore_after(SETTLE_SECONDS):
+            await self._once.settle()
+            settled = True
+        LOG.info("router_stopped", complete=complete, settled=settled)
+
+    def _build_once(self) -> once.OnceRunner:
+        writer = claim_writer.ClaimWriter(
+            self._store.with_priority(budget.Priority.CLAIM),
+            lambda: (
+                self._configuration.accepted.configuration.limits
+            ).result_retention_seconds,
+        )
+        service = claim_service.ClaimService(
+            writer, self._node.members, self._node.peers
+        )
+        self._node.peers.register(claim_service.PEER_PATH, service.answer_peer)
+        self._node.relay.subscribe(
+            relay.Topic.POISON,
+            lambda notice: self._dispatcher.poison_list.hear(
+                notice, clock.monotonic()
+            ),
+        )
+        return once.OnceRunner(self._dispatcher, service)
 
     def _on_accepted(self, accepted: config_store.Accepted) -> None:
         self._table.apply_configuration(accepted.configuration)
 
     def _health(self) -> messages.Response:
+        draining = self._server.draining
         standing = self._node.standing(clock.monotonic())
         body = {
             "daemon": self._settings.common.daemon,
+            "draining": draining,
             "generation": self._configuration.accepted.generation,
             "endpoints": len(self._table.by_id),
             "peers": self._node.live_daemons(),
             "standing": standing.value,
         }
-        isolated = standing is freshness.Standing.ISOLATED
-        return messages.json_response(503 if isolated else 200, body)
+        away = draining or standing is freshness.Standing.ISOLATED
+        return messages.json_response(503 if away else 200, body)
 
 
 def run(settings: options.RouterOptions) -> None:
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -26,9 +26,7 @@
 from sycamoredale.platform import objects
 
 SEED_SECONDS: Final = 2.0
-PEER_LIMITS: Final = server.Limits(
-    header_bytes=8 * 1024, body_bytes=256 * 1024, request_seconds=5.0
-)
+PEER_LIMITS: Final = server.Limits(header_bytes=8 * 1024, request_seconds=5.0)
 LOG: Final = logs.get("membership.node")
 
 
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -9,23 +9,23 @@
 import pytest
 
 from tests import processes
-from tests import sites
+from tests import router_sites
 
 
 @pytest.fixture(scope="module")
 def site(
     tmp_path_factory: pytest.TempPathFactory,
-) -> collections.abc.Iterator[sites.Site]:
+) -> collections.abc.Iterator[router_sites.Site]:
     """Run four routers that all tests of the module share."""
     with processes.Fleet() as fleet:
         file = tmp_path_factory.mktemp("site") / "site.yaml"
-        yield sites.build(fleet, file)
+        yield router_sites.build(fleet, file)
 
 
-def test_racing_operator_gets_a_conflict(site: sites.Site) -> None:
+def test_racing_operator_gets_a_conflict(site: router_sites.Site) -> None:
     planned = _command(site, "plan", str(site.file), "--json")
     generation = json.loads(_output(planned))["generation"]
-    site.file.write_text(sites.configuration("in"))
+    site.file.write_text(router_sites.configuration("in"))
     expected = ("--expect-generation", str(generation))
     racing = [
         site.fleet.start(
@@ -46,7 +46,7 @@
     assert numbers == [str(generation), str(generation + 1)]
 
 
-def test_status_tells_who_has_it_in_force(site: sites.Site) -> None:
+def test_status_tells_who_has_it_in_force(site: router_sites.Site) -> None:
     applied = site.apply("in", "--wait-seconds", "10")
     assert applied.popen.returncode == 0, applied.log_lines
     paused = site.routers[1]
@@ -61,21 +61,24 @@
     assert not in_force.pop("router-1")
     assert list(in_force.values()) == [True] * 3
     processes.wait_for(
-        lambda: sites.health(paused)["generation"] == report["generation"]
+        lambda: router_sites.health(paused)["generation"]
+        == report["generation"]
     )
 
 
-def test_older_state_of_the_store_changes_nothing(site: sites.Site) -> None:
+def test_older_state_of_the_store_changes_nothing(
+    site: router_sites.Site,
+) -> None:
     old_version = _store_version(site)
     site.apply("in", "--wait-seconds", "10")
-    generation = sites.health(site.routers[0])["generation"]
+    generation = router_sites.health(site.routers[0])["generation"]
     site.faults(older_version=old_version)
     started = site.fleet.router("router-9", "kochi", site.platform.address)
     processes.wait_for(
-        lambda: sites.health(started)["generation"] == generation
+        lambda: router_sites.health(started)["generation"] == generation
     )
     for router in [*site.routers, started]:
-        found = sites.health(router)
+        found = router_sites.health(router)
         assert found["generation"] == generation
         assert found["endpoints"] == 1
     site.faults()
@@ -83,7 +86,7 @@
 
 
 def test_cut_watch_log_and_deleted_assignment_are_noticed(
-    site: sites.Site,
+    site: router_sites.Site,
 ) -> None:
     listed = processes.request(
         site.platform.address, "GET", "/v1/objects/assignment/kochi-1"
@@ -104,11 +107,13 @@
         count = 1 if method == "PUT" else 0
         for router in site.routers:
             processes.wait_for(
-                lambda r=router: sites.health(r)["endpoints"] == count
+                lambda r=router: router_sites.health(r)["endpoints"] == count
             )
 
 
-def test_calls_do_not_surge_when_the_store_returns(site: sites.Site) -> None:
+def test_calls_do_not_surge_when_the_store_returns(
+    site: router_sites.Site,
+) -> None:
     time.sleep(3.0)
     before = _peak(site, since=_last_second(site) - 2)
     site.faults(down=True)
@@ -119,29 +124,29 @@
     assert _peak(site, since=returned) <= 3 * before + 10
 
 
-def _peak(site: sites.Site, since: int) -> int:
+def _peak(site: router_sites.Site, since: int) -> int:
     return max(r["calls"] for r in _rates(site) if r["second"] >= since)
 
 
-def _last_second(site: sites.Site) -> int:
+def _last_second(site: router_sites.Site) -> int:
     return int(_rates(site)[-1]["second"])
 
 
-def _rates(site: sites.Site) -> list[typing.Any]:
+def _rates(site: router_sites.Site) -> list[typing.Any]:
     answer = processes.request(
         site.platform.address, "GET", "/standin/calls_by_second"
     )
     return list(answer.json())
 
 
-def _store_version(site: sites.Site) -> int:
+def _store_version(site: router_sites.Site) -> int:
     answer = processes.request(
         site.platform.address, "GET", "/v1/objects/configuration"
     )
     return int(answer.json()["version"])
 
 
-def _command(site: sites.Site, *arguments: str) -> processes.Process:
+def _command(site: router_sites.Site, *arguments: str) -> processes.Process:
     process = site.fleet.start(
         "sycamoredale", *arguments, "--platform", site.platform.address
     )
