--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -8,16 +8,23 @@
 from sycamoredale.admission import organisations
 from sycamoredale import clock
 from sycamoredale.config import model as config_model
+from sycamoredale import error_codes
+from sycamoredale import errors
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.membership import freshness
 from sycamoredale.requests import call as call_module
 from sycamoredale.requests import dispatch
 from sycamoredale.requests import once
 
 CurrentConfiguration = collections.abc.Callable[[], config_model.Configuration]
+CurrentStanding = collections.abc.Callable[
+    [clock.MonotonicTime], freshness.Standing
+]
 HEALTH_PATH: Final = "/healthz"
 Health = collections.abc.Callable[[], messages.Response]
+ISOLATED_RETRY_SECONDS: Final = 1.0
 
 
 @dataclasses.dataclass
@@ -29,6 +36,7 @@
     admission: admission.Admission
     dispatcher: dispatch.Dispatcher
     once: once.OnceRunner
+    standing: CurrentStanding = lambda now: freshness.Standing.FRESH
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request of a caller; raise Refusal."""
@@ -49,8 +57,18 @@
         call = call_module.read(
             request, organisation, configuration, request_id
         )
+        self._refuse_when_isolated(clock.monotonic())
         async with self.admission.admitted(call, clock.monotonic()):
             if call.idempotent:
                 await self.dispatcher.run(call, exchange)
             else:
                 await self.once.run(call, exchange)
+
+    def _refuse_when_isolated(self, now: clock.MonotonicTime) -> None:
+        if self.standing(now) is freshness.Standing.ISOLATED:
+            raise errors.Refusal(
+                error_codes.ISOLATED,
+                "this router hears neither the object API nor enough "
+                "peers; another router may take the request",
+                retry_after=ISOLATED_RETRY_SECONDS,
+            )
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -73,6 +73,11 @@
 DRAINING: Final = _define(
     "draining", 503, "the router is stopping and takes no new request"
 )
+ISOLATED: Final = _define(
+    "isolated",
+    503,
+    "the router is cut off and cannot learn which zones take new work",
+)
 IN_PROGRESS: Final = _define(
     "request_in_progress", 409, "a request with the same key is running"
 )
@@ -114,6 +119,12 @@
 VERSION_CONFLICT: Final = _define(
     "version_conflict", 409, "the object changed since it was read"
 )
+WATCH_EXPIRED: Final = _define(
+    "watch_expired", 503, "the object API forgot changes that are needed"
+)
+BUDGET_EXHAUSTED: Final = _define(
+    "budget_exhausted", 503, "the calls of this daemon are used up for now"
+)
 
 # Connections.
 CONNECTION_FAILED: Final = _define(
