--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -18,6 +18,7 @@
 from sycamoredale import errors
 from sycamoredale.http import chunked
 from sycamoredale.http import messages
+from sycamoredale.http import sockets
 
 RECEIVE_BYTES: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
@@ -134,12 +135,17 @@
         self.used = True
         return True
 
+    def is_usable(self) -> bool:
+        """Tell whether an idle connection has had no word from its end.
+
+        Whatever arrives between two exchanges, the end of the connection
+        included, belongs to no request.
+        """
+        return sockets.is_quiet(self._sock)
+
     def sever(self) -> None:
         """Make the exchange under way fail, whoever waits for it."""
-        try:
-            self._sock.shutdown(curio.socket.SHUT_RDWR)
-        except OSError:
-            pass  # The other end was faster.
+        sockets.shut_down(self._sock, curio.socket.SHUT_RDWR)
 
     async def close(self) -> None:
         """Close the socket."""
@@ -186,8 +192,11 @@
     ) -> Connection:
         """Return an idle or new connection; raise ConnectionFailed."""
         idle = self.idle_by_address.get(address)
-        if idle and not fresh:
-            return idle.pop()
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.is_usable():
+                return connection
+            await connection.close()
         return await open_connection(address)
 
     async def release(self, connection: Connection) -> None:
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -27,6 +27,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import reading
 from sycamoredale.http import refusals
+from sycamoredale.http import sockets
 from sycamoredale.observability import logs
 
 Exchange = exchange_module.Exchange
@@ -174,10 +175,12 @@
             return False
         if request is None:
             return False
-        exchange = Exchange(request, protocol, connection.sock)
+        exchange = Exchange(
+            request, protocol, connection.sock, lambda: self.draining
+        )
         self._identify(exchange)
         await self._handle(exchange)
-        if not exchange.finished or exchange.closing or self.draining:
+        if not exchange.finished or exchange.closing:
             return False
         return (
             protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
@@ -199,11 +202,9 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         try:
-            if self.draining:
-                exchange.closing = True
-                path = exchange.request.path
-                if path not in self._paths_served_while_draining:
-                    raise refusals.draining()
+            path = exchange.request.path
+            if self.draining and path not in self._paths_served_while_draining:
+                raise refusals.draining()
             await self._handler(exchange)
         except errors.SycamoredaleError as error:
             await self._answer_error(exchange, error)
@@ -218,8 +219,6 @@
     ) -> None:
         if exchange.started:
             return
-        if self.draining:
-            exchange.closing = True
         try:
             await exchange.respond(refusals.response_of(error))
         except OSError as failure:
@@ -232,7 +231,7 @@
         if not data:
             return
         await connection.sock.sendall(data)
-        connection.sock.shutdown(curio.socket.SHUT_WR)
+        sockets.shut_down(connection.sock, curio.socket.SHUT_WR)
         await _discard(connection.sock)
 
     def _refusal_bytes(
@@ -264,12 +263,8 @@
 def _close_if_idle(connection: _Connection) -> None:
     # The waiting task wakes up from the shutdown and ends.  A request that
     # has arrived already is read and refused by that task.
-    if not connection.idle:
-        return
-    try:
-        connection.sock.shutdown(curio.socket.SHUT_RD)
-    except OSError as error:
-        LOG.debug("connection_ended", reason=str(error))
+    if connection.idle:
+        sockets.shut_down(connection.sock, curio.socket.SHUT_RD)
 
 
 async def _discard(sock: typing.Any) -> None:
--- /dev/null
+++ b/tests/test_membership_rules.py
@@ -0,0 +1,225 @@
+"""Test the rules of views, rings, notices and freshness."""
+
+import collections.abc
+import random
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale import ids
+from sycamoredale.membership import freshness
+from sycamoredale.membership import overlay
+from sycamoredale.membership import relay
+from sycamoredale.membership import view
+
+NOW: typing.Final = clock.MonotonicTime(100.0)
+STANDING: typing.Final = freshness.Standing
+
+
+def peer(
+    name: str,
+    incarnation: int = 1,
+    state: view.PeerState = view.PeerState.ALIVE,
+    zone: str = "kochi",
+    role: view.Role = view.Role.ROUTER,
+) -> view.Peer:
+    """Return a peer for a test."""
+    return view.Peer(
+        ids.DaemonId(name),
+        f"127.0.0.1:{1000 + len(name)}",
+        ids.ZoneName(zone),
+        role,
+        ids.Incarnation(incarnation),
+        state,
+    )
+
+
+_REPORTS = strategies.lists(
+    strategies.builds(
+        peer,
+        strategies.sampled_from(["a", "bb", "ccc"]),
+        strategies.integers(1, 4),
+        strategies.sampled_from(view.PeerState),
+        strategies.sampled_from(["kochi", "thrissur"]),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.given(_REPORTS, strategies.randoms(use_true_random=False))
+def test_views_agree_whatever_the_order(
+    reports: list[view.Peer], order: random.Random
+) -> None:
+    shuffled = [*reports, *reports]
+    order.shuffle(shuffled)
+    one, two = _view("self"), _view("self")
+    for report in reports:
+        one.merge(report, NOW)
+    for report in shuffled:
+        two.merge(report, NOW)
+    assert one.by_id == two.by_id
+    assert one.digest() == two.digest()
+    for name, found in one.by_id.items():
+        said = [view.precedence(r) for r in reports if r.id == name]
+        assert view.precedence(found) == max(said, default=(1, 0, *_rest()))
+
+
+def test_daemon_refutes_what_is_said_of_it() -> None:
+    members = _view("self")
+    dead = peer("self", 7, view.PeerState.DEAD)
+    assert members.merge(dead, NOW)
+    assert members.own.state is view.PeerState.ALIVE
+    assert members.own.incarnation == 8
+    assert not members.merge(dead, NOW)
+
+
+def test_old_incarnation_cannot_be_declared_dead() -> None:
+    members = _view("self")
+    members.merge(peer("a", 2), NOW)
+    dead = view.PeerState.DEAD
+    name = ids.DaemonId("a")
+    assert not members.mark(name, ids.Incarnation(1), dead, NOW)
+    assert members.mark(name, ids.Incarnation(2), dead, NOW)
+    assert members.reachable_share() == 0.5
+
+
+def test_rings_reach_every_daemon_with_few_relations() -> None:
+    everyone = [peer(f"d{n}", zone=f"zone-{n % 15}") for n in range(380)]
+    successors = {p.id: _relations(p, everyone) for p in everyone}
+    most = overlay.ZONE_RINGS + overlay.GLOBAL_RINGS
+    assert all(len(found) == most for found in successors.values())
+    reached = {everyone[0].id}
+    hops = 0
+    while len(reached) < len(everyone):
+        reached |= {s for name in reached for s in successors[name]}
+        hops += 1
+        assert hops <= 8
+    for lost in ("zone-3", "zone-7"):
+        rest = [p for p in everyone if p.zone != lost]
+        assert len(_relations(rest[0], rest)) == most
+
+
+def test_watchers_are_few_and_routers_first() -> None:
+    controller = view.Role.CONTROLLER
+    everyone = [
+        *(peer(f"c{n}", role=controller) for n in range(12)),
+        *(peer(f"r{n}") for n in range(13)),
+    ]
+    views = [_view_of(p, everyone) for p in everyone]
+    watchers = overlay.watchers(views[0], ids.ZoneName("kochi"))
+    assert len(watchers) == 9
+    assert all(p.role is view.Role.ROUTER for p in watchers)
+    assert sum(overlay.is_watcher(v) for v in views) == 9
+    heard = [overlay.own_watcher(v) for v in views]
+    assert sum(p is None for p in heard) == 9
+    assert {p for p in heard if p} <= set(watchers)
+
+
+def test_notice_reaches_each_peer_once_and_new_beats_old() -> None:
+    sender = relay.Relay(ids.DaemonId("a"))
+    receiver = relay.Relay(ids.DaemonId("b"))
+    heard: list[relay.Notice] = []
+    receiver.subscribe(relay.Topic.POISON, heard.append)
+    old = sender.publish(relay.Topic.POISON, "k", 1)
+    new = sender.publish(relay.Topic.POISON, "k", 2)
+    now = clock.monotonic()
+    name = ids.DaemonId("b")
+    assert sender.take(name, 4096, now) == [new]
+    assert sender.take(name, 4096, now) == []
+    sender.give_back(name, [new])
+    assert sender.take(name, 4096, now) == [new]
+    receiver.receive([new, old, new], sender.own, now)
+    assert [n.payload for n in heard] == [msgspec.Raw(b"2")]
+    assert receiver.take(sender.own, 4096, now) == []
+    later = clock.MonotonicTime(now + relay.NOTICE_LIFETIME_SECONDS + 1)
+    assert receiver.take(ids.DaemonId("c"), 4096, later) == []
+    receiver.receive([new], ids.DaemonId("c"), later)
+    assert len(heard) == 1
+
+
+def test_urgent_notices_go_first_within_the_bytes() -> None:
+    sender = relay.Relay(ids.DaemonId("a"))
+    usage = sender.publish(relay.Topic.USAGE, "u", "x" * 300)
+    assert not sender.urgent
+    poison = sender.publish(relay.Topic.POISON, "p", "x" * 300)
+    assert sender.urgent
+    now = clock.monotonic()
+    peer_id = ids.DaemonId("b")
+    assert sender.take(peer_id, 500, now) == [poison]
+    assert sender.take(peer_id, 500, now) == [usage]
+
+
+@hypothesis.given(
+    strategies.floats(0, 100),
+    strategies.floats(0, 50),
+    strategies.floats(0, 10),
+)
+def test_no_delay_makes_a_daemon_fresher(
+    peer_contact: float, transit: float, wait: float
+) -> None:
+    asked = clock.MonotonicTime(100.0)
+    answered = asked + transit
+    age = answered - peer_contact
+    known = freshness.Freshness()
+    known.on_answer(ids.DaemonId("a"), asked, age, usable=True)
+    assert known.contact <= peer_contact + 1e-6
+    now = clock.MonotonicTime(answered + wait)
+    assert known.age(now) >= now - peer_contact - 1e-6
+
+
+def test_freshness_is_not_taken_from_a_peer_that_knows_more() -> None:
+    known = freshness.Freshness()
+    known.on_answer(ids.DaemonId("a"), NOW, 0.1, usable=False)
+    assert known.age(NOW) == float("inf")
+
+
+def test_standing_needs_a_majority_that_is_out_of_touch_too() -> None:
+    names = [ids.DaemonId(f"d{n}") for n in range(5)]
+    assert _standing(names, []) is STANDING.ISOLATED
+    assert _standing(names, [True, True]) is STANDING.STORE_DOWN
+    assert _standing(names, [True, False, False, False]) is STANDING.ISOLATED
+    assert _standing(names[:1], []) is STANDING.STORE_DOWN
+    assert _standing(names, [True] * 4, asked=NOW - 3) is STANDING.ISOLATED
+    many = [ids.DaemonId(f"d{n}") for n in range(380)]
+    assert _standing(many, [True] * 3) is STANDING.ISOLATED
+    assert _standing(many, [True] * 5) is STANDING.STORE_DOWN
+    assert _standing(many, [True] * 5 + [False] * 6) is STANDING.ISOLATED
+
+
+def _standing(
+    voters: list[ids.DaemonId],
+    stale_too: list[bool],
+    asked: float = NOW,
+) -> freshness.Standing:
+    known = freshness.Freshness(clock.MonotonicTime(NOW - 10))
+    for name, stale in zip(voters[1:], stale_too, strict=False):
+        age = 10.0 if stale else 0.1
+        known.on_answer(name, clock.MonotonicTime(asked), age, usable=False)
+    return known.standing(set(voters), NOW)
+
+
+def _view(name: str) -> view.MembershipView:
+    return view.MembershipView(peer(name))
+
+
+def _view_of(
+    own: view.Peer, everyone: collections.abc.Iterable[view.Peer]
+) -> view.MembershipView:
+    members = view.MembershipView(own)
+    for other in everyone:
+        members.merge(other, NOW)
+    return members
+
+
+def _relations(
+    own: view.Peer, everyone: collections.abc.Iterable[view.Peer]
+) -> set[ids.DaemonId]:
+    return {p.id for p in overlay.relations(_view_of(own, everyone))}
+
+
+def _rest() -> tuple[str, str, str]:
+    own = peer("self")
+    return own.address, own.zone, own.role.value
