--- a/benchmarks/naive_controller.py
+++ b/benchmarks/naive_controller.py
@@ -10,7 +10,6 @@
 from benchmarks import naive_placement
 from sycamoredale.config import model as config_model
 from sycamoredale.config import store as config_store
-from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
 from sycamoredale.engines import model_engine
 from sycamoredale.engines import orders
@@ -23,18 +22,18 @@
 from sycamoredale.platform import instances
 from sycamoredale.platform import objects
 
+INTERVAL_SECONDS: Final = 0.5
 LOG: Final = logs.get("controller")
 
 
 class Controller:
     """Join the parts of a controller."""
 
-    def __init__(self, settings: options.ControllerOptions) -> None:
+    def __init__(self, platform: messages.Address) -> None:
         """Build the parts; nothing runs until `run`."""
         pool = client.Pool()
-        self._settings = settings
-        self._store = objects.ObjectStore(settings.common.platform, pool)
-        self._list = instances.InstanceList(settings.common.platform, pool)
+        self._store = objects.ObjectStore(platform, pool)
+        self._list = instances.InstanceList(platform, pool)
         self._engines = model_engine.ModelEngines(pool)
 
     async def run(self) -> None:
@@ -51,7 +50,7 @@
                 await self._act_once()
             except errors.SycamoredaleError as error:
                 LOG.warning("round_failed", reason=error.message)
-            await curio.sleep(self._settings.interval_seconds)
+            await curio.sleep(INTERVAL_SECONDS)
 
     async def _act_once(self) -> None:
         accepted = await config_store.read(self._store)
@@ -148,15 +147,8 @@
 
 def main() -> None:
     """Run against the platform at the address of the first argument."""
-    common = options.DaemonOptions(
-        ids.DaemonId("naive"),
-        ids.ZoneName("kochi"),
-        messages.parse_address(sys.argv[1]),
-        None,
-        "info",
-    )
     logs.configure("info")
-    curio.run(Controller(options.ControllerOptions(common, 0.5)).run)
+    curio.run(Controller(messages.parse_address(sys.argv[1])).run)
 
 
 if __name__ == "__main__":
--- a/sycamoredale/groups/probing.py
+++ b/sycamoredale/groups/probing.py
@@ -17,6 +17,7 @@
 from sycamoredale.platform import instances
 
 PROBE_SECONDS: Final = 1.0
+RETRY_SECONDS: Final = 0.1
 
 
 @dataclasses.dataclass
@@ -25,6 +26,7 @@
 
     engines: model_engine.ModelEngines
     read_clock: leases.ReadClock = clock.monotonic
+    retry_seconds: float = RETRY_SECONDS
 
     async def probe_all(
         self,
@@ -46,11 +48,22 @@
 
     async def _probe(
         self, instance: instances.Instance, book: health.HealthBook
+    ) -> None:
+        """Probe once, and once more over a new connection if that fails."""
+        await self._probe_once(instance, book, fresh=False)
+        if book.by_id[instance.id].failures:
+            await curio.sleep(self.retry_seconds)
+            await self._probe_once(instance, book, fresh=True)
+
+    async def _probe_once(
+        self,
+        instance: instances.Instance,
+        book: health.HealthBook,
+        fresh: bool,
     ) -> None:
         asked_at = self.read_clock()
-        known = book.by_id[instance.id]
         try:
-            state = await self._ask(instance, fresh=known.failures > 0)
+            state = await self._ask(instance, fresh)
         except errors.SycamoredaleError as error:
             refuses = isinstance(error.__cause__, ConnectionRefusedError)
             book.note_failure(instance.id, self.read_clock(), refuses)
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -26,7 +26,7 @@
 
 LEASE_KIND: Final = "lease"
 LEASE_SECONDS: Final = 6.0
-RENEWALS_PER_LEASE: Final = 4
+RENEWALS_PER_LEASE: Final = 2
 CLOCK_RATE_ALLOWANCE: Final = 0.01
 NO_OWNER: Final = ids.DaemonId("")
 
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -155,7 +155,7 @@
             assignments.AssignmentBook(self.store),
             load_slots.LoadSlots(self.store, weights.WeightLimits()),
             self.engines,
-            probing.Prober(self.engines, self.engines.read_clock),
+            probing.Prober(self.engines, self.engines.read_clock, 0.0),
             suspicion.SelfSuspicion(),
         )
 
