--- a/sycamoredale/admission/admission.py
+++ b/sycamoredale/admission/admission.py
@@ -29,6 +29,7 @@
 
 TICK_SECONDS: Final = 0.05
 NO_ROOM_SECONDS: Final = 5.0
+MIN_LEFT_SECONDS: Final = 0.001
 MIN_RETRY_SECONDS: Final = 1.0
 MAX_RETRY_SECONDS: Final = 60.0
 CAPACITY_SECONDS: Final = 0.5
@@ -73,8 +74,11 @@
     @contextlib.asynccontextmanager
     async def admitted(
         self, call: call_module.Call, now: clock.MonotonicTime
-    ) -> collections.abc.AsyncIterator[None]:
-        """Hold a place for the call while the block runs; raise Refusal."""
+    ) -> collections.abc.AsyncIterator[call_module.Call]:
+        """Hold a place for the call while the block runs; raise Refusal.
+
+        The block gets the call with the time that is left to it.
+        """
         service = self._queue(call.service.name)
         waiter = queue.Waiter(
             call, now, clock.MonotonicTime(now + call.deadline_seconds)
@@ -89,7 +93,10 @@
             await waiter.decided.wait()
             if waiter.refusal is not None:
                 raise waiter.refusal
-            yield
+            left = waiter.ends_at - clock.monotonic()
+            yield dataclasses.replace(
+                call, deadline_seconds=max(left, MIN_LEFT_SECONDS)
+            )
         finally:
             ended = clock.monotonic()
             service.finish(waiter, ended)
@@ -124,7 +131,10 @@
         allowance = self.allowance(service, now)
         while (waiter := service.next(allowance)) is not None:
             unplaced = len(service.unplaced)
-            if not self.chooser.has_room(waiter.call, unplaced, now):
+            # A repeated key may need no endpoint; its first run waits later.
+            if waiter.call.key is None and not self.chooser.has_room(
+                waiter.call, unplaced, now
+            ):
                 return
             service.start(waiter, now)
             await waiter.decided.set()
@@ -159,7 +169,11 @@
     ) -> None:
         if now - waiter.arrived_at < NO_ROOM_SECONDS:
             return
-        if self._capacity(waiter.call.service.name, now):
+        service = self._queue(waiter.call.service.name)
+        if self._capacity(service.service, now) and (
+            service.running.total()
+            or self.chooser.has_room(waiter.call, 0, now)
+        ):
             return
         raise errors.Refusal(
             error_codes.NO_ENDPOINT,
--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -49,8 +49,8 @@
         call = call_module.read(
             request, organisation, configuration, request_id
         )
-        async with self.admission.admitted(call, clock.monotonic()):
+        async with self.admission.admitted(call, clock.monotonic()) as left:
             if call.idempotent:
-                await self.dispatcher.run(call, exchange)
+                await self.dispatcher.run(left, exchange)
             else:
-                await self.once.run(call, exchange)
+                await self.once.run(left, exchange)
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from sycamoredale.admission import retry_budget
 from sycamoredale import clock
 from sycamoredale.engines import completions
 from sycamoredale import error_codes
@@ -28,6 +29,8 @@
 from sycamoredale.routing import choice
 from sycamoredale.routing import table
 
+ROOM_SECONDS: Final = 5.0
+ROOM_POLL_SECONDS: Final = 0.02
 LOG: Final = logs.get("requests.dispatch")
 
 
@@ -44,6 +47,9 @@
     poison_list: poison.PoisonList = dataclasses.field(
         default_factory=poison.PoisonList
     )
+    retries: retry_budget.RetryBudget = dataclasses.field(
+        default_factory=retry_budget.RetryBudget
+    )
 
     def __post_init__(self) -> None:
         """Build the parts that ask endpoints about requests."""
@@ -77,6 +83,7 @@
         which a byte may have left.
         """
         call = tries.call
+        await self._wait_for_room(call)
         while tries.may_go_on():
             endpoint = self._choose(tries)
             if endpoint is None:
@@ -108,7 +115,10 @@
         self, tries: tries_module.Tries, exchange: server.Exchange
     ) -> None:
         stream = completions.Stream()
+        self.retries.deposit(tries.call.service.name)
         while tries.may_go_on():
+            if not self._has_retry(tries, exchange):
+                break
             endpoint = self._choose(tries)
             if endpoint is None:
                 break
@@ -156,6 +166,18 @@
                 tries.execution = error_codes.Execution.UNKNOWN
         return False
 
+    async def _wait_for_room(self, call: call_module.Call) -> None:
+        async with curio.ignore_after(ROOM_SECONDS):
+            while not self.chooser.has_room(call, 0, clock.monotonic()):
+                await curio.sleep(ROOM_POLL_SECONDS)
+
+    def _has_retry(
+        self, tries: tries_module.Tries, exchange: server.Exchange
+    ) -> bool:
+        if tries.execution is error_codes.Execution.NOT_RUN:
+            return True
+        return exchange.started or self.retries.take(tries.call.service.name)
+
     def _choose(self, tries: tries_module.Tries) -> table.Endpoint | None:
         tries.attempts += 1
         for excluded in tries.exclusions():
--- a/sycamoredale/routing/choice.py
+++ b/sycamoredale/routing/choice.py
@@ -134,6 +134,9 @@
         now: clock.MonotonicTime,
     ) -> None:
         """Learn from the end of an exchange; `sent` if it may have run."""
+        if self.loads.has_waiting(endpoint.id, now):
+            # The time in the engine's queue says nothing of its speed.
+            first_token_seconds = None
         self.health.observe(
             endpoint.id, outcome, first_token_seconds, token_gap_seconds, now
         )
--- a/sycamoredale/routing/cold_start.py
+++ b/sycamoredale/routing/cold_start.py
@@ -23,11 +23,11 @@
 from sycamoredale.routing import table
 from sycamoredale.routing import warmth
 
-SERVED_WELL: Final = 4
+SERVED_WELL: Final = 2
 READY_REPORTS: Final = 2
 QUIET_READY_REPORTS: Final = 6
 RAMP_DOUBLING_SECONDS: Final = 1.0
-DEMAND_SECONDS: Final = 10.0
+DEMAND_SECONDS: Final = 2.0
 REPORT_LAG_SECONDS: Final = 3.0
 MAX_UNPLACED: Final = 10_000
 NEVER: Final = clock.MonotonicTime(-math.inf)
--- a/sycamoredale/routing/load.py
+++ b/sycamoredale/routing/load.py
@@ -1,12 +1,19 @@
 """Estimate the load of endpoints from lagging reports and own counts.
 
 A report counts what all routers had on the endpoint.  What this router
-had at that moment is taken off, which leaves the load of the others; what
-this router has now is added again, so that requests sent since the report
+has is taken off, which leaves the load of the others; the present count
+of this router is added again, so that requests sent since the report
 count at once.
+
+A single report is old by the time that it is used, and routers which
+trust it flock to the endpoint that was idle a moment ago.  The load of
+the others is therefore averaged over reports, and it falls back to the
+mean of the service in the zone as it ages (Dahlin, "Interpreting Stale
+Load Information").
 """
 
 import dataclasses
+import math
 from typing import Final
 
 from sycamoredale import clock
@@ -14,13 +21,20 @@
 from sycamoredale import ids
 from sycamoredale.routing import table
 
-REPORT_SECONDS: Final = 10.0
+REPORT_WEIGHT: Final = 0.2
+MEAN_WEIGHT: Final = 0.02
+AGE_SECONDS: Final = 2.0
+WAITING_SECONDS: Final = 5.0
+
+
+_Pool = tuple[ids.ServiceName, ids.ZoneName]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Others:
-    requests: int
-    expires_at: clock.MonotonicTime
+    requests: float
+    has_waiting: bool
+    reported_at: clock.MonotonicTime
 
 
 @dataclasses.dataclass
@@ -30,6 +44,7 @@
     _others_by_id: dict[ids.EndpointId, _Others] = dataclasses.field(
         default_factory=dict
     )
+    _mean_by_pool: dict[_Pool, float] = dataclasses.field(default_factory=dict)
 
     def report(
         self,
@@ -38,19 +53,42 @@
         now: clock.MonotonicTime,
     ) -> None:
         """Learn from a report that arrived now."""
-        others = load.running + load.waiting - endpoint.in_flight
+        requests = float(
+            max(0, load.running + load.waiting - endpoint.in_flight)
+        )
+        pool = endpoint.service, endpoint.zone
+        mean = self._mean_by_pool.get(pool, requests)
+        mean += MEAN_WEIGHT * (requests - mean)
+        self._mean_by_pool[pool] = mean
+        known = self._others_by_id.get(endpoint.id)
+        if known is not None:
+            difference = requests - known.requests
+            requests = known.requests + REPORT_WEIGHT * difference
         self._others_by_id[endpoint.id] = _Others(
-            max(0, others), clock.MonotonicTime(now + REPORT_SECONDS)
+            requests, load.waiting > 0, now
         )
 
     def estimate(
         self, endpoint: table.Endpoint, now: clock.MonotonicTime
-    ) -> int:
+    ) -> float:
         """Return the expected number of requests on the endpoint."""
+        pool = endpoint.service, endpoint.zone
+        mean = self._mean_by_pool.get(pool, 0.0)
         others = self._others_by_id.get(endpoint.id)
-        if others is None or now >= others.expires_at:
-            return endpoint.in_flight
-        return others.requests + endpoint.in_flight
+        if others is None:
+            return endpoint.in_flight + mean
+        age = now - others.reported_at
+        trusted = math.exp(-age / AGE_SECONDS)
+        return endpoint.in_flight + mean + trusted * (others.requests - mean)
+
+    def has_waiting(
+        self, endpoint: ids.EndpointId, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell if requests waited in the engine by the last report."""
+        others = self._others_by_id.get(endpoint)
+        if others is None or now - others.reported_at >= WAITING_SECONDS:
+            return False
+        return others.has_waiting
 
     def forget(self, endpoints: set[ids.EndpointId]) -> None:
         """Drop the endpoints that are not among those given."""
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -15,6 +15,7 @@
 from sycamoredale.standins import engine_load
 from sycamoredale.standins import engine_orders
 from sycamoredale.standins import generation
+from sycamoredale.standins import records
 
 DEADLINE_HEADER: Final = "X-Deadline-Seconds"
 NO_DEADLINE_SECONDS: Final = 3600.0
@@ -43,7 +44,12 @@
 class Engine:
     """Carry out orders and generate tokens."""
 
-    def __init__(self, settings: Settings, pool: client.Pool) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        pool: client.Pool,
+        recorder: records.Recorder,
+    ) -> None:
         """Start empty."""
         self.settings: Final = settings
         self.generator: Final = generation.Generator(
@@ -63,6 +69,7 @@
             settings.lose_cache_events_every
         )
         self._pool = pool
+        self._recorder = recorder
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -81,9 +88,6 @@
                 after = int(request.query("after") or 0)
                 events = self.cache.events_after(after)
                 await exchange.respond(messages.json_response(200, events))
-            case ("PUT", "/standin/cold"):
-                self.orders.turn_cold(clock.monotonic())
-                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/load"):
                 await exchange.respond(self._load_record())
             case ("PUT", "/standin/faults"):
@@ -91,6 +95,9 @@
                     request.body, type=generation.Faults
                 )
                 await exchange.respond(messages.json_response(200, {}))
+            case ("PUT", "/standin/cold"):
+                self.orders.turn_cold(clock.monotonic())
+                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/orders"):
                 await exchange.respond(
                     messages.json_response(200, self.orders.obeyed)
@@ -124,7 +131,14 @@
 
     async def _obey(self, request: messages.Request) -> messages.Response:
         order = engine_orders.decode(request.body)
-        obeyed = await self.orders.obey(order, clock.monotonic())
+        now = clock.monotonic()
+        obeyed = await self.orders.obey(order, now)
+        if obeyed:
+            self._recorder.write(
+                records.Obeyed(
+                    now, self.settings.instance, order, self.load.running
+                )
+            )
         return messages.json_response(200 if obeyed else 409, self._state())
 
     def _request_state(self, request: messages.Request) -> messages.Response:
@@ -153,6 +167,15 @@
             return
         is_cold = phase is orders.Phase.COLD
         overloads = self.load.overloads
+        if is_cold:
+            self._recorder.write(
+                records.ColdLoad(
+                    clock.monotonic(),
+                    self.settings.instance,
+                    self.load.running + 1,
+                    self.settings.cold_limit,
+                )
+            )
         try:
             async with self.load.place(is_cold, self.settings.cold_limit):
                 await self._check_members()
@@ -167,12 +190,22 @@
         seconds = float(longest) if longest else NO_DEADLINE_SECONDS
         load_fields = self.load.fields(clock.monotonic())
         exchange.answer_fields.extend(load_fields)
+        request_id = self._record_start(request)
         try:
             async with curio.timeout_after(seconds):
                 await self._prefill(request.body)
                 await self.generator.write_answer(exchange)
         except curio.TaskTimeout as error:
             raise ConnectionResetError("the deadline passed") from error
+        finally:
+            self._recorder.write(
+                records.Ended(
+                    clock.monotonic(),
+                    self.settings.instance,
+                    request_id,
+                    exchange.finished,
+                )
+            )
 
     async def _prefill(self, body: bytes) -> None:
         settings = self.settings
@@ -184,6 +217,23 @@
             )
         await curio.sleep(seconds)
 
+    def _record_start(self, request: messages.Request) -> str:
+        request_id = request.headers.get(generation.REQUEST_ID_HEADER) or ""
+        prompt = msgspec.json.decode(request.body, type=generation.Prompt)
+        order = self.orders.order
+        self._recorder.write(
+            records.Executed(
+                clock.monotonic(),
+                self.settings.instance,
+                request_id,
+                marker=generation.marker(prompt),
+                group=order.group if order else "",
+                epoch=self.orders.epoch,
+                members=order.members if order else [],
+            )
+        )
+        return request_id
+
     async def _check_members(self) -> None:
         order = self.orders.order
         if order is None:
--- /dev/null
+++ b/tests/scenarios/site.py
@@ -0,0 +1,298 @@
+"""Run a small site of real processes behind the proxy."""
+
+import concurrent.futures
+import dataclasses
+import hashlib
+import json
+import pathlib
+import re
+import threading
+import time
+import typing
+from typing import Final
+
+import msgspec
+
+from tests import checker
+from tests import processes
+from tests.scenarios import load
+
+POISON_TEXT: Final = "crash-the-engine"
+GROUP_SIZE: Final = 2
+LIST_LAG_SECONDS: Final = 0.3
+START_THREADS: Final = 6
+SAMPLE_SECONDS: Final = 0.2
+
+
+class Shape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set the size of a site; a zone is one fabric domain."""
+
+    zones: tuple[str, ...] = ("kochi", "thrissur")
+    engines_per_zone: int = 4
+    routers: int = 2
+    controllers: int = 2
+
+
+class EngineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set how the engines of a site behave; times are in seconds."""
+
+    cold_seconds: float = 0.5
+    token_seconds: float = 0.005
+    honours_fencing: bool = True
+
+
+@dataclasses.dataclass
+class Instance:
+    """Hold one endpoint instance and its link through the proxy."""
+
+    id: str
+    zone: str
+    runs: str
+    process: processes.Process
+    link: str
+    state: str = "live"
+
+    def listed(self) -> dict[str, str]:
+        """Return the entry of the platform's list."""
+        return {
+            "id": self.id,
+            "address": self.link,
+            "zone": self.zone,
+            "domain": f"{self.zone}-1",
+            "runs": self.runs,
+            "state": self.state,
+        }
+
+
+class Site:
+    """Start, stop and disturb the processes of one site."""
+
+    def __init__(
+        self,
+        fleet: processes.Fleet,
+        directory: pathlib.Path,
+        shape: Shape,
+        engines: EngineSettings,
+    ) -> None:
+        """Start everything and wait until each router sees every endpoint."""
+        self.fleet: Final = fleet
+        self.shape: Final = shape
+        self.records: list[checker.Record] = []
+        self.daemons: dict[str, processes.Process] = {}
+        self.router_names: list[str] = []
+        self.links: dict[str, str] = {}
+        self._directory = directory
+        self._engine_settings = engines
+        self._applied = 0
+        self._listing_lock = threading.Lock()
+        self.platform = self._standin("platform", "platform")
+        self.set_platform(list_lag=LIST_LAG_SECONDS)
+        fleet.start_proxy()
+        self.instance_by_id = {i.id: i for i in self._start_instances()}
+        self.list_instances()
+        self.apply([])
+        names = [f"router-{n + 1}" for n in range(shape.routers)]
+        names += [f"controller-{n + 1}" for n in range(shape.controllers)]
+        with concurrent.futures.ThreadPoolExecutor(START_THREADS) as pool:
+            list(pool.map(self.start_daemon, names))
+        expected = len(shape.zones) * (shape.engines_per_zone // 2 + 1)
+        for name in self.router_names:
+            processes.wait_for(
+                lambda: self.health(name).get("endpoints", 0) >= expected, 30
+            )
+        time.sleep(engines.cold_seconds)
+
+    def targets(self) -> list[load.Target]:
+        """Return the routers that the balancer would use."""
+        return [
+            load.Target(name, self.daemons[name].address)
+            for name in list(self.router_names)
+        ]
+
+    def names(self, target: str) -> list[str]:
+        """Return the processes that a target names; a zone names many."""
+        if target in self.shape.zones:
+            return [
+                i.id for i in self.instance_by_id.values() if i.zone == target
+            ]
+        return [target]
+
+    def process(self, name: str) -> processes.Process:
+        """Return the process of an instance or a daemon."""
+        if name == "platform":
+            return self.platform
+        if name in self.daemons:
+            return self.daemons[name]
+        return self.instance_by_id[name].process
+
+    def link(self, name: str) -> str:
+        """Return the proxied address of a link or an instance."""
+        if name in self.links:
+            return self.links[name]
+        return self.instance_by_id[name].link
+
+    def health(self, router: str) -> dict[str, typing.Any]:
+        """Return what a router says of itself, or nothing."""
+        try:
+            answer = processes.request(
+                self.daemons[router].address, "GET", "/healthz", seconds=1.0
+            )
+            return dict(answer.json())
+        except (OSError, ValueError):
+            return {}
+
+    def start_daemon(self, name: str) -> None:
+        """Start a router or controller behind its own platform link."""
+        link = self.fleet.proxied(self.platform.address)
+        self.links[f"{name}>platform"] = link
+        role, number = name.split("-")[:2]
+        zone = self.shape.zones[int(number) % len(self.shape.zones)]
+        start = getattr(self.fleet, role)
+        self.daemons[name] = start(name, zone, link)
+        if role == "router":
+            self.router_names.append(name)
+
+    def restart(self, name: str) -> None:
+        """Start a killed process again; an instance keeps its address."""
+        if name in self.daemons:
+            self.start_daemon(name)
+            return
+        instance = self.instance_by_id[name]
+        address = instance.process.address
+        instance.process = self._start_instance(
+            instance.id, instance.runs, "--listen", address
+        )
+
+    def set_platform(self, **faults: object) -> None:
+        """Replace the faults of the platform."""
+        merged = {"list_lag": LIST_LAG_SECONDS, **faults}
+        processes.request(
+            self.platform.address, "PUT", "/standin/faults", merged
+        )
+
+    def list_instances(self) -> None:
+        """Tell the platform which instances there are."""
+        with self._listing_lock:
+            listed = [
+                instance.listed()
+                for instance in self.instance_by_id.values()
+                if instance.state != "gone"
+            ]
+            processes.request(
+                self.platform.address, "PUT", "/standin/instances", listed
+            )
+
+    def apply(self, zones_out: list[str]) -> bool:
+        """Apply a file with these zones out; tell if it was accepted."""
+        self._applied += 1
+        file = self._directory / f"site-{self._applied}.yaml"
+        file.write_text(json.dumps(self._configuration(zones_out)))
+        begun = time.monotonic()
+        applied = self.fleet.start(
+            "sycamoredale",
+            "apply",
+            str(file),
+            "--platform",
+            self.platform.address,
+        )
+        assert applied.popen.stdout is not None
+        output = applied.popen.stdout.read()
+        if applied.popen.wait(20) != 0:
+            return False
+        found = re.search(r"generation (\d+)", output)
+        assert found, output
+        now = time.monotonic()
+        generation = int(found.group(1))
+        self.records.append(
+            checker.Accepted(now, begun, generation, zones_out)
+        )
+        return True
+
+    def sample(self) -> None:
+        """Record the generation in force on each router."""
+        for name in list(self.router_names):
+            now = time.monotonic()
+            generation = self.health(name).get("generation")
+            if generation is not None:
+                self.records.append(checker.InForce(now, name, generation))
+
+    def recording(
+        self, calls: list[checker.Call], limits: checker.Limits
+    ) -> checker.Recording:
+        """Join what all processes recorded."""
+        found = checker.read(self._directory)
+        return checker.Recording([*found, *calls, *self.records], limits)
+
+    def _configuration(self, zones_out: list[str]) -> dict[str, object]:
+        zones = self.shape.zones
+        replicas = len(zones) * self.shape.engines_per_zone // GROUP_SIZE
+        key_sha256 = hashlib.sha256(load.KEY.encode()).hexdigest()
+        withdrawals = {
+            "path": "/withdrawals",
+            "methods": ["POST"],
+            "idempotent": False,
+        }
+        assistant = {
+            "name": "assistant",
+            "kind": "model",
+            "replicas": replicas,
+            "instances_per_replica": GROUP_SIZE,
+            "version": "v1",
+        }
+        if not self._engine_settings.honours_fencing:
+            assistant["fencing"] = "ignored"
+        bookings = {
+            "name": "bookings",
+            "kind": "plain",
+            "replicas": len(zones),
+            "routes": [withdrawals],
+        }
+        return {
+            "services": [assistant, bookings],
+            "organisations": [{"name": "concierge", "key_sha256": key_sha256}],
+            "zones": [
+                {"name": z, "state": "out" if z in zones_out else "in"}
+                for z in zones
+            ],
+        }
+
+    def _start_instances(self) -> typing.Iterator[Instance]:
+        with concurrent.futures.ThreadPoolExecutor(START_THREADS) as pool:
+            yield from pool.map(self._instance, self._instance_names())
+
+    def _instance_names(self) -> typing.Iterator[tuple[str, str, str]]:
+        for zone in self.shape.zones:
+            for number in range(self.shape.engines_per_zone):
+                yield f"{zone}-{number}", zone, "engine"
+            yield f"{zone}-ledger", zone, "bookings"
+
+    def _instance(self, named: tuple[str, str, str]) -> Instance:
+        name, zone, runs = named
+        process = self._start_instance(name, runs)
+        link = self.fleet.proxied(process.address)
+        return Instance(name, zone, runs, process, link)
+
+    def _start_instance(
+        self, name: str, runs: str, *arguments: str
+    ) -> processes.Process:
+        if runs == "bookings":
+            return self._standin(
+                name, "ledger", "--instance", name, *arguments
+            )
+        settings = {
+            "instance": name,
+            **msgspec.to_builtins(self._engine_settings),
+        }
+        engine = self._standin(
+            name, "engine", "--settings", json.dumps(settings), *arguments
+        )
+        processes.request(
+            engine.address, "PUT", "/standin/faults", {"poison": POISON_TEXT}
+        )
+        return engine
+
+    def _standin(
+        self, name: str, kind: str, *arguments: str
+    ) -> processes.Process:
+        file = self._directory / f"{name}.jsonl"
+        return self.fleet.standin(kind, "--record", str(file), *arguments)
