--- a/sycamoredale/routing/cold_start.py
+++ b/sycamoredale/routing/cold_start.py
@@ -4,8 +4,9 @@
 ready and it has served some requests well.  While it is cold, this router
 sends only as many requests as it holds slots for, under a lease that is
 checked again right before the first byte leaves.  A request that ended
-without its whole answer may still run there, so it keeps its slot for the
-longest time that it may take.
+without its whole answer may still run there, so it keeps its slot until a
+later report of the engine shows that it does not, or for the longest time
+that it may take.
 
 After the cold start the allowed concurrency doubles at a fixed pace until
 it reaches the capacity.  The same ramp follows the return of a zone.
@@ -33,6 +34,12 @@
 NEVER: Final = clock.MonotonicTime(-math.inf)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Abandoned:
+    since: clock.MonotonicTime
+    until: clock.MonotonicTime
+
+
 @dataclasses.dataclass
 class ColdEndpoint:
     """Hold what this router knows of one endpoint's cold start."""
@@ -46,9 +53,7 @@
     is_settled: bool = True
     served: int = 0
     ready_reports: int = 0
-    abandoned_until: list[clock.MonotonicTime] = dataclasses.field(
-        default_factory=list
-    )
+    abandoned: list[_Abandoned] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass
@@ -171,7 +176,7 @@
         known = self.by_id.get(endpoint)
         if known is not None and not known.warmth.warm:
             until = clock.MonotonicTime(now + known.request_seconds)
-            known.abandoned_until.append(until)
+            known.abandoned.append(_Abandoned(now, until))
 
     def cold_again(
         self, endpoint: ids.EndpointId, now: clock.MonotonicTime
@@ -221,6 +226,11 @@
             return
         if running <= endpoint.in_flight:
             known.is_settled = True
+            known.abandoned = [
+                x
+                for x in known.abandoned
+                if now - x.since < REPORT_LAG_SECONDS
+            ]
         known.ready_reports = known.ready_reports + 1 if is_ready else 0
 
     def end_if_warm(
@@ -332,10 +342,8 @@
         known: ColdEndpoint,
         now: clock.MonotonicTime,
     ) -> int:
-        known.abandoned_until = [
-            until for until in known.abandoned_until if until > now
-        ]
-        return endpoint.in_flight + len(known.abandoned_until)
+        known.abandoned = [x for x in known.abandoned if x.until > now]
+        return endpoint.in_flight + len(known.abandoned)
 
     def _ramp(
         self,
