--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -58,11 +58,11 @@
             request, organisation, configuration, request_id
         )
         self._refuse_when_isolated(clock.monotonic())
-        async with self.admission.admitted(call, clock.monotonic()):
+        async with self.admission.admitted(call, clock.monotonic()) as left:
             if call.idempotent:
-                await self.dispatcher.run(call, exchange)
+                await self.dispatcher.run(left, exchange)
             else:
-                await self.once.run(call, exchange)
+                await self.once.run(left, exchange)
 
     def _refuse_when_isolated(self, now: clock.MonotonicTime) -> None:
         if self.standing(now) is freshness.Standing.ISOLATED:
--- a/sycamoredale/routing/cold_keeper.py
+++ b/sycamoredale/routing/cold_keeper.py
@@ -45,7 +45,7 @@
 
 RENEW_SECONDS_BY_HELD: Final = {
     _Held.SOME: cold_slots.LEASE_SECONDS / 3,
-    _Held.NONE: 3.0,
+    _Held.NONE: 1.0,
     _Held.UNKNOWN: 1.0,
 }
 STEP_SECONDS_BY_HELD: Final = {
--- a/sycamoredale/routing/latency.py
+++ b/sycamoredale/routing/latency.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import statistics
 from typing import Final
 
@@ -25,6 +26,7 @@
 MIN_COLD_SECONDS: Final = 0.1
 PEERS: Final = 3
 MAX_SLOWNESS: Final = 8.0
+SLOWNESS_HALF_SECONDS: Final = 5.0
 MEDIAN_SECONDS: Final = 1.0
 
 
@@ -36,6 +38,7 @@
     fast: float = 0.0
     slow: float = 0.0
     gap: float = 0.0
+    seen_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
 
 
 @dataclasses.dataclass
@@ -69,6 +72,7 @@
     ) -> bool:
         """Learn from one answer; tell if the endpoint turned cold again."""
         known = self.by_id.setdefault(endpoint, Latency())
+        known.seen_at = now
         if gap_seconds is not None:
             known.gap = _mean(known.gap, gap_seconds, FAST_WEIGHT)
         if first_token_seconds is None:
@@ -93,8 +97,13 @@
             return 1.0
         first = known.fast / medians.first_token if medians.first_token else 1
         gap = known.gap / medians.gap if medians.gap else 1
-        ratio = max(first, gap)
-        return min(ratio, MAX_SLOWNESS) if ratio > STRAGGLER_RATIO else 1.0
+        ratio = min(max(first, gap), MAX_SLOWNESS)
+        if ratio <= STRAGGLER_RATIO:
+            return 1.0
+        # An endpoint that nobody tries would stay slow for ever.
+        age = now - known.seen_at
+        left = math.pow(0.5, age / SLOWNESS_HALF_SECONDS)
+        return 1.0 + (ratio - 1.0) * left
 
     def expected_seconds(
         self, service: ids.ServiceName, now: clock.MonotonicTime
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -88,9 +88,6 @@
                 after = int(request.query("after") or 0)
                 events = self.cache.events_after(after)
                 await exchange.respond(messages.json_response(200, events))
-            case ("PUT", "/standin/cold"):
-                self.orders.turn_cold(clock.monotonic())
-                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/load"):
                 await exchange.respond(self._load_record())
             case ("PUT", "/standin/faults"):
@@ -179,11 +176,11 @@
 
     async def _execute(self, exchange: server.Exchange) -> None:
         request = exchange.request
-        self._record_start(request)
         longest = request.headers.get(DEADLINE_HEADER)
         seconds = float(longest) if longest else NO_DEADLINE_SECONDS
         load_fields = self.load.fields(clock.monotonic())
         exchange.answer_fields.extend(load_fields)
+        self._record_start(request)
         try:
             async with curio.timeout_after(seconds):
                 await self._prefill(request.body)
