Show histograms of the whole fleet by organisation and class

Routers record the wait, the time to the first byte and the whole time of each call; the command asks all routers and adds their histograms up.

--- a/sycamoredale/cli.py
+++ b/sycamoredale/cli.py
@@ -8,6 +8,7 @@
 
 import sycamoredale
 from sycamoredale.commands import daemons
+from sycamoredale.commands import histogram
 from sycamoredale.commands import operators
 from sycamoredale.commands import parameters
 
@@ -41,5 +42,6 @@
     operators.apply,
     operators.get,
     operators.status,
+    histogram.histogram,
 ):
     main.add_command(_command)
--- a/sycamoredale/commands/fleet_status.py
+++ b/sycamoredale/commands/fleet_status.py
@@ -1,26 +1,21 @@
 """Ask every registered daemon what it has in force."""
 
 import collections.abc
-import dataclasses
 from typing import Final
 
 import curio
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale.commands import asking
 from sycamoredale.config import model
 from sycamoredale.config import store as config_store
-from sycamoredale import errors
-from sycamoredale.http import client
-from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.membership import registry
 from sycamoredale.membership import status
 from sycamoredale.membership import view
 from sycamoredale.platform import objects
 
-ASK_SECONDS: Final = 2.0
-ASKED_AT_ONCE: Final = 32
 AGAIN_SECONDS: Final = 0.2
 
 
@@ -47,14 +42,10 @@
     generation = ids.Generation(0)
     if stored is not None:
         generation = config_store.decode_pointer(stored).generation
-    listing = await store.list(view.DAEMON_KIND)
-    registrations = [
-        msgspec.json.decode(stored.value, type=registry.Registration)
-        for stored in listing.objects
-    ]
-    reports = await _Asking(client.Pool()).ask_all(registrations)
+    registrations = await asking.registered(store)
+    bodies = await asking.ask_all(registrations, status.PATH)
     found = [
-        _line(registration, generation, reports.get(registration.id))
+        _line(registration, generation, _decode(bodies.get(registration.id)))
         for registration in registrations
     ]
     return Report(generation, sorted(found, key=lambda d: (d.zone, d.daemon)))
@@ -99,38 +90,11 @@
         )
 
 
-@dataclasses.dataclass
-class _Asking:
-    pool: client.Pool
-
-    async def ask_all(
-        self, registrations: collections.abc.Sequence[registry.Registration]
-    ) -> dict[ids.DaemonId, status.DaemonStatus]:
-        found: dict[ids.DaemonId, status.DaemonStatus] = {}
-        for start in range(0, len(registrations), ASKED_AT_ONCE):
-            async with curio.TaskGroup() as group:
-                for registration in registrations[
-                    start : start + ASKED_AT_ONCE
-                ]:
-                    await group.spawn(self._ask, registration, found)
-        return found
-
-    async def _ask(
-        self,
-        registration: registry.Registration,
-        found: dict[ids.DaemonId, status.DaemonStatus],
-    ) -> None:
-        address = messages.parse_address(registration.address)
-        request = messages.Request("POST", status.PATH)
-        try:
-            response = await self.pool.call(address, request, ASK_SECONDS)
-            report = msgspec.json.decode(
-                response.body, type=status.DaemonStatus
-            )
-        except (errors.SycamoredaleError, msgspec.MsgspecError):
-            return  # The line of a daemon without a report says so.
-        if report.daemon == registration.id:
-            found[registration.id] = report
+def _decode(body: bytes | None) -> status.DaemonStatus | None:
+    try:
+        return msgspec.json.decode(body or b"", type=status.DaemonStatus)
+    except msgspec.DecodeError:
+        return None  # The line of a daemon without a report says so.
 
 
 def _line(
@@ -138,6 +102,8 @@
     generation: ids.Generation,
     report: status.DaemonStatus | None,
 ) -> Line:
+    if report is not None and report.daemon != registration.id:
+        report = None  # Another daemon has taken over the address.
     return Line(
         registration.id,
         registration.zone,
--- /dev/null
+++ b/sycamoredale/commands/histogram.py
@@ -0,0 +1,90 @@
+"""Define the command that shows histograms of the whole fleet."""
+
+import collections.abc
+from typing import Final
+
+import click
+import curio
+import msgspec
+
+from sycamoredale.commands import asking
+from sycamoredale.commands import outcome
+from sycamoredale.commands import parameters
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.membership import view
+from sycamoredale.observability import histograms
+from sycamoredale.observability import requests
+from sycamoredale.platform import objects
+
+HEADING: Final = (
+    f"{'organisation':<20} {'service/class':<28} {'measure':<11} "
+    f"{'count':>8} {'p50':>9} {'p95':>9} {'p99':>9} {'max':>9}"
+)
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Hold the histograms of the routers that answered, added up."""
+
+    routers: int
+    answered: int
+    histograms: list[histograms.Summary]
+
+
+@click.command("histogram")
+@parameters.PLATFORM
+@parameters.JSON
+@click.option("--organisation", default="", help="Show just this one.")
+def histogram(
+    platform: messages.Address, as_json: bool, organisation: str
+) -> None:
+    """Show times for each organisation, service and class."""
+    with outcome.reported(as_json):
+        report = curio.run(read, platform, organisation)
+        parameters.show(report, "\n".join(lines(report)), as_json)
+
+
+async def read(platform: messages.Address, organisation: str) -> Report:
+    """Return the report; raise StoreUnavailable."""
+    store = objects.ObjectStore(platform, client.Pool())
+    routers = [
+        registration
+        for registration in await asking.registered(store)
+        if registration.role is view.Role.ROUTER
+    ]
+    bodies = await asking.ask_all(routers, requests.PATH)
+    merged = histograms.HistogramSet()
+    answered = sum(_add(body, merged) for body in bodies.values())
+    found = [
+        summary
+        for summary in merged.summaries()
+        if organisation in ("", summary.organisation)
+    ]
+    found.sort(key=lambda s: (s.organisation, s.group, s.measure.value))
+    return Report(len(routers), answered, found)
+
+
+def lines(report: Report) -> collections.abc.Iterator[str]:
+    """Yield the report in lines for operators; times are in seconds."""
+    yield f"{report.answered} of {report.routers} routers answered"
+    yield HEADING
+    for summary in report.histograms:
+        times = " ".join(f"{q.seconds:>9.3f}" for q in summary.quantiles)
+        yield (
+            f"{summary.organisation:<20} {summary.group:<28} "
+            f"{summary.measure.value:<11} {summary.count:>8} {times}"
+        )
+
+
+def _add(body: bytes, merged: histograms.HistogramSet) -> bool:
+    """Add the histograms of one router; tell whether they are sound."""
+    try:
+        sent = msgspec.json.decode(body, type=list[histograms.Encoded])
+        received = histograms.HistogramSet()
+        for encoded in sent:
+            received.add(encoded)
+    except (msgspec.DecodeError, ValueError):
+        return False
+    for encoded in sent:
+        merged.add(encoded)
+    return True
--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -14,6 +14,7 @@
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale.membership import freshness
+from sycamoredale.observability import requests
 from sycamoredale.requests import call as call_module
 from sycamoredale.requests import dispatch
 from sycamoredale.requests import once
@@ -36,10 +37,22 @@
     admission: admission.Admission
     dispatcher: dispatch.Dispatcher
     once: once.OnceRunner
+    observer: requests.RequestObserver = dataclasses.field(
+        default_factory=requests.RequestObserver
+    )
     standing: CurrentStanding = lambda now: freshness.Standing.FRESH
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request of a caller; raise Refusal."""
+        try:
+            await self._handle(exchange, clock.monotonic())
+        except errors.SycamoredaleError as error:
+            self.observer.refused(error.code.name)
+            raise
+
+    async def _handle(
+        self, exchange: server.Exchange, started: clock.MonotonicTime
+    ) -> None:
         request = exchange.request
         caller_id = call_module.caller_request_id(request)
         if caller_id is not None:
@@ -59,10 +72,14 @@
         )
         self._refuse_when_isolated(clock.monotonic())
         async with self.admission.admitted(call, clock.monotonic()) as left:
+            self.observer.admitted(call, started, clock.monotonic())
             if call.idempotent:
                 await self.dispatcher.run(left, exchange)
             else:
                 await self.once.run(left, exchange)
+        self.observer.answered(
+            call, started, exchange.first_byte, clock.monotonic()
+        )
 
     def _refuse_when_isolated(self, now: clock.MonotonicTime) -> None:
         if self.standing(now) is freshness.Standing.ISOLATED:
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -26,6 +26,8 @@
 from sycamoredale.membership import relay
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
+from sycamoredale.observability import metrics
+from sycamoredale.observability import requests
 from sycamoredale.platform import budget
 from sycamoredale.requests import call
 from sycamoredale.requests import claim_service
@@ -73,7 +75,12 @@
         )
         self._once = self._build_once()
         self._admission = self._build_admission()
+        observer = requests.RequestObserver(
+            metrics.connect(common.statsd, common.daemon)
+        )
+        self._node.peers.register(requests.PATH, observer.answer_peer)
         callers_service = callers.CallerService(
+            observer=observer,
             configuration=self._current,
             health=self._health,
             admission=self._admission,
--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -7,6 +7,7 @@
 import curio
 import h11
 
+from sycamoredale import clock
 from sycamoredale.http import chunked
 from sycamoredale.http import messages
 
@@ -37,6 +38,7 @@
         self.request_id = ""
         self.answer_fields: list[tuple[str, str]] = []
         self.started = False
+        self.first_byte: clock.MonotonicTime | None = None
         self.finished = False
         self.intact = True
         self.closing = False
@@ -49,7 +51,7 @@
         """Write a whole answer in one piece."""
         headers = self._headers(_with_length(response, self.request.method))
         head = h11.Response(status_code=response.status, headers=headers)
-        self.started = True
+        self._begin()
         parts = [self._connection.send(head)]
         if response.body and self.request.method != "HEAD":
             parts.append(self._connection.send(h11.Data(data=response.body)))
@@ -62,7 +64,7 @@
         event = h11.Response(
             status_code=head.status, headers=self._headers(head.headers)
         )
-        self.started = True
+        self._begin()
         sent = self._connection.send(event) or b""
         self._chunked = CHUNKED_FIELD in sent.lower()
         await self._send(sent)
@@ -100,6 +102,10 @@
             self._connection.receive_data(data)
         await _never()
 
+    def _begin(self) -> None:
+        self.started = True
+        self.first_byte = clock.monotonic()
+
     async def _send(self, data: bytes) -> None:
         if not self.intact:
             raise ConnectionAbortedError("an earlier write was cut off")
--- a/sycamoredale/observability/histograms.py
+++ b/sycamoredale/observability/histograms.py
@@ -34,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Key:
-    """Name one histogram; `group` is a priority class or a service."""
+    """Name one histogram; `group` is a service and a priority class."""
 
     organisation: ids.OrganisationName
     group: str
@@ -48,6 +48,15 @@
     seconds: float
 
 
+class Encoded(msgspec.Struct, frozen=True):
+    """Carry one histogram to another process, in the HDR encoding."""
+
+    organisation: ids.OrganisationName
+    group: str
+    measure: Measure
+    counts: str
+
+
 class Summary(msgspec.Struct, frozen=True):
     """Summarise one histogram."""
 
@@ -74,6 +83,24 @@
         )
         self._histogram(key).record_value(bounded)
 
+    def encoded(self) -> collections.abc.Iterator[Encoded]:
+        """Yield each histogram in a form that another set can add."""
+        for key, values in self.by_key.items():
+            counts = values.encode().decode("ascii")
+            yield Encoded(key.organisation, key.group, key.measure, counts)
+
+    def add(self, encoded: Encoded) -> None:
+        """Add the counts of another set; raise ValueError."""
+        key = Key(encoded.organisation, encoded.group, encoded.measure)
+        try:
+            other = histogram.HdrHistogram.decode(encoded.counts)
+        except Exception as error:
+            raise ValueError(
+                f"histogram of organisation {encoded.organisation!r} is "
+                f"malformed: {error}"
+            ) from error
+        self._histogram(key).add(other)
+
     def summaries(self) -> collections.abc.Iterator[Summary]:
         """Yield a summary of each histogram."""
         for key, values in self.by_key.items():
--- /dev/null
+++ b/sycamoredale/observability/requests.py
@@ -0,0 +1,66 @@
+"""Observe the calls of a router: histograms, counters and timers."""
+
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale.observability import histograms
+from sycamoredale.observability import metrics
+from sycamoredale.requests import call as call_module
+
+PATH: Final = "/peer/histograms"
+
+
+@dataclasses.dataclass
+class RequestObserver:
+    """Count each call under its organisation, service and class."""
+
+    sink: metrics.Sink = dataclasses.field(default_factory=metrics.Discard)
+    times: histograms.HistogramSet = dataclasses.field(
+        default_factory=histograms.HistogramSet
+    )
+
+    def admitted(
+        self,
+        call: call_module.Call,
+        started: clock.MonotonicTime,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Record how long the call waited for its place."""
+        self._record(call, histograms.Measure.QUEUE, now - started)
+
+    def answered(
+        self,
+        call: call_module.Call,
+        started: clock.MonotonicTime,
+        first_byte: clock.MonotonicTime | None,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Record the time to the first byte and to the end."""
+        if first_byte is not None:
+            seconds = first_byte - started
+            self._record(call, histograms.Measure.FIRST_BYTE, seconds)
+        self._record(call, histograms.Measure.TOTAL, now - started)
+        self.sink.count(f"answered.{call.service.name}")
+
+    def refused(self, code: str) -> None:
+        """Count a refusal by its code."""
+        self.sink.count(f"refused.{code}")
+
+    async def answer_peer(self, body: bytes) -> bytes:
+        """Return all histograms of this router in JSON."""
+        del body
+        return msgspec.json.encode(list(self.times.encoded()))
+
+    def _record(
+        self,
+        call: call_module.Call,
+        measure: histograms.Measure,
+        seconds: float,
+    ) -> None:
+        group = f"{call.service.name}/{call.priority.value}"
+        key = histograms.Key(call.organisation, group, measure)
+        self.times.record(key, seconds)
+        self.sink.time(f"{measure.value}.{call.service.name}", seconds)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -44,6 +44,8 @@
 class Site:
     """Hold the processes of one small site."""
 
+    fleet: processes.Fleet
+    platform: processes.Process
     router: processes.Process
     ledger: processes.Process
 
@@ -73,7 +75,7 @@
             ).json()["endpoints"]
             == 2
         )
-        yield Site(router, ledger)
+        yield Site(fleet, platform, router, ledger)
 
 
 def test_streamed_answer_is_whole(site: Site) -> None:
@@ -131,6 +133,30 @@
     assert answer.json()["error"]["execution"] == "not_run"
 
 
+def test_histograms_count_the_calls_of_each_class(site: Site) -> None:
+    headers = {**HEADERS, "X-Priority": "batch"}
+    prompt = {"model": "assistant", "prompt": "count", "max_tokens": 2}
+    path = "/v1/completions"
+    for _ in range(3):
+        processes.request(site.router.address, "POST", path, prompt, headers)
+    shown = site.fleet.start(
+        "sycamoredale",
+        "histogram",
+        "--json",
+        "--platform",
+        site.platform.address,
+    )
+    output, _ = shown.popen.communicate(timeout=20)
+    report = json.loads(output)
+    assert (report["routers"], report["answered"]) == (1, 1)
+    counts = {
+        (h["organisation"], h["group"], h["measure"]): h["count"]
+        for h in report["histograms"]
+    }
+    assert counts["concierge", "assistant/batch", "total"] == 3
+    assert counts["concierge", "assistant/batch", "first_byte"] == 3
+
+
 def _list_instances(
     platform: processes.Process,
     engines: list[processes.Process],
