Look at the claim of a key before admission

A call of a key that had run was refused 'not run' for want of an endpoint, from which its caller could conclude that it may book again.

--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -49,8 +49,9 @@
         call = call_module.read(
             request, organisation, configuration, request_id
         )
+        if not call.idempotent:
+            # What a key came to is told even where no request is admitted.
+            await self.once.run(call, exchange)
+            return
         async with self.admission.admitted(call, clock.monotonic()):
-            if call.idempotent:
-                await self.dispatcher.run(call, exchange)
-            else:
-                await self.once.run(call, exchange)
+            await self.dispatcher.run(call, exchange)
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -78,8 +78,8 @@
             client.Pool(),
             poison.PoisonList(self._relay),
         )
-        self._once = self._build_once()
         self._admission = self._build_admission()
+        self._once = self._build_once()
         callers_service = callers.CallerService(
             configuration=self._current,
             health=self._health,
@@ -173,7 +173,9 @@
                 notice, clock.monotonic()
             ),
         )
-        return once.OnceRunner(self._dispatcher, service)
+        return once.OnceRunner(
+            self._dispatcher, service, self._admission.admitted
+        )
 
     async def _start_peer_service(self) -> None:
         peer_server = server.Server(self._peers.handle)
--- a/sycamoredale/requests/once.py
+++ b/sycamoredale/requests/once.py
@@ -1,12 +1,16 @@
 """Run a non-idempotent call at most once.
 
 Under an idempotency key, a claim in the object API comes before the
-dispatch, and its outcome is kept for whoever repeats the key.  The call
-runs in a task of its own: a caller that leaves or a deadline that passes
-ends the waiting, not the execution, so that its outcome is still kept.
-Without a key the call is sent at most once and never repeated.
+dispatch, and its outcome is kept for whoever repeats the key.  It comes
+before admission too: a refusal for want of room must not say "not run" of a
+key that has run.  The call runs in a task of its own: a caller that leaves
+or a deadline that passes ends the waiting, not the execution, so that its
+outcome is still kept.  Without a key the call is sent at most once and never
+repeated.
 """
 
+import collections.abc
+import contextlib
 import dataclasses
 import hashlib
 import typing
@@ -37,6 +41,11 @@
 REPLAYED_HEADER: Final = "Idempotent-Replayed"
 LOG: Final = logs.get("requests.once")
 
+Admitted = collections.abc.Callable[
+    [call_module.Call, clock.MonotonicTime],
+    contextlib.AbstractAsyncContextManager[None],
+]
+
 
 @dataclasses.dataclass
 class OnceRunner:
@@ -44,6 +53,7 @@
 
     dispatcher: dispatch.Dispatcher
     service: claim_service.ClaimService
+    admitted: Admitted
     open_executions: int = 0
 
     async def run(
@@ -73,7 +83,8 @@
         tries = tries_module.Tries(call)
         try:
             async with curio.timeout_after(call.deadline_seconds):
-                response = await self.dispatcher.run_once(tries)
+                async with self.admitted(call, clock.monotonic()):
+                    response = await self.dispatcher.run_once(tries)
         except curio.TaskTimeout as error:
             raise dispatch.deadline_refusal(call, tries.execution) from error
         await exchange.respond(response)
@@ -120,7 +131,8 @@
         response = None
         try:
             async with curio.ignore_after(EXECUTION_SECONDS):
-                response = await self.dispatcher.run_once(tries, before)
+                async with self.admitted(tries.call, clock.monotonic()):
+                    response = await self.dispatcher.run_once(tries, before)
             if response is None:
                 raise tries.refusal()
             return response
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -151,6 +151,7 @@
             "name": "bookings",
             "kind": "plain",
             "replicas": 1,
+            "cold_limit": 64,
             "routes": [
                 {
                     "path": "/withdrawals",
@@ -167,6 +168,7 @@
                 "kind": "model",
                 "replicas": engines,
                 "version": "v1",
+                "cold_limit": 64,
             }
         )
     configuration = {
