--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,151 @@
+"""Measure claims: latency, and store writes with and without batches.
+
+Claims are taken and recorded by one writer against a platform stand-in
+that answers after a delay; each claim is two operations.  The second part
+books withdrawals through a router with and without a key.
+"""
+
+import itertools
+import statistics
+import time
+import typing
+
+import click
+import curio
+
+from benchmarks import site as site_module
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.platform import objects
+from sycamoredale.requests import claim_writer
+from sycamoredale.requests import claims
+from tests import processes
+from tests import sites
+
+SECONDS: typing.Final = 30.0
+
+
+class SingleWriter(claim_writer.ClaimWriter):
+    """Write each operation by itself."""
+
+    async def _write(self, shard: int, batch: list[typing.Any]) -> None:
+        for pending in batch:
+            await super()._write(shard, [pending])
+
+
+@click.command()
+@click.option("--claims-count", default=1000, help="Claims of each run.")
+@click.option("--delay", default=0.003, help="Store delay in seconds.")
+def main(claims_count: int, delay: float) -> None:
+    """Run the measurement and print one JSON line a figure."""
+    with processes.Fleet() as fleet:
+        platform = fleet.standin("platform")
+        sites.set_faults(platform, delay=delay)
+        numbers = itertools.count()
+        for concurrency in (1, 16, 128):
+            for kind in (SingleWriter, claim_writer.ClaimWriter):
+                _measure(platform, kind, concurrency, claims_count, numbers)
+    with processes.Fleet() as fleet:
+        started = sites.start(fleet)
+        sites.set_faults(started.platform, delay=delay)
+        _measure_calls(started)
+
+
+def _measure(
+    platform: processes.Process,
+    kind: type[claim_writer.ClaimWriter],
+    concurrency: int,
+    count: int,
+    numbers: typing.Iterator[int],
+) -> None:
+    counts: dict[objects.CallKind, int] = dict.fromkeys(objects.CallKind, 0)
+
+    def on_call(called: objects.CallKind) -> None:
+        counts[called] += 1
+
+    store = objects.ObjectStore(
+        messages.parse_address(platform.address), client.Pool(), on_call
+    )
+    writer = kind(store, lambda: 86400.0)
+    latencies: list[float] = []
+    started = time.perf_counter()
+    share = count // concurrency
+    curio.run(_run_all, writer, concurrency, share, numbers, latencies)
+    seconds = time.perf_counter() - started
+    facts = {"concurrency": concurrency, "writer": kind.__name__}
+    done = share * concurrency
+    writes = counts[objects.CallKind.WRITE] / done
+    reads = counts[objects.CallKind.READ] / done
+    site_module.report("claim_store_writes", writes, "per claim", **facts)
+    site_module.report("claim_store_reads", reads, "per claim", **facts)
+    site_module.report("claims_rate", done / seconds, "1/s", **facts)
+    _report_latency("claim_take", latencies, **facts)
+
+
+async def _run_all(
+    writer: claim_writer.ClaimWriter,
+    concurrency: int,
+    share: int,
+    numbers: typing.Iterator[int],
+    latencies: list[float],
+) -> None:
+    tasks = [
+        await curio.spawn(_run_one, writer, share, numbers, latencies)
+        for _ in range(concurrency)
+    ]
+    for task in tasks:
+        await task.join()
+
+
+async def _run_one(
+    writer: claim_writer.ClaimWriter,
+    share: int,
+    numbers: typing.Iterator[int],
+    latencies: list[float],
+) -> None:
+    recording = []
+    for _ in range(share):
+        key = ids.IdempotencyKey(f"key-{next(numbers)}")
+        name = claims.name_of(
+            ids.OrganisationName("o"), ids.ServiceName("s"), key
+        )
+        attempt = ids.RequestId(name)
+        claim = claims.Claim(
+            name, attempt, ids.DaemonId("d"), ids.Incarnation(0), time.time()
+        )
+        shard = claims.shard_of(name)
+        before = time.perf_counter()
+        verdict = await writer.apply(shard, claims.Take(name, claim), SECONDS)
+        latencies.append(time.perf_counter() - before)
+        assert verdict.decision is claims.Decision.GRANTED
+        record = claims.Record(name, attempt, claims.keep(200, (), b"x" * 60))
+        recording.append(
+            await curio.spawn(writer.apply, shard, record, SECONDS)
+        )
+    for task in recording:
+        await task.join()
+
+
+def _measure_calls(started: sites.Site) -> None:
+    for kind in ("without a key", "with a key"):
+        latencies = []
+        for number in range(300):
+            key = f"call-{number}" if kind == "with a key" else None
+            before = time.perf_counter()
+            answer = started.withdraw(key)
+            latencies.append(time.perf_counter() - before)
+            assert answer.status == 200, answer.body
+        _report_latency("withdrawal", latencies, kind=kind)
+
+
+def _report_latency(
+    name: str, latencies: list[float], **facts: object
+) -> None:
+    cuts = statistics.quantiles(latencies, n=100)
+    site_module.report(f"{name}_p50", cuts[49] * 1e3, "ms", **facts)
+    site_module.report(f"{name}_p95", cuts[94] * 1e3, "ms", **facts)
+
+
+if __name__ == "__main__":
+    main()
--- a/sycamoredale/requests/claim_writer.py
+++ b/sycamoredale/requests/claim_writer.py
@@ -28,7 +28,7 @@
 RETRY_SECONDS: Final = 0.02
 RECORD_GATHER_SECONDS: Final = 0.25
 CONCURRENT_WRITES: Final = 4
-CACHED_SHARDS: Final = 8
+CACHE_BYTES: Final = 8 * 1024 * 1024
 DOWN_SECONDS: Final = 0.5
 LOG: Final = logs.get("requests.claims")
 
@@ -181,8 +181,13 @@
     def _remember(self, shard: int, cached: _Cached) -> None:
         self._cached_by_shard.pop(shard, None)
         self._cached_by_shard[shard] = cached
-        while len(self._cached_by_shard) > CACHED_SHARDS:
-            self._cached_by_shard.pop(next(iter(self._cached_by_shard)))
+        sizes = {n: len(c.value) for n, c in self._cached_by_shard.items()}
+        total = sum(sizes.values())
+        for oldest, size in sizes.items():
+            if total <= CACHE_BYTES:
+                return
+            del self._cached_by_shard[oldest]
+            total -= size
 
     async def _give_up(
         self, batch: list[_Pending], error: errors.SycamoredaleError
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -183,7 +183,7 @@
             attempt.endpoint.domain,
             alone=not attempt.accompanied,
         )
-        self.poison_list.observe(crash, clock.monotonic())
+        tries.condemned = self.poison_list.observe(crash, clock.monotonic())
 
     async def _cancel(self, attempt: attempt_module.Attempt) -> None:
         # Closing the connection may not reach an engine behind a broken
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -22,7 +22,7 @@
 from sycamoredale.membership import relay as relay_module
 from sycamoredale.requests import call as call_module
 
-MAX_CRASHES_PER_CALL: Final = 2
+MAX_CRASHES_PER_CALL: Final = 3
 THRESHOLD: Final = 2.0
 ALONE_WEIGHT: Final = 1.0
 ACCOMPANIED_WEIGHT: Final = 0.7
@@ -75,8 +75,11 @@
             len(self._recent(fingerprint, now)), error_codes.Execution.NOT_RUN
         )
 
-    def observe(self, crash: Crash, now: clock.MonotonicTime) -> None:
-        """Count a crash that this router saw and tell the others."""
+    def observe(self, crash: Crash, now: clock.MonotonicTime) -> bool:
+        """Count a crash that this router saw and tell the others.
+
+        Returns whether the request is refused from now on.
+        """
         self._add(crash, now)
         recent = [t for t in self._notice_times if t > now - 1.0]
         if self.relay is not None and len(recent) < NOTICES_PER_SECOND:
@@ -84,6 +87,7 @@
             key = f"{crash.fingerprint}:{crash.endpoint}"
             self.relay.publish(relay_module.Topic.POISON, key, crash)
         self._notice_times = recent
+        return self.score(crash.fingerprint, now) >= THRESHOLD
 
     def hear(
         self, notice: relay_module.Notice, now: clock.MonotonicTime
--- a/sycamoredale/requests/tries.py
+++ b/sycamoredale/requests/tries.py
@@ -21,6 +21,7 @@
     call: call_module.Call
     attempts: int = 0
     crashes: int = 0
+    condemned: bool = False
     execution: error_codes.Execution = error_codes.Execution.NOT_RUN
     gone: set[ids.EndpointId] = dataclasses.field(default_factory=set)
     tried: set[ids.EndpointId] = dataclasses.field(default_factory=set)
@@ -30,6 +31,7 @@
         return (
             self.attempts < MAX_ATTEMPTS
             and self.crashes < poison.MAX_CRASHES_PER_CALL
+            and not self.condemned
         )
 
     def exclusions(
@@ -45,7 +47,7 @@
 
     def refusal(self) -> errors.Refusal:
         """Return the refusal of a call that is given up."""
-        if self.crashes >= poison.MAX_CRASHES_PER_CALL:
+        if self.condemned or self.crashes >= poison.MAX_CRASHES_PER_CALL:
             return poison.refusal(self.crashes, self.execution)
         service = self.call.service.name
         if self.execution is error_codes.Execution.NOT_RUN:
