--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -71,12 +71,12 @@
             request, organisation, configuration, request_id
         )
         self._refuse_when_isolated(clock.monotonic())
-        async with self.admission.admitted(call, clock.monotonic()) as left:
-            self.observer.admitted(call, started, clock.monotonic())
-            if call.idempotent:
+        if call.idempotent:
+            async with self.admission.admitted(call, started) as left:
                 await self.dispatcher.run(left, exchange)
-            else:
-                await self.once.run(left, exchange)
+        else:
+            # What a key came to is told even where no request is admitted.
+            await self.once.run(call, exchange)
         self.observer.answered(
             call, started, exchange.first_byte, clock.monotonic()
         )
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -73,12 +73,13 @@
             client.Pool(),
             poison.PoisonList(self._node.relay),
         )
-        self._once = self._build_once()
         self._admission = self._build_admission()
         observer = requests.RequestObserver(
             metrics.connect(common.statsd, common.daemon)
         )
         self._node.peers.register(requests.PATH, observer.answer_peer)
+        self._admission.on_admitted = observer.admitted
+        self._once = self._build_once()
         callers_service = callers.CallerService(
             observer=observer,
             configuration=self._current,
@@ -175,7 +176,9 @@
                 notice, clock.monotonic()
             ),
         )
-        return once.OnceRunner(self._dispatcher, service)
+        return once.OnceRunner(
+            self._dispatcher, service, self._admission.admitted
+        )
 
     def _on_accepted(self, accepted: config_store.Accepted) -> None:
         self._table.apply_configuration(accepted.configuration)
