--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -85,9 +85,13 @@
             case ("POST", "/v1/chat/completions" | "/v1/completions"):
                 await self._generate(exchange)
             case ("GET", "/v1/cache-events"):
-                after = int(request.query("after") or 0)
-                events = self.cache.events_after(after)
+                events = self.cache.read_events(
+                    request.query("after"), int(request.query("limit") or 0)
+                )
                 await exchange.respond(messages.json_response(200, events))
+            case ("PUT", "/standin/cold"):
+                self.orders.turn_cold(clock.monotonic())
+                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/load"):
                 await exchange.respond(self._load_record())
             case ("PUT", "/standin/faults"):
@@ -95,9 +99,6 @@
                     request.body, type=generation.Faults
                 )
                 await exchange.respond(messages.json_response(200, {}))
-            case ("PUT", "/standin/cold"):
-                self.orders.turn_cold(clock.monotonic())
-                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/orders"):
                 await exchange.respond(
                     messages.json_response(200, self.orders.obeyed)
@@ -168,14 +169,7 @@
         is_cold = phase is orders.Phase.COLD
         overloads = self.load.overloads
         if is_cold:
-            self._recorder.write(
-                records.ColdLoad(
-                    clock.monotonic(),
-                    self.settings.instance,
-                    self.load.running + 1,
-                    self.settings.cold_limit,
-                )
-            )
+            self._record_cold_load()
         try:
             async with self.load.place(is_cold, self.settings.cold_limit):
                 await self._check_members()
@@ -186,11 +180,11 @@
 
     async def _execute(self, exchange: server.Exchange) -> None:
         request = exchange.request
+        self._record_start(request)
         longest = request.headers.get(DEADLINE_HEADER)
         seconds = float(longest) if longest else NO_DEADLINE_SECONDS
         load_fields = self.load.fields(clock.monotonic())
         exchange.answer_fields.extend(load_fields)
-        request_id = self._record_start(request)
         try:
             async with curio.timeout_after(seconds):
                 await self._prefill(request.body)
@@ -198,41 +192,53 @@
         except curio.TaskTimeout as error:
             raise ConnectionResetError("the deadline passed") from error
         finally:
-            self._recorder.write(
-                records.Ended(
-                    clock.monotonic(),
-                    self.settings.instance,
-                    request_id,
-                    exchange.finished,
-                )
-            )
+            self._record_end(exchange)
 
-    async def _prefill(self, body: bytes) -> None:
-        settings = self.settings
-        missing = self.cache.use(body)
-        seconds = missing * settings.prefill_block_seconds
-        if self.orders.phase is orders.Phase.COLD:
-            seconds += (settings.cold_factor - 1) * (
-                settings.first_token_seconds
+    def _record_cold_load(self) -> None:
+        self._recorder.write(
+            records.ColdLoad(
+                clock.monotonic(),
+                self.settings.instance,
+                self.load.running + self.load.waiting + 1,
+                self.settings.cold_limit,
             )
-        await curio.sleep(seconds)
+        )
 
-    def _record_start(self, request: messages.Request) -> str:
-        request_id = request.headers.get(generation.REQUEST_ID_HEADER) or ""
+    def _record_start(self, request: messages.Request) -> None:
         prompt = msgspec.json.decode(request.body, type=generation.Prompt)
         order = self.orders.order
         self._recorder.write(
             records.Executed(
                 clock.monotonic(),
                 self.settings.instance,
-                request_id,
+                request.headers.get(generation.REQUEST_ID_HEADER) or "",
                 marker=generation.marker(prompt),
                 group=order.group if order else "",
                 epoch=self.orders.epoch,
                 members=order.members if order else [],
             )
         )
-        return request_id
+
+    def _record_end(self, exchange: server.Exchange) -> None:
+        headers = exchange.request.headers
+        self._recorder.write(
+            records.Ended(
+                clock.monotonic(),
+                self.settings.instance,
+                headers.get(generation.REQUEST_ID_HEADER) or "",
+                exchange.finished,
+            )
+        )
+
+    async def _prefill(self, body: bytes) -> None:
+        settings = self.settings
+        missing = self.cache.use(body)
+        seconds = missing * settings.prefill_block_seconds
+        if self.orders.phase is orders.Phase.COLD:
+            seconds += (settings.cold_factor - 1) * (
+                settings.first_token_seconds
+            )
+        await curio.sleep(seconds)
 
     async def _check_members(self) -> None:
         order = self.orders.order
--- a/sycamoredale/standins/engine_load.py
+++ b/sycamoredale/standins/engine_load.py
@@ -124,14 +124,18 @@
             self._record(stored, dropped)
         return len(blocks) - found
 
-    def events_after(self, sequence: int) -> list[reports.CacheEvent]:
-        """Return the events that are kept and not lost on purpose."""
-        return [
+    def read_events(
+        self, after: str | None, limit: int
+    ) -> list[reports.CacheEvent]:
+        """Return the first events after a number, or the newest one."""
+        shown = [
             e
             for e in self.events
-            if e.sequence > sequence
-            and not (self.lose_every and e.sequence % self.lose_every == 0)
+            if not (self.lose_every and e.sequence % self.lose_every == 0)
         ]
+        if after is None:
+            return shown[-1:]
+        return [e for e in shown if e.sequence > int(after)][:limit]
 
     def _record(self, stored: list[int], dropped: list[int]) -> None:
         self._sequence += 1
