--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -1,4 +1,4 @@
-"""Compare ways to choose an endpoint on one seeded load.
+"""Measure ways to choose an endpoint on one seeded load.
 
 Each endpoint is a first come first served queue with a number of places.
 A request takes a time for each prompt block that is not cached and a time
@@ -17,6 +17,7 @@
 import statistics
 import typing
 
+from benchmarks import site
 from sycamoredale import clock
 from sycamoredale.config import model
 from sycamoredale.engines import reports
@@ -111,28 +112,20 @@
     seconds: list[float] = dataclasses.field(default_factory=list)
     hits: int = 0
 
-    def line(self, name: str) -> str:
-        """Return one line of the printed table."""
+    def report(self, variant: str) -> None:
+        """Print the figures of one way."""
         cuts = statistics.quantiles(self.seconds, n=100)
         share = self.hits / len(self.seconds)
-        return (
-            f"{name:18} {cuts[49]:8.3f} {cuts[94]:8.3f} {cuts[98]:8.3f} "
-            f"{share:9.2f}"
-        )
+        site.report("choice.first_token_p50", cuts[49], "s", variant=variant)
+        site.report("choice.first_token_p95", cuts[94], "s", variant=variant)
+        site.report("choice.first_token_p99", cuts[98], "s", variant=variant)
+        site.report("choice.cached_share", share, "", variant=variant)
 
 
 def main() -> None:
-    """Run all ways on the same load and print a table."""
-    print(
-        f"{ROUTERS} routers, {ENDPOINTS} endpoints of {CAPACITY} places, "
-        f"one {STRAGGLER_FACTOR:g} times slower, {REQUESTS} requests, "
-        f"utilisation {UTILISATION:g} without cache hits"
-    )
-    print(
-        f"{'way':18} {'p50 s':>8} {'p95 s':>8} {'p99 s':>8} {'hit share':>9}"
-    )
+    """Run all ways on the same load and print figures."""
     for name, build in WAYS.items():
-        print(_run(build).line(name))
+        _run(build).report(name)
 
 
 def _run(build: typing.Callable[[list[choice.Chooser]], Chooses]) -> Result:
@@ -277,9 +270,9 @@
 
 WAYS: typing.Final = {
     "random": _at_random,
-    "round robin": _round_robin,
-    "least in flight": _least_in_flight,
-    "ours, no prefixes": _ours_without_cache,
+    "round-robin": _round_robin,
+    "least-in-flight": _least_in_flight,
+    "ours-without-prefixes": _ours_without_cache,
     "ours": _ours,
 }
 
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -35,6 +35,7 @@
 from sycamoredale.requests import dispatch
 from sycamoredale.requests import once
 from sycamoredale.requests import poison
+from sycamoredale.routing import cache_follower
 from sycamoredale.routing import choice
 from sycamoredale.routing import cold_keeper
 from sycamoredale.routing import cold_start
@@ -102,6 +103,7 @@
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
         await curio.spawn(self._warmth.run, daemon=True)
+        await curio.spawn(self._cache_follower.run, daemon=True)
         await curio.spawn(self._admission.run, daemon=True)
         await curio.spawn(self._cold_keeper.run, daemon=True)
         await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
@@ -146,7 +148,14 @@
             self._settings.common.daemon,
             zone,
         )
-        return choice.Chooser(self._table, zone, endpoint_health, cold)
+        chooser = choice.Chooser(self._table, zone, endpoint_health, cold)
+        self._cache_follower = cache_follower.CacheFollower(
+            self._table,
+            chooser.prefixes,
+            reports.EngineReports(self._pool),
+            zone,
+        )
+        return chooser
 
     def _build_admission(self) -> admission.Admission:
         board = usage.UsageBoard(self._relay, self._count_routers)
--- a/sycamoredale/engines/reports.py
+++ b/sycamoredale/engines/reports.py
@@ -52,10 +52,15 @@
         return await model_engine.ModelEngines(self.pool).state(address)
 
     async def cache_events(
-        self, address: messages.Address, after: int
+        self, address: messages.Address, after: int | None, limit: int
     ) -> list[CacheEvent]:
-        """Return the events after a number; raise Failed or Broken."""
-        request = messages.Request("GET", f"/v1/cache-events?after={after}")
+        """Return the first events after a number, or the newest for None.
+
+        Raises ConnectionFailed or ConnectionBroken.
+        """
+        position = "" if after is None else f"after={after}&"
+        target = f"/v1/cache-events?{position}limit={limit}"
+        request = messages.Request("GET", target)
         response = await self.pool.call(address, request, CALL_SECONDS)
         try:
             return msgspec.json.decode(response.body, type=list[CacheEvent])
--- a/sycamoredale/requests/once.py
+++ b/sycamoredale/requests/once.py
@@ -43,7 +43,7 @@
 
 Admitted = collections.abc.Callable[
     [call_module.Call, clock.MonotonicTime],
-    contextlib.AbstractAsyncContextManager[None],
+    contextlib.AbstractAsyncContextManager[call_module.Call],
 ]
 
 
--- a/sycamoredale/routing/affinity.py
+++ b/sycamoredale/routing/affinity.py
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass
 class _EventPosition:
-    sequence: int = 0
+    sequence: int | None = None
     generation: int = 0
 
 
@@ -58,14 +58,19 @@
         for index in range(len(blocks) - 1, -1, -1):
             holders = self._generations_by_block.get(blocks[index], {})
             for endpoint, generation in holders.items():
-                if generation == self._position(endpoint).generation:
+                position = self._position_by_id.get(endpoint)
+                if position is not None and generation == position.generation:
                     shares.setdefault(endpoint, (index + 1) / len(blocks))
         return shares
 
-    def last_sequence(self, endpoint: ids.EndpointId) -> int:
-        """Return the number of the last event known of an endpoint."""
+    def last_sequence(self, endpoint: ids.EndpointId) -> int | None:
+        """Return the number of the last event known, None before any."""
         return self._position(endpoint).sequence
 
+    def used_endpoints(self) -> list[ids.EndpointId]:
+        """Return the endpoints that blocks were noted for."""
+        return list(self._position_by_id)
+
     def apply(
         self,
         endpoint: ids.EndpointId,
@@ -74,9 +79,10 @@
         """Take over events in any order; forget the endpoint at a gap."""
         for event in sorted(events, key=lambda e: e.sequence):
             position = self._position(endpoint)
-            if event.sequence <= position.sequence:
+            last = position.sequence
+            if last is not None and event.sequence <= last:
                 continue
-            if event.sequence != position.sequence + 1:
+            if last is not None and event.sequence != last + 1:
                 position.generation += 1
             position.sequence = event.sequence
             self.stored(endpoint, event.stored)
@@ -86,7 +92,7 @@
     def forget(self, endpoints: set[ids.EndpointId]) -> None:
         """Drop the endpoints that are not among those given."""
         for gone in self._position_by_id.keys() - endpoints:
-            self._position_by_id[gone].generation += 1
+            del self._position_by_id[gone]
 
     def _position(self, endpoint: ids.EndpointId) -> _EventPosition:
         return self._position_by_id.setdefault(endpoint, _EventPosition())
