--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -152,7 +152,7 @@
         self._cache_follower = cache_follower.CacheFollower(
             self._table,
             chooser.prefixes,
-            reports.EngineReports(self._pool),
+            reports.EngineReports(self._node.pool),
             zone,
         )
         return chooser
