Refuse calls as not ready until a configuration has been read

Cause: a router that had read nothing knew no organisation and refused valid keys with 401. It now answers 503 not_ready with Retry-After, and its health check says so to the balancer.

--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -23,9 +23,11 @@
 CurrentStanding = collections.abc.Callable[
     [clock.MonotonicTime], freshness.Standing
 ]
+IsReady = collections.abc.Callable[[], bool]
 HEALTH_PATH: Final = "/healthz"
 Health = collections.abc.Callable[[], messages.Response]
 ISOLATED_RETRY_SECONDS: Final = 1.0
+NOT_READY_RETRY_SECONDS: Final = 1.0
 
 
 @dataclasses.dataclass
@@ -40,6 +42,7 @@
     observer: requests.RequestObserver = dataclasses.field(
         default_factory=requests.RequestObserver
     )
+    is_ready: IsReady = lambda: True
     standing: CurrentStanding = lambda now: freshness.Standing.FRESH
 
     async def handle(self, exchange: server.Exchange) -> None:
@@ -62,6 +65,7 @@
         if request.path == HEALTH_PATH:
             await exchange.respond(self.health())
             return
+        self._refuse_when_not_ready()
         configuration = self.configuration()
         organisation = organisations.authenticate(
             configuration.organisations, request.headers.get("Authorization")
@@ -81,6 +85,15 @@
             call, started, exchange.first_byte, clock.monotonic()
         )
 
+    def _refuse_when_not_ready(self) -> None:
+        if not self.is_ready():
+            raise errors.Refusal(
+                error_codes.NOT_READY,
+                "this router has read no configuration yet; another router "
+                "may take the request",
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
+
     def _refuse_when_isolated(self, now: clock.MonotonicTime) -> None:
         if self.standing(now) is freshness.Standing.ISOLATED:
             raise errors.Refusal(
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -88,6 +88,7 @@
             admission=self._admission,
             dispatcher=self._dispatcher,
             once=self._once,
+            is_ready=self._is_ready,
             standing=self._node.standing,
         )
         self._server = server.Server(
@@ -125,6 +126,9 @@
             settled = True
         LOG.info("router_stopped", complete=complete, settled=settled)
 
+    def _is_ready(self) -> bool:
+        return self._configuration.accepted.generation > 0
+
     def _current(self) -> config_model.Configuration:
         return self._configuration.accepted.configuration
 
@@ -203,7 +207,8 @@
             "peers": self._node.live_daemons(),
             "standing": standing.value,
         }
-        away = draining or standing is freshness.Standing.ISOLATED
+        isolated = standing is freshness.Standing.ISOLATED
+        away = draining or isolated or not self._is_ready()
         return messages.json_response(503 if away else 200, body)
 
 
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -42,6 +42,9 @@
 UNKNOWN_KEY: Final = _define(
     "unknown_key", 401, "the API key belongs to no organisation"
 )
+NOT_READY: Final = _define(
+    "not_ready", 503, "the router has read no configuration yet"
+)
 NOT_FOUND: Final = _define("not_found", 404, "the path names nothing")
 UNKNOWN_SERVICE: Final = _define(
     "unknown_service", 404, "the service or model does not exist"
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -152,6 +152,7 @@
             "kind": "plain",
             "replicas": 1,
             "cold_limit": 64,
+            "capacity": 64,
             "routes": [
                 {
                     "path": "/withdrawals",
@@ -169,6 +170,7 @@
                 "replicas": engines,
                 "version": "v1",
                 "cold_limit": 64,
+                "capacity": 64,
             }
         )
     configuration = {
