--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -53,6 +53,7 @@
     codes: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    sent: int = 0
 
 
 def main() -> None:
@@ -83,7 +84,7 @@
     site.report("fairness.jain_index", jain, "", variant=variant)
     for kind in ("small", "large"):
         names = [name for name in outcomes if name.startswith(kind)]
-        offered = sum(RATE_BY_CALLER[name] for name in names) * SECONDS
+        offered = sum(outcomes[name].sent for name in names)
         seconds = [s for n in names for s in outcomes[n].seconds]
         refused = [s for n in names for s in outcomes[n].refused_seconds]
         answered = len(seconds) / offered
@@ -164,6 +165,7 @@
     headers = headers.with_field("X-Deadline-Seconds", f"{DEADLINE_SECONDS:g}")
     request = dataclasses.replace(request, headers=headers)
     started = clock.monotonic()
+    outcome.sent += 1
     try:
         response = await pool.call(address, request, 2 * DEADLINE_SECONDS)
     except errors.SycamoredaleError as error:
