--- a/sycamoredale/admission/admission.py
+++ b/sycamoredale/admission/admission.py
@@ -35,6 +35,7 @@
 CAPACITY_SECONDS: Final = 0.5
 
 CurrentConfiguration = collections.abc.Callable[[], config_model.Configuration]
+OnAdmitted = collections.abc.Callable[[call_module.Call, float], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +51,7 @@
     chooser: choice.Chooser
     board: usage.UsageBoard
     configuration: CurrentConfiguration
+    on_admitted: OnAdmitted = lambda call, seconds: None
     queue_by_service: dict[ids.ServiceName, queue.ServiceQueue] = (
         dataclasses.field(default_factory=dict)
     )
@@ -93,7 +95,9 @@
             await waiter.decided.wait()
             if waiter.refusal is not None:
                 raise waiter.refusal
-            left = waiter.ends_at - clock.monotonic()
+            admitted_at = clock.monotonic()
+            self.on_admitted(call, admitted_at - now)
+            left = waiter.ends_at - admitted_at
             yield dataclasses.replace(
                 call, deadline_seconds=max(left, MIN_LEFT_SECONDS)
             )
--- a/sycamoredale/daemons/controller.py
+++ b/sycamoredale/daemons/controller.py
@@ -6,14 +6,16 @@
 
 from sycamoredale.config import model as config_model
 from sycamoredale.config import store as config_store
+from sycamoredale.daemons import fleet
 from sycamoredale.daemons import followers
 from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
 from sycamoredale.groups import keeper
 from sycamoredale.http import client
+from sycamoredale.membership import view
 from sycamoredale.observability import logs
+from sycamoredale.platform import budget
 from sycamoredale.platform import instances
-from sycamoredale.platform import objects
 from sycamoredale.platform import weights
 
 LOG: Final = logs.get("controller")
@@ -27,14 +29,17 @@
         """Build the parts; nothing runs until `run`."""
         pool = client.Pool()
         address = settings.common.platform
-        store = objects.ObjectStore(address, pool)
+        joined = fleet.join(settings.common, view.Role.CONTROLLER)
+        self._node = joined.node
         self._configuration = followers.ConfigurationFollower(
-            store, lambda accepted: None
+            joined.store.with_priority(budget.Priority.FOLLOW),
+            joined.node,
+            lambda accepted: None,
         )
         self._keeper = keeper.GroupKeeper(
             settings.common.daemon,
             keeper.Platform(
-                store,
+                joined.store,
                 instances.InstanceList(address, pool),
                 weights.WeightStore(address, pool),
             ),
@@ -45,6 +50,7 @@
     async def run(self) -> None:
         """Act until SIGTERM or SIGINT, then give back the leases."""
         stop = stopping.StopSignal()
+        await self._node.start()
         await curio.spawn(self._configuration.run, daemon=True)
         acting = await curio.spawn(self._keeper.run, daemon=True)
         LOG.info("controller_started")
@@ -52,6 +58,7 @@
         await acting.cancel()
         async with curio.ignore_after(STOP_SECONDS):
             await self._keeper.stop()
+        await self._node.stop()
         LOG.info("controller_stopped")
 
     def _accepted(self) -> config_model.Configuration | None:
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -14,6 +14,7 @@
 from sycamoredale.config import model as config_model
 from sycamoredale.config import store as config_store
 from sycamoredale.daemons import callers
+from sycamoredale.daemons import fleet
 from sycamoredale.daemons import followers
 from sycamoredale.daemons import options
 from sycamoredale.daemons import stopping
@@ -21,12 +22,13 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
-from sycamoredale import ids
+from sycamoredale.membership import freshness
 from sycamoredale.membership import relay
-from sycamoredale.membership import service as peer_service
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
+from sycamoredale.observability import metrics
+from sycamoredale.observability import requests
+from sycamoredale.platform import budget
 from sycamoredale.requests import call
 from sycamoredale.requests import claim_service
 from sycamoredale.requests import claim_writer
@@ -53,40 +55,40 @@
         """Build the parts; nothing listens until `run`."""
         common = settings.common
         self._settings = settings
-        self._pool = client.Pool()
-        self._store = objects.ObjectStore(common.platform, self._pool)
+        joined = fleet.join(common, view.Role.ROUTER)
+        following = joined.store.with_priority(budget.Priority.FOLLOW)
+        self._node = joined.node
+        self._store = joined.store
         self._table = table.RoutingTable()
         self._configuration = followers.ConfigurationFollower(
-            self._store, self._on_accepted
+            following, self._node, self._on_accepted
         )
         self._assignments = followers.AssignmentFollower(
-            self._store, self._table
-        )
-        self._relay = relay.Relay(common.daemon)
-        self._members = view.MembershipView(
-            view.Peer(
-                common.daemon,
-                str(settings.peer_listen),
-                common.zone,
-                view.Role.ROUTER,
-                ids.Incarnation(0),
-            )
-        )
-        self._peers = peer_service.PeerService(self._members, self._pool)
+            following, self._node, self._table
+        )
+        self._relay = self._node.relay
+        self._members = self._node.members
         self._chooser = self._build_chooser()
         self._dispatcher = dispatch.Dispatcher(
             self._chooser,
             client.Pool(),
-            poison.PoisonList(self._relay),
+            poison.PoisonList(self._node.relay),
         )
-        self._once = self._build_once()
         self._admission = self._build_admission()
+        observer = requests.RequestObserver(
+            metrics.connect(common.statsd, common.daemon)
+        )
+        self._node.peers.register(requests.PATH, observer.answer_peer)
+        self._admission.on_admitted = observer.admitted
+        self._once = self._build_once()
         callers_service = callers.CallerService(
+            observer=observer,
             configuration=self._current,
             health=self._health,
             admission=self._admission,
             dispatcher=self._dispatcher,
             once=self._once,
+            standing=self._node.standing,
         )
         self._server = server.Server(
             callers_service.handle,
@@ -97,7 +99,7 @@
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
         stop = stopping.StopSignal()
-        await self._start_peer_service()
+        await self._node.start()
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
         await curio.spawn(self._warmth.run, daemon=True)
@@ -113,6 +115,7 @@
 
     async def _drain(self) -> None:
         LOG.info("router_draining")
+        await curio.spawn(self._node.stop, daemon=True)
         complete = await self._server.drain(
             self._settings.drain_seconds, DRAIN_LISTEN_SECONDS
         )
@@ -139,7 +142,7 @@
         self._cold_keeper = cold_keeper.ColdKeeper(
             cold,
             self._store,
-            reports.EngineReports(self._pool),
+            reports.EngineReports(self._node.pool),
             self._warmth,
             self._current,
             self._settings.common.daemon,
@@ -149,7 +152,7 @@
         self._cache_follower = cache_follower.CacheFollower(
             self._table,
             chooser.prefixes,
-            reports.EngineReports(self._pool),
+            reports.EngineReports(self._node.pool),
             zone,
         )
         return chooser
@@ -167,41 +170,41 @@
 
     def _build_once(self) -> once.OnceRunner:
         writer = claim_writer.ClaimWriter(
-            self._store,
+            self._store.with_priority(budget.Priority.CLAIM),
             lambda: (
                 self._configuration.accepted.configuration.limits
             ).result_retention_seconds,
         )
         service = claim_service.ClaimService(
-            writer, self._members, self._peers
+            writer, self._node.members, self._node.peers
         )
-        self._peers.register(claim_service.PEER_PATH, service.answer_peer)
-        self._relay.subscribe(
+        self._node.peers.register(claim_service.PEER_PATH, service.answer_peer)
+        self._node.relay.subscribe(
             relay.Topic.POISON,
             lambda notice: self._dispatcher.poison_list.hear(
                 notice, clock.monotonic()
             ),
         )
-        return once.OnceRunner(self._dispatcher, service)
-
-    async def _start_peer_service(self) -> None:
-        peer_server = server.Server(self._peers.handle)
-        bound = peer_server.bind(self._settings.peer_listen)
-        await peer_server.start()
-        LOG.info("peer_service_listening", address=str(bound))
+        return once.OnceRunner(
+            self._dispatcher, service, self._admission.admitted
+        )
 
     def _on_accepted(self, accepted: config_store.Accepted) -> None:
         self._table.apply_configuration(accepted.configuration)
 
     def _health(self) -> messages.Response:
         draining = self._server.draining
+        standing = self._node.standing(clock.monotonic())
         body = {
             "daemon": self._settings.common.daemon,
             "draining": draining,
             "generation": self._configuration.accepted.generation,
             "endpoints": len(self._table.by_id),
+            "peers": self._node.live_daemons(),
+            "standing": standing.value,
         }
-        return messages.json_response(503 if draining else 200, body)
+        away = draining or standing is freshness.Standing.ISOLATED
+        return messages.json_response(503 if away else 200, body)
 
 
 def run(settings: options.RouterOptions) -> None:
--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -1,11 +1,13 @@
 """Hold one request of a caller and write its answer."""
 
+import collections.abc
 import typing
 from typing import Final
 
 import curio
 import h11
 
+from sycamoredale import clock
 from sycamoredale.http import chunked
 from sycamoredale.http import messages
 
@@ -20,7 +22,8 @@
 
     `answer_fields` are added to the headers of every answer.  `intact` is
     false while a write is under way and stays so if the write is cut off;
-    nothing may be written after that.
+    nothing may be written after that.  `closing` says that the answer told
+    the caller of the connection's end.
     """
 
     def __init__(
@@ -28,24 +31,27 @@
         request: messages.Request,
         connection: h11.Connection,
         sock: typing.Any,
+        is_draining: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         """Bind the request to the connection that it arrived on."""
         self.request: Final = request
         self.request_id = ""
         self.answer_fields: list[tuple[str, str]] = []
         self.started = False
+        self.first_byte: clock.MonotonicTime | None = None
         self.finished = False
         self.intact = True
         self.closing = False
         self._chunked = False
         self._connection = connection
         self._sock = sock
+        self._is_draining = is_draining
 
     async def respond(self, response: messages.Response) -> None:
         """Write a whole answer in one piece."""
         headers = self._headers(_with_length(response, self.request.method))
         head = h11.Response(status_code=response.status, headers=headers)
-        self.started = True
+        self._begin()
         parts = [self._connection.send(head)]
         if response.body and self.request.method != "HEAD":
             parts.append(self._connection.send(h11.Data(data=response.body)))
@@ -58,7 +64,7 @@
         event = h11.Response(
             status_code=head.status, headers=self._headers(head.headers)
         )
-        self.started = True
+        self._begin()
         sent = self._connection.send(event) or b""
         self._chunked = CHUNKED_FIELD in sent.lower()
         await self._send(sent)
@@ -96,6 +102,10 @@
             self._connection.receive_data(data)
         await _never()
 
+    def _begin(self) -> None:
+        self.started = True
+        self.first_byte = clock.monotonic()
+
     async def _send(self, data: bytes) -> None:
         if not self.intact:
             raise ConnectionAbortedError("an earlier write was cut off")
@@ -106,6 +116,9 @@
     def _headers(self, headers: messages.Headers) -> list[tuple[bytes, bytes]]:
         for name, value in self.answer_fields:
             headers = headers.with_field(name, value)
+        # Decided with the head: whoever was not told that the connection
+        # closes may send another request on it.
+        self.closing = self._is_draining()
         if self.closing:
             headers = headers.with_field("Connection", "close")
         return encode(headers)
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -92,7 +92,7 @@
                 call,
                 endpoint,
                 call.upstream,
-                dispatch_before,
+                dispatch_before=dispatch_before,
                 chooser=self.chooser,
             )
             tries.execution = error_codes.Execution.UNKNOWN
@@ -205,7 +205,7 @@
             attempt.endpoint.domain,
             alone=not attempt.accompanied,
         )
-        self.poison_list.observe(crash, clock.monotonic())
+        tries.condemned = self.poison_list.observe(crash, clock.monotonic())
 
     async def _cancel(self, attempt: attempt_module.Attempt) -> None:
         # Closing the connection may not reach an engine behind a broken
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -180,11 +180,11 @@
 
     async def _execute(self, exchange: server.Exchange) -> None:
         request = exchange.request
-        self._record_start(request)
         longest = request.headers.get(DEADLINE_HEADER)
         seconds = float(longest) if longest else NO_DEADLINE_SECONDS
         load_fields = self.load.fields(clock.monotonic())
         exchange.answer_fields.extend(load_fields)
+        self._record_start(request)
         try:
             async with curio.timeout_after(seconds):
                 await self._prefill(request.body)
