Keep the usage of a router within one notice

Cause: the relay refuses notices above 1,000 bytes, which would have ended the task of admission on a router with many organisations. The largest entries are sent.

--- a/sycamoredale/admission/usage.py
+++ b/sycamoredale/admission/usage.py
@@ -18,8 +18,10 @@
 from sycamoredale import ids
 from sycamoredale.membership import relay
 
+MAX_USAGE_BYTES: Final = 700
 MIN_PERIOD_SECONDS: Final = 0.5
 RECEIVED_BYTES_PER_SECOND: Final = 600
+ENTRY_BYTES: Final = 8
 NOTICE_OVERHEAD_BYTES: Final = 120
 EXPIRY_PERIODS: Final = 4
 
@@ -71,6 +73,7 @@
         """Tell the peers what this router has, at the bounded rate."""
         if now < self._publish_at:
             return
+        wanted_by_service = _largest(wanted_by_service)
         size = len(msgspec.json.encode(wanted_by_service))
         received = self.routers() * (size + NOTICE_OVERHEAD_BYTES)
         period = max(MIN_PERIOD_SECONDS, received / RECEIVED_BYTES_PER_SECOND)
@@ -103,3 +106,24 @@
         gone = [d for d, h in self._heard_by_id.items() if now > h.expires_at]
         for daemon in gone:
             del self._heard_by_id[daemon]
+
+
+def _largest(
+    wanted_by_service: dict[ids.ServiceName, ByOrganisation],
+) -> dict[ids.ServiceName, ByOrganisation]:
+    """Return the largest entries that fit into one notice."""
+    entries = [
+        (count, service, organisation)
+        for service, wanted in wanted_by_service.items()
+        for organisation, count in wanted.items()
+    ]
+    entries.sort(reverse=True)
+    kept: dict[ids.ServiceName, ByOrganisation] = {}
+    size = 0
+    for count, service, organisation in entries:
+        size += len(organisation) + ENTRY_BYTES
+        size += len(service) + ENTRY_BYTES if service not in kept else 0
+        if size > MAX_USAGE_BYTES:
+            break
+        kept.setdefault(service, {})[organisation] = count
+    return kept
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -305,6 +305,26 @@
     assert board.known_share(clock.MonotonicTime(9.0)) == 0.25
 
 
+def test_usage_of_many_organisations_fits_a_notice() -> None:
+    notices = relay.Relay(ids.DaemonId("a"))
+    board = usage.UsageBoard(notices, lambda: 4)
+    peer = usage.UsageBoard(relay.Relay(ids.DaemonId("b")), lambda: 4)
+    sent: list[relay.Notice] = []
+    publish = notices.publish
+    notices.publish = (  # type: ignore[method-assign]
+        lambda *fields: sent.append(publish(*fields)) or sent[-1]
+    )
+    wanted = {
+        ids.OrganisationName(f"organisation-{n:03}"): n for n in range(200)
+    }
+    board.publish_if_due({SERVICE.name: wanted}, clock.MonotonicTime(0.0))
+    now = clock.MonotonicTime(1.0)
+    peer.hear(sent[0], now)
+    heard = peer.elsewhere(SERVICE.name, now)
+    assert len(heard) > 10
+    assert max(heard.values()) == 199
+
+
 def test_retries_stay_a_share_of_calls() -> None:
     budget = retry_budget.RetryBudget()
     taken = 0
