--- a/sycamoredale/admission/admission.py
+++ b/sycamoredale/admission/admission.py
@@ -29,11 +29,13 @@
 
 TICK_SECONDS: Final = 0.05
 NO_ROOM_SECONDS: Final = 5.0
+MIN_LEFT_SECONDS: Final = 0.001
 MIN_RETRY_SECONDS: Final = 1.0
 MAX_RETRY_SECONDS: Final = 60.0
 CAPACITY_SECONDS: Final = 0.5
 
 CurrentConfiguration = collections.abc.Callable[[], config_model.Configuration]
+OnAdmitted = collections.abc.Callable[[call_module.Call, float], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +51,7 @@
     chooser: choice.Chooser
     board: usage.UsageBoard
     configuration: CurrentConfiguration
+    on_admitted: OnAdmitted = lambda call, seconds: None
     queue_by_service: dict[ids.ServiceName, queue.ServiceQueue] = (
         dataclasses.field(default_factory=dict)
     )
@@ -73,8 +76,11 @@
     @contextlib.asynccontextmanager
     async def admitted(
         self, call: call_module.Call, now: clock.MonotonicTime
-    ) -> collections.abc.AsyncIterator[None]:
-        """Hold a place for the call while the block runs; raise Refusal."""
+    ) -> collections.abc.AsyncIterator[call_module.Call]:
+        """Hold a place for the call while the block runs; raise Refusal.
+
+        The block gets the call with the time that is left to it.
+        """
         service = self._queue(call.service.name)
         waiter = queue.Waiter(
             call, now, clock.MonotonicTime(now + call.deadline_seconds)
@@ -89,7 +95,12 @@
             await waiter.decided.wait()
             if waiter.refusal is not None:
                 raise waiter.refusal
-            yield
+            admitted_at = clock.monotonic()
+            self.on_admitted(call, admitted_at - now)
+            left = waiter.ends_at - admitted_at
+            yield dataclasses.replace(
+                call, deadline_seconds=max(left, MIN_LEFT_SECONDS)
+            )
         finally:
             ended = clock.monotonic()
             service.finish(waiter, ended)
@@ -124,7 +135,10 @@
         allowance = self.allowance(service, now)
         while (waiter := service.next(allowance)) is not None:
             unplaced = len(service.unplaced)
-            if not self.chooser.has_room(waiter.call, unplaced, now):
+            # A repeated key may need no endpoint; its first run waits later.
+            if waiter.call.key is None and not self.chooser.has_room(
+                waiter.call, unplaced, now
+            ):
                 return
             service.start(waiter, now)
             await waiter.decided.set()
@@ -159,7 +173,11 @@
     ) -> None:
         if now - waiter.arrived_at < NO_ROOM_SECONDS:
             return
-        if self._capacity(waiter.call.service.name, now):
+        service = self._queue(waiter.call.service.name)
+        if self._capacity(service.service, now) and (
+            service.running.total()
+            or self.chooser.has_room(waiter.call, 0, now)
+        ):
             return
         raise errors.Refusal(
             error_codes.NO_ENDPOINT,
--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -14,6 +14,7 @@
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale.membership import freshness
+from sycamoredale.observability import requests
 from sycamoredale.requests import call as call_module
 from sycamoredale.requests import dispatch
 from sycamoredale.requests import once
@@ -22,9 +23,11 @@
 CurrentStanding = collections.abc.Callable[
     [clock.MonotonicTime], freshness.Standing
 ]
+IsReady = collections.abc.Callable[[], bool]
 HEALTH_PATH: Final = "/healthz"
 Health = collections.abc.Callable[[], messages.Response]
 ISOLATED_RETRY_SECONDS: Final = 1.0
+NOT_READY_RETRY_SECONDS: Final = 1.0
 
 
 @dataclasses.dataclass
@@ -36,10 +39,23 @@
     admission: admission.Admission
     dispatcher: dispatch.Dispatcher
     once: once.OnceRunner
+    observer: requests.RequestObserver = dataclasses.field(
+        default_factory=requests.RequestObserver
+    )
+    is_ready: IsReady = lambda: True
     standing: CurrentStanding = lambda now: freshness.Standing.FRESH
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request of a caller; raise Refusal."""
+        try:
+            await self._handle(exchange, clock.monotonic())
+        except errors.SycamoredaleError as error:
+            self.observer.refused(error.code.name)
+            raise
+
+    async def _handle(
+        self, exchange: server.Exchange, started: clock.MonotonicTime
+    ) -> None:
         request = exchange.request
         caller_id = call_module.caller_request_id(request)
         if caller_id is not None:
@@ -49,6 +65,7 @@
         if request.path == HEALTH_PATH:
             await exchange.respond(self.health())
             return
+        self._refuse_when_not_ready()
         configuration = self.configuration()
         organisation = organisations.authenticate(
             configuration.organisations, request.headers.get("Authorization")
@@ -58,11 +75,24 @@
             request, organisation, configuration, request_id
         )
         self._refuse_when_isolated(clock.monotonic())
-        async with self.admission.admitted(call, clock.monotonic()):
-            if call.idempotent:
-                await self.dispatcher.run(call, exchange)
-            else:
-                await self.once.run(call, exchange)
+        if call.idempotent:
+            async with self.admission.admitted(call, started) as left:
+                await self.dispatcher.run(left, exchange)
+        else:
+            # What a key came to is told even where no request is admitted.
+            await self.once.run(call, exchange)
+        self.observer.answered(
+            call, started, exchange.first_byte, clock.monotonic()
+        )
+
+    def _refuse_when_not_ready(self) -> None:
+        if not self.is_ready():
+            raise errors.Refusal(
+                error_codes.NOT_READY,
+                "this router has read no configuration yet; another router "
+                "may take the request",
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
 
     def _refuse_when_isolated(self, now: clock.MonotonicTime) -> None:
         if self.standing(now) is freshness.Standing.ISOLATED:
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -26,6 +26,8 @@
 from sycamoredale.membership import relay
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
+from sycamoredale.observability import metrics
+from sycamoredale.observability import requests
 from sycamoredale.platform import budget
 from sycamoredale.requests import call
 from sycamoredale.requests import claim_service
@@ -33,6 +35,7 @@
 from sycamoredale.requests import dispatch
 from sycamoredale.requests import once
 from sycamoredale.requests import poison
+from sycamoredale.routing import cache_follower
 from sycamoredale.routing import choice
 from sycamoredale.routing import cold_keeper
 from sycamoredale.routing import cold_start
@@ -71,14 +74,21 @@
             client.Pool(),
             poison.PoisonList(self._node.relay),
         )
-        self._once = self._build_once()
         self._admission = self._build_admission()
+        observer = requests.RequestObserver(
+            metrics.connect(common.statsd, common.daemon)
+        )
+        self._node.peers.register(requests.PATH, observer.answer_peer)
+        self._admission.on_admitted = observer.admitted
+        self._once = self._build_once()
         callers_service = callers.CallerService(
+            observer=observer,
             configuration=self._current,
             health=self._health,
             admission=self._admission,
             dispatcher=self._dispatcher,
             once=self._once,
+            is_ready=self._is_ready,
             standing=self._node.standing,
         )
         self._server = server.Server(
@@ -94,6 +104,7 @@
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
         await curio.spawn(self._warmth.run, daemon=True)
+        await curio.spawn(self._cache_follower.run, daemon=True)
         await curio.spawn(self._admission.run, daemon=True)
         await curio.spawn(self._cold_keeper.run, daemon=True)
         await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
@@ -115,6 +126,9 @@
             settled = True
         LOG.info("router_stopped", complete=complete, settled=settled)
 
+    def _is_ready(self) -> bool:
+        return self._configuration.accepted.generation > 0
+
     def _current(self) -> config_model.Configuration:
         return self._configuration.accepted.configuration
 
@@ -138,7 +152,14 @@
             self._settings.common.daemon,
             zone,
         )
-        return choice.Chooser(self._table, zone, endpoint_health, cold)
+        chooser = choice.Chooser(self._table, zone, endpoint_health, cold)
+        self._cache_follower = cache_follower.CacheFollower(
+            self._table,
+            chooser.prefixes,
+            reports.EngineReports(self._node.pool),
+            zone,
+        )
+        return chooser
 
     def _build_admission(self) -> admission.Admission:
         board = usage.UsageBoard(self._relay, self._count_routers)
@@ -168,7 +189,9 @@
                 notice, clock.monotonic()
             ),
         )
-        return once.OnceRunner(self._dispatcher, service)
+        return once.OnceRunner(
+            self._dispatcher, service, self._admission.admitted
+        )
 
     def _on_accepted(self, accepted: config_store.Accepted) -> None:
         self._table.apply_configuration(accepted.configuration)
@@ -184,7 +207,8 @@
             "peers": self._node.live_daemons(),
             "standing": standing.value,
         }
-        away = draining or standing is freshness.Standing.ISOLATED
+        isolated = standing is freshness.Standing.ISOLATED
+        away = draining or isolated or not self._is_ready()
         return messages.json_response(503 if away else 200, body)
 
 
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -151,6 +151,8 @@
             "name": "bookings",
             "kind": "plain",
             "replicas": 1,
+            "cold_limit": 64,
+            "capacity": 64,
             "routes": [
                 {
                     "path": "/withdrawals",
@@ -167,6 +169,8 @@
                 "kind": "model",
                 "replicas": engines,
                 "version": "v1",
+                "cold_limit": 64,
+                "capacity": 64,
             }
         )
     configuration = {
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,86 @@
+"""Test the reports of engines over HTTP, with a stand-in process."""
+
+import collections.abc
+import json
+
+import curio
+import pytest
+
+from sycamoredale.engines import reports
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.routing import affinity
+from tests import processes
+
+ENDPOINT = ids.EndpointId("e")
+
+
+@pytest.fixture(scope="module")
+def engine() -> collections.abc.Iterator[processes.Process]:
+    """Run an engine that loses every third cache event."""
+    with processes.Fleet() as fleet:
+        settings = {
+            "instance": "e",
+            "cold_seconds": 0.0,
+            "lose_cache_events_every": 3,
+        }
+        started = fleet.standin("engine", "--settings", json.dumps(settings))
+        processes.request(started.address, "PUT", "/standin/cold")
+        yield started
+
+
+def _complete(engine: processes.Process, letter: str) -> processes.Answer:
+    prompt = {"prompt": letter * 600, "max_tokens": 1}
+    return processes.request(engine.address, "POST", "/v1/completions", prompt)
+
+
+def _blocks(letter: str) -> list[int]:
+    body = json.dumps({"prompt": letter * 600}).encode()
+    return reports.prompt_blocks(body)
+
+
+def _follow(
+    engine: processes.Process, index: affinity.PrefixIndex, limit: int = 9
+) -> None:
+    adapter = reports.EngineReports(client.Pool())
+    address = messages.parse_address(engine.address)
+    after = index.last_sequence(ENDPOINT)
+    events = curio.run(adapter.cache_events, address, after, limit)
+    index.apply(ENDPOINT, events)
+
+
+def test_events_are_followed_until_one_is_lost(
+    engine: processes.Process,
+) -> None:
+    index = affinity.PrefixIndex()
+    _complete(engine, "a")
+    _follow(engine, index)
+    assert index.holders(_blocks("a")) == {ENDPOINT: 1.0}
+    _complete(engine, "b")
+    _follow(engine, index)
+    assert index.holders(_blocks("b")) == {ENDPOINT: 1.0}
+    assert index.holders(_blocks("a")) == {ENDPOINT: 1.0}
+    _complete(engine, "c")
+    _complete(engine, "d")
+    _follow(engine, index)
+    assert index.holders(_blocks("d")) == {ENDPOINT: 1.0}
+    assert index.holders(_blocks("c")) == {}
+    assert index.holders(_blocks("a")) == {}
+
+
+def test_answers_carry_the_load(engine: processes.Process) -> None:
+    answer = _complete(engine, "x")
+    headers = messages.Headers(answer.headers.items())
+    assert reports.load_on_answer(headers) == reports.Load(1, 0)
+    assert reports.load_on_answer(messages.Headers()) is None
+
+
+def test_prompt_blocks_are_chained() -> None:
+    one = reports.prompt_blocks(b'{"prompt": "' + b"a" * 600 + b'"}')
+    longer = reports.prompt_blocks(b'{"prompt": "' + b"a" * 900 + b'"}')
+    other = reports.prompt_blocks(b'{"prompt": "' + b"b" + b"a" * 599 + b'"}')
+    assert len(one) == 2
+    assert longer[:2] == one
+    assert not set(one) & set(other)
+    assert reports.prompt_blocks(b"[") == []
