--- /dev/null
+++ b/benchmarks/choice.py
@@ -0,0 +1,281 @@
+"""Measure ways to choose an endpoint on one seeded load.
+
+Each endpoint is a first come first served queue with a number of places.
+A request takes a time for each prompt block that is not cached and a time
+for its tokens.  Four routers choose with what each of them knows; reports
+of load reach a router with answers only, and lag.  Only the decision is
+measured: no process, no network.
+
+Run: python -m benchmarks.choice
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import statistics
+import typing
+
+from benchmarks import site
+from sycamoredale import clock
+from sycamoredale.config import model
+from sycamoredale.engines import reports
+from sycamoredale.groups import model as groups_model
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.membership import relay
+from sycamoredale.requests import call as call_module
+from sycamoredale.routing import choice
+from sycamoredale.routing import cold_start
+from sycamoredale.routing import health
+from sycamoredale.routing import table
+from sycamoredale.routing import warmth
+
+ROUTERS: typing.Final = 4
+ENDPOINTS: typing.Final = 24
+CAPACITY: typing.Final = 8
+REQUESTS: typing.Final = 20_000
+UTILISATION: typing.Final = 0.8
+BLOCK_SECONDS: typing.Final = 0.04
+TOKENS_SECONDS: typing.Final = 0.8
+CACHED_PROMPTS: typing.Final = 24
+PROMPTS: typing.Final = 400
+REPORT_LAG_SECONDS: typing.Final = 1.0
+STRAGGLER_FACTOR: typing.Final = 3.0
+START_SECONDS: typing.Final = 1e6
+SERVICE: typing.Final = model.Service(
+    ids.ServiceName("assistant"),
+    model.ServiceKind.MODEL,
+    ENDPOINTS,
+    capacity=CAPACITY,
+)
+
+
+@dataclasses.dataclass
+class Engine:
+    """Hold the queue and the prefix cache of one endpoint."""
+
+    factor: float
+    free_at: list[float] = dataclasses.field(
+        default_factory=lambda: [0.0] * CAPACITY
+    )
+    cached: collections.OrderedDict[int, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    open_ends: list[float] = dataclasses.field(default_factory=list)
+    history: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def run(
+        self, prompt: int, blocks: int, tokens: float, now: float
+    ) -> tuple[float, float, bool]:
+        """Return the times of the first token and the end, and a hit."""
+        hit = prompt in self.cached
+        self.cached[prompt] = None
+        self.cached.move_to_end(prompt)
+        if len(self.cached) > CACHED_PROMPTS:
+            self.cached.popitem(last=False)
+        prefill = 0.0 if hit else blocks * BLOCK_SECONDS
+        started = max(now, heapq.heappop(self.free_at))
+        first = started + (prefill + 0.02) * self.factor
+        end = first + tokens * self.factor
+        heapq.heappush(self.free_at, end)
+        heapq.heappush(self.open_ends, end)
+        self.history.append((now, self.open_at(now)))
+        return first, end, hit
+
+    def open_at(self, now: float) -> int:
+        """Return how many requests it has."""
+        while self.open_ends and self.open_ends[0] <= now:
+            heapq.heappop(self.open_ends)
+        return len(self.open_ends)
+
+    def reported(self, now: float) -> int:
+        """Return the load as it was one lag ago."""
+        while (
+            len(self.history) > 1
+            and self.history[1][0] <= now - REPORT_LAG_SECONDS
+        ):
+            self.history.popleft()
+        return self.history[0][1] if self.history else 0
+
+
+Chooses = typing.Callable[[int, call_module.Call, float], table.Endpoint]
+
+
+@dataclasses.dataclass
+class Result:
+    """Hold the first-token times and the hits of one way."""
+
+    seconds: list[float] = dataclasses.field(default_factory=list)
+    hits: int = 0
+
+    def report(self, variant: str) -> None:
+        """Print the figures of one way."""
+        cuts = statistics.quantiles(self.seconds, n=100)
+        share = self.hits / len(self.seconds)
+        site.report("choice.first_token_p50", cuts[49], "s", variant=variant)
+        site.report("choice.first_token_p95", cuts[94], "s", variant=variant)
+        site.report("choice.first_token_p99", cuts[98], "s", variant=variant)
+        site.report("choice.cached_share", share, "", variant=variant)
+
+
+def main() -> None:
+    """Run all ways on the same load and print figures."""
+    for name, build in WAYS.items():
+        _run(build).report(name)
+
+
+def _run(build: typing.Callable[[list[choice.Chooser]], Chooses]) -> Result:
+    source = random.Random(7)
+    choosers = [_chooser(number) for number in range(ROUTERS)]
+    chooses = build(choosers)
+    engines = {
+        endpoint: Engine(STRAGGLER_FACTOR if number == 0 else 1.0)
+        for number, endpoint in enumerate(choosers[0].routing_table.by_id)
+    }
+    blocks_by_prompt = [source.randint(2, 40) for _ in range(PROMPTS)]
+    mean = TOKENS_SECONDS + BLOCK_SECONDS * statistics.mean(blocks_by_prompt)
+    rate = UTILISATION * ENDPOINTS * CAPACITY / mean
+    ends: list[tuple[float, int, int, table.Endpoint, float]] = []
+    order = itertools.count()
+    result = Result()
+    now = START_SECONDS
+    for _ in range(REQUESTS):
+        now += source.expovariate(rate)
+        _end_requests(ends, now, choosers, engines)
+        prompt = int(PROMPTS * source.random() ** 2)
+        tokens = source.expovariate(1 / TOKENS_SECONDS)
+        router = source.randrange(ROUTERS)
+        blocks = blocks_by_prompt[prompt]
+        endpoint = chooses(router, _call(prompt, blocks), now)
+        endpoint.in_flight += 1
+        first, end, hit = engines[endpoint.id].run(prompt, blocks, tokens, now)
+        heapq.heappush(ends, (end, next(order), router, endpoint, first - now))
+        result.seconds.append(first - now)
+        result.hits += hit
+    return result
+
+
+def _end_requests(
+    ends: list[tuple[float, int, int, table.Endpoint, float]],
+    now: float,
+    choosers: list[choice.Chooser],
+    engines: dict[ids.EndpointId, Engine],
+) -> None:
+    while ends and ends[0][0] <= now:
+        end, _, router, endpoint, first_token = heapq.heappop(ends)
+        endpoint.in_flight -= 1
+        chooser = choosers[router]
+        at = clock.MonotonicTime(end)
+        open_requests = engines[endpoint.id].reported(end)
+        running = min(open_requests, CAPACITY)
+        load = reports.Load(running, open_requests - running)
+        chooser.loads.report(endpoint, load, at)
+        chooser.finished(
+            endpoint, health.Outcome.ANSWERED, True, first_token, None, at
+        )
+
+
+def _chooser(seed: int) -> choice.Chooser:
+    routing_table = table.RoutingTable()
+    cold = cold_start.ColdStart(routing_table)
+    judged = health.Health(relay.Relay(ids.DaemonId(f"r{seed}")))
+    zone = ids.ZoneName("kochi")
+    built = choice.Chooser(
+        routing_table, zone, judged, cold, random.Random(seed)
+    )
+    groups = [
+        groups_model.Group(
+            id=ids.GroupId(f"g{n}"),
+            service=SERVICE.name,
+            version=ids.VersionName("v1"),
+            zone=zone,
+            epoch=ids.Epoch(1),
+            state=groups_model.GroupState.READY,
+            members=[
+                groups_model.Member(ids.InstanceId(f"i{n}"), "127.0.0.1:1")
+            ],
+        )
+        for n in range(ENDPOINTS)
+    ]
+    routing_table.apply_assignment(
+        groups_model.Assignment(ids.DomainName("d"), ids.Epoch(1), groups)
+    )
+    for endpoint in routing_table.by_id:
+        record = warmth.Warmth(endpoint, 9, True)
+        cold.learn(record, clock.MonotonicTime(0.0))
+    return built
+
+
+def _call(prompt: int, blocks: int) -> call_module.Call:
+    text = f"{prompt:08d}" * (blocks * reports.BLOCK_BYTES // 8)
+    body = b'{"prompt": "' + text.encode() + b'"}'
+    return call_module.Call(
+        id=ids.RequestId("r"),
+        organisation=ids.OrganisationName("o"),
+        service=SERVICE,
+        upstream=messages.Request("POST", "/", body=body),
+        idempotent=True,
+        stream=True,
+        key=None,
+        deadline_seconds=60.0,
+    )
+
+
+def _endpoints(chooser: choice.Chooser) -> list[table.Endpoint]:
+    return list(chooser.routing_table.by_id.values())
+
+
+def _at_random(choosers: list[choice.Chooser]) -> Chooses:
+    source = random.Random(3)
+    return lambda router, call, now: source.choice(
+        _endpoints(choosers[router])
+    )
+
+
+def _round_robin(choosers: list[choice.Chooser]) -> Chooses:
+    turns = [itertools.cycle(_endpoints(chooser)) for chooser in choosers]
+    return lambda router, call, now: next(turns[router])
+
+
+def _least_in_flight(choosers: list[choice.Chooser]) -> Chooses:
+    return lambda router, call, now: min(
+        _endpoints(choosers[router]), key=lambda e: e.in_flight
+    )
+
+
+def _ours(choosers: list[choice.Chooser]) -> Chooses:
+    def chooses(
+        router: int, call: call_module.Call, now: float
+    ) -> table.Endpoint:
+        chosen = choosers[router].choose(
+            call, frozenset(), clock.MonotonicTime(now)
+        )
+        return chosen or _endpoints(choosers[router])[0]
+
+    return chooses
+
+
+def _ours_without_cache(choosers: list[choice.Chooser]) -> Chooses:
+    chooses = _ours(choosers)
+    return lambda router, call, now: chooses(
+        router,
+        dataclasses.replace(call, upstream=messages.Request("POST", "/")),
+        now,
+    )
+
+
+WAYS: typing.Final = {
+    "random": _at_random,
+    "round-robin": _round_robin,
+    "least-in-flight": _least_in_flight,
+    "ours-without-prefixes": _ours_without_cache,
+    "ours": _ours,
+}
+
+
+if __name__ == "__main__":
+    main()
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -85,8 +85,9 @@
             case ("POST", "/v1/chat/completions" | "/v1/completions"):
                 await self._generate(exchange)
             case ("GET", "/v1/cache-events"):
-                after = int(request.query("after") or 0)
-                events = self.cache.events_after(after)
+                events = self.cache.read_events(
+                    request.query("after"), int(request.query("limit") or 0)
+                )
                 await exchange.respond(messages.json_response(200, events))
             case ("PUT", "/standin/cold"):
                 self.orders.turn_cold(clock.monotonic())
@@ -179,11 +180,11 @@
 
     async def _execute(self, exchange: server.Exchange) -> None:
         request = exchange.request
-        self._record_start(request)
         longest = request.headers.get(DEADLINE_HEADER)
         seconds = float(longest) if longest else NO_DEADLINE_SECONDS
         load_fields = self.load.fields(clock.monotonic())
         exchange.answer_fields.extend(load_fields)
+        self._record_start(request)
         try:
             async with curio.timeout_after(seconds):
                 await self._prefill(request.body)
