Partition one router from its peers, the store, or both

Peers find each other by the addresses that daemons register, so a daemon can now register another address than it listens on (--peer-advertise, of use behind address translation too); the scenarios put the proxy there. A source that cannot be found is looked up once only: looking it up for every held piece starved the proxy and with it the whole site.

An outage that callers do not notice no longer excuses calls that are lost.

--- a/sycamoredale/commands/daemons.py
+++ b/sycamoredale/commands/daemons.py
@@ -37,6 +37,9 @@
         _setting("zone", None, "Availability zone of this daemon."),
         _setting("platform", None, "Address of the object API."),
         _setting("peer-listen", "127.0.0.1:0", "Address for peers."),
+        _setting(
+            "peer-advertise", None, "Address that peers use, if another one."
+        ),
         _setting("seeds", None, "Addresses of peers, with commas between."),
         _setting("statsd", None, "Address of the statsd server."),
         _setting("log-level", "info", "debug, info, warning or error."),
--- a/sycamoredale/daemons/fleet.py
+++ b/sycamoredale/daemons/fleet.py
@@ -36,6 +36,7 @@
         role,
         settings.peer_listen,
         settings.seeds,
+        settings.peer_advertise,
     )
     node = node_module.Node(identity, store, started)
     live.node = node
--- a/sycamoredale/daemons/options.py
+++ b/sycamoredale/daemons/options.py
@@ -22,6 +22,7 @@
     log_level: str
     peer_listen: messages.Address
     seeds: tuple[messages.Address, ...] = ()
+    peer_advertise: messages.Address | None = None
     reads_per_second: float = budget.READS_PER_SECOND
     writes_per_second: float = budget.WRITES_PER_SECOND
 
@@ -75,6 +76,7 @@
         log_level=reader.log_level("log-level"),
         peer_listen=reader.address("peer-listen"),
         seeds=reader.addresses("seeds"),
+        peer_advertise=reader.optional_address("peer-advertise"),
         reads_per_second=reader.positive("platform-reads-per-second"),
         writes_per_second=reader.positive("platform-writes-per-second"),
     )
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -39,6 +39,7 @@
     role: view.Role
     listen: messages.Address
     seeds: tuple[messages.Address, ...] = ()
+    advertise: messages.Address | None = None
 
 
 class Node:
@@ -94,7 +95,9 @@
     async def start(self) -> messages.Address:
         """Listen to peers, look for them and return the bound address."""
         bound = self._server.bind(self._identity.listen)
-        self.members.replace_own(address=str(bound))
+        self.members.replace_own(
+            address=str(self._identity.advertise or bound)
+        )
         await self._server.start()
         LOG.info("peer_service_listening", address=str(bound))
         await curio.spawn(self.heartbeats.run, daemon=True)
--- a/tests/call_promises.py
+++ b/tests/call_promises.py
@@ -34,7 +34,7 @@
             recordings.Outcome.CUT,
             recordings.Outcome.SILENT,
         )
-        if lost and recording.is_out(call.router, call.time, call.ended):
+        if lost and recording.is_mute(call.router, call.time, call.ended):
             continue
         yield (
             ""
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -153,7 +154,9 @@
         process.address = wait_for(lambda: _logged_address(process))
         return process
 
-    def controller(self, name: str, zone: str, platform: str) -> Process:
+    def controller(
+        self, name: str, zone: str, platform: str, *more: str
+    ) -> Process:
         """Start a controller."""
         return self.start(
             "sycamoredale",
@@ -164,6 +167,7 @@
             zone,
             "--platform",
             platform,
+            *more,
         )
 
 
@@ -220,6 +224,13 @@
         time.sleep(0.05)
 
 
+def free_address() -> str:
+    """Return a loopback address whose port was free just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
 def _logged_address(process: Process) -> str:
     for line in list(process.log_lines):
         if "router_listening" in line:
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -33,6 +33,7 @@
 from sycamoredale.http import server
 
 PIECE_BYTES: Final = 65536
+UNKNOWN_SOURCE: Final = "?"
 POLL_SECONDS: Final = 0.01
 
 
@@ -71,7 +72,8 @@
 
     client: typing.Any
     upstream: typing.Any
-    source: str
+    port: int
+    source: str = ""
     silent: bool = False
     cut: bool = False
     last_request: bytes = b""
@@ -125,7 +127,6 @@
         self.counts.silenced += len(self.connections)
 
     async def _serve(self, client: typing.Any, port: int) -> None:
-        source = find_source(port, self.port, self._pids)
         dropped = self._random.random() < self.faults.drop
         async with client:
             try:
@@ -135,7 +136,7 @@
             except OSError:
                 return
             async with upstream:
-                connection = Connection(client, upstream, source, dropped)
+                connection = Connection(client, upstream, port, silent=dropped)
                 self.connections.add(connection)
                 self.counts.open += 1
                 try:
@@ -185,6 +186,9 @@
 
     def _blocks(self, connection: Connection) -> bool:
         faults = self.faults
+        if faults.blocked_sources and not connection.source:
+            found = find_source(connection.port, self.port, self._pids)
+            connection.source = found or UNKNOWN_SOURCE
         return faults.blocked or connection.source in faults.blocked_sources
 
     def _pass_request(self, connection: Connection, piece: bytes) -> bool:
--- a/tests/recordings.py
+++ b/tests/recordings.py
@@ -41,12 +41,16 @@
 
 
 class Outage(msgspec.Struct, frozen=True, tag=True):
-    """Report that a process was paused, cut off or killed."""
+    """Report that a process was paused, cut off or killed.
+
+    A daemon that only lost the store or its peers still hears callers.
+    """
 
     time: float
     until: float
     name: str
     killed: bool = False
+    hears_callers: bool = False
 
 
 class PlannedStop(msgspec.Struct, frozen=True, tag=True):
@@ -121,11 +125,23 @@
 
     def is_out(self, name: str, start: float, end: float) -> bool:
         """Tell whether a process had an outage in a span of time."""
+        return any(self._outages(name, start, end))
+
+    def is_mute(self, name: str, start: float, end: float) -> bool:
+        """Tell whether callers lost a process in a span of time."""
         return any(
-            outage.name == name and outage.time <= end and start < outage.until
-            for outage in self.of(Outage)
+            not outage.hears_callers
+            for outage in self._outages(name, start, end)
         )
 
+    def _outages(
+        self, name: str, start: float, end: float
+    ) -> collections.abc.Iterator[Outage]:
+        for outage in self.of(Outage):
+            if outage.name == name and outage.time <= end:
+                if start < outage.until:
+                    yield outage
+
     def state_since(self, name: str, time: float) -> float:
         """Return when a process last lost its state before a time."""
         return max(
--- a/tests/scenarios/actions.py
+++ b/tests/scenarios/actions.py
@@ -87,11 +87,32 @@
     blocked = [n.partition(">")[0] for n in names]
     if event.seconds:
         time.sleep(event.seconds)
-        _record_outage(site, blocked, started, killed=False)
+        _record_outage(
+            site, blocked, started, killed=False, hears_callers=True
+        )
         for name in names:
             site.fleet.set_faults(site.link(name))
 
 
+def isolate(
+    site: site_module.Site, generator: load.Generator, event: Event
+) -> None:
+    """Cut a daemon off from its peers, in both directions."""
+    started = time.monotonic()
+    own = f"peers>{event.target}"
+    others = [n for n in site.links if n.startswith("peers>") and n != own]
+    site.fleet.set_faults(site.link(own), blocked=True)
+    for name in others:
+        faults = {"blocked_sources": [event.target]}
+        site.fleet.set_faults(site.link(name), **faults)
+    time.sleep(event.seconds)
+    _record_outage(
+        site, [event.target], started, killed=False, hears_callers=True
+    )
+    for name in [own, *others]:
+        site.fleet.set_faults(site.link(name))
+
+
 def silence(
     site: site_module.Site, generator: load.Generator, event: Event
 ) -> None:
@@ -244,11 +265,14 @@
     started: float,
     *,
     killed: bool,
+    hears_callers: bool = False,
     until: float | None = None,
 ) -> None:
     ended = time.monotonic() if until is None else until
     for name in names:
-        site.records.append(recordings.Outage(started, ended, name, killed))
+        site.records.append(
+            recordings.Outage(started, ended, name, killed, hears_callers)
+        )
 
 
 BY_NAME: Final[dict[str, Action]] = {
@@ -259,6 +283,7 @@
         crash,
         cut,
         faults,
+        isolate,
         kill,
         leave,
         pause,
--- a/tests/scenarios/site.py
+++ b/tests/scenarios/site.py
@@ -146,10 +146,22 @@
         """Start a router or controller behind its own platform link."""
         link = self.fleet.proxied(self.platform.address)
         self.links[f"{name}>platform"] = link
+        peer_address = processes.free_address()
+        peer_link = self.fleet.proxied(peer_address)
+        self.links[f"peers>{name}"] = peer_link
         role, number = name.split("-")[:2]
         zone = self.shape.zones[int(number) % len(self.shape.zones)]
         start = getattr(self.fleet, role)
-        self.daemons[name] = start(name, zone, link)
+        self.daemons[name] = start(
+            name,
+            zone,
+            link,
+            "--peer-listen",
+            peer_address,
+            "--peer-advertise",
+            peer_link,
+        )
+        self.fleet.name_source(name, self.daemons[name])
         if role == "router":
             self.router_names.append(name)
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -251,6 +251,16 @@
     assert not [v for v in verdicts if v.broken]
 
 
+def test_lost_calls_of_a_daemon_without_store_are_a_break() -> None:
+    extra = [
+        _call(5.0, "m9", recordings.Outcome.CUT),
+        recordings.Outage(5.2, 9.0, "router-1", hears_callers=True),
+    ]
+    verdicts = checker.check(recordings.Recording([*_good(), *extra]))
+    broken = {v.promise for v in verdicts if v.broken}
+    assert broken == {checker.Promise.WHOLE_ANSWER}
+
+
 def test_records_are_read_back(tmp_path: pathlib.Path) -> None:
     for number, record in enumerate(_good()):
         path = tmp_path / f"{number % 3}.jsonl"
