--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -47,7 +47,8 @@
     return [
         path
         for path in sorted((ROOT / "benchmarks").glob("*.py"))
-        if path.read_text().startswith('"""Measure ')
+        if path.stem != "__init__"
+        and path.read_text().startswith('"""Measure ')
     ]
 
 
