--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -141,21 +141,27 @@
 @click.option("--only", default="", help="Name of a single script.")
 def main(only: str) -> None:
     """Run the scripts and write the page."""
+    commit = _commit()
+    wanted = [path for path in scripts() if only in ("", path.stem)]
     results = []
-    for path in scripts():
-        if only in ("", path.stem):
-            print(f"running {path.stem}", file=sys.stderr, flush=True)
-            results.append(run_script(path))
+    for path in wanted:
+        print(f"running {path.stem}", file=sys.stderr, flush=True)
+        results.append(run_script(path))
+        if not only:
+            draw(results[-1])
+            _write_page(results, len(wanted), commit)
     if only:
-        for line in page(results, _commit(), _now(), plots=False):
-            print(line)
-        return
-    for result in results:
-        draw(result)
-    PAGE.write_text("\n".join(page(results, _commit(), _now())) + "\n")
+        print("\n".join(page(results, commit, _now(), plots=False)))
     sys.exit(any(result.failure for result in results))
 
 
+def _write_page(results: list[Result], wanted: int, commit: str) -> None:
+    """Write the page after each script, so that a stopped run shows."""
+    lines = list(page(results, commit, _now()))
+    lines += ["", f"{len(results)} of {wanted} scripts were run."]
+    PAGE.write_text("\n".join(lines) + "\n")
+
+
 def _now() -> datetime.datetime:
     return datetime.datetime.now(datetime.timezone.utc)
 
