--- a/sycamoredale/admission/retry_budget.py
+++ b/sycamoredale/admission/retry_budget.py
@@ -1,7 +1,8 @@
 """Bound the retries of each service to a share of its calls.
 
 Each call adds a part of a token and each retry takes a whole one, so that
-retries cannot amplify an overload.
+retries cannot amplify an overload.  A stream that the caller has begun to
+read resumes without a token, since its caller must get the whole answer.
 """
 
 import dataclasses
@@ -10,7 +11,7 @@
 from sycamoredale import ids
 
 TOKENS_PER_CALL: Final = 0.1
-MAX_TOKENS: Final = 20.0
+MAX_TOKENS: Final = 100.0
 
 
 @dataclasses.dataclass
--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -1,6 +1,7 @@
 """Serve the interface of callers."""
 
 import collections.abc
+import contextlib
 import dataclasses
 from typing import Final
 
@@ -8,16 +9,24 @@
 from sycamoredale.admission import organisations
 from sycamoredale import clock
 from sycamoredale.config import model as config_model
+from sycamoredale import error_codes
+from sycamoredale import errors
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.membership import freshness
+from sycamoredale.observability import requests
 from sycamoredale.requests import call as call_module
 from sycamoredale.requests import dispatch
 from sycamoredale.requests import once
 
 CurrentConfiguration = collections.abc.Callable[[], config_model.Configuration]
+CurrentStanding = collections.abc.Callable[
+    [clock.MonotonicTime], freshness.Standing
+]
 HEALTH_PATH: Final = "/healthz"
 Health = collections.abc.Callable[[], messages.Response]
+ISOLATED_RETRY_SECONDS: Final = 1.0
 
 
 @dataclasses.dataclass
@@ -29,9 +38,22 @@
     admission: admission.Admission
     dispatcher: dispatch.Dispatcher
     once: once.OnceRunner
+    observer: requests.RequestObserver = dataclasses.field(
+        default_factory=requests.RequestObserver
+    )
+    standing: CurrentStanding = lambda now: freshness.Standing.FRESH
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request of a caller; raise Refusal."""
+        try:
+            await self._handle(exchange, clock.monotonic())
+        except errors.SycamoredaleError as error:
+            self.observer.refused(error.code.name)
+            raise
+
+    async def _handle(
+        self, exchange: server.Exchange, started: clock.MonotonicTime
+    ) -> None:
         request = exchange.request
         caller_id = call_module.caller_request_id(request)
         if caller_id is not None:
@@ -49,9 +71,32 @@
         call = call_module.read(
             request, organisation, configuration, request_id
         )
-        if not call.idempotent:
+        self._refuse_when_isolated(clock.monotonic())
+        if call.idempotent:
+            async with self._admitted(call, started) as left:
+                await self.dispatcher.run(left, exchange)
+        else:
             # What a key came to is told even where no request is admitted.
-            await self.once.run(call, exchange)
-            return
-        async with self.admission.admitted(call, clock.monotonic()):
-            await self.dispatcher.run(call, exchange)
+            await self.once.run(
+                call, exchange, lambda: self._admitted(call, started)
+            )
+        self.observer.answered(
+            call, started, exchange.first_byte, clock.monotonic()
+        )
+
+    @contextlib.asynccontextmanager
+    async def _admitted(
+        self, call: call_module.Call, started: clock.MonotonicTime
+    ) -> collections.abc.AsyncIterator[call_module.Call]:
+        async with self.admission.admitted(call, clock.monotonic()) as left:
+            self.observer.admitted(call, started, clock.monotonic())
+            yield left
+
+    def _refuse_when_isolated(self, now: clock.MonotonicTime) -> None:
+        if self.standing(now) is freshness.Standing.ISOLATED:
+            raise errors.Refusal(
+                error_codes.ISOLATED,
+                "this router hears neither the object API nor enough "
+                "peers; another router may take the request",
+                retry_after=ISOLATED_RETRY_SECONDS,
+            )
--- a/sycamoredale/daemons/options.py
+++ b/sycamoredale/daemons/options.py
@@ -1,9 +1,14 @@
 """Hold the settings of the daemons, apart from the command line."""
 
+import collections.abc
 import dataclasses
 
+from sycamoredale.daemons import settings
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.platform import budget
+
+TextByName = collections.abc.Mapping[str, str | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,6 +20,10 @@
     platform: messages.Address
     statsd: messages.Address | None
     log_level: str
+    peer_listen: messages.Address
+    seeds: tuple[messages.Address, ...] = ()
+    reads_per_second: float = budget.READS_PER_SECOND
+    writes_per_second: float = budget.WRITES_PER_SECOND
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,7 +32,6 @@
 
     common: DaemonOptions
     listen: messages.Address
-    peer_listen: messages.Address
     drain_seconds: float
 
 
@@ -33,3 +41,40 @@
 
     common: DaemonOptions
     interval_seconds: float
+
+
+def read_router(text_by_name: TextByName) -> RouterOptions:
+    """Return the settings of a router; raise InvalidSettings."""
+    reader = settings.Reader(text_by_name)
+    found = RouterOptions(
+        common=_read_common(reader),
+        listen=reader.address("listen"),
+        drain_seconds=reader.positive("drain-seconds"),
+    )
+    reader.finish()
+    return found
+
+
+def read_controller(text_by_name: TextByName) -> ControllerOptions:
+    """Return the settings of a controller; raise InvalidSettings."""
+    reader = settings.Reader(text_by_name)
+    found = ControllerOptions(
+        common=_read_common(reader),
+        interval_seconds=reader.positive("interval-seconds"),
+    )
+    reader.finish()
+    return found
+
+
+def _read_common(reader: settings.Reader) -> DaemonOptions:
+    return DaemonOptions(
+        daemon=ids.DaemonId(reader.name("daemon-id")),
+        zone=ids.ZoneName(reader.name("zone")),
+        platform=reader.address("platform"),
+        statsd=reader.optional_address("statsd"),
+        log_level=reader.log_level("log-level"),
+        peer_listen=reader.address("peer-listen"),
+        seeds=reader.addresses("seeds"),
+        reads_per_second=reader.positive("platform-reads-per-second"),
+        writes_per_second=reader.positive("platform-writes-per-second"),
+    )
--- a/sycamoredale/groups/keeper.py
+++ b/sycamoredale/groups/keeper.py
@@ -32,6 +32,8 @@
 
 TEND_SECONDS: Final = 0.4
 LIMITS_SECONDS: Final = 30.0
+LIST_SECONDS: Final = 1.0
+IDLE_LIST_SECONDS: Final = 3.0
 MAX_PROBES_PER_SECOND: Final = 40.0
 SHRUNKEN_LISTS_UNTIL_BELIEVED: Final = 5
 LOG: Final = logs.get("groups.keeper")
@@ -146,11 +148,15 @@
                 self._note_list(await self._platform.listing.read())
             except errors.StoreUnavailable as error:
                 LOG.warning("list_unavailable", reason=error.message)
-            await curio.sleep(self._interval)
+            idle = bool(self._listed) and not self._kept
+            await curio.sleep(IDLE_LIST_SECONDS if idle else LIST_SECONDS)
 
     def _note_list(self, listed: list[instances.Instance]) -> None:
         """Take over a list; one that lost most must come several times."""
         by_id = {instance.id: instance for instance in listed}
+        if by_id == self._listed:
+            self._shrunken_lists = 0
+            return
         missing = len(self._listed.keys() - by_id.keys())
         if 2 * missing > len(self._listed):
             self._shrunken_lists += 1
@@ -162,11 +168,11 @@
     async def _follow_limits(self) -> None:
         while True:
             try:
-                limits = await self._platform.weights.limits()
-                self._slots.limit = limits.concurrent_fetches
+                self._slots.limits = await self._platform.weights.limits()
             except errors.StoreUnavailable as error:
                 LOG.warning("limits_unavailable", reason=error.message)
-            await curio.sleep(LIMITS_SECONDS)
+            known = self._slots.limits is not None
+            await curio.sleep(LIMITS_SECONDS if known else self._interval)
 
     def _pause_seconds(self) -> float:
         probed = sum(i.domain in self._kept for i in self._listed.values())
