--- a/sycamoredale/daemons/callers.py
+++ b/sycamoredale/daemons/callers.py
@@ -1,7 +1,6 @@
 """Serve the interface of callers."""
 
 import collections.abc
-import contextlib
 import dataclasses
 from typing import Final
 
@@ -73,25 +72,15 @@
         )
         self._refuse_when_isolated(clock.monotonic())
         if call.idempotent:
-            async with self._admitted(call, started) as left:
+            async with self.admission.admitted(call, started) as left:
                 await self.dispatcher.run(left, exchange)
         else:
             # What a key came to is told even where no request is admitted.
-            await self.once.run(
-                call, exchange, lambda: self._admitted(call, started)
-            )
+            await self.once.run(call, exchange)
         self.observer.answered(
             call, started, exchange.first_byte, clock.monotonic()
         )
 
-    @contextlib.asynccontextmanager
-    async def _admitted(
-        self, call: call_module.Call, started: clock.MonotonicTime
-    ) -> collections.abc.AsyncIterator[call_module.Call]:
-        async with self.admission.admitted(call, clock.monotonic()) as left:
-            self.observer.admitted(call, started, clock.monotonic())
-            yield left
-
     def _refuse_when_isolated(self, now: clock.MonotonicTime) -> None:
         if self.standing(now) is freshness.Standing.ISOLATED:
             raise errors.Refusal(
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -35,6 +35,7 @@
 from sycamoredale.requests import dispatch
 from sycamoredale.requests import once
 from sycamoredale.requests import poison
+from sycamoredale.routing import cache_follower
 from sycamoredale.routing import choice
 from sycamoredale.routing import cold_keeper
 from sycamoredale.routing import cold_start
@@ -74,11 +75,12 @@
             poison.PoisonList(self._node.relay),
         )
         self._admission = self._build_admission()
-        self._once = self._build_once()
         observer = requests.RequestObserver(
             metrics.connect(common.statsd, common.daemon)
         )
         self._node.peers.register(requests.PATH, observer.answer_peer)
+        self._admission.on_admitted = observer.admitted
+        self._once = self._build_once()
         callers_service = callers.CallerService(
             observer=observer,
             configuration=self._current,
@@ -101,6 +103,7 @@
         await curio.spawn(self._configuration.run, daemon=True)
         await curio.spawn(self._assignments.run, daemon=True)
         await curio.spawn(self._warmth.run, daemon=True)
+        await curio.spawn(self._cache_follower.run, daemon=True)
         await curio.spawn(self._admission.run, daemon=True)
         await curio.spawn(self._cold_keeper.run, daemon=True)
         await curio.spawn(self._dispatcher.silence_watch.run, daemon=True)
@@ -145,7 +148,14 @@
             self._settings.common.daemon,
             zone,
         )
-        return choice.Chooser(self._table, zone, endpoint_health, cold)
+        chooser = choice.Chooser(self._table, zone, endpoint_health, cold)
+        self._cache_follower = cache_follower.CacheFollower(
+            self._table,
+            chooser.prefixes,
+            reports.EngineReports(self._node.pool),
+            zone,
+        )
+        return chooser
 
     def _build_admission(self) -> admission.Admission:
         board = usage.UsageBoard(self._relay, self._count_routers)
@@ -175,7 +185,9 @@
                 notice, clock.monotonic()
             ),
         )
-        return once.OnceRunner(self._dispatcher, service)
+        return once.OnceRunner(
+            self._dispatcher, service, self._admission.admitted
+        )
 
     def _on_accepted(self, accepted: config_store.Accepted) -> None:
         self._table.apply_configuration(accepted.configuration)
--- a/sycamoredale/observability/requests.py
+++ b/sycamoredale/observability/requests.py
@@ -22,14 +22,9 @@
         default_factory=histograms.HistogramSet
     )
 
-    def admitted(
-        self,
-        call: call_module.Call,
-        started: clock.MonotonicTime,
-        now: clock.MonotonicTime,
-    ) -> None:
+    def admitted(self, call: call_module.Call, seconds: float) -> None:
         """Record how long the call waited for its place."""
-        self._record(call, histograms.Measure.QUEUE, now - started)
+        self._record(call, histograms.Measure.QUEUE, seconds)
 
     def answered(
         self,
--- a/sycamoredale/requests/once.py
+++ b/sycamoredale/requests/once.py
@@ -42,7 +42,8 @@
 LOG: Final = logs.get("requests.once")
 
 Admitted = collections.abc.Callable[
-    [], contextlib.AbstractAsyncContextManager[call_module.Call]
+    [call_module.Call, clock.MonotonicTime],
+    contextlib.AbstractAsyncContextManager[call_module.Call],
 ]
 
 
@@ -52,27 +53,22 @@
 
     dispatcher: dispatch.Dispatcher
     service: claim_service.ClaimService
+    admitted: Admitted
     open_executions: int = 0
 
     async def run(
-        self,
-        call: call_module.Call,
-        exchange: server.Exchange,
-        admitted: Admitted,
+        self, call: call_module.Call, exchange: server.Exchange
     ) -> None:
-        """Write the answer to the call; raise Refusal.
-
-        `admitted` holds a place for the call while it runs.
-        """
+        """Write the answer to the call; raise Refusal."""
         self.dispatcher.poison_list.check(call, clock.monotonic())
         if call.key is None:
-            await self._run_without_key(call, exchange, admitted)
+            await self._run_without_key(call, exchange)
             return
         begun = clock.monotonic()
         operation = self._take(call, call.key)
         verdict = await self._ask(operation)
         if verdict.decision is claims.Decision.GRANTED:
-            await self._run_claimed(call, operation, begun, exchange, admitted)
+            await self._run_claimed(call, operation, begun, exchange)
             return
         await exchange.respond(self._known_answer(call, verdict))
 
@@ -82,15 +78,12 @@
             await curio.sleep(DRAIN_POLL_SECONDS)
 
     async def _run_without_key(
-        self,
-        call: call_module.Call,
-        exchange: server.Exchange,
-        admitted: Admitted,
+        self, call: call_module.Call, exchange: server.Exchange
     ) -> None:
         tries = tries_module.Tries(call)
         try:
             async with curio.timeout_after(call.deadline_seconds):
-                async with admitted() as tries.call:
+                async with self.admitted(call, clock.monotonic()):
                     response = await self.dispatcher.run_once(tries)
         except curio.TaskTimeout as error:
             raise dispatch.deadline_refusal(call, tries.execution) from error
@@ -113,12 +106,11 @@
         operation: claims.Take,
         begun: clock.MonotonicTime,
         exchange: server.Exchange,
-        admitted: Admitted,
     ) -> None:
         tries = tries_module.Tries(call)
         self.open_executions += 1
         task = await curio.spawn(
-            self._execute, tries, operation, begun, admitted, daemon=True
+            self._execute, tries, operation, begun, daemon=True
         )
         try:
             async with curio.timeout_after(call.deadline_seconds):
@@ -134,13 +126,12 @@
         tries: tries_module.Tries,
         operation: claims.Take,
         begun: clock.MonotonicTime,
-        admitted: Admitted,
     ) -> messages.Response:
         before = clock.MonotonicTime(begun + DISPATCH_SECONDS)
         response = None
         try:
             async with curio.ignore_after(EXECUTION_SECONDS):
-                async with admitted() as tries.call:
+                async with self.admitted(tries.call, clock.monotonic()):
                     response = await self.dispatcher.run_once(tries, before)
             if response is None:
                 raise tries.refusal()
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -85,9 +85,13 @@
             case ("POST", "/v1/chat/completions" | "/v1/completions"):
                 await self._generate(exchange)
             case ("GET", "/v1/cache-events"):
-                after = int(request.query("after") or 0)
-                events = self.cache.events_after(after)
+                events = self.cache.read_events(
+                    request.query("after"), int(request.query("limit") or 0)
+                )
                 await exchange.respond(messages.json_response(200, events))
+            case ("PUT", "/standin/cold"):
+                self.orders.turn_cold(clock.monotonic())
+                await exchange.respond(messages.json_response(200, {}))
             case ("GET", "/standin/load"):
                 await exchange.respond(self._load_record())
             case ("PUT", "/standin/faults"):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -131,13 +131,16 @@
 def test_gap_in_cache_events_drops_what_was_known() -> None:
     index = affinity.PrefixIndex()
     endpoint = ids.EndpointId("e")
+    index.stored(endpoint, [5])
     index.apply(endpoint, [reports.CacheEvent(2, [20]), _event(1, [10])])
+    assert index.holders([5]) == {endpoint: 1.0}
     assert index.holders([10, 20]) == {endpoint: 1.0}
     index.apply(endpoint, [reports.CacheEvent(3, [], [20])])
     assert index.holders([10, 20]) == {endpoint: 0.5}
     index.apply(endpoint, [_event(5, [50])])
     assert index.holders([10, 20]) == {}
     assert index.holders([50]) == {endpoint: 1.0}
+    assert index.holders([5]) == {}
 
 
 def _event(sequence: int, stored: list[int]) -> reports.CacheEvent:
