Wait for the next chunk before receiving it

Cause: each token cost a receive that found nothing before the wait, and a look for a size line in an empty buffer. Before: 84 us per token event at 400 streams, gaps p95 61 ms. After: 73 us and 47 ms, in two runs one after the other on a machine busy with other runs.

--- a/sycamoredale/http/chunked.py
+++ b/sycamoredale/http/chunked.py
@@ -32,7 +32,7 @@
         buffer = self.rest + data if self.rest else data
         parts: list[bytes] = []
         position = 0
-        while not self.ended:
+        while not self.ended and position < len(buffer):
             start = position
             position = self._take(buffer, position, parts)
             if position == start:
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -12,6 +12,7 @@
 
 import curio
 import curio.socket
+import curio.traps
 import h11
 
 from sycamoredale import error_codes
@@ -93,7 +94,7 @@
     async def _read_chunked(self, chunks: chunked.ChunkedReader) -> bytes:
         data = b""
         while not data and not chunks.ended:
-            arrived = self._arrived or await self._receive()
+            arrived = self._arrived or await self._receive_next_chunk()
             self._arrived = b""
             if not arrived:
                 raise self._broken("the response was cut short")
@@ -158,6 +159,12 @@
                 return event
             self._connection.receive_data(await self._receive())
 
+    async def _receive_next_chunk(self) -> bytes:
+        # The next token is a step of the engine away, so waiting at once
+        # saves the system call that would find nothing.
+        await curio.traps._read_wait(self._sock)
+        return await self._receive()
+
     async def _receive(self) -> bytes:
         try:
             data: bytes = await self._sock.recv(RECEIVE_BYTES)
