Keep cold start slots out of the capacity that routers share

Cause: once routers heard each other, the holder of the slots left most of them to routers that hold none, and used one slot of two on an endpoint (tests/test_cold_start.py found 1 in place of 2). Slots count for their holder alone now; the rest of the capacity is shared as before.

--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -222,6 +222,7 @@
                 "capacity": CAPACITY,
             }
         ],
+        "versions": [{"name": "v1", "service": "assistant", "weights": "w"}],
         "organisations": [
             {
                 "name": name,
--- a/sycamoredale/admission/admission.py
+++ b/sycamoredale/admission/admission.py
@@ -40,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Capacity:
-    requests: float
+    requests: choice.Capacity
     read_at: clock.MonotonicTime
 
 
@@ -121,12 +121,14 @@
             demands[name] = shares.Demand(min(wanted, bound), weight)
         capacity = self._capacity(service.service, now)
         divided = shares.divide(
-            capacity * self.board.known_share(now), demands
+            capacity.shared * self.board.known_share(now), demands
         )
         by_organisation = {
             name: divided[name] * count / everywhere[name]
             for name, count in here.items()
         }
+        for name, share in _divide_slots(capacity, here, demands).items():
+            by_organisation[name] += share
         return queue.Allowance(sum(by_organisation.values()), by_organisation)
 
     async def _start_calls(
@@ -174,7 +176,8 @@
         if now - waiter.arrived_at < NO_ROOM_SECONDS:
             return
         service = self._queue(waiter.call.service.name)
-        if self._capacity(service.service, now) and (
+        capacity = self._capacity(service.service, now)
+        if capacity.shared + capacity.own and (
             service.running.total()
             or self.chooser.has_room(waiter.call, 0, now)
         ):
@@ -188,14 +191,13 @@
 
     def _capacity(
         self, name: ids.ServiceName, now: clock.MonotonicTime
-    ) -> float:
+    ) -> choice.Capacity:
         known = self._capacity_by_service.get(name)
         if known is None or now - known.read_at >= CAPACITY_SECONDS:
-            requests = sum(
-                self.chooser.capacity(service, now)
-                for service in self.configuration().services
-                if service.name == name
-            )
+            requests = choice.Capacity(0.0, 0.0)
+            for service in self.configuration().services:
+                if service.name == name:
+                    requests = self.chooser.capacity(service, now)
             known = _Capacity(requests, now)
             self._capacity_by_service[name] = known
         return known.requests
@@ -220,6 +222,19 @@
     return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, expected))
 
 
+def _divide_slots(
+    capacity: choice.Capacity,
+    here: collections.abc.Mapping[ids.OrganisationName, int],
+    demands: dict[ids.OrganisationName, shares.Demand],
+) -> dict[ids.OrganisationName, float]:
+    """Divide the cold start slots, which other routers cannot use."""
+    wanted = {
+        name: shares.Demand(count, demands[name].weight)
+        for name, count in here.items()
+    }
+    return shares.divide(capacity.own, wanted)
+
+
 def _check_wait(
     service: queue.ServiceQueue,
     waiter: queue.Waiter,
--- a/sycamoredale/routing/choice.py
+++ b/sycamoredale/routing/choice.py
@@ -35,6 +35,17 @@
 OnChosen = collections.abc.Callable[[call_module.Call], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """Hold what all routers share and what only this one may use.
+
+    Both are in requests at once; the latter are its cold start slots.
+    """
+
+    shared: float
+    own: float
+
+
 @dataclasses.dataclass
 class Chooser:
     """Choose among the endpoints of a routing table."""
@@ -94,13 +105,19 @@
 
     def capacity(
         self, service: config_model.Service, now: clock.MonotonicTime
-    ) -> float:
+    ) -> Capacity:
         """Return how many requests the service can run at once."""
-        return sum(
-            self.cold.capacity(endpoint, service, now)
-            for endpoint in self.routing_table.candidates(service.name)
-            if self.health.may_take(endpoint.id, True, now)
-        )
+        shared = 0.0
+        own = 0.0
+        for endpoint in self.routing_table.candidates(service.name):
+            if not self.health.may_take(endpoint.id, True, now):
+                continue
+            requests = self.cold.capacity(endpoint, service, now)
+            if self.cold.is_cold(endpoint.id):
+                own += requests
+            else:
+                shared += requests
+        return Capacity(shared, own)
 
     def confirm(
         self, endpoint: table.Endpoint, now: clock.MonotonicTime
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,6 +19,7 @@
 from sycamoredale import ids
 from sycamoredale.membership import relay
 from sycamoredale.requests import call as call_module
+from sycamoredale.routing import choice
 
 LARGE = ids.OrganisationName("large")
 SMALL = ids.OrganisationName("small")
@@ -78,13 +79,14 @@
     """Stand in for the chooser with a fixed number of places."""
 
     places: float
+    slots: float = 0.0
     on_chosen: typing.Any = None
 
     def has_room(self, call: object, unplaced: int, now: object) -> bool:
         return True
 
-    def capacity(self, service: object, now: object) -> float:
-        return self.places
+    def capacity(self, service: object, now: object) -> choice.Capacity:
+        return choice.Capacity(self.places, self.slots)
 
 
 @dataclasses.dataclass
@@ -305,6 +307,23 @@
     assert board.known_share(clock.MonotonicTime(9.0)) == 0.25
 
 
+def test_cold_slots_are_not_shared_with_routers_that_hold_none() -> None:
+    router, other = _routers(2, places=0)
+    typing.cast(typing.Any, router.admission.chooser).slots = 4
+
+    async def act() -> None:
+        for _ in range(8):
+            await curio.spawn(other.call, LARGE, 5.0, daemon=True)
+            await curio.spawn(router.call, LARGE, 5.0, daemon=True)
+        await curio.spawn(other.admission.run, daemon=True)
+        await curio.sleep(0.2)
+        service = router.admission.queue_by_service[SERVICE.name]
+        allowance = router.admission.allowance(service, clock.monotonic())
+        assert allowance.whole_total() == 4
+
+    curio.run(act)
+
+
 def test_usage_of_many_organisations_fits_a_notice() -> None:
     notices = relay.Relay(ids.DaemonId("a"))
     board = usage.UsageBoard(notices, lambda: 4)
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -23,6 +23,10 @@
     replicas: 2
     version: v1
     cold_limit: {LIMIT}
+versions:
+  - name: v1
+    service: assistant
+    weights: w1
 organisations:
   - name: concierge
     key_sha256: {hashlib.sha256(KEY.encode()).hexdigest()}
