--- a/tests/scenarios/load.py
+++ b/tests/scenarios/load.py
@@ -226,9 +226,9 @@
 
 def _cut(partial: bytes) -> _Answer:
     """Return how a stream ended early, with the code of an error event."""
-    last = partial.strip().rpartition(b"\n\n")[2]
+    last = partial.strip().rpartition(b"data: ")[2]
     try:
-        error = json.loads(last.removeprefix(b"data: "))["error"]
+        error = json.loads(last)["error"]
         code, execution = error["code"], error["execution"]
     except (ValueError, KeyError, TypeError):
         return _Answer(recordings.Outcome.CUT)
