Let a stream under way wait for room on another endpoint

Cause: when the leader of a group died, streams moved at once; where the other endpoints were full for a moment, no endpoint was named and the stream ended in endpoint_failed.

--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -119,7 +119,7 @@
         while tries.may_go_on():
             if not self._has_retry(tries, exchange):
                 break
-            endpoint = self._choose(tries)
+            endpoint = await self._choose_for(tries, exchange)
             if endpoint is None:
                 break
             attempt = attempt_module.Attempt(
@@ -178,8 +178,28 @@
             return True
         return exchange.started or self.retries.take(tries.call.service.name)
 
+    async def _choose_for(
+        self, tries: tries_module.Tries, exchange: server.Exchange
+    ) -> table.Endpoint | None:
+        """Return an endpoint; wait for one if an answer has begun.
+
+        The other endpoints may be full for a moment when one is lost, and
+        a caller that has a part of its answer is best served by the rest.
+        """
+        endpoint = self._choose(tries)
+        if endpoint is not None or not exchange.started:
+            return endpoint
+        async with curio.ignore_after(ROOM_SECONDS):
+            while endpoint is None:
+                await curio.sleep(ROOM_POLL_SECONDS)
+                endpoint = self._find(tries)
+        return endpoint
+
     def _choose(self, tries: tries_module.Tries) -> table.Endpoint | None:
         tries.attempts += 1
+        return self._find(tries)
+
+    def _find(self, tries: tries_module.Tries) -> table.Endpoint | None:
         for excluded in tries.exclusions():
             endpoint = self.chooser.choose(
                 tries.call, excluded, clock.monotonic()
