Warm the endpoint before an outage in the test of isolation

Cause: since cold endpoints are held to leased slots, an endpoint that is still cold when the store goes down loses its slots, and routers refuse with no_endpoint; the test of an outage met that and not what it tests. The site now waits until all routers have been served five times, so that the endpoint is warm.

--- a/tests/router_sites.py
+++ b/tests/router_sites.py
@@ -7,6 +7,7 @@
 import pathlib
 import socket
 import threading
+import time
 import typing
 
 from tests import processes
@@ -142,6 +143,13 @@
         )
     for router in site.routers:
         processes.wait_for(lambda r=router: _is_ready(r, routers))
+    # A router takes the endpoint for warm after it served some calls well;
+    # then no lease of a slot can lapse in an outage.
+    for _ in range(5):
+        processes.wait_for(
+            lambda: all([call(r).status == 200 for r in site.routers])
+        )
+        time.sleep(0.5)
     return site
 
 
