Give the cold start of one endpoint a module of its own

Also: two tasks that wrote the warmth of one domain at once ended one of them with a KeyError, seen in a router's log while a leader was killed.

--- a/sycamoredale/routing/cold_start.py
+++ b/sycamoredale/routing/cold_start.py
@@ -20,40 +20,13 @@
 from sycamoredale import clock
 from sycamoredale.config import model as config_model
 from sycamoredale import ids
+from sycamoredale.routing import cold_endpoint
 from sycamoredale.routing import cold_slots
 from sycamoredale.routing import table
 from sycamoredale.routing import warmth
 
-SERVED_WELL: Final = 2
-READY_REPORTS: Final = 2
-QUIET_READY_REPORTS: Final = 6
-RAMP_DOUBLING_SECONDS: Final = 1.0
 DEMAND_SECONDS: Final = 2.0
-REPORT_LAG_SECONDS: Final = 3.0
 MAX_UNPLACED: Final = 10_000
-NEVER: Final = clock.MonotonicTime(-math.inf)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Abandoned:
-    since: clock.MonotonicTime
-    until: clock.MonotonicTime
-
-
-@dataclasses.dataclass
-class ColdEndpoint:
-    """Hold what this router knows of one endpoint's cold start."""
-
-    warmth: warmth.Warmth
-    since: clock.MonotonicTime
-    ramp_from: clock.MonotonicTime = NEVER
-    slots: int = 0
-    request_seconds: float = 0.0
-    lease_until: clock.MonotonicTime = NEVER
-    is_settled: bool = True
-    served: int = 0
-    ready_reports: int = 0
-    abandoned: list[_Abandoned] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass
@@ -62,8 +35,8 @@
 
     routing_table: table.RoutingTable
     routers: collections.abc.Callable[[], int] = lambda: 1
-    by_id: dict[ids.EndpointId, ColdEndpoint] = dataclasses.field(
-        default_factory=dict
+    by_id: dict[ids.EndpointId, cold_endpoint.ColdEndpoint] = (
+        dataclasses.field(default_factory=dict)
     )
     on_change: collections.abc.Callable[[warmth.Warmth], None] = (
         lambda record: None
@@ -86,7 +59,7 @@
         draining = self.routing_table.draining_by_id
         self.by_id = {
             id: self.by_id.get(id)
-            or ColdEndpoint(warmth.Warmth(id), since=now)
+            or cold_endpoint.ColdEndpoint(warmth.Warmth(id), since=now)
             for id in (*ready, *draining)
         }
         self._cold = {id for id, x in self.by_id.items() if not x.warmth.warm}
@@ -114,12 +87,12 @@
             return 0
         if known.warmth.warm:
             return self._ramp(known, service, now) - endpoint.in_flight
-        if not self._holds(known, now):
+        if not known.holds(now):
             return 0
         if deadline_seconds > known.request_seconds:
             return 0
         slots = min(known.slots, service.cold_limit)
-        return slots - self._open(endpoint, known, now)
+        return slots - known.open_requests(endpoint.in_flight, now)
 
     def capacity(
         self,
@@ -132,8 +105,8 @@
         if known is None:
             return 0.0
         if known.warmth.warm:
-            return min(_ramped(known, service, now), service.capacity)
-        return known.slots if self._holds(known, now) else 0.0
+            return min(known.ramped(service, now), service.capacity)
+        return known.slots if known.holds(now) else 0.0
 
     def held_endpoints(
         self, service: ids.ServiceName, now: clock.MonotonicTime
@@ -145,7 +118,7 @@
                 continue
             if endpoint.zone in self._zones_out:
                 continue
-            if self._holds(self.by_id[endpoint_id], now):
+            if self.by_id[endpoint_id].holds(now):
                 yield endpoint
 
     def confirm(
@@ -155,7 +128,7 @@
         known = self.by_id.get(endpoint)
         if known is None:
             return False
-        return known.warmth.warm or self._holds(known, now)
+        return known.warmth.warm or known.holds(now)
 
     def demand(
         self, service: ids.ServiceName, now: clock.MonotonicTime
@@ -175,8 +148,7 @@
         """Keep the slot of a request that may still run there."""
         known = self.by_id.get(endpoint)
         if known is not None and not known.warmth.warm:
-            until = clock.MonotonicTime(now + known.request_seconds)
-            known.abandoned.append(_Abandoned(now, until))
+            known.abandon(now)
 
     def cold_again(
         self, endpoint: ids.EndpointId, now: clock.MonotonicTime
@@ -196,17 +168,11 @@
         holds = warmth.newer(known.warmth, record)
         if holds == known.warmth:
             return
-        was_warm = known.warmth.warm
-        known.warmth = holds
-        known.served = 0
-        known.ready_reports = 0
-        known.since = now
+        known.take(holds, now)
         if holds.warm:
             self._cold.discard(record.endpoint)
-            known.ramp_from = known.ramp_from if was_warm else now
         else:
             self._cold.add(record.endpoint)
-            known.is_settled = False
 
     def reported(
         self,
@@ -219,19 +185,7 @@
         known = self.by_id.get(endpoint.id)
         if known is None or known.warmth.warm:
             return
-        is_stale = known.warmth.round and (
-            now - known.since < REPORT_LAG_SECONDS
-        )
-        if is_stale:
-            return
-        if running <= endpoint.in_flight:
-            known.is_settled = True
-            known.abandoned = [
-                x
-                for x in known.abandoned
-                if now - x.since < REPORT_LAG_SECONDS
-            ]
-        known.ready_reports = known.ready_reports + 1 if is_ready else 0
+        known.reported(endpoint.in_flight, is_ready, running, now)
 
     def end_if_warm(
         self, endpoint: table.Endpoint, kind: config_model.ServiceKind
@@ -240,14 +194,7 @@
         known = self.by_id.get(endpoint.id)
         if known is None or known.warmth.warm:
             return None
-        served = known.served >= SERVED_WELL
-        ready = known.ready_reports >= READY_REPORTS
-        quiet = known.ready_reports >= QUIET_READY_REPORTS
-        if kind is config_model.ServiceKind.PLAIN:
-            over = served
-        else:
-            over = (served and ready) or quiet
-        if not over:
+        if not known.has_ended(kind):
             return None
         return warmth.Warmth(endpoint.id, known.warmth.round, True)
 
@@ -265,14 +212,16 @@
             endpoint = self.routing_table.find(endpoint_id)
             if endpoint is None:
                 continue
-            if self._open(endpoint, self.by_id[endpoint_id], now):
+            if self.by_id[endpoint_id].open_requests(endpoint.in_flight, now):
                 yield endpoint
                 continue
             if endpoint_id in self.routing_table.draining_by_id:
                 continue
             if endpoint.zone in self._zones_out:
                 continue
-            called = self._called_at_by_service.get(endpoint.service, NEVER)
+            called = self._called_at_by_service.get(
+                endpoint.service, cold_endpoint.NEVER
+            )
             if now - called < DEMAND_SECONDS:
                 yield endpoint
 
@@ -286,7 +235,9 @@
             endpoint_id
             for endpoint_id in endpoints
             if (endpoint := self.routing_table.find(endpoint_id))
-            and not self._open(endpoint, self.by_id[endpoint_id], now)
+            and not self.by_id[endpoint_id].open_requests(
+                endpoint.in_flight, now
+            )
         }
 
     def lease(
@@ -312,7 +263,7 @@
         for endpoint_id in endpoints:
             known = self.by_id.get(endpoint_id)
             if known is not None:
-                known.lease_until = NEVER
+                known.lease_until = cold_endpoint.NEVER
 
     def _follow_zones(self, now: clock.MonotonicTime) -> None:
         endpoints = self.routing_table.by_id.values()
@@ -330,40 +281,13 @@
         if len(self._unplaced) > MAX_UNPLACED:
             del self._unplaced[next(iter(self._unplaced))]
 
-    def _holds(self, known: ColdEndpoint, now: clock.MonotonicTime) -> bool:
-        if now >= known.lease_until:
-            return False
-        settled_at = known.since + known.request_seconds
-        return known.is_settled or now >= settled_at
-
-    def _open(
-        self,
-        endpoint: table.Endpoint,
-        known: ColdEndpoint,
-        now: clock.MonotonicTime,
-    ) -> int:
-        known.abandoned = [x for x in known.abandoned if x.until > now]
-        return endpoint.in_flight + len(known.abandoned)
-
     def _ramp(
         self,
-        known: ColdEndpoint,
+        known: cold_endpoint.ColdEndpoint,
         service: config_model.Service,
         now: clock.MonotonicTime,
     ) -> int:
-        total = _ramped(known, service, now)
+        total = known.ramped(service, now)
         if total >= service.capacity:
             return service.capacity
         return max(1, math.ceil(total / max(1, self.routers())))
-
-
-def _ramped(
-    known: ColdEndpoint,
-    service: config_model.Service,
-    now: clock.MonotonicTime,
-) -> float:
-    """Return what all routers may send, at most about the capacity."""
-    doublings = (now - known.ramp_from) / RAMP_DOUBLING_SECONDS
-    if doublings >= math.log2(service.capacity / service.cold_limit):
-        return service.capacity
-    return service.cold_limit * math.pow(2.0, doublings)
--- a/sycamoredale/routing/warmth_store.py
+++ b/sycamoredale/routing/warmth_store.py
@@ -16,6 +16,7 @@
 from sycamoredale.membership import relay
 from sycamoredale.observability import logs
 from sycamoredale.platform import objects
+from sycamoredale.routing import cold_endpoint
 from sycamoredale.routing import cold_start
 from sycamoredale.routing import warmth
 
@@ -46,7 +47,7 @@
     async def run(self) -> None:
         """Read and write records for ever."""
         version = objects.ABSENT
-        read_at = cold_start.NEVER
+        read_at = cold_endpoint.NEVER
         while True:
             now = clock.monotonic()
             if now - read_at >= WARM_POLL_SECONDS or self._wants_cold(now):
@@ -131,12 +132,13 @@
         domain: ids.DomainName,
         written: dict[ids.EndpointId, warmth.Warmth],
     ) -> None:
-        unwritten = self._unwritten_by_domain[domain]
+        # Another task may have written the same records meanwhile.
+        unwritten = self._unwritten_by_domain.get(domain, {})
         for endpoint, record in written.items():
             if unwritten.get(endpoint) == record:
                 del unwritten[endpoint]
         if not unwritten:
-            del self._unwritten_by_domain[domain]
+            self._unwritten_by_domain.pop(domain, None)
 
     def _records(
         self, domain: ids.DomainName
