--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -67,8 +67,13 @@
         )
     except subprocess.TimeoutExpired:
         return Result(path.stem, about, [], f"over {SCRIPT_SECONDS} s")
-    figures = [json.loads(line) for line in done.stdout.splitlines()]
+    figures = []
     failure = ""
+    for line in done.stdout.splitlines():
+        try:
+            figures.append(json.loads(line))
+        except ValueError:
+            failure = f"printed a line that is no JSON: {line[:60]}"
     if done.returncode:
         lines = done.stderr.strip().splitlines() or ["no message"]
         failure = lines[-1]
