--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -23,6 +23,7 @@
 NEW_NETWORK: typing.Final = 0x40000000
 GET_FLAGS: typing.Final = 0x8913
 SET_FLAGS: typing.Final = 0x8914
+PEERS_SECONDS: typing.Final = 90.0
 FLAG_UP: typing.Final = 0x1
 ZONES: typing.Final = ("kochi", "thrissur", "kozhikode")
 
@@ -109,10 +110,14 @@
             )
         )
     for router in routers:
-        processes.wait_for(lambda r=router: _peers(r) == size, 90.0)
+        _wait_for_peers(router, size)
     return routers
 
 
+def _wait_for_peers(router: processes.Process, size: int) -> None:
+    processes.wait_for(lambda: _peers(router) == size, PEERS_SECONDS)
+
+
 def _peers(router: processes.Process) -> int:
     health = processes.request(router.address, "GET", "/healthz")
     return int(health.json()["peers"])
--- a/demo/client.py
+++ b/demo/client.py
@@ -111,4 +111,5 @@
 def _booking_is_final(status: int, body: bytes) -> bool:
     if status == 200:
         return True
-    return json.loads(body)["error"]["execution"] != "not_run"
+    execution: str = json.loads(body)["error"]["execution"]
+    return execution != "not_run"
