--- /dev/null
+++ b/benchmarks/table_cost.py
@@ -0,0 +1,153 @@
+"""Measure what a router's table of endpoints costs as the fleet grows.
+
+Groups have 16 members and stand eight to a fabric domain.  Each size is
+measured in a process of its own: the memory of the table, the time to take
+over one changed assignment, and the time to choose an endpoint for a call.
+"""
+
+import collections.abc
+import pathlib
+import random
+import subprocess
+import sys
+import time
+import typing
+
+from benchmarks import site
+from sycamoredale import clock
+from sycamoredale.config import model as config_model
+from sycamoredale.groups import model
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.membership import relay
+from sycamoredale.requests import call as call_module
+from sycamoredale.routing import choice
+from sycamoredale.routing import cold_start
+from sycamoredale.routing import health
+from sycamoredale.routing import table
+from sycamoredale.routing import warmth
+
+SIZES: typing.Final = (350, 700, 1400, 2800)
+MEMBERS: typing.Final = 16
+GROUPS_PER_DOMAIN: typing.Final = 8
+ZONES: typing.Final = 15
+CHANGES: typing.Final = 50
+CHOICES: typing.Final = 2000
+SERVICE: typing.Final = config_model.Service(
+    ids.ServiceName("assistant"),
+    config_model.ServiceKind.MODEL,
+    max(SIZES),
+    MEMBERS,
+)
+NOW: typing.Final = clock.MonotonicTime(1e6)
+
+
+def main() -> None:
+    """Run each size in a process of its own."""
+    for size in SIZES:
+        subprocess.run(
+            [sys.executable, "-m", "benchmarks.table_cost", str(size)],
+            check=True,
+        )
+
+
+def measure(size: int) -> None:
+    """Print the figures of one size."""
+    facts: dict[str, object] = {"size": size, "size_unit": "groups"}
+    assignments = list(_assignments(size))
+    routing_table = table.RoutingTable()
+    chooser = _chooser(routing_table)
+    before = _resident_bytes()
+    started = time.process_time()
+    for assignment in assignments:
+        routing_table.apply_assignment(assignment)
+    site.report(
+        "table.first_fill", time.process_time() - started, "s", **facts
+    )
+    site.report(
+        "table.memory", (_resident_bytes() - before) / 1e6, "MB", **facts
+    )
+    for endpoint in routing_table.by_id:
+        chooser.cold.learn(
+            warmth.Warmth(endpoint, 0, True), clock.MonotonicTime(0.0)
+        )
+    site.report(
+        "table.one_change", _change(routing_table, assignments), "ms", **facts
+    )
+    site.report("table.one_choice", _choose(chooser), "us", **facts)
+
+
+def _change(
+    routing_table: table.RoutingTable, assignments: list[model.Assignment]
+) -> float:
+    started = time.process_time()
+    for assignment in assignments[:CHANGES]:
+        routing_table.apply_assignment(assignment)
+    changed = min(CHANGES, len(assignments))
+    return (time.process_time() - started) / changed * 1e3
+
+
+def _choose(chooser: choice.Chooser) -> float:
+    call = call_module.Call(
+        id=ids.RequestId("r"),
+        organisation=ids.OrganisationName("o"),
+        service=SERVICE,
+        upstream=messages.Request("POST", "/", body=b"{}"),
+        idempotent=True,
+        stream=True,
+        key=None,
+        deadline_seconds=10.0,
+    )
+    started = time.process_time()
+    for _ in range(CHOICES):
+        if chooser.choose(call, frozenset(), NOW) is None:
+            raise RuntimeError("no endpoint was chosen")
+    return (time.process_time() - started) / CHOICES * 1e6
+
+
+def _chooser(routing_table: table.RoutingTable) -> choice.Chooser:
+    return choice.Chooser(
+        routing_table,
+        ids.ZoneName("z0"),
+        health.Health(relay.Relay(ids.DaemonId("router"))),
+        cold_start.ColdStart(routing_table),
+        random.Random(1),
+    )
+
+
+def _assignments(size: int) -> collections.abc.Iterator[model.Assignment]:
+    for start in range(0, size, GROUPS_PER_DOMAIN):
+        domain = ids.DomainName(f"d{start}")
+        numbers = range(start, min(start + GROUPS_PER_DOMAIN, size))
+        groups = [_group(number) for number in numbers]
+        yield model.Assignment(domain, ids.Epoch(1), groups)
+
+
+def _group(number: int) -> model.Group:
+    return model.Group(
+        id=ids.GroupId(f"g{number}"),
+        service=SERVICE.name,
+        version=ids.VersionName("v1"),
+        zone=ids.ZoneName(f"z{number // GROUPS_PER_DOMAIN % ZONES}"),
+        epoch=ids.Epoch(1),
+        state=model.GroupState.READY,
+        members=[
+            model.Member(
+                ids.InstanceId(f"i{number}-{rank}"),
+                f"10.{number // 250}.{number % 250}.{rank + 1}:8000",
+            )
+            for rank in range(MEMBERS)
+        ],
+    )
+
+
+def _resident_bytes() -> int:
+    statm = pathlib.Path("/proc/self/statm").read_text()
+    return int(statm.split()[1]) * site.PAGE_BYTES
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        measure(int(sys.argv[1]))
+    else:
+        main()
