--- a/benchmarks/table_cost.py
+++ b/benchmarks/table_cost.py
@@ -59,8 +59,7 @@
     chooser = _chooser(routing_table)
     before = _resident_bytes()
     started = time.process_time()
-    for assignment in assignments:
-        routing_table.apply_assignment(assignment)
+    routing_table.apply(assignments)
     site.report(
         "table.first_fill", time.process_time() - started, "s", **facts
     )
--- a/sycamoredale/daemons/followers.py
+++ b/sycamoredale/daemons/followers.py
@@ -230,13 +230,12 @@
             self._fetching = False
 
     def _apply(self, change: mirror.Change) -> None:
-        for stored in change.changed:
-            assignment = msgspec.json.decode(
-                stored.value, type=groups_model.Assignment
-            )
-            self.routing_table.apply_assignment(assignment)
-        for name in change.deleted:
-            self.routing_table.remove_domain(ids.DomainName(name))
+        assignments = (
+            msgspec.json.decode(stored.value, type=groups_model.Assignment)
+            for stored in change.changed
+        )
+        deleted = (ids.DomainName(name) for name in change.deleted)
+        self.routing_table.apply(assignments, deleted)
         self.node.advance(assignments=self.mirror.version)
 
 
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -32,6 +32,13 @@
 OnChange = collections.abc.Callable[[], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Domain:
+    epoch: ids.Epoch
+    ready: list[Endpoint]
+    draining: list[Endpoint]
+
+
 @dataclasses.dataclass
 class RoutingTable:
     """Hold the endpoints by id and call back when they change.
@@ -49,8 +56,8 @@
     _by_service: dict[ids.ServiceName, list[Endpoint]] = dataclasses.field(
         default_factory=dict
     )
-    _by_domain: dict[ids.DomainName, groups_model.Assignment] = (
-        dataclasses.field(default_factory=dict)
+    _by_domain: dict[ids.DomainName, _Domain] = dataclasses.field(
+        default_factory=dict
     )
     _zone_lists: (
         dict[ids.ServiceName, dict[ids.ZoneName, list[Endpoint]]] | None
@@ -70,16 +77,25 @@
 
     def apply_assignment(self, assignment: groups_model.Assignment) -> None:
         """Replace the groups of one domain, unless they are older."""
-        known = self._by_domain.get(assignment.domain)
-        if known is not None and assignment.epoch < known.epoch:
-            return
-        self._by_domain[assignment.domain] = assignment
-        self._rebuild()
+        self.apply([assignment])
 
-    def remove_domain(self, domain: ids.DomainName) -> None:
-        """Drop all groups of a domain whose assignment was deleted."""
-        if self._by_domain.pop(domain, None) is not None:
-            self._rebuild()
+    def apply(
+        self,
+        assignments: collections.abc.Iterable[groups_model.Assignment],
+        deleted: collections.abc.Iterable[ids.DomainName] = (),
+    ) -> None:
+        """Replace the groups of domains and drop deleted domains.
+
+        Only the endpoints of these domains are built anew, and the table
+        tells of the change once.
+        """
+        touched = False
+        for assignment in assignments:
+            touched |= self._replace(assignment)
+        for domain in deleted:
+            touched |= self._by_domain.pop(domain, None) is not None
+        if touched:
+            self._collect()
 
     def candidates(
         self, service: ids.ServiceName
@@ -110,18 +126,33 @@
         """Tell if operators have taken the availability zone out."""
         return zone in self._zones_out
 
-    def _rebuild(self) -> None:
-        known = self.by_id | self.draining_by_id
-        self.by_id = {}
-        self.draining_by_id = {}
-        for assignment in self._by_domain.values():
-            for group in assignment.groups:
+    def _replace(self, assignment: groups_model.Assignment) -> bool:
+        known = self._by_domain.get(assignment.domain)
+        if known is not None and assignment.epoch < known.epoch:
+            return False
+        self._by_domain[assignment.domain] = _Domain(
+            assignment.epoch,
+            list(self._endpoints(assignment, groups_model.GroupState.READY)),
+            list(
+                self._endpoints(assignment, groups_model.GroupState.DRAINING)
+            ),
+        )
+        return True
+
+    def _endpoints(
+        self,
+        assignment: groups_model.Assignment,
+        state: groups_model.GroupState,
+    ) -> collections.abc.Iterator[Endpoint]:
+        for group in assignment.groups:
+            if group.state is state:
                 endpoint = _endpoint(assignment.domain, group)
-                endpoint = known.get(endpoint.id, endpoint)
-                if group.state is groups_model.GroupState.READY:
-                    self.by_id[endpoint.id] = endpoint
-                elif group.state is groups_model.GroupState.DRAINING:
-                    self.draining_by_id[endpoint.id] = endpoint
+                yield self.find(endpoint.id) or endpoint
+
+    def _collect(self) -> None:
+        domains = self._by_domain.values()
+        self.by_id = {e.id: e for d in domains for e in d.ready}
+        self.draining_by_id = {e.id: e for d in domains for e in d.draining}
         self._by_service = {}
         for endpoint in self.by_id.values():
             self._by_service.setdefault(endpoint.service, []).append(endpoint)
