--- a/benchmarks/controller_cost.py
+++ b/benchmarks/controller_cost.py
@@ -2,7 +2,7 @@
 
 One controller keeps groups of two engines in 1, 2, 4 and 8 domains.  For
 each size the platform calls a second by kind and the share of a core are
-printed, and the slope of the share over the instances.
+printed.
 
 Run `python -m benchmarks.controller_cost`.
 """
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from benchmarks import site
 from tests import group_site
 from tests import processes
 
@@ -24,23 +25,23 @@
 def measure(domains: int) -> tuple[dict[str, float], float]:
     """Return the calls a second by kind and the share of a core."""
     with processes.Fleet() as fleet:
-        site = group_site.start(fleet)
+        started = group_site.start(fleet)
         for domain in range(domains):
             names = [f"d{domain}-{n}" for n in range(ENGINES_PER_DOMAIN)]
-            site.add_engines(names, f"d{domain}")
-        site.publish()
+            started.add_engines(names, f"d{domain}")
+        started.publish()
         groups = domains * ENGINES_PER_DOMAIN // 2
-        site.apply(
+        started.apply(
             services=[group_site.service(groups, 2)],
             zones=[{"name": "kochi"}],
         )
-        controller = fleet.controller("c1", "kochi", site.platform.address)
-        processes.wait_for(lambda: len(site.ready()) == groups, 60.0)
+        controller = fleet.controller("c1", "kochi", started.platform.address)
+        processes.wait_for(lambda: len(started.ready()) == groups, 60.0)
         time.sleep(2.0)
-        calls = _calls(site)
+        calls = _calls(started)
         cpu = _cpu_seconds(controller.popen.pid)
         time.sleep(SECONDS)
-        after = _calls(site)
+        after = _calls(started)
         share = (_cpu_seconds(controller.popen.pid) - cpu) / SECONDS
         rates = {
             kind: (count - calls.get(kind, 0)) / SECONDS
@@ -50,26 +51,28 @@
 
 
 def main() -> None:
-    """Print the cost by the number of domains and its slope."""
-    shares: list[tuple[int, float]] = []
+    """Print the cost by the number of instances."""
     for domains in DOMAINS:
         rates, share = measure(domains)
-        instances = domains * ENGINES_PER_DOMAIN
-        shares.append((instances, share))
-        shown = ", ".join(
-            f"{kind} {rate:.2f}/s"
-            for kind, rate in sorted(rates.items())
-            if rate
-        )
-        print(f"{domains} domains, {instances} instances: {shown}; ", end="")
-        print(f"{share:.2%} of a core")
-    (least, low), (most, high) = shares[0], shares[-1]
-    slope = (high - low) / (most - least)
-    print(f"slope: {slope:.4%} of a core for each instance")
+        size: dict[str, object] = {
+            "size": domains * ENGINES_PER_DOMAIN,
+            "size_unit": "instances",
+        }
+        site.report("controller.cpu", share * 100, "% of a core", **size)
+        for kind, rate in sorted(rates.items()):
+            if rate:
+                measured = f"controller.calls_{_name(kind)}"
+                site.report(measured, rate, "calls/s", **size)
+
+
+def _name(kind: str) -> str:
+    return kind.lower().replace(" ", "_")
 
 
-def _calls(site: group_site.GroupSite) -> dict[str, int]:
-    answer = processes.request(site.platform.address, "GET", "/standin/calls")
+def _calls(started: group_site.GroupSite) -> dict[str, int]:
+    answer = processes.request(
+        started.platform.address, "GET", "/standin/calls"
+    )
     return dict(answer.json())
 
 
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -3,7 +3,7 @@
 Run as `python -m benchmarks.fleet_cost --sizes 8,16,32`.  Each size runs
 that many routers, idle, in three zones, inside a network namespace of its
 own, so that the counters of its loopback interface hold all bytes with the
-TCP and IP headers.  Prints one JSON line a figure, and the fitted slopes.
+TCP and IP headers.  Prints one JSON line a figure.
 """
 
 import ctypes
@@ -37,24 +37,15 @@
 
 
 @click.command()
-@click.option("--sizes", default="8,16,32")
+@click.option("--sizes", default="8,16,32,64")
 @click.option("--settle-seconds", default=20.0)
-@click.option("--window-seconds", default=30.0)
+@click.option("--window-seconds", default=20.0)
 def main(sizes: str, settle_seconds: float, window_seconds: float) -> None:
     """Measure each size and fit a line through the figures."""
     isolate_network()
-    rows = []
     for size in map(int, sizes.split(",")):
         with processes.Fleet() as fleet:
-            rows.append(
-                (size, _measure(fleet, size, settle_seconds, window_seconds))
-            )
-    for measure in rows[0][1]:
-        points = [(size, figures[measure]) for size, figures in rows]
-        base, slope = _fit(points)
-        site.report(f"{measure}_at_0_daemons", base, "fitted")
-        site.report(f"{measure}_per_daemon_more", slope, "fitted")
-        site.report(f"{measure}_at_380", base + 380 * slope, "extrapolated")
+            _measure(fleet, size, settle_seconds, window_seconds)
 
 
 def isolate_network() -> None:
@@ -74,7 +65,7 @@
 
 def _measure(
     fleet: processes.Fleet, size: int, settle: float, window: float
-) -> dict[str, float]:
+) -> None:
     platform = fleet.standin("platform")
     routers = start_routers(fleet, platform, size)
     time.sleep(settle)
@@ -86,15 +77,11 @@
     calls = (after.platform_calls - before.platform_calls) / seconds
     cpu = (after.cpu_seconds - before.cpu_seconds) / seconds / size
     memory = max(site.resident_bytes(r) for r in routers)
-    figures = {
-        "bytes_sent_and_received": 2 * sent,
-        "cpu_percent_of_core": 100 * cpu,
-        "platform_calls": calls / size,
-    }
-    for measure, value in figures.items():
-        site.report(measure, value, "per daemon and second", daemons=size)
-    site.report("resident_mebibytes", memory / 2**20, "MiB", daemons=size)
-    return figures
+    facts: dict[str, object] = {"size": size, "size_unit": "daemons"}
+    site.report("fleet.bytes_both_ways", 2 * sent, "B/s", **facts)
+    site.report("fleet.cpu", 100 * cpu, "% of a core", **facts)
+    site.report("fleet.platform_calls", calls / size, "calls/s", **facts)
+    site.report("fleet.memory", memory / 1e6, "MB", **facts)
 
 
 def start_routers(
@@ -138,16 +125,5 @@
     raise RuntimeError("there is no loopback interface")
 
 
-def _fit(points: list[tuple[int, float]]) -> tuple[float, float]:
-    """Return base and slope of the least squares line."""
-    mean_x = sum(x for x, _ in points) / len(points)
-    mean_y = sum(y for _, y in points) / len(points)
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    if not spread:
-        return mean_y, 0.0
-    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
-    return mean_y - slope * mean_x, slope
-
-
 if __name__ == "__main__":
     main()
--- a/benchmarks/group_downtime.py
+++ b/benchmarks/group_downtime.py
@@ -15,6 +15,7 @@
 import time
 import typing
 
+from benchmarks import site as site_module
 from tests import group_site
 from tests import processes
 
@@ -91,13 +92,16 @@
     """Print the times of both controllers."""
     for name, start in (("greedy", _start_naive), ("ours", _start_ours)):
         out, again = measure(start)
-        print(
-            f"{name}: {len(out)} losses, out of the table after "
-            f"median {statistics.median(out):.2f} s, "
-            f"worst {max(out):.2f} s; ready again after "
-            f"median {statistics.median(again):.2f} s, "
-            f"worst {max(again):.2f} s"
-        )
+        for what, times in (("out_of_table", out), ("ready_again", again)):
+            facts: dict[str, object] = {
+                "variant": name,
+                "losses": len(times),
+            }
+            median = statistics.median(times)
+            site_module.report(f"downtime.{what}_p50", median, "s", **facts)
+            site_module.report(
+                f"downtime.{what}_worst", max(times), "s", **facts
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -25,7 +25,7 @@
 ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 PAGE: Final = ROOT / "docs" / "measurements.md"
 PLOTS: Final = ROOT / "docs" / "plots"
-SCRIPT_SECONDS: Final = 240
+SCRIPT_SECONDS: Final = 300
 FIT_SIZES: Final = 4
 OWN_FIELDS: Final = frozenset(
     ("measure", "value", "unit", "size", "size_unit", "variant")
--- a/benchmarks/stranded_accelerators.py
+++ b/benchmarks/stranded_accelerators.py
@@ -1,4 +1,4 @@
-"""Count stranded accelerators after random failures and returns.
+"""Measure stranded accelerators after random failures and returns.
 
 The planner and a greedy one see the same events.  Engines obey at once, so
 that only the decisions differ.  An accelerator is stranded if its instance
@@ -15,6 +15,7 @@
 import typing
 
 from benchmarks import naive_placement
+from benchmarks import site
 from sycamoredale import clock
 from sycamoredale.config import model as config_model
 from sycamoredale.engines import orders
@@ -200,12 +201,15 @@
         means = [statistics.mean(shares) for shares, _ in runs]
         ends = [shares[-1] for shares, _ in runs]
         formed = statistics.mean(count for _, count in runs)
-        print(
-            f"{name}: stranded mean {statistics.mean(means):.2%}, worst seed "
-            f"{max(means):.2%}, after {EVENTS} events "
-            f"{statistics.mean(ends):.2%}, {formed:.0f} groups formed"
-        )
-    print(f"one plan at the size of the target: {plan_seconds():.3f} s")
+        facts = {"variant": name, "events": EVENTS, "seeds": len(SEEDS)}
+        for measure, value in (
+            ("mean", statistics.mean(means)),
+            ("worst_seed", max(means)),
+            ("at_the_end", statistics.mean(ends)),
+        ):
+            site.report(f"stranded.{measure}", value * 100, "%", **facts)
+        site.report("stranded.groups_formed", formed, "groups", **facts)
+    site.report("placement.one_plan_at_target", plan_seconds(), "s")
 
 
 def _instances(
