--- a/tests/scenarios/actions.py
+++ b/tests/scenarios/actions.py
@@ -41,25 +41,14 @@
     site: site_module.Site, generator: load.Generator, event: Event
 ) -> None:
     """Lose instances or daemons; they come back after the time, if any."""
-    names = site.names(event.target)
-    started = time.monotonic()
-    for name in names:
-        site.process(name).kill()
-        _set_listed(site, name, "gone")
-    _leave_balancer(site, names)
-    _come_back(site, event, names, started)
+    _end(site, event, stays_listed=False)
 
 
 def crash(
     site: site_module.Site, generator: load.Generator, event: Event
 ) -> None:
     """End processes whose instances stay listed."""
-    names = site.names(event.target)
-    started = time.monotonic()
-    for name in names:
-        site.process(name).kill()
-    _leave_balancer(site, names)
-    _come_back(site, event, names, started)
+    _end(site, event, stays_listed=True)
 
 
 def pause(
@@ -232,6 +221,17 @@
                 site.restart(instance.id)
 
 
+def _end(site: site_module.Site, event: Event, stays_listed: bool) -> None:
+    names = site.names(event.target)
+    started = time.monotonic()
+    for name in names:
+        site.process(name).kill()
+        if not stays_listed:
+            _set_listed(site, name, "gone")
+    _leave_balancer(site, names)
+    _come_back(site, event, names, started)
+
+
 def _leave_balancer(site: site_module.Site, names: list[str]) -> None:
     for name in names:
         if name in site.router_names:
