--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -17,7 +17,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 from sycamoredale.requests import claim_writer
 from sycamoredale.requests import claims
 from tests import processes
--- a/benchmarks/config_spread.py
+++ b/benchmarks/config_spread.py
@@ -22,7 +22,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 from tests import processes
 
 ORGANISATIONS: typing.Final = 400
--- a/benchmarks/naive_controller.py
+++ b/benchmarks/naive_controller.py
@@ -18,9 +18,9 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.object_api import instances
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import instances
-from sycamoredale.platform import objects
 
 INTERVAL_SECONDS: Final = 0.5
 LOG: Final = logs.get("controller")
--- a/benchmarks/naive_placement.py
+++ b/benchmarks/naive_placement.py
@@ -12,7 +12,7 @@
 from sycamoredale.config import model as config_model
 from sycamoredale.groups import model
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 
 def plan(
--- a/benchmarks/stranded_accelerators.py
+++ b/benchmarks/stranded_accelerators.py
@@ -25,7 +25,7 @@
 from sycamoredale.groups import repair
 from sycamoredale.groups import retirement
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 EVENTS: typing.Final = 200
 SEEDS: typing.Final = range(5)
--- a/sycamoredale/commands/asking.py
+++ b/sycamoredale/commands/asking.py
@@ -13,7 +13,7 @@
 from sycamoredale import ids
 from sycamoredale.membership import registry
 from sycamoredale.membership import view
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 ASK_SECONDS: Final = 2.0
 ASKED_AT_ONCE: Final = 32
--- a/sycamoredale/commands/daemons.py
+++ b/sycamoredale/commands/daemons.py
@@ -13,7 +13,7 @@
 from sycamoredale.daemons import options
 from sycamoredale.daemons import router
 from sycamoredale.daemons import settings
-from sycamoredale.platform import budget
+from sycamoredale.object_api import budget
 
 _Command = collections.abc.Callable[..., None]
 
--- a/sycamoredale/commands/fleet_status.py
+++ b/sycamoredale/commands/fleet_status.py
@@ -14,7 +14,7 @@
 from sycamoredale.membership import registry
 from sycamoredale.membership import status
 from sycamoredale.membership import view
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 AGAIN_SECONDS: Final = 0.2
 
--- a/sycamoredale/commands/histogram.py
+++ b/sycamoredale/commands/histogram.py
@@ -13,9 +13,9 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.membership import view
+from sycamoredale.object_api import objects
 from sycamoredale.observability import histograms
 from sycamoredale.observability import requests
-from sycamoredale.platform import objects
 
 HEADING: Final = (
     f"{'organisation':<20} {'service/class':<28} {'measure':<11} "
--- a/sycamoredale/commands/operators.py
+++ b/sycamoredale/commands/operators.py
@@ -22,7 +22,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 DEFAULT_WAIT_SECONDS: Final = 0.0
 
--- a/sycamoredale/config/store.py
+++ b/sycamoredale/config/store.py
@@ -23,7 +23,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 READ_ATTEMPTS: Final = 3
 
--- a/sycamoredale/daemons/controller.py
+++ b/sycamoredale/daemons/controller.py
@@ -13,10 +13,10 @@
 from sycamoredale.groups import keeper
 from sycamoredale.http import client
 from sycamoredale.membership import view
+from sycamoredale.object_api import budget
+from sycamoredale.object_api import instances
+from sycamoredale.object_api import weights
 from sycamoredale.observability import logs
-from sycamoredale.platform import budget
-from sycamoredale.platform import instances
-from sycamoredale.platform import weights
 
 LOG: Final = logs.get("controller")
 STOP_SECONDS: Final = 2.0
--- a/sycamoredale/daemons/fleet.py
+++ b/sycamoredale/daemons/fleet.py
@@ -7,8 +7,8 @@
 from sycamoredale.http import client
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
-from sycamoredale.platform import budget
-from sycamoredale.platform import objects
+from sycamoredale.object_api import budget
+from sycamoredale.object_api import objects
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamoredale/daemons/followers.py
+++ b/sycamoredale/daemons/followers.py
@@ -25,9 +25,9 @@
 from sycamoredale.membership import exchange
 from sycamoredale.membership import mirror
 from sycamoredale.membership import node as node_module
+from sycamoredale.object_api import backoff
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import backoff
-from sycamoredale.platform import objects
 from sycamoredale.routing import table
 
 POLL_SECONDS: Final = 0.8
--- a/sycamoredale/daemons/options.py
+++ b/sycamoredale/daemons/options.py
@@ -6,7 +6,7 @@
 from sycamoredale.daemons import settings
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.platform import budget
+from sycamoredale.object_api import budget
 
 TextByName = collections.abc.Mapping[str, str | None]
 
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -25,10 +25,10 @@
 from sycamoredale.membership import freshness
 from sycamoredale.membership import relay
 from sycamoredale.membership import view
+from sycamoredale.object_api import budget
 from sycamoredale.observability import logs
 from sycamoredale.observability import metrics
 from sycamoredale.observability import requests
-from sycamoredale.platform import budget
 from sycamoredale.requests import call
 from sycamoredale.requests import claim_service
 from sycamoredale.requests import claim_writer
--- /dev/null
+++ b/sycamoredale/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forward calls unchanged to the endpoints of routed services."""
--- /dev/null
+++ b/sycamoredale/forwarding/choosing.py
@@ -0,0 +1,137 @@
+"""Choose the endpoint of a call, or refuse the call at once."""
+
+import collections.abc
+import dataclasses
+import random
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import listing
+from sycamoredale import ids
+
+# In requests: what the way to another zone costs against a shorter queue.
+OTHER_ZONE_LOAD: Final = 0.5
+# Above this share of the slots a request waits past its objective.
+FULL_SHARE: Final = 1.6
+# A plain instance queues this many times its slots before it is full.
+PLAIN_FULL_SHARE: Final = 4.0
+# A group is formed again from staged instances in about that time.
+NO_ENDPOINT_RETRY_SECONDS: Final = 1.0
+# A slot gets free within about a quarter of a stream's time.
+FULL_RETRY_SECONDS: Final = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdBounds:
+    """Bound the sends to cold endpoints over all daemons."""
+
+    factor: float
+    burst: float
+
+
+@dataclasses.dataclass
+class Chooser:
+    """Choose among the endpoints that are known."""
+
+    known: endpoints.EndpointBook
+    instances: listing.InstanceBook
+    own_zone: ids.ZoneName
+    cold: ColdBounds
+    count_daemons: collections.abc.Callable[[], int]
+    sampler: random.Random = dataclasses.field(default_factory=random.Random)
+
+    def choose(
+        self,
+        call: calls.Call,
+        excluded: collections.abc.Set[ids.InstanceId],
+        now: clock.MonotonicTime,
+        must_go_on: bool = False,
+    ) -> endpoints.Endpoint:
+        """Return the endpoint for a call; raise Refusal if none has room.
+
+        A call that must go on goes to a full endpoint rather than to none.
+        """
+        known = self.known.of(call.service.name, _model(call))
+        usable = [
+            e
+            for e in known
+            if e.id not in excluded and self._bears_more(e, call.service, now)
+        ]
+        sound = [e for e in usable if not e.is_suspect(now)]
+        if not sound and must_go_on:
+            sound = usable
+        if not sound:
+            raise _none(call, len(known))
+        best = min(sound, key=lambda e: self._cost(e, now))
+        if not must_go_on and _is_full(best, call.service, now):
+            raise _full(call, len(sound))
+        return best
+
+    def _cost(
+        self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
+    ) -> float:
+        far = endpoint.instance.zone != self.own_zone
+        load = endpoint.load(now) + (OTHER_ZONE_LOAD if far else 0.0)
+        # The draw keeps daemons that know the same from choosing the same.
+        return load / max(1, endpoint.slots) + 0.05 * self.sampler.random()
+
+    def _bears_more(
+        self,
+        endpoint: endpoints.Endpoint,
+        service: catalogue.Service,
+        now: clock.MonotonicTime,
+    ) -> bool:
+        """Tell whether a cold endpoint bears one more from this daemon."""
+        if not service.cold_per_second:
+            return True
+        if not self.instances.is_cold(endpoint.id, now):
+            return True
+        whole = service.cold_per_second * self.cold.factor + self.cold.burst
+        share = max(1, int(whole / self.count_daemons()))
+        recent = [t for t in endpoint.cold_sends if now - t < 1.0]
+        endpoint.cold_sends = recent
+        return len(recent) < share
+
+    def sent(
+        self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
+    ) -> None:
+        """Note that a request goes to an endpoint."""
+        if self.instances.is_cold(endpoint.id, now):
+            endpoint.cold_sends.append(now)
+
+
+def _model(call: calls.Call) -> str:
+    if call.service.engine is None:
+        return ""
+    return call.envelope.model or ""
+
+
+def _is_full(
+    endpoint: endpoints.Endpoint,
+    service: catalogue.Service,
+    now: clock.MonotonicTime,
+) -> bool:
+    share = FULL_SHARE if service.engine else PLAIN_FULL_SHARE
+    return endpoint.load(now) >= share * endpoint.slots
+
+
+def _none(call: calls.Call, known: int) -> errors.Refusal:
+    return errors.Refusal(
+        error_codes.NO_ENDPOINT,
+        f"none of {known} endpoints of service {call.service.name!r} "
+        "can take the request now",
+        retry_after=NO_ENDPOINT_RETRY_SECONDS,
+    )
+
+
+def _full(call: calls.Call, known: int) -> errors.Refusal:
+    return errors.Refusal(
+        error_codes.OVERLOADED,
+        f"all {known} endpoints of service {call.service.name!r} are full",
+        retry_after=FULL_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/sycamoredale/forwarding/endpoints.py
@@ -0,0 +1,167 @@
+"""Know the endpoints that may take requests, and what they have to do.
+
+An endpoint of a model service is the open head of a group; each instance
+of a plain service is one.  The load of an endpoint is what this daemon has
+on it, what the peers say that they have, and before they say so what the
+endpoint itself told with its last answer.
+"""
+
+import collections.abc
+import dataclasses
+import math
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import listing
+from sycamoredale import ids
+
+# What an answer says of the load of others is halved each second: a request
+# lasts about that long, and others come meanwhile.
+LOAD_HALF_LIFE_SECONDS: Final = 1.0
+# A stalled endpoint is either back or closed by its keeper by then.
+SUSPECT_SECONDS: Final = 1.5
+
+
+@dataclasses.dataclass(eq=False)
+class Endpoint:
+    """Hold one endpoint; `model` is empty for a plain service."""
+
+    instance: listing.Instance
+    model: str
+    slots: int
+    pace: float = 1.0
+    in_flight: int = 0
+    others: float = 0.0
+    others_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    suspect_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    heard_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    cold_sends: list[clock.MonotonicTime] = dataclasses.field(
+        default_factory=list
+    )
+
+    @property
+    def id(self) -> ids.InstanceId:
+        """Return the id of the instance that takes the requests."""
+        return self.instance.id
+
+    def load(self, now: clock.MonotonicTime) -> float:
+        """Return the expected number of requests at the endpoint."""
+        age = now - self.others_at
+        fading = math.pow(0.5, age / LOAD_HALF_LIFE_SECONDS)
+        return self.in_flight + self.others * fading
+
+    def note_load(self, load: calls.Load, now: clock.MonotonicTime) -> None:
+        """Learn from the load that an answer carries."""
+        total = load.running + load.waiting
+        self.others = float(max(0, total - self.in_flight))
+        self.others_at = now
+
+    def note_others(self, others: float, now: clock.MonotonicTime) -> None:
+        """Take over what the other daemons have on the endpoint."""
+        self.others = others
+        self.others_at = now
+
+    def suspect(self, now: clock.MonotonicTime) -> None:
+        """Give the endpoint no request for some time."""
+        self.suspect_until = clock.MonotonicTime(now + SUSPECT_SECONDS)
+
+    def heard(self, now: clock.MonotonicTime) -> None:
+        """Note that the endpoint makes progress."""
+        self.heard_at = now
+        self.suspect_until = clock.MonotonicTime(0.0)
+
+    def is_suspect(self, now: clock.MonotonicTime) -> bool:
+        """Tell whether the endpoint seems to stand still."""
+        return now < self.suspect_until
+
+
+GetZonesOut = collections.abc.Callable[[], frozenset[ids.ZoneName]]
+GetServices = collections.abc.Callable[
+    [], collections.abc.Mapping[ids.ServiceName, catalogue.Service]
+]
+
+
+@dataclasses.dataclass
+class EndpointBook:
+    """Hold the endpoints by id of their instance."""
+
+    book: listing.InstanceBook
+    get_services: GetServices
+    get_zones_out: GetZonesOut
+    by_id: dict[ids.InstanceId, Endpoint] = dataclasses.field(
+        default_factory=dict
+    )
+    _by_kind: dict[tuple[ids.ServiceName, str], list[Endpoint]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    def __post_init__(self) -> None:
+        """Follow the changes of the instances."""
+        self.book.on_change.append(self.rebuild)
+
+    def of(
+        self, service: ids.ServiceName, model: str
+    ) -> collections.abc.Sequence[Endpoint]:
+        """Return the endpoints of a service that run a model."""
+        return self._by_kind.get((service, model), ())
+
+    def rebuild(self) -> None:
+        """Take over what is known of instances, zones and services."""
+        found: dict[ids.InstanceId, Endpoint] = {}
+        by_kind: dict[tuple[ids.ServiceName, str], list[Endpoint]] = {}
+        zones_out = self.get_zones_out()
+        services = self.get_services()
+        for instance in self.book.by_id.values():
+            service = services.get(instance.service)
+            if service is None or instance.leaving:
+                continue
+            if instance.zone in zones_out:
+                continue
+            model = _model_of(instance, service)
+            if model is None:
+                continue
+            endpoint = self._endpoint(instance, model, service)
+            found[instance.id] = endpoint
+            by_kind.setdefault((service.name, model), []).append(endpoint)
+        self.by_id = found
+        self._by_kind = by_kind
+
+    def _endpoint(
+        self,
+        instance: listing.Instance,
+        model: str,
+        service: catalogue.Service,
+    ) -> Endpoint:
+        known = self.by_id.get(instance.id)
+        if known is not None and _is_same(known, instance):
+            known.instance = instance
+            return known
+        engine = service.engine
+        configured = service.model(model)
+        return Endpoint(
+            instance,
+            model,
+            engine.slots if engine else instance.slots,
+            configured.pace if configured else 1.0,
+        )
+
+
+def _is_same(known: Endpoint, instance: listing.Instance) -> bool:
+    before = known.instance
+    return (
+        before.started_ms == instance.started_ms
+        and before.address == instance.address
+        and before.membership == instance.membership
+    )
+
+
+def _model_of(
+    instance: listing.Instance, service: catalogue.Service
+) -> str | None:
+    if service.engine is None:
+        return ""
+    if not instance.is_open_head or instance.membership is None:
+        return None
+    return instance.membership.group.rpartition(".")[0]
--- /dev/null
+++ b/sycamoredale/forwarding/listing.py
@@ -0,0 +1,173 @@
+"""Know the instances behind the system as they describe themselves.
+
+An instance tells its state through the platform's list and when it is
+asked.  Its start time and its count of orders say which word is newer, so
+words may arrive in any order and over either way.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+
+from sycamoredale import clock
+from sycamoredale.http import messages
+from sycamoredale import ids
+
+
+class MemberState(enum.Enum):
+    """State how far a member is in the life of its group.
+
+    Only the first member, which takes the requests, opens and closes.
+    """
+
+    JOINING = "joining"
+    READY = "ready"
+    OPEN = "open"
+    CLOSING = "closing"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """Name the place of an instance in a group; the head has rank 0."""
+
+    group: ids.GroupId
+    epoch: ids.Epoch
+    rank: int
+    state: MemberState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instance:
+    """Describe one instance.
+
+    `started_ms` tells lives of one id apart, `orders_taken` words of one
+    life.  `staged` names the models on its host.
+    """
+
+    id: ids.InstanceId
+    service: ids.ServiceName
+    address: messages.Address
+    zone: ids.ZoneName
+    domain: ids.DomainName
+    slots: int
+    leaving: bool
+    cold_seconds: float
+    started_ms: int
+    orders_taken: int
+    membership: Membership | None
+    staged: tuple[str, ...]
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """Return what orders the words of one instance."""
+        return self.started_ms, self.orders_taken
+
+    @property
+    def is_open_head(self) -> bool:
+        """Tell whether the instance takes the requests of a group."""
+        place = self.membership
+        return (
+            place is not None
+            and place.rank == 0
+            and place.state is MemberState.OPEN
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Hold what an instance said when it was asked."""
+
+    started_ms: int
+    orders_taken: int
+    membership: Membership | None
+    staged: tuple[str, ...]
+    running: int
+    waiting: int
+    pace: float
+
+
+OnChange = collections.abc.Callable[[], None]
+
+
+@dataclasses.dataclass
+class InstanceBook:
+    """Hold the listed instances by id."""
+
+    by_id: dict[ids.InstanceId, Instance] = dataclasses.field(
+        default_factory=dict
+    )
+    cold_until_by_id: dict[ids.InstanceId, clock.MonotonicTime] = (
+        dataclasses.field(default_factory=dict)
+    )
+    on_change: list[OnChange] = dataclasses.field(default_factory=list)
+
+    def note(self, instance: Instance, now: clock.MonotonicTime) -> None:
+        """Take over a word of the list unless a newer one is known."""
+        known = self.by_id.get(instance.id)
+        if known is not None and known.age > instance.age:
+            place = dataclasses.replace(
+                instance,
+                started_ms=known.started_ms,
+                orders_taken=known.orders_taken,
+                membership=known.membership,
+                staged=known.staged,
+            )
+            instance = place if _same_life(known, instance) else known
+        until = clock.MonotonicTime(now + instance.cold_seconds)
+        self.cold_until_by_id[instance.id] = until
+        self._put(instance)
+
+    def note_report(self, instance: ids.InstanceId, report: Report) -> None:
+        """Take over the answer of a listed instance unless it is old."""
+        known = self.by_id.get(instance)
+        if known is None:
+            return
+        if (report.started_ms, report.orders_taken) < known.age:
+            return
+        self._put(
+            dataclasses.replace(
+                known,
+                started_ms=report.started_ms,
+                orders_taken=report.orders_taken,
+                membership=report.membership,
+                staged=report.staged,
+            )
+        )
+
+    def remove(self, instance: ids.InstanceId) -> None:
+        """Drop an instance that has left the list."""
+        self.cold_until_by_id.pop(instance, None)
+        if self.by_id.pop(instance, None) is not None:
+            self._changed()
+
+    def keep_only(self, listed: collections.abc.Set[ids.InstanceId]) -> None:
+        """Drop the instances that a complete list no longer has."""
+        for instance in self.by_id.keys() - listed:
+            self.remove(instance)
+
+    def is_cold(
+        self, instance: ids.InstanceId, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell whether an instance bears only a little load."""
+        until = self.cold_until_by_id.get(instance)
+        return until is not None and now < until
+
+    def of_service(
+        self, service: ids.ServiceName
+    ) -> collections.abc.Iterator[Instance]:
+        """Yield the instances of a service."""
+        return (i for i in self.by_id.values() if i.service == service)
+
+    def _put(self, instance: Instance) -> None:
+        if self.by_id.get(instance.id) != instance:
+            self.by_id[instance.id] = instance
+            self._changed()
+
+    def _changed(self) -> None:
+        for callback in self.on_change:
+            callback()
+
+
+def _same_life(known: Instance, listed: Instance) -> bool:
+    return known.started_ms == listed.started_ms
--- /dev/null
+++ b/sycamoredale/forwarding/send_budget.py
@@ -0,0 +1,51 @@
+"""Bound the sends beyond the first of each request.
+
+The bound holds for all daemons together: each takes a ratio of its own
+requests in a window and its part of the allowed burst.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+from sycamoredale import clock
+from sycamoredale import ids
+
+Times = collections.deque[clock.MonotonicTime]
+
+
+@dataclasses.dataclass
+class SendBudget:
+    """Count requests and further sends by service in a sliding window."""
+
+    ratio: float
+    burst: float
+    window_seconds: float
+    count_daemons: collections.abc.Callable[[], int]
+    _requests: dict[ids.ServiceName, Times] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(collections.deque)
+    )
+    _repeats: dict[ids.ServiceName, Times] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(collections.deque)
+    )
+
+    def note_request(
+        self, service: ids.ServiceName, now: clock.MonotonicTime
+    ) -> None:
+        """Count a request of a caller."""
+        self._requests[service].append(now)
+
+    def take(self, service: ids.ServiceName, now: clock.MonotonicTime) -> bool:
+        """Count a further send if it is within the bound; tell if it is."""
+        requests = self._within(self._requests[service], now)
+        repeats = self._within(self._repeats[service], now)
+        allowed = self.ratio * requests + self.burst / self.count_daemons()
+        if repeats + 1 > allowed:
+            return False
+        self._repeats[service].append(now)
+        return True
+
+    def _within(self, times: Times, now: clock.MonotonicTime) -> int:
+        while times and times[0] < now - self.window_seconds:
+            times.popleft()
+        return len(times)
--- a/sycamoredale/groups/assignments.py
+++ b/sycamoredale/groups/assignments.py
@@ -15,8 +15,8 @@
 from sycamoredale import errors
 from sycamoredale.groups import model
 from sycamoredale import ids
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
 
 WATCH_SECONDS: Final = 10.0
 RETRY_SECONDS: Final = 0.5
--- a/sycamoredale/groups/domain_keeper.py
+++ b/sycamoredale/groups/domain_keeper.py
@@ -31,8 +31,8 @@
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale import leases
+from sycamoredale.object_api import instances
 from sycamoredale.observability import logs
-from sycamoredale.platform import instances
 
 SLOT_RETRY_SECONDS: Final = 1.0
 LOG: Final = logs.get("groups.domain")
--- a/sycamoredale/groups/formation.py
+++ b/sycamoredale/groups/formation.py
@@ -8,7 +8,7 @@
 from sycamoredale.groups import model
 from sycamoredale.groups import repair
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/sycamoredale/groups/group_upkeep.py
@@ -0,0 +1,287 @@
+"""Keep the reported groups of all domains while one lease is held.
+
+Each round plans from what instances report and gives the orders that are
+due.  The epoch of an order grows with the lease, so that orders of an
+earlier owner lose against those of a later one.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import listing
+from sycamoredale.groups import contact
+from sycamoredale.groups import mix
+from sycamoredale.groups import reported
+from sycamoredale.groups import suspicion
+from sycamoredale.groups import upkeep
+from sycamoredale import ids
+from sycamoredale import leases
+from sycamoredale.observability import logs
+
+LEASE_NAME: Final = "groups"
+# Short, for a lost owner stops all repair until the lease has ended.
+LEASE_SECONDS: Final = 3.0
+TEND_SECONDS: Final = 0.5
+# Who waits for the lease reads it this often; each read is priced.
+LOOK_SECONDS: Final = 1.0
+ROUND_SECONDS: Final = 0.1
+PROBE_SECONDS: Final = 0.5
+# Epochs of one tenure; one group takes one.
+EPOCHS_PER_TENURE: Final = 1_000_000
+# A little more than the weight store serves at full speed.
+MORE_LOADS_THAN_AT_ONCE: Final = 2
+LOG: Final = logs.get("groups.upkeep")
+
+
+class Engines(typing.Protocol):
+    """Speak to the engines of instances."""
+
+    async def report(self, instance: listing.Instance) -> listing.Report:
+        """Return what an instance reports; raise a connection error."""
+
+    async def order(
+        self,
+        instance: listing.Instance,
+        order: reported.Order,
+        guard: collections.abc.Callable[[], None],
+    ) -> bool:
+        """Give an order and tell whether it was taken; raise as `report`.
+
+        The guard is called immediately before the first byte leaves.
+        """
+
+
+GetCatalogue = collections.abc.Callable[[], catalogue.Catalogue]
+GetZonesOut = collections.abc.Callable[[], frozenset[ids.ZoneName]]
+
+
+@dataclasses.dataclass
+class GroupUpkeep:
+    """Form, open, end and replace groups while the lease is held."""
+
+    lease: leases.Lease
+    engines: Engines
+    book: listing.InstanceBook
+    get_catalogue: GetCatalogue
+    get_zones_out: GetZonesOut
+    stall_seconds: float
+    contacts: contact.ContactBook = dataclasses.field(
+        default_factory=contact.ContactBook
+    )
+    state: upkeep.Upkeep = dataclasses.field(default_factory=upkeep.Upkeep)
+    _epochs: int = 0
+    _tenure_epoch: ids.Epoch | None = None
+
+    async def run(self) -> None:
+        """Hold the lease if it is free, and act while it is held."""
+        await curio.spawn(self._tend, daemon=True)
+        while True:
+            if not self.lease.held(clock.monotonic()):
+                await curio.sleep(ROUND_SECONDS)
+                continue
+            await self._act()
+
+    async def stop(self) -> None:
+        """Give the lease back."""
+        try:
+            await self.lease.release()
+        except errors.StoreUnavailable as error:
+            LOG.warning("lease_not_released", reason=error.message)
+
+    async def _tend(self) -> None:
+        while True:
+            held = self.lease.held(clock.monotonic())
+            try:
+                await self.lease.tend()
+            except errors.StoreUnavailable as error:
+                LOG.warning("lease_not_tended", reason=error.message)
+            now_held = self.lease.held(clock.monotonic())
+            if held != now_held:
+                LOG.info("lease_changed", held=now_held)
+            await curio.sleep(TEND_SECONDS if now_held else LOOK_SECONDS)
+
+    async def _act(self) -> None:
+        """Run the rounds of one tenure."""
+        tenure = self.lease.tenure
+        if tenure is None:
+            return
+        self._tenure_epoch = tenure.epoch
+        self._epochs = 0
+        self.contacts.by_id.clear()
+        self.state = upkeep.Upkeep()
+        prober = await curio.spawn(self._probe_for_ever, daemon=True)
+        try:
+            while self._holds(tenure.epoch):
+                await self._run_round()
+                await curio.sleep(ROUND_SECONDS)
+        finally:
+            await prober.cancel()
+
+    def _holds(self, epoch: ids.Epoch) -> bool:
+        tenure = self.lease.tenure
+        return (
+            self.lease.held(clock.monotonic())
+            and tenure is not None
+            and tenure.epoch == epoch
+        )
+
+    async def _run_round(self) -> None:
+        now = clock.monotonic()
+        situation = self._situation(now)
+        if not situation.services or self._is_cut_off(situation):
+            return
+        due = list(self.state.due(situation))
+        due.extend(self._form(situation))
+        for item in due:
+            await curio.spawn(self._give, item, daemon=True)
+
+    def _situation(self, now: clock.MonotonicTime) -> upkeep.Situation:
+        return upkeep.Situation(
+            self.book.by_id,
+            self.get_catalogue().service_by_name,
+            self.contacts,
+            self.get_zones_out(),
+            self.stall_seconds,
+            now,
+        )
+
+    def _form(
+        self, situation: upkeep.Situation
+    ) -> collections.abc.Iterator[reported.Due]:
+        free = list(self.state.free(situation))
+        for name, service in situation.services.items():
+            if service.engine is not None:
+                own = [i for i in free if i.service == name]
+                yield from self._form_of(service, own, situation)
+
+    def _form_of(
+        self,
+        service: catalogue.Service,
+        free: list[listing.Instance],
+        situation: upkeep.Situation,
+    ) -> collections.abc.Iterator[reported.Due]:
+        assert service.engine is not None
+        left = _loads_left(service.engine, situation)
+        left -= self.state.staging(situation.now)
+        standing = collections.Counter(
+            key.model
+            for key, group in reported.groups_of(
+                situation.instances.values(), situation.services
+            ).items()
+            if group.service == service.name and group.head is not None
+        )
+        used: set[ids.InstanceId] = set()
+        for group in mix.new_groups(free, service.engine.models, standing):
+            used.update(m.id for m in group.members)
+            if group.loads and group.loads > left:
+                continue
+            left -= group.loads
+            yield from self._join(group, situation.now)
+        spares = [i for i in free if i.id not in used]
+        for staging in mix.stagings(spares, service.engine.models):
+            if left <= 0 or not self._may_stage(staging, situation):
+                continue
+            left -= 1
+            order = reported.Stage(staging.model)
+            yield reported.Due(staging.instance, order, "a spare is empty")
+
+    def _may_stage(
+        self, staging: mix.Staging, situation: upkeep.Situation
+    ) -> bool:
+        due = reported.Due(staging.instance, reported.Stage(staging.model), "")
+        return self.state.may_stage(due, situation.now)
+
+    def _join(
+        self, group: mix.NewGroup, now: clock.MonotonicTime
+    ) -> collections.abc.Iterator[reported.Due]:
+        assert self._tenure_epoch is not None
+        self._epochs += 1
+        epoch = ids.Epoch(
+            self._tenure_epoch * EPOCHS_PER_TENURE + self._epochs
+        )
+        key = reported.new_key(group.model.name, epoch)
+        members = tuple(m.id for m in group.members)
+        self.state.note_join(key, members, now)
+        for member in group.members:
+            yield reported.Due(
+                member, reported.Join(key, members), "a group is missing"
+            )
+
+    async def _give(self, item: reported.Due) -> None:
+        def guard() -> None:
+            self.lease.check(clock.monotonic())
+
+        outcome = "taken"
+        try:
+            if not await self.engines.order(item.instance, item.order, guard):
+                outcome = "refused"
+        except errors.SycamoredaleError as error:
+            outcome = error.message
+        LOG.info(
+            "order_given",
+            instance=item.instance.id,
+            order=repr(item.order),
+            reason=item.reason,
+            outcome=outcome,
+        )
+
+    async def _probe_for_ever(self) -> None:
+        while True:
+            started = clock.monotonic()
+            async with curio.TaskGroup() as group:
+                for instance in list(self._engine_instances()):
+                    await group.spawn(self._probe, instance)
+            spent = clock.monotonic() - started
+            await curio.sleep(max(0.0, PROBE_SECONDS - spent))
+
+    def _engine_instances(
+        self,
+    ) -> collections.abc.Iterator[listing.Instance]:
+        services = self.get_catalogue().service_by_name
+        for instance in self.book.by_id.values():
+            service = services.get(instance.service)
+            if service is not None and service.engine is not None:
+                yield instance
+
+    async def _probe(self, instance: listing.Instance) -> None:
+        try:
+            report = await self.engines.report(instance)
+        except errors.SycamoredaleError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            self.contacts.failed(instance.id, refused)
+            return
+        self.contacts.answered(instance.id, clock.monotonic())
+        self.book.note_report(instance.id, report)
+
+    def _is_cut_off(self, situation: upkeep.Situation) -> bool:
+        counts: dict[ids.DomainName, list[bool]] = {}
+        for instance in self._engine_instances():
+            if instance.id in situation.contacts.by_id:
+                counts.setdefault(instance.domain, []).append(
+                    situation.contacts.is_lost(instance.id)
+                )
+        return suspicion.cut_off(
+            suspicion.ProbeCount(domain, len(lost), sum(lost))
+            for domain, lost in counts.items()
+        )
+
+
+def _loads_left(
+    engine: catalogue.BatchEngine, situation: upkeep.Situation
+) -> int:
+    """Return how many more loads may start now."""
+    loading = sum(
+        1
+        for instance in situation.instances.values()
+        if instance.membership is not None
+        and instance.membership.state is listing.MemberState.JOINING
+    )
+    return engine.loads_at_once + MORE_LOADS_THAN_AT_ONCE - loading
--- a/sycamoredale/groups/keeper.py
+++ b/sycamoredale/groups/keeper.py
@@ -25,10 +25,10 @@
 from sycamoredale.http import client
 from sycamoredale import ids
 from sycamoredale import leases
+from sycamoredale.object_api import instances
+from sycamoredale.object_api import objects
+from sycamoredale.object_api import weights
 from sycamoredale.observability import logs
-from sycamoredale.platform import instances
-from sycamoredale.platform import objects
-from sycamoredale.platform import weights
 
 TEND_SECONDS: Final = 0.4
 LIMITS_SECONDS: Final = 30.0
--- a/sycamoredale/groups/lease_set.py
+++ b/sycamoredale/groups/lease_set.py
@@ -16,8 +16,8 @@
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale import leases
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
 
 SHARDS: Final = 64
 LOOK_SECONDS: Final = leases.LEASE_SECONDS / 2
--- a/sycamoredale/groups/load_slots.py
+++ b/sycamoredale/groups/load_slots.py
@@ -17,8 +17,8 @@
 from sycamoredale import errors
 from sycamoredale.groups import model
 from sycamoredale import ids
-from sycamoredale.platform import objects
-from sycamoredale.platform import weights
+from sycamoredale.object_api import objects
+from sycamoredale.object_api import weights
 
 SLOTS_KIND: Final = "load-slots"
 SLOTS_NAME: Final = "weights"
--- a/sycamoredale/groups/ordering.py
+++ b/sycamoredale/groups/ordering.py
@@ -15,7 +15,7 @@
 from sycamoredale.groups import model
 from sycamoredale.groups import repair
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 REPEAT_LOAD_SECONDS: Final = 2.0
 
--- a/sycamoredale/groups/placement.py
+++ b/sycamoredale/groups/placement.py
@@ -19,7 +19,7 @@
 from sycamoredale.config import model as config_model
 from sycamoredale.groups import model
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamoredale/groups/planning.py
+++ b/sycamoredale/groups/planning.py
@@ -12,7 +12,7 @@
 from sycamoredale.groups import repair
 from sycamoredale.groups import retirement
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamoredale/groups/probing.py
+++ b/sycamoredale/groups/probing.py
@@ -14,7 +14,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import leases
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 PROBE_SECONDS: Final = 1.0
 RETRY_SECONDS: Final = 0.1
--- a/sycamoredale/groups/repair.py
+++ b/sycamoredale/groups/repair.py
@@ -19,7 +19,7 @@
 from sycamoredale.groups import health
 from sycamoredale.groups import model
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 DRAIN_GRACE_SECONDS: Final = 3.0
 MAX_DRAIN_SECONDS: Final = 600.0
--- a/sycamoredale/groups/suspicion.py
+++ b/sycamoredale/groups/suspicion.py
@@ -12,8 +12,8 @@
 
 from sycamoredale import clock
 from sycamoredale import ids
+from sycamoredale.object_api import instances
 from sycamoredale.observability import logs
-from sycamoredale.platform import instances
 
 SUSPECT_SHARE: Final = 0.5
 MIN_DOMAINS: Final = 2
--- /dev/null
+++ b/sycamoredale/groups/upkeep.py
@@ -0,0 +1,274 @@
+"""Decide which orders the reported groups need.
+
+Three rules keep a group whole and an instance in one group:
+
+- A head is opened only once every member reports the group as loaded.
+- A join is never given twice under one epoch.  Whatever order is carried
+  out late then meets a newer epoch or a head that has left, and does
+  nothing.
+- The members of a group are free only once its head has left it, has
+  ended, or has been out of reach for so long that it is broken.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import listing
+from sycamoredale.groups import contact
+from sycamoredale.groups import reported
+from sycamoredale import ids
+
+# An order is given again when a report is this much overdue; reports lag
+# by some hundred ms and an order is answered within one second.
+REPEAT_ORDER_SECONDS: Final = 1.5
+# A member that does not report a join by then did not take it.
+JOIN_SEEN_SECONDS: Final = 2.0
+# A hidden head has broken by the stall time; this covers clock rates.
+HIDDEN_HEAD_SLACK_SECONDS: Final = 1.0
+# A staging that shows no result by then is ordered again.
+REPEAT_STAGE_SECONDS: Final = 20.0
+# How long a staging counts as a load before traffic.
+STAGE_SECONDS: Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Situation:
+    """Hold what a decision rests on."""
+
+    instances: collections.abc.Mapping[ids.InstanceId, listing.Instance]
+    services: collections.abc.Mapping[ids.ServiceName, catalogue.Service]
+    contacts: contact.ContactBook
+    zones_out: frozenset[ids.ZoneName]
+    stall_seconds: float
+    now: clock.MonotonicTime
+
+
+@dataclasses.dataclass
+class Upkeep:
+    """Remember orders and hidden heads between decisions."""
+
+    _ordered_at: dict[
+        tuple[ids.InstanceId, reported.Order], clock.MonotonicTime
+    ] = dataclasses.field(default_factory=dict)
+    _joined_at: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
+    _members_by_key: dict[reported.Key, tuple[ids.InstanceId, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    _hidden_since: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
+    _staged_at: dict[
+        tuple[ids.InstanceId, reported.Order], clock.MonotonicTime
+    ] = dataclasses.field(default_factory=dict)
+    _held_until: dict[ids.InstanceId, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def note_join(
+        self,
+        key: reported.Key,
+        members: tuple[ids.InstanceId, ...],
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Remember that a group is being formed."""
+        self._joined_at[key] = now
+        self._members_by_key[key] = members
+
+    def due(
+        self, situation: Situation
+    ) -> collections.abc.Iterator[reported.Due]:
+        """Yield the orders that existing groups need now."""
+        groups = reported.groups_of(
+            situation.instances.values(), situation.services
+        )
+        self._forget(groups, situation)
+        for group in groups.values():
+            for item in self._for_group(group, situation):
+                if self._may_repeat(item, situation.now):
+                    yield item
+
+    def free(
+        self, situation: Situation
+    ) -> collections.abc.Iterator[listing.Instance]:
+        """Yield the instances that may join a new group."""
+        groups = reported.groups_of(
+            situation.instances.values(), situation.services
+        )
+        busy = self._awaited(situation.now)
+        for instance in situation.instances.values():
+            service = situation.services.get(instance.service)
+            if service is None or service.engine is None:
+                continue
+            if instance.leaving or instance.zone in situation.zones_out:
+                continue
+            if instance.id in busy or self._is_held(instance, situation.now):
+                continue
+            if not situation.contacts.answers(instance.id):
+                continue
+            if self._may_move(instance, groups, situation):
+                yield instance
+
+    def may_stage(self, item: reported.Due, now: clock.MonotonicTime) -> bool:
+        """Tell whether a staging has not been ordered lately; note it."""
+        key = (item.instance.id, item.order)
+        last = self._staged_at.get(key)
+        if last is not None and now < last + REPEAT_STAGE_SECONDS:
+            return False
+        self._staged_at[key] = now
+        return True
+
+    def staging(self, now: clock.MonotonicTime) -> int:
+        """Return how many stagings may still be under way."""
+        return sum(now < t + STAGE_SECONDS for t in self._staged_at.values())
+
+    def _for_group(
+        self, group: reported.ReportedGroup, situation: Situation
+    ) -> collections.abc.Iterator[reported.Due]:
+        head = group.head
+        if head is None or situation.contacts.is_lost(head.id):
+            yield from self._without_head(group, situation)
+            return
+        self._hidden_since.pop(group.key, None)
+        reason = self._why_end(group, situation)
+        if reason is not None:
+            yield _ending(group, head, reason)
+        elif group.is_formed and group.state is listing.MemberState.READY:
+            yield reported.Due(head, reported.Open(group.key), "all loaded")
+
+    def _why_end(
+        self, group: reported.ReportedGroup, situation: Situation
+    ) -> str | None:
+        if group.model is None:
+            return "the model is not configured"
+        if group.state is listing.MemberState.BROKEN:
+            return "the head is broken"
+        for member in group.by_rank.values():
+            if situation.contacts.is_lost(member.id):
+                return f"member {member.id} is lost"
+            if member.leaving:
+                return f"member {member.id} is leaving"
+            if member.zone in situation.zones_out:
+                return f"zone {member.zone} is out of service"
+        if not group.has_all_members and not self._is_joining(
+            group.key, situation.now
+        ):
+            return "a member is missing"
+        return None
+
+    def _without_head(
+        self, group: reported.ReportedGroup, situation: Situation
+    ) -> collections.abc.Iterator[reported.Due]:
+        """End a group whose head cannot be asked.
+
+        The head may live behind a partition.  Once its members have left
+        it breaks, and only then may they join another group.
+        """
+        if self._head_has_ended(group, situation):
+            return
+        if self._is_joining(group.key, situation.now):
+            return
+        since = self._hidden_since.setdefault(group.key, situation.now)
+        until = clock.MonotonicTime(
+            since + situation.stall_seconds + HIDDEN_HEAD_SLACK_SECONDS
+        )
+        for rank, member in group.by_rank.items():
+            if rank and not situation.contacts.is_lost(member.id):
+                self._held_until[member.id] = until
+                yield reported.Due(
+                    member,
+                    reported.Leave(group.key),
+                    "the head does not answer",
+                )
+
+    def _head_has_ended(
+        self, group: reported.ReportedGroup, situation: Situation
+    ) -> bool:
+        head = group.head
+        if head is not None:
+            return situation.contacts.is_dead(head.id)
+        members = self._members_by_key.get(group.key)
+        if not members:
+            return False
+        known = situation.instances.get(members[0])
+        if known is not None:
+            return True  # It answers, and reports another place or none.
+        return situation.contacts.is_dead(members[0])
+
+    def _may_move(
+        self,
+        instance: listing.Instance,
+        groups: dict[reported.Key, reported.ReportedGroup],
+        situation: Situation,
+    ) -> bool:
+        place = instance.membership
+        if place is None:
+            return True
+        if place.rank == 0:
+            return False
+        group = groups[reported.Key(place.group, place.epoch)]
+        if self._is_joining(group.key, situation.now):
+            return False
+        return self._head_has_ended(group, situation)
+
+    def _is_joining(self, key: reported.Key, now: clock.MonotonicTime) -> bool:
+        joined = self._joined_at.get(key)
+        return joined is not None and now < joined + JOIN_SEEN_SECONDS
+
+    def _awaited(self, now: clock.MonotonicTime) -> set[ids.InstanceId]:
+        return {
+            member
+            for key, members in self._members_by_key.items()
+            if self._is_joining(key, now)
+            for member in members
+        }
+
+    def _is_held(
+        self, instance: listing.Instance, now: clock.MonotonicTime
+    ) -> bool:
+        return now < self._held_until.get(instance.id, now)
+
+    def _may_repeat(
+        self, item: reported.Due, now: clock.MonotonicTime
+    ) -> bool:
+        key = (item.instance.id, item.order)
+        last = self._ordered_at.get(key)
+        if last is not None and now < last + REPEAT_ORDER_SECONDS:
+            return False
+        self._ordered_at[key] = now
+        return True
+
+    def _forget(
+        self,
+        groups: dict[reported.Key, reported.ReportedGroup],
+        situation: Situation,
+    ) -> None:
+        now = situation.now
+        for key in list(self._members_by_key):
+            if key not in groups and not self._is_joining(key, now):
+                del self._members_by_key[key]
+                self._joined_at.pop(key, None)
+                self._hidden_since.pop(key, None)
+        self._ordered_at = {
+            key: at
+            for key, at in self._ordered_at.items()
+            if now < at + REPEAT_ORDER_SECONDS
+        }
+
+
+def _ending(
+    group: reported.ReportedGroup, head: listing.Instance, reason: str
+) -> reported.Due:
+    if group.state in (
+        listing.MemberState.OPEN,
+        listing.MemberState.CLOSING,
+    ):
+        planned = "leaving" in reason
+        order: reported.Order = reported.Close(group.key, cancel=not planned)
+    else:
+        order = reported.Leave(group.key)
+    return reported.Due(head, order, reason)
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -42,7 +42,9 @@
 
     async def send(self, request: messages.Request) -> None:
         """Write a request; raise ConnectionBroken."""
-        headers = request.headers.with_field("Host", str(self.address))
+        headers = request.headers
+        if headers.get("Host") is None:
+            headers = headers.with_field("Host", str(self.address))
         headers = headers.with_field("Content-Length", str(len(request.body)))
         event = h11.Request(
             method=request.method,
@@ -195,7 +197,10 @@
     )
 
     async def acquire(
-        self, address: messages.Address, fresh: bool = False
+        self,
+        address: messages.Address,
+        fresh: bool = False,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> Connection:
         """Return an idle or new connection; raise ConnectionFailed."""
         idle = self.idle_by_address.get(address)
@@ -204,7 +209,7 @@
             if connection.is_usable():
                 return connection
             await connection.close()
-        return await open_connection(address)
+        return await open_connection(address, connect_seconds)
 
     async def release(self, connection: Connection) -> None:
         """Keep a connection after a complete exchange, else close it."""
@@ -254,13 +259,16 @@
                 await connection.close()
 
 
-async def open_connection(address: messages.Address) -> Connection:
-    """Connect to the address; raise ConnectionFailed."""
+async def open_connection(
+    address: messages.Address, seconds: float = CONNECT_SECONDS
+) -> Connection:
+    """Connect within some seconds; raise ConnectionFailed."""
     # Addresses are IP numbers; resolving them would cost a worker thread.
     sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
     try:
         sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        async with curio.timeout_after(CONNECT_SECONDS):
+        sockets.keep_alive(sock)
+        async with curio.timeout_after(seconds):
             await sock.connect((address.host, address.port))
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -58,12 +58,14 @@
         limits: Limits = Limits(),
         request_id_header: str | None = None,
         paths_served_while_draining: collections.abc.Set[str] = frozenset(),
+        serves_while_draining: bool = False,
     ) -> None:
         """Keep the handler; nothing listens until `bind`."""
         self._handler = handler
         self._limits = limits
         self._request_id_header = request_id_header
         self._paths_served_while_draining = paths_served_while_draining
+        self._serves_while_draining = serves_while_draining
         self._sock: typing.Any = None
         self._accepting: typing.Any = None
         self._connections: set[_Connection] = set()
@@ -81,6 +83,10 @@
         """Start to accept connections."""
         self._accepting = await curio.spawn(self._accept, daemon=True)
 
+    def set_limits(self, limits: Limits) -> None:
+        """Bound what callers send from now on."""
+        self._limits = limits
+
     async def drain(self, seconds: float, listen_seconds: float = 0.0) -> bool:
         """Refuse new requests, end open ones; tell if all ended.
 
@@ -203,7 +209,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         try:
             path = exchange.request.path
-            if self.draining and path not in self._paths_served_while_draining:
+            if self.draining and not self._serves(path):
                 raise refusals.draining()
             await self._handler(exchange)
         except errors.SycamoredaleError as error:
@@ -214,6 +220,10 @@
             LOG.exception("handler_failed", target=exchange.request.target)
             await self._answer_error(exchange, refusals.internal())
 
+    def _serves(self, path: str) -> bool:
+        served = self._paths_served_while_draining
+        return self._serves_while_draining or path in served
+
     async def _answer_error(
         self, exchange: Exchange, error: errors.SycamoredaleError
     ) -> None:
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -22,7 +22,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 LEASE_KIND: Final = "lease"
 LEASE_SECONDS: Final = 6.0
--- a/sycamoredale/membership/mirror.py
+++ b/sycamoredale/membership/mirror.py
@@ -15,7 +15,7 @@
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import service
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 PATH_PREFIX: Final = "/peer/mirror/"
 FETCH_SECONDS: Final = 2.0
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -21,9 +21,9 @@
 from sycamoredale.membership import service
 from sycamoredale.membership import status
 from sycamoredale.membership import view
+from sycamoredale.object_api import budget
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import budget
-from sycamoredale.platform import objects
 
 SEED_SECONDS: Final = 2.0
 PEER_LIMITS: Final = server.Limits(header_bytes=8 * 1024, request_seconds=5.0)
--- a/sycamoredale/membership/registry.py
+++ b/sycamoredale/membership/registry.py
@@ -18,8 +18,8 @@
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import view
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
 
 LIST_SECONDS: Final = 300.0
 RETRY_SECONDS: Final = 1.0
--- a/sycamoredale/platform/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -20,7 +20,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.platform import budget
+from sycamoredale.object_api import budget
 
 ABSENT: Final = ids.ObjectVersion(0)
 MAX_VALUE_BYTES: Final = 1_000_000
@@ -74,12 +74,12 @@
         response = await self._read(CallKind.READ, _path(kind, name))
         if response.status == 404:
             return None
-        return _decode(response, StoredObject)
+        return decode(response, StoredObject)
 
     async def list(self, kind: str) -> Listing:
         """Return all objects of a kind; raise StoreUnavailable."""
         response = await self._read(CallKind.LIST, _path(kind))
-        return _decode(response, Listing)
+        return decode(response, Listing)
 
     async def watch(
         self, kind: str, after: ids.ObjectVersion, wait_seconds: float
@@ -101,7 +101,7 @@
                 error_codes.WATCH_EXPIRED,
                 f"changes of {kind} after version {after} are forgotten",
             )
-        return _decode(response, Listing)
+        return decode(response, Listing)
 
     async def put(
         self, kind: str, name: str, value: bytes, expected: ids.ObjectVersion
@@ -123,7 +123,7 @@
             value,
         )
         response = await self._write(request)
-        return _decode(response, _Written).version
+        return decode(response, _Written).version
 
     async def delete(
         self, kind: str, name: str, expected: ids.ObjectVersion
@@ -182,7 +182,7 @@
                 error_codes.STORE_UNAVAILABLE,
                 f"write of {target} answered status {response.status}",
             )
-        if response.status != 200:
+        if response.status not in (200, 201):
             raise errors.OutcomeUnknown(
                 error_codes.OUTCOME_UNKNOWN,
                 f"write of {target} answered status {response.status}",
@@ -212,7 +212,8 @@
 _T = typing.TypeVar("_T")
 
 
-def _decode(response: messages.Response, kind: type[_T]) -> _T:
+def decode(response: messages.Response, kind: type[_T]) -> _T:
+    """Return the JSON body of an answer; raise StoreUnavailable."""
     try:
         return msgspec.json.decode(response.body, type=kind)
     except msgspec.DecodeError as error:
--- a/sycamoredale/observability/logs.py
+++ b/sycamoredale/observability/logs.py
@@ -7,8 +7,10 @@
 import structlog
 
 
-def configure(level: str, **context: str) -> None:
-    """Set the level and the fields that every line carries."""
+def configure(
+    level: str, file: typing.TextIO | None = None, **context: str
+) -> None:
+    """Set the level, the stream and the fields that every line carries."""
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -20,7 +22,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelName(level.upper())
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=file or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**context)
--- /dev/null
+++ b/sycamoredale/platform/entries.py
@@ -0,0 +1,94 @@
+"""Decode what instances say of themselves, in the list and when asked.
+
+Another writer may leave malformed entries; those name no instance.
+"""
+
+import msgspec
+
+from sycamoredale.forwarding import listing
+from sycamoredale.http import messages
+from sycamoredale import ids
+
+
+class _Group(msgspec.Struct):
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class _Entry(msgspec.Struct):
+    # The platform's "backend" is the name of a service.
+    backend: str
+    addr: str
+    zone: str
+    state: str
+    # Counts the orders that the instance has begun in this life.
+    seq: int
+    slots: int = 1
+    # Unix milliseconds of the start of this life.
+    born: int = 0
+    cold_left_ms: float = 0
+    domain: str = ""
+    staged: list[str] = []
+    group: _Group | None = None
+
+
+class _Report(msgspec.Struct):
+    seq: int
+    born: int = 0
+    staged: list[str] = []
+    group: _Group | None = None
+    inflight: int = 0
+    queue_depth: int = 0
+    pace: float = 1.0
+
+
+_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
+_REPORT_DECODER = msgspec.json.Decoder(_Report)
+
+
+def decode_entry(name: str, data: msgspec.Raw) -> listing.Instance:
+    """Return the instance of a list entry; raise ValueError if it is none."""
+    entry = _ENTRY_DECODER.decode(data)
+    if entry.state not in ("ready", "draining"):
+        raise ValueError(f"state {entry.state!r} is unknown")
+    return listing.Instance(
+        id=ids.InstanceId(name),
+        service=ids.ServiceName(entry.backend),
+        address=messages.parse_address(entry.addr),
+        zone=ids.ZoneName(entry.zone),
+        domain=ids.DomainName(entry.domain),
+        slots=entry.slots,
+        leaving=entry.state == "draining",
+        cold_seconds=max(0.0, entry.cold_left_ms) / 1000,
+        started_ms=entry.born,
+        orders_taken=entry.seq,
+        membership=_membership(entry.group),
+        staged=tuple(entry.staged),
+    )
+
+
+def decode_report(data: bytes) -> listing.Report:
+    """Return the report in an answer; raise ValueError if it is none."""
+    report = _REPORT_DECODER.decode(data)
+    return listing.Report(
+        started_ms=report.born,
+        orders_taken=report.seq,
+        membership=_membership(report.group),
+        staged=tuple(report.staged),
+        running=report.inflight,
+        waiting=report.queue_depth,
+        pace=report.pace,
+    )
+
+
+def _membership(group: _Group | None) -> listing.Membership | None:
+    if group is None or not group.name:
+        return None
+    return listing.Membership(
+        ids.GroupId(group.name),
+        ids.Epoch(group.epoch),
+        group.rank,
+        listing.MemberState(group.state),
+    )
--- /dev/null
+++ b/sycamoredale/platform/feeds.py
@@ -0,0 +1,98 @@
+"""Decode what followers see of the platform's kinds of objects."""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import route_table
+from sycamoredale import ids
+from sycamoredale.object_api import objects
+from sycamoredale.observability import logs
+from sycamoredale.platform import entries
+from sycamoredale.platform import manifest
+
+# The platform's "servers" are instances, "config" is the manifest.
+INSTANCES: Final = "servers"
+MANIFEST: Final = "config"
+MANIFEST_NAME: Final = "main"
+# An object of this kind takes the zone of its name out of service.
+EVACUATIONS: Final = "evacuations"
+LOG: Final = logs.get("platform.feeds")
+
+OnChange = collections.abc.Callable[[], None]
+
+
+@dataclasses.dataclass
+class InstanceFeed:
+    """Fill the book of instances."""
+
+    book: listing.InstanceBook
+
+    def take(self, seen: objects.Listing, complete: bool) -> None:
+        """Take over the instances that were seen."""
+        now = clock.monotonic()
+        for stored in seen.objects:
+            try:
+                found = entries.decode_entry(stored.name, stored.value)
+            except (msgspec.DecodeError, ValueError) as error:
+                LOG.warning(
+                    "entry_malformed", entry=stored.name, reason=str(error)
+                )
+                continue
+            self.book.note(found, now)
+        for name in seen.deleted:
+            LOG.info("instance_gone", instance=name, version=seen.version)
+            self.book.remove(ids.InstanceId(name))
+        if complete:
+            self.book.keep_only(
+                {ids.InstanceId(stored.name) for stored in seen.objects}
+            )
+
+
+@dataclasses.dataclass
+class ManifestFeed:
+    """Put new manifests in force."""
+
+    routes: route_table.RouteTable
+    on_change: OnChange
+
+    def take(self, seen: objects.Listing, complete: bool) -> None:
+        """Take over the newest manifest among what was seen."""
+        for stored in seen.objects:
+            if stored.name != MANIFEST_NAME:
+                continue
+            try:
+                found = manifest.decode(stored.value)
+            except msgspec.DecodeError as error:
+                LOG.error("manifest_malformed", reason=str(error))
+                continue
+            if self.routes.adopt(found):
+                LOG.info(
+                    "config_in_force",
+                    config=found.version,
+                    object_version=stored.version,
+                )
+                self.on_change()
+
+
+@dataclasses.dataclass
+class EvacuationFeed:
+    """Hold the zones that operators have taken out of service."""
+
+    on_change: OnChange
+    zones_out: frozenset[ids.ZoneName] = frozenset()
+
+    def take(self, seen: objects.Listing, complete: bool) -> None:
+        """Take over which zones are out."""
+        named = {ids.ZoneName(stored.name) for stored in seen.objects}
+        before = frozenset() if complete else self.zones_out
+        ended = {ids.ZoneName(name) for name in seen.deleted}
+        zones = (before - ended) | named
+        if zones != self.zones_out:
+            self.zones_out = zones
+            LOG.info("zones_out", zones=sorted(zones), version=seen.version)
+            self.on_change()
--- /dev/null
+++ b/sycamoredale/platform/orders.py
@@ -0,0 +1,112 @@
+"""Ask instances for their report and give them orders."""
+
+import collections.abc
+import dataclasses
+import functools
+import typing
+from typing import Final
+
+import curio
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.forwarding import listing
+from sycamoredale.groups import reported
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.platform import entries
+from sycamoredale.platform import wire
+
+# A sound instance answers within milliseconds; a lost packet takes a
+# retransmission of some hundred.
+REPORT_SECONDS: Final = 0.45
+ORDER_SECONDS: Final = 1.0
+_TAKEN: Final = frozenset((200, 202))
+
+Guard = collections.abc.Callable[[], None]
+
+
+@dataclasses.dataclass
+class PlatformEngines:
+    """Speak to engines; orders go over connections of their own."""
+
+    pool: client.Pool
+
+    async def report(self, instance: listing.Instance) -> listing.Report:
+        """Return what an instance reports; raise ConnectionFailed/Broken."""
+        response = await self.pool.call(
+            instance.address, wire.REPORT, REPORT_SECONDS
+        )
+        try:
+            return entries.decode_report(response.body)
+        except ValueError as error:
+            raise errors.ConnectionBroken(
+                error_codes.CONNECTION_BROKEN,
+                f"instance {instance.id} sent a malformed report: {error}",
+            ) from error
+
+    async def order(
+        self, instance: listing.Instance, order: reported.Order, guard: Guard
+    ) -> bool:
+        """Give an order and tell whether it was taken; raise as `report`."""
+        request = messages.json_request(
+            "POST", wire.ORDER_PATH, _body_of(order)
+        )
+        connection = await client.open_connection(
+            instance.address, ORDER_SECONDS
+        )
+        try:
+            guard()
+            async with curio.timeout_after(ORDER_SECONDS):
+                await connection.send(request)
+                head = await connection.read_head()
+        except curio.TaskTimeout as error:
+            raise errors.OrderFailed(
+                error_codes.ORDER_FAILED,
+                f"instance {instance.id} did not answer an order within "
+                f"{ORDER_SECONDS:g} s",
+                error_codes.Execution.UNKNOWN,
+            ) from error
+        finally:
+            await connection.close()
+        return head.status in _TAKEN
+
+
+@functools.singledispatch
+def _body_of(order: object) -> dict[str, typing.Any]:
+    raise TypeError(f"{order!r} is no order")
+
+
+@_body_of.register
+def _(order: reported.Join) -> dict[str, typing.Any]:
+    return {
+        "operation": "join",
+        "model": order.key.model,
+        "members": list(order.members),
+        **_group(order.key),
+    }
+
+
+@_body_of.register
+def _(order: reported.Open) -> dict[str, typing.Any]:
+    return {"operation": "open", **_group(order.key)}
+
+
+@_body_of.register
+def _(order: reported.Close) -> dict[str, typing.Any]:
+    mode = "cancel" if order.cancel else "queue"
+    return {"operation": "close", "close_mode": mode, **_group(order.key)}
+
+
+@_body_of.register
+def _(order: reported.Leave) -> dict[str, typing.Any]:
+    return {"operation": "leave", **_group(order.key)}
+
+
+@_body_of.register
+def _(order: reported.Stage) -> dict[str, typing.Any]:
+    return {"operation": "stage", "model": order.model}
+
+
+def _group(key: reported.Key) -> dict[str, typing.Any]:
+    return {"group": key.group, "epoch": key.epoch}
--- /dev/null
+++ b/sycamoredale/platform/store.py
@@ -0,0 +1,136 @@
+"""Call the platform's store behind the interface of the object API.
+
+The store's revision of an object is the product's object version, and what
+the product stores is the object's specification.
+"""
+
+import dataclasses
+import urllib.parse
+
+import msgspec
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.object_api import budget
+from sycamoredale.object_api import objects
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    rev: int = 0
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Page(msgspec.Struct):
+    # The store's revision as of this page; a watch goes on from it.
+    at: int
+    items: list[_Object] = []
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct):
+    at: int
+    events: list[_Event] = []
+
+
+@dataclasses.dataclass
+class PlatformStore(objects.ObjectStore):
+    """Speak to the store at one address."""
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        """Return an object or None; raise StoreUnavailable."""
+        response = await self._read(budget.CallKind.READ, _path(kind, name))
+        if response.status == 404:
+            return None
+        return _stored(objects.decode(response, _Object))
+
+    async def list(self, kind: str, stale: bool = False) -> objects.Listing:
+        """Return all objects of a kind; raise StoreUnavailable.
+
+        A stale list is cheaper and may be seconds old.
+        """
+        found: list[objects.StoredObject] = []
+        query = {"allow_stale": "1"} if stale else {}
+        while True:
+            target = _path(kind) + _query(query)
+            response = await self._read(budget.CallKind.LIST, target)
+            page = objects.decode(response, _Page)
+            found.extend(_stored(item) for item in page.items)
+            if not page.has_more or not page.items:
+                return objects.Listing(ids.ObjectVersion(page.at), found)
+            query = {**query, "after": page.items[-1].metadata.name}
+
+    async def watch(
+        self, kind: str, after: ids.ObjectVersion, wait_seconds: float
+    ) -> objects.Listing:
+        """Wait for changes after a version; raise as the object API does."""
+        query = {"watch": str(after), "wait_ms": str(int(wait_seconds * 1000))}
+        response = await self._read(
+            budget.CallKind.WATCH,
+            _path(kind) + _query(query),
+            wait_seconds + objects.WATCH_MARGIN_SECONDS,
+        )
+        if response.status == 410:
+            raise errors.WatchExpired(
+                error_codes.WATCH_EXPIRED,
+                f"changes of {kind} after version {after} are forgotten",
+            )
+        read = objects.decode(response, _Events)
+        # An object that was deleted and made again counts as it is now.
+        last = {e.object.metadata.name: e for e in read.events}
+        return objects.Listing(
+            ids.ObjectVersion(read.at),
+            [_stored(e.object) for e in last.values() if not e.deleted],
+            [name for name, e in last.items() if e.deleted],
+        )
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected: ids.ObjectVersion
+    ) -> ids.ObjectVersion:
+        """Write over the expected version; raise as the object API does."""
+        metadata = {"name": name}
+        if expected != objects.ABSENT:
+            metadata["rev"] = expected  # type: ignore[assignment]
+        body = {"metadata": metadata, "spec": msgspec.Raw(value)}
+        if expected == objects.ABSENT:
+            request = messages.json_request("POST", _path(kind), body)
+        else:
+            request = messages.json_request("PUT", _path(kind, name), body)
+        response = await self._write(request)
+        written = objects.decode(response, _Object)
+        return ids.ObjectVersion(written.metadata.rev)
+
+    async def delete(
+        self, kind: str, name: str, expected: ids.ObjectVersion
+    ) -> None:
+        """Delete an object at the expected version; raise as `put`."""
+        target = _path(kind, name) + _query({"rev": str(expected)})
+        await self._write(messages.Request("DELETE", target))
+
+
+def _path(kind: str, name: str | None = None) -> str:
+    path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
+    if name is None:
+        return path
+    return f"{path}/{urllib.parse.quote(name, safe='')}"
+
+
+def _query(fields: dict[str, str]) -> str:
+    return f"?{urllib.parse.urlencode(fields)}" if fields else ""
+
+
+def _stored(item: _Object) -> objects.StoredObject:
+    return objects.StoredObject(
+        item.metadata.name, ids.ObjectVersion(item.metadata.rev), item.spec
+    )
--- a/sycamoredale/requests/claim_writer.py
+++ b/sycamoredale/requests/claim_writer.py
@@ -19,8 +19,8 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
 from sycamoredale.requests import claims
 
 KIND: Final = "claims"
--- a/sycamoredale/routing/cold_keeper.py
+++ b/sycamoredale/routing/cold_keeper.py
@@ -22,8 +22,8 @@
 from sycamoredale.engines import reports
 from sycamoredale import errors
 from sycamoredale import ids
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
 from sycamoredale.routing import cold_slots
 from sycamoredale.routing import cold_start
 from sycamoredale.routing import table
--- a/sycamoredale/routing/warmth_store.py
+++ b/sycamoredale/routing/warmth_store.py
@@ -14,8 +14,8 @@
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import relay
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
-from sycamoredale.platform import objects
 from sycamoredale.routing import cold_endpoint
 from sycamoredale.routing import cold_start
 from sycamoredale.routing import warmth
--- a/sycamoredale/standins/engine_orders.py
+++ b/sycamoredale/standins/engine_orders.py
@@ -16,7 +16,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.platform import weights
+from sycamoredale.object_api import weights
 
 SERVING: Final = frozenset((orders.Phase.COLD, orders.Phase.READY))
 
--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -17,7 +17,7 @@
 from sycamoredale import clock
 from sycamoredale.http import messages
 from sycamoredale.http import server
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 from sycamoredale.standins import records
 from sycamoredale.standins import weights
 
--- a/sycamoredale/standins/records.py
+++ b/sycamoredale/standins/records.py
@@ -13,7 +13,7 @@
 
 from sycamoredale.engines import orders
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 
 class Executed(msgspec.Struct, frozen=True, tag=True):
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -11,7 +11,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 
 class Fate(enum.Enum):
--- a/tests/group_promises.py
+++ b/tests/group_promises.py
@@ -13,7 +13,7 @@
 
 from sycamoredale.engines import orders
 from sycamoredale.groups import model as groups_model
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 from sycamoredale.standins import records
 from tests import recordings
 
--- a/tests/group_site.py
+++ b/tests/group_site.py
@@ -12,7 +12,7 @@
 from sycamoredale.config import store as config_store
 from sycamoredale.http import client
 from sycamoredale.http import messages
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 from tests import processes
 
 
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -8,7 +8,7 @@
 from sycamoredale import errors
 from sycamoredale.http import client
 from sycamoredale.http import messages
-from sycamoredale.platform import objects
+from sycamoredale.object_api import objects
 
 
 class Fault(enum.Enum):
--- a/tests/recordings.py
+++ b/tests/recordings.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 from sycamoredale.standins import records
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -9,7 +9,7 @@
 from sycamoredale.engines import orders
 from sycamoredale.groups import model as groups_model
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 from sycamoredale.standins import records
 from tests import checker
 from tests import recordings
--- a/tests/test_group_decisions.py
+++ b/tests/test_group_decisions.py
@@ -22,8 +22,8 @@
 from sycamoredale.groups import stragglers
 from sycamoredale.groups import suspicion
 from sycamoredale import ids
-from sycamoredale.platform import instances
-from sycamoredale.platform import weights
+from sycamoredale.object_api import instances
+from sycamoredale.object_api import weights
 from tests import fake_store
 
 START = clock.MonotonicTime(1000.0)
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -29,8 +29,8 @@
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale import leases
-from sycamoredale.platform import instances
-from sycamoredale.platform import weights
+from sycamoredale.object_api import instances
+from sycamoredale.object_api import weights
 from sycamoredale.standins import engine_orders
 from tests import fake_store
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,7 @@
 from benchmarks import stranded_accelerators
 from sycamoredale.groups import placement
 from sycamoredale import ids
-from sycamoredale.platform import instances
+from sycamoredale.object_api import instances
 
 SIZES = (1, 2, 3, 4)
 
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -29,9 +29,9 @@
 from sycamoredale.membership import registry
 from sycamoredale.membership import service
 from sycamoredale.membership import view
-from sycamoredale.platform import backoff
-from sycamoredale.platform import budget
-from sycamoredale.platform import objects
+from sycamoredale.object_api import backoff
+from sycamoredale.object_api import budget
+from sycamoredale.object_api import objects
 
 NOWHERE: typing.Final = messages.Address("127.0.0.1", 1)
 KIND: typing.Final = "thing"
