--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -29,7 +29,7 @@
 class Take(typing.Protocol):
     """Take over what was seen of a kind."""
 
-    def __call__(self, listing: objects.Listing, complete: bool) -> None:
+    def __call__(self, seen: objects.Listing, complete: bool) -> None:
         """Take over changes, or all objects if the listing is complete."""
 
 
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -44,6 +44,7 @@
 ROOM_SECONDS: Final = 1.5
 ROOM_POLL_SECONDS: Final = 0.05
 LOG: Final = logs.get("forwarding")
+_T = typing.TypeVar("_T")
 
 
 class Wire(typing.Protocol):
@@ -84,6 +85,8 @@
     runs: int = 0
     tried: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     failure: messages.Response | None = None
+    refusal: errors.Refusal | None = None
+    caller_gone: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -131,11 +134,24 @@
         self.budget.note_request(call.service.name, call.arrived_at)
         try:
             async with curio.timeout_after(max(left, 0.001)):
-                await _beside_caller(self._run_sends, progress, exchange)
+                await _beside_caller(self._run_refusable, progress, exchange)
         except curio.TaskTimeout:
             raise _deadline_refusal(progress) from None
+        if progress.refusal is not None:
+            raise progress.refusal
         return progress
 
+    async def _run_refusable(
+        self, progress: Progress, exchange: server.Exchange
+    ) -> None:
+        # A task that ends with an exception would be reported as crashed.
+        try:
+            await self._run_sends(progress, exchange)
+        except errors.Refusal as refusal:
+            progress.refusal = refusal
+        except OSError:
+            progress.caller_gone = True
+
     async def _run_sends(
         self, progress: Progress, exchange: server.Exchange
     ) -> None:
@@ -273,8 +289,8 @@
     ) -> messages.ResponseHead:
         if not call.route.may_repeat:
             return await connection.read_head()
-        async with _stalled(endpoint, _first_event_seconds(call)):
-            return await connection.read_head()
+        seconds = _first_event_seconds(call)
+        return await _read(connection.read_head, endpoint, seconds)
 
     async def _relay(
         self,
@@ -287,8 +303,7 @@
         stream = progress.stream
         seconds = _first_event_seconds(progress.call)
         while True:
-            async with _stalled(endpoint, seconds):
-                chunk = await connection.read_chunk()
+            chunk = await _read(connection.read_chunk, endpoint, seconds)
             if not chunk:
                 break
             events = stream.feed(chunk)
@@ -321,19 +336,28 @@
     await exchange.write(events)
 
 
-@contextlib.asynccontextmanager
-async def _stalled(
-    endpoint: endpoints.Endpoint, seconds: float
-) -> collections.abc.AsyncIterator[None]:
-    """Raise ConnectionBroken and suspect the endpoint after some seconds."""
-    try:
-        async with curio.timeout_after(seconds):
-            yield
-    except curio.TaskTimeout:
-        endpoint.suspect(clock.monotonic())
-        raise _broken(
-            endpoint, f"it made no progress for {seconds:g} s"
-        ) from None
+async def _read(
+    read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
+    endpoint: endpoints.Endpoint,
+    seconds: float,
+) -> _T:
+    """Return what is read; raise ConnectionBroken from a stalled endpoint.
+
+    While the endpoint goes on with other requests, this one is in its
+    queue.
+    """
+    while True:
+        try:
+            async with curio.timeout_after(seconds):
+                return await read()
+        except curio.TaskTimeout:
+            now = clock.monotonic()
+            if now - endpoint.heard_at < seconds:
+                continue
+            endpoint.suspect(now)
+            raise _broken(
+                endpoint, f"it made no progress for {seconds:g} s"
+            ) from None
 
 
 async def _drain(connection: client.Connection) -> None:
@@ -405,6 +429,9 @@
             raise CallerGone() from error
         assert cause is not None
         raise cause from None
+    else:
+        if progress.caller_gone:
+            raise CallerGone()
     finally:
         await watcher.cancel()
         await worker.cancel()
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -32,12 +32,14 @@
 TEND_SECONDS: Final = 0.5
 # Who waits for the lease reads it this often; each read is priced.
 LOOK_SECONDS: Final = 1.0
-ROUND_SECONDS: Final = 0.1
-PROBE_SECONDS: Final = 0.5
+ROUND_SECONDS: Final = 0.05
+PROBE_SECONDS: Final = 0.4
 # Epochs of one tenure; one group takes one.
 EPOCHS_PER_TENURE: Final = 1_000_000
 # A little more than the weight store serves at full speed.
 MORE_LOADS_THAN_AT_ONCE: Final = 2
+# One line tells an operator what stands; more often would only add volume.
+STATUS_SECONDS: Final = 2.0
 LOG: Final = logs.get("groups.upkeep")
 
 
@@ -77,7 +79,9 @@
         default_factory=contact.ContactBook
     )
     state: upkeep.Upkeep = dataclasses.field(default_factory=upkeep.Upkeep)
+    _status_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _epochs: int = 0
+    _probing: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     _tenure_epoch: ids.Epoch | None = None
 
     async def run(self) -> None:
@@ -116,6 +120,7 @@
         self._tenure_epoch = tenure.epoch
         self._epochs = 0
         self.contacts.by_id.clear()
+        self._probing.clear()
         self.state = upkeep.Upkeep()
         prober = await curio.spawn(self._probe_for_ever, daemon=True)
         try:
@@ -138,11 +143,31 @@
         situation = self._situation(now)
         if not situation.services or self._is_cut_off(situation):
             return
+        self._log_status(situation)
         due = list(self.state.due(situation))
         due.extend(self._form(situation))
         for item in due:
             await curio.spawn(self._give, item, daemon=True)
 
+    def _log_status(self, situation: upkeep.Situation) -> None:
+        if situation.now < self._status_at + STATUS_SECONDS:
+            return
+        self._status_at = situation.now
+        states: collections.Counter[str] = collections.Counter()
+        for key, group in reported.groups_of(
+            situation.instances.values(), situation.services
+        ).items():
+            state = group.state.value if group.state else "headless"
+            states[f"{key.model} {state}"] += 1
+        contacts = situation.contacts
+        LOG.info(
+            "groups_standing",
+            by_state=dict(states),
+            listed=len(situation.instances),
+            lost=sum(map(contacts.is_lost, situation.instances)),
+            free=len(list(self.state.free(situation))),
+        )
+
     def _situation(self, now: clock.MonotonicTime) -> upkeep.Situation:
         return upkeep.Situation(
             self.book.by_id,
@@ -171,13 +196,7 @@
         assert service.engine is not None
         left = _loads_left(service.engine, situation)
         left -= self.state.staging(situation.now)
-        standing = collections.Counter(
-            key.model
-            for key, group in reported.groups_of(
-                situation.instances.values(), situation.services
-            ).items()
-            if group.service == service.name and group.head is not None
-        )
+        standing = self.state.standing(situation)
         used: set[ids.InstanceId] = set()
         for group in mix.new_groups(free, service.engine.models, standing):
             used.update(m.id for m in group.members)
@@ -225,6 +244,7 @@
                 outcome = "refused"
         except errors.SycamoredaleError as error:
             outcome = error.message
+        self.state.note_outcome(item, outcome == "taken")
         LOG.info(
             "order_given",
             instance=item.instance.id,
@@ -234,13 +254,13 @@
         )
 
     async def _probe_for_ever(self) -> None:
+        """Probe all engines at a pace; a silent one delays no other."""
         while True:
-            started = clock.monotonic()
-            async with curio.TaskGroup() as group:
-                for instance in list(self._engine_instances()):
-                    await group.spawn(self._probe, instance)
-            spent = clock.monotonic() - started
-            await curio.sleep(max(0.0, PROBE_SECONDS - spent))
+            for instance in list(self._engine_instances()):
+                if instance.id not in self._probing:
+                    self._probing.add(instance.id)
+                    await curio.spawn(self._probe, instance, daemon=True)
+            await curio.sleep(PROBE_SECONDS)
 
     def _engine_instances(
         self,
@@ -258,6 +278,8 @@
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             self.contacts.failed(instance.id, refused)
             return
+        finally:
+            self._probing.discard(instance.id)
         self.contacts.answered(instance.id, clock.monotonic())
         self.book.note_report(instance.id, report)
 
--- a/sycamoredale/groups/mix.py
+++ b/sycamoredale/groups/mix.py
@@ -1,24 +1,19 @@
 """Decide which new groups free instances form, and what spares stage.
 
 Every group stands in one fabric domain.  The model that has the fewest
-groups for its share of the work goes first.  A few free instances of each
-domain stay spares with a model staged on their host, since a staged model
-joins in a tenth of the time of a load.
+instances for its share of the work goes first.  The instances that no
+group fits into stay spares with a model staged on their host, since a
+staged model joins in a tenth of the time of a load.
 """
 
 import collections
 import collections.abc
 import dataclasses
-from typing import Final
 
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
 from sycamoredale import ids
 
-# One spare for each of two models of a domain; a lost member is the usual
-# loss, and its replacement needs the same model staged.
-SPARES_PER_DOMAIN: Final = 2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewGroup:
@@ -82,31 +77,34 @@
     models: collections.abc.Sequence[catalogue.Model],
     counts: collections.Counter[str],
 ) -> tuple[ids.DomainName, catalogue.Model] | None:
-    neediest = sorted(models, key=lambda m: (counts[m.name] / m.share, m.name))
-    for model in neediest:
-        fits = [d for d, room in rooms.items() if _has_room(room, model)]
-        if fits:
-            # A domain that holds the model first, then the emptiest one.
-            return max(fits, key=lambda d: _fitness(rooms[d], model, d)), model
-    return None
-
-
-def _has_room(room: list[listing.Instance], model: catalogue.Model) -> bool:
-    if len(room) < model.size:
-        return False
-    staged = sum(model.name in i.staged for i in room)
-    return staged >= model.size - 1 or (
-        len(room) >= model.size + SPARES_PER_DOMAIN
+    def has(model: catalogue.Model) -> float:
+        return counts[model.name] * model.size / model.share
+
+    fits = [
+        (domain, model)
+        for model in models
+        for domain, room in rooms.items()
+        if len(room) >= model.size
+    ]
+    if not fits:
+        return None
+    # A group that loads serves ten times later than one that is staged.
+    warm = [f for f in fits if _is_warm(rooms[f[0]], f[1])]
+    return min(
+        warm or fits,
+        key=lambda f: (has(f[1]), _unfitness(rooms[f[0]], f[1]), f[0]),
     )
 
 
-def _fitness(
-    room: list[listing.Instance],
-    model: catalogue.Model,
-    domain: ids.DomainName,
-) -> tuple[int, int, str]:
+def _is_warm(room: list[listing.Instance], model: catalogue.Model) -> bool:
+    return sum(model.name in i.staged for i in room) >= model.size
+
+
+def _unfitness(
+    room: list[listing.Instance], model: catalogue.Model
+) -> tuple[int, int]:
     staged = sum(model.name in i.staged for i in room)
-    return min(staged, model.size), len(room), domain
+    return -min(staged, model.size), -len(room)
 
 
 def _pick(
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -10,6 +10,7 @@
   ended, or has been out of reach for so long that it is broken.
 """
 
+import collections
 import collections.abc
 import dataclasses
 from typing import Final
@@ -31,7 +32,7 @@
 # A staging that shows no result by then is ordered again.
 REPEAT_STAGE_SECONDS: Final = 20.0
 # How long a staging counts as a load before traffic.
-STAGE_SECONDS: Final = 2.0
+STAGE_SECONDS: Final = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,9 +60,14 @@
     _members_by_key: dict[reported.Key, tuple[ids.InstanceId, ...]] = (
         dataclasses.field(default_factory=dict)
     )
+    _head_by_key: dict[reported.Key, ids.InstanceId] = dataclasses.field(
+        default_factory=dict
+    )
     _hidden_since: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
+    _opened: set[reported.Key] = dataclasses.field(default_factory=set)
+    _unsure: set[reported.Key] = dataclasses.field(default_factory=set)
     _staged_at: dict[
         tuple[ids.InstanceId, reported.Order], clock.MonotonicTime
     ] = dataclasses.field(default_factory=dict)
@@ -78,6 +84,7 @@
         """Remember that a group is being formed."""
         self._joined_at[key] = now
         self._members_by_key[key] = members
+        self._head_by_key[key] = members[0]
 
     def due(
         self, situation: Situation
@@ -113,6 +120,32 @@
             if self._may_move(instance, groups, situation):
                 yield instance
 
+    def standing(self, situation: Situation) -> collections.Counter[str]:
+        """Return how many groups of each model are to stay."""
+        groups = reported.groups_of(
+            situation.instances.values(), situation.services
+        )
+        return collections.Counter(
+            group.key.model
+            for group in groups.values()
+            if group.head is not None
+            and not situation.contacts.is_lost(group.head.id)
+            and self._why_end(group, situation) is None
+        )
+
+    def note_outcome(self, item: reported.Due, taken: bool) -> None:
+        """Remember whether the head of a group surely was opened once.
+
+        An order to open without an answer may be carried out late.
+        """
+        if not isinstance(item.order, reported.Open):
+            return
+        if taken and item.order.key not in self._unsure:
+            self._opened.add(item.order.key)
+        elif not taken:
+            self._unsure.add(item.order.key)
+            self._opened.discard(item.order.key)
+
     def may_stage(self, item: reported.Due, now: clock.MonotonicTime) -> bool:
         """Tell whether a staging has not been ordered lately; note it."""
         key = (item.instance.id, item.order)
@@ -136,7 +169,8 @@
         self._hidden_since.pop(group.key, None)
         reason = self._why_end(group, situation)
         if reason is not None:
-            yield _ending(group, head, reason)
+            if not self._is_closed(group):
+                yield _ending(group, head, reason)
         elif group.is_formed and group.state is listing.MemberState.READY:
             yield reported.Due(head, reported.Open(group.key), "all loaded")
 
@@ -191,13 +225,12 @@
         head = group.head
         if head is not None:
             return situation.contacts.is_dead(head.id)
-        members = self._members_by_key.get(group.key)
-        if not members:
+        was_head = self._head_by_key.get(group.key)
+        if was_head is None:
             return False
-        known = situation.instances.get(members[0])
-        if known is not None:
-            return True  # It answers, and reports another place or none.
-        return situation.contacts.is_dead(members[0])
+        if situation.instances.get(was_head) is not None:
+            return True  # It reports another place or none.
+        return situation.contacts.is_dead(was_head)
 
     def _may_move(
         self,
@@ -208,12 +241,25 @@
         place = instance.membership
         if place is None:
             return True
-        if place.rank == 0:
-            return False
         group = groups[reported.Key(place.group, place.epoch)]
         if self._is_joining(group.key, situation.now):
             return False
-        return self._head_has_ended(group, situation)
+        if self._is_closed(group) and self._why_end(group, situation):
+            return True
+        return place.rank > 0 and self._head_has_ended(group, situation)
+
+    def _is_closed(self, group: reported.ReportedGroup) -> bool:
+        """Tell whether the head was opened once and is closed again.
+
+        No order to open it can still be on its way, so its members may
+        join another group without leaving this one first.
+        """
+        head = group.head
+        return (
+            head is not None
+            and group.state is listing.MemberState.READY
+            and group.key in self._opened
+        )
 
     def _is_joining(self, key: reported.Key, now: clock.MonotonicTime) -> bool:
         joined = self._joined_at.get(key)
@@ -248,9 +294,13 @@
         situation: Situation,
     ) -> None:
         now = situation.now
-        for key in list(self._members_by_key):
+        for key, group in groups.items():
+            if group.head is not None:
+                self._head_by_key[key] = group.head.id
+        for key in list(self._head_by_key):
             if key not in groups and not self._is_joining(key, now):
-                del self._members_by_key[key]
+                del self._head_by_key[key]
+                self._members_by_key.pop(key, None)
                 self._joined_at.pop(key, None)
                 self._hidden_since.pop(key, None)
         self._ordered_at = {
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -232,12 +232,13 @@
         request: messages.Request,
         seconds: float,
         fresh: bool = False,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> messages.Response:
         """Make one exchange within the time; raise ConnectionFailed/Broken.
 
         ConnectionBroken means that the request may have been executed.
         """
-        connection = await self.acquire(address, fresh)
+        connection = await self.acquire(address, fresh, connect_seconds)
         complete = False
         try:
             async with curio.timeout_after(seconds):
--- a/sycamoredale/platform/daemon.py
+++ b/sycamoredale/platform/daemon.py
@@ -88,11 +88,11 @@
     def _followers(self) -> list[following.Follower]:
         manifests = feeds.ManifestFeed(self._routes, self._on_manifest)
         instances = feeds.InstanceFeed(self._book)
-        taking: tuple[tuple[str, following.Take], ...] = (
+        taking: list[tuple[str, following.Take]] = [
             (feeds.MANIFEST, manifests.take),
             (feeds.INSTANCES, instances.take),
             (feeds.EVACUATIONS, self._evacuations.take),
-        )
+        ]
         return [
             following.Follower(self._store, kind, take)
             for kind, take in taking
--- a/sycamoredale/platform/orders.py
+++ b/sycamoredale/platform/orders.py
@@ -19,7 +19,7 @@
 
 # A sound instance answers within milliseconds; a lost packet takes a
 # retransmission of some hundred.
-REPORT_SECONDS: Final = 0.45
+REPORT_SECONDS: Final = 0.4
 ORDER_SECONDS: Final = 1.0
 _TAKEN: Final = frozenset((200, 202))
 
@@ -35,7 +35,10 @@
     async def report(self, instance: listing.Instance) -> listing.Report:
         """Return what an instance reports; raise ConnectionFailed/Broken."""
         response = await self.pool.call(
-            instance.address, wire.REPORT, REPORT_SECONDS
+            instance.address,
+            wire.REPORT,
+            REPORT_SECONDS,
+            connect_seconds=REPORT_SECONDS,
         )
         try:
             return entries.decode_report(response.body)
