--- a/sycamoredale/daemons/stopping.py
+++ b/sycamoredale/daemons/stopping.py
@@ -1,9 +1,10 @@
-"""Wait for the signal that asks a daemon to stop.
+"""Wait for the signals that ask a daemon to stop or to reload.
 
 A signal handler may not touch the event loop.  It writes one byte to a
 socket pair, and the loop wakes up from reading the other end.
 """
 
+import collections.abc
 import signal
 import socket
 import types
@@ -12,22 +13,24 @@
 import curio.io
 
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNALS: Final = (signal.SIGHUP,)
+RECEIVE_BYTES: Final = 64
 
 
-class StopSignal:
-    """Catch the stop signals from the time that this is built."""
+class SignalWatch:
+    """Catch some signals from the time that this is built."""
 
-    def __init__(self) -> None:
+    def __init__(self, numbers: collections.abc.Iterable[int]) -> None:
         """Install the handlers."""
         reader, self._writer = socket.socketpair()
         self._reader = curio.io.Socket(reader)
         self._writer.setblocking(False)
-        for number in STOP_SIGNALS:
+        for number in numbers:
             signal.signal(number, self._on_signal)
 
     async def wait(self) -> None:
-        """Return once a stop signal has arrived."""
-        await self._reader.recv(1)
+        """Return once a signal has arrived since the last time."""
+        await self._reader.recv(RECEIVE_BYTES)
 
     def _on_signal(self, number: int, frame: types.FrameType | None) -> None:
         del number, frame
@@ -35,3 +38,11 @@
             self._writer.send(b"\0")
         except BlockingIOError:
             pass  # A full buffer holds earlier signals.
+
+
+class StopSignal(SignalWatch):
+    """Catch the signals that ask a daemon to stop."""
+
+    def __init__(self) -> None:
+        """Install the handlers."""
+        super().__init__(STOP_SIGNALS)
--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -49,6 +49,10 @@
         )
 
 
+class EndpointStalled(EndpointFault):
+    """Report that an endpoint was left because it stood still."""
+
+
 class NotRun(ConnectionFailed):
     """Report that an endpoint refused a request before running it."""
 
--- a/sycamoredale/forwarding/calls.py
+++ b/sycamoredale/forwarding/calls.py
@@ -7,6 +7,7 @@
 from sycamoredale.forwarding import catalogue
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.requests import poison
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,7 +30,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """Hold one call; it ends unanswered at `ends_at`."""
+    """Hold one call; it ends unanswered at `ends_at`.
+
+    The fingerprint is that of what an endpoint works on, whoever asks.
+    """
 
     envelope: Envelope
     request: messages.Request
@@ -38,6 +42,7 @@
     organisation: ids.OrganisationName | None
     arrived_at: clock.MonotonicTime
     ends_at: clock.MonotonicTime
+    fingerprint: poison.Fingerprint
 
     @property
     def id(self) -> ids.RequestId:
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -20,6 +20,8 @@
 # What an answer says of the load of others is halved each second: a request
 # lasts about that long, and others come meanwhile.
 LOAD_HALF_LIFE_SECONDS: Final = 1.0
+# The sum of what peers tell is better than one answer, while it is young.
+NEWS_SECONDS: Final = 0.5
 # A stalled endpoint is either back or closed by its keeper by then.
 SUSPECT_SECONDS: Final = 1.5
 
@@ -53,7 +55,9 @@
         return self.in_flight + self.others * fading
 
     def note_load(self, load: calls.Load, now: clock.MonotonicTime) -> None:
-        """Learn from the load that an answer carries."""
+        """Learn from the load that an answer carries, for want of news."""
+        if now - self.others_at < NEWS_SECONDS:
+            return
         total = load.running + load.waiting
         self.others = float(max(0, total - self.in_flight))
         self.others_at = now
@@ -63,13 +67,16 @@
         self.others = others
         self.others_at = now
 
-    def suspect(self, now: clock.MonotonicTime) -> None:
-        """Give the endpoint no request for some time."""
-        self.suspect_until = clock.MonotonicTime(now + SUSPECT_SECONDS)
+    def suspect(
+        self, now: clock.MonotonicTime, seconds: float = SUSPECT_SECONDS
+    ) -> None:
+        """Give the endpoint no request for some seconds."""
+        until = clock.MonotonicTime(now + seconds)
+        self.suspect_until = max(self.suspect_until, until)
 
-    def heard(self, now: clock.MonotonicTime) -> None:
-        """Note that the endpoint makes progress."""
-        self.heard_at = now
+    def heard(self, at: clock.MonotonicTime) -> None:
+        """Note that the endpoint made progress."""
+        self.heard_at = at
         self.suspect_until = clock.MonotonicTime(0.0)
 
     def is_suspect(self, now: clock.MonotonicTime) -> bool:
--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -4,15 +4,19 @@
 gap in the changes the kind is listed again.
 """
 
+import collections.abc
 import dataclasses
 import random
 import typing
 from typing import Final
 
 import curio
+import msgspec
 
+from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale import ids
+from sycamoredale import leases
 from sycamoredale.object_api import backoff
 from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
@@ -20,12 +24,20 @@
 # A watch that has gone silent is noticed after this and a margin.
 WATCH_SECONDS: Final = 5.0
 # Changes come in bursts, and each answer to a watch is a priced call.
-GATHER_SECONDS: Final = 0.1
+GATHER_SECONDS: Final = 0.2
 FIRST_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 1.0
+# Entries that are renewed by heartbeats may lapse in an outage this long.
+LAPSE_SECONDS: Final = 1.0
+# After an outage entries that lapsed are back within about two seconds;
+# until then nothing is taken as gone.
+SETTLE_SECONDS: Final = 2.5
 LOG: Final = logs.get("following")
 
 
+OnContact = collections.abc.Callable[[clock.MonotonicTime], None]
+
+
 class Take(typing.Protocol):
     """Take over what was seen of a kind."""
 
@@ -41,8 +53,11 @@
     kind: str
     take: Take
     rng: random.Random = dataclasses.field(default_factory=random.Random)
+    read_clock: leases.ReadClock = clock.monotonic
+    on_contact: OnContact = lambda at: None
     version: ids.ObjectVersion = objects.ABSENT
-    lost: bool = False
+    _lost_at: clock.MonotonicTime | None = None
+    _settles_at: clock.MonotonicTime | None = None
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -50,36 +65,64 @@
             self.rng, FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
         )
         while True:
+            started = self.read_clock()
             try:
-                await self._step()
-                self._found()
-                waits.reset()
-                await curio.sleep(GATHER_SECONDS)
+                await self.step(started)
             except errors.WatchExpired:
                 LOG.info("history_gone", kind=self.kind, version=self.version)
                 self.version = objects.ABSENT
             except errors.StoreUnavailable as error:
-                self._lose(error)
+                self.lose(error, started)
                 await curio.sleep(waits.next_seconds())
+            else:
+                waits.reset()
+                self.on_contact(started)
+                await curio.sleep(GATHER_SECONDS)
 
-    async def _step(self) -> None:
+    async def step(self, now: clock.MonotonicTime) -> None:
+        """List or watch once and hand on what was seen."""
+        if self._settles_at is not None and now >= self._settles_at:
+            self._settles_at = None
+            self.version = objects.ABSENT
         if self.version == objects.ABSENT:
             seen = await self.store.list(self.kind)
-            self.take(seen, complete=True)
+            self._find(self.read_clock())
         else:
             seen = await self.store.watch(
-                self.kind, self.version, WATCH_SECONDS
+                self.kind, self.version, self._wait_seconds(now)
             )
-            if seen.version >= self.version:
-                self.take(seen, complete=False)
+        if seen.version < self.version:
+            return
+        if self._settles_at is None:
+            self.take(seen, complete=self.version == objects.ABSENT)
+        else:
+            kept = msgspec.structs.replace(seen, deleted=[])
+            self.take(kept, complete=False)
         self.version = max(self.version, seen.version)
 
-    def _lose(self, error: errors.StoreUnavailable) -> None:
-        if not self.lost:
+    def lose(
+        self, error: errors.StoreUnavailable, now: clock.MonotonicTime
+    ) -> None:
+        """Note a failed call.
+
+        A watch that is cut may have missed changes whose history is gone
+        by the time of the next one, so the kind is listed again.
+        """
+        if self._lost_at is None:
+            self._lost_at = now
             LOG.warning("store_lost", kind=self.kind, reason=error.message)
-        self.lost = True
+        self.version = objects.ABSENT
+
+    def _find(self, now: clock.MonotonicTime) -> None:
+        if self._lost_at is None:
+            return
+        seconds = now - self._lost_at
+        LOG.info("store_regained", kind=self.kind, lost_seconds=seconds)
+        self._lost_at = None
+        if seconds >= LAPSE_SECONDS:
+            self._settles_at = clock.MonotonicTime(now + SETTLE_SECONDS)
 
-    def _found(self) -> None:
-        if self.lost:
-            LOG.info("store_regained", kind=self.kind, version=self.version)
-        self.lost = False
+    def _wait_seconds(self, now: clock.MonotonicTime) -> float:
+        if self._settles_at is None:
+            return WATCH_SECONDS
+        return min(WATCH_SECONDS, self._settles_at - now)
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -29,14 +29,19 @@
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale.observability import logs
+from sycamoredale.requests import poison
 
 # A healthy zone answers a connection in a few milliseconds.
 CONNECT_SECONDS: Final = 0.3
-# Two pauses that the route allows; one late event alone moves no stream.
-STALL_GAPS: Final = 2.0
-MIN_STALL_SECONDS: Final = 0.4
-# Several times the objective: a queue is no stall.
-FIRST_EVENT_SECONDS: Final = 1.2
+# The longest pass of a healthy engine takes seven steps that each read a
+# whole piece of a prompt, about a third of a second.
+STALL_SECONDS: Final = 0.5
+# A stream that stands still while its endpoint goes on was put back in the
+# endpoint's queue; callers give up after about two seconds.
+PUT_BACK_SECONDS: Final = 1.5
+# The list drops a dead instance after three heartbeats, within about that
+# time; a connection tried meanwhile would be lost time for its caller.
+UNREACHED_SECONDS: Final = 4.0
 # Bounds the tries of one call that find only endpoints that refuse.
 MAX_SENDS: Final = 5
 # A begun answer waits for another endpoint this long; callers give up a
@@ -71,6 +76,7 @@
     ANSWERED = "answered"
     UNREACHED = "unreached"
     NOT_RUN = "not_run"
+    STALLED = "stalled"
     BROKEN = "broken"
     FAILED = "failed"
 
@@ -83,31 +89,37 @@
     stream: event_stream.EventStream
     sends: list[str] = dataclasses.field(default_factory=list)
     runs: int = 0
+    may_have_run: bool = False
+    head_seen: bool = False
     tried: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     failure: messages.Response | None = None
     refusal: errors.Refusal | None = None
     caller_gone: bool = False
 
-    @property
-    def may_have_run(self) -> bool:
-        """Tell whether an endpoint may have begun to run the request."""
-        return self.runs > 0
-
     def may_go_on(self) -> bool:
         """Tell whether another send is safe and within the route's bound."""
         if len(self.sends) >= MAX_SENDS:
             return False
-        if not self.runs:
+        if not self.may_have_run:
             return True
         route = self.call.route
         return route.may_repeat and self.runs < route.max_runs
 
     def note(self, endpoint: endpoints.Endpoint, outcome: Outcome) -> None:
-        """Take the end of a send into account."""
+        """Take the end of a send into account.
+
+        An engine runs a stream from its first event on, which comes with
+        the head of the answer.
+        """
         self.sends.append(f"{endpoint.id}:{outcome.value}")
         self.tried.add(endpoint.id)
-        if outcome not in (Outcome.UNREACHED, Outcome.NOT_RUN):
+        if outcome is Outcome.STALLED:
+            self.may_have_run = True
+            self.runs += not self.call.is_stream or self.head_seen
+        elif outcome not in (Outcome.UNREACHED, Outcome.NOT_RUN):
+            self.may_have_run = True
             self.runs += 1
+        self.head_seen = False
 
 
 class CallerGone(Exception):
@@ -122,6 +134,7 @@
     chooser: choosing.Chooser
     budget: send_budget.SendBudget
     pool: client.Pool
+    poison_list: poison.PoisonList
 
     async def run(
         self, call: calls.Call, exchange: server.Exchange
@@ -131,6 +144,7 @@
             call, event_stream.EventStream(call.envelope.last_event)
         )
         left = call.ends_at - clock.monotonic()
+        self.poison_list.check_fingerprint(call.fingerprint, call.arrived_at)
         self.budget.note_request(call.service.name, call.arrived_at)
         try:
             async with curio.timeout_after(max(left, 0.001)):
@@ -163,6 +177,10 @@
                 return
             if not progress.may_go_on() or not self._has_budget(progress):
                 break
+            if progress.may_have_run:
+                self.poison_list.check_fingerprint(
+                    progress.call.fingerprint, clock.monotonic()
+                )
             progress.stream.restart()
         if progress.failure is not None and not exchange.started:
             await exchange.respond(progress.failure)
@@ -216,7 +234,7 @@
                 endpoint.instance.address, fresh, CONNECT_SECONDS
             )
         except errors.ConnectionFailed as error:
-            endpoint.suspect(clock.monotonic())
+            endpoint.suspect(clock.monotonic(), UNREACHED_SECONDS)
             _log_send(progress, endpoint, error.message)
             return Outcome.UNREACHED
         whole = False
@@ -235,12 +253,28 @@
             )
             whole = outcome in (Outcome.ANSWERED, Outcome.NOT_RUN)
             return outcome
+        except errors.EndpointStalled as error:
+            _log_send(progress, endpoint, error.message)
+            return Outcome.STALLED
         except errors.ConnectionBroken as error:
             _log_send(progress, endpoint, error.message)
+            self._note_crash(endpoint, call)
             return Outcome.BROKEN
         finally:
             await self._leave(connection, whole)
 
+    def _note_crash(
+        self, endpoint: endpoints.Endpoint, call: calls.Call
+    ) -> None:
+        """Count a broken connection, and tell the other daemons."""
+        crash = poison.Crash(
+            call.fingerprint,
+            ids.EndpointId(endpoint.id),
+            endpoint.instance.domain,
+            alone=endpoint.in_flight == 1,
+        )
+        self.poison_list.observe(crash, clock.monotonic())
+
     async def _leave(self, connection: client.Connection, whole: bool) -> None:
         if whole:
             await self.pool.release(connection)
@@ -256,6 +290,7 @@
     ) -> Outcome:
         call = progress.call
         head = await self._read_head(connection, endpoint, call)
+        progress.head_seen = True
         facts = self.wire.read_answer(call, head)
         now = clock.monotonic()
         if facts.load is not None:
@@ -289,8 +324,10 @@
     ) -> messages.ResponseHead:
         if not call.route.may_repeat:
             return await connection.read_head()
-        seconds = _first_event_seconds(call)
-        return await _read(connection.read_head, endpoint, seconds)
+        if not call.is_stream:
+            return await connection.read_head()
+        patience = call.ends_at - clock.monotonic()
+        return await _read(connection.read_head, endpoint, patience)
 
     async def _relay(
         self,
@@ -301,15 +338,15 @@
         exchange: server.Exchange,
     ) -> None:
         stream = progress.stream
-        seconds = _first_event_seconds(progress.call)
+        patience = progress.call.ends_at - clock.monotonic()
         while True:
-            chunk = await _read(connection.read_chunk, endpoint, seconds)
+            chunk = await _read(connection.read_chunk, endpoint, patience)
             if not chunk:
                 break
             events = stream.feed(chunk)
             if events:
                 endpoint.heard(clock.monotonic())
-                seconds = _gap_seconds(progress.call)
+                patience = PUT_BACK_SECONDS
                 await _pass_on(events, facts, exchange)
             if stream.out_of_order:
                 raise _broken(endpoint, "an event of the stream is missing")
@@ -320,14 +357,6 @@
         await exchange.finish()
 
 
-def _first_event_seconds(call: calls.Call) -> float:
-    return max(FIRST_EVENT_SECONDS, 3 * call.route.objective_seconds)
-
-
-def _gap_seconds(call: calls.Call) -> float:
-    return max(MIN_STALL_SECONDS, STALL_GAPS * call.route.gap_seconds)
-
-
 async def _pass_on(
     events: bytes, facts: calls.AnswerFacts, exchange: server.Exchange
 ) -> None:
@@ -339,25 +368,35 @@
 async def _read(
     read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
     endpoint: endpoints.Endpoint,
-    seconds: float,
+    patience: float,
 ) -> _T:
-    """Return what is read; raise ConnectionBroken from a stalled endpoint.
+    """Return what is read; raise ConnectionBroken if that takes too long.
 
-    While the endpoint goes on with other requests, this one is in its
-    queue.
+    An endpoint that no daemon has heard for some time stands still.  One
+    that goes on with other requests has this one in its queue, which may
+    last for `patience` seconds.
     """
+    started = clock.monotonic()
     while True:
+        now = clock.monotonic()
+        if now >= started + patience:
+            raise errors.EndpointStalled(
+                f"endpoint {endpoint.id}: no event for {patience:g} s"
+            )
+        stalls_at = max(started, endpoint.heard_at) + STALL_SECONDS
+        if now >= stalls_at:
+            endpoint.suspect(now)
+            raise errors.EndpointStalled(
+                f"endpoint {endpoint.id}: it made no progress for "
+                f"{STALL_SECONDS:g} s"
+            )
         try:
-            async with curio.timeout_after(seconds):
+            async with curio.timeout_after(
+                min(stalls_at, started + patience) - now
+            ):
                 return await read()
         except curio.TaskTimeout:
-            now = clock.monotonic()
-            if now - endpoint.heard_at < seconds:
-                continue
-            endpoint.suspect(now)
-            raise _broken(
-                endpoint, f"it made no progress for {seconds:g} s"
-            ) from None
+            continue
 
 
 async def _drain(connection: client.Connection) -> None:
--- /dev/null
+++ b/sycamoredale/forwarding/load_news.py
@@ -0,0 +1,160 @@
+"""Tell peers what this daemon has on each endpoint, and hear the same.
+
+Each daemon sees only its part of the requests.  With the parts of its
+peers it knows the load of an endpoint, and whether an endpoint that is
+silent here makes progress elsewhere.  News are datagrams without answer: a
+lost one is made good by the next.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+from typing import Final
+
+import curio
+import curio.socket
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale.forwarding import endpoints
+from sycamoredale.http import messages
+from sycamoredale import ids
+from sycamoredale.observability import logs
+
+# Half of the time that a healthy engine needs between two events at most.
+INTERVAL_SECONDS: Final = 0.1
+# News sent a second by one daemon at most; more peers mean rarer news.
+MAX_DATAGRAMS_PER_SECOND: Final = 160.0
+# Three lost datagrams in a row are rare; older news count for nothing.
+FRESH_INTERVALS: Final = 4.0
+MAX_DATAGRAM_BYTES: Final = 8192
+LOG: Final = logs.get("load_news")
+
+
+class EndpointNews(msgspec.Struct, array_like=True, frozen=True):
+    """Tell what one daemon has on an endpoint and when it last heard it."""
+
+    endpoint: ids.InstanceId
+    in_flight: int
+    heard_ms_ago: int
+
+
+class News(msgspec.Struct, array_like=True, frozen=True):
+    """Hold the news of one daemon."""
+
+    daemon: ids.DaemonId
+    endpoints: list[EndpointNews]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    in_flight_by_id: dict[ids.InstanceId, int]
+    until: clock.MonotonicTime
+
+
+GetPeers = collections.abc.Callable[
+    [], collections.abc.Sequence[messages.Address]
+]
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(News)
+
+
+@dataclasses.dataclass
+class LoadNews:
+    """Send and hear the news of endpoints."""
+
+    daemon: ids.DaemonId
+    book: endpoints.EndpointBook
+    get_peers: GetPeers
+    _heard_by_daemon: dict[ids.DaemonId, _Heard] = dataclasses.field(
+        default_factory=dict
+    )
+
+    async def run(self, address: messages.Address) -> None:
+        """Exchange news for ever from an address."""
+        sock = curio.socket.socket(
+            curio.socket.AF_INET, curio.socket.SOCK_DGRAM
+        )
+        sock.bind((address.host, address.port))
+        await curio.spawn(self._receive, sock, daemon=True)
+        while True:
+            peers = self.get_peers()
+            self.take_over(clock.monotonic())
+            self._send(sock, peers)
+            await curio.sleep(interval_seconds(len(peers)))
+
+    def hear(self, news: News, now: clock.MonotonicTime) -> None:
+        """Take the news of a peer."""
+        seconds = FRESH_INTERVALS * interval_seconds(len(self.get_peers()))
+        self._heard_by_daemon[news.daemon] = _Heard(
+            {item.endpoint: item.in_flight for item in news.endpoints},
+            clock.MonotonicTime(now + seconds),
+        )
+        for item in news.endpoints:
+            endpoint = self.book.by_id.get(item.endpoint)
+            if endpoint is not None and item.heard_ms_ago >= 0:
+                heard_at = now - item.heard_ms_ago / 1000
+                if heard_at > endpoint.heard_at:
+                    endpoint.heard(clock.MonotonicTime(heard_at))
+
+    def take_over(self, now: clock.MonotonicTime) -> None:
+        """Add up what all peers have on each endpoint."""
+        fresh = {
+            daemon: heard
+            for daemon, heard in self._heard_by_daemon.items()
+            if now < heard.until
+        }
+        self._heard_by_daemon = fresh
+        if not fresh:
+            return
+        for endpoint in self.book.by_id.values():
+            others = sum(
+                heard.in_flight_by_id.get(endpoint.id, 0)
+                for heard in fresh.values()
+            )
+            endpoint.note_others(float(others), now)
+
+    def own(self, now: clock.MonotonicTime) -> News:
+        """Return the news of this daemon."""
+        return News(
+            self.daemon,
+            [
+                EndpointNews(e.id, e.in_flight, _age_ms(e, now))
+                for e in self.book.by_id.values()
+                if e.in_flight
+            ],
+        )
+
+    def _send(
+        self,
+        sock: typing.Any,
+        peers: collections.abc.Sequence[messages.Address],
+    ) -> None:
+        data = _ENCODER.encode(self.own(clock.monotonic()))
+        for peer in peers:
+            try:
+                sock._socket.sendto(data, (peer.host, peer.port))
+            except OSError as error:
+                LOG.debug("news_not_sent", peer=str(peer), reason=str(error))
+
+    async def _receive(self, sock: typing.Any) -> None:
+        while True:
+            data, sender = await sock.recvfrom(MAX_DATAGRAM_BYTES)
+            try:
+                news = _DECODER.decode(data)
+            except msgspec.DecodeError as error:
+                LOG.debug("news_malformed", sender=sender, reason=str(error))
+                continue
+            self.hear(news, clock.monotonic())
+
+
+def interval_seconds(peers: int) -> float:
+    """Return the time between two news to a number of peers."""
+    return max(INTERVAL_SECONDS, peers / MAX_DATAGRAMS_PER_SECOND)
+
+
+def _age_ms(endpoint: endpoints.Endpoint, now: clock.MonotonicTime) -> int:
+    if not endpoint.heard_at:
+        return -1
+    return int(1000 * (now - endpoint.heard_at))
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -13,6 +13,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.observability import logs
+from sycamoredale.requests import poison
 
 LOG: Final = logs.get("calls")
 
@@ -21,11 +22,12 @@
 
 @dataclasses.dataclass
 class CallService:
-    """Handle the exchanges of callers."""
+    """Handle the exchanges of callers and count their calls."""
 
     read_envelope: ReadEnvelope
     routes: route_table.RouteTable
     forwarder: forwarder.Forwarder
+    handled: int = 0
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -36,6 +38,7 @@
             _log_refused(exchange.request, refusal)
             await exchange.respond(answers.refusal(refusal))
             return
+        self.handled += 1
         exchange.request_id = call.id
         try:
             progress = await self.forwarder.run(call, exchange)
@@ -63,6 +66,10 @@
             organisation,
             now,
             clock.MonotonicTime(now + seconds),
+            poison.fingerprint_of_content(
+                service.name,
+                [request.method, request.target, organisation, request.body],
+            ),
         )
 
     def _log(self, call: calls.Call, outcome: str, detail: str) -> None:
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -18,6 +18,7 @@
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import contact
+from sycamoredale.groups import load_rate
 from sycamoredale.groups import mix
 from sycamoredale.groups import reported
 from sycamoredale.groups import suspicion
@@ -28,16 +29,22 @@
 
 LEASE_NAME: Final = "groups"
 # Short, for a lost owner stops all repair until the lease has ended.
-LEASE_SECONDS: Final = 3.0
-TEND_SECONDS: Final = 0.5
-# Who waits for the lease reads it this often; each read is priced.
-LOOK_SECONDS: Final = 1.0
+LEASE_SECONDS: Final = 2.0
+TEND_SECONDS: Final = 0.4
+# The daemons that are first in line read the lease often, the others
+# rarely; each read is priced.
+LOOK_SECONDS: Final = 0.5
+RARE_LOOK_SECONDS: Final = 3.0
 ROUND_SECONDS: Final = 0.05
 PROBE_SECONDS: Final = 0.4
 # Epochs of one tenure; one group takes one.
 EPOCHS_PER_TENURE: Final = 1_000_000
 # A little more than the weight store serves at full speed.
 MORE_LOADS_THAN_AT_ONCE: Final = 2
+# Instances register within a heartbeat of their start, in any order.
+LIST_QUIET_SECONDS: Final = 1.0
+# Loads before the first requests are fast, but take some seconds.
+LIST_LATE_SECONDS: Final = 4.0
 # One line tells an operator what stands; more often would only add volume.
 STATUS_SECONDS: Final = 2.0
 LOG: Final = logs.get("groups.upkeep")
@@ -75,12 +82,19 @@
     get_catalogue: GetCatalogue
     get_zones_out: GetZonesOut
     stall_seconds: float
+    rate: load_rate.LoadRate
+    has_traffic: collections.abc.Callable[[], bool]
+    is_in_line: collections.abc.Callable[[], bool] = lambda: True
     contacts: contact.ContactBook = dataclasses.field(
         default_factory=contact.ContactBook
     )
     state: upkeep.Upkeep = dataclasses.field(default_factory=upkeep.Upkeep)
     _status_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _epochs: int = 0
+    _acts_since: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    _seen_all: bool = False
+    _seen: int = 0
+    _seen_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _probing: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     _tenure_epoch: ids.Epoch | None = None
 
@@ -110,7 +124,12 @@
             now_held = self.lease.held(clock.monotonic())
             if held != now_held:
                 LOG.info("lease_changed", held=now_held)
-            await curio.sleep(TEND_SECONDS if now_held else LOOK_SECONDS)
+            await curio.sleep(self._pause_seconds(now_held))
+
+    def _pause_seconds(self, held: bool) -> float:
+        if held:
+            return TEND_SECONDS
+        return LOOK_SECONDS if self.is_in_line() else RARE_LOOK_SECONDS
 
     async def _act(self) -> None:
         """Run the rounds of one tenure."""
@@ -121,6 +140,8 @@
         self._epochs = 0
         self.contacts.by_id.clear()
         self._probing.clear()
+        self._acts_since = clock.monotonic()
+        self._seen_all = False
         self.state = upkeep.Upkeep()
         prober = await curio.spawn(self._probe_for_ever, daemon=True)
         try:
@@ -143,12 +164,31 @@
         situation = self._situation(now)
         if not situation.services or self._is_cut_off(situation):
             return
+        if not self._has_seen_all(now):
+            return
         self._log_status(situation)
         due = list(self.state.due(situation))
         due.extend(self._form(situation))
         for item in due:
             await curio.spawn(self._give, item, daemon=True)
 
+    def _has_seen_all(self, now: clock.MonotonicTime) -> bool:
+        """Tell whether the instances of a new installation are all listed.
+
+        Groups formed from the first few would leave the others in pieces.
+        """
+        if self._seen_all:
+            return True
+        engines = list(self._engine_instances())
+        if len(engines) != self._seen:
+            self._seen = len(engines)
+            self._seen_at = now
+        some_stand = any(i.membership is not None for i in engines)
+        quiet = now >= self._seen_at + LIST_QUIET_SECONDS
+        late = now >= self._acts_since + LIST_LATE_SECONDS
+        self._seen_all = bool(engines) and (some_stand or quiet or late)
+        return self._seen_all
+
     def _log_status(self, situation: upkeep.Situation) -> None:
         if situation.now < self._status_at + STATUS_SECONDS:
             return
@@ -160,12 +200,13 @@
             state = group.state.value if group.state else "headless"
             states[f"{key.model} {state}"] += 1
         contacts = situation.contacts
+        free = list(self.state.free(situation))
         LOG.info(
             "groups_standing",
             by_state=dict(states),
             listed=len(situation.instances),
             lost=sum(map(contacts.is_lost, situation.instances)),
-            free=len(list(self.state.free(situation))),
+            free=_free_by_domain(free),
         )
 
     def _situation(self, now: clock.MonotonicTime) -> upkeep.Situation:
@@ -194,8 +235,7 @@
         situation: upkeep.Situation,
     ) -> collections.abc.Iterator[reported.Due]:
         assert service.engine is not None
-        left = _loads_left(service.engine, situation)
-        left -= self.state.staging(situation.now)
+        left = self._loads_left(service.engine, situation)
         standing = self.state.standing(situation)
         used: set[ids.InstanceId] = set()
         for group in mix.new_groups(free, service.engine.models, standing):
@@ -203,15 +243,36 @@
             if group.loads and group.loads > left:
                 continue
             left -= group.loads
+            self.rate.note(group.loads, situation.now)
             yield from self._join(group, situation.now)
         spares = [i for i in free if i.id not in used]
         for staging in mix.stagings(spares, service.engine.models):
             if left <= 0 or not self._may_stage(staging, situation):
                 continue
             left -= 1
+            self.rate.note(1, situation.now)
             order = reported.Stage(staging.model)
             yield reported.Due(staging.instance, order, "a spare is empty")
 
+    def _loads_left(
+        self, engine: catalogue.BatchEngine, situation: upkeep.Situation
+    ) -> int:
+        """Return how many more loads may start now.
+
+        Before the first call loads are fast and without bound, so only
+        their number at once is held down: groups then form in turn.
+        """
+        if self.has_traffic():
+            return self.rate.left(engine.loads_per_second, situation.now)
+        loading = sum(
+            1
+            for instance in situation.instances.values()
+            if instance.membership is not None
+            and instance.membership.state is listing.MemberState.JOINING
+        )
+        loading += self.state.staging(situation.now)
+        return engine.loads_at_once + MORE_LOADS_THAN_AT_ONCE - loading
+
     def _may_stage(
         self, staging: mix.Staging, situation: upkeep.Situation
     ) -> bool:
@@ -296,14 +357,12 @@
         )
 
 
-def _loads_left(
-    engine: catalogue.BatchEngine, situation: upkeep.Situation
-) -> int:
-    """Return how many more loads may start now."""
-    loading = sum(
-        1
-        for instance in situation.instances.values()
-        if instance.membership is not None
-        and instance.membership.state is listing.MemberState.JOINING
-    )
-    return engine.loads_at_once + MORE_LOADS_THAN_AT_ONCE - loading
+def _free_by_domain(
+    free: collections.abc.Iterable[listing.Instance],
+) -> dict[str, list[str]]:
+    """Return what the free instances of each domain have staged."""
+    found: dict[str, list[str]] = {}
+    for instance in free:
+        staged = ",".join(instance.staged)
+        found.setdefault(instance.domain, []).append(staged)
+    return found
--- a/sycamoredale/platform/daemon.py
+++ b/sycamoredale/platform/daemon.py
@@ -10,31 +10,43 @@
 
 import curio
 
+from sycamoredale import clock
 from sycamoredale.daemons import stopping
+from sycamoredale import errors
 from sycamoredale.forwarding import choosing
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import following
 from sycamoredale.forwarding import forwarder
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import load_news
 from sycamoredale.forwarding import route_table
 from sycamoredale.forwarding import send_budget
 from sycamoredale.forwarding import service
 from sycamoredale.groups import group_upkeep
+from sycamoredale.groups import load_rate
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import leases
+from sycamoredale.membership import node as node_module
+from sycamoredale.membership import relay as relay_module
+from sycamoredale.membership import view
 from sycamoredale.observability import logs
 from sycamoredale.platform import feeds
 from sycamoredale.platform import orders
 from sycamoredale.platform import settings as settings_module
 from sycamoredale.platform import store as store_module
 from sycamoredale.platform import wire
+from sycamoredale.requests import poison
 
 # The balancer asks once a second and leaves after two misses.
 DRAIN_LISTEN_SECONDS: Final = 3.0
 # Kept for the exit itself, from the time until the process is killed.
 EXIT_SECONDS: Final = 0.5
+# The holder of the lease and two more; one of these may be lost with it.
+DAEMONS_IN_LINE: Final = 3
+# Peers listen on the first internal port, news arrive on the next.
+NEWS_PORT_OFFSET: Final = 1
 LOG: Final = logs.get("daemon")
 
 
@@ -53,9 +65,14 @@
             lambda: self._routes.current.service_by_name,
             lambda: self._evacuations.zones_out,
         )
+        self._node = self._build_node()
+        self._news = load_news.LoadNews(
+            settings.daemon, self._endpoints, self._news_addresses
+        )
         self._upkeep = self._build_upkeep()
+        self._service = self._build_service()
         self._server = server.Server(
-            self._build_service().handle, serves_while_draining=True
+            self._service.handle, serves_while_draining=True
         )
         self._readiness = server.Server(
             self._answer_readiness, serves_while_draining=True
@@ -65,21 +82,29 @@
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
         stop = stopping.StopSignal()
+        await curio.spawn(self._reload_for_ever, daemon=True)
         for follower in self._followers():
             await curio.spawn(follower.run, daemon=True)
         self._readiness.bind(self._settings.readiness)
         await self._readiness.start()
         self._server.bind(self._settings.callers)
         await self._server.start()
+        await self._node.start()
+        await curio.spawn(self._news.run, self._news_address(), daemon=True)
         await curio.spawn(self._upkeep.run, daemon=True)
         LOG.info("started", address=str(self._settings.callers))
         await stop.wait()
         await self._drain()
 
+    def _news_address(self) -> messages.Address:
+        port = self._settings.peer_ports[0] + NEWS_PORT_OFFSET
+        return messages.Address(self._settings.host, port)
+
     async def _drain(self) -> None:
         self._stopping = True
         LOG.info("stopping")
         await curio.spawn(self._upkeep.stop, daemon=True)
+        await curio.spawn(self._node.stop, daemon=True)
         complete = await self._server.drain(
             self._settings.bounds.grace - EXIT_SECONDS, DRAIN_LISTEN_SECONDS
         )
@@ -94,7 +119,12 @@
             (feeds.EVACUATIONS, self._evacuations.take),
         ]
         return [
-            following.Follower(self._store, kind, take)
+            following.Follower(
+                self._store,
+                kind,
+                take,
+                on_contact=self._node.freshness.on_poll,
+            )
             for kind, take in taking
         ]
 
@@ -112,6 +142,9 @@
             lambda: self._routes.current,
             lambda: self._evacuations.zones_out,
             self._settings.bounds.stall,
+            load_rate.LoadRate(self._settings.bounds.load_window),
+            self._has_traffic,
+            self._is_in_line,
         )
 
     def _build_service(self) -> service.CallService:
@@ -132,11 +165,62 @@
         return service.CallService(
             wire.read_envelope,
             self._routes,
-            forwarder.Forwarder(wire, chooser, budget, client.Pool()),
+            forwarder.Forwarder(
+                wire, chooser, budget, client.Pool(), self._build_poison_list()
+            ),
         )
 
+    def _build_poison_list(self) -> poison.PoisonList:
+        relay = self._node.relay
+        poison_list = poison.PoisonList(relay)
+        relay.subscribe(
+            relay_module.Topic.POISON,
+            lambda notice: poison_list.hear(notice, clock.monotonic()),
+        )
+        return poison_list
+
+    def _build_node(self) -> node_module.Node:
+        first_port = self._settings.peer_ports[0]
+        identity = node_module.Identity(
+            self._settings.daemon,
+            self._settings.zone,
+            view.Role.ROUTER,
+            messages.Address(self._settings.host, first_port),
+        )
+        return node_module.Node(identity, self._store, clock.wall())
+
+    def _has_traffic(self) -> bool:
+        return not self._settings.first_start or self._service.handled > 0
+
+    def _is_in_line(self) -> bool:
+        """Tell whether this daemon is among the first to take the lease."""
+        living = sorted(p.id for p in self._node.members.usable_routers())
+        return self._settings.daemon in living[:DAEMONS_IN_LINE]
+
     def _count_daemons(self) -> int:
-        return 9
+        return max(1, sum(1 for _ in self._node.members.usable_routers()))
+
+    def _news_addresses(self) -> list[messages.Address]:
+        usable = self._node.members.usable_routers()
+        own = self._node.members.own.id
+        addresses = (
+            messages.parse_address(p.address) for p in usable if p.id != own
+        )
+        port = self._settings.peer_ports[0] + NEWS_PORT_OFFSET
+        return [messages.Address(a.host, port) for a in addresses]
+
+    async def _reload_for_ever(self) -> None:
+        """Read the settings again at each signal; bad ones change nothing."""
+        signals = stopping.SignalWatch(stopping.RELOAD_SIGNALS)
+        while True:
+            await signals.wait()
+            try:
+                text = settings_module.path().read_text()
+                self._settings = settings_module.read(text)
+            except (OSError, errors.Refusal) as error:
+                LOG.error("settings_not_reloaded", reason=str(error))
+            else:
+                LOG.info("settings_reloaded")
 
     async def _answer_readiness(self, exchange: server.Exchange) -> None:
         ready = not self._stopping and self._routes.current.version > 0
--- a/sycamoredale/platform/settings.py
+++ b/sycamoredale/platform/settings.py
@@ -26,7 +26,7 @@
     A leaving instance gets no new request later than `drain`; a stopped
     process is killed after `grace`; a head that lost a member is broken
     after `stall`.  Further sends are at most `retry_ratio` of the requests
-    of a window and `retry_burst` more.
+    of a window and `retry_burst` more.  Loads are counted in a window.
     """
 
     drain: float
@@ -37,6 +37,7 @@
     retry_burst: float
     cold_factor: float
     cold_burst: float
+    load_window: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +53,7 @@
     peer_ports: tuple[int, int]
     heartbeat_seconds: float
     file_descriptors: int
+    first_start: bool
     bounds: Bounds
 
 
@@ -73,6 +75,8 @@
         peer_ports=reader.ports("internal_ports"),
         heartbeat_seconds=reader.number("heartbeat_ms", 1200.0) / 1000,
         file_descriptors=int(reader.number("limits.max_fds", 1024)),
+        # True only when the whole system starts for the first time.
+        first_start=reader.flag("bootstrap"),
         bounds=_bounds(reader),
     )
     if reader.findings:
@@ -92,6 +96,7 @@
         retry_burst=reader.number("bounds.budget_burst", 10.0),
         cold_factor=reader.number("bounds.cold_overage_factor", 1.0),
         cold_burst=reader.number("bounds.warmup_burst", 0.0),
+        load_window=reader.number("bounds.ceiling_window_s", 5.0),
     )
 
 
@@ -114,6 +119,10 @@
             self.findings.append(f"setting {name!r} is missing")
         return value
 
+    def flag(self, name: str) -> bool:
+        """Return whether a setting is true; it is not if it is absent."""
+        return self._value_by_name.get(name, "").lower() == "true"
+
     def number(self, name: str, default: float) -> float:
         """Return a number of at least 0, or the default if it is absent."""
         text = self._value_by_name.get(name, "")
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -66,9 +66,13 @@
 
     def check(self, call: call_module.Call, now: clock.MonotonicTime) -> None:
         """Raise Refusal if the request has crashed too many endpoints."""
-        if not self._seen_by_fingerprint:
-            return
-        fingerprint = fingerprint_of(call)
+        if self._seen_by_fingerprint:
+            self.check_fingerprint(fingerprint_of(call), now)
+
+    def check_fingerprint(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> None:
+        """Raise Refusal if what has the fingerprint crashes endpoints."""
         if self.score(fingerprint, now) < THRESHOLD:
             return
         raise refusal(
@@ -168,7 +172,14 @@
     else:
         fields = msgspec.json.decode(request.body)
         content = [fields.get(name) for name in CONTENT_FIELDS]
-    text = msgspec.json.encode([call.service.name, content], order="sorted")
+    return fingerprint_of_content(call.service.name, content)
+
+
+def fingerprint_of_content(
+    service: ids.ServiceName, content: object
+) -> Fingerprint:
+    """Return the digest of what the endpoints of a service work on."""
+    text = msgspec.json.encode([service, content], order="sorted")
     return Fingerprint(hashlib.sha256(text).hexdigest()[:32])
 
 
