Form groups by measured demand, stage loads on spares, use far groups

Joins that load held warm members for 12 to 20 s. Both spares of a domain staged the same model. Seven groups of one model stood beside five of the other, which had more to do. Ruled out: the rate of loads; six at once is what binds the weight store.

--- a/sycamoredale/forwarding/catalogue.py
+++ b/sycamoredale/forwarding/catalogue.py
@@ -69,6 +69,7 @@
 
     A token takes `step_seconds`, and `per_request_seconds` more for each
     request of the batch; prompts are read at `read_tokens_per_second`.
+    A group across fabric domains is slower by `far_factor`.
     """
 
     slots: int
@@ -77,6 +78,7 @@
     read_tokens_per_second: float
     loads_per_second: float
     loads_at_once: int
+    far_factor: float
     models: tuple[Model, ...]
 
 
--- a/sycamoredale/forwarding/choosing.py
+++ b/sycamoredale/forwarding/choosing.py
@@ -16,14 +16,21 @@
 
 # In requests: what the way to another zone costs against a shorter queue.
 OTHER_ZONE_LOAD: Final = 0.5
+# A group across fabric domains takes three times as long for each token, so
+# it is begun with once the others are half full.
+FAR_SHARE: Final = 0.5
+FAR_FACTOR: Final = 1.5
+# Less than one request of the slots of an engine.
+DRAW_SHARE: Final = 0.05
 # Above this share of the slots a request waits past its objective.
-FULL_SHARE: Final = 1.6
+FULL_SHARE: Final = 1.5
 # A plain instance queues this many times its slots before it is full.
 PLAIN_FULL_SHARE: Final = 4.0
 # A group is formed again from staged instances in about that time.
-NO_ENDPOINT_RETRY_SECONDS: Final = 1.0
-# A slot gets free within about a quarter of a stream's time.
-FULL_RETRY_SECONDS: Final = 0.4
+NO_ENDPOINT_RETRY_SECONDS: Final = 2.0
+# A group that was lost is formed again within about two seconds; callers
+# wait no longer than a third of the time that they have left.
+FULL_RETRY_SECONDS: Final = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,8 +84,11 @@
     ) -> float:
         far = endpoint.instance.zone != self.own_zone
         load = endpoint.load(now) + (OTHER_ZONE_LOAD if far else 0.0)
+        share = load / max(1, endpoint.slots)
+        if endpoint.is_far:
+            share = FAR_SHARE + FAR_FACTOR * share
         # The draw keeps daemons that know the same from choosing the same.
-        return load / max(1, endpoint.slots) + 0.05 * self.sampler.random()
+        return share + DRAW_SHARE * self.sampler.random()
 
     def _bears_more(
         self,
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -22,18 +22,24 @@
 LOAD_HALF_LIFE_SECONDS: Final = 1.0
 # The sum of what peers tell is better than one answer, while it is young.
 NEWS_SECONDS: Final = 0.5
+# Of the newest count, ten of which come in a second: the average is over
+# about the time that a lost group takes to be formed again.
+DEMAND_WEIGHT: Final = 0.03
 # A stalled endpoint is either back or closed by its keeper by then.
 SUSPECT_SECONDS: Final = 1.5
 
 
 @dataclasses.dataclass(eq=False)
 class Endpoint:
-    """Hold one endpoint; `model` is empty for a plain service."""
+    """Hold one endpoint; `model` is empty for a plain service.
+
+    The members of a far endpoint stand in several fabric domains.
+    """
 
     instance: listing.Instance
     model: str
     slots: int
-    pace: float = 1.0
+    is_far: bool = False
     in_flight: int = 0
     others: float = 0.0
     others_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
@@ -100,6 +106,7 @@
     by_id: dict[ids.InstanceId, Endpoint] = dataclasses.field(
         default_factory=dict
     )
+    demand_by_model: dict[str, float] = dataclasses.field(default_factory=dict)
     _by_kind: dict[tuple[ids.ServiceName, str], list[Endpoint]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -114,12 +121,28 @@
         """Return the endpoints of a service that run a model."""
         return self._by_kind.get((service, model), ())
 
+    def note_demand(self, now: clock.MonotonicTime) -> None:
+        """Average the requests that each model runs, over some seconds.
+
+        Nothing is known while no model has any.
+        """
+        present: dict[str, float] = {}
+        for (_, model), found in self._by_kind.items():
+            if model:
+                present[model] = sum(e.load(now) for e in found)
+        for model, load in present.items():
+            before = self.demand_by_model.get(model, load)
+            self.demand_by_model[model] = before + DEMAND_WEIGHT * (
+                load - before
+            )
+
     def rebuild(self) -> None:
         """Take over what is known of instances, zones and services."""
         found: dict[ids.InstanceId, Endpoint] = {}
         by_kind: dict[tuple[ids.ServiceName, str], list[Endpoint]] = {}
         zones_out = self.get_zones_out()
         services = self.get_services()
+        domains = self._domains_by_group()
         for instance in self.book.by_id.values():
             service = services.get(instance.service)
             if service is None or instance.leaving:
@@ -130,6 +153,10 @@
             if model is None:
                 continue
             endpoint = self._endpoint(instance, model, service)
+            place = instance.membership
+            if place is not None:
+                group = place.group, place.epoch
+                endpoint.is_far = len(domains[group]) > 1
             found[instance.id] = endpoint
             by_kind.setdefault((service.name, model), []).append(endpoint)
         self.by_id = found
@@ -146,13 +173,19 @@
             known.instance = instance
             return known
         engine = service.engine
-        configured = service.model(model)
-        return Endpoint(
-            instance,
-            model,
-            engine.slots if engine else instance.slots,
-            configured.pace if configured else 1.0,
-        )
+        slots = engine.slots if engine else instance.slots
+        return Endpoint(instance, model, slots)
+
+    def _domains_by_group(
+        self,
+    ) -> dict[tuple[ids.GroupId, ids.Epoch], set[ids.DomainName]]:
+        domains: dict[tuple[ids.GroupId, ids.Epoch], set[ids.DomainName]] = {}
+        for instance in self.book.by_id.values():
+            place = instance.membership
+            if place is not None:
+                group = place.group, place.epoch
+                domains.setdefault(group, set()).add(instance.domain)
+        return domains
 
 
 def _is_same(known: Endpoint, instance: listing.Instance) -> bool:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -61,6 +61,7 @@
         instance: listing.Instance,
         seconds_left: float,
         last_event: int | None,
+        continues: bool,
     ) -> messages.Request:
         """Return the request that goes to an instance."""
 
@@ -246,6 +247,7 @@
                 endpoint.instance,
                 call.ends_at - now,
                 progress.stream.last_event,
+                continues=bool(progress.sends),
             )
             await connection.send(request)
             outcome = await self._read_answer(
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -27,16 +27,22 @@
 MAX_DATAGRAMS_PER_SECOND: Final = 160.0
 # Three lost datagrams in a row are rare; older news count for nothing.
 FRESH_INTERVALS: Final = 4.0
+# As long as an engine may be silent between two events.
+TRUST_HEARD_SECONDS: Final = 0.5
 MAX_DATAGRAM_BYTES: Final = 8192
 LOG: Final = logs.get("load_news")
 
 
 class EndpointNews(msgspec.Struct, array_like=True, frozen=True):
-    """Tell what one daemon has on an endpoint and when it last heard it."""
+    """Tell what one daemon has on an endpoint and when it last heard it.
+
+    `suspect_ms` is how much longer the daemon sends nothing there.
+    """
 
     endpoint: ids.InstanceId
     in_flight: int
     heard_ms_ago: int
+    suspect_ms: int
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
@@ -93,10 +99,8 @@
         )
         for item in news.endpoints:
             endpoint = self.book.by_id.get(item.endpoint)
-            if endpoint is not None and item.heard_ms_ago >= 0:
-                heard_at = now - item.heard_ms_ago / 1000
-                if heard_at > endpoint.heard_at:
-                    endpoint.heard(clock.MonotonicTime(heard_at))
+            if endpoint is not None:
+                _learn(endpoint, item, now)
 
     def take_over(self, now: clock.MonotonicTime) -> None:
         """Add up what all peers have on each endpoint."""
@@ -108,6 +112,7 @@
         self._heard_by_daemon = fresh
         if not fresh:
             return
+        self.book.note_demand(now)
         for endpoint in self.book.by_id.values():
             others = sum(
                 heard.in_flight_by_id.get(endpoint.id, 0)
@@ -120,9 +125,11 @@
         return News(
             self.daemon,
             [
-                EndpointNews(e.id, e.in_flight, _age_ms(e, now))
+                EndpointNews(
+                    e.id, e.in_flight, _age_ms(e, now), _suspect_ms(e, now)
+                )
                 for e in self.book.by_id.values()
-                if e.in_flight
+                if e.in_flight or e.is_suspect(now)
             ],
         )
 
@@ -154,6 +161,25 @@
     return max(INTERVAL_SECONDS, peers / MAX_DATAGRAMS_PER_SECOND)
 
 
+def _learn(
+    endpoint: endpoints.Endpoint,
+    item: EndpointNews,
+    now: clock.MonotonicTime,
+) -> None:
+    if item.heard_ms_ago >= 0:
+        heard_at = now - item.heard_ms_ago / 1000
+        if heard_at > endpoint.heard_at:
+            endpoint.heard(clock.MonotonicTime(heard_at))
+    # A peer alone may have lost the way to an endpoint that others hear.
+    heard_lately = now - endpoint.heard_at < TRUST_HEARD_SECONDS
+    if item.suspect_ms > 0 and not heard_lately:
+        endpoint.suspect(now, item.suspect_ms / 1000)
+
+
+def _suspect_ms(endpoint: endpoints.Endpoint, now: clock.MonotonicTime) -> int:
+    return max(0, int(1000 * (endpoint.suspect_until - now)))
+
+
 def _age_ms(endpoint: endpoints.Endpoint, now: clock.MonotonicTime) -> int:
     if not endpoint.heard_at:
         return -1
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -84,6 +84,8 @@
     stall_seconds: float
     rate: load_rate.LoadRate
     has_traffic: collections.abc.Callable[[], bool]
+    get_demand: collections.abc.Callable[[], mix.Demand]
+    count_daemons: collections.abc.Callable[[], int]
     is_in_line: collections.abc.Callable[[], bool] = lambda: True
     contacts: contact.ContactBook = dataclasses.field(
         default_factory=contact.ContactBook
@@ -207,6 +209,7 @@
             listed=len(situation.instances),
             lost=sum(map(contacts.is_lost, situation.instances)),
             free=_free_by_domain(free),
+            daemons=self.count_daemons(),
         )
 
     def _situation(self, now: clock.MonotonicTime) -> upkeep.Situation:
@@ -235,49 +238,74 @@
         situation: upkeep.Situation,
     ) -> collections.abc.Iterator[reported.Due]:
         assert service.engine is not None
-        left = self._loads_left(service.engine, situation)
-        standing = self.state.standing(situation)
+        engine = service.engine
+        under_way = self.state.staging(situation)
+        left = self._loads_left(engine, len(under_way), situation)
         used: set[ids.InstanceId] = set()
-        for group in mix.new_groups(free, service.engine.models, standing):
+        for group in self._groups_to_form(engine, free, under_way, situation):
             used.update(m.id for m in group.members)
-            if group.loads and group.loads > left:
-                continue
+            if group.loads and left <= 0:
+                break
             left -= group.loads
             self.rate.note(group.loads, situation.now)
             yield from self._join(group, situation.now)
         spares = [i for i in free if i.id not in used]
-        for staging in mix.stagings(spares, service.engine.models):
-            if left <= 0 or not self._may_stage(staging, situation):
-                continue
-            left -= 1
-            self.rate.note(1, situation.now)
-            order = reported.Stage(staging.model)
-            yield reported.Due(staging.instance, order, "a spare is empty")
+        staged = mix.stagings(spares, engine.models, under_way)
+        for staging in staged[: max(0, left)]:
+            yield self._stage(staging, situation.now)
+
+    def _groups_to_form(
+        self,
+        engine: catalogue.BatchEngine,
+        free: list[listing.Instance],
+        under_way: collections.abc.Mapping[ids.InstanceId, str],
+        situation: upkeep.Situation,
+    ) -> collections.abc.Iterator[mix.NewGroup]:
+        idle = [i for i in free if i.id not in under_way]
+        standing = self.state.standing(situation)
+        may_load = not self.has_traffic()
+        used: set[ids.InstanceId] = set()
+        demand = self.get_demand()
+        for group in mix.new_groups(
+            idle, engine.models, standing, demand, may_load
+        ):
+            used.update(m.id for m in group.members)
+            standing[group.model.name] += 1
+            yield group
+        if not may_load:
+            left = [i for i in idle if i.id not in used]
+            yield from mix.far_groups(left, engine.models, standing, demand)
+
+    def _stage(
+        self, staging: mix.Staging, now: clock.MonotonicTime
+    ) -> reported.Due:
+        self.rate.note(1, now)
+        self.state.note_staging(staging.instance.id, staging.model, now)
+        order = reported.Stage(staging.model)
+        return reported.Due(staging.instance, order, "a spare is empty")
 
     def _loads_left(
-        self, engine: catalogue.BatchEngine, situation: upkeep.Situation
+        self,
+        engine: catalogue.BatchEngine,
+        stagings: int,
+        situation: upkeep.Situation,
     ) -> int:
         """Return how many more loads may start now.
 
-        Before the first call loads are fast and without bound, so only
-        their number at once is held down: groups then form in turn.
+        More at once would only take longer each.  Before the first call
+        loads are not bound in rate.
         """
-        if self.has_traffic():
-            return self.rate.left(engine.loads_per_second, situation.now)
-        loading = sum(
+        joining = sum(
             1
             for instance in situation.instances.values()
             if instance.membership is not None
             and instance.membership.state is listing.MemberState.JOINING
         )
-        loading += self.state.staging(situation.now)
-        return engine.loads_at_once + MORE_LOADS_THAN_AT_ONCE - loading
-
-    def _may_stage(
-        self, staging: mix.Staging, situation: upkeep.Situation
-    ) -> bool:
-        due = reported.Due(staging.instance, reported.Stage(staging.model), "")
-        return self.state.may_stage(due, situation.now)
+        at_once = engine.loads_at_once - stagings
+        if not self.has_traffic():
+            return at_once + MORE_LOADS_THAN_AT_ONCE - joining
+        rate = self.rate.left(engine.loads_per_second, situation.now)
+        return min(at_once, rate)
 
     def _join(
         self, group: mix.NewGroup, now: clock.MonotonicTime
--- a/sycamoredale/groups/mix.py
+++ b/sycamoredale/groups/mix.py
@@ -1,19 +1,35 @@
 """Decide which new groups free instances form, and what spares stage.
 
-Every group stands in one fabric domain.  The model that has the fewest
-instances for its share of the work goes first.  The instances that no
-group fits into stay spares with a model staged on their host, since a
-staged model joins in a tenth of the time of a load.
+A group stands in one fabric domain if it can.  The model that has the
+fewest groups for the requests that it has to run goes first.  The
+instances that no group fits into stay spares with a model staged on their
+host, since a staged model joins in a tenth of the time of a load.
+
+Once there is traffic no group is formed that would have to load: its
+members would wait for the load, while they may be what the next broken
+group needs.  The load is staged on a spare instead, first where it
+completes a group.
 """
 
 import collections
 import collections.abc
 import dataclasses
+from typing import Final
 
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
 from sycamoredale import ids
 
+# Ranks count the instances that a group lacks after the staging and one
+# more.  A first spare of a model in a domain comes next to completing a
+# group, for it completes the next one that loses a member.
+FIRST_SPARE_RANK: Final = 1.5
+EXCHANGE_RANK: Final = 1.2
+
+
+# The requests that each model has to run, empty while nothing is known.
+Demand = collections.abc.Mapping[str, float]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewGroup:
@@ -30,22 +46,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Staging:
-    """Name a spare and the model that its host should hold."""
+    """Name a spare and the model that its host should hold.
+
+    The one with the lowest rank does most good.
+    """
 
     instance: listing.Instance
     model: str
+    rank: float
 
 
 def new_groups(
     free: collections.abc.Iterable[listing.Instance],
     models: collections.abc.Sequence[catalogue.Model],
     standing: collections.Counter[str],
+    demand: Demand,
+    may_load: bool,
 ) -> collections.abc.Iterator[NewGroup]:
     """Yield the groups to form; `standing` counts those by model."""
     counts = collections.Counter(standing)
     rooms = _by_domain(free)
     while True:
-        found = _next(rooms, models, counts)
+        found = _next(rooms, models, counts, demand, may_load)
         if found is None:
             return
         domain, model = found
@@ -55,47 +77,136 @@
         yield NewGroup(model, members)
 
 
+def far_groups(
+    free: collections.abc.Iterable[listing.Instance],
+    models: collections.abc.Sequence[catalogue.Model],
+    standing: collections.Counter[str],
+    demand: Demand,
+) -> collections.abc.Iterator[NewGroup]:
+    """Yield groups across domains, of instances that no domain can use.
+
+    One spare of each model stays in each domain, for the next repair.
+    """
+    counts = collections.Counter(standing)
+    left = {m.name: _beyond_spares(free, m) for m in models}
+    while True:
+        fits = [m for m in models if len(left[m.name]) >= m.size]
+        if not fits:
+            return
+        model = min(fits, key=lambda m: (_supply(m, counts, demand), m.name))
+        members = tuple(left[model.name][: model.size])
+        left[model.name] = left[model.name][model.size :]
+        counts[model.name] += 1
+        yield NewGroup(model, members)
+
+
+def _beyond_spares(
+    free: collections.abc.Iterable[listing.Instance], model: catalogue.Model
+) -> list[listing.Instance]:
+    staged = [i for i in free if model.name in i.staged]
+    return [
+        instance
+        for room in _by_domain(staged).values()
+        for instance in room[1:]
+    ]
+
+
 def stagings(
     free: collections.abc.Iterable[listing.Instance],
     models: collections.abc.Sequence[catalogue.Model],
+    under_way: collections.abc.Mapping[ids.InstanceId, str],
+) -> list[Staging]:
+    """Return what empty spares should stage, the most useful first.
+
+    `under_way` names the models that are being staged by instance.
+    """
+    found = [
+        staging
+        for spares in _by_domain(free).values()
+        for staging in _stagings_of(spares, models, under_way)
+    ]
+    return sorted(found, key=lambda s: (s.rank, s.instance.id))
+
+
+def _stagings_of(
+    spares: list[listing.Instance],
+    models: collections.abc.Sequence[catalogue.Model],
+    under_way: collections.abc.Mapping[ids.InstanceId, str],
 ) -> collections.abc.Iterator[Staging]:
-    """Yield what spares that hold no model should stage."""
-    for spares in _by_domain(free).values():
-        held = collections.Counter(
-            name for spare in spares for name in spare.staged
-        )
-        for spare in spares:
-            if spare.staged:
-                continue
-            model = min(models, key=lambda m: (held[m.name], -m.size))
-            held[model.name] += 1
-            yield Staging(spare, model.name)
+    held = collections.Counter(
+        name
+        for spare in spares
+        if spare.id not in under_way
+        for name in spare.staged
+    )
+    held.update(under_way[s.id] for s in spares if s.id in under_way)
+    idle = [s for s in spares if s.id not in under_way]
+    empty = [s for s in idle if not s.staged]
+    for spare in empty:
+        model = min(models, key=lambda m: (_rank(m, held), m.name))
+        yield Staging(spare, model.name, _rank(model, held))
+        held[model.name] += 1
+    if not empty and len(idle) == len(spares):
+        yield from _exchange(spares, models, held)
+
+
+def _exchange(
+    spares: list[listing.Instance],
+    models: collections.abc.Sequence[catalogue.Model],
+    held: collections.Counter[str],
+) -> collections.abc.Iterator[Staging]:
+    """Yield a staging over another model, where that completes a group."""
+    for model in models:
+        if len(spares) < model.size or model.size - held[model.name] != 1:
+            continue
+        other = [s for s in spares if model.name not in s.staged]
+        spare = max(other, key=lambda s: (held[s.staged[0]], s.id))
+        yield Staging(spare, model.name, EXCHANGE_RANK)
+        return
+
+
+def _rank(model: catalogue.Model, held: collections.Counter[str]) -> float:
+    if not held[model.name]:
+        return FIRST_SPARE_RANK
+    return model.size - held[model.name] % model.size
 
 
 def _next(
     rooms: dict[ids.DomainName, list[listing.Instance]],
     models: collections.abc.Sequence[catalogue.Model],
     counts: collections.Counter[str],
+    demand: Demand,
+    may_load: bool,
 ) -> tuple[ids.DomainName, catalogue.Model] | None:
-    def has(model: catalogue.Model) -> float:
-        return counts[model.name] * model.size / model.share
-
     fits = [
         (domain, model)
         for model in models
         for domain, room in rooms.items()
-        if len(room) >= model.size
+        if _is_warm(room, model) or (may_load and len(room) >= model.size)
     ]
     if not fits:
         return None
-    # A group that loads serves ten times later than one that is staged.
-    warm = [f for f in fits if _is_warm(rooms[f[0]], f[1])]
     return min(
-        warm or fits,
-        key=lambda f: (has(f[1]), _unfitness(rooms[f[0]], f[1]), f[0]),
+        fits,
+        key=lambda f: (
+            _supply(f[1], counts, demand),
+            _unfitness(rooms[f[0]], f[1]),
+            f[0],
+        ),
     )
 
 
+def _supply(
+    model: catalogue.Model,
+    counts: collections.Counter[str],
+    demand: Demand,
+) -> float:
+    """Return how many groups a model has for each that its work needs."""
+    # The configured share is in instances.
+    share = demand.get(model.name) or model.share / model.size
+    return counts[model.name] / share
+
+
 def _is_warm(room: list[listing.Instance], model: catalogue.Model) -> bool:
     return sum(model.name in i.staged for i in room) >= model.size
 
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -29,10 +29,9 @@
 JOIN_SEEN_SECONDS: Final = 2.0
 # A hidden head has broken by the stall time; this covers clock rates.
 HIDDEN_HEAD_SLACK_SECONDS: Final = 1.0
-# A staging that shows no result by then is ordered again.
-REPEAT_STAGE_SECONDS: Final = 20.0
-# How long a staging counts as a load before traffic.
-STAGE_SECONDS: Final = 1.5
+# A staging that shows no result by then is ordered again; the largest
+# model takes 16 s where no more loads than allowed run at once.
+REPEAT_STAGE_SECONDS: Final = 30.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,9 +67,9 @@
     )
     _opened: set[reported.Key] = dataclasses.field(default_factory=set)
     _unsure: set[reported.Key] = dataclasses.field(default_factory=set)
-    _staged_at: dict[
-        tuple[ids.InstanceId, reported.Order], clock.MonotonicTime
-    ] = dataclasses.field(default_factory=dict)
+    _staged_at: dict[ids.InstanceId, tuple[str, clock.MonotonicTime]] = (
+        dataclasses.field(default_factory=dict)
+    )
     _held_until: dict[ids.InstanceId, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
@@ -146,18 +145,26 @@
             self._unsure.add(item.order.key)
             self._opened.discard(item.order.key)
 
-    def may_stage(self, item: reported.Due, now: clock.MonotonicTime) -> bool:
-        """Tell whether a staging has not been ordered lately; note it."""
-        key = (item.instance.id, item.order)
-        last = self._staged_at.get(key)
-        if last is not None and now < last + REPEAT_STAGE_SECONDS:
-            return False
-        self._staged_at[key] = now
-        return True
-
-    def staging(self, now: clock.MonotonicTime) -> int:
-        """Return how many stagings may still be under way."""
-        return sum(now < t + STAGE_SECONDS for t in self._staged_at.values())
+    def note_staging(
+        self,
+        instance: ids.InstanceId,
+        model: str,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Remember that an instance was ordered to stage a model."""
+        self._staged_at[instance] = (model, now)
+
+    def staging(self, situation: Situation) -> dict[ids.InstanceId, str]:
+        """Return the models that are being staged, by instance."""
+        under_way: dict[ids.InstanceId, str] = {}
+        for instance, (model, since) in list(self._staged_at.items()):
+            known = situation.instances.get(instance)
+            late = situation.now >= since + REPEAT_STAGE_SECONDS
+            if known is None or model in known.staged or late:
+                del self._staged_at[instance]
+            else:
+                under_way[instance] = model
+        return under_way
 
     def _for_group(
         self, group: reported.ReportedGroup, situation: Situation
--- a/sycamoredale/membership/registry.py
+++ b/sycamoredale/membership/registry.py
@@ -1,7 +1,7 @@
 """Register this daemon in the object API and find its peers there.
 
-The list is read rarely: at the start until it succeeds, and then at long
-intervals.  A daemon object whose daemon has been believed dead for the
+The list is read at the start until it succeeds, and then at intervals that
+grow long.  A daemon object whose daemon has been believed dead for the
 whole removal time is deleted by whoever notices first, if that daemon
 sees most of the fleet alive; the conditional delete spares an object that
 was written again meanwhile.
@@ -22,6 +22,9 @@
 from sycamoredale.observability import logs
 
 LIST_SECONDS: Final = 300.0
+# Daemons that start together do not see each other in their first lists,
+# so the pauses between lists begin short and double.
+FIRST_LIST_SECONDS: Final = 1.0
 RETRY_SECONDS: Final = 1.0
 MAX_RETRY_SECONDS: Final = 30.0
 STALE_REMOVED_SECONDS: Final = 300.0
@@ -51,11 +54,13 @@
     async def run(self) -> None:
         """Register and read the list, now and then again."""
         retry = RETRY_SECONDS
+        pause = FIRST_LIST_SECONDS
         while True:
             try:
                 await self.refresh()
                 retry = RETRY_SECONDS
-                wait = LIST_SECONDS * self.rng.uniform(0.8, 1.2)
+                wait = pause * self.rng.uniform(0.8, 1.2)
+                pause = min(2 * pause, LIST_SECONDS)
             except errors.SycamoredaleError as error:
                 LOG.info("registration_failed", reason=error.message)
                 wait = retry * self.rng.uniform(0.5, 1.0)
--- a/sycamoredale/platform/daemon.py
+++ b/sycamoredale/platform/daemon.py
@@ -45,6 +45,8 @@
 EXIT_SECONDS: Final = 0.5
 # The holder of the lease and two more; one of these may be lost with it.
 DAEMONS_IN_LINE: Final = 3
+# Until the peers are known, more of them are assumed than there are today.
+UNKNOWN_DAEMONS: Final = 12
 # Peers listen on the first internal port, news arrive on the next.
 NEWS_PORT_OFFSET: Final = 1
 LOG: Final = logs.get("daemon")
@@ -144,6 +146,8 @@
             self._settings.bounds.stall,
             load_rate.LoadRate(self._settings.bounds.load_window),
             self._has_traffic,
+            lambda: self._endpoints.demand_by_model,
+            self._count_daemons,
             self._is_in_line,
         )
 
@@ -198,7 +202,15 @@
         return self._settings.daemon in living[:DAEMONS_IN_LINE]
 
     def _count_daemons(self) -> int:
-        return max(1, sum(1 for _ in self._node.members.usable_routers()))
+        """Return how many daemons may share a bound, rather too many.
+
+        Those that are out of touch go on with their part of it.
+        """
+        members = self._node.members.by_id.values()
+        known = sum(1 for p in members if p.state is not view.PeerState.LEFT)
+        if not self._node.registry.listed:
+            return max(known, UNKNOWN_DAEMONS)
+        return known
 
     def _news_addresses(self) -> list[messages.Address]:
         usable = self._node.members.usable_routers()
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -53,6 +53,8 @@
     read_per_s: float = 1e6
     loads_per_s: float = 1.0
     loads_at_once: int = 1
+    # How much slower a group across fabric domains is.
+    far_x: float = 1.0
     models: list[_Model] = []
 
 
@@ -158,6 +160,7 @@
         read_tokens_per_second=engine.read_per_s,
         loads_per_second=engine.loads_per_s,
         loads_at_once=engine.loads_at_once,
+        far_factor=engine.far_x,
         models=tuple(
             catalogue.Model(
                 m.name, m.size, m.share, m.pace, m.load_s, m.warm_s
--- a/sycamoredale/platform/wire.py
+++ b/sycamoredale/platform/wire.py
@@ -25,6 +25,9 @@
 # Running requests, waiting requests and slots, with commas between.
 _LOAD: Final = "Replica-Load"
 _AT_FAULT: Final = "At-Server"
+# 0 is admitted first; a request without it has 5.
+_URGENCY: Final = "Request-Priority"
+_URGENCY_OF_CONTINUED: Final = "2"
 _AUTHORIZATION: Final = "Authorization"
 _SCHEME: Final = "bearer "
 RETRY_AFTER: Final = "Retry-After"
@@ -52,6 +55,7 @@
     _ORGANISATION.lower(),
     _ONLY_INSTANCE.lower(),
     _LAST_EVENT.lower(),
+    _URGENCY.lower(),
     _AUTHORIZATION.lower(),
 }
 _NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
@@ -78,14 +82,20 @@
     instance: listing.Instance,
     seconds_left: float,
     last_event: int | None,
+    continues: bool,
 ) -> messages.Request:
-    """Return the request that goes to an instance."""
+    """Return the request that goes to an instance.
+
+    One that continues an answer has waited elsewhere already.
+    """
     kept = call.request.headers.without(_SET_ON_REQUESTS)
     fields = list(kept.fields)
     fields.append((_MILLISECONDS_LEFT, str(max(1, int(seconds_left * 1000)))))
     fields.append((_ONLY_INSTANCE, instance.id))
     if call.organisation is not None:
         fields.append((_ORGANISATION, call.organisation))
+    if continues:
+        fields.append((_URGENCY, _URGENCY_OF_CONTINUED))
     if last_event is not None:
         fields.append((_LAST_EVENT, str(last_event)))
     return messages.Request(
