--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -31,6 +31,8 @@
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import relay as relay_module
 from sycamoredale.membership import view
+from sycamoredale.observability import exposition
+from sycamoredale.observability import line_writer
 from sycamoredale.observability import logs
 from sycamoredale.platform import feeds
 from sycamoredale.platform import orders
@@ -45,6 +47,8 @@
 EXIT_SECONDS: Final = 0.5
 # The holder of the lease and two more; one of these may be lost with it.
 DAEMONS_IN_LINE: Final = 3
+# The port that the deploy file names for metrics.
+METRICS_PORT: Final = 9464
 # Until the peers are known, more of them are assumed than there are today.
 UNKNOWN_DAEMONS: Final = 12
 # Peers listen on the first internal port, news arrive on the next.
@@ -79,6 +83,7 @@
         self._readiness = server.Server(
             self._answer_readiness, serves_while_draining=True
         )
+        self._metrics = server.Server(self._answer_metrics)
         self._stopping = False
 
     async def run(self) -> None:
@@ -87,6 +92,9 @@
         await curio.spawn(self._reload_for_ever, daemon=True)
         for follower in self._followers():
             await curio.spawn(follower.run, daemon=True)
+        host = self._settings.callers.host
+        self._metrics.bind(messages.Address(host, METRICS_PORT))
+        await self._metrics.start()
         self._readiness.bind(self._settings.readiness)
         await self._readiness.start()
         self._server.bind(self._settings.callers)
@@ -238,6 +246,13 @@
         ready = not self._stopping and self._routes.current.version > 0
         await exchange.respond(messages.Response(200 if ready else 503))
 
+    async def _answer_metrics(self, exchange: server.Exchange) -> None:
+        fields = [("Content-Type", exposition.CONTENT_TYPE)]
+        text = self._service.shown.text()
+        await exchange.respond(
+            messages.Response(200, messages.Headers(fields), text.encode())
+        )
+
     def _on_manifest(self) -> None:
         limits = self._routes.current.limits
         if limits is not None:
@@ -259,5 +274,9 @@
 def run() -> None:
     """Run a daemon until it is told to stop; raise InvalidSettings."""
     settings = settings_module.read(settings_module.path().read_text())
-    logs.configure("info", sys.stdout, daemon=settings.daemon)
+    logs.configure(
+        "info",
+        line_writer.LineWriter(sys.stdout.fileno()),
+        daemon=settings.daemon,
+    )
     curio.run(EntryDaemon(settings).run)
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -454,11 +454,16 @@
         group=endpoint.instance.membership
         and endpoint.instance.membership.group,
         load=round(endpoint.load(clock.monotonic()), 1),
+        heard_ms_ago=_ms_since(endpoint.heard_at),
         events=progress.stream.events,
         reason=reason,
     )
 
 
+def _ms_since(at: clock.MonotonicTime) -> int | None:
+    return int(1000 * (clock.monotonic() - at)) if at else None
+
+
 async def _beside_caller(
     work: collections.abc.Callable[..., collections.abc.Awaitable[None]],
     progress: Progress,
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -12,6 +12,8 @@
 from sycamoredale.forwarding import route_table
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale.observability import exposition
+from sycamoredale.observability import histograms
 from sycamoredale.observability import logs
 from sycamoredale.requests import poison
 
@@ -27,33 +29,41 @@
     read_envelope: ReadEnvelope
     routes: route_table.RouteTable
     forwarder: forwarder.Forwarder
+    shown: exposition.Exposition = dataclasses.field(
+        default_factory=exposition.Exposition
+    )
     handled: int = 0
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
         now = clock.monotonic()
+        envelope: calls.Envelope | None = None
         try:
-            call = self._read(exchange.request, now)
+            envelope = self.read_envelope(exchange.request)
+            call = self._read(envelope, exchange.request, now)
         except errors.Refusal as refusal:
-            _log_refused(exchange.request, refusal)
+            self.shown.count("refusals", refusal.code.name)
+            self._log_refused(exchange.request, envelope, refusal)
             await exchange.respond(answers.refusal(refusal))
             return
         self.handled += 1
         exchange.request_id = call.id
         try:
             progress = await self.forwarder.run(call, exchange)
-            self._log(call, "answered", ",".join(progress.sends))
+            self._end(call, exchange, "answered", ",".join(progress.sends))
         except forwarder.CallerGone:
-            self._log(call, "caller_gone", "")
+            self._end(call, exchange, "caller_gone", "")
         except errors.Refusal as refusal:
-            self._log(call, refusal.code.name, refusal.message)
+            self._end(call, exchange, refusal.code.name, refusal.message)
             if not exchange.started:
                 await exchange.respond(answers.refusal(refusal))
 
     def _read(
-        self, request: messages.Request, now: clock.MonotonicTime
+        self,
+        envelope: calls.Envelope,
+        request: messages.Request,
+        now: clock.MonotonicTime,
     ) -> calls.Call:
-        envelope = self.read_envelope(request)
         route = self.routes.route_of(envelope, request.path)
         organisation = self.routes.organisation_of(envelope, route)
         service = self.routes.service_of(envelope, route)
@@ -72,24 +82,53 @@
             ),
         )
 
-    def _log(self, call: calls.Call, outcome: str, detail: str) -> None:
+    def _end(
+        self,
+        call: calls.Call,
+        exchange: server.Exchange,
+        outcome: str,
+        detail: str,
+    ) -> None:
+        now = clock.monotonic()
+        self.shown.count("calls", outcome)
+        first = exchange.first_byte
+        if first is not None:
+            self._time(call, histograms.Measure.FIRST_BYTE, first)
+        self._time(call, histograms.Measure.TOTAL, now)
         LOG.info(
             "call_ended",
             request=call.id,
             route=call.route.name,
+            service=call.service.name,
             organisation=call.organisation,
             model=call.envelope.model,
             config=self.routes.current.version,
-            seconds=round(clock.monotonic() - call.arrived_at, 3),
+            first_ms=first and int(1000 * (first - call.arrived_at)),
+            ms=int(1000 * (now - call.arrived_at)),
             outcome=outcome,
             detail=detail,
         )
 
+    def _time(
+        self,
+        call: calls.Call,
+        measure: histograms.Measure,
+        until: clock.MonotonicTime,
+    ) -> None:
+        seconds = until - call.arrived_at
+        self.shown.time(call.organisation, call.route.name, measure, seconds)
 
-def _log_refused(request: messages.Request, refusal: errors.Refusal) -> None:
-    LOG.info(
-        "call_refused",
-        target=request.path,
-        code=refusal.code.name,
-        reason=refusal.message,
-    )
+    def _log_refused(
+        self,
+        request: messages.Request,
+        envelope: calls.Envelope | None,
+        refusal: errors.Refusal,
+    ) -> None:
+        LOG.info(
+            "call_refused",
+            request=envelope.id if envelope else None,
+            target=request.path,
+            config=self.routes.current.version,
+            code=refusal.code.name,
+            reason=refusal.message,
+        )
--- /dev/null
+++ b/sycamoredale/observability/exposition.py
@@ -0,0 +1,61 @@
+"""Keep counters and times of a daemon and show them as text.
+
+The text has the usual exposition format: a name, labels, and a value.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+from typing import Final
+
+from sycamoredale import ids
+from sycamoredale.observability import histograms
+
+PREFIX: Final = "sycamoredale"
+CONTENT_TYPE: Final = "text/plain; version=0.0.4"
+
+
+@dataclasses.dataclass
+class Exposition:
+    """Hold counters by name and label, and times by organisation."""
+
+    counts: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    times: histograms.HistogramSet = dataclasses.field(
+        default_factory=histograms.HistogramSet
+    )
+
+    def count(self, name: str, kind: str) -> None:
+        """Add one to a counter; `kind` is its label."""
+        self.counts[name, kind] += 1
+
+    def time(
+        self,
+        organisation: ids.OrganisationName | None,
+        route: str,
+        measure: histograms.Measure,
+        seconds: float,
+    ) -> None:
+        """Count a time of a call."""
+        caller = organisation or ids.OrganisationName("(public)")
+        self.times.record(histograms.Key(caller, route, measure), seconds)
+
+    def text(self) -> str:
+        """Return all values, one a line."""
+        return "\n".join([*self._count_lines(), *self._time_lines(), ""])
+
+    def _count_lines(self) -> collections.abc.Iterator[str]:
+        for (name, kind), value in sorted(self.counts.items()):
+            yield f'{PREFIX}_{name}_total{{kind="{kind}"}} {value}'
+
+    def _time_lines(self) -> collections.abc.Iterator[str]:
+        for found in self.times.summaries():
+            name = f"{PREFIX}_call_{found.measure.value}_seconds"
+            labels = (
+                f'organisation="{found.organisation}",route="{found.group}"'
+            )
+            yield f"{name}_count{{{labels}}} {found.count}"
+            for quantile in found.quantiles:
+                share = f'quantile="{quantile.percentile / 100:g}"'
+                yield f"{name}{{{labels},{share}}} {quantile.seconds:g}"
--- a/sycamoredale/observability/logs.py
+++ b/sycamoredale/observability/logs.py
@@ -7,9 +7,7 @@
 import structlog
 
 
-def configure(
-    level: str, file: typing.TextIO | None = None, **context: str
-) -> None:
+def configure(level: str, file: typing.Any = None, **context: str) -> None:
     """Set the level, the stream and the fields that every line carries."""
     structlog.configure(
         processors=[
--- /dev/null
+++ b/tests/test_line_writer.py
@@ -0,0 +1,61 @@
+"""Check that logging is bounded and never waits, and what is shown."""
+
+import os
+
+from sycamoredale import clock
+from sycamoredale.observability import exposition
+from sycamoredale.observability import histograms
+from sycamoredale.observability import line_writer
+
+
+class Time:
+    """Stand still unless it is moved."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return clock.MonotonicTime(self.now)
+
+
+def _pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    return reader, writer
+
+
+def test_lines_beyond_the_bound_are_dropped_and_counted():
+    reader, descriptor = _pipe()
+    time = Time()
+    writer = line_writer.LineWriter(descriptor, time)
+    for _ in range(int(line_writer.BURST_LINES) + 5):
+        writer.write("{}\n")
+    assert writer.dropped == 5
+    time.now += 1.0
+    writer.write("last\n")
+    text = os.read(reader, 1 << 16).decode()
+    assert '{"event": "log_lines_dropped", "lines": 5}\nlast\n' in text
+    assert writer.dropped == 0
+
+
+def test_full_pipe_never_blocks():
+    reader, descriptor = _pipe()
+    writer = line_writer.LineWriter(descriptor, Time())
+    for _ in range(400):
+        writer.write("x" * 1000 + "\n")
+    assert writer.dropped > 0
+    os.read(reader, 1 << 20)
+    writer.write("after\n")
+    assert os.read(reader, 1 << 16).decode().endswith("\nafter\n")
+
+
+def test_counters_and_times_are_shown_by_label():
+    shown = exposition.Exposition()
+    shown.count("calls", "answered")
+    shown.count("calls", "answered")
+    shown.time("t1", "r1", histograms.Measure.TOTAL, 0.25)
+    lines = shown.text().splitlines()
+    assert 'sycamoredale_calls_total{kind="answered"} 2' in lines
+    labels = 'organisation="t1",route="r1"'
+    assert f"sycamoredale_call_total_seconds_count{{{labels}}} 1" in lines
+    assert any('quantile="0.99"' in line for line in lines)
