--- a/sycamoredale/observability/line_writer.py
+++ b/sycamoredale/observability/line_writer.py
@@ -18,7 +18,7 @@
 BURST_LINES: Final = 800.0
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class LineWriter:
     """Take the lines of a logger for one file descriptor."""
 
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -1,11 +1,15 @@
 """Check that logging is bounded and never waits, and what is shown."""
 
+import json
 import os
 
+import structlog
+
 from sycamoredale import clock
 from sycamoredale.observability import exposition
 from sycamoredale.observability import histograms
 from sycamoredale.observability import line_writer
+from sycamoredale.observability import logs
 
 
 class Time:
@@ -38,6 +42,19 @@
     assert writer.dropped == 0
 
 
+def test_logger_writes_json_lines_through_it():
+    reader, descriptor = _pipe()
+    logs.configure("info", line_writer.LineWriter(descriptor), daemon="d1")
+    try:
+        logs.get("calls").info("call_ended", request="r1", ms=3)
+    finally:
+        structlog.reset_defaults()
+        structlog.contextvars.clear_contextvars()
+    line = json.loads(os.read(reader, 1 << 16))
+    assert line["event"] == "call_ended"
+    assert (line["request"], line["daemon"]) == ("r1", "d1")
+
+
 def test_full_pipe_never_blocks():
     reader, descriptor = _pipe()
     writer = line_writer.LineWriter(descriptor, Time())
