--- a/sycamoredale/cli.py
+++ b/sycamoredale/cli.py
@@ -11,6 +11,7 @@
 from sycamoredale.commands import histogram
 from sycamoredale.commands import operators
 from sycamoredale.commands import parameters
+from sycamoredale.commands import trace
 
 
 class Version(msgspec.Struct, frozen=True):
@@ -43,5 +44,6 @@
     operators.get,
     operators.status,
     histogram.histogram,
+    trace.trace,
 ):
     main.add_command(_command)
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -123,6 +123,11 @@
         self.head_seen = False
 
 
+def begin(call: calls.Call) -> Progress:
+    """Return the progress of a call of which nothing is done yet."""
+    return Progress(call, event_stream.EventStream(call.envelope.last_event))
+
+
 class CallerGone(Exception):
     """Report that the caller closed its connection."""
 
@@ -137,13 +142,9 @@
     pool: client.Pool
     poison_list: poison.PoisonList
 
-    async def run(
-        self, call: calls.Call, exchange: server.Exchange
-    ) -> Progress:
+    async def run(self, progress: Progress, exchange: server.Exchange) -> None:
         """Write the answer to a call; raise Refusal or CallerGone."""
-        progress = Progress(
-            call, event_stream.EventStream(call.envelope.last_event)
-        )
+        call = progress.call
         left = call.ends_at - clock.monotonic()
         self.poison_list.check_fingerprint(call.fingerprint, call.arrived_at)
         self.budget.note_request(call.service.name, call.arrived_at)
@@ -154,7 +155,6 @@
             raise _deadline_refusal(progress) from None
         if progress.refusal is not None:
             raise progress.refusal
-        return progress
 
     async def _run_refusable(
         self, progress: Progress, exchange: server.Exchange
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -28,7 +28,7 @@
 
     read_envelope: ReadEnvelope
     routes: route_table.RouteTable
-    forwarder: forwarder.Forwarder
+    sender: forwarder.Forwarder
     shown: exposition.Exposition = dataclasses.field(
         default_factory=exposition.Exposition
     )
@@ -48,13 +48,14 @@
             return
         self.handled += 1
         exchange.request_id = call.id
+        progress = forwarder.begin(call)
         try:
-            progress = await self.forwarder.run(call, exchange)
-            self._end(call, exchange, "answered", ",".join(progress.sends))
+            await self.sender.run(progress, exchange)
+            self._end(progress, exchange, "answered")
         except forwarder.CallerGone:
-            self._end(call, exchange, "caller_gone", "")
+            self._end(progress, exchange, "caller_gone")
         except errors.Refusal as refusal:
-            self._end(call, exchange, refusal.code.name, refusal.message)
+            self._end(progress, exchange, refusal.code.name, refusal.message)
             if not exchange.started:
                 await exchange.respond(answers.refusal(refusal))
 
@@ -84,11 +85,12 @@
 
     def _end(
         self,
-        call: calls.Call,
+        progress: forwarder.Progress,
         exchange: server.Exchange,
         outcome: str,
-        detail: str,
+        reason: str = "",
     ) -> None:
+        call = progress.call
         now = clock.monotonic()
         self.shown.count("calls", outcome)
         first = exchange.first_byte
@@ -106,7 +108,9 @@
             first_ms=first and int(1000 * (first - call.arrived_at)),
             ms=int(1000 * (now - call.arrived_at)),
             outcome=outcome,
-            detail=detail,
+            reason=reason,
+            sends=progress.sends,
+            events=progress.stream.events,
         )
 
     def _time(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -144,7 +144,8 @@
             for item in self.found:
                 await item.server.start()
             try:
-                return await self.forwarder.run(self.call(), got)
+                progress = forwarder_module.begin(self.call())
+                return await self.forwarder.run(progress, got)
             except errors.Refusal as refusal:
                 return refusal
 
