Count a crash only where the endpoint takes no connection any more

Cause: a stream that breaks when its group is closed was counted against its request; three closings would have refused a proper request with 422.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -89,6 +89,7 @@
     call: calls.Call
     stream: event_stream.EventStream
     sends: list[str] = dataclasses.field(default_factory=list)
+    arrivals: int = 0
     runs: int = 0
     may_have_run: bool = False
     head_seen: bool = False
@@ -114,6 +115,7 @@
         """
         self.sends.append(f"{endpoint.id}:{outcome.value}")
         self.tried.add(endpoint.id)
+        self.arrivals += outcome is not Outcome.UNREACHED
         if outcome is Outcome.STALLED:
             self.may_have_run = True
             self.runs += not self.call.is_stream or self.head_seen
@@ -194,6 +196,9 @@
         raise _given_up(progress)
 
     def _has_budget(self, progress: Progress) -> bool:
+        """Take a further send; the first that arrives is none."""
+        if not progress.arrivals:
+            return True
         now = clock.monotonic()
         return self.budget.take(progress.call.service.name, now)
 
@@ -265,22 +270,33 @@
             return Outcome.STALLED
         except errors.ConnectionBroken as error:
             _log_send(progress, endpoint, error.message)
-            self._note_crash(endpoint, call)
+            await self._note_crash(endpoint, call)
             return Outcome.BROKEN
         finally:
             await self._leave(connection, whole)
 
-    def _note_crash(
+    async def _note_crash(
         self, endpoint: endpoints.Endpoint, call: calls.Call
     ) -> None:
-        """Count a broken connection, and tell the other daemons."""
-        crash = poison.Crash(
-            call.fingerprint,
-            ids.EndpointId(endpoint.id),
-            endpoint.instance.domain,
-            alone=endpoint.in_flight == 1,
-        )
-        self.poison_list.observe(crash, clock.monotonic())
+        """Count a crash, and tell the other daemons.
+
+        A connection also breaks when the group is closed or a packet is
+        lost for good.  An endpoint that has crashed takes no new one.
+        """
+        try:
+            connection = await client.open_connection(
+                endpoint.instance.address, CONNECT_SECONDS
+            )
+        except errors.ConnectionFailed:
+            crash = poison.Crash(
+                call.fingerprint,
+                ids.EndpointId(endpoint.id),
+                endpoint.instance.domain,
+                alone=endpoint.in_flight == 1,
+            )
+            self.poison_list.observe(crash, clock.monotonic())
+        else:
+            await connection.close()
 
     async def _leave(self, connection: client.Connection, whole: bool) -> None:
         if whole:
