--- a/sycamoredale/commands/trace.py
+++ b/sycamoredale/commands/trace.py
@@ -83,6 +83,6 @@
 
 def _names(line: Line) -> set[str]:
     fields = line.fields
-    names = {fields.get("endpoint"), fields.get("group")}
+    names = {fields.get(name) for name in ("endpoint", "group", "at")}
     names.update(s.partition(":")[0] for s in fields.get("sends", ()))
     return {name for name in names if name}
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -27,6 +27,8 @@
 DEMAND_WEIGHT: Final = 0.03
 # A stalled endpoint is either back or closed by its keeper by then.
 SUSPECT_SECONDS: Final = 1.5
+# Six seconds at most: a head that lost a member has broken by then.
+MAX_DOUBLINGS: Final = 2
 
 
 @dataclasses.dataclass(eq=False)
@@ -44,6 +46,7 @@
     others: float = 0.0
     others_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     suspect_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    suspicions: int = 0
     heard_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     cold_sends: list[clock.MonotonicTime] = dataclasses.field(
         default_factory=list
@@ -76,13 +79,28 @@
     def suspect(
         self, now: clock.MonotonicTime, seconds: float = SUSPECT_SECONDS
     ) -> None:
-        """Give the endpoint no request for some seconds."""
+        """Give the endpoint no request for some seconds.
+
+        The time doubles with each suspicion that nothing has refuted, for
+        every try costs its caller half a second.
+        """
+        if not self.is_suspect(now):
+            seconds *= 2**self.suspicions
+            self.suspicions = min(self.suspicions + 1, MAX_DOUBLINGS)
+        until = clock.MonotonicTime(now + seconds)
+        self.suspect_until = max(self.suspect_until, until)
+
+    def suspect_until_told(
+        self, now: clock.MonotonicTime, seconds: float
+    ) -> None:
+        """Take over the suspicion of a peer."""
         until = clock.MonotonicTime(now + seconds)
         self.suspect_until = max(self.suspect_until, until)
 
     def heard(self, at: clock.MonotonicTime) -> None:
         """Note that the endpoint made progress."""
         self.heard_at = at
+        self.suspicions = 0
         self.suspect_until = clock.MonotonicTime(0.0)
 
     def is_suspect(self, now: clock.MonotonicTime) -> bool:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -89,6 +89,7 @@
     call: calls.Call
     stream: event_stream.EventStream
     sends: list[str] = dataclasses.field(default_factory=list)
+    at: ids.InstanceId | None = None
     arrivals: int = 0
     runs: int = 0
     may_have_run: bool = False
@@ -114,6 +115,7 @@
         the head of the answer.
         """
         self.sends.append(f"{endpoint.id}:{outcome.value}")
+        self.at = None
         self.tried.add(endpoint.id)
         self.arrivals += outcome is not Outcome.UNREACHED
         if outcome is Outcome.STALLED:
@@ -225,6 +227,7 @@
         exchange: server.Exchange,
     ) -> Outcome:
         endpoint.in_flight += 1
+        progress.at = endpoint.id
         try:
             return await self._exchange(endpoint, progress, exchange)
         finally:
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -173,7 +173,7 @@
     # A peer alone may have lost the way to an endpoint that others hear.
     heard_lately = now - endpoint.heard_at < TRUST_HEARD_SECONDS
     if item.suspect_ms > 0 and not heard_lately:
-        endpoint.suspect(now, item.suspect_ms / 1000)
+        endpoint.suspect_until_told(now, item.suspect_ms / 1000)
 
 
 def _suspect_ms(endpoint: endpoints.Endpoint, now: clock.MonotonicTime) -> int:
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -110,6 +110,7 @@
             outcome=outcome,
             reason=reason,
             sends=progress.sends,
+            at=progress.at,
             events=progress.stream.events,
         )
 
--- a/tests/test_forwarding_rules.py
+++ b/tests/test_forwarding_rules.py
@@ -150,6 +150,24 @@
     assert chooser.choose(_call(), set(), NOW).id == "i0"
 
 
+def test_endpoint_that_stays_silent_is_tried_ever_more_rarely():
+    # Pattern: the list is deaf while a lost group still looks open.
+    known, _ = _site(_open_head("i0", 1))
+    endpoint = known.by_id["i0"]
+    now = 100.0
+    tries = 0
+    while now < 112.0:
+        if not endpoint.is_suspect(now):
+            tries += 1
+            for _ in range(5):  # All streams there stall together.
+                endpoint.suspect(clock.MonotonicTime(now))
+        now += 0.1
+    assert tries <= 4
+    endpoint.heard(clock.MonotonicTime(now))
+    endpoint.suspect(clock.MonotonicTime(now))
+    assert not endpoint.is_suspect(clock.MonotonicTime(now + 1.6))
+
+
 def test_leaving_instance_and_one_under_its_old_group_are_forgotten():
     known, _ = _site(_open_head("i0", 1), _open_head("i1", 2))
     old = known.by_id["i1"]
