Count suspended time; take the lease no more once the daemon stops

A machine that was suspended read a steady clock that stands still meanwhile and would have held its lease past its end. The rounds of the keeper are tested against a lease in memory.

--- a/sycamoredale/clock.py
+++ b/sycamoredale/clock.py
@@ -12,8 +12,12 @@
 
 
 def monotonic() -> MonotonicTime:
-    """Return the monotonic time in seconds."""
-    return MonotonicTime(time.monotonic())
+    """Return the monotonic time in seconds.
+
+    It counts the time in which the machine was suspended, so that a lease
+    cannot outlive its end on a machine that wakes up.
+    """
+    return MonotonicTime(time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 def wall() -> WallTime:
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -91,6 +91,7 @@
         default_factory=contact.ContactBook
     )
     state: upkeep.Upkeep = dataclasses.field(default_factory=upkeep.Upkeep)
+    _stopping: bool = False
     _status_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _epochs: int = 0
     _acts_since: clock.MonotonicTime = clock.MonotonicTime(0.0)
@@ -110,14 +111,15 @@
             await self._act()
 
     async def stop(self) -> None:
-        """Give the lease back."""
+        """Give the lease back and take it no more."""
+        self._stopping = True
         try:
             await self.lease.release()
         except errors.StoreUnavailable as error:
             LOG.warning("lease_not_released", reason=error.message)
 
     async def _tend(self) -> None:
-        while True:
+        while not self._stopping:
             held = self.lease.held(clock.monotonic())
             try:
                 await self.lease.tend()
--- /dev/null
+++ b/tests/test_group_upkeep.py
@@ -0,0 +1,154 @@
+"""Check the rounds of the keeper of reported groups against a lease."""
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import listing
+from sycamoredale.groups import group_upkeep
+from sycamoredale.groups import load_rate
+from sycamoredale.groups import reported
+from sycamoredale import leases
+from tests import engines_site
+from tests import memory_store
+
+
+class Engines:
+    """Answer at once and load within no time."""
+
+    def __init__(self, book):
+        self.book = book
+        self.given = []
+
+    async def report(self, instance):
+        known = self.book.by_id[instance.id]
+        return listing.Report(
+            known.started_ms,
+            known.orders_taken,
+            known.membership,
+            known.staged,
+        )
+
+    async def order(self, instance, order, guard):
+        guard()
+        self.given.append((instance.id, order))
+        known = self.book.by_id[instance.id]
+        place = None
+        match order:
+            case reported.Join(key=key, members=members):
+                rank = members.index(instance.id)
+                place = (key, rank, listing.MemberState.READY)
+            case reported.Open(key=key):
+                place = (key, 0, listing.MemberState.OPEN)
+        staged = (place[0].model,) if place else known.staged
+        self.book.note(
+            engines_site.instance(
+                instance.id,
+                staged=staged,
+                place=place,
+                started_ms=known.started_ms,
+                orders_taken=known.orders_taken + 1,
+            ),
+            clock.monotonic(),
+        )
+        return True
+
+
+def _keeper(store, owner, book, engines):
+    current = catalogue.Catalogue(1, service_by_name=engines_site.SERVICES)
+    return group_upkeep.GroupUpkeep(
+        leases.Lease(
+            store,
+            group_upkeep.LEASE_NAME,
+            owner,
+            lease_seconds=group_upkeep.LEASE_SECONDS,
+        ),
+        engines,
+        book,
+        lambda: current,
+        lambda: frozenset(),
+        5.0,
+        load_rate.LoadRate(5.0),
+        lambda: False,
+        lambda: {},
+        lambda: 1,
+    )
+
+
+def _book(count):
+    book = listing.InstanceBook()
+    for n in range(count):
+        book.note(engines_site.instance(f"i{n}"), clock.monotonic())
+    return book
+
+
+def _open_heads(book):
+    return [i for i in book.by_id.values() if i.is_open_head]
+
+
+def _is_join(order):
+    return isinstance(order, reported.Join)
+
+
+async def _until(condition, seconds=8.0):
+    async with curio.timeout_after(seconds):
+        while not condition():
+            await curio.sleep(0.05)
+
+
+def test_holder_of_the_lease_forms_and_opens_groups():
+    book = _book(9)
+    engines = Engines(book)
+    keeper = _keeper(memory_store.MemoryStore(), "d1", book, engines)
+
+    async def main():
+        await curio.spawn(keeper.run, daemon=True)
+        await _until(lambda: len(_open_heads(book)) == 2)
+        joins = [(i, o) for i, o in engines.given if _is_join(o)]
+        assert len(joins) == 7
+        assert len({instance for instance, _ in joins}) == 7
+
+    curio.run(main)
+
+
+def test_one_keeper_acts_and_the_next_begins_with_greater_epochs():
+    store = memory_store.MemoryStore()
+    book = _book(3)
+    engines = Engines(book)
+    first = _keeper(store, "d1", book, engines)
+    second = _keeper(store, "d2", book, engines)
+
+    async def main():
+        await curio.spawn(first.run, daemon=True)
+        await _until(lambda: len(_open_heads(book)) == 1)
+        before = _open_heads(book)[0].membership.epoch
+        await curio.spawn(second.run, daemon=True)
+        await curio.sleep(0.5)
+        assert not second.lease.held(clock.monotonic())
+        await first.stop()
+        await _until(lambda: second.lease.held(clock.monotonic()))
+        assert not first.lease.held(clock.monotonic())
+        for known in list(book.by_id.values()):
+            book.note(
+                engines_site.instance(known.id, started_ms=2000),
+                clock.monotonic(),
+            )
+        await _until(lambda: len(_open_heads(book)) == 1)
+        assert _open_heads(book)[0].membership.epoch > before
+
+    curio.run(main)
+
+
+def test_keeper_that_stops_takes_the_lease_no_more():
+    store = memory_store.MemoryStore()
+    book = _book(3)
+    keeper = _keeper(store, "d1", book, Engines(book))
+
+    async def main():
+        await curio.spawn(keeper.run, daemon=True)
+        await _until(lambda: keeper.lease.held(clock.monotonic()))
+        await keeper.stop()
+        await curio.sleep(2 * group_upkeep.LOOK_SECONDS)
+        assert not keeper.lease.held(clock.monotonic())
+
+    curio.run(main)
