--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -45,8 +45,6 @@
 DRAIN_LISTEN_SECONDS: Final = 3.0
 # Kept for the exit itself, from the time until the process is killed.
 EXIT_SECONDS: Final = 0.5
-# The holder of the lease and two more; one of these may be lost with it.
-DAEMONS_IN_LINE: Final = 3
 # The port that the deploy file names for metrics.
 METRICS_PORT: Final = 9464
 # Until the peers are known, more of them are assumed than there are today.
@@ -205,9 +203,14 @@
         return not self._settings.first_start or self._service.handled > 0
 
     def _is_in_line(self) -> bool:
-        """Tell whether this daemon is among the first to take the lease."""
-        living = sorted(p.id for p in self._node.members.usable_routers())
-        return self._settings.daemon in living[:DAEMONS_IN_LINE]
+        """Tell whether this daemon is the first of its zone for the lease."""
+        own = self._node.members.own
+        living = (
+            p.id
+            for p in self._node.members.usable_routers()
+            if p.zone == own.zone and p.state is view.PeerState.ALIVE
+        )
+        return own.id == min(living, default=own.id)
 
     def _count_daemons(self) -> int:
         """Return how many daemons may share a bound, rather too many.
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -31,10 +31,10 @@
 # Short, for a lost owner stops all repair until the lease has ended.
 LEASE_SECONDS: Final = 2.0
 TEND_SECONDS: Final = 0.4
-# The daemons that are first in line read the lease often, the others
-# rarely; each read is priced.
+# One daemon of each zone reads the lease often, the others rarely; each
+# read is priced.
 LOOK_SECONDS: Final = 0.5
-RARE_LOOK_SECONDS: Final = 3.0
+RARE_LOOK_SECONDS: Final = 2.0
 ROUND_SECONDS: Final = 0.05
 PROBE_SECONDS: Final = 0.4
 # Epochs of one tenure; one group takes one.
