Split the forwarder and the keeper of groups; share the caller's watch

No behaviour changes: progress, stalls, forming and probing get modules of their own, and both paths run beside their caller through one function.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -22,6 +22,7 @@
 from sycamoredale.forwarding import route_table
 from sycamoredale.forwarding import send_budget
 from sycamoredale.forwarding import service
+from sycamoredale.groups import forming
 from sycamoredale.groups import group_upkeep
 from sycamoredale.groups import load_rate
 from sycamoredale.http import client
@@ -150,9 +151,11 @@
             lambda: self._routes.current,
             lambda: self._zones.zones_out,
             self._settings.bounds.stall,
-            load_rate.LoadRate(self._settings.bounds.load_window),
-            self._has_traffic,
-            lambda: self._endpoints.demand_by_model,
+            forming.Forming(
+                load_rate.LoadRate(self._settings.bounds.load_window),
+                self._has_traffic,
+                lambda: self._endpoints.demand_by_model,
+            ),
             self._count_daemons,
             self._is_in_line,
         )
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -6,10 +6,8 @@
 answer.  An endpoint that stands still is left before it has failed.
 """
 
-import collections.abc
 import contextlib
 import dataclasses
-import enum
 import typing
 from typing import Final
 
@@ -21,9 +19,11 @@
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import choosing
 from sycamoredale.forwarding import endpoints
-from sycamoredale.forwarding import event_stream
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import send_budget
+from sycamoredale.forwarding import stalls
+from sycamoredale.http import beside_caller
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
@@ -33,23 +33,17 @@
 
 # A healthy zone answers a connection in a few milliseconds.
 CONNECT_SECONDS: Final = 0.3
-# The longest pass of a healthy engine takes seven steps that each read a
-# whole piece of a prompt, about a third of a second.
-STALL_SECONDS: Final = 0.5
 # A stream that stands still while its endpoint goes on was put back in the
 # endpoint's queue; callers give up after about two seconds.
 PUT_BACK_SECONDS: Final = 1.5
 # The list drops a dead instance after three heartbeats, within about that
 # time; a connection tried meanwhile would be lost time for its caller.
 UNREACHED_SECONDS: Final = 4.0
-# Bounds the tries of one call that find only endpoints that refuse.
-MAX_SENDS: Final = 5
 # A begun answer waits for another endpoint this long; callers give up a
 # silent stream after about two seconds.
 ROOM_SECONDS: Final = 1.5
 ROOM_POLL_SECONDS: Final = 0.05
 LOG: Final = logs.get("forwarding")
-_T = typing.TypeVar("_T")
 
 
 class Wire(typing.Protocol):
@@ -71,71 +65,6 @@
         """Return what the head of an answer says."""
 
 
-class Outcome(enum.Enum):
-    """State how one send ended."""
-
-    ANSWERED = "answered"
-    UNREACHED = "unreached"
-    NOT_RUN = "not_run"
-    STALLED = "stalled"
-    BROKEN = "broken"
-    FAILED = "failed"
-
-
-@dataclasses.dataclass
-class Progress:
-    """Know where a call has been and what the caller has of its answer."""
-
-    call: calls.Call
-    stream: event_stream.EventStream
-    sends: list[str] = dataclasses.field(default_factory=list)
-    at: ids.InstanceId | None = None
-    arrivals: int = 0
-    runs: int = 0
-    may_have_run: bool = False
-    head_seen: bool = False
-    tried: set[ids.InstanceId] = dataclasses.field(default_factory=set)
-    failure: messages.Response | None = None
-    refusal: errors.Refusal | None = None
-    caller_gone: bool = False
-
-    def may_go_on(self) -> bool:
-        """Tell whether another send is safe and within the route's bound."""
-        if len(self.sends) >= MAX_SENDS:
-            return False
-        if not self.may_have_run:
-            return True
-        route = self.call.route
-        return route.may_repeat and self.runs < route.max_runs
-
-    def note(self, endpoint: endpoints.Endpoint, outcome: Outcome) -> None:
-        """Take the end of a send into account.
-
-        An engine runs a stream from its first event on, which comes with
-        the head of the answer.
-        """
-        self.sends.append(f"{endpoint.id}:{outcome.value}")
-        self.at = None
-        self.tried.add(endpoint.id)
-        self.arrivals += outcome is not Outcome.UNREACHED
-        if outcome is Outcome.STALLED:
-            self.may_have_run = True
-            self.runs += not self.call.is_stream or self.head_seen
-        elif outcome not in (Outcome.UNREACHED, Outcome.NOT_RUN):
-            self.may_have_run = True
-            self.runs += 1
-        self.head_seen = False
-
-
-def begin(call: calls.Call) -> Progress:
-    """Return the progress of a call of which nothing is done yet."""
-    return Progress(call, event_stream.EventStream(call.envelope.last_event))
-
-
-class CallerGone(Exception):
-    """Report that the caller closed its connection."""
-
-
 @dataclasses.dataclass
 class Forwarder:
     """Forward calls to the endpoints that a chooser names."""
@@ -146,7 +75,9 @@
     pool: client.Pool
     poison_list: poison.PoisonList
 
-    async def run(self, progress: Progress, exchange: server.Exchange) -> None:
+    async def run(
+        self, progress: progress_module.Progress, exchange: server.Exchange
+    ) -> None:
         """Write the answer to a call; raise Refusal or CallerGone."""
         call = progress.call
         left = call.ends_at - clock.monotonic()
@@ -154,14 +85,18 @@
         self.budget.note_request(call.service.name, call.arrived_at)
         try:
             async with curio.timeout_after(max(left, 0.001)):
-                await _beside_caller(self._run_refusable, progress, exchange)
+                await beside_caller.run(
+                    self._run_refusable, progress, exchange
+                )
         except curio.TaskTimeout:
-            raise _deadline_refusal(progress) from None
+            raise progress_module.past_deadline() from None
+        if progress.caller_gone:
+            raise beside_caller.CallerGone()
         if progress.refusal is not None:
             raise progress.refusal
 
     async def _run_refusable(
-        self, progress: Progress, exchange: server.Exchange
+        self, progress: progress_module.Progress, exchange: server.Exchange
     ) -> None:
         # A task that ends with an exception would be reported as crashed.
         try:
@@ -172,7 +107,7 @@
             progress.caller_gone = True
 
     async def _run_sends(
-        self, progress: Progress, exchange: server.Exchange
+        self, progress: progress_module.Progress, exchange: server.Exchange
     ) -> None:
         while True:
             try:
@@ -183,7 +118,7 @@
                 break  # A refusal would say that the request has not run.
             outcome = await self._send(endpoint, progress, exchange)
             progress.note(endpoint, outcome)
-            if outcome is Outcome.ANSWERED:
+            if outcome is progress_module.Outcome.ANSWERED:
                 return
             if not progress.may_go_on() or not self._has_budget(progress):
                 break
@@ -195,9 +130,9 @@
         if progress.failure is not None and not exchange.started:
             await exchange.respond(progress.failure)
             return
-        raise _given_up(progress)
+        raise progress_module.given_up(progress)
 
-    def _has_budget(self, progress: Progress) -> bool:
+    def _has_budget(self, progress: progress_module.Progress) -> bool:
         """Take a further send; the first that arrives is none."""
         if not progress.arrivals:
             return True
@@ -205,7 +140,7 @@
         return self.budget.take(progress.call.service.name, now)
 
     async def _choose(
-        self, progress: Progress, exchange: server.Exchange
+        self, progress: progress_module.Progress, exchange: server.Exchange
     ) -> endpoints.Endpoint:
         waits_until = clock.monotonic() + ROOM_SECONDS
         while True:
@@ -223,9 +158,9 @@
     async def _send(
         self,
         endpoint: endpoints.Endpoint,
-        progress: Progress,
+        progress: progress_module.Progress,
         exchange: server.Exchange,
-    ) -> Outcome:
+    ) -> progress_module.Outcome:
         endpoint.in_flight += 1
         progress.at = endpoint.id
         try:
@@ -236,9 +171,9 @@
     async def _exchange(
         self,
         endpoint: endpoints.Endpoint,
-        progress: Progress,
+        progress: progress_module.Progress,
         exchange: server.Exchange,
-    ) -> Outcome:
+    ) -> progress_module.Outcome:
         call = progress.call
         # A kept connection may be closed by its end at any time, and a
         # request lost on it could not be told from one that ran.
@@ -250,7 +185,7 @@
         except errors.ConnectionFailed as error:
             endpoint.suspect(clock.monotonic(), UNREACHED_SECONDS)
             _log_send(progress, endpoint, error.message)
-            return Outcome.UNREACHED
+            return progress_module.Outcome.UNREACHED
         whole = False
         try:
             now = clock.monotonic()
@@ -266,15 +201,18 @@
             outcome = await self._read_answer(
                 connection, endpoint, progress, exchange
             )
-            whole = outcome in (Outcome.ANSWERED, Outcome.NOT_RUN)
+            whole = outcome in (
+                progress_module.Outcome.ANSWERED,
+                progress_module.Outcome.NOT_RUN,
+            )
             return outcome
         except errors.EndpointStalled as error:
             _log_send(progress, endpoint, error.message)
-            return Outcome.STALLED
+            return progress_module.Outcome.STALLED
         except errors.ConnectionBroken as error:
             _log_send(progress, endpoint, error.message)
             await self._note_crash(endpoint, call)
-            return Outcome.BROKEN
+            return progress_module.Outcome.BROKEN
         finally:
             await self._leave(connection, whole)
 
@@ -311,9 +249,9 @@
         self,
         connection: client.Connection,
         endpoint: endpoints.Endpoint,
-        progress: Progress,
+        progress: progress_module.Progress,
         exchange: server.Exchange,
-    ) -> Outcome:
+    ) -> progress_module.Outcome:
         call = progress.call
         head = await self._read_head(connection, endpoint, call)
         progress.head_seen = True
@@ -325,22 +263,22 @@
             await _drain(connection)
             endpoint.suspect(now)
             _log_send(progress, endpoint, f"status {head.status}, not run")
-            return Outcome.NOT_RUN
+            return progress_module.Outcome.NOT_RUN
         if facts.word is not calls.Word.ANSWER:
             raise _broken(endpoint, f"its answer is {facts.word.value}")
         if call.is_stream and head.status == 200:
             await self._relay(connection, endpoint, facts, progress, exchange)
-            return Outcome.ANSWERED
+            return progress_module.Outcome.ANSWERED
         body = await connection.read_body()
         answer = messages.Response(head.status, facts.headers, body)
         if head.status >= 500:
             progress.failure = answer
-            return Outcome.FAILED
+            return progress_module.Outcome.FAILED
         if exchange.started:
             raise _broken(endpoint, f"status {head.status} to a resume")
         endpoint.heard(now)
         await exchange.respond(answer)
-        return Outcome.ANSWERED
+        return progress_module.Outcome.ANSWERED
 
     async def _read_head(
         self,
@@ -353,20 +291,22 @@
         if not call.is_stream:
             return await connection.read_head()
         patience = call.ends_at - clock.monotonic()
-        return await _read(connection.read_head, endpoint, patience)
+        return await stalls.read_from(connection.read_head, endpoint, patience)
 
     async def _relay(
         self,
         connection: client.Connection,
         endpoint: endpoints.Endpoint,
         facts: calls.AnswerFacts,
-        progress: Progress,
+        progress: progress_module.Progress,
         exchange: server.Exchange,
     ) -> None:
         stream = progress.stream
         patience = progress.call.ends_at - clock.monotonic()
         while True:
-            chunk = await _read(connection.read_chunk, endpoint, patience)
+            chunk = await stalls.read_from(
+                connection.read_chunk, endpoint, patience
+            )
             if not chunk:
                 break
             events = stream.feed(chunk)
@@ -391,40 +331,6 @@
     await exchange.write(events)
 
 
-async def _read(
-    read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
-    endpoint: endpoints.Endpoint,
-    patience: float,
-) -> _T:
-    """Return what is read; raise ConnectionBroken if that takes too long.
-
-    An endpoint that no daemon has heard for some time stands still.  One
-    that goes on with other requests has this one in its queue, which may
-    last for `patience` seconds.
-    """
-    started = clock.monotonic()
-    while True:
-        now = clock.monotonic()
-        if now >= started + patience:
-            raise errors.EndpointStalled(
-                f"endpoint {endpoint.id}: no event for {patience:g} s"
-            )
-        stalls_at = max(started, endpoint.heard_at) + STALL_SECONDS
-        if now >= stalls_at:
-            endpoint.suspect(now)
-            raise errors.EndpointStalled(
-                f"endpoint {endpoint.id}: it made no progress for "
-                f"{STALL_SECONDS:g} s"
-            )
-        try:
-            async with curio.timeout_after(
-                min(stalls_at, started + patience) - now
-            ):
-                return await read()
-        except curio.TaskTimeout:
-            continue
-
-
 async def _drain(connection: client.Connection) -> None:
     with contextlib.suppress(errors.ConnectionBroken):
         await connection.read_body()
@@ -440,31 +346,10 @@
     )
 
 
-def _given_up(progress: Progress) -> errors.Refusal:
-    name = progress.call.service.name
-    if progress.may_have_run:
-        return errors.Refusal(
-            error_codes.ENDPOINT_FAILED,
-            f"an endpoint of service {name!r} failed while it had the request",
-            error_codes.Execution.UNKNOWN,
-        )
-    return errors.Refusal(
-        error_codes.NO_ENDPOINT,
-        f"no endpoint of service {name!r} took the request",
-        retry_after=choosing.NO_ENDPOINT_RETRY_SECONDS,
-    )
-
-
-def _deadline_refusal(progress: Progress) -> errors.Refusal:
-    return errors.Refusal(
-        error_codes.DEADLINE_EXCEEDED,
-        "the time for an answer has passed",
-        error_codes.Execution.UNKNOWN,
-    )
-
-
 def _log_send(
-    progress: Progress, endpoint: endpoints.Endpoint, reason: str
+    progress: progress_module.Progress,
+    endpoint: endpoints.Endpoint,
+    reason: str,
 ) -> None:
     LOG.info(
         "send_failed",
@@ -481,32 +366,3 @@
 
 def _ms_since(at: clock.MonotonicTime) -> int | None:
     return int(1000 * (clock.monotonic() - at)) if at else None
-
-
-async def _beside_caller(
-    work: collections.abc.Callable[..., collections.abc.Awaitable[None]],
-    progress: Progress,
-    exchange: server.Exchange,
-) -> None:
-    """Run work until it ends or the caller leaves; raise CallerGone."""
-    worker = await curio.spawn(work, progress, exchange, daemon=True)
-    watcher = await curio.spawn(_watch_caller, exchange, worker, daemon=True)
-    try:
-        await worker.join()
-    except curio.TaskError as error:
-        cause = error.__cause__
-        if isinstance(cause, curio.TaskCancelled):
-            raise CallerGone() from error
-        assert cause is not None
-        raise cause from None
-    else:
-        if progress.caller_gone:
-            raise CallerGone()
-    finally:
-        await watcher.cancel()
-        await worker.cancel()
-
-
-async def _watch_caller(exchange: server.Exchange, worker: typing.Any) -> None:
-    await exchange.wait_for_disconnect()
-    await worker.cancel(blocking=False)
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -17,6 +17,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import stalls
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.observability import logs
@@ -27,8 +28,6 @@
 MAX_DATAGRAMS_PER_SECOND: Final = 160.0
 # Three lost datagrams in a row are rare; older news count for nothing.
 FRESH_INTERVALS: Final = 4.0
-# As long as an engine may be silent between two events.
-TRUST_HEARD_SECONDS: Final = 0.5
 MAX_DATAGRAM_BYTES: Final = 8192
 LOG: Final = logs.get("load_news")
 
@@ -171,7 +170,7 @@
         if heard_at > endpoint.heard_at:
             endpoint.heard(clock.MonotonicTime(heard_at))
     # A peer alone may have lost the way to an endpoint that others hear.
-    heard_lately = now - endpoint.heard_at < TRUST_HEARD_SECONDS
+    heard_lately = now - endpoint.heard_at < stalls.STALL_SECONDS
     if item.suspect_ms > 0 and not heard_lately:
         endpoint.suspect_until_told(now, item.suspect_ms / 1000)
 
--- /dev/null
+++ b/sycamoredale/forwarding/progress.py
@@ -0,0 +1,103 @@
+"""Know how far a call has come, and whether it may be sent again."""
+
+import dataclasses
+import enum
+from typing import Final
+
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import choosing
+from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import event_stream
+from sycamoredale.http import messages
+from sycamoredale import ids
+
+# Bounds the tries of one call that find only endpoints that refuse.
+MAX_SENDS: Final = 5
+
+
+class Outcome(enum.Enum):
+    """State how one send ended."""
+
+    ANSWERED = "answered"
+    UNREACHED = "unreached"
+    NOT_RUN = "not_run"
+    STALLED = "stalled"
+    BROKEN = "broken"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass
+class Progress:
+    """Know where a call has been and what the caller has of its answer."""
+
+    call: calls.Call
+    stream: event_stream.EventStream
+    sends: list[str] = dataclasses.field(default_factory=list)
+    at: ids.InstanceId | None = None
+    arrivals: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    head_seen: bool = False
+    tried: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+    failure: messages.Response | None = None
+    refusal: errors.Refusal | None = None
+    caller_gone: bool = False
+
+    def may_go_on(self) -> bool:
+        """Tell whether another send is safe and within the route's bound."""
+        if len(self.sends) >= MAX_SENDS:
+            return False
+        if not self.may_have_run:
+            return True
+        route = self.call.route
+        return route.may_repeat and self.runs < route.max_runs
+
+    def note(self, endpoint: endpoints.Endpoint, outcome: Outcome) -> None:
+        """Take the end of a send into account.
+
+        An engine runs a stream from its first event on, which comes with
+        the head of the answer.
+        """
+        self.sends.append(f"{endpoint.id}:{outcome.value}")
+        self.at = None
+        self.tried.add(endpoint.id)
+        self.arrivals += outcome is not Outcome.UNREACHED
+        if outcome is Outcome.STALLED:
+            self.may_have_run = True
+            self.runs += not self.call.is_stream or self.head_seen
+        elif outcome not in (Outcome.UNREACHED, Outcome.NOT_RUN):
+            self.may_have_run = True
+            self.runs += 1
+        self.head_seen = False
+
+
+def begin(call: calls.Call) -> Progress:
+    """Return the progress of a call of which nothing is done yet."""
+    return Progress(call, event_stream.EventStream(call.envelope.last_event))
+
+
+def given_up(progress: Progress) -> errors.Refusal:
+    """Return the refusal of a call that no endpoint answered."""
+    name = progress.call.service.name
+    if progress.may_have_run:
+        return errors.Refusal(
+            error_codes.ENDPOINT_FAILED,
+            f"an endpoint of service {name!r} failed while it had the request",
+            error_codes.Execution.UNKNOWN,
+        )
+    return errors.Refusal(
+        error_codes.NO_ENDPOINT,
+        f"no endpoint of service {name!r} took the request",
+        retry_after=choosing.NO_ENDPOINT_RETRY_SECONDS,
+    )
+
+
+def past_deadline() -> errors.Refusal:
+    """Return the refusal of a call whose time has passed."""
+    return errors.Refusal(
+        error_codes.DEADLINE_EXCEEDED,
+        "the time for an answer has passed",
+        error_codes.Execution.UNKNOWN,
+    )
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -9,7 +9,9 @@
 from sycamoredale.forwarding import answers
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import forwarder
+from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import route_table
+from sycamoredale.http import beside_caller
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.observability import exposition
@@ -48,11 +50,11 @@
             return
         self.handled += 1
         exchange.request_id = call.id
-        progress = forwarder.begin(call)
+        progress = progress_module.begin(call)
         try:
             await self.sender.run(progress, exchange)
             self._end(progress, exchange, "answered")
-        except forwarder.CallerGone:
+        except beside_caller.CallerGone:
             self._end(progress, exchange, "caller_gone")
         except errors.Refusal as refusal:
             self._end(progress, exchange, refusal.code.name, refusal.message)
@@ -85,7 +87,7 @@
 
     def _end(
         self,
-        progress: forwarder.Progress,
+        progress: progress_module.Progress,
         exchange: server.Exchange,
         outcome: str,
         reason: str = "",
--- /dev/null
+++ b/sycamoredale/forwarding/stalls.py
@@ -0,0 +1,54 @@
+"""Read from an endpoint unless it stands still.
+
+A group that has lost a member goes on to accept requests for some seconds
+and answers none.  What all daemons hear of it shows that at once.
+"""
+
+import collections.abc
+import typing
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale.forwarding import endpoints
+
+# The longest pass of a healthy engine takes seven steps that each read a
+# whole piece of a prompt, about a third of a second.
+STALL_SECONDS: Final = 0.5
+_T = typing.TypeVar("_T")
+
+
+async def read_from(
+    read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
+    endpoint: endpoints.Endpoint,
+    patience: float,
+) -> _T:
+    """Return what is read; raise ConnectionBroken if that takes too long.
+
+    An endpoint that no daemon has heard for some time stands still.  One
+    that goes on with other requests has this one in its queue, which may
+    last for `patience` seconds.
+    """
+    started = clock.monotonic()
+    while True:
+        now = clock.monotonic()
+        if now >= started + patience:
+            raise errors.EndpointStalled(
+                f"endpoint {endpoint.id}: no event for {patience:g} s"
+            )
+        stalls_at = max(started, endpoint.heard_at) + STALL_SECONDS
+        if now >= stalls_at:
+            endpoint.suspect(now)
+            raise errors.EndpointStalled(
+                f"endpoint {endpoint.id}: it made no progress for "
+                f"{STALL_SECONDS:g} s"
+            )
+        try:
+            async with curio.timeout_after(
+                min(stalls_at, started + patience) - now
+            ):
+                return await read()
+        except curio.TaskTimeout:
+            continue
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -18,10 +18,9 @@
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import contact
-from sycamoredale.groups import load_rate
-from sycamoredale.groups import mix
+from sycamoredale.groups import forming as forming_module
+from sycamoredale.groups import report_probing
 from sycamoredale.groups import reported
-from sycamoredale.groups import suspicion
 from sycamoredale.groups import upkeep
 from sycamoredale import ids
 from sycamoredale import leases
@@ -35,12 +34,8 @@
 # read is priced.
 LOOK_SECONDS: Final = 0.5
 RARE_LOOK_SECONDS: Final = 2.0
+# A step of forming a group waits for the next round.
 ROUND_SECONDS: Final = 0.05
-PROBE_SECONDS: Final = 0.4
-# Epochs of one tenure; one group takes one.
-EPOCHS_PER_TENURE: Final = 1_000_000
-# A little more than the weight store serves at full speed.
-MORE_LOADS_THAN_AT_ONCE: Final = 2
 # Instances register within a heartbeat of their start, in any order.
 LIST_QUIET_SECONDS: Final = 1.0
 # Loads before the first requests are fast, but take some seconds.
@@ -82,9 +77,7 @@
     get_catalogue: GetCatalogue
     get_zones_out: GetZonesOut
     stall_seconds: float
-    rate: load_rate.LoadRate
-    has_traffic: collections.abc.Callable[[], bool]
-    get_demand: collections.abc.Callable[[], mix.Demand]
+    forming: forming_module.Forming
     count_daemons: collections.abc.Callable[[], int]
     is_in_line: collections.abc.Callable[[], bool] = lambda: True
     contacts: contact.ContactBook = dataclasses.field(
@@ -93,13 +86,10 @@
     state: upkeep.Upkeep = dataclasses.field(default_factory=upkeep.Upkeep)
     _stopping: bool = False
     _status_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
-    _epochs: int = 0
     _acts_since: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _seen_all: bool = False
     _seen: int = 0
     _seen_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
-    _probing: set[ids.InstanceId] = dataclasses.field(default_factory=set)
-    _tenure_epoch: ids.Epoch | None = None
 
     async def run(self) -> None:
         """Hold the lease if it is free, and act while it is held."""
@@ -140,20 +130,25 @@
         tenure = self.lease.tenure
         if tenure is None:
             return
-        self._tenure_epoch = tenure.epoch
-        self._epochs = 0
         self.contacts.by_id.clear()
-        self._probing.clear()
         self._acts_since = clock.monotonic()
         self._seen_all = False
         self.state = upkeep.Upkeep()
-        prober = await curio.spawn(self._probe_for_ever, daemon=True)
+        self.forming.begin_tenure(tenure.epoch, self.state)
+        prober = report_probing.ReportProber(
+            self.engines.report,
+            self._engine_instances,
+            self.book,
+            self.contacts,
+        )
+        probing = await curio.spawn(prober.run, daemon=True)
         try:
             while self._holds(tenure.epoch):
-                await self._run_round()
+                if not prober.is_cut_off():
+                    await self._run_round()
                 await curio.sleep(ROUND_SECONDS)
         finally:
-            await prober.cancel()
+            await probing.cancel()
 
     def _holds(self, epoch: ids.Epoch) -> bool:
         tenure = self.lease.tenure
@@ -166,13 +161,11 @@
     async def _run_round(self) -> None:
         now = clock.monotonic()
         situation = self._situation(now)
-        if not situation.services or self._is_cut_off(situation):
-            return
-        if not self._has_seen_all(now):
+        if not situation.services or not self._has_seen_all(now):
             return
         self._log_status(situation)
         due = list(self.state.due(situation))
-        due.extend(self._form(situation))
+        due.extend(self.forming.due(situation))
         for item in due:
             await curio.spawn(self._give, item, daemon=True)
 
@@ -214,6 +207,15 @@
             daemons=self.count_daemons(),
         )
 
+    def _engine_instances(
+        self,
+    ) -> collections.abc.Iterator[listing.Instance]:
+        services = self.get_catalogue().service_by_name
+        for instance in self.book.by_id.values():
+            service = services.get(instance.service)
+            if service is not None and service.engine is not None:
+                yield instance
+
     def _situation(self, now: clock.MonotonicTime) -> upkeep.Situation:
         return upkeep.Situation(
             self.book.by_id,
@@ -224,107 +226,6 @@
             now,
         )
 
-    def _form(
-        self, situation: upkeep.Situation
-    ) -> collections.abc.Iterator[reported.Due]:
-        free = list(self.state.free(situation))
-        for name, service in situation.services.items():
-            if service.engine is not None:
-                own = [i for i in free if i.service == name]
-                yield from self._form_of(service, own, situation)
-
-    def _form_of(
-        self,
-        service: catalogue.Service,
-        free: list[listing.Instance],
-        situation: upkeep.Situation,
-    ) -> collections.abc.Iterator[reported.Due]:
-        assert service.engine is not None
-        engine = service.engine
-        under_way = self.state.staging(situation)
-        left = self._loads_left(engine, len(under_way), situation)
-        used: set[ids.InstanceId] = set()
-        for group in self._groups_to_form(engine, free, under_way, situation):
-            used.update(m.id for m in group.members)
-            if group.loads and left <= 0:
-                break
-            left -= group.loads
-            self.rate.note(group.loads, situation.now)
-            yield from self._join(group, situation.now)
-        spares = [i for i in free if i.id not in used]
-        staged = mix.stagings(spares, engine.models, under_way)
-        for staging in staged[: max(0, left)]:
-            yield self._stage(staging, situation.now)
-
-    def _groups_to_form(
-        self,
-        engine: catalogue.BatchEngine,
-        free: list[listing.Instance],
-        under_way: collections.abc.Mapping[ids.InstanceId, str],
-        situation: upkeep.Situation,
-    ) -> collections.abc.Iterator[mix.NewGroup]:
-        idle = [i for i in free if i.id not in under_way]
-        standing = self.state.standing(situation)
-        may_load = not self.has_traffic()
-        used: set[ids.InstanceId] = set()
-        demand = self.get_demand()
-        for group in mix.new_groups(
-            idle, engine.models, standing, demand, may_load
-        ):
-            used.update(m.id for m in group.members)
-            standing[group.model.name] += 1
-            yield group
-        if not may_load:
-            left = [i for i in idle if i.id not in used]
-            yield from mix.far_groups(left, engine.models, standing, demand)
-
-    def _stage(
-        self, staging: mix.Staging, now: clock.MonotonicTime
-    ) -> reported.Due:
-        self.rate.note(1, now)
-        self.state.note_staging(staging.instance.id, staging.model, now)
-        order = reported.Stage(staging.model)
-        return reported.Due(staging.instance, order, "a spare is empty")
-
-    def _loads_left(
-        self,
-        engine: catalogue.BatchEngine,
-        stagings: int,
-        situation: upkeep.Situation,
-    ) -> int:
-        """Return how many more loads may start now.
-
-        More at once would only take longer each.  Before the first call
-        loads are not bound in rate.
-        """
-        joining = sum(
-            1
-            for instance in situation.instances.values()
-            if instance.membership is not None
-            and instance.membership.state is listing.MemberState.JOINING
-        )
-        at_once = engine.loads_at_once - stagings
-        if not self.has_traffic():
-            return at_once + MORE_LOADS_THAN_AT_ONCE - joining
-        rate = self.rate.left(engine.loads_per_second, situation.now)
-        return min(at_once, rate)
-
-    def _join(
-        self, group: mix.NewGroup, now: clock.MonotonicTime
-    ) -> collections.abc.Iterator[reported.Due]:
-        assert self._tenure_epoch is not None
-        self._epochs += 1
-        epoch = ids.Epoch(
-            self._tenure_epoch * EPOCHS_PER_TENURE + self._epochs
-        )
-        key = reported.new_key(group.model.name, epoch)
-        members = tuple(m.id for m in group.members)
-        self.state.note_join(key, members, now)
-        for member in group.members:
-            yield reported.Due(
-                member, reported.Join(key, members), "a group is missing"
-            )
-
     async def _give(self, item: reported.Due) -> None:
         def guard() -> None:
             self.lease.check(clock.monotonic())
@@ -344,48 +245,6 @@
             outcome=outcome,
         )
 
-    async def _probe_for_ever(self) -> None:
-        """Probe all engines at a pace; a silent one delays no other."""
-        while True:
-            for instance in list(self._engine_instances()):
-                if instance.id not in self._probing:
-                    self._probing.add(instance.id)
-                    await curio.spawn(self._probe, instance, daemon=True)
-            await curio.sleep(PROBE_SECONDS)
-
-    def _engine_instances(
-        self,
-    ) -> collections.abc.Iterator[listing.Instance]:
-        services = self.get_catalogue().service_by_name
-        for instance in self.book.by_id.values():
-            service = services.get(instance.service)
-            if service is not None and service.engine is not None:
-                yield instance
-
-    async def _probe(self, instance: listing.Instance) -> None:
-        try:
-            report = await self.engines.report(instance)
-        except errors.SycamoredaleError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            self.contacts.failed(instance.id, refused)
-            return
-        finally:
-            self._probing.discard(instance.id)
-        self.contacts.answered(instance.id, clock.monotonic())
-        self.book.note_report(instance.id, report)
-
-    def _is_cut_off(self, situation: upkeep.Situation) -> bool:
-        counts: dict[ids.DomainName, list[bool]] = {}
-        for instance in self._engine_instances():
-            if instance.id in situation.contacts.by_id:
-                counts.setdefault(instance.domain, []).append(
-                    situation.contacts.is_lost(instance.id)
-                )
-        return suspicion.cut_off(
-            suspicion.ProbeCount(domain, len(lost), sum(lost))
-            for domain, lost in counts.items()
-        )
-
 
 def _free_by_domain(
     free: collections.abc.Iterable[listing.Instance],
--- /dev/null
+++ b/sycamoredale/groups/report_probing.py
@@ -0,0 +1,70 @@
+"""Ask the engines of all instances for their report, at a pace."""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale.forwarding import listing
+from sycamoredale.groups import contact
+from sycamoredale.groups import suspicion
+from sycamoredale import ids
+
+# Two in a row without an answer take a member for lost; streams of its
+# group stand still meanwhile.
+PROBE_SECONDS: Final = 0.4
+
+GetReport = collections.abc.Callable[
+    [listing.Instance], collections.abc.Awaitable[listing.Report]
+]
+GetInstances = collections.abc.Callable[
+    [], collections.abc.Iterable[listing.Instance]
+]
+
+
+@dataclasses.dataclass
+class ReportProber:
+    """Fill the books of reports and contacts."""
+
+    get_report: GetReport
+    get_instances: GetInstances
+    book: listing.InstanceBook
+    contacts: contact.ContactBook
+    _probing: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+
+    async def run(self) -> None:
+        """Probe all engines at a pace; a silent one delays no other."""
+        while True:
+            for instance in list(self.get_instances()):
+                if instance.id not in self._probing:
+                    self._probing.add(instance.id)
+                    await curio.spawn(self._probe, instance, daemon=True)
+            await curio.sleep(PROBE_SECONDS)
+
+    async def _probe(self, instance: listing.Instance) -> None:
+        try:
+            report = await self.get_report(instance)
+        except errors.SycamoredaleError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            self.contacts.failed(instance.id, refused)
+            return
+        finally:
+            self._probing.discard(instance.id)
+        self.contacts.answered(instance.id, clock.monotonic())
+        self.book.note_report(instance.id, report)
+
+    def is_cut_off(self) -> bool:
+        """Tell whether this daemon rather than the instances is cut off."""
+        lost_by_domain: dict[ids.DomainName, list[bool]] = {}
+        for instance in self.get_instances():
+            if instance.id in self.contacts.by_id:
+                lost_by_domain.setdefault(instance.domain, []).append(
+                    self.contacts.is_lost(instance.id)
+                )
+        return suspicion.cut_off(
+            suspicion.ProbeCount(domain, len(lost), sum(lost))
+            for domain, lost in lost_by_domain.items()
+        )
--- /dev/null
+++ b/sycamoredale/http/beside_caller.py
@@ -0,0 +1,43 @@
+"""Run the work of an exchange only for as long as its caller stays."""
+
+import typing
+
+import curio
+
+from sycamoredale.http import exchange as exchange_module
+
+_T = typing.TypeVar("_T")
+
+
+class CallerGone(Exception):
+    """Report that the caller closed its connection."""
+
+
+async def run(
+    work: typing.Callable[
+        [_T, exchange_module.Exchange], typing.Awaitable[None]
+    ],
+    subject: _T,
+    exchange: exchange_module.Exchange,
+) -> None:
+    """Run work until it ends or the caller leaves; raise CallerGone."""
+    worker = await curio.spawn(work, subject, exchange, daemon=True)
+    watcher = await curio.spawn(_watch_caller, exchange, worker, daemon=True)
+    try:
+        await worker.join()
+    except curio.TaskError as error:
+        cause = error.__cause__
+        if isinstance(cause, curio.TaskCancelled):
+            raise CallerGone() from error
+        assert cause is not None
+        raise cause from None
+    finally:
+        await watcher.cancel()
+        await worker.cancel()
+
+
+async def _watch_caller(
+    exchange: exchange_module.Exchange, worker: typing.Any
+) -> None:
+    await exchange.wait_for_disconnect()
+    await worker.cancel(blocking=False)
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import typing
 from typing import Final
 
 import curio
@@ -16,6 +15,7 @@
 from sycamoredale.engines import completions
 from sycamoredale import error_codes
 from sycamoredale import errors
+from sycamoredale.http import beside_caller
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import refusals
@@ -34,10 +34,6 @@
 LOG: Final = logs.get("requests.dispatch")
 
 
-class CallerGone(Exception):
-    """Report that the caller closed its connection."""
-
-
 @dataclasses.dataclass
 class Dispatcher:
     """Run calls on the endpoints that a chooser names."""
@@ -64,12 +60,12 @@
         tries = tries_module.Tries(call)
         try:
             async with curio.timeout_after(call.deadline_seconds):
-                await _beside_caller(self._run_tries, tries, exchange)
+                await beside_caller.run(self._run_tries, tries, exchange)
         except curio.TaskTimeout:
             await _end(exchange, deadline_refusal(call, tries.execution))
         except errors.Refusal as refusal:
             await _end(exchange, refusal)
-        except CallerGone:
+        except beside_caller.CallerGone:
             LOG.info("caller_gone", request=call.id)
 
     async def run_once(
@@ -276,29 +272,3 @@
     if exchange.intact and not exchange.finished:
         body = refusals.body_of(refusal)
         await exchange.write(completions.error_event(body))
-
-
-async def _beside_caller(
-    work: typing.Callable[..., typing.Awaitable[None]],
-    tries: tries_module.Tries,
-    exchange: server.Exchange,
-) -> None:
-    """Run work until it ends or the caller leaves; raise CallerGone."""
-    worker = await curio.spawn(work, tries, exchange, daemon=True)
-    watcher = await curio.spawn(_watch_caller, exchange, worker, daemon=True)
-    try:
-        await worker.join()
-    except curio.TaskError as error:
-        cause = error.__cause__
-        if isinstance(cause, curio.TaskCancelled):
-            raise CallerGone() from error
-        assert cause is not None
-        raise cause from None
-    finally:
-        await watcher.cancel()
-        await worker.cancel()
-
-
-async def _watch_caller(exchange: server.Exchange, worker: typing.Any) -> None:
-    await exchange.wait_for_disconnect()
-    await worker.cancel(blocking=False)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -12,6 +12,7 @@
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import forwarder as forwarder_module
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import send_budget
 from sycamoredale.http import client
 from sycamoredale.http import messages
@@ -148,7 +149,7 @@
                 if item.server._sock._socket.fileno() >= 0:
                     await item.server.start()
             try:
-                progress = forwarder_module.begin(self.call())
+                progress = progress_module.begin(self.call())
                 return await self.forwarder.run(progress, got)
             except errors.Refusal as refusal:
                 return refusal
--- a/tests/test_group_upkeep.py
+++ b/tests/test_group_upkeep.py
@@ -5,6 +5,7 @@
 from sycamoredale import clock
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
+from sycamoredale.groups import forming
 from sycamoredale.groups import group_upkeep
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import reported
@@ -68,9 +69,7 @@
         lambda: current,
         lambda: frozenset(),
         5.0,
-        load_rate.LoadRate(5.0),
-        lambda: False,
-        lambda: {},
+        forming.Forming(load_rate.LoadRate(5.0), lambda: False, lambda: {}),
         lambda: 1,
     )
 
