Take no refused connection for the end of a head; grow the burst

Traced in a replay of: a leaving head had stopped to listen, was taken for ended, and its members joined another group while it was open. A daemon that starts again took its whole part of the further sends at once. Ruled out: late orders, the change of keeper.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -174,6 +174,7 @@
             bounds.retry_burst,
             bounds.retry_window,
             self._count_daemons,
+            clock.monotonic(),
         )
         return service.CallService(
             wire.read_envelope,
--- a/sycamoredale/forwarding/send_budget.py
+++ b/sycamoredale/forwarding/send_budget.py
@@ -1,16 +1,21 @@
 """Bound the sends beyond the first of each request.
 
 The bound holds for all daemons together: each takes a ratio of its own
-requests in a window and its part of the allowed burst.
+requests in a window and its part of the allowed burst.  A daemon that has
+just started does not know what it sent before, so its part of the burst
+grows over the first window.
 """
 
 import collections
 import collections.abc
 import dataclasses
+from typing import Final
 
 from sycamoredale import clock
 from sycamoredale import ids
 
+# The rest covers windows that daemons do not begin at the same moment.
+BURST_SHARE: Final = 0.8
 Times = collections.deque[clock.MonotonicTime]
 
 
@@ -22,6 +27,7 @@
     burst: float
     window_seconds: float
     count_daemons: collections.abc.Callable[[], int]
+    started_at: clock.MonotonicTime
     _requests: dict[ids.ServiceName, Times] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(collections.deque)
     )
@@ -39,7 +45,9 @@
         """Count a further send if it is within the bound; tell if it is."""
         requests = self._within(self._requests[service], now)
         repeats = self._within(self._repeats[service], now)
-        allowed = self.ratio * requests + self.burst / self.count_daemons()
+        grown = min(1.0, (now - self.started_at) / self.window_seconds)
+        part = BURST_SHARE * grown * self.burst / self.count_daemons()
+        allowed = self.ratio * requests + part
         if repeats + 1 > allowed:
             return False
         self._repeats[service].append(now)
--- a/sycamoredale/groups/contact.py
+++ b/sycamoredale/groups/contact.py
@@ -15,7 +15,6 @@
     """Count the probes of one instance that failed in a row."""
 
     failures: int = 0
-    refused: bool = False
     answered_at: clock.MonotonicTime | None = None
 
     @property
@@ -38,11 +37,9 @@
         """Note an answer."""
         self.by_id[instance] = Contact(answered_at=now)
 
-    def failed(self, instance: ids.InstanceId, refused: bool) -> None:
+    def failed(self, instance: ids.InstanceId) -> None:
         """Count a probe that failed, refused or without an answer."""
-        contact = self.by_id.setdefault(instance, Contact())
-        contact.failures += 1
-        contact.refused = refused
+        self.by_id.setdefault(instance, Contact()).failures += 1
 
     def is_lost(self, instance: ids.InstanceId) -> bool:
         """Tell whether an instance does not answer any more."""
@@ -53,8 +50,3 @@
         """Tell whether an instance has answered its last probe."""
         contact = self.by_id.get(instance)
         return contact is not None and contact.failures == 0
-
-    def is_dead(self, instance: ids.InstanceId) -> bool:
-        """Tell whether the process of an instance has surely ended."""
-        contact = self.by_id.get(instance)
-        return contact is not None and contact.is_lost and contact.refused
--- a/sycamoredale/groups/report_probing.py
+++ b/sycamoredale/groups/report_probing.py
@@ -47,9 +47,9 @@
     async def _probe(self, instance: listing.Instance) -> None:
         try:
             report = await self.get_report(instance)
-        except errors.SycamoredaleError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            self.contacts.failed(instance.id, refused)
+        except errors.SycamoredaleError:
+            # Told by the order that a lost member leads to.
+            self.contacts.failed(instance.id)
             return
         finally:
             self._probing.discard(instance.id)
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -7,7 +7,8 @@
   out late then meets a newer epoch or a head that has left, and does
   nothing.
 - The members of a group are free only once its head has left it, has
-  ended, or has been out of reach for so long that it is broken.
+  started again, or has been out of reach for so long that it is broken.
+  A head that refuses connections may be leaving, and still at work.
 """
 
 import collections
@@ -213,6 +214,8 @@
             return
         if self._is_joining(group.key, situation.now):
             return
+        if group.head is not None and group.head.leaving:
+            return  # It ends its requests, and then leaves the list.
         since = self._hidden_since.setdefault(group.key, situation.now)
         until = clock.MonotonicTime(
             since + situation.stall_seconds + HIDDEN_HEAD_SLACK_SECONDS
@@ -229,15 +232,11 @@
     def _head_has_ended(
         self, group: reported.ReportedGroup, situation: Situation
     ) -> bool:
-        head = group.head
-        if head is not None:
-            return situation.contacts.is_dead(head.id)
         was_head = self._head_by_key.get(group.key)
-        if was_head is None:
+        if group.head is not None or was_head is None:
             return False
-        if situation.instances.get(was_head) is not None:
-            return True  # It reports another place or none.
-        return situation.contacts.is_dead(was_head)
+        # It is listed, and reports another place or none.
+        return was_head in situation.instances
 
     def _may_move(
         self,
--- a/tests/engines_site.py
+++ b/tests/engines_site.py
@@ -85,14 +85,14 @@
     return reported.new_key(model, ids.Epoch(epoch))
 
 
-def situation(instances, now, silent=(), dead=(), zones_out=()):
+def situation(instances, now, silent=(), zones_out=()):
     """Return what a decision rests on; all others have just answered."""
     contacts = contact.ContactBook()
     for known in instances:
         contacts.answered(known.id, clock.MonotonicTime(now))
-    for name in (*silent, *dead):
+    for name in silent:
         for _ in range(contact.FAILURES_UNTIL_LOST):
-            contacts.failed(ids.InstanceId(name), refused=name in dead)
+            contacts.failed(ids.InstanceId(name))
     return upkeep.Situation(
         {i.id: i for i in instances},
         SERVICES,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -114,7 +114,9 @@
         self.forwarder = forwarder_module.Forwarder(
             wire,
             chooser,
-            send_budget.SendBudget(0.2, 100.0, 10.0, lambda: 1),
+            send_budget.SendBudget(
+                0.2, 100.0, 10.0, lambda: 1, clock.MonotonicTime(0.0)
+            ),
             client.Pool(),
             poison.PoisonList(),
         )
--- a/tests/test_forwarding_rules.py
+++ b/tests/test_forwarding_rules.py
@@ -18,6 +18,7 @@
 from tests import test_platform_codec as codec
 
 NOW = clock.MonotonicTime(100.0)
+LONG_AGO = clock.MonotonicTime(-100.0)
 
 
 def _event(number):
@@ -50,7 +51,7 @@
 def test_further_sends_stay_within_the_bound_of_all_daemons():
     daemons = 7
     budgets = [
-        send_budget.SendBudget(0.2, 132.0, 10.0, lambda: daemons)
+        send_budget.SendBudget(0.2, 132.0, 10.0, lambda: daemons, LONG_AGO)
         for _ in range(daemons)
     ]
     sent = 0
@@ -64,13 +65,22 @@
 
 
 def test_sends_of_a_past_window_are_forgotten():
-    budget = send_budget.SendBudget(0.0, 2.0, 10.0, lambda: 1)
+    burst = 2.0 / send_budget.BURST_SHARE
+    budget = send_budget.SendBudget(0.0, burst, 10.0, lambda: 1, LONG_AGO)
     early = clock.MonotonicTime(0.0)
     taken = [budget.take(engines_site.SERVICE, early) for _ in range(3)]
     assert taken == [True, True, False]
     assert budget.take(engines_site.SERVICE, clock.MonotonicTime(10.5))
 
 
+def test_daemon_that_started_again_has_no_second_burst_at_once():
+    started = clock.MonotonicTime(50.0)
+    budget = send_budget.SendBudget(0.0, 100.0, 10.0, lambda: 1, started)
+    soon = clock.MonotonicTime(51.0)
+    taken = sum(budget.take(engines_site.SERVICE, soon) for _ in range(99))
+    assert taken <= 10
+
+
 def test_two_owners_together_start_no_more_loads_than_allowed():
     first, second = load_rate.LoadRate(5.0), load_rate.LoadRate(5.0)
     left = first.left(4.5, NOW)
--- a/tests/test_group_safety.py
+++ b/tests/test_group_safety.py
@@ -35,6 +35,7 @@
     orders: int = 0
     up: bool = True
     visible: bool = True
+    listening: bool = True
     key: reported.Key | None = None
     members: tuple = ()
     rank: int = 0
@@ -90,7 +91,7 @@
 
     def _send(self, item, fate):
         engine = self.engines[item.instance.id]
-        reached = engine.up and engine.visible
+        reached = engine.up and engine.visible and engine.listening
         taken = reached and fate == "taken" and self._take(engine, item.order)
         self.state.note_outcome(item, taken)
         if reached and fate == "late":
@@ -126,6 +127,10 @@
         engine = self.engines[f"i{index}"]
         engine.visible = not engine.visible
 
+    @stateful.rule(index=INDEXES)
+    def stop_listening(self, index):
+        self.engines[f"i{index}"].listening = False
+
     @stateful.rule()
     def other_keeper(self):
         # The lease ends before another keeper can have it.
@@ -225,11 +230,12 @@
             )
             for e in self.engines.values()
         ]
-        dead = [e.name for e in self.engines.values() if not e.up]
-        silent = [e.name for e in self.engines.values() if not e.visible]
-        return engines_site.situation(
-            seen, self.now, silent=silent, dead=set(dead) - set(silent)
-        )
+        silent = [
+            e.name
+            for e in self.engines.values()
+            if not (e.up and e.visible and e.listening)
+        ]
+        return engines_site.situation(seen, self.now, silent=silent)
 
 
 TestSite = Site.TestCase
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -103,13 +103,25 @@
     assert _free(state, later) == {"i1", "i2"}
 
 
-def test_members_of_a_head_whose_process_ended_are_free_at_once():
+def test_leaving_head_that_takes_no_connection_keeps_its_members():
+    # It has stopped listening and is still at work on its last requests.
     state = upkeep.Upkeep()
     key = _open_group(state)
     group = engines_site.members(key, NAMES, State.READY, State.OPEN)
-    dead = engines_site.situation(group, 20.0, dead=("i0",))
-    assert _orders(state, dead) == []
-    assert _free(state, dead) == {"i1", "i2"}
+    group[0] = engines_site.members(
+        key, NAMES, State.READY, State.OPEN, leaving=True
+    )[0]
+    deaf = engines_site.situation(group, 20.0, silent=("i0",))
+    assert _orders(state, deaf) == []
+    assert _free(state, deaf) == set()
+    gone = engines_site.situation(group[1:], 24.0)
+    assert _free(state, gone) == set()
+    assert [name for name, _ in _orders(state, gone)] == ["i1", "i2"]
+    left = [engines_site.instance(n, staged=("small",)) for n in NAMES[1:]]
+    soon = engines_site.situation(left, 29.9)
+    assert _free(state, soon) == set()
+    later = engines_site.situation(left, 30.1)
+    assert _free(state, later) == {"i1", "i2"}
 
 
 def test_head_that_started_again_frees_its_members():
