Take a head for closed only after this keeper's order to close it

The head itself joined a new group while its own was open: a report from before it opened, or an old word of the list at a new keeper, said ready, and the order to open was answered as done. Now the order to close must have been taken, a second after the one to open, and the report must be younger than both.

--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -236,7 +236,8 @@
                 outcome = "refused"
         except errors.SycamoredaleError as error:
             outcome = error.message
-        self.state.note_outcome(item, outcome == "taken")
+        now = clock.monotonic()
+        self.state.note_outcome(item, outcome == "taken", now)
         LOG.info(
             "order_given",
             instance=item.instance.id,
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -28,6 +28,10 @@
 REPEAT_ORDER_SECONDS: Final = 1.5
 # A member that does not report a join by then did not take it.
 JOIN_SEEN_SECONDS: Final = 2.0
+# A head that was told to open does so within this time.
+OPENED_SECONDS: Final = 1.0
+# Reports are some hundred milliseconds old; this covers one more probe.
+REPORT_LAG_SECONDS: Final = 0.6
 # A hidden head has broken by the stall time; this covers clock rates.
 HIDDEN_HEAD_SLACK_SECONDS: Final = 1.0
 # A staging that shows no result by then is ordered again; the largest
@@ -66,7 +70,12 @@
     _hidden_since: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
-    _opened: set[reported.Key] = dataclasses.field(default_factory=set)
+    _opened_at: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
+    _closed_at: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
     _unsure: set[reported.Key] = dataclasses.field(default_factory=set)
     _staged_at: dict[ids.InstanceId, tuple[str, clock.MonotonicTime]] = (
         dataclasses.field(default_factory=dict)
@@ -133,18 +142,23 @@
             and self._why_end(group, situation) is None
         )
 
-    def note_outcome(self, item: reported.Due, taken: bool) -> None:
-        """Remember whether the head of a group surely was opened once.
+    def note_outcome(
+        self, item: reported.Due, taken: bool, now: clock.MonotonicTime
+    ) -> None:
+        """Remember whether a head surely was opened, and closed again.
 
-        An order to open without an answer may be carried out late.
+        An order to open without an answer may be carried out late, and one
+        that was just taken may still be under way.
         """
-        if not isinstance(item.order, reported.Open):
-            return
-        if taken and item.order.key not in self._unsure:
-            self._opened.add(item.order.key)
-        elif not taken:
-            self._unsure.add(item.order.key)
-            self._opened.discard(item.order.key)
+        match item.order:
+            case reported.Open(key=key):
+                if not taken:
+                    self._unsure.add(key)
+                self._opened_at.setdefault(key, now)
+            case reported.Close(key=key) if taken:
+                opened = self._opened_at.get(key)
+                if opened is not None and now >= opened + OPENED_SECONDS:
+                    self._closed_at.setdefault(key, now)
 
     def note_staging(
         self,
@@ -177,7 +191,7 @@
         self._hidden_since.pop(group.key, None)
         reason = self._why_end(group, situation)
         if reason is not None:
-            if not self._is_closed(group):
+            if not self._is_closing(group, situation.now):
                 yield _ending(group, head, reason)
         elif group.is_formed and group.state is listing.MemberState.READY:
             yield reported.Due(head, reported.Open(group.key), "all loaded")
@@ -250,21 +264,35 @@
         group = groups[reported.Key(place.group, place.epoch)]
         if self._is_joining(group.key, situation.now):
             return False
-        if self._is_closed(group) and self._why_end(group, situation):
+        if self._is_closed(group, situation.now) and self._why_end(
+            group, situation
+        ):
             return True
         return place.rank > 0 and self._head_has_ended(group, situation)
 
-    def _is_closed(self, group: reported.ReportedGroup) -> bool:
-        """Tell whether the head was opened once and is closed again.
+    def _is_closing(
+        self, group: reported.ReportedGroup, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell whether the head is closed, or will be known to be soon."""
+        closed = self._closed_at.get(group.key)
+        soon = closed is not None and now < closed + REPORT_LAG_SECONDS
+        return soon or self._is_closed(group, now)
+
+    def _is_closed(
+        self, group: reported.ReportedGroup, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell whether this keeper has opened and closed the head.
 
         No order to open it can still be on its way, so its members may
-        join another group without leaving this one first.
+        join another group without leaving this one first.  A report from
+        before the order to close says nothing.
         """
-        head = group.head
+        closed = self._closed_at.get(group.key)
         return (
-            head is not None
+            closed is not None
+            and now >= closed + REPORT_LAG_SECONDS
+            and group.key not in self._unsure
             and group.state is listing.MemberState.READY
-            and group.key in self._opened
         )
 
     def _is_joining(self, key: reported.Key, now: clock.MonotonicTime) -> bool:
--- a/tests/test_group_safety.py
+++ b/tests/test_group_safety.py
@@ -93,7 +93,7 @@
         engine = self.engines[item.instance.id]
         reached = engine.up and engine.visible and engine.listening
         taken = reached and fate == "taken" and self._take(engine, item.order)
-        self.state.note_outcome(item, taken)
+        self.state.note_outcome(item, taken, clock.MonotonicTime(self.now))
         if reached and fate == "late":
             self.late.append((engine.name, engine.life, item.order))
 
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -22,8 +22,9 @@
     key = engines_site.key()
     state.note_join(key, NAMES, now)
     ready = engines_site.members(key, NAMES, State.READY)
-    for item in state.due(engines_site.situation(ready, now)):
-        state.note_outcome(item, taken=True)
+    situation = engines_site.situation(ready, now)
+    for item in state.due(situation):
+        state.note_outcome(item, True, situation.now)
     return key
 
 
@@ -49,17 +50,53 @@
     assert orders == [("i0", reported.Leave(key))]
 
 
+def _close(state, group, at, lost):
+    """Let the orders to close a group be taken."""
+    situation = engines_site.situation(group, at, silent=lost)
+    given = list(state.due(situation))
+    for item in given:
+        state.note_outcome(item, True, situation.now)
+    return [(d.instance.id, d.order) for d in given]
+
+
 def test_lost_member_closes_the_group_and_frees_the_rest_once_closed():
     state = upkeep.Upkeep()
     key = _open_group(state)
     group = engines_site.members(key, NAMES, State.READY, State.OPEN)
-    lost = engines_site.situation(group, 20.0, silent=("i2",))
-    assert _orders(state, lost) == [("i0", reported.Close(key, cancel=True))]
-    assert _free(state, lost) == set()
+    given = _close(state, group, 20.0, lost=("i2",))
+    assert given == [("i0", reported.Close(key, cancel=True))]
     closed = engines_site.members(key, NAMES, State.READY)
-    after = engines_site.situation(closed, 20.2, silent=("i2",))
-    assert _orders(state, after) == []
-    assert _free(state, after) == {"i0", "i1"}
+    # A report this young may be older than the order.
+    young = engines_site.situation(closed, 20.2, silent=("i2",))
+    assert _orders(state, young) == []
+    assert _free(state, young) == set()
+    sure = engines_site.situation(closed, 20.7, silent=("i2",))
+    assert _orders(state, sure) == []
+    assert _free(state, sure) == {"i0", "i1"}
+
+
+def test_head_that_was_just_told_to_open_is_not_taken_for_closed():
+    # Its report still says that it is ready while it begins to serve.
+    state = upkeep.Upkeep()
+    key = _open_group(state, now=20.0)
+    ready = engines_site.members(key, NAMES, State.READY)
+    seen = engines_site.situation(ready, 20.1, silent=("i2",))
+    assert _free(state, seen) == set()
+    assert _orders(state, seen) == [("i0", reported.Leave(key))]
+
+
+def test_stale_report_of_an_open_head_frees_nobody():
+    # A new keeper knows an old word of a head that is open, and its order
+    # to open is answered as done.
+    state = upkeep.Upkeep()
+    key = engines_site.key()
+    stale = engines_site.members(key, NAMES, State.READY)
+    situation = engines_site.situation(stale, 20.0)
+    for item in state.due(situation):
+        state.note_outcome(item, True, situation.now)
+    later = engines_site.situation(stale, 25.0, silent=("i2",))
+    assert _free(state, later) == set()
+    assert _orders(state, later) == [("i0", reported.Leave(key))]
 
 
 def test_group_that_another_keeper_opened_is_left_before_its_members_move():
@@ -81,8 +118,9 @@
     key = engines_site.key()
     state.note_join(key, NAMES, 10.0)
     ready = engines_site.members(key, NAMES, State.READY)
-    for item in state.due(engines_site.situation(ready, 10.0)):
-        state.note_outcome(item, taken=False)
+    situation = engines_site.situation(ready, 10.0)
+    for item in state.due(situation):
+        state.note_outcome(item, False, situation.now)
     seen = engines_site.situation(ready, 20.0, silent=("i2",))
     assert _orders(state, seen) == [("i0", reported.Leave(key))]
 
