Judge over its whole stay whether a request crashed an endpoint alone

Company was looked at when a request began; who came later did not count. On the path of forwarding it was looked at when the connection broke, where the last one to notice is always alone. Ruled out: room on the last engine and the retry budget (the code of the cut names neither). Change: one place counts who was on an endpoint while a request was there; both paths ask it. Crashes are logged with what decided them.

--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -43,6 +43,7 @@
     slots: int
     is_far: bool = False
     in_flight: int = 0
+    begun: int = 0
     others: float = 0.0
     others_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     suspect_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 from sycamoredale import ids
 from sycamoredale.observability import logs
 from sycamoredale.requests import poison
+from sycamoredale.requests import stay as stay_module
 
 # A healthy zone answers a connection in a few milliseconds.
 CONNECT_SECONDS: Final = 0.3
@@ -161,12 +162,15 @@
         progress: progress_module.Progress,
         exchange: server.Exchange,
     ) -> progress_module.Outcome:
-        endpoint.in_flight += 1
+        stay = stay_module.begin(endpoint)
         progress.at = endpoint.id
         try:
-            return await self._exchange(endpoint, progress, exchange)
+            outcome = await self._exchange(endpoint, progress, exchange)
+            if outcome is progress_module.Outcome.BROKEN:
+                await self._note_crash(endpoint, progress.call, stay)
+            return outcome
         finally:
-            endpoint.in_flight -= 1
+            stay.end()
 
     async def _exchange(
         self,
@@ -211,13 +215,15 @@
             return progress_module.Outcome.STALLED
         except errors.ConnectionBroken as error:
             _log_send(progress, endpoint, error.message)
-            await self._note_crash(endpoint, call)
             return progress_module.Outcome.BROKEN
         finally:
             await self._leave(connection, whole)
 
     async def _note_crash(
-        self, endpoint: endpoints.Endpoint, call: calls.Call
+        self,
+        endpoint: endpoints.Endpoint,
+        call: calls.Call,
+        stay: stay_module.Stay,
     ) -> None:
         """Count a crash, and tell the other daemons.
 
@@ -233,9 +239,16 @@
                 call.fingerprint,
                 ids.EndpointId(endpoint.id),
                 endpoint.instance.domain,
-                alone=endpoint.in_flight == 1,
+                alone=stay.is_alone,
+            )
+            condemned = self.poison_list.observe(crash, clock.monotonic())
+            LOG.info(
+                "crash_counted",
+                request=call.id,
+                endpoint=crash.endpoint,
+                alone=crash.alone,
+                condemned=condemned,
             )
-            self.poison_list.observe(crash, clock.monotonic())
         else:
             await connection.close()
 
--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -21,6 +21,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.requests import call as call_module
+from sycamoredale.requests import stay as stay_module
 from sycamoredale.routing import choice
 from sycamoredale.routing import health
 from sycamoredale.routing import table
@@ -47,7 +48,7 @@
     answered: bool = False
     severed: str | None = None
     gone: bool = False
-    accompanied: bool = False
+    stay: stay_module.Stay | None = None
     chooser: choice.Chooser | None = None
     sent_at: clock.MonotonicTime | None = None
     first_event_at: clock.MonotonicTime | None = None
@@ -155,8 +156,7 @@
 async def _exchange(
     attempt: Attempt, pool: client.Pool
 ) -> collections.abc.AsyncIterator[client.Connection]:
-    attempt.accompanied = attempt.endpoint.in_flight > 0
-    attempt.endpoint.in_flight += 1
+    attempt.stay = stay_module.begin(attempt.endpoint)
     outcome = health.Outcome.ABANDONED
     try:
         # An idle connection may have been closed by the other end, and a
@@ -176,7 +176,7 @@
             attempt.sent = False
         raise
     finally:
-        attempt.endpoint.in_flight -= 1
+        attempt.stay.end()
         _tell_chooser(attempt, outcome)
         if attempt.connection is not None:
             if outcome is health.Outcome.ANSWERED:
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -219,9 +219,18 @@
             poison.fingerprint_of(attempt.call),
             attempt.endpoint.id,
             attempt.endpoint.domain,
-            alone=not attempt.accompanied,
+            alone=attempt.stay is not None and attempt.stay.is_alone,
+        )
+        now = clock.monotonic()
+        tries.condemned = self.poison_list.observe(crash, now)
+        LOG.info(
+            "crash_counted",
+            request=attempt.call.id,
+            endpoint=crash.endpoint,
+            alone=crash.alone,
+            score=self.poison_list.score(crash.fingerprint, now),
+            condemned=tries.condemned,
         )
-        tries.condemned = self.poison_list.observe(crash, clock.monotonic())
 
     async def _cancel(self, attempt: attempt_module.Attempt) -> None:
         # Closing the connection may not reach an engine behind a broken
