Keep each fabric domain to one model, and count groups under way

Besides, a group whose join was just ordered did not count as standing, so that the rounds at the first start chose a model by chance. Change: a domain keeps to the model that most of its instances have, at forming and at staging; each model still has a group first, in each zone; survivors of the same model join first, since they join at once. Ruled out: the weight store (11 loads in 46 s, six at once at most, all in use from second 20 on, as before).

--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -223,4 +223,4 @@
         return ""
     if not instance.is_open_head or instance.membership is None:
         return None
-    return instance.membership.group.rpartition(".")[0]
+    return instance.membership.model
--- a/sycamoredale/forwarding/listing.py
+++ b/sycamoredale/forwarding/listing.py
@@ -8,11 +8,15 @@
 import collections.abc
 import dataclasses
 import enum
+from typing import Final
 
 from sycamoredale import clock
 from sycamoredale.http import messages
 from sycamoredale import ids
 
+# The name of a group is that of its model, this, and its epoch.
+GROUP_NAME_SEPARATOR: Final = "."
+
 
 class MemberState(enum.Enum):
     """State how far a member is in the life of its group.
@@ -27,6 +31,11 @@
     BROKEN = "broken"
 
 
+def model_of_group(group: ids.GroupId) -> str:
+    """Return the name of the model that a group runs."""
+    return group.rpartition(GROUP_NAME_SEPARATOR)[0]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
     """Name the place of an instance in a group; the head has rank 0."""
@@ -36,6 +45,11 @@
     rank: int
     state: MemberState
 
+    @property
+    def model(self) -> str:
+        """Return the name of the model that the group runs."""
+        return model_of_group(self.group)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
--- a/sycamoredale/groups/forming.py
+++ b/sycamoredale/groups/forming.py
@@ -12,6 +12,7 @@
 from sycamoredale import clock
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
+from sycamoredale.groups import holdings
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import mix
 from sycamoredale.groups import reported
@@ -60,9 +61,12 @@
         assert service.engine is not None
         engine = service.engine
         under_way = self.state.staging(situation)
+        held = self._holdings_of(service, under_way, situation)
         left = self._loads_left(engine, len(under_way), situation)
         used: set[ids.InstanceId] = set()
-        for group in self._groups_to_form(engine, free, under_way, situation):
+        for group in self._groups_to_form(
+            engine, free, under_way, held, situation
+        ):
             used.update(m.id for m in group.members)
             if group.loads and left <= 0:
                 break
@@ -70,7 +74,7 @@
             self.rate.note(group.loads, situation.now)
             yield from self._join(group, situation.now)
         spares = [i for i in free if i.id not in used]
-        staged = mix.stagings(spares, engine.models, under_way)
+        staged = mix.stagings(spares, engine.models, under_way, held)
         for staging in staged[: max(0, left)]:
             yield self._stage(staging, situation.now)
 
@@ -79,6 +83,7 @@
         engine: catalogue.BatchEngine,
         free: list[listing.Instance],
         under_way: collections.abc.Mapping[ids.InstanceId, str],
+        held: holdings.Holdings,
         situation: upkeep.Situation,
     ) -> collections.abc.Iterator[mix.NewGroup]:
         idle = [i for i in free if i.id not in under_way]
@@ -87,7 +92,7 @@
         used: set[ids.InstanceId] = set()
         demand = self.get_demand()
         for group in mix.new_groups(
-            idle, engine.models, standing, demand, may_load
+            idle, engine.models, standing, demand, may_load, held
         ):
             used.update(m.id for m in group.members)
             standing[group.model.name] += 1
@@ -96,6 +101,22 @@
             left = [i for i in idle if i.id not in used]
             yield from mix.far_groups(left, engine.models, standing, demand)
 
+    def _holdings_of(
+        self,
+        service: catalogue.Service,
+        under_way: collections.abc.Mapping[ids.InstanceId, str],
+        situation: upkeep.Situation,
+    ) -> holdings.Holdings:
+        own = (
+            i
+            for i in situation.instances.values()
+            if i.service == service.name
+        )
+        awaited = {**under_way, **self.state.joining(situation.now)}
+        held = holdings.Holdings()
+        holdings.note_all(held, own, awaited)
+        return held
+
     def _stage(
         self, staging: mix.Staging, now: clock.MonotonicTime
     ) -> reported.Due:
--- /dev/null
+++ b/sycamoredale/groups/holdings.py
@@ -0,0 +1,69 @@
+"""Know which models the instances of each fabric domain run or hold.
+
+A domain that keeps to one model loses fewer groups to the same losses: the
+survivors of any two of its groups fit together, and each spare fits every
+group.  The model that most of its instances have is its home model.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+from sycamoredale.forwarding import listing
+from sycamoredale import ids
+
+
+def _empty_counters() -> (
+    collections.defaultdict[str, collections.Counter[str]]
+):
+    return collections.defaultdict(collections.Counter)
+
+
+@dataclasses.dataclass
+class Holdings:
+    """Count instances by fabric domain or zone, and by model."""
+
+    _by_domain: collections.defaultdict[str, collections.Counter[str]] = (
+        dataclasses.field(default_factory=_empty_counters)
+    )
+    _by_zone: collections.defaultdict[str, collections.Counter[str]] = (
+        dataclasses.field(default_factory=_empty_counters)
+    )
+
+    def note(self, instance: listing.Instance, model: str) -> None:
+        """Count an instance that runs or holds a model."""
+        self._by_domain[instance.domain][model] += 1
+        self._by_zone[instance.zone][model] += 1
+
+    def strangers(self, domain: ids.DomainName, model: str) -> int:
+        """Return how many instances of a domain have another model."""
+        found = self._by_domain[domain]
+        return found.total() - found[model]
+
+    def in_zone(self, zone: ids.ZoneName, model: str) -> int:
+        """Return how many instances of a zone have a model."""
+        return self._by_zone[zone][model]
+
+    def home_of(self, domain: ids.DomainName) -> str | None:
+        """Return the model that most instances of a domain have."""
+        found = self._by_domain[domain]
+        return max(found, key=lambda m: (found[m], m)) if found else None
+
+
+def note_all(
+    found: Holdings,
+    instances: collections.abc.Iterable[listing.Instance],
+    awaited: collections.abc.Mapping[ids.InstanceId, str],
+) -> None:
+    """Count what instances run, hold or are about to have.
+
+    `awaited` names the models of joins and stagings under way.
+    """
+    for instance in instances:
+        place = instance.membership
+        if instance.id in awaited:
+            found.note(instance, awaited[instance.id])
+        elif place is not None:
+            found.note(instance, place.model)
+        elif instance.staged:
+            found.note(instance, instance.staged[0])
--- a/sycamoredale/groups/mix.py
+++ b/sycamoredale/groups/mix.py
@@ -1,9 +1,10 @@
 """Decide which new groups free instances form, and what spares stage.
 
-A group stands in one fabric domain if it can.  The model that has the
-fewest groups for the requests that it has to run goes first.  The
-instances that no group fits into stay spares with a model staged on their
-host, since a staged model joins in a tenth of the time of a load.
+A group stands in one fabric domain if it can, and in one that keeps to its
+model; see `holdings`.  The model that has the fewest groups for the
+requests that it has to run goes first.  The instances that no group fits
+into stay spares with a model staged on their host, since a staged model
+joins in a tenth of the time of a load.
 
 Once there is traffic no group is formed that would have to load: its
 members would wait for the load, while they may be what the next broken
@@ -18,6 +19,7 @@
 
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
+from sycamoredale.groups import holdings
 from sycamoredale import ids
 
 # Ranks count the instances that a group lacks after the staging and one
@@ -62,18 +64,26 @@
     standing: collections.Counter[str],
     demand: Demand,
     may_load: bool,
+    held: holdings.Holdings | None = None,
 ) -> collections.abc.Iterator[NewGroup]:
-    """Yield the groups to form; `standing` counts those by model."""
+    """Yield the groups to form; `standing` counts those by model.
+
+    The new groups are added to what is `held`.
+    """
     counts = collections.Counter(standing)
     rooms = _by_domain(free)
+    held = holdings.Holdings() if held is None else held
     while True:
-        found = _next(rooms, models, counts, demand, may_load)
+        found = _next(rooms, models, counts, demand, may_load, held)
         if found is None:
             return
         domain, model = found
         members = _pick(rooms[domain], model, models)
         rooms[domain] = [i for i in rooms[domain] if i not in members]
         counts[model.name] += 1
+        for member in members:
+            if model.name not in member.staged:
+                held.note(member, model.name)
         yield NewGroup(model, members)
 
 
@@ -115,19 +125,30 @@
     free: collections.abc.Iterable[listing.Instance],
     models: collections.abc.Sequence[catalogue.Model],
     under_way: collections.abc.Mapping[ids.InstanceId, str],
+    held: holdings.Holdings | None = None,
 ) -> list[Staging]:
     """Return what empty spares should stage, the most useful first.
 
     `under_way` names the models that are being staged by instance.
     """
+    held = holdings.Holdings() if held is None else held
     found = [
         staging
-        for spares in _by_domain(free).values()
-        for staging in _stagings_of(spares, models, under_way)
+        for domain, spares in _by_domain(free).items()
+        for staging in _stagings_of(
+            spares, _fitting(models, held.home_of(domain)), under_way
+        )
     ]
     return sorted(found, key=lambda s: (s.rank, s.instance.id))
 
 
+def _fitting(
+    models: collections.abc.Sequence[catalogue.Model], home: str | None
+) -> collections.abc.Sequence[catalogue.Model]:
+    """Return the home model of a domain, or all where it has none."""
+    return [m for m in models if m.name == home] or models
+
+
 def _stagings_of(
     spares: list[listing.Instance],
     models: collections.abc.Sequence[catalogue.Model],
@@ -177,6 +198,7 @@
     counts: collections.Counter[str],
     demand: Demand,
     may_load: bool,
+    held: holdings.Holdings,
 ) -> tuple[ids.DomainName, catalogue.Model] | None:
     fits = [
         (domain, model)
@@ -189,7 +211,10 @@
     return min(
         fits,
         key=lambda f: (
+            counts[f[1].name] > 0,
+            held.strangers(f[0], f[1].name) > 0,
             _supply(f[1], counts, demand),
+            held.in_zone(rooms[f[0]][0].zone, f[1].name),
             _unfitness(rooms[f[0]], f[1]),
             f[0],
         ),
@@ -223,11 +248,19 @@
     model: catalogue.Model,
     models: collections.abc.Sequence[catalogue.Model],
 ) -> tuple[listing.Instance, ...]:
-    def preference(instance: listing.Instance) -> tuple[bool, bool, str]:
+    def preference(instance: listing.Instance) -> tuple[bool, bool, bool, str]:
         other = any(
             m.name in instance.staged for m in models if m is not model
         )
-        return model.name not in instance.staged, other, instance.id
+        # Who ran the model last joins at once.
+        place = instance.membership
+        ran_it = place is not None and place.model == model.name
+        return (
+            model.name not in instance.staged,
+            other,
+            not ran_it,
+            instance.id,
+        )
 
     return tuple(sorted(room, key=preference)[: model.size])
 
--- a/sycamoredale/groups/reported.py
+++ b/sycamoredale/groups/reported.py
@@ -8,14 +8,11 @@
 
 import collections.abc
 import dataclasses
-from typing import Final
 
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
 from sycamoredale import ids
 
-NAME_SEPARATOR: Final = "."
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Key:
@@ -27,12 +24,13 @@
     @property
     def model(self) -> str:
         """Return the name of the model that the group runs."""
-        return self.group.rpartition(NAME_SEPARATOR)[0]
+        return listing.model_of_group(self.group)
 
 
 def new_key(model: str, epoch: ids.Epoch) -> Key:
     """Return the key of a new group."""
-    return Key(ids.GroupId(f"{model}{NAME_SEPARATOR}{epoch}"), epoch)
+    name = f"{model}{listing.GROUP_NAME_SEPARATOR}{epoch}"
+    return Key(ids.GroupId(name), epoch)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -115,7 +115,7 @@
         groups = reported.groups_of(
             situation.instances.values(), situation.services
         )
-        busy = self._awaited(situation.now)
+        busy = self.joining(situation.now)
         for instance in situation.instances.values():
             service = situation.services.get(instance.service)
             if service is None or service.engine is None:
@@ -130,17 +130,28 @@
                 yield instance
 
     def standing(self, situation: Situation) -> collections.Counter[str]:
-        """Return how many groups of each model are to stay."""
+        """Return how many groups of each model are to stay.
+
+        One that was just ordered counts, though its head does not report
+        it yet.
+        """
         groups = reported.groups_of(
             situation.instances.values(), situation.services
         )
-        return collections.Counter(
-            group.key.model
+        staying = {
+            group.key
             for group in groups.values()
             if group.head is not None
             and not situation.contacts.is_lost(group.head.id)
             and self._why_end(group, situation) is None
+        }
+        staying.update(
+            key
+            for key in self._joined_at
+            if self._is_joining(key, situation.now)
+            and (key not in groups or groups[key].head is None)
         )
+        return collections.Counter(key.model for key in staying)
 
     def note_outcome(
         self, item: reported.Due, taken: bool, now: clock.MonotonicTime
@@ -299,9 +310,10 @@
         joined = self._joined_at.get(key)
         return joined is not None and now < joined + JOIN_SEEN_SECONDS
 
-    def _awaited(self, now: clock.MonotonicTime) -> set[ids.InstanceId]:
+    def joining(self, now: clock.MonotonicTime) -> dict[ids.InstanceId, str]:
+        """Return the models of the groups that are being formed."""
         return {
-            member
+            member: key.model
             for key, members in self._members_by_key.items()
             if self._is_joining(key, now)
             for member in members
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -40,6 +40,21 @@
     assert orders == [("i0", reported.Open(key))]
 
 
+def test_group_that_was_just_ordered_counts_as_standing():
+    """Keep the next rounds from forming too many of another model."""
+    key = engines_site.key()
+    state = upkeep.Upkeep()
+    state.note_join(key, NAMES, 10.0)
+    nobody_reports = engines_site.situation([], 10.1)
+    assert state.standing(nobody_reports) == {key.model: 1}
+    joining = engines_site.members(key, NAMES, State.JOINING)
+    assert state.standing(engines_site.situation(joining, 10.2)) == {
+        key.model: 1
+    }
+    later = 10.0 + upkeep.JOIN_SEEN_SECONDS + 0.1
+    assert not state.standing(engines_site.situation([], later))
+
+
 def test_group_without_all_members_is_never_opened_but_left():
     key = engines_site.key()
     state = upkeep.Upkeep()
