Take a head for closed once its count of orders says so

Cause: members of a broken group waited 0.6 s after the order to close its head, since a report might be older than the order; that is a fifth of a repair. Change: the head's own count of orders tells: it is closed if it is ready and has taken an order since it was seen open. Orders that may be carried out late still make it unsure, as before. Ruled out: trusting the state alone (a word from before the order).

--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -88,6 +88,9 @@
     _closed_at: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
+    _orders_before_close: dict[reported.Key, tuple[int, int]] = (
+        dataclasses.field(default_factory=dict)
+    )
     _unsure: set[reported.Key] = dataclasses.field(default_factory=set)
     _staged_at: dict[ids.InstanceId, tuple[str, clock.MonotonicTime]] = (
         dataclasses.field(default_factory=dict)
@@ -184,6 +187,9 @@
                 opened = self._opened_at.get(key)
                 if opened is not None and now >= opened + OPENED_SECONDS:
                     self._closed_at.setdefault(key, now)
+                    self._orders_before_close.setdefault(
+                        key, item.instance.age
+                    )
 
     def note_staging(
         self,
@@ -292,9 +298,7 @@
         group = groups[reported.Key(place.group, place.epoch)]
         if self._is_joining(group.key, situation.now):
             return False
-        if self._is_closed(group, situation.now) and self._why_end(
-            group, situation
-        ):
+        if self._is_closed(group) and self._why_end(group, situation):
             return True
         return place.rank > 0 and self._head_has_ended(group, situation)
 
@@ -304,21 +308,21 @@
         """Tell whether the head is closed, or will be known to be soon."""
         closed = self._closed_at.get(group.key)
         soon = closed is not None and now < closed + REPORT_LAG_SECONDS
-        return soon or self._is_closed(group, now)
+        return soon or self._is_closed(group)
 
-    def _is_closed(
-        self, group: reported.ReportedGroup, now: clock.MonotonicTime
-    ) -> bool:
+    def _is_closed(self, group: reported.ReportedGroup) -> bool:
         """Tell whether this keeper has opened and closed the head.
 
         No order to open it can still be on its way, so its members may
-        join another group without leaving this one first.  A report from
-        before the order to close says nothing.
+        join another group without leaving this one first.  A word of the
+        head from before it took the order to close says nothing; its count
+        of orders tells.
         """
-        closed = self._closed_at.get(group.key)
+        before = self._orders_before_close.get(group.key)
         return (
-            closed is not None
-            and now >= closed + REPORT_LAG_SECONDS
+            before is not None
+            and group.head is not None
+            and group.head.age > before
             and group.key not in self._unsure
             and group.state is listing.MemberState.READY
         )
