--- a/sycamoredale/groups/forming.py
+++ b/sycamoredale/groups/forming.py
@@ -99,7 +99,7 @@
             yield group
         if not may_load:
             left = [i for i in idle if i.id not in used]
-            yield from mix.far_groups(left, engine.models, standing, demand)
+            yield from mix.far_groups(left, engine.models, standing)
 
     def _holdings_of(
         self,
--- a/sycamoredale/groups/mix.py
+++ b/sycamoredale/groups/mix.py
@@ -91,23 +91,18 @@
     free: collections.abc.Iterable[listing.Instance],
     models: collections.abc.Sequence[catalogue.Model],
     standing: collections.Counter[str],
-    demand: Demand,
 ) -> collections.abc.Iterator[NewGroup]:
-    """Yield groups across domains, of instances that no domain can use.
+    """Yield groups across domains, for models of which none stands.
 
-    One spare of each model stays in each domain, for the next repair.
+    Such a group runs several times slower: its streams pause so long that
+    they are taken for stalled, and the instances that it binds are what the
+    next groups within one domain need.  One spare of each model stays in
+    each domain.
     """
-    counts = collections.Counter(standing)
-    left = {m.name: _beyond_spares(free, m) for m in models}
-    while True:
-        fits = [m for m in models if len(left[m.name]) >= m.size]
-        if not fits:
-            return
-        model = min(fits, key=lambda m: (_supply(m, counts, demand), m.name))
-        members = tuple(left[model.name][: model.size])
-        left[model.name] = left[model.name][model.size :]
-        counts[model.name] += 1
-        yield NewGroup(model, members)
+    for model in models:
+        left = _beyond_spares(free, model)
+        if not standing[model.name] and len(left) >= model.size:
+            yield NewGroup(model, tuple(left[: model.size]))
 
 
 def _beyond_spares(
--- a/tests/test_mix.py
+++ b/tests/test_mix.py
@@ -147,10 +147,17 @@
 )
 def test_far_groups_leave_one_spare_of_a_model_in_each_domain(rooms, expected):
     free = [i for n, room in enumerate(rooms) for i in _room(f"d{n}", *room)]
-    groups = list(mix.far_groups(free, MODELS, collections.Counter(), {}))
+    groups = list(mix.far_groups(free, MODELS, collections.Counter()))
     assert [g.model.name for g in groups] == expected
     for group in groups:
         used = {m.id for m in group.members}
         for n, room in enumerate(rooms):
             domain = {i.id for i in _room(f"d{n}", *room)}
             assert domain - used
+
+
+def test_no_far_group_binds_instances_while_a_near_one_stands():
+    """Pattern: streams of a slow far group are taken for stalled."""
+    free = [i for n in range(3) for i in _room(f"d{n}", "small", "small")]
+    standing = collections.Counter({"small": 1})
+    assert not list(mix.far_groups(free, MODELS, standing))
