End a group one of whose members is much slower than most

Change: the keeper reads from the reports how slow an instance is. From 2.5 times the median on, its group ends and is formed without it; it is free again when it has recovered. The median keeps all from being slow at once, as they are after a common start. Ruled out: leaving it to the routers (they see only that a head is silent).

--- a/sycamoredale/forwarding/listing.py
+++ b/sycamoredale/forwarding/listing.py
@@ -90,12 +90,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """Hold what an instance said when it was asked."""
+    """Hold what an instance said when it was asked.
+
+    `slowness` is how many times as long as usual its work takes.
+    """
 
     started_ms: int
     orders_taken: int
     membership: Membership | None
     staged: tuple[str, ...]
+    slowness: float = 1.0
 
 
 OnChange = collections.abc.Callable[[], None]
--- a/sycamoredale/groups/contact.py
+++ b/sycamoredale/groups/contact.py
@@ -1,6 +1,7 @@
 """Know which instances answer the daemon that keeps the groups."""
 
 import dataclasses
+import statistics
 from typing import Final
 
 from sycamoredale import clock
@@ -8,6 +9,9 @@
 
 # Two in a row, so that one lost packet takes no group down.
 FAILURES_UNTIL_LOST: Final = 2
+# A group runs as slowly as its slowest member.  At half its speed it still
+# keeps most objectives, at a third none.
+SLOW_FACTOR: Final = 2.5
 
 
 @dataclasses.dataclass
@@ -16,6 +20,7 @@
 
     failures: int = 0
     answered_at: clock.MonotonicTime | None = None
+    slowness: float = 1.0
 
     @property
     def is_lost(self) -> bool:
@@ -32,10 +37,13 @@
     )
 
     def answered(
-        self, instance: ids.InstanceId, now: clock.MonotonicTime
+        self,
+        instance: ids.InstanceId,
+        now: clock.MonotonicTime,
+        slowness: float = 1.0,
     ) -> None:
-        """Note an answer."""
-        self.by_id[instance] = Contact(answered_at=now)
+        """Note an answer, and how slow the instance says it is."""
+        self.by_id[instance] = Contact(answered_at=now, slowness=slowness)
 
     def failed(self, instance: ids.InstanceId) -> None:
         """Count a probe that failed, refused or without an answer."""
@@ -46,6 +54,20 @@
         contact = self.by_id.get(instance)
         return contact is not None and contact.is_lost
 
+    def slow(self) -> frozenset[ids.InstanceId]:
+        """Return the instances that are much slower than most are.
+
+        All are slow for some seconds after they have started together.
+        """
+        if not self.by_id:
+            return frozenset()
+        usual = statistics.median(c.slowness for c in self.by_id.values())
+        return frozenset(
+            instance
+            for instance, contact in self.by_id.items()
+            if contact.slowness >= SLOW_FACTOR * usual
+        )
+
     def answers(self, instance: ids.InstanceId) -> bool:
         """Tell whether an instance has answered its last probe."""
         contact = self.by_id.get(instance)
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -204,6 +204,7 @@
             by_state=dict(states),
             listed=len(situation.instances),
             lost=sum(map(contacts.is_lost, situation.instances)),
+            slow=sorted(situation.slow),
             free=_free_by_domain(free),
             daemons=self.count_daemons(),
         )
@@ -232,6 +233,7 @@
             self.stall_seconds,
             now,
             frozenset(unlisted),
+            self.contacts.slow(),
         )
 
     async def _give(self, item: reported.Due) -> None:
--- a/sycamoredale/groups/report_probing.py
+++ b/sycamoredale/groups/report_probing.py
@@ -71,7 +71,7 @@
             left = asked_at + AGAIN_SECONDS - clock.monotonic()
             await curio.sleep(max(0.0, left))
             return False
-        self.contacts.answered(instance.id, clock.monotonic())
+        self.contacts.answered(instance.id, clock.monotonic(), report.slowness)
         self.book.note_report(instance.id, report)
         return True
 
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -53,6 +53,7 @@
     stall_seconds: float
     now: clock.MonotonicTime
     unlisted: frozenset[ids.InstanceId] = frozenset()
+    slow: frozenset[ids.InstanceId] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +138,7 @@
                 continue
             if instance.leaving or instance.zone in situation.zones_out:
                 continue
-            if instance.id in situation.unlisted:
+            if instance.id in situation.unlisted | situation.slow:
                 continue
             if instance.id in busy or self._is_held(instance, situation.now):
                 continue
@@ -241,6 +242,8 @@
                 return End(f"member {member.id} is leaving", True)
             if member.zone in situation.zones_out:
                 return End(f"zone {member.zone} is out of service")
+            if member.id in situation.slow:
+                return End(f"member {member.id} is slow")
         if not group.has_all_members and not self._is_joining(
             group.key, situation.now
         ):
--- a/sycamoredale/platform/entries.py
+++ b/sycamoredale/platform/entries.py
@@ -17,28 +17,29 @@
     state: str
 
 
-class _Entry(msgspec.Struct):
+class _Life(msgspec.Struct, kw_only=True):
+    # Counts the orders that the instance has begun in this life.
+    seq: int
+    # Unix milliseconds of the start of this life.
+    born: int = 0
+    staged: list[str] = []
+    group: _Group | None = None
+
+
+class _Entry(_Life, kw_only=True):
     # The platform's "backend" is the name of a service.
     backend: str
     addr: str
     zone: str
     state: str
-    # Counts the orders that the instance has begun in this life.
-    seq: int
     slots: int = 1
-    # Unix milliseconds of the start of this life.
-    born: int = 0
     cold_left_ms: float = 0
     domain: str = ""
-    staged: list[str] = []
-    group: _Group | None = None
 
 
-class _Report(msgspec.Struct):
-    seq: int
-    born: int = 0
-    staged: list[str] = []
-    group: _Group | None = None
+class _Report(_Life, kw_only=True):
+    # Not a rate: how many times as long as usual the work takes.
+    pace: float = 1.0
 
 
 _ENTRY_DECODER = msgspec.json.Decoder(_Entry)
@@ -74,6 +75,7 @@
         orders_taken=report.seq,
         membership=_membership(report.group),
         staged=tuple(report.staged),
+        slowness=report.pace,
     )
 
 
--- a/sycamoredale/platform/feeds.py
+++ b/sycamoredale/platform/feeds.py
@@ -1,6 +1,5 @@
 """Decode what followers see of the platform's kinds of objects."""
 
-import collections.abc
 import dataclasses
 from typing import Final
 
@@ -23,8 +22,6 @@
 EVACUATIONS: Final = "evacuations"
 LOG: Final = logs.get("platform.feeds")
 
-OnChange = collections.abc.Callable[[], None]
-
 
 @dataclasses.dataclass
 class InstanceFeed:
@@ -58,7 +55,7 @@
     """Put new manifests in force."""
 
     routes: route_table.RouteTable
-    on_change: OnChange
+    on_change: listing.OnChange
 
     def take(self, seen: objects.Listing, complete: bool) -> None:
         """Take over the newest manifest among what was seen."""
@@ -83,7 +80,7 @@
 class EvacuationFeed:
     """Hold the zones that operators have taken out of service."""
 
-    on_change: OnChange
+    on_change: listing.OnChange
     zones_out: frozenset[ids.ZoneName] = frozenset()
 
     def take(self, seen: objects.Listing, complete: bool) -> None:
--- a/tests/engines_site.py
+++ b/tests/engines_site.py
@@ -85,7 +85,7 @@
     return reported.new_key(model, ids.Epoch(epoch))
 
 
-def situation(instances, now, silent=(), zones_out=(), unlisted=()):
+def situation(instances, now, silent=(), zones_out=(), unlisted=(), slow=()):
     """Return what a decision rests on; all others have just answered."""
     contacts = contact.ContactBook()
     for known in instances:
@@ -101,4 +101,5 @@
         5.0,
         clock.MonotonicTime(now),
         frozenset(unlisted),
+        frozenset(slow),
     )
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -284,3 +284,10 @@
         ids.InstanceId("i1"), listing.Report(1000, 9, None, ("old",))
     )
     assert book.by_id[ids.InstanceId("i1")] == reborn
+
+
+def test_report_tells_how_slow_the_instance_is():
+    body = b'{"seq": 2, "born": 7, "pace": 4.5, "staged": ["m"]}'
+    report = entries.decode_report(body)
+    assert (report.slowness, report.orders_taken) == (4.5, 2)
+    assert entries.decode_report(b'{"seq": 2}').slowness == 1.0
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -1,6 +1,7 @@
 """Check the orders that reported groups get, and who is free to move."""
 
 from sycamoredale.forwarding import listing
+from sycamoredale.groups import contact
 from sycamoredale.groups import reported
 from sycamoredale.groups import upkeep
 from tests import engines_site
@@ -279,3 +280,30 @@
     assert not _free(
         state, engines_site.situation(alone, 1.0, unlisted=["i0"])
     )
+
+
+def test_group_with_a_slow_member_ends_and_is_formed_without_it():
+    """Pattern: some instances take several times as long for their work."""
+    state = upkeep.Upkeep()
+    key = _open_group(state)
+    group = engines_site.members(key, NAMES, State.READY, State.OPEN)
+    slow = engines_site.situation(group, 20.0, slow=["i1"])
+    for item in state.due(slow):
+        assert item.order == reported.Close(key, cancel=True)
+        state.note_outcome(item, True, slow.now)
+    closed = engines_site.members(key, NAMES, State.READY, orders_taken=1)
+    after = engines_site.situation(closed, 20.2, slow=["i1"])
+    assert _free(state, after) == {"i0", "i2"}
+    recovered = engines_site.situation(closed, 25.0)
+    assert "i1" in {i.id for i in recovered.instances.values()}
+    assert not recovered.slow
+
+
+def test_slow_is_who_takes_much_longer_than_most():
+    contacts = contact.ContactBook()
+    assert not contacts.slow()
+    for n in range(9):
+        contacts.answered(f"i{n}", 1.0, slowness=4.0)
+    assert not contacts.slow()
+    contacts.answered("i0", 2.0, slowness=4.0 * contact.SLOW_FACTOR)
+    assert contacts.slow() == {"i0"}
