Look at the lease more rarely and gather changes for 0.3 s

Change: the daemons in line look at the lease each second, the others each four; a follower gathers changes for 0.3 s instead of 0.2. Ruled out: longer watches (a silent channel must be noticed in time).

--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -23,8 +23,9 @@
 
 # A watch that has gone silent is noticed after this and a margin.
 WATCH_SECONDS: Final = 5.0
-# Changes come in bursts, and each answer to a watch is a priced call.
-GATHER_SECONDS: Final = 0.2
+# Changes come in bursts, and each answer to a watch is a priced call; a
+# tenth of the time that a group needs to be formed again.
+GATHER_SECONDS: Final = 0.3
 FIRST_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 1.0
 # Entries that are renewed by heartbeats may lapse in an outage this long.
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -32,9 +32,9 @@
 LEASE_SECONDS: Final = 2.0
 TEND_SECONDS: Final = 0.4
 # One daemon of each zone reads the lease often, the others rarely; each
-# read is priced.
-LOOK_SECONDS: Final = 0.5
-RARE_LOOK_SECONDS: Final = 2.0
+# read is priced.  A lost owner costs a repair, and one is lost in a day.
+LOOK_SECONDS: Final = 1.0
+RARE_LOOK_SECONDS: Final = 4.0
 # A step of forming a group waits for the next round.
 ROUND_SECONDS: Final = 0.05
 # Instances register within a heartbeat of their start, in any order.
