Give a model without any group one across domains; stage again soon

An order to stage that nothing answered bound its place among the loads for 30 s. Change: such a model gets a group of all that hold it, in as few domains as possible; it ends once one of its domains can hold a group. Its streams may be silent three times as long before they are taken for stalled. A staging without an answer is ordered again after 1.5 s. Ruled out: quicker loads (six at once, all in use).

--- a/sycamoredale/forwarding/stalls.py
+++ b/sycamoredale/forwarding/stalls.py
@@ -17,6 +17,8 @@
 # The longest pass of a healthy engine takes seven steps that each read a
 # whole piece of a prompt, about a third of a second.
 STALL_SECONDS: Final = 0.5
+# A group across fabric domains takes three times as long for each step.
+FAR_STALL_SECONDS: Final = 3 * STALL_SECONDS
 _T = typing.TypeVar("_T")
 
 
@@ -32,18 +34,19 @@
     last for `patience` seconds.
     """
     started = clock.monotonic()
+    stall_seconds = FAR_STALL_SECONDS if endpoint.is_far else STALL_SECONDS
     while True:
         now = clock.monotonic()
         if now >= started + patience:
             raise errors.EndpointStalled(
                 f"endpoint {endpoint.id}: no event for {patience:g} s"
             )
-        stalls_at = max(started, endpoint.heard_at) + STALL_SECONDS
+        stalls_at = max(started, endpoint.heard_at) + stall_seconds
         if now >= stalls_at:
             endpoint.suspect(now)
             raise errors.EndpointStalled(
                 f"endpoint {endpoint.id}: it made no progress for "
-                f"{STALL_SECONDS:g} s"
+                f"{stall_seconds:g} s"
             )
         try:
             async with curio.timeout_after(
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -246,6 +246,7 @@
                 outcome = "refused"
         except errors.SycamoredaleError as error:
             outcome = error.message
+            self.state.note_unanswered(item, clock.monotonic())
         now = clock.monotonic()
         self.state.note_outcome(item, outcome == "taken", now)
         LOG.info(
--- a/sycamoredale/groups/mix.py
+++ b/sycamoredale/groups/mix.py
@@ -15,6 +15,7 @@
 import collections
 import collections.abc
 import dataclasses
+import itertools
 from typing import Final
 
 from sycamoredale.forwarding import catalogue
@@ -94,26 +95,20 @@
 ) -> collections.abc.Iterator[NewGroup]:
     """Yield groups across domains, for models of which none stands.
 
-    Such a group runs several times slower: its streams pause so long that
-    they are taken for stalled, and the instances that it binds are what the
-    next groups within one domain need.  One spare of each model stays in
-    each domain.
+    Such a group runs several times slower, and the instances that it binds
+    are what the next groups within one domain need.
     """
     for model in models:
-        left = _beyond_spares(free, model)
-        if not standing[model.name] and len(left) >= model.size:
-            yield NewGroup(model, tuple(left[: model.size]))
-
-
-def _beyond_spares(
-    free: collections.abc.Iterable[listing.Instance], model: catalogue.Model
-) -> list[listing.Instance]:
-    staged = [i for i in free if model.name in i.staged]
-    return [
-        instance
-        for room in _by_domain(staged).values()
-        for instance in room[1:]
-    ]
+        staged = [i for i in free if model.name in i.staged]
+        if not standing[model.name] and len(staged) >= model.size:
+            yield NewGroup(model, _from_few_domains(staged, model.size))
+
+
+def _from_few_domains(
+    staged: collections.abc.Iterable[listing.Instance], size: int
+) -> tuple[listing.Instance, ...]:
+    rooms = sorted(_by_domain(staged).values(), key=len, reverse=True)
+    return tuple(itertools.chain.from_iterable(rooms))[:size]
 
 
 def stagings(
--- a/sycamoredale/groups/reported.py
+++ b/sycamoredale/groups/reported.py
@@ -112,6 +112,11 @@
         """Tell whether as many members report the group as it needs."""
         return self.model is not None and len(self.by_rank) == self.model.size
 
+    @property
+    def domains(self) -> frozenset[ids.DomainName]:
+        """Return the fabric domains that its members stand in."""
+        return frozenset(m.domain for m in self.by_rank.values())
+
     @property
     def is_formed(self) -> bool:
         """Tell whether every member has loaded the model."""
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -192,6 +192,17 @@
                         key, item.instance.age
                     )
 
+    def note_unanswered(
+        self, item: reported.Due, now: clock.MonotonicTime
+    ) -> None:
+        """Give an order to stage again soon if nothing answered it."""
+        if isinstance(item.order, reported.Stage):
+            since = now - REPEAT_STAGE_SECONDS + REPEAT_ORDER_SECONDS
+            self._staged_at[item.instance.id] = (
+                item.order.model,
+                clock.MonotonicTime(since),
+            )
+
     def note_staging(
         self,
         instance: ids.InstanceId,
@@ -251,6 +262,8 @@
         # A member takes no requests, and works on while it lives.
         if group.head is not None and group.head.id in situation.unlisted:
             return End(f"head {group.head.id} has left the list", True)
+        if len(group.domains) > 1 and _could_stand_near(group, situation):
+            return End("its model can have a group in one domain", True)
         return None
 
     def _without_head(
@@ -380,6 +393,19 @@
         }
 
 
+def _could_stand_near(
+    group: reported.ReportedGroup, situation: Situation
+) -> bool:
+    """Tell whether one of its domains has enough that hold its model."""
+    assert group.model is not None
+    near = collections.Counter(m.domain for m in group.by_rank.values())
+    for instance in situation.instances.values():
+        waits = instance.membership is None and not instance.leaving
+        if waits and group.key.model in instance.staged:
+            near[instance.domain] += 1
+    return max(near[d] for d in group.domains) >= group.model.size
+
+
 def _ending(
     group: reported.ReportedGroup, head: listing.Instance, end: End
 ) -> reported.Due:
