Let one request at a time try an endpoint that stood still

Cause: when the suspicion of a lost head ends it is the emptiest endpoint, so that up to 30 requests of all daemons went there at once, once more in vain, before its entry left the list. Change: until such an endpoint has answered, a daemon sends it nothing further while any daemon has a request there; rather than refuse it does. Ruled out: longer suspicions (they cost room where nothing was lost).

--- a/sycamoredale/forwarding/choosing.py
+++ b/sycamoredale/forwarding/choosing.py
@@ -24,6 +24,9 @@
 DRAW_SHARE: Final = 0.05
 # Above this share of the slots a request waits past its objective.
 FULL_SHARE: Final = 1.5
+# What stood still may still do so: one request of any daemon at a time shows
+# that, and the others lose nothing.
+TRIAL_LOAD: Final = 1.0
 # A plain instance queues this many times its slots before it is full.
 PLAIN_FULL_SHARE: Final = 4.0
 # A group is formed again from staged instances in about that time.
@@ -69,7 +72,8 @@
             for e in known
             if e.id not in excluded and self._bears_more(e, call.service, now)
         ]
-        sound = [e for e in usable if not e.is_suspect(now)]
+        trusted = [e for e in usable if not e.is_suspect(now)]
+        sound = [e for e in trusted if not _is_being_tried(e, now)] or trusted
         if not sound and must_go_on:
             sound = usable
         if not sound:
@@ -121,6 +125,12 @@
     return call.envelope.model or ""
 
 
+def _is_being_tried(
+    endpoint: endpoints.Endpoint, now: clock.MonotonicTime
+) -> bool:
+    return endpoint.is_on_trial(now) and endpoint.load(now) >= TRIAL_LOAD
+
+
 def _is_full(
     endpoint: endpoints.Endpoint,
     service: catalogue.Service,
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -95,6 +95,7 @@
         self, now: clock.MonotonicTime, seconds: float
     ) -> None:
         """Take over the suspicion of a peer."""
+        self.suspicions = max(self.suspicions, 1)
         until = clock.MonotonicTime(now + seconds)
         self.suspect_until = max(self.suspect_until, until)
 
@@ -104,6 +105,10 @@
         self.suspicions = 0
         self.suspect_until = clock.MonotonicTime(0.0)
 
+    def is_on_trial(self, now: clock.MonotonicTime) -> bool:
+        """Tell whether it was suspect and has not been heard since."""
+        return self.suspicions > 0 and not self.is_suspect(now)
+
     def is_suspect(self, now: clock.MonotonicTime) -> bool:
         """Tell whether the endpoint seems to stand still."""
         return now < self.suspect_until
--- a/tests/test_forwarding_rules.py
+++ b/tests/test_forwarding_rules.py
@@ -236,6 +236,21 @@
     assert known.by_id["i0"].load(NOW) == 4
 
 
+def test_one_request_at_a_time_tries_what_stood_still():
+    """Pattern: a lost head is listed for some seconds, emptier than all."""
+    known, chooser = _site(_open_head("i0", 1), _open_head("i1", 2))
+    known.by_id["i0"].suspect(NOW)
+    known.by_id["i1"].in_flight = 5
+    later = clock.MonotonicTime(NOW + endpoints.SUSPECT_SECONDS + 0.1)
+    assert chooser.choose(_call(), set(), later).id == "i0"
+    known.by_id["i0"].in_flight = 1
+    assert chooser.choose(_call(), set(), later).id == "i1"
+    # A request is not refused for the sake of the trial.
+    assert chooser.choose(_call(), {"i1"}, later).id == "i0"
+    known.by_id["i0"].heard(later)
+    assert chooser.choose(_call(), set(), later).id == "i0"
+
+
 def test_endpoint_that_a_peer_hears_is_not_suspected_for_another():
     known, _ = _site(_open_head("i0", 1))
     news = _news(known)
