Split the upkeep of groups: what is known, why a group ends, stagings

Only moves: groups/situations.py holds what a decision rests on, endings.py decides why and how a group ends, staging_record.py counts the loads under way.

--- /dev/null
+++ b/sycamoredale/groups/endings.py
@@ -0,0 +1,90 @@
+"""Decide why a group ends, and by which order.
+
+A group that loses a member answers nothing more, so its requests are cut
+off and go on elsewhere.  One that ends as planned finishes its requests.
+"""
+
+import collections
+import dataclasses
+
+from sycamoredale.forwarding import listing
+from sycamoredale.groups import reported
+from sycamoredale.groups import situations
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """Say why a group ends, and whether it may end its requests first."""
+
+    reason: str
+    is_planned: bool = False
+
+
+def why_end(
+    group: reported.ReportedGroup,
+    situation: situations.Situation,
+    is_joining: bool,
+) -> End | None:
+    """Return why a group ends, or None if it is to stay.
+
+    Members of a group that is joining may not report it yet.
+    """
+    if group.model is None:
+        return End("the model is not configured")
+    if group.state is listing.MemberState.BROKEN:
+        return End("the head is broken")
+    for member in group.by_rank.values():
+        end = _why_without(member, situation)
+        if end is not None:
+            return end
+    if not group.has_all_members and not is_joining:
+        return End("a member is missing")
+    # A member takes no requests, and works on while it lives.
+    if group.head is not None and group.head.id in situation.unlisted:
+        return End(f"head {group.head.id} has left the list", True)
+    if len(group.domains) > 1 and _could_stand_near(group, situation):
+        return End("its model can have a group in one domain", True)
+    return None
+
+
+def _why_without(
+    member: listing.Instance, situation: situations.Situation
+) -> End | None:
+    if situation.contacts.is_lost(member.id):
+        return End(f"member {member.id} is lost")
+    if member.leaving:
+        return End(f"member {member.id} is leaving", True)
+    if member.zone in situation.zones_out:
+        return End(f"zone {member.zone} is out of service")
+    if member.id in situation.slow:
+        return End(f"member {member.id} is slow")
+    return None
+
+
+def order_to_end(
+    group: reported.ReportedGroup, head: listing.Instance, end: End
+) -> reported.Due:
+    """Return the order that ends a group in its present state."""
+    if group.state in (
+        listing.MemberState.OPEN,
+        listing.MemberState.CLOSING,
+    ):
+        order: reported.Order = reported.Close(
+            group.key, cancel=not end.is_planned
+        )
+    else:
+        order = reported.Leave(group.key)
+    return reported.Due(head, order, end.reason)
+
+
+def _could_stand_near(
+    group: reported.ReportedGroup, situation: situations.Situation
+) -> bool:
+    """Tell whether one of its domains has enough that hold its model."""
+    assert group.model is not None
+    near = collections.Counter(m.domain for m in group.by_rank.values())
+    for instance in situation.instances.values():
+        waits = instance.membership is None and not instance.leaving
+        if waits and group.key.model in instance.staged:
+            near[instance.domain] += 1
+    return max(near[d] for d in group.domains) >= group.model.size
--- a/sycamoredale/groups/forming.py
+++ b/sycamoredale/groups/forming.py
@@ -16,6 +16,8 @@
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import mix
 from sycamoredale.groups import reported
+from sycamoredale.groups import situations
+from sycamoredale.groups import staging_record
 from sycamoredale.groups import upkeep
 from sycamoredale import ids
 
@@ -33,6 +35,9 @@
     has_traffic: collections.abc.Callable[[], bool]
     get_demand: collections.abc.Callable[[], mix.Demand]
     state: upkeep.Upkeep = dataclasses.field(default_factory=upkeep.Upkeep)
+    stagings: staging_record.StagingRecord = dataclasses.field(
+        default_factory=staging_record.StagingRecord
+    )
     tenure: ids.Epoch = ids.Epoch(0)
     _epochs: int = 0
 
@@ -40,10 +45,18 @@
         """Count epochs anew under a new tenure."""
         self.tenure = tenure
         self.state = state
+        self.stagings = staging_record.StagingRecord()
         self._epochs = 0
 
+    def note_unanswered(
+        self, item: reported.Due, now: clock.MonotonicTime
+    ) -> None:
+        """Take note of an order that nothing answered."""
+        if isinstance(item.order, reported.Stage):
+            self.stagings.unanswered(item.instance.id, item.order.model, now)
+
     def due(
-        self, situation: upkeep.Situation
+        self, situation: situations.Situation
     ) -> collections.abc.Iterator[reported.Due]:
         """Yield the orders that form groups and stage models now."""
         free = list(self.state.free(situation))
@@ -56,11 +69,11 @@
         self,
         service: catalogue.Service,
         free: list[listing.Instance],
-        situation: upkeep.Situation,
+        situation: situations.Situation,
     ) -> collections.abc.Iterator[reported.Due]:
         assert service.engine is not None
         engine = service.engine
-        under_way = self.state.staging(situation)
+        under_way = self.stagings.under_way(situation)
         held = self._holdings_of(service, under_way, situation)
         left = self._loads_left(engine, len(under_way), situation)
         used: set[ids.InstanceId] = set()
@@ -84,7 +97,7 @@
         free: list[listing.Instance],
         under_way: collections.abc.Mapping[ids.InstanceId, str],
         held: holdings.Holdings,
-        situation: upkeep.Situation,
+        situation: situations.Situation,
     ) -> collections.abc.Iterator[mix.NewGroup]:
         idle = [i for i in free if i.id not in under_way]
         standing = self.state.standing(situation)
@@ -105,7 +118,7 @@
         self,
         service: catalogue.Service,
         under_way: collections.abc.Mapping[ids.InstanceId, str],
-        situation: upkeep.Situation,
+        situation: situations.Situation,
     ) -> holdings.Holdings:
         own = (
             i
@@ -121,7 +134,7 @@
         self, staging: mix.Staging, now: clock.MonotonicTime
     ) -> reported.Due:
         self.rate.note(1, now)
-        self.state.note_staging(staging.instance.id, staging.model, now)
+        self.stagings.ordered(staging.instance.id, staging.model, now)
         order = reported.Stage(staging.model)
         return reported.Due(staging.instance, order, "a spare is empty")
 
@@ -129,7 +142,7 @@
         self,
         engine: catalogue.BatchEngine,
         stagings: int,
-        situation: upkeep.Situation,
+        situation: situations.Situation,
     ) -> int:
         """Return how many more loads may start now.
 
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -22,6 +22,7 @@
 from sycamoredale.groups import forming as forming_module
 from sycamoredale.groups import report_probing
 from sycamoredale.groups import reported
+from sycamoredale.groups import situations
 from sycamoredale.groups import upkeep
 from sycamoredale import ids
 from sycamoredale import leases
@@ -187,7 +188,7 @@
         self._seen_all = bool(engines) and (some_stand or quiet or late)
         return self._seen_all
 
-    def _log_status(self, situation: upkeep.Situation) -> None:
+    def _log_status(self, situation: situations.Situation) -> None:
         if situation.now < self._status_at + STATUS_SECONDS:
             return
         self._status_at = situation.now
@@ -219,13 +220,13 @@
             if service is not None and service.engine is not None:
                 yield instance
 
-    def _situation(self, now: clock.MonotonicTime) -> upkeep.Situation:
+    def _situation(self, now: clock.MonotonicTime) -> situations.Situation:
         unlisted = {
             name: past.instance
             for name, past in self.book.unlisted_by_id.items()
             if self.contacts.answers(name)
         }
-        return upkeep.Situation(
+        return situations.Situation(
             {**self.book.by_id, **unlisted},
             self.get_catalogue().service_by_name,
             self.contacts,
@@ -246,7 +247,7 @@
                 outcome = "refused"
         except errors.SycamoredaleError as error:
             outcome = error.message
-            self.state.note_unanswered(item, clock.monotonic())
+            self.forming.note_unanswered(item, clock.monotonic())
         now = clock.monotonic()
         self.state.note_outcome(item, outcome == "taken", now)
         LOG.info(
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -17,10 +17,10 @@
 from typing import Final
 
 from sycamoredale import clock
-from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
-from sycamoredale.groups import contact
+from sycamoredale.groups import endings
 from sycamoredale.groups import reported
+from sycamoredale.groups import situations
 from sycamoredale import ids
 
 # An order is given again when a report is this much overdue; reports lag
@@ -34,34 +34,6 @@
 REPORT_LAG_SECONDS: Final = 0.6
 # A hidden head has broken by the stall time; this covers clock rates.
 HIDDEN_HEAD_SLACK_SECONDS: Final = 1.0
-# A staging that shows no result by then is ordered again; the largest
-# model takes 16 s where no more loads than allowed run at once.
-REPEAT_STAGE_SECONDS: Final = 30.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Situation:
-    """Hold what a decision rests on.
-
-    The unlisted instances have left the list and still answer.
-    """
-
-    instances: collections.abc.Mapping[ids.InstanceId, listing.Instance]
-    services: collections.abc.Mapping[ids.ServiceName, catalogue.Service]
-    contacts: contact.ContactBook
-    zones_out: frozenset[ids.ZoneName]
-    stall_seconds: float
-    now: clock.MonotonicTime
-    unlisted: frozenset[ids.InstanceId] = frozenset()
-    slow: frozenset[ids.InstanceId] = frozenset()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class End:
-    """Say why a group ends, and whether it may end its requests first."""
-
-    reason: str
-    is_planned: bool = False
 
 
 @dataclasses.dataclass
@@ -93,9 +65,6 @@
         dataclasses.field(default_factory=dict)
     )
     _unsure: set[reported.Key] = dataclasses.field(default_factory=set)
-    _staged_at: dict[ids.InstanceId, tuple[str, clock.MonotonicTime]] = (
-        dataclasses.field(default_factory=dict)
-    )
     _held_until: dict[ids.InstanceId, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
@@ -112,7 +81,7 @@
         self._head_by_key[key] = members[0]
 
     def due(
-        self, situation: Situation
+        self, situation: situations.Situation
     ) -> collections.abc.Iterator[reported.Due]:
         """Yield the orders that existing groups need now."""
         groups = reported.groups_of(
@@ -125,7 +94,7 @@
                     yield item
 
     def free(
-        self, situation: Situation
+        self, situation: situations.Situation
     ) -> collections.abc.Iterator[listing.Instance]:
         """Yield the instances that may join a new group."""
         groups = reported.groups_of(
@@ -147,7 +116,9 @@
             if self._may_move(instance, groups, situation):
                 yield instance
 
-    def standing(self, situation: Situation) -> collections.Counter[str]:
+    def standing(
+        self, situation: situations.Situation
+    ) -> collections.Counter[str]:
         """Return how many groups of each model are to stay.
 
         One that was just ordered counts, though its head does not report
@@ -192,40 +163,8 @@
                         key, item.instance.age
                     )
 
-    def note_unanswered(
-        self, item: reported.Due, now: clock.MonotonicTime
-    ) -> None:
-        """Give an order to stage again soon if nothing answered it."""
-        if isinstance(item.order, reported.Stage):
-            since = now - REPEAT_STAGE_SECONDS + REPEAT_ORDER_SECONDS
-            self._staged_at[item.instance.id] = (
-                item.order.model,
-                clock.MonotonicTime(since),
-            )
-
-    def note_staging(
-        self,
-        instance: ids.InstanceId,
-        model: str,
-        now: clock.MonotonicTime,
-    ) -> None:
-        """Remember that an instance was ordered to stage a model."""
-        self._staged_at[instance] = (model, now)
-
-    def staging(self, situation: Situation) -> dict[ids.InstanceId, str]:
-        """Return the models that are being staged, by instance."""
-        under_way: dict[ids.InstanceId, str] = {}
-        for instance, (model, since) in list(self._staged_at.items()):
-            known = situation.instances.get(instance)
-            late = situation.now >= since + REPEAT_STAGE_SECONDS
-            if known is None or model in known.staged or late:
-                del self._staged_at[instance]
-            else:
-                under_way[instance] = model
-        return under_way
-
     def _for_group(
-        self, group: reported.ReportedGroup, situation: Situation
+        self, group: reported.ReportedGroup, situation: situations.Situation
     ) -> collections.abc.Iterator[reported.Due]:
         head = group.head
         if head is None or situation.contacts.is_lost(head.id):
@@ -235,39 +174,18 @@
         end = self._why_end(group, situation)
         if end is not None:
             if not self._is_closing(group, situation.now):
-                yield _ending(group, head, end)
+                yield endings.order_to_end(group, head, end)
         elif group.is_formed and group.state is listing.MemberState.READY:
             yield reported.Due(head, reported.Open(group.key), "all loaded")
 
     def _why_end(
-        self, group: reported.ReportedGroup, situation: Situation
-    ) -> End | None:
-        if group.model is None:
-            return End("the model is not configured")
-        if group.state is listing.MemberState.BROKEN:
-            return End("the head is broken")
-        for member in group.by_rank.values():
-            if situation.contacts.is_lost(member.id):
-                return End(f"member {member.id} is lost")
-            if member.leaving:
-                return End(f"member {member.id} is leaving", True)
-            if member.zone in situation.zones_out:
-                return End(f"zone {member.zone} is out of service")
-            if member.id in situation.slow:
-                return End(f"member {member.id} is slow")
-        if not group.has_all_members and not self._is_joining(
-            group.key, situation.now
-        ):
-            return End("a member is missing")
-        # A member takes no requests, and works on while it lives.
-        if group.head is not None and group.head.id in situation.unlisted:
-            return End(f"head {group.head.id} has left the list", True)
-        if len(group.domains) > 1 and _could_stand_near(group, situation):
-            return End("its model can have a group in one domain", True)
-        return None
+        self, group: reported.ReportedGroup, situation: situations.Situation
+    ) -> endings.End | None:
+        is_joining = self._is_joining(group.key, situation.now)
+        return endings.why_end(group, situation, is_joining)
 
     def _without_head(
-        self, group: reported.ReportedGroup, situation: Situation
+        self, group: reported.ReportedGroup, situation: situations.Situation
     ) -> collections.abc.Iterator[reported.Due]:
         """End a group whose head cannot be asked.
 
@@ -294,7 +212,7 @@
                 )
 
     def _head_has_ended(
-        self, group: reported.ReportedGroup, situation: Situation
+        self, group: reported.ReportedGroup, situation: situations.Situation
     ) -> bool:
         was_head = self._head_by_key.get(group.key)
         if group.head is not None or was_head is None:
@@ -306,7 +224,7 @@
         self,
         instance: listing.Instance,
         groups: dict[reported.Key, reported.ReportedGroup],
-        situation: Situation,
+        situation: situations.Situation,
     ) -> bool:
         place = instance.membership
         if place is None:
@@ -374,7 +292,7 @@
     def _forget(
         self,
         groups: dict[reported.Key, reported.ReportedGroup],
-        situation: Situation,
+        situation: situations.Situation,
     ) -> None:
         now = situation.now
         for key, group in groups.items():
@@ -391,31 +309,3 @@
             for key, at in self._ordered_at.items()
             if now < at + REPEAT_ORDER_SECONDS
         }
-
-
-def _could_stand_near(
-    group: reported.ReportedGroup, situation: Situation
-) -> bool:
-    """Tell whether one of its domains has enough that hold its model."""
-    assert group.model is not None
-    near = collections.Counter(m.domain for m in group.by_rank.values())
-    for instance in situation.instances.values():
-        waits = instance.membership is None and not instance.leaving
-        if waits and group.key.model in instance.staged:
-            near[instance.domain] += 1
-    return max(near[d] for d in group.domains) >= group.model.size
-
-
-def _ending(
-    group: reported.ReportedGroup, head: listing.Instance, end: End
-) -> reported.Due:
-    if group.state in (
-        listing.MemberState.OPEN,
-        listing.MemberState.CLOSING,
-    ):
-        order: reported.Order = reported.Close(
-            group.key, cancel=not end.is_planned
-        )
-    else:
-        order = reported.Leave(group.key)
-    return reported.Due(head, order, end.reason)
