--- /dev/null
+++ b/sycamoredale/forwarding/answer_reading.py
@@ -0,0 +1,136 @@
+"""Read the answer of an endpoint and pass it on as it arrives.
+
+An answer that is another request's, that lacks an event or that ends within
+one is none: the caller gets nothing of it that cannot be made whole.
+"""
+
+import contextlib
+import dataclasses
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.forwarding import send_log
+from sycamoredale.forwarding import stalls
+from sycamoredale.forwarding import wire_protocol
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.http import server
+
+# A stream that stands still while its endpoint goes on was put back in the
+# endpoint's queue; callers give up after about two seconds.
+PUT_BACK_SECONDS: Final = 1.5
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerReader:
+    """Read answers that a wire translates."""
+
+    wire: wire_protocol.Wire
+
+    async def read(
+        self,
+        connection: client.Connection,
+        endpoint: endpoints.Endpoint,
+        progress: progress_module.Progress,
+        exchange: server.Exchange,
+    ) -> progress_module.Outcome:
+        """Read an answer and pass it on; raise as a connection does."""
+        call = progress.call
+        head = await self._read_head(connection, endpoint, call)
+        progress.head_seen = True
+        facts = self.wire.read_answer(call, head)
+        now = clock.monotonic()
+        if facts.load is not None:
+            endpoint.note_load(facts.load, now)
+        if facts.word is calls.Word.NOT_RUN:
+            await _drain(connection)
+            endpoint.suspect(now)
+            send_log.failed(
+                progress, endpoint, f"status {head.status}, not run"
+            )
+            return progress_module.Outcome.NOT_RUN
+        if facts.word is not calls.Word.ANSWER:
+            raise _broken(endpoint, f"its answer is {facts.word.value}")
+        if call.is_stream and head.status == 200:
+            await self._relay(connection, endpoint, facts, progress, exchange)
+            return progress_module.Outcome.ANSWERED
+        body = await connection.read_body()
+        answer = messages.Response(head.status, facts.headers, body)
+        if head.status >= 500:
+            progress.failure = answer
+            return progress_module.Outcome.FAILED
+        if exchange.started:
+            raise _broken(endpoint, f"status {head.status} to a resume")
+        endpoint.heard(now)
+        await exchange.respond(answer)
+        return progress_module.Outcome.ANSWERED
+
+    async def _read_head(
+        self,
+        connection: client.Connection,
+        endpoint: endpoints.Endpoint,
+        call: calls.Call,
+    ) -> messages.ResponseHead:
+        if not call.route.may_repeat:
+            return await connection.read_head()
+        if not call.is_stream:
+            return await connection.read_head()
+        patience = call.ends_at - clock.monotonic()
+        return await stalls.read_from(connection.read_head, endpoint, patience)
+
+    async def _relay(
+        self,
+        connection: client.Connection,
+        endpoint: endpoints.Endpoint,
+        facts: calls.AnswerFacts,
+        progress: progress_module.Progress,
+        exchange: server.Exchange,
+    ) -> None:
+        stream = progress.stream
+        patience = progress.call.ends_at - clock.monotonic()
+        while True:
+            chunk = await stalls.read_from(
+                connection.read_chunk, endpoint, patience
+            )
+            if not chunk:
+                break
+            events = stream.feed(chunk)
+            if events:
+                endpoint.heard(clock.monotonic())
+                patience = PUT_BACK_SECONDS
+                await _pass_on(events, facts, exchange)
+            if stream.out_of_order:
+                raise _broken(endpoint, "an event of the stream is missing")
+        if not stream.ends_whole:
+            raise _broken(endpoint, "the stream ended within an event")
+        if not exchange.started:
+            await exchange.start(messages.ResponseHead(200, facts.headers))
+        await exchange.finish()
+
+
+async def _pass_on(
+    events: bytes, facts: calls.AnswerFacts, exchange: server.Exchange
+) -> None:
+    if not exchange.started:
+        await exchange.start(messages.ResponseHead(200, facts.headers))
+    await exchange.write(events)
+
+
+async def _drain(connection: client.Connection) -> None:
+    with contextlib.suppress(errors.ConnectionBroken):
+        await connection.read_body()
+
+
+def _broken(
+    endpoint: endpoints.Endpoint, reason: str
+) -> errors.ConnectionBroken:
+    return errors.ConnectionBroken(
+        error_codes.CONNECTION_BROKEN,
+        f"endpoint {endpoint.id}: {reason}",
+        error_codes.Execution.UNKNOWN,
+    )
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -6,26 +6,23 @@
 answer.  An endpoint that stands still is left before it has failed.
 """
 
-import contextlib
 import dataclasses
-import typing
 from typing import Final
 
 import curio
 
 from sycamoredale import clock
-from sycamoredale import error_codes
 from sycamoredale import errors
+from sycamoredale.forwarding import answer_reading
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import choosing
 from sycamoredale.forwarding import endpoints
-from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import send_budget
-from sycamoredale.forwarding import stalls
+from sycamoredale.forwarding import send_log
+from sycamoredale.forwarding import wire_protocol
 from sycamoredale.http import beside_caller
 from sycamoredale.http import client
-from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale.observability import logs
@@ -34,9 +31,6 @@
 
 # A healthy zone answers a connection in a few milliseconds.
 CONNECT_SECONDS: Final = 0.3
-# A stream that stands still while its endpoint goes on was put back in the
-# endpoint's queue; callers give up after about two seconds.
-PUT_BACK_SECONDS: Final = 1.5
 # The list drops a dead instance after three heartbeats, within about that
 # time; a connection tried meanwhile would be lost time for its caller.
 UNREACHED_SECONDS: Final = 4.0
@@ -47,35 +41,20 @@
 LOG: Final = logs.get("forwarding")
 
 
-class Wire(typing.Protocol):
-    """Translate requests and answers at the boundary."""
-
-    def request_for(
-        self,
-        call: calls.Call,
-        instance: listing.Instance,
-        seconds_left: float,
-        last_event: int | None,
-        continues: bool,
-    ) -> messages.Request:
-        """Return the request that goes to an instance."""
-
-    def read_answer(
-        self, call: calls.Call, head: messages.ResponseHead
-    ) -> calls.AnswerFacts:
-        """Return what the head of an answer says."""
-
-
 @dataclasses.dataclass
 class Forwarder:
     """Forward calls to the endpoints that a chooser names."""
 
-    wire: Wire
+    wire: wire_protocol.Wire
     chooser: choosing.Chooser
     budget: send_budget.SendBudget
     pool: client.Pool
     poison_list: poison.PoisonList
 
+    def __post_init__(self) -> None:
+        """Build the reader of answers."""
+        self._reader = answer_reading.AnswerReader(self.wire)
+
     async def run(
         self, progress: progress_module.Progress, exchange: server.Exchange
     ) -> None:
@@ -188,7 +167,7 @@
             )
         except errors.ConnectionFailed as error:
             endpoint.suspect(clock.monotonic(), UNREACHED_SECONDS)
-            _log_send(progress, endpoint, error.message)
+            send_log.failed(progress, endpoint, error.message)
             return progress_module.Outcome.UNREACHED
         whole = False
         try:
@@ -202,7 +181,7 @@
                 continues=bool(progress.sends),
             )
             await connection.send(request)
-            outcome = await self._read_answer(
+            outcome = await self._reader.read(
                 connection, endpoint, progress, exchange
             )
             whole = outcome in (
@@ -211,10 +190,10 @@
             )
             return outcome
         except errors.EndpointStalled as error:
-            _log_send(progress, endpoint, error.message)
+            send_log.failed(progress, endpoint, error.message)
             return progress_module.Outcome.STALLED
         except errors.ConnectionBroken as error:
-            _log_send(progress, endpoint, error.message)
+            send_log.failed(progress, endpoint, error.message)
             return progress_module.Outcome.BROKEN
         finally:
             await self._leave(connection, whole)
@@ -257,125 +236,3 @@
             await self.pool.release(connection)
         else:
             await connection.close()
-
-    async def _read_answer(
-        self,
-        connection: client.Connection,
-        endpoint: endpoints.Endpoint,
-        progress: progress_module.Progress,
-        exchange: server.Exchange,
-    ) -> progress_module.Outcome:
-        call = progress.call
-        head = await self._read_head(connection, endpoint, call)
-        progress.head_seen = True
-        facts = self.wire.read_answer(call, head)
-        now = clock.monotonic()
-        if facts.load is not None:
-            endpoint.note_load(facts.load, now)
-        if facts.word is calls.Word.NOT_RUN:
-            await _drain(connection)
-            endpoint.suspect(now)
-            _log_send(progress, endpoint, f"status {head.status}, not run")
-            return progress_module.Outcome.NOT_RUN
-        if facts.word is not calls.Word.ANSWER:
-            raise _broken(endpoint, f"its answer is {facts.word.value}")
-        if call.is_stream and head.status == 200:
-            await self._relay(connection, endpoint, facts, progress, exchange)
-            return progress_module.Outcome.ANSWERED
-        body = await connection.read_body()
-        answer = messages.Response(head.status, facts.headers, body)
-        if head.status >= 500:
-            progress.failure = answer
-            return progress_module.Outcome.FAILED
-        if exchange.started:
-            raise _broken(endpoint, f"status {head.status} to a resume")
-        endpoint.heard(now)
-        await exchange.respond(answer)
-        return progress_module.Outcome.ANSWERED
-
-    async def _read_head(
-        self,
-        connection: client.Connection,
-        endpoint: endpoints.Endpoint,
-        call: calls.Call,
-    ) -> messages.ResponseHead:
-        if not call.route.may_repeat:
-            return await connection.read_head()
-        if not call.is_stream:
-            return await connection.read_head()
-        patience = call.ends_at - clock.monotonic()
-        return await stalls.read_from(connection.read_head, endpoint, patience)
-
-    async def _relay(
-        self,
-        connection: client.Connection,
-        endpoint: endpoints.Endpoint,
-        facts: calls.AnswerFacts,
-        progress: progress_module.Progress,
-        exchange: server.Exchange,
-    ) -> None:
-        stream = progress.stream
-        patience = progress.call.ends_at - clock.monotonic()
-        while True:
-            chunk = await stalls.read_from(
-                connection.read_chunk, endpoint, patience
-            )
-            if not chunk:
-                break
-            events = stream.feed(chunk)
-            if events:
-                endpoint.heard(clock.monotonic())
-                patience = PUT_BACK_SECONDS
-                await _pass_on(events, facts, exchange)
-            if stream.out_of_order:
-                raise _broken(endpoint, "an event of the stream is missing")
-        if not stream.ends_whole:
-            raise _broken(endpoint, "the stream ended within an event")
-        if not exchange.started:
-            await exchange.start(messages.ResponseHead(200, facts.headers))
-        await exchange.finish()
-
-
-async def _pass_on(
-    events: bytes, facts: calls.AnswerFacts, exchange: server.Exchange
-) -> None:
-    if not exchange.started:
-        await exchange.start(messages.ResponseHead(200, facts.headers))
-    await exchange.write(events)
-
-
-async def _drain(connection: client.Connection) -> None:
-    with contextlib.suppress(errors.ConnectionBroken):
-        await connection.read_body()
-
-
-def _broken(
-    endpoint: endpoints.Endpoint, reason: str
-) -> errors.ConnectionBroken:
-    return errors.ConnectionBroken(
-        error_codes.CONNECTION_BROKEN,
-        f"endpoint {endpoint.id}: {reason}",
-        error_codes.Execution.UNKNOWN,
-    )
-
-
-def _log_send(
-    progress: progress_module.Progress,
-    endpoint: endpoints.Endpoint,
-    reason: str,
-) -> None:
-    LOG.info(
-        "send_failed",
-        request=progress.call.id,
-        endpoint=endpoint.id,
-        group=endpoint.instance.membership
-        and endpoint.instance.membership.group,
-        load=round(endpoint.load(clock.monotonic()), 1),
-        heard_ms_ago=_ms_since(endpoint.heard_at),
-        events=progress.stream.events,
-        reason=reason,
-    )
-
-
-def _ms_since(at: clock.MonotonicTime) -> int | None:
-    return int(1000 * (clock.monotonic() - at)) if at else None
--- /dev/null
+++ b/sycamoredale/forwarding/send_log.py
@@ -0,0 +1,33 @@
+"""Log the sends that brought no answer, each with its inputs."""
+
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.observability import logs
+
+LOG: Final = logs.get("forwarding")
+
+
+def failed(
+    progress: progress_module.Progress,
+    endpoint: endpoints.Endpoint,
+    reason: str,
+) -> None:
+    """Log a send that brought no answer, with what was known then."""
+    LOG.info(
+        "send_failed",
+        request=progress.call.id,
+        endpoint=endpoint.id,
+        group=endpoint.instance.membership
+        and endpoint.instance.membership.group,
+        load=round(endpoint.load(clock.monotonic()), 1),
+        heard_ms_ago=_ms_since(endpoint.heard_at),
+        events=progress.stream.events,
+        reason=reason,
+    )
+
+
+def _ms_since(at: clock.MonotonicTime) -> int | None:
+    return int(1000 * (clock.monotonic() - at)) if at else None
--- /dev/null
+++ b/sycamoredale/forwarding/wire_protocol.py
@@ -0,0 +1,26 @@
+"""Name what the boundary to a platform translates for a call."""
+
+import typing
+
+from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import listing
+from sycamoredale.http import messages
+
+
+class Wire(typing.Protocol):
+    """Translate requests and answers at the boundary."""
+
+    def request_for(
+        self,
+        call: calls.Call,
+        instance: listing.Instance,
+        seconds_left: float,
+        last_event: int | None,
+        continues: bool,
+    ) -> messages.Request:
+        """Return the request that goes to an instance."""
+
+    def read_answer(
+        self, call: calls.Call, head: messages.ResponseHead
+    ) -> calls.AnswerFacts:
+        """Return what the head of an answer says."""
