Let no more daemons warm a cold endpoint than it bears sends

Cause: found by a property test with more daemons than sends: each daemon sent at least one request a second, so that 87 daemons sent 87 where 44 are borne. Change: a module of its own shares what a cold endpoint bears; where there are more daemons than sends, a draw by endpoint and daemon says whose turn it is. Up to 44 daemons nothing changes. New property tests: order of configuration through cuts, lost history and restarts; runs of a call against a naive count; shares of cold endpoints.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -14,6 +14,7 @@
 from sycamoredale.daemons import settings as settings_reader
 from sycamoredale.daemons import stopping
 from sycamoredale.forwarding import choosing
+from sycamoredale.forwarding import cold_shares
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import following
 from sycamoredale.forwarding import forwarder
@@ -28,6 +29,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import relay as relay_module
@@ -166,8 +168,12 @@
             self._endpoints,
             self._book,
             self._settings.zone,
-            choosing.ColdBounds(bounds.cold_factor, bounds.cold_burst),
-            self._count_daemons,
+            cold_shares.ColdShares(
+                cold_shares.ColdBounds(bounds.cold_factor, bounds.cold_burst),
+                self._node.members.own.id,
+                self._count_daemons,
+                self._known_daemons,
+            ),
         )
         budget = send_budget.SendBudget(
             bounds.retry_ratio,
@@ -221,12 +227,15 @@
 
         Those that are out of touch go on with their part of it.
         """
-        members = self._node.members.by_id.values()
-        known = sum(1 for p in members if p.state is not view.PeerState.LEFT)
+        known = len(self._known_daemons())
         if not self._node.registry.listed:
             return max(known, UNKNOWN_DAEMONS)
         return known
 
+    def _known_daemons(self) -> list[ids.DaemonId]:
+        members = self._node.members.by_id.values()
+        return [p.id for p in members if p.state is not view.PeerState.LEFT]
+
     def _news_addresses(self) -> list[messages.Address]:
         usable = self._node.members.usable_routers()
         own = self._node.members.own.id
--- a/sycamoredale/forwarding/choosing.py
+++ b/sycamoredale/forwarding/choosing.py
@@ -10,6 +10,7 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import cold_shares
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import listing
 from sycamoredale import ids
@@ -36,14 +37,6 @@
 FULL_RETRY_SECONDS: Final = 1.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ColdBounds:
-    """Bound the sends to cold endpoints over all daemons."""
-
-    factor: float
-    burst: float
-
-
 @dataclasses.dataclass
 class Chooser:
     """Choose among the endpoints that are known."""
@@ -51,8 +44,7 @@
     known: endpoints.EndpointBook
     instances: listing.InstanceBook
     own_zone: ids.ZoneName
-    cold: ColdBounds
-    count_daemons: collections.abc.Callable[[], int]
+    cold: cold_shares.ColdShares
     sampler: random.Random = dataclasses.field(default_factory=random.Random)
 
     def choose(
@@ -105,8 +97,7 @@
             return True
         if not self.instances.is_cold(endpoint.id, now):
             return True
-        whole = service.cold_per_second * self.cold.factor + self.cold.burst
-        share = max(1, int(whole / self.count_daemons()))
+        share = self.cold.of(endpoint.id, service.cold_per_second)
         recent = [t for t in endpoint.cold_sends if now - t < 1.0]
         endpoint.cold_sends = recent
         return len(recent) < share
--- a/tests/engines_site.py
+++ b/tests/engines_site.py
@@ -2,6 +2,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import cold_shares
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import contact
 from sycamoredale.groups import reported
@@ -103,3 +104,14 @@
         frozenset(unlisted),
         frozenset(slow),
     )
+
+
+def cold_shares_of(count, own=0):
+    """Return the shares of one of a number of daemons."""
+    names = [ids.DaemonId(f"d{n}") for n in range(count)]
+    return cold_shares.ColdShares(
+        cold_shares.ColdBounds(1.5, 5.0),
+        names[own],
+        lambda: count,
+        lambda: names,
+    )
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -108,8 +108,7 @@
             known,
             book,
             ids.ZoneName("a"),
-            choosing.ColdBounds(1.5, 5.0),
-            lambda: 1,
+            engines_site.cold_shares_of(1),
         )
         self.forwarder = forwarder_module.Forwarder(
             wire,
--- /dev/null
+++ b/tests/test_forwarding_properties.py
@@ -0,0 +1,228 @@
+"""Play forwarding rules against naive models, with faults as steps."""
+
+import dataclasses
+
+import curio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import msgspec
+
+from sycamoredale import clock
+from sycamoredale import error_codes
+from sycamoredale import errors
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import choosing
+from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import following
+from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import progress
+from sycamoredale.forwarding import route_table
+from sycamoredale import ids
+from sycamoredale.object_api import objects
+from tests import engines_site
+from tests import test_platform_codec as codec
+
+Outcome = progress.Outcome
+DAEMONS = ("d0", "d1")
+# What may happen to one call to the store.
+FATES = strategies.sampled_from(("answered", "answered", "lost", "expired"))
+
+
+class Store:
+    """Hold the versions that an operator wrote, and a history of them."""
+
+    def __init__(self):
+        self.newest = 1
+        self.kept_from = 1
+        self.fate = "answered"
+
+    async def list(self, kind):
+        self._meet_fate()
+        return self._seen()
+
+    async def watch(self, kind, after, wait_seconds):
+        self._meet_fate()
+        if self.fate == "expired" or after < self.kept_from:
+            raise errors.WatchExpired(
+                error_codes.WATCH_EXPIRED, "history gone"
+            )
+        return self._seen()
+
+    def _meet_fate(self):
+        if self.fate == "lost":
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE, "no answer"
+            )
+
+    def _seen(self):
+        value = msgspec.Raw(msgspec.json.encode(self.newest))
+        stored = objects.StoredObject("main", self.newest, value)
+        return objects.Listing(self.newest, [stored])
+
+
+class Daemon:
+    """Follow the store and put what it says in force."""
+
+    def __init__(self, store):
+        self.table = route_table.RouteTable()
+        self.follower = following.Follower(
+            store, "config", self._take, read_clock=lambda: 100.0
+        )
+
+    def _take(self, seen, complete):
+        for stored in seen.objects:
+            version = msgspec.json.decode(stored.value)
+            self.table.adopt(catalogue.Catalogue(version))
+
+    def step(self, now):
+        async def main():
+            try:
+                await self.follower.step(now)
+            except errors.WatchExpired:
+                self.follower.version = objects.ABSENT
+            except errors.StoreUnavailable as error:
+                self.follower.lose(error, now)
+
+        curio.run(main)
+
+
+class ConfigurationOrder(stateful.RuleBasedStateMachine):
+    """Check that versions only grow, and that the newest is reached."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = Store()
+        self.daemons = {name: Daemon(self.store) for name in DAEMONS}
+        self.seen_by_name = dict.fromkeys(DAEMONS, 0)
+        self.now = 100.0
+
+    @stateful.rule(step=strategies.integers(1, 5))
+    def operator_writes(self, step):
+        self.store.newest += step
+
+    @stateful.rule()
+    def store_forgets_its_history(self):
+        self.store.kept_from = self.store.newest
+
+    @stateful.rule(name=strategies.sampled_from(DAEMONS), fate=FATES)
+    def daemon_asks(self, name, fate):
+        self.now += 0.5
+        self.store.fate = fate
+        self.daemons[name].step(clock.MonotonicTime(self.now))
+        self.store.fate = "answered"
+
+    @stateful.rule(name=strategies.sampled_from(DAEMONS))
+    def daemon_starts_again(self, name):
+        self.daemons[name] = Daemon(self.store)
+        self.seen_by_name[name] = 0
+
+    @stateful.rule(name=strategies.sampled_from(DAEMONS))
+    def two_answers_reach_the_newest(self, name):
+        # The first one may say that its history is gone.
+        for _ in range(2):
+            self.daemon_asks(name, "answered")
+        found = self.daemons[name].table.current.version
+        assert found == self.store.newest
+
+    @stateful.invariant()
+    def versions_only_grow(self):
+        for name, daemon in self.daemons.items():
+            found = daemon.table.current.version
+            assert found >= self.seen_by_name[name]
+            self.seen_by_name[name] = found
+
+
+TestConfigurationOrder = ConfigurationOrder.TestCase
+TestConfigurationOrder.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30
+)
+
+
+@hypothesis.given(
+    outcomes=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(list(Outcome)), strategies.booleans()
+        ),
+        min_size=1,
+        max_size=12,
+    ),
+    repeat=strategies.sampled_from(list(catalogue.Repeat)),
+    resumable=strategies.booleans(),
+)
+def test_call_runs_no_more_often_than_its_route_allows(
+    outcomes, repeat, resumable
+):
+    """Compare with a model that counts what surely or maybe ran."""
+    call = codec._call([("Model", "large")])
+    route = dataclasses.replace(call.route, repeat=repeat, resumable=resumable)
+    call = dataclasses.replace(call, route=route)
+    state = progress.begin(call)
+    may_have_run = 0
+    for outcome, head_seen in outcomes:
+        if not state.may_go_on():
+            break
+        endpoint = endpoints.Endpoint(engines_site.instance("i0"), "large", 13)
+        state.head_seen = head_seen
+        state.note(endpoint, outcome)
+        may_have_run += outcome not in (Outcome.UNREACHED, Outcome.NOT_RUN)
+        if outcome in (Outcome.ANSWERED, Outcome.FAILED):
+            break
+    if not call.route.may_repeat:
+        assert may_have_run <= 1
+    assert state.runs <= call.route.max_runs
+    assert len(state.sends) <= progress.MAX_SENDS
+    promises = progress.given_up(state).execution
+    if may_have_run:
+        assert promises is not error_codes.Execution.NOT_RUN
+
+
+@hypothesis.given(
+    daemons=strategies.integers(1, 100),
+    seconds=strategies.lists(
+        strategies.floats(0.0, 3.0), min_size=1, max_size=20
+    ),
+)
+def test_cold_endpoint_bears_what_all_daemons_send_it(daemons, seconds):
+    """Send from all daemons as fast as each of them may."""
+    service = engines_site.MODEL_SERVICE
+    book = listing.InstanceBook()
+    book.note(engines_site.instance("i0"), clock.MonotonicTime(0.0))
+    book.cold_until_by_id["i0"] = clock.MonotonicTime(10.0)
+    own = [_chooser(book, daemons, n) for n in range(daemons)]
+    sends = []
+    for at in sorted(seconds):
+        now = clock.MonotonicTime(at)
+        for chooser, endpoint in own:
+            while chooser._bears_more(endpoint, service, now):
+                chooser.sent(endpoint, now)
+                sends.append(at)
+    bound = service.cold_per_second * 1.5 + 5.0
+    assert sends
+    for begin in set(sends):
+        assert sum(begin <= at < begin + 1.0 for at in sends) <= bound
+
+
+def test_cold_endpoints_are_shared_among_more_daemons_than_sends():
+    """Pattern: a zone comes back cold before a fleet of many daemons."""
+    fleet = [engines_site.cold_shares_of(87, own=n) for n in range(87)]
+    for endpoint in ("i0", "i1", "i2"):
+        assert sum(shares.of(endpoint, 26.0) for shares in fleet) == 44
+    allowed = [
+        {n for n, shares in enumerate(fleet) if shares.of(endpoint, 26.0)}
+        for endpoint in ("i0", "i1")
+    ]
+    assert allowed[0] != allowed[1]
+
+
+def _chooser(book, daemons, own):
+    known = endpoints.EndpointBook(
+        book, lambda: engines_site.SERVICES, lambda: frozenset()
+    )
+    chooser = choosing.Chooser(
+        known,
+        book,
+        ids.ZoneName("a"),
+        engines_site.cold_shares_of(daemons, own),
+    )
+    return chooser, endpoints.Endpoint(book.by_id["i0"], "large", 13)
--- a/tests/test_forwarding_rules.py
+++ b/tests/test_forwarding_rules.py
@@ -101,8 +101,7 @@
         known,
         book,
         ids.ZoneName(own_zone),
-        choosing.ColdBounds(1.5, 5.0),
-        lambda: daemons,
+        engines_site.cold_shares_of(daemons),
     )
     return known, chooser
 
