--- a/sycamoredale/observability/logs.py
+++ b/sycamoredale/observability/logs.py
@@ -24,6 +24,24 @@
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**context)
+    root = logging.getLogger()
+    for handler in [h for h in root.handlers if isinstance(h, LibraryLog)]:
+        root.removeHandler(handler)
+    root.addHandler(LibraryLog(logging.WARNING))
+
+
+class LibraryLog(logging.Handler):
+    """Turn what libraries log into lines of this log."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log the message of a library with its origin."""
+        get("library").log(
+            record.levelno,
+            "library_message",
+            logger=record.name,
+            reason=record.getMessage(),
+            exc_info=record.exc_info,
+        )
 
 
 def get(name: str) -> typing.Any:
