Take a head that was opened again for closed no more

The record of the first closing was kept, and the next loss took an old word of the head for a closed one. Change: an order to open ends the record; an order to close counts only if it was decided after the last order to open. Before: test_head_that_was_opened_again_is_not_taken_for_closed fails; after it passes.

--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -58,6 +58,9 @@
     _opened_at: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
+    _open_decided_at: dict[reported.Key, clock.MonotonicTime] = (
+        dataclasses.field(default_factory=dict)
+    )
     _closed_at: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
@@ -154,15 +157,36 @@
             case reported.Open(key=key):
                 if not taken:
                     self._unsure.add(key)
-                self._opened_at.setdefault(key, now)
+                self._opened_at[key] = now
             case reported.Close(key=key) if taken:
-                opened = self._opened_at.get(key)
-                if opened is not None and now >= opened + OPENED_SECONDS:
+                if self._was_open_for_sure(item, key):
                     self._closed_at.setdefault(key, now)
                     self._orders_before_close.setdefault(
                         key, item.instance.age
                     )
 
+    def _was_open_for_sure(
+        self, item: reported.Due, key: reported.Key
+    ) -> bool:
+        """Tell whether no order to open can follow an order to close."""
+        opened = self._opened_at.get(key)
+        open_decided = self._open_decided_at.get(key)
+        decided = self._ordered_at.get((item.instance.id, item.order))
+        if opened is None or open_decided is None or decided is None:
+            return False
+        return decided >= opened + OPENED_SECONDS and decided > open_decided
+
+    def _note_opening(
+        self, key: reported.Key, now: clock.MonotonicTime
+    ) -> None:
+        """Take a head that is told to open for closed no more.
+
+        One that had left the list was closed, and opens when it is back.
+        """
+        self._open_decided_at[key] = now
+        self._closed_at.pop(key, None)
+        self._orders_before_close.pop(key, None)
+
     def _for_group(
         self, group: reported.ReportedGroup, situation: situations.Situation
     ) -> collections.abc.Iterator[reported.Due]:
@@ -176,6 +200,7 @@
             if not self._is_closing(group, situation.now):
                 yield endings.order_to_end(group, head, end)
         elif group.is_formed and group.state is listing.MemberState.READY:
+            self._note_opening(group.key, situation.now)
             yield reported.Due(head, reported.Open(group.key), "all loaded")
 
     def _why_end(
@@ -304,6 +329,10 @@
                 self._members_by_key.pop(key, None)
                 self._joined_at.pop(key, None)
                 self._hidden_since.pop(key, None)
+                self._opened_at.pop(key, None)
+                self._open_decided_at.pop(key, None)
+                self._closed_at.pop(key, None)
+                self._orders_before_close.pop(key, None)
         self._ordered_at = {
             key: at
             for key, at in self._ordered_at.items()
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -320,3 +320,24 @@
     spare = engines_site.instance("i3", domain="d0", staged=("small",))
     enough = engines_site.situation([*far, spare], 30.0)
     assert _orders(state, enough) == [("i0", reported.Close(key, False))]
+
+
+def test_head_that_was_opened_again_is_not_taken_for_closed():
+    """Pattern: a head leaves the list, is closed, and is listed again."""
+    state = upkeep.Upkeep()
+    key = _open_group(state)
+    group = engines_site.members(key, NAMES, State.READY, State.OPEN)
+    cut = engines_site.situation(group, 20.0, unlisted=["i0"])
+    for item in state.due(cut):
+        state.note_outcome(item, True, cut.now)
+    closed = engines_site.members(key, NAMES, State.READY, orders_taken=1)
+    listed = engines_site.situation(closed, 23.0)
+    (opening,) = state.due(listed)
+    assert opening.order == reported.Open(key)
+    # Its word is older than the order, which may still be on its way.
+    lost = engines_site.situation(closed, 23.1, silent=["i2"])
+    assert _free(state, lost) == set()
+    state.note_outcome(opening, True, 23.2)
+    lost = engines_site.situation(closed, 23.3, silent=["i2"])
+    assert _free(state, lost) == set()
+    assert state.standing(listed) == {key.model: 1}
