Name the instance that an order is for

Cause: found while reading: addresses of lost instances are used again, and an order carried no name, so that another instance could have obeyed it. Requests named theirs already. Test: test_order_names_the_instance_that_it_is_for.

--- a/sycamoredale/http/messages.py
+++ b/sycamoredale/http/messages.py
@@ -104,9 +104,14 @@
     body: bytes = b""
 
 
-def json_request(method: str, target: str, value: object) -> Request:
+def json_request(
+    method: str,
+    target: str,
+    value: object,
+    more: collections.abc.Iterable[tuple[str, str]] = (),
+) -> Request:
     """Return a request whose body is the value in JSON."""
-    headers = Headers([("Content-Type", JSON_TYPE)])
+    headers = Headers([("Content-Type", JSON_TYPE), *more])
     return Request(method, target, headers, msgspec.json.encode(value))
 
 
--- a/sycamoredale/platform/orders.py
+++ b/sycamoredale/platform/orders.py
@@ -51,8 +51,10 @@
         self, instance: listing.Instance, order: reported.Order, guard: Guard
     ) -> bool:
         """Give an order and tell whether it was taken; raise as `report`."""
+        # The address may have gone to another instance meanwhile.
+        only = [(wire.ONLY_INSTANCE, instance.id)]
         request = messages.json_request(
-            "POST", wire.ORDER_PATH, body_of(order)
+            "POST", wire.ORDER_PATH, body_of(order), only
         )
         connection = await client.open_connection(
             instance.address, ORDER_SECONDS
--- a/sycamoredale/platform/wire.py
+++ b/sycamoredale/platform/wire.py
@@ -18,7 +18,7 @@
 _MODEL: Final = "Model"
 _LAST_EVENT: Final = "Last-Event-Id"
 _ORGANISATION: Final = "Tenant"
-_ONLY_INSTANCE: Final = "Expect-Replica"
+ONLY_INSTANCE: Final = "Expect-Replica"
 # The digest that an instance puts on whatever it ran.
 _DIGEST: Final = "Replica-Seal"
 _NOT_RUN: Final = "Not-Executed"
@@ -50,7 +50,7 @@
 _SET_ON_REQUESTS: Final = _PER_CONNECTION | {
     _MILLISECONDS_LEFT.lower(),
     _ORGANISATION.lower(),
-    _ONLY_INSTANCE.lower(),
+    ONLY_INSTANCE.lower(),
     _LAST_EVENT.lower(),
     _URGENCY.lower(),
     _AUTHORIZATION.lower(),
@@ -88,7 +88,7 @@
     kept = call.request.headers.without(_SET_ON_REQUESTS)
     fields = list(kept.fields)
     fields.append((_MILLISECONDS_LEFT, str(max(1, int(seconds_left * 1000)))))
-    fields.append((_ONLY_INSTANCE, instance.id))
+    fields.append((ONLY_INSTANCE, instance.id))
     if call.organisation is not None:
         fields.append((_ORGANISATION, call.organisation))
     if continues:
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -2,6 +2,7 @@
 
 import json
 
+import curio
 import msgspec
 import pytest
 
@@ -12,6 +13,7 @@
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import reported
+from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.platform import entries
@@ -291,3 +293,29 @@
     report = entries.decode_report(body)
     assert (report.slowness, report.orders_taken) == (4.5, 2)
     assert entries.decode_report(b'{"seq": 2}').slowness == 1.0
+
+
+def test_order_names_the_instance_that_it_is_for(monkeypatch):
+    """Pattern: the address of a lost instance goes to another one."""
+    sent = []
+
+    class Connection:
+        async def send(self, request):
+            sent.append(request)
+
+        async def read_head(self):
+            return _head(421)
+
+        async def close(self):
+            pass
+
+    async def open_connection(address, seconds):
+        return Connection()
+
+    monkeypatch.setattr(orders.client, "open_connection", open_connection)
+    engines = orders.PlatformEngines(client.Pool())
+    given = engines.order(
+        engines_site.instance("i7"), reported.Stage("m"), lambda: None
+    )
+    assert curio.run(given) is False
+    assert sent[0].headers.get("Expect-Replica") == "i7"
