--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -22,6 +22,7 @@
 import curio.socket
 import h11
 
+from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.http import exchange as exchange_module
 from sycamoredale.http import messages
@@ -92,7 +93,7 @@
 
         The listener stays open for `listen_seconds` of `seconds`.
         """
-        deadline = await curio.clock() + seconds
+        deadline = clock.monotonic() + seconds
         self.draining = True
         await curio.sleep(min(listen_seconds, seconds))
         await self._close_listener()
@@ -101,7 +102,7 @@
                 _close_if_idle(connection)
             if not self._connections:
                 return True
-            if await curio.clock() >= deadline:
+            if clock.monotonic() >= deadline:
                 return False
             await curio.sleep(DRAIN_POLL_SECONDS)
 
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -22,6 +22,7 @@
 from sycamoredale import ids
 from sycamoredale.object_api import budget
 
+ROOT: Final = "/v1/object"
 ABSENT: Final = ids.ObjectVersion(0)
 MAX_VALUE_BYTES: Final = 1_000_000
 CALL_SECONDS: Final = 2.0
@@ -71,14 +72,14 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object or None; raise StoreUnavailable."""
-        response = await self._read(CallKind.READ, _path(kind, name))
+        response = await self._read(CallKind.READ, path_of(ROOT, kind, name))
         if response.status == 404:
             return None
         return decode(response, StoredObject)
 
     async def list(self, kind: str) -> Listing:
         """Return all objects of a kind; raise StoreUnavailable."""
-        response = await self._read(CallKind.LIST, _path(kind))
+        response = await self._read(CallKind.LIST, path_of(ROOT, kind))
         return decode(response, Listing)
 
     async def watch(
@@ -118,7 +119,7 @@
             )
         request = messages.Request(
             "PUT",
-            _path(kind, name),
+            path_of(ROOT, kind, name),
             messages.Headers([(VERSION_HEADER, str(expected))]),
             value,
         )
@@ -131,7 +132,7 @@
         """Delete an object at the expected version; raise as `put`."""
         headers = messages.Headers([(VERSION_HEADER, str(expected))])
         await self._write(
-            messages.Request("DELETE", _path(kind, name), headers)
+            messages.Request("DELETE", path_of(ROOT, kind, name), headers)
         )
 
     async def _read(
@@ -202,8 +203,9 @@
         self.on_call(kind)
 
 
-def _path(kind: str, name: str | None = None) -> str:
-    path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
+def path_of(root: str, kind: str, name: str | None = None) -> str:
+    """Return the path of a kind below a root, or of one of its objects."""
+    path = f"{root}/{urllib.parse.quote(kind, safe='')}"
     if name is None:
         return path
     return f"{path}/{urllib.parse.quote(name, safe='')}"
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import urllib.parse
 
 import msgspec
@@ -16,6 +17,8 @@
 from sycamoredale.object_api import budget
 from sycamoredale.object_api import objects
 
+_path = functools.partial(objects.path_of, "/v1/objects")
+
 
 class _Metadata(msgspec.Struct):
     name: str
@@ -119,13 +122,6 @@
         await self._write(messages.Request("DELETE", target))
 
 
-def _path(kind: str, name: str | None = None) -> str:
-    path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
-    if name is None:
-        return path
-    return f"{path}/{urllib.parse.quote(name, safe='')}"
-
-
 def _query(fields: dict[str, str]) -> str:
     return f"?{urllib.parse.urlencode(fields)}" if fields else ""
 
--- a/sycamoredale/standins/platform.py
+++ b/sycamoredale/standins/platform.py
@@ -163,13 +163,13 @@
         self, request: messages.Request, parts: list[str]
     ) -> messages.Response:
         match (request.method, parts):
-            case ("GET", ["v1", "objects", kind]):
+            case ("GET", ["v1", "object", kind]):
                 return self._list(kind)
-            case ("GET", ["v1", "objects", kind, name]):
+            case ("GET", ["v1", "object", kind, name]):
                 return self._get(kind, name)
-            case ("PUT", ["v1", "objects", kind, name]):
+            case ("PUT", ["v1", "object", kind, name]):
                 return await self._put(request, kind, name, request.body)
-            case ("DELETE", ["v1", "objects", kind, name]):
+            case ("DELETE", ["v1", "object", kind, name]):
                 return await self._put(request, kind, name, None)
             case ("GET", ["v1", "watch", kind]):
                 return await self._watch(request, kind)
--- a/tests/group_site.py
+++ b/tests/group_site.py
@@ -46,6 +46,12 @@
             )
             self.listed[name] = {"id": name, "zone": zone, "domain": domain}
 
+    def apply_two_member_group(self) -> None:
+        """Ask for one group of two engines, beside one spare."""
+        self.add_engines(("e0", "e1", "e2"), "d1")
+        self.publish()
+        self.apply(services=[service(1, 2)], zones=[{"name": "kochi"}])
+
     def publish(self) -> None:
         """Show the instance list."""
         for name, process in self.engines.items():
@@ -92,7 +98,7 @@
     def groups(self) -> list[dict[str, typing.Any]]:
         """Return the groups of all domains."""
         answer = processes.request(
-            self.platform.address, "GET", "/v1/objects/assignment"
+            self.platform.address, "GET", "/v1/object/assignment"
         )
         return [
             group
--- a/tests/router_sites.py
+++ b/tests/router_sites.py
@@ -192,7 +192,7 @@
     answer = processes.request(
         platform.address,
         "PUT",
-        "/v1/objects/assignment/kochi-1",
+        "/v1/object/assignment/kochi-1",
         json.loads(json.dumps(body)),
         {"If-Version": "0"},
     )
--- a/tests/scenarios/site.py
+++ b/tests/scenarios/site.py
@@ -168,7 +168,7 @@
     def start_naive(self) -> None:
         """Put one naive router in the place of all routers."""
         answer = processes.request(
-            self.platform.address, "GET", "/v1/objects/assignment"
+            self.platform.address, "GET", "/v1/object/assignment"
         )
         by_service: dict[str, list[str]] = {}
         for stored in answer.json()["objects"]:
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -72,7 +72,7 @@
     def holder(self) -> str:
         """Return the name of a router that holds slots."""
         stored = processes.request(
-            self.platform.address, "GET", "/v1/objects/cold-slots/kochi-1"
+            self.platform.address, "GET", "/v1/object/cold-slots/kochi-1"
         ).json()
         leases = stored.get("value", {}).get("leases", [])
         return str(leases[0]["holder"].partition("/")[0]) if leases else ""
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -89,7 +89,7 @@
     site: router_sites.Site,
 ) -> None:
     listed = processes.request(
-        site.platform.address, "GET", "/v1/objects/assignment/kochi-1"
+        site.platform.address, "GET", "/v1/object/assignment/kochi-1"
     ).json()
     site.faults(down=True)
     time.sleep(1.0)
@@ -99,7 +99,7 @@
         processes.request(
             site.platform.address,
             method,
-            "/v1/objects/assignment/kochi-1",
+            "/v1/object/assignment/kochi-1",
             listed["value"],
             {"If-Version": str(version)},
         )
@@ -141,7 +141,7 @@
 
 def _store_version(site: router_sites.Site) -> int:
     answer = processes.request(
-        site.platform.address, "GET", "/v1/objects/configuration"
+        site.platform.address, "GET", "/v1/object/configuration"
     )
     return int(answer.json()["version"])
 
--- a/tests/test_group_recovery.py
+++ b/tests/test_group_recovery.py
@@ -15,16 +15,10 @@
         yield group_site.start(fleet)
 
 
-def _two_member_group_with_spare(site: group_site.GroupSite) -> None:
-    site.add_engines(("e0", "e1", "e2"), "d1")
-    site.publish()
-    site.apply(services=[group_site.service(1, 2)], zones=[{"name": "kochi"}])
-
-
 def test_lost_member_is_replaced_from_survivors_and_spares(
     site: group_site.GroupSite,
 ) -> None:
-    _two_member_group_with_spare(site)
+    site.apply_two_member_group()
     site.controller("c1")
     site.wait_ready({"e0", "e1"})
     site.engines["e1"].kill()
@@ -71,7 +65,7 @@
 def test_zone_out_drains_and_zone_in_resumes(
     site: group_site.GroupSite,
 ) -> None:
-    _two_member_group_with_spare(site)
+    site.apply_two_member_group()
     services = [group_site.service(1, 2)]
     site.controller("c1")
     site.wait_ready({"e0", "e1"})
--- a/tests/test_group_takeover.py
+++ b/tests/test_group_takeover.py
@@ -15,16 +15,10 @@
         yield group_site.start(fleet)
 
 
-def _two_member_group_with_spare(site: group_site.GroupSite) -> None:
-    site.add_engines(("e0", "e1", "e2"), "d1")
-    site.publish()
-    site.apply(services=[group_site.service(1, 2)], zones=[{"name": "kochi"}])
-
-
 def test_second_controller_takes_over_from_a_paused_one(
     site: group_site.GroupSite,
 ) -> None:
-    _two_member_group_with_spare(site)
+    site.apply_two_member_group()
     first = site.controller("c1")
     site.wait_ready({"e0", "e1"})
     site.controller("c2")
@@ -46,7 +40,7 @@
 def test_lost_answers_and_a_store_that_is_down(
     site: group_site.GroupSite,
 ) -> None:
-    _two_member_group_with_spare(site)
+    site.apply_two_member_group()
     site.faults(lose_answers=6)
     controller = site.controller("c1")
     site.wait_ready({"e0", "e1"})
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -27,6 +27,7 @@
     "/v1/ready",
     '/v1/order"',
     "/v1/report",
+    "/v1/objects",
     "SYCAMOREDALE_SETTINGS",
     'path_prefix"',
     "traffic_split",
