Log which objective a call missed, its longest pause and the loads

A call that was answered late left no trace of why. The line of its end now says whether its first byte or a pause between events missed the objective of its route, and how loaded the endpoints were when they were chosen.

Ruled out: pauses of sound engines.

--- a/sycamoredale/forwarding/answer_reading.py
+++ b/sycamoredale/forwarding/answer_reading.py
@@ -101,7 +101,9 @@
                 break
             events = stream.feed(chunk)
             if events:
-                endpoint.heard(clock.monotonic())
+                now = clock.monotonic()
+                endpoint.heard(now)
+                progress.note_events(now)
                 patience = PUT_BACK_SECONDS
                 await _pass_on(events, facts, exchange)
             if stream.out_of_order:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -141,6 +141,8 @@
         progress: progress_module.Progress,
         exchange: server.Exchange,
     ) -> progress_module.Outcome:
+        load = endpoint.load(clock.monotonic())
+        progress.loads.append(round(load, 1))
         stay = stay_module.begin(endpoint)
         progress.at = endpoint.id
         try:
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -4,6 +4,7 @@
 import enum
 from typing import Final
 
+from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
@@ -30,11 +31,15 @@
 
 @dataclasses.dataclass
 class Progress:
-    """Know where a call has been and what the caller has of its answer."""
+    """Know where a call has been and what the caller has of its answer.
+
+    `loads` are those of the endpoints when they were chosen.
+    """
 
     call: calls.Call
     stream: event_stream.EventStream
     sends: list[str] = dataclasses.field(default_factory=list)
+    loads: list[float] = dataclasses.field(default_factory=list)
     at: ids.InstanceId | None = None
     arrivals: int = 0
     runs: int = 0
@@ -44,6 +49,15 @@
     failure: messages.Response | None = None
     refusal: errors.Refusal | None = None
     caller_gone: bool = False
+    longest_pause_seconds: float = 0.0
+    _events_at: clock.MonotonicTime | None = None
+
+    def note_events(self, now: clock.MonotonicTime) -> None:
+        """Measure the pause since the events that came before."""
+        if self._events_at is not None:
+            pause = now - self._events_at
+            self.longest_pause_seconds = max(self.longest_pause_seconds, pause)
+        self._events_at = now
 
     def may_go_on(self) -> bool:
         """Tell whether another send is safe and within the route's bound."""
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -109,9 +109,12 @@
             config=self.routes.current.version,
             first_ms=first and int(1000 * (first - call.arrived_at)),
             ms=int(1000 * (now - call.arrived_at)),
+            pause_ms=int(1000 * progress.longest_pause_seconds),
+            missed=_missed(progress, first or now),
             outcome=outcome,
             reason=reason,
             sends=progress.sends,
+            loads=progress.loads,
             at=progress.at,
             events=progress.stream.events,
         )
@@ -139,3 +142,15 @@
             code=refusal.code.name,
             reason=refusal.message,
         )
+
+
+def _missed(
+    progress: progress_module.Progress, first: clock.MonotonicTime
+) -> str | None:
+    """Return which objective of its route a call has missed, if any."""
+    call = progress.call
+    if first - call.arrived_at > call.route.objective_seconds:
+        return "first_byte"
+    if progress.longest_pause_seconds > call.route.gap_seconds:
+        return "pause"
+    return None
