Let calls that cannot be in time give way to those that can

Cause: an engine takes what waits in the order in which it came. Once its queue takes longer than the objective, every call behind it is late.

Change: before a send the time to the first event is worked out from the slots, the usual answer and the requests before it. A call that cannot be in time is sent at a lower priority; peers tell how many of theirs give way, and the next call that can be in time goes before those. A call that can be in time is not refused because others wait.

--- a/sycamoredale/forwarding/answer_reading.py
+++ b/sycamoredale/forwarding/answer_reading.py
@@ -43,6 +43,7 @@
         call = progress.call
         head = await self._read_head(connection, endpoint, call)
         progress.head_seen = True
+        progress.end_waiting(endpoint)
         facts = self.wire.read_answer(call, head)
         now = clock.monotonic()
         if facts.load is not None:
--- a/sycamoredale/forwarding/catalogue.py
+++ b/sycamoredale/forwarding/catalogue.py
@@ -69,7 +69,9 @@
 
     A token takes `step_seconds`, and `per_request_seconds` more for each
     request of the batch; prompts are read at `read_tokens_per_second`.
-    A group across fabric domains is slower by `far_factor`.
+    A group across fabric domains is slower by `far_factor`.  Events leave
+    after each pass of `steps_per_pass` tokens.  Where the usual answer is
+    not known, its tokens are 0.
     """
 
     slots: int
@@ -80,6 +82,8 @@
     loads_at_once: int
     far_factor: float
     models: tuple[Model, ...]
+    steps_per_pass: int = 1
+    usual_answer_tokens: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamoredale/forwarding/choosing.py
+++ b/sycamoredale/forwarding/choosing.py
@@ -13,6 +13,7 @@
 from sycamoredale.forwarding import cold_shares
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import urgency
 from sycamoredale import ids
 
 # In requests: what the way to another zone costs against a shorter queue.
@@ -21,6 +22,8 @@
 # it is begun with once the others are half full.
 FAR_SHARE: Final = 0.5
 FAR_FACTOR: Final = 1.5
+# A request that gives way delays others only once it runs.
+YIELDING_WEIGHT: Final = 0.3
 # Less than one request of the slots of an engine.
 DRAW_SHARE: Final = 0.05
 # Above this share of the slots a request waits past its objective.
@@ -71,7 +74,10 @@
         if not sound:
             raise _none(call, len(known))
         best = min(sound, key=lambda e: self._cost(e, now))
-        if not must_go_on and _is_full(best, call.service, now):
+        if must_go_on or not _is_full(best, call.service, now):
+            return best
+        placed = urgency.urgency_of(call, best, False, now)
+        if placed is not urgency.Urgency.IN_TIME:
             raise _full(call, len(sound))
         return best
 
@@ -79,7 +85,9 @@
         self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
     ) -> float:
         far = endpoint.instance.zone != self.own_zone
-        load = endpoint.load(now) + (OTHER_ZONE_LOAD if far else 0.0)
+        yielding = endpoint.load(now) - endpoint.urgent_load(now)
+        load = endpoint.urgent_load(now) + YIELDING_WEIGHT * yielding
+        load += OTHER_ZONE_LOAD if far else 0.0
         share = load / max(1, endpoint.slots)
         if endpoint.is_far:
             share = FAR_SHARE + FAR_FACTOR * share
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -35,7 +35,8 @@
 class Endpoint:
     """Hold one endpoint; `model` is empty for a plain service.
 
-    The members of a far endpoint stand in several fabric domains.
+    The members of a far endpoint stand in several fabric domains.  Those
+    requests yield that wait there and give way to more urgent ones.
     """
 
     instance: listing.Instance
@@ -44,7 +45,9 @@
     is_far: bool = False
     in_flight: int = 0
     begun: int = 0
+    yielding: int = 0
     others: float = 0.0
+    others_yielding: float = 0.0
     others_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     suspect_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
     suspicions: int = 0
@@ -64,17 +67,28 @@
         fading = math.pow(0.5, age / LOAD_HALF_LIFE_SECONDS)
         return self.in_flight + self.others * fading
 
+    def urgent_load(self, now: clock.MonotonicTime) -> float:
+        """Return the load without the requests that give way."""
+        age = now - self.others_at
+        fading = math.pow(0.5, age / LOAD_HALF_LIFE_SECONDS)
+        yielding = self.yielding + self.others_yielding * fading
+        return max(0.0, self.load(now) - yielding)
+
     def note_load(self, load: calls.Load, now: clock.MonotonicTime) -> None:
         """Learn from the load that an answer carries, for want of news."""
         if now - self.others_at < NEWS_SECONDS:
             return
         total = load.running + load.waiting
         self.others = float(max(0, total - self.in_flight))
+        self.others_yielding = 0.0
         self.others_at = now
 
-    def note_others(self, others: float, now: clock.MonotonicTime) -> None:
+    def note_others(
+        self, others: float, now: clock.MonotonicTime, yielding: float = 0.0
+    ) -> None:
         """Take over what the other daemons have on the endpoint."""
         self.others = others
+        self.others_yielding = yielding
         self.others_at = now
 
     def suspect(
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -180,7 +180,7 @@
                 endpoint.instance,
                 call.ends_at - now,
                 progress.stream.last_event,
-                continues=bool(progress.sends),
+                progress.begin_waiting(endpoint, now),
             )
             await connection.send(request)
             outcome = await self._reader.read(
@@ -198,6 +198,7 @@
             send_log.failed(progress, endpoint, error.message)
             return progress_module.Outcome.BROKEN
         finally:
+            progress.end_waiting(endpoint)
             await self._leave(connection, whole)
 
     async def _note_crash(
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -35,13 +35,15 @@
 class EndpointNews(msgspec.Struct, array_like=True, frozen=True):
     """Tell what one daemon has on an endpoint and when it last heard it.
 
-    `suspect_ms` is how much longer the daemon sends nothing there.
+    `suspect_ms` is how much longer the daemon sends nothing there;
+    `yielding` counts the requests that wait there and give way.
     """
 
     endpoint: ids.InstanceId
     in_flight: int
     heard_ms_ago: int
     suspect_ms: int
+    yielding: int = 0
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
@@ -53,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Heard:
-    in_flight_by_id: dict[ids.InstanceId, int]
+    news_by_id: dict[ids.InstanceId, EndpointNews]
     until: clock.MonotonicTime
 
 
@@ -93,7 +95,7 @@
         """Take the news of a peer."""
         seconds = FRESH_INTERVALS * interval_seconds(len(self.get_peers()))
         self._heard_by_daemon[news.daemon] = _Heard(
-            {item.endpoint: item.in_flight for item in news.endpoints},
+            {item.endpoint: item for item in news.endpoints},
             clock.MonotonicTime(now + seconds),
         )
         for item in news.endpoints:
@@ -113,11 +115,16 @@
             return
         self.book.note_demand(now)
         for endpoint in self.book.by_id.values():
-            others = sum(
-                heard.in_flight_by_id.get(endpoint.id, 0)
+            found = [
+                heard.news_by_id[endpoint.id]
                 for heard in fresh.values()
+                if endpoint.id in heard.news_by_id
+            ]
+            endpoint.note_others(
+                float(sum(item.in_flight for item in found)),
+                now,
+                float(sum(item.yielding for item in found)),
             )
-            endpoint.note_others(float(others), now)
 
     def own(self, now: clock.MonotonicTime) -> News:
         """Return the news of this daemon."""
@@ -125,7 +132,11 @@
             self.daemon,
             [
                 EndpointNews(
-                    e.id, e.in_flight, _age_ms(e, now), _suspect_ms(e, now)
+                    e.id,
+                    e.in_flight,
+                    _age_ms(e, now),
+                    _suspect_ms(e, now),
+                    e.yielding,
                 )
                 for e in self.book.by_id.values()
                 if e.in_flight or e.is_suspect(now)
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -11,6 +11,7 @@
 from sycamoredale.forwarding import choosing
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import event_stream
+from sycamoredale.forwarding import urgency as urgency_module
 from sycamoredale.http import messages
 from sycamoredale import ids
 
@@ -49,6 +50,8 @@
     failure: messages.Response | None = None
     refusal: errors.Refusal | None = None
     caller_gone: bool = False
+    urgency: urgency_module.Urgency | None = None
+    is_yielding: bool = False
     longest_pause_seconds: float = 0.0
     _events_at: clock.MonotonicTime | None = None
 
@@ -59,6 +62,22 @@
             self.longest_pause_seconds = max(self.longest_pause_seconds, pause)
         self._events_at = now
 
+    def begin_waiting(
+        self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
+    ) -> urgency_module.Urgency:
+        """Return the urgency of the next send; one that is late yields."""
+        self.urgency = urgency_module.urgency_of(
+            self.call, endpoint, bool(self.sends), now
+        )
+        self.is_yielding = self.urgency is urgency_module.Urgency.LATE
+        endpoint.yielding += self.is_yielding
+        return self.urgency
+
+    def end_waiting(self, endpoint: endpoints.Endpoint) -> None:
+        """Note that an endpoint runs the request, or has it no more."""
+        endpoint.yielding -= self.is_yielding
+        self.is_yielding = False
+
     def may_go_on(self) -> bool:
         """Tell whether another send is safe and within the route's bound."""
         if len(self.sends) >= MAX_SENDS:
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -115,6 +115,7 @@
             reason=reason,
             sends=progress.sends,
             loads=progress.loads,
+            urgency=progress.urgency and progress.urgency.value,
             at=progress.at,
             events=progress.stream.events,
         )
--- /dev/null
+++ b/sycamoredale/forwarding/urgency.py
@@ -0,0 +1,61 @@
+"""Decide which of the requests that wait at an engine goes first.
+
+An engine that has more requests than slots makes all of them late once its
+queue takes longer than the objective, if they go in the order in which they
+came.  So a request that can no longer be in time gives way to those that
+still can; its answer is late anyway, and comes once there is room.
+"""
+
+import enum
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import endpoints
+
+
+class Urgency(enum.Enum):
+    """State how a request is placed among those that wait.
+
+    A continued one has an answer that its caller has begun to read.
+    """
+
+    CONTINUED = "continued"
+    IN_TIME = "in_time"
+    LATE = "late"
+
+
+# Of the objective: the rest covers loads that are a tenth of a second old.
+OBJECTIVE_SHARE: Final = 0.9
+
+
+def urgency_of(
+    call: calls.Call,
+    endpoint: endpoints.Endpoint,
+    continues: bool,
+    now: clock.MonotonicTime,
+) -> Urgency:
+    """Return how a call is placed that goes to an endpoint now."""
+    if continues:
+        return Urgency.CONTINUED
+    engine = call.service.engine
+    model = call.service.model(endpoint.model)
+    if engine is None or model is None:
+        return Urgency.IN_TIME
+    factor = engine.far_factor if endpoint.is_far else 1.0
+    before = max(0.0, endpoint.urgent_load(now) + 1 - endpoint.slots)
+    seconds = factor * model.pace * _seconds_to_first(call, engine, before)
+    spent = now - call.arrived_at
+    left = OBJECTIVE_SHARE * call.route.objective_seconds - spent
+    return Urgency.IN_TIME if seconds <= left else Urgency.LATE
+
+
+def _seconds_to_first(
+    call: calls.Call, engine: catalogue.BatchEngine, before: float
+) -> float:
+    """Return the time to the first event behind some waiting requests."""
+    step = engine.step_seconds + engine.slots * engine.per_request_seconds
+    reading = call.envelope.prompt_tokens / engine.read_tokens_per_second
+    a_slot_frees = engine.usual_answer_tokens * step / engine.slots
+    return engine.steps_per_pass * step + reading + before * a_slot_frees
--- a/sycamoredale/forwarding/wire_protocol.py
+++ b/sycamoredale/forwarding/wire_protocol.py
@@ -4,6 +4,7 @@
 
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import urgency as urgency_module
 from sycamoredale.http import messages
 
 
@@ -16,7 +17,7 @@
         instance: listing.Instance,
         seconds_left: float,
         last_event: int | None,
-        continues: bool,
+        urgency: urgency_module.Urgency,
     ) -> messages.Request:
         """Return the request that goes to an instance."""
 
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -55,6 +55,10 @@
     loads_at_once: int = 1
     # How much slower a group across fabric domains is.
     far_x: float = 1.0
+    # Token steps in one pass, after which events are sent.
+    stride: int = 1
+    # Mean tokens, of an answer under "answer".
+    usual: dict[str, float] = {}
     models: list[_Model] = []
 
 
@@ -167,4 +171,6 @@
             )
             for m in engine.models
         ),
+        steps_per_pass=engine.stride,
+        usual_answer_tokens=engine.usual.get("answer", 0.0),
     )
--- a/sycamoredale/platform/wire.py
+++ b/sycamoredale/platform/wire.py
@@ -6,6 +6,7 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import urgency as urgency_module
 from sycamoredale.http import messages
 from sycamoredale import ids
 
@@ -24,9 +25,12 @@
 _NOT_RUN: Final = "Not-Executed"
 # Running requests, waiting requests and slots, with commas between.
 _LOAD: Final = "Replica-Load"
-# 0 is admitted first; a request without it has 5.
+# 0 is admitted first, 9 last; a request without it has 5.
 _URGENCY: Final = "Request-Priority"
-_URGENCY_OF_CONTINUED: Final = "2"
+_URGENCY_VALUES: Final = {
+    urgency_module.Urgency.CONTINUED: "2",
+    urgency_module.Urgency.LATE: "7",
+}
 _AUTHORIZATION: Final = "Authorization"
 _SCHEME: Final = "bearer "
 REPORT: Final = messages.Request("GET", "/v1/report")
@@ -79,20 +83,16 @@
     instance: listing.Instance,
     seconds_left: float,
     last_event: int | None,
-    continues: bool,
+    urgency: urgency_module.Urgency,
 ) -> messages.Request:
-    """Return the request that goes to an instance.
-
-    One that continues an answer has waited elsewhere already.
-    """
-    kept = call.request.headers.without(_SET_ON_REQUESTS)
-    fields = list(kept.fields)
+    """Return the request that goes to an instance."""
+    fields = list(call.request.headers.without(_SET_ON_REQUESTS).fields)
     fields.append((_MILLISECONDS_LEFT, str(max(1, int(seconds_left * 1000)))))
     fields.append((ONLY_INSTANCE, instance.id))
     if call.organisation is not None:
         fields.append((_ORGANISATION, call.organisation))
-    if continues:
-        fields.append((_URGENCY, _URGENCY_OF_CONTINUED))
+    if urgency in _URGENCY_VALUES:
+        fields.append((_URGENCY, _URGENCY_VALUES[urgency]))
     if last_event is not None:
         fields.append((_LAST_EVENT, str(last_event)))
     return messages.Request(
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -12,6 +12,7 @@
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import urgency
 from sycamoredale.groups import reported
 from sycamoredale.http import client
 from sycamoredale.http import messages
@@ -184,7 +185,7 @@
         ]
     )
     sent = wire.request_for(
-        call, engines_site.instance("i-1"), 1.5, 12, continues=True
+        call, engines_site.instance("i-1"), 1.5, 12, urgency.Urgency.CONTINUED
     )
     fields = {name: value for name, value in sent.headers.fields}
     assert "Authorization" not in fields
