Rebuild the endpoints once a listing; read no addresses per datagram

News were sent all the time by daemons that had nothing to tell.

Change: a listing is taken over as a whole and reported once; the interval of news is worked out when news are sent; an idle daemon tells once that it has nothing.

--- a/sycamoredale/forwarding/listing.py
+++ b/sycamoredale/forwarding/listing.py
@@ -135,6 +135,30 @@
     unlisted_by_id: dict[ids.InstanceId, Unlisted] = dataclasses.field(
         default_factory=dict
     )
+    _is_gathering: bool = False
+    _has_changed: bool = False
+
+    def note_listing(
+        self,
+        found: collections.abc.Iterable[Instance],
+        gone: collections.abc.Collection[ids.InstanceId],
+        listed: collections.abc.Set[ids.InstanceId] | None,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Take over a part of the list, or all of it if `listed` is given.
+
+        Changes are reported once, at the end.
+        """
+        self._is_gathering = True
+        for instance in found:
+            self.note(instance, now)
+        for name in gone:
+            self.remove(name, now)
+        if listed is not None:
+            self.keep_only(listed, now)
+        self._is_gathering = False
+        if self._has_changed:
+            self._changed()
 
     def note(self, instance: Instance, now: clock.MonotonicTime) -> None:
         """Take over a word of the list unless a newer one is known."""
@@ -228,6 +252,9 @@
             self._changed()
 
     def _changed(self) -> None:
+        self._has_changed = self._is_gathering
+        if self._is_gathering:
+            return
         for callback in self.on_change:
             callback()
 
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -77,6 +77,8 @@
     _heard_by_daemon: dict[ids.DaemonId, _Heard] = dataclasses.field(
         default_factory=dict
     )
+    _interval_seconds: float = INTERVAL_SECONDS
+    _has_told: bool = False
 
     async def run(self, address: messages.Address) -> None:
         """Exchange news for ever from an address."""
@@ -87,13 +89,15 @@
         await curio.spawn(self._receive, sock, daemon=True)
         while True:
             peers = self.get_peers()
-            self.take_over(clock.monotonic())
-            self._send(sock, peers)
-            await curio.sleep(interval_seconds(len(peers)))
+            self._interval_seconds = interval_seconds(len(peers))
+            now = clock.monotonic()
+            self.take_over(now)
+            self._tell(sock, peers, self.own(now))
+            await curio.sleep(self._interval_seconds)
 
     def hear(self, news: News, now: clock.MonotonicTime) -> None:
         """Take the news of a peer."""
-        seconds = FRESH_INTERVALS * interval_seconds(len(self.get_peers()))
+        seconds = FRESH_INTERVALS * self._interval_seconds
         self._heard_by_daemon[news.daemon] = _Heard(
             {item.endpoint: item for item in news.endpoints},
             clock.MonotonicTime(now + seconds),
@@ -143,12 +147,17 @@
             ],
         )
 
-    def _send(
+    def _tell(
         self,
         sock: typing.Any,
         peers: collections.abc.Sequence[messages.Address],
+        news: News,
     ) -> None:
-        data = _ENCODER.encode(self.own(clock.monotonic()))
+        """Send news, and that there are none any more only once."""
+        if not (news.endpoints or self._has_told):
+            return
+        self._has_told = bool(news.endpoints)
+        data = _ENCODER.encode(news)
         for peer in peers:
             try:
                 sock._socket.sendto(data, (peer.host, peer.port))
--- a/sycamoredale/platform/feeds.py
+++ b/sycamoredale/platform/feeds.py
@@ -1,5 +1,6 @@
 """Decode what followers see of the platform's kinds of objects."""
 
+import collections.abc
 import dataclasses
 from typing import Final
 
@@ -31,22 +32,26 @@
 
     def take(self, seen: objects.Listing, complete: bool) -> None:
         """Take over the instances that were seen."""
-        now = clock.monotonic()
-        for stored in seen.objects:
-            try:
-                found = entries.decode_entry(stored.name, stored.value)
-            except (msgspec.DecodeError, ValueError) as error:
-                LOG.warning(
-                    "entry_malformed", entry=stored.name, reason=str(error)
-                )
-                continue
-            self.book.note(found, now)
+        named = {ids.InstanceId(stored.name) for stored in seen.objects}
         for name in seen.deleted:
             LOG.info("instance_gone", instance=name, version=seen.version)
-            self.book.remove(ids.InstanceId(name), now)
-        if complete:
-            self.book.keep_only(
-                {ids.InstanceId(stored.name) for stored in seen.objects}, now
+        self.book.note_listing(
+            _instances(seen),
+            {ids.InstanceId(name) for name in seen.deleted},
+            named if complete else None,
+            clock.monotonic(),
+        )
+
+
+def _instances(
+    seen: objects.Listing,
+) -> collections.abc.Iterator[listing.Instance]:
+    for stored in seen.objects:
+        try:
+            yield entries.decode_entry(stored.name, stored.value)
+        except (msgspec.DecodeError, ValueError) as error:
+            LOG.warning(
+                "entry_malformed", entry=stored.name, reason=str(error)
             )
 
 
--- a/sycamoredale/platform/wire.py
+++ b/sycamoredale/platform/wire.py
@@ -39,17 +39,8 @@
 
 # These concern one connection and are not passed on.
 _PER_CONNECTION: Final = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
+    "connection content-length expect keep-alive proxy-connection te "
+    "trailer transfer-encoding upgrade".split()
 )
 _SET_ON_REQUESTS: Final = _PER_CONNECTION | {
     _MILLISECONDS_LEFT.lower(),
--- a/tests/test_forwarding_rules.py
+++ b/tests/test_forwarding_rules.py
@@ -270,6 +270,28 @@
     assert sent <= load_news.MAX_DATAGRAMS_PER_SECOND
 
 
+class _Datagrams:
+    def __init__(self):
+        self._socket = self
+        self.sent = []
+
+    def sendto(self, data, address):
+        self.sent.append(load_news.News("d1", []))
+
+
+def test_idle_daemon_tells_once_that_it_has_nothing():
+    known, _ = _site(_open_head("i0", 1))
+    news = _news(known)
+    sock = _Datagrams()
+    peers = [codec.messages.Address("127.0.0.1", 1)]
+    sent = []
+    for in_flight in (0, 2, 0, 0, 0, 1):
+        known.by_id["i0"].in_flight = in_flight
+        news._tell(sock, peers, news.own(NOW))
+        sent.append(len(sock.sent))
+    assert sent == [0, 1, 2, 2, 2, 3]
+
+
 def _table():
     found = codec.manifest.decode(codec.json.dumps(codec.MANIFEST).encode())
     table = route_table.RouteTable()
--- a/tests/test_instance_book.py
+++ b/tests/test_instance_book.py
@@ -57,3 +57,18 @@
 def test_key_of_a_group_names_its_model():
     key = reported.new_key("large", 7)
     assert key.model == "large"
+
+
+def test_changes_of_one_listing_are_reported_once():
+    book = listing.InstanceBook()
+    reports = []
+    book.on_change.append(lambda: reports.append(set(book.by_id)))
+    found = [engines_site.instance(f"i{n}") for n in range(300)]
+    names = {i.id for i in found}
+    book.note_listing(found, set(), names, 0.0)
+    assert reports == [names]
+    book.note_listing(found, set(), None, 1.0)
+    assert len(reports) == 1
+    book.note_listing([], {"i0"}, None, 1.0)
+    book.note_listing(found[1:2], set(), {"i1"}, 1.0)
+    assert reports[1:] == [names - {"i0"}, {"i1"}]
