Tell routers of changed heads; watch the instances less often

Cause: each answer to a watch is a priced call. The list of instances changes all the time, so each daemon watched it again every 0.3 s.

Routers then watch the list at intervals of half the time that a leaving instance may still take requests (1.0 and 1.5 s instead of 0.3 s); the keeper watches as before, and so does everybody the configuration and the zones.

Ruled out: stale reads, which cost a tenth but may be older than the bound.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -124,10 +124,10 @@
     def _followers(self) -> list[following.Follower]:
         manifests = feeds.ManifestFeed(self._routes, self._on_manifest)
         instances = feeds.InstanceFeed(self._book)
-        taking: list[tuple[str, following.Take]] = [
-            (feeds.MANIFEST, manifests.take),
-            (feeds.INSTANCES, instances.take),
-            (feeds.EVACUATIONS, self._zones.take),
+        taking: list[tuple[str, following.Take, following.GetPause]] = [
+            (feeds.MANIFEST, manifests.take, following.short_pause),
+            (feeds.INSTANCES, instances.take, self._listing_pause),
+            (feeds.EVACUATIONS, self._zones.take, following.short_pause),
         ]
         return [
             following.Follower(
@@ -135,10 +135,21 @@
                 kind,
                 take,
                 on_contact=self._node.freshness.on_poll,
+                get_pause=get_pause,
             )
-            for kind, take in taking
+            for kind, take, get_pause in taking
         ]
 
+    def _listing_pause(self) -> float:
+        """Return the seconds between two watches of the instances.
+
+        Routers hear of open heads from the keeper; the list tells them
+        which instances leave, half of the time before that binds.
+        """
+        if self._upkeep.lease.held(clock.monotonic()):
+            return following.GATHER_SECONDS
+        return max(following.GATHER_SECONDS, self._settings.bounds.drain / 2)
+
     def _build_upkeep(self) -> group_upkeep.GroupUpkeep:
         lease = leases.Lease(
             self._store,
@@ -160,6 +171,7 @@
             ),
             self._count_daemons,
             self._is_in_line,
+            self._news.outbox.put,
         )
 
     def _build_service(self) -> service.CallService:
--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -36,6 +36,15 @@
 LOG: Final = logs.get("following")
 
 
+# Seconds between two watches.
+GetPause = collections.abc.Callable[[], float]
+
+
+def short_pause() -> float:
+    """Return the pause for kinds whose changes cannot wait, in seconds."""
+    return GATHER_SECONDS
+
+
 OnContact = collections.abc.Callable[[clock.MonotonicTime], None]
 
 
@@ -56,6 +65,7 @@
     rng: random.Random = dataclasses.field(default_factory=random.Random)
     read_clock: leases.ReadClock = clock.monotonic
     on_contact: OnContact = lambda at: None
+    get_pause: GetPause = short_pause
     version: ids.ObjectVersion = objects.ABSENT
     _lost_at: clock.MonotonicTime | None = None
     _settles_at: clock.MonotonicTime | None = None
@@ -78,7 +88,7 @@
             else:
                 waits.reset()
                 self.on_contact(started)
-                await curio.sleep(GATHER_SECONDS)
+                await curio.sleep(self.get_pause())
 
     async def step(self, now: clock.MonotonicTime) -> None:
         """List or watch once and hand on what was seen."""
--- a/sycamoredale/forwarding/listing.py
+++ b/sycamoredale/forwarding/listing.py
@@ -179,14 +179,17 @@
         self.cold_until_by_id[instance.id] = until
         self._put(instance)
 
-    def note_report(self, instance: ids.InstanceId, report: Report) -> None:
-        """Take over the answer of an instance unless it is old."""
+    def note_report(self, instance: ids.InstanceId, report: Report) -> bool:
+        """Take over the answer of an instance unless it is old.
+
+        Tells whether a listed head has changed.
+        """
         past = self.unlisted_by_id.get(instance)
         known = past.instance if past else self.by_id.get(instance)
         if known is None:
-            return
+            return False
         if (report.started_ms, report.orders_taken) < known.age:
-            return
+            return False
         told = dataclasses.replace(
             known,
             started_ms=report.started_ms,
@@ -196,8 +199,10 @@
         )
         if past is not None:
             self.unlisted_by_id[instance] = Unlisted(told, past.since)
-        else:
-            self._put(told)
+            return False
+        self._put(told)
+        has_moved = known.membership != told.membership
+        return has_moved and (_is_head(known) or _is_head(told))
 
     def remove(
         self, instance: ids.InstanceId, now: clock.MonotonicTime
@@ -259,5 +264,9 @@
             callback()
 
 
+def _is_head(instance: Instance) -> bool:
+    return instance.membership is not None and instance.membership.rank == 0
+
+
 def _same_life(known: Instance, listed: Instance) -> bool:
     return known.started_ms == listed.started_ms
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -17,6 +17,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import report_news
 from sycamoredale.forwarding import stalls
 from sycamoredale.http import messages
 from sycamoredale import ids
@@ -51,6 +52,7 @@
 
     daemon: ids.DaemonId
     endpoints: list[EndpointNews]
+    reports: list[report_news.ReportNews] = []
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +79,9 @@
     _heard_by_daemon: dict[ids.DaemonId, _Heard] = dataclasses.field(
         default_factory=dict
     )
+    outbox: report_news.Outbox = dataclasses.field(
+        default_factory=report_news.Outbox
+    )
     _interval_seconds: float = INTERVAL_SECONDS
     _has_told: bool = False
 
@@ -106,6 +111,17 @@
             endpoint = self.book.by_id.get(item.endpoint)
             if endpoint is not None:
                 _learn(endpoint, item, now)
+        for told in news.reports:
+            report = report_news.decode(told)
+            if self.book.book.note_report(told.instance, report):
+                LOG.info(
+                    "head_told",
+                    instance=told.instance,
+                    group=told.group,
+                    state=told.state,
+                    orders_taken=told.orders_taken,
+                    by=news.daemon,
+                )
 
     def take_over(self, now: clock.MonotonicTime) -> None:
         """Add up what all peers have on each endpoint."""
@@ -131,7 +147,7 @@
             )
 
     def own(self, now: clock.MonotonicTime) -> News:
-        """Return the news of this daemon."""
+        """Return the news of this daemon and take out what they tell."""
         return News(
             self.daemon,
             [
@@ -145,6 +161,7 @@
                 for e in self.book.by_id.values()
                 if e.in_flight or e.is_suspect(now)
             ],
+            self.outbox.take(),
         )
 
     def _tell(
@@ -154,9 +171,10 @@
         news: News,
     ) -> None:
         """Send news, and that there are none any more only once."""
-        if not (news.endpoints or self._has_told):
+        has_news = bool(news.endpoints or news.reports)
+        if not (has_news or self._has_told):
             return
-        self._has_told = bool(news.endpoints)
+        self._has_told = has_news
         data = _ENCODER.encode(news)
         for peer in peers:
             try:
@@ -168,11 +186,9 @@
         while True:
             data, sender = await sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                news = _DECODER.decode(data)
-            except msgspec.DecodeError as error:
+                self.hear(_DECODER.decode(data), clock.monotonic())
+            except ValueError as error:  # That of msgspec is one, too.
                 LOG.debug("news_malformed", sender=sender, reason=str(error))
-                continue
-            self.hear(news, clock.monotonic())
 
 
 def interval_seconds(peers: int) -> float:
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -82,6 +82,7 @@
     forming: forming_module.Forming
     count_daemons: collections.abc.Callable[[], int]
     is_in_line: collections.abc.Callable[[], bool] = lambda: True
+    tell: report_probing.Tell = lambda instance, report: None
     contacts: contact.ContactBook = dataclasses.field(
         default_factory=contact.ContactBook
     )
@@ -142,6 +143,7 @@
             self._engine_instances,
             self.book,
             self.contacts,
+            self.tell,
         )
         probing = await curio.spawn(prober.run, daemon=True)
         try:
--- a/sycamoredale/groups/report_probing.py
+++ b/sycamoredale/groups/report_probing.py
@@ -23,6 +23,8 @@
 GetReport = collections.abc.Callable[
     [listing.Instance], collections.abc.Awaitable[listing.Report]
 ]
+# Called with a report by which a head has changed.
+Tell = collections.abc.Callable[[ids.InstanceId, listing.Report], None]
 GetInstances = collections.abc.Callable[
     [], collections.abc.Iterable[listing.Instance]
 ]
@@ -36,6 +38,7 @@
     get_instances: GetInstances
     book: listing.InstanceBook
     contacts: contact.ContactBook
+    tell: Tell = lambda instance, report: None
     _probing: set[ids.InstanceId] = dataclasses.field(default_factory=set)
 
     async def run(self) -> None:
@@ -72,7 +75,8 @@
             await curio.sleep(max(0.0, left))
             return False
         self.contacts.answered(instance.id, clock.monotonic(), report.slowness)
-        self.book.note_report(instance.id, report)
+        if self.book.note_report(instance.id, report):
+            self.tell(instance.id, report)
         return True
 
     def is_cut_off(self) -> bool:
--- a/sycamoredale/platform/settings.py
+++ b/sycamoredale/platform/settings.py
@@ -21,12 +21,14 @@
 class Bounds:
     """Hold the bounds that operators set, in seconds unless named.
 
-    A stopped process is killed after `grace`; a head that lost a member is
-    broken after `stall`.  Further sends are at most `retry_ratio` of the
-    requests of a window and `retry_burst` more.
+    A stopped process is killed after `grace`; a leaving instance gets no
+    request after `drain`; a head that lost a member breaks after `stall`.
+    Further sends are at most `retry_ratio` of the requests of a window and
+    `retry_burst` more.
     """
 
     grace: float
+    drain: float
     stall: float
     retry_ratio: float
     retry_window: float
@@ -78,6 +80,7 @@
 def _bounds(reader: "_LineReader") -> Bounds:
     return Bounds(
         grace=reader.number("bounds.grace_s", 8.0),
+        drain=reader.number("bounds.drain_ms", 2000.0) / 1000,
         stall=reader.number("bounds.stall_ms", 5000.0) / 1000,
         retry_ratio=reader.number("bounds.retry_budget_ratio", 0.1),
         retry_window=reader.number("bounds.budget_window_s", 10.0),
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -102,13 +102,11 @@
         self, kind: str, name: str, value: bytes, expected: ids.ObjectVersion
     ) -> ids.ObjectVersion:
         """Write over the expected version; raise as the object API does."""
-        metadata = {"name": name}
-        if expected != objects.ABSENT:
-            metadata["rev"] = expected  # type: ignore[assignment]
-        body = {"metadata": metadata, "spec": msgspec.Raw(value)}
+        body = {"metadata": {"name": name}, "spec": msgspec.Raw(value)}
         if expected == objects.ABSENT:
             request = messages.json_request("POST", _path(kind), body)
         else:
+            body["metadata"] = {"name": name, "rev": expected}
             request = messages.json_request("PUT", _path(kind, name), body)
         response = await self._write(request)
         written = objects.decode(response, _Object)
