Log a further send that the budget denies, with its counts

Cause: a call that ended because the bound on further sends was reached left only the list of its sends. The line names the requests and further sends of the window and what they allow.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -117,7 +117,11 @@
         if not progress.arrivals:
             return True
         now = clock.monotonic()
-        return self.budget.take(progress.call.service.name, now)
+        service = progress.call.service.name
+        if self.budget.take(service, now):
+            return True
+        send_log.no_budget(progress, self.budget.spent(service, now))
+        return False
 
     async def _choose(
         self, progress: progress_module.Progress, exchange: server.Exchange
--- a/sycamoredale/forwarding/send_budget.py
+++ b/sycamoredale/forwarding/send_budget.py
@@ -19,6 +19,20 @@
 Times = collections.deque[clock.MonotonicTime]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """Count what one window holds of a service, and what it allows."""
+
+    requests: int
+    repeats: int
+    allowed: float
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether one more repeat stays within the bound."""
+        return self.repeats + 1 <= self.allowed
+
+
 @dataclasses.dataclass
 class SendBudget:
     """Count requests and further sends by service in a sliding window."""
@@ -43,15 +57,20 @@
 
     def take(self, service: ids.ServiceName, now: clock.MonotonicTime) -> bool:
         """Count a further send if it is within the bound; tell if it is."""
+        if not self.spent(service, now).has_room:
+            return False
+        self._repeats[service].append(now)
+        return True
+
+    def spent(
+        self, service: ids.ServiceName, now: clock.MonotonicTime
+    ) -> Spent:
+        """Return the counts of the window that ends now."""
         requests = self._within(self._requests[service], now)
         repeats = self._within(self._repeats[service], now)
         grown = min(1.0, (now - self.started_at) / self.window_seconds)
         part = BURST_SHARE * grown * self.burst / self.count_daemons()
-        allowed = self.ratio * requests + part
-        if repeats + 1 > allowed:
-            return False
-        self._repeats[service].append(now)
-        return True
+        return Spent(requests, repeats, self.ratio * requests + part)
 
     def _within(self, times: Times, now: clock.MonotonicTime) -> int:
         while times and times[0] < now - self.window_seconds:
--- a/sycamoredale/forwarding/send_log.py
+++ b/sycamoredale/forwarding/send_log.py
@@ -5,6 +5,7 @@
 from sycamoredale import clock
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.forwarding import send_budget
 from sycamoredale.observability import logs
 
 LOG: Final = logs.get("forwarding")
@@ -29,5 +30,19 @@
     )
 
 
+def no_budget(
+    progress: progress_module.Progress, spent: send_budget.Spent
+) -> None:
+    """Log that a call may not be sent again, with the counts of the window."""
+    LOG.info(
+        "further_send_denied",
+        request=progress.call.id,
+        service=progress.call.service.name,
+        requests=spent.requests,
+        repeats=spent.repeats,
+        allowed=round(spent.allowed, 1),
+    )
+
+
 def _ms_since(at: clock.MonotonicTime) -> int | None:
     return int(1000 * (clock.monotonic() - at)) if at else None
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -14,6 +14,7 @@
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import send_budget
+from sycamoredale.forwarding import send_log
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
@@ -300,3 +301,23 @@
             poison.Fingerprint("f"), now
         )
     assert raised.value.code.status == 422
+
+
+class _Log:
+    def __init__(self):
+        self.lines = []
+
+    def info(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+
+def test_call_that_may_not_be_sent_again_is_logged(monkeypatch):
+    log = _Log()
+    monkeypatch.setattr(send_log, "LOG", log)
+    site = Site(Endpoint("i0", "stalls", 2), Endpoint("i1"))
+    site.forwarder.budget.burst = 0.0
+    got, _ = site.run()
+    assert not got.finished
+    denied = [x for x in log.lines if x["event"] == "further_send_denied"]
+    assert [d["request"] for d in denied] == ["r1"]
+    assert (denied[0]["repeats"], denied[0]["allowed"]) == (0, 0.2)
