Ask members of a group at work rarely, and at once when it falls silent

A group makes progress only while each of its members works, and the news of load already tell when any daemon last heard a head.

Change: members of a group that was heard within 0.25 s are asked each 1.2 s; once it is silent they are asked at the usual pace, the first time at once.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -172,6 +172,7 @@
             self._count_daemons,
             self._is_in_line,
             self._news.outbox.put,
+            self._endpoints.heard_at,
         )
 
     def _build_service(self) -> service.CallService:
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -128,6 +128,7 @@
         return now < self.suspect_until
 
 
+Group = tuple[ids.GroupId, ids.Epoch]
 GetZonesOut = collections.abc.Callable[[], frozenset[ids.ZoneName]]
 GetServices = collections.abc.Callable[
     [], collections.abc.Mapping[ids.ServiceName, catalogue.Service]
@@ -145,6 +146,9 @@
         default_factory=dict
     )
     demand_by_model: dict[str, float] = dataclasses.field(default_factory=dict)
+    _head_by_group: dict[Group, Endpoint] = dataclasses.field(
+        default_factory=dict
+    )
     _by_kind: dict[tuple[ids.ServiceName, str], list[Endpoint]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -159,6 +163,15 @@
         """Return the endpoints of a service that run a model."""
         return self._by_kind.get((service, model), ())
 
+    def heard_at(self, instance: listing.Instance) -> clock.MonotonicTime:
+        """Return when the group of an instance last made progress.
+
+        It does so only while each of its members works.
+        """
+        place = instance.membership
+        head = place and self._head_by_group.get((place.group, place.epoch))
+        return head.heard_at if head else clock.MonotonicTime(0.0)
+
     def note_demand(self, now: clock.MonotonicTime) -> None:
         """Average the requests that each model runs, over some seconds.
 
@@ -178,6 +191,7 @@
         """Take over what is known of instances, zones and services."""
         found: dict[ids.InstanceId, Endpoint] = {}
         by_kind: dict[tuple[ids.ServiceName, str], list[Endpoint]] = {}
+        head_by_group: dict[Group, Endpoint] = {}
         zones_out = self.get_zones_out()
         services = self.get_services()
         domains = self._domains_by_group()
@@ -195,10 +209,12 @@
             if place is not None:
                 group = place.group, place.epoch
                 endpoint.is_far = len(domains[group]) > 1
+                head_by_group[group] = endpoint
             found[instance.id] = endpoint
             by_kind.setdefault((service.name, model), []).append(endpoint)
         self.by_id = found
         self._by_kind = by_kind
+        self._head_by_group = head_by_group
 
     def _endpoint(
         self,
@@ -216,8 +232,8 @@
 
     def _domains_by_group(
         self,
-    ) -> dict[tuple[ids.GroupId, ids.Epoch], set[ids.DomainName]]:
-        domains: dict[tuple[ids.GroupId, ids.Epoch], set[ids.DomainName]] = {}
+    ) -> dict[Group, set[ids.DomainName]]:
+        domains: dict[Group, set[ids.DomainName]] = {}
         for instance in self.book.by_id.values():
             place = instance.membership
             if place is not None:
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -83,6 +83,7 @@
     count_daemons: collections.abc.Callable[[], int]
     is_in_line: collections.abc.Callable[[], bool] = lambda: True
     tell: report_probing.Tell = lambda instance, report: None
+    get_heard_at: report_probing.GetHeardAt = report_probing.never_heard
     contacts: contact.ContactBook = dataclasses.field(
         default_factory=contact.ContactBook
     )
@@ -144,6 +145,7 @@
             self.book,
             self.contacts,
             self.tell,
+            self.get_heard_at,
         )
         probing = await curio.spawn(prober.run, daemon=True)
         try:
--- a/sycamoredale/groups/report_probing.py
+++ b/sycamoredale/groups/report_probing.py
@@ -17,6 +17,14 @@
 # group stand still meanwhile.
 PROBE_SECONDS: Final = 0.4
 
+# The members of a group that was heard are asked this rarely, for what no
+# event shows: how slow they are.
+REST_SECONDS: Final = 1.2
+# An engine at work ends a pass within this time, but for the longest ones.
+HEARD_SECONDS: Final = 0.25
+# How often it is looked who is due; small beside the time of a probe.
+LOOK_SECONDS: Final = 0.05
+
 # The second question comes at once after the time of the first one.
 AGAIN_SECONDS: Final = 0.3
 
@@ -25,6 +33,14 @@
 ]
 # Called with a report by which a head has changed.
 Tell = collections.abc.Callable[[ids.InstanceId, listing.Report], None]
+GetHeardAt = collections.abc.Callable[[listing.Instance], clock.MonotonicTime]
+
+
+def never_heard(instance: listing.Instance) -> clock.MonotonicTime:
+    """Tell nothing of the work of any group."""
+    return clock.MonotonicTime(0.0)
+
+
 GetInstances = collections.abc.Callable[
     [], collections.abc.Iterable[listing.Instance]
 ]
@@ -39,16 +55,36 @@
     book: listing.InstanceBook
     contacts: contact.ContactBook
     tell: Tell = lambda instance, report: None
+    get_heard_at: GetHeardAt = never_heard
+    _asked_at: dict[ids.InstanceId, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
     _probing: set[ids.InstanceId] = dataclasses.field(default_factory=set)
 
     async def run(self) -> None:
         """Probe all engines at a pace; a silent one delays no other."""
         while True:
+            now = clock.monotonic()
             for instance in list(self.get_instances()):
-                if instance.id not in self._probing:
+                if instance.id not in self._probing and self.is_due(
+                    instance, now
+                ):
+                    self._asked_at[instance.id] = now
                     self._probing.add(instance.id)
                     await curio.spawn(self._probe, instance, daemon=True)
-            await curio.sleep(PROBE_SECONDS)
+            await curio.sleep(LOOK_SECONDS)
+
+    def is_due(
+        self, instance: listing.Instance, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell whether an instance is to be asked.
+
+        While its group makes progress it is surely there.
+        """
+        pause = PROBE_SECONDS
+        if now - self.get_heard_at(instance) < HEARD_SECONDS:
+            pause = REST_SECONDS
+        return now - self._asked_at.get(instance.id, 0.0) >= pause
 
     async def _probe(self, instance: listing.Instance) -> None:
         try:
--- a/tests/test_report_probing.py
+++ b/tests/test_report_probing.py
@@ -87,3 +87,36 @@
                 await curio.sleep(0.01)
 
     curio.run(main)
+
+
+def _times_asked(heard_ago, seconds=6.0):
+    prober = _prober(None)
+    instance = prober.book.by_id["i0"]
+    asked = []
+    now = 100.0
+    while now < 100.0 + seconds:
+        prober.get_heard_at = lambda instance: now - heard_ago(now)
+        if prober.is_due(instance, now):
+            prober._asked_at["i0"] = now
+            asked.append(now)
+        now += report_probing.LOOK_SECONDS
+    return asked
+
+
+def test_members_of_a_group_at_work_are_asked_rarely():
+    asked = _times_asked(lambda now: 0.1)
+    assert len(asked) <= 6.0 / report_probing.REST_SECONDS + 1
+
+
+def test_idle_group_is_asked_at_the_usual_pace():
+    asked = _times_asked(lambda now: now)
+    assert len(asked) >= 0.9 * 6.0 / report_probing.PROBE_SECONDS
+
+
+def test_group_that_falls_silent_is_asked_at_once():
+    """Pattern: a member dies while its group runs requests."""
+    dies_at = 103.33
+    asked = _times_asked(lambda now: max(0.0, now - dies_at))
+    first = min(at for at in asked if at > dies_at)
+    limit = report_probing.HEARD_SECONDS + 2 * report_probing.LOOK_SECONDS
+    assert first - dies_at <= limit
