Give large groups their share of the domains; watch by number of daemons

Cause 1: at the start each group of the small model began a new domain, so that the large one got two of eight. Change: a model begins no more domains than its share while others have room, and takes no place in which another model keeps its spares. Offline (test_mix): 8 and 36 groups where 4 and 56 stood. Sites with domains of nine start as before.

Change: the pause grows with the number of daemons, and is 0.3 s for nine.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -143,12 +143,13 @@
     def _listing_pause(self) -> float:
         """Return the seconds between two watches of the instances.
 
-        Routers hear of open heads from the keeper; the list tells them
-        which instances leave, half of the time before that binds.
+        Routers hear of open heads from the keeper.
         """
         if self._upkeep.lease.held(clock.monotonic()):
             return following.GATHER_SECONDS
-        return max(following.GATHER_SECONDS, self._settings.bounds.drain / 2)
+        return following.shared_pause(
+            self._count_daemons(), self._settings.bounds.drain
+        )
 
     def _build_upkeep(self) -> group_upkeep.GroupUpkeep:
         lease = leases.Lease(
--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -26,6 +26,11 @@
 # Changes come in bursts, and each answer to a watch is a priced call; a
 # tenth of the time that a group needs to be formed again.
 GATHER_SECONDS: Final = 0.3
+# Of all daemons together for one kind: a fiftieth of the 2,000 reading calls
+# that the store of the smaller sites serves.
+WATCHES_PER_SECOND: Final = 40.0
+# The rest of a bound covers a slow store and a call on its way.
+BOUND_SHARE: Final = 0.5
 FIRST_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 1.0
 # Entries that are renewed by heartbeats may lapse in an outage this long.
@@ -45,6 +50,15 @@
     return GATHER_SECONDS
 
 
+def shared_pause(daemons: int, bound_seconds: float) -> float:
+    """Return the pause for a kind that many daemons watch, in seconds.
+
+    What changes must be known well within the bound.
+    """
+    shared = daemons / WATCHES_PER_SECOND
+    return max(GATHER_SECONDS, min(shared, BOUND_SHARE * bound_seconds))
+
+
 OnContact = collections.abc.Callable[[clock.MonotonicTime], None]
 
 
--- a/sycamoredale/groups/holdings.py
+++ b/sycamoredale/groups/holdings.py
@@ -38,7 +38,19 @@
     def strangers(self, domain: ids.DomainName, model: str) -> int:
         """Return how many instances of a domain have another model."""
         found = self._by_domain[domain]
-        return found.total() - found[model]
+        return found.total() - self.of(domain, model)
+
+    def of(self, domain: ids.DomainName, model: str) -> int:
+        """Return how many instances of a domain have a model."""
+        return self._by_domain[domain][model]
+
+    def domains(self) -> set[str]:
+        """Return the domains that have any model."""
+        return {d for d, found in self._by_domain.items() if found.total()}
+
+    def domains_of(self, model: str) -> set[str]:
+        """Return the domains that have a model."""
+        return {d for d, found in self._by_domain.items() if found[model]}
 
     def in_zone(self, zone: ids.ZoneName, model: str) -> int:
         """Return how many instances of a zone have a model."""
--- a/sycamoredale/groups/mix.py
+++ b/sycamoredale/groups/mix.py
@@ -16,6 +16,8 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
+import typing
 from typing import Final
 
 from sycamoredale.forwarding import catalogue
@@ -28,6 +30,9 @@
 # group, for it completes the next one that loses a member.
 FIRST_SPARE_RANK: Final = 1.5
 EXCHANGE_RANK: Final = 1.2
+# Of the instances of a domain; a ninth are what two groups of four leave of
+# nine, and a seventh what two groups of sixteen leave of 37.
+SPARE_SHARE: Final = 1 / 7
 
 
 # The requests that each model has to run, empty while nothing is known.
@@ -196,6 +201,8 @@
         for domain, room in rooms.items()
         if _is_warm(room, model) or (may_load and len(room) >= model.size)
     ]
+    if may_load:
+        fits = [f for f in fits if not _takes_spares(*f, rooms, counts, held)]
     if not fits:
         return None
     return min(
@@ -204,6 +211,7 @@
             counts[f[1].name] > 0,
             held.strangers(f[0], f[1].name) > 0,
             _supply(f[1], counts, demand),
+            may_load and _takes_too_many(f[0], f[1], models, rooms, held),
             held.in_zone(rooms[f[0]][0].zone, f[1].name),
             _unfitness(rooms[f[0]], f[1]),
             f[0],
@@ -211,6 +219,42 @@
     )
 
 
+def _takes_spares(
+    domain: ids.DomainName,
+    model: catalogue.Model,
+    rooms: collections.abc.Mapping[ids.DomainName, list[listing.Instance]],
+    counts: collections.Counter[str],
+    held: holdings.Holdings,
+) -> bool:
+    """Tell whether a group would take what another model needs as spares."""
+    strangers = held.strangers(domain, model.name)
+    if not strangers or not counts[model.name]:
+        return False
+    free = len(rooms[domain])
+    size = free + strangers + held.of(domain, model.name)
+    return free <= SPARE_SHARE * size
+
+
+def _takes_too_many(
+    domain: ids.DomainName,
+    model: catalogue.Model,
+    models: collections.abc.Sequence[catalogue.Model],
+    rooms: collections.abc.Mapping[ids.DomainName, typing.Any],
+    held: holdings.Holdings,
+) -> bool:
+    """Tell whether a model would begin more domains than its share.
+
+    A small model that begins a domain for each of its groups leaves none to
+    a large one.
+    """
+    if held.of(domain, model.name):
+        return False
+    share = model.share / sum(m.share for m in models)
+    begun = held.domains_of(model.name)
+    known = held.domains() | rooms.keys()
+    return len(begun) >= math.ceil(share * len(known))
+
+
 def _supply(
     model: catalogue.Model,
     counts: collections.Counter[str],
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -2,6 +2,7 @@
 
 import curio
 import msgspec
+import pytest
 
 from sycamoredale import clock
 from sycamoredale import error_codes
@@ -107,3 +108,19 @@
     site.step(_seen(3, ["old"]))
     assert len(site.taken) == 1
     assert site.follower.version == 5
+
+
+@pytest.mark.parametrize(
+    "daemons, bound_seconds, expected",
+    [
+        (9, 2.0, following.GATHER_SECONDS),
+        (62, 3.0, 1.5),
+        (30, 2.0, 0.75),
+        (380, 2.0, 1.0),
+        (380, 0.1, following.GATHER_SECONDS),
+    ],
+)
+def test_many_daemons_watch_more_rarely_but_within_the_bound(
+    daemons, bound_seconds, expected
+):
+    assert following.shared_pause(daemons, bound_seconds) == expected
--- a/tests/test_mix.py
+++ b/tests/test_mix.py
@@ -1,6 +1,7 @@
 """Check which groups free instances form, by pattern of loss and load."""
 
 import collections
+import dataclasses
 
 import pytest
 
@@ -46,6 +47,34 @@
     assert all(len(found) == 1 for found in models_by_domain.values())
 
 
+@pytest.mark.parametrize(
+    "zones, large, small",
+    [("abcd", 8, 36), ("abc", 6, 27)],
+)
+def test_large_groups_get_their_share_of_large_domains(zones, large, small):
+    """Pattern: few large groups beside many small ones, as a site grows."""
+    models = tuple(
+        dataclasses.replace(m, size=size, share=0.5)
+        for m, size in zip(MODELS, (16, 4), strict=True)
+    )
+    free = [
+        i
+        for zone in zones
+        for d in range(2)
+        for i in _room(f"{zone}{d}", *[""] * 37, zone=zone)
+    ]
+    formed = list(
+        mix.new_groups(
+            free, models, collections.Counter(), {}, True, holdings.Holdings()
+        )
+    )
+    counts = collections.Counter(g.model.name for g in formed)
+    assert counts["large"] >= large
+    assert counts["small"] >= small
+    places = {(g.members[0].zone, g.model.name) for g in formed}
+    assert len(places) == 2 * len(zones)
+
+
 def test_each_model_has_a_group_where_there_is_one_domain():
     counts = collections.Counter(
         m for m, _ in _formed(_room("d0", *[""] * 9), may_load=True)
@@ -165,3 +194,27 @@
     free = [i for n in range(3) for i in _room(f"d{n}", "small", "small")]
     standing = collections.Counter({"small": 1})
     assert not list(mix.far_groups(free, MODELS, standing))
+
+
+def test_large_groups_get_their_share_when_few_may_load_at_once():
+    """Pattern: the weight store lets a large site form groups in steps."""
+    models = tuple(
+        dataclasses.replace(m, size=size, share=0.5)
+        for m, size in zip(MODELS, (16, 4), strict=True)
+    )
+    free = [
+        i
+        for zone in "abcd"
+        for d in range(2)
+        for i in _room(f"{zone}{d}", *[""] * 37, zone=zone)
+    ]
+    held = holdings.Holdings()
+    counts = collections.Counter()
+    while True:
+        found = mix.new_groups(free, models, counts, {}, True, held)
+        group = next(found, None)
+        if group is None:
+            break
+        counts[group.model.name] += 1
+        free = [i for i in free if i not in group.members]
+    assert counts == {"large": 8, "small": 36}
