Let the last holder of the lease look for it often after an outage

Cause: while the store is down for all nobody may act.

Ruled out: acting on while the store is away; a daemon that the holder cannot hear may have the lease.

The test failed before (test_group_upkeep).

--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -125,7 +125,9 @@
             await curio.sleep(self._pause_seconds(now_held))
 
     def _pause_seconds(self, held: bool) -> float:
-        if held:
+        # Nobody may act while the store is away; whoever held the lease
+        # can take it up as soon as the store is back.
+        if held or self.lease.was_last_own:
             return TEND_SECONDS
         return LOOK_SECONDS if self.is_in_line() else RARE_LOOK_SECONDS
 
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -80,6 +80,12 @@
         """Tell whether the owner may act at this time."""
         return self.tenure is not None and now < self.tenure.ends
 
+    @property
+    def was_last_own(self) -> bool:
+        """Tell whether this owner's is the last record that it saw."""
+        record = self._sighting.record if self._sighting else None
+        return record is not None and record.owner == self.owner
+
     def check(self, now: clock.MonotonicTime) -> None:
         """Raise LeaseLost unless the owner may act at this time."""
         if not self.held(now):
--- a/tests/test_group_upkeep.py
+++ b/tests/test_group_upkeep.py
@@ -11,6 +11,7 @@
 from sycamoredale.groups import reported
 from sycamoredale import leases
 from tests import engines_site
+from tests import fake_store
 from tests import memory_store
 
 
@@ -151,3 +152,44 @@
         assert not keeper.lease.held(clock.monotonic())
 
     curio.run(main)
+
+
+def test_last_holder_takes_the_lease_up_at_once_after_an_outage():
+    """Pattern: the store is down for everybody, and groups are lost."""
+    store = fake_store.FakeStore()
+    book = _book(0)
+    keeper = _keeper(store, "c1", book, Engines(book))
+    # Others of its zone come before it.
+    keeper.is_in_line = lambda: False
+
+    def held():
+        return keeper.lease.held(clock.monotonic())
+
+    async def main():
+        await curio.spawn(keeper.run, daemon=True)
+        await _until(held)
+        store.down = True
+        await _until(lambda: not held())
+        await curio.sleep(group_upkeep.TEND_SECONDS)
+        store.down = False
+        began = clock.monotonic()
+        await _until(held)
+        seconds = clock.monotonic() - began
+        assert seconds < group_upkeep.LOOK_SECONDS
+
+    curio.run(main)
+
+
+def test_daemon_that_lost_the_lease_to_another_looks_rarely():
+    store = fake_store.FakeStore()
+    book = _book(0)
+    keeper = _keeper(store, "c1", book, Engines(book))
+    keeper.is_in_line = lambda: False
+    other = _keeper(store, "c2", book, Engines(book))
+
+    async def main():
+        await other.lease.tend()
+        await keeper.lease.tend()
+        return keeper._pause_seconds(False)
+
+    assert curio.run(main) == group_upkeep.RARE_LOOK_SECONDS
