Report the changes of a listing even if it cannot be taken over whole

Cause: an error in the middle of a listing would have left the book without any further report of changes. Found by reading.

--- a/sycamoredale/forwarding/listing.py
+++ b/sycamoredale/forwarding/listing.py
@@ -150,15 +150,17 @@
         Changes are reported once, at the end.
         """
         self._is_gathering = True
-        for instance in found:
-            self.note(instance, now)
-        for name in gone:
-            self.remove(name, now)
-        if listed is not None:
-            self.keep_only(listed, now)
-        self._is_gathering = False
-        if self._has_changed:
-            self._changed()
+        try:
+            for instance in found:
+                self.note(instance, now)
+            for name in gone:
+                self.remove(name, now)
+            if listed is not None:
+                self.keep_only(listed, now)
+        finally:
+            self._is_gathering = False
+            if self._has_changed:
+                self._changed()
 
     def note(self, instance: Instance, now: clock.MonotonicTime) -> None:
         """Take over a word of the list unless a newer one is known."""
