--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -198,6 +198,37 @@
     assert (sent.method, sent.target, sent.body) == ("POST", "/a/x", b"body")
 
 
+@pytest.mark.parametrize(
+    "placed, expected",
+    [
+        (urgency.Urgency.CONTINUED, "2"),
+        (urgency.Urgency.IN_TIME, None),
+        (urgency.Urgency.LATE, "7"),
+    ],
+)
+def test_urgency_is_a_priority_whatever_the_caller_asked_for(placed, expected):
+    call = _call([("Request-Priority", "0"), ("Model", "large")])
+    sent = wire.request_for(
+        call, engines_site.instance("i-1"), 1.5, None, placed
+    )
+    assert sent.headers.get("Request-Priority") == expected
+
+
+def test_engine_says_how_long_its_passes_and_answers_are():
+    engine = {
+        "slots": 13,
+        "stride": 7,
+        "usual": {"prompt": 1115, "answer": 178},
+        "models": [{"name": "large", "size": 4}],
+    }
+    service = {"name": "llm", "engine": engine}
+    found = manifest.decode(
+        json.dumps({"version": 1, "services": [service]}).encode()
+    )
+    read = found.service_by_name["llm"].engine
+    assert (read.steps_per_pass, read.usual_answer_tokens) == (7, 178)
+
+
 @pytest.mark.parametrize(
     "head,word",
     [
