Place groups also where a model has no share of the work

Cause: a model whose configured share is 0 and that has no requests yet led to a division by zero in the keeper's round. Found by reading; three cases of the test failed before.

--- a/sycamoredale/groups/mix.py
+++ b/sycamoredale/groups/mix.py
@@ -25,6 +25,9 @@
 from sycamoredale.groups import holdings
 from sycamoredale import ids
 
+# A model may be configured before it has any work; beside the others it then
+# counts as one with a thousandth of it.
+LEAST_SHARE: Final = 0.001
 # Ranks count the instances that a group lacks after the staging and one
 # more.  A first spare of a model in a domain comes next to completing a
 # group, for it completes the next one that loses a member.
@@ -249,7 +252,8 @@
     """
     if held.of(domain, model.name):
         return False
-    share = model.share / sum(m.share for m in models)
+    total = sum(max(m.share, LEAST_SHARE) for m in models)
+    share = max(model.share, LEAST_SHARE) / total
     begun = held.domains_of(model.name)
     known = held.domains() | rooms.keys()
     return len(begun) >= math.ceil(share * len(known))
@@ -262,8 +266,8 @@
 ) -> float:
     """Return how many groups a model has for each that its work needs."""
     # The configured share is in instances.
-    share = demand.get(model.name) or model.share / model.size
-    return counts[model.name] / share
+    share = max(model.share, LEAST_SHARE) / model.size
+    return counts[model.name] / (demand.get(model.name) or share)
 
 
 def _is_warm(room: list[listing.Instance], model: catalogue.Model) -> bool:
--- a/tests/test_mix.py
+++ b/tests/test_mix.py
@@ -218,3 +218,17 @@
         counts[group.model.name] += 1
         free = [i for i in free if i not in group.members]
     assert counts == {"large": 8, "small": 36}
+
+
+@pytest.mark.parametrize("shares", [(0.0, 1.0), (1.0, 0.0), (0.0, 0.0)])
+def test_model_without_a_share_of_the_work_stops_no_placement(shares):
+    """Pattern: a model is configured before any caller knows it."""
+    models = tuple(
+        dataclasses.replace(m, share=share)
+        for m, share in zip(MODELS, shares, strict=True)
+    )
+    free = [i for d in range(4) for i in _room(f"d{d}", *[""] * 9)]
+    formed = mix.new_groups(
+        free, models, collections.Counter(), {}, True, holdings.Holdings()
+    )
+    assert {g.model.name for g in formed} == {"large", "small"}
