Let an engine that failed end its requests before it loads again

Change: an engine that reports a failure and still runs requests gets no load before they have ended, or for the time that a drained group has for its last requests (3 s).

Ruled out: a member that was lost (none was out), a drain, two controllers (one epoch in all records).

--- a/sycamoredale/groups/health.py
+++ b/sycamoredale/groups/health.py
@@ -38,6 +38,7 @@
     refuses: bool = False
     ordered_at: clock.MonotonicTime | None = None
     failed_loads: int = 0
+    failed_since: clock.MonotonicTime | None = None
 
     @property
     def reachable(self) -> bool:
@@ -86,6 +87,10 @@
         if known.asked_at is not None and asked_at < known.asked_at:
             return
         known.failed_loads = _failed_loads(known, state)
+        if state is None or state.phase is not orders.Phase.FAILED:
+            known.failed_since = None
+        elif known.failed_since is None:
+            known.failed_since = asked_at
         known.state = state
         known.asked_at = asked_at
         known.failures = 0
--- a/sycamoredale/groups/ordering.py
+++ b/sycamoredale/groups/ordering.py
@@ -18,6 +18,8 @@
 from sycamoredale.object_api import instances
 
 REPEAT_LOAD_SECONDS: Final = 2.0
+# As long as a group that is drained has for its last requests.
+FINISH_AFTER_FAILURE_SECONDS: Final = repair.DRAIN_GRACE_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,8 +64,9 @@
     action = _action(group, service, state, facts)
     if action is None:
         return None
-    if action is orders.Action.LOAD and _just_ordered(member, facts):
-        return None
+    if action is orders.Action.LOAD:
+        if _just_ordered(member, facts) or _finishes(member, facts):
+            return None
     order = orders.Order(
         action=action,
         epoch=group.epoch,
@@ -111,6 +114,17 @@
     return facts.now < clock.MonotonicTime(known.ordered_at + wait)
 
 
+def _finishes(member: model.Member, facts: repair.Facts) -> bool:
+    """Tell whether an engine that failed still ends its requests."""
+    known = facts.book.by_id[member.instance]
+    if known.state is None or known.failed_since is None:
+        return False
+    if not known.state.running + known.state.waiting:
+        return False
+    until = known.failed_since + FINISH_AFTER_FAILURE_SECONDS
+    return facts.now < until
+
+
 def _unloads(
     assignment: model.Assignment, facts: repair.Facts
 ) -> collections.abc.Iterator[DueOrder]:
--- a/tests/test_group_decisions.py
+++ b/tests/test_group_decisions.py
@@ -334,3 +334,29 @@
     assert [item.order.action for item in due] == [orders.Action.UPDATE] * 2
     assert due[0].order.adapters == ["x-weights"]
     assert repair.revise(group, facts) == group
+
+
+@pytest.mark.parametrize(
+    ("running", "seconds", "loaded"),
+    [
+        (2, 0.5, []),
+        (0, 0.5, ["a"]),
+        (2, ordering.FINISH_AFTER_FAILURE_SECONDS, ["a"]),
+    ],
+    ids=["requests_go_on", "requests_ended", "waited_long_enough"],
+)
+def test_failed_engine_ends_its_requests_before_it_loads_again(
+    running: int, seconds: float, loaded: list[str]
+) -> None:
+    group = _group("a", "b", state=FORMING)
+    facts = _facts([group])
+    head = ids.InstanceId("a")
+    for at in (0.0, seconds):
+        failed = orders.EngineState(
+            head, orders.Phase.FAILED, group.epoch, group.id, running=running
+        )
+        asked_at = clock.MonotonicTime(START + at)
+        facts.book.note_report(head, failed, asked_at)
+    current = model.Assignment(DOMAIN, ids.Epoch(1), [group])
+    due = list(ordering.due(current, _at(facts, seconds)))
+    assert [item.instance for item in due] == loaded
