Know which instance has ended by who answers at its address

Reports are asked for by address, so those of the new instances were noted for the old ids, first as members of the list and then as unlisted ones. The keeper joined old ids (13 orders refused at 25.6 s), took i-d5333b20a3, which had ended, for the head of group 2000004, and told it to leave each 1.5 s until 34 s. Four groups that stood ready were opened only by the next keeper, at 37.5 s.

Change: of two ids with one address the one that started later lives. A report of a later start is no word of the listed instance: it takes part in no group until the list tells of that start. Members of a head that has ended so are free at once.

Ruled out: orders carried out late (all were answered), the weight store (the hosts held their models), slow loads (all members were ready at 27 s).

--- a/sycamoredale/forwarding/listing.py
+++ b/sycamoredale/forwarding/listing.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from sycamoredale import clock
+from sycamoredale.forwarding import lives as lives_module
 from sycamoredale.http import messages
 from sycamoredale import ids
 
@@ -135,6 +136,9 @@
     unlisted_by_id: dict[ids.InstanceId, Unlisted] = dataclasses.field(
         default_factory=dict
     )
+    lives: lives_module.Lives = dataclasses.field(
+        default_factory=lives_module.Lives
+    )
     _is_gathering: bool = False
     _has_changed: bool = False
 
@@ -168,6 +172,24 @@
         past = self.unlisted_by_id.pop(instance.id, None)
         if known is None and past is not None:
             known = past.instance
+        if known is not None and known.address != instance.address:
+            self.lives.forget(known.address, instance.id)
+        ended = self.lives.note_listed(
+            instance.address, instance.id, instance.started_ms
+        )
+        if ended is not None:
+            self._drop(ended)
+        if ended == instance.id:
+            return
+        instance = self._newest(known, instance)
+        until = clock.MonotonicTime(now + instance.cold_seconds)
+        self.cold_until_by_id[instance.id] = until
+        self._put(instance)
+
+    def _newest(self, known: Instance | None, instance: Instance) -> Instance:
+        """Return a listed instance with the newest word about its place."""
+        if self.lives.has_ended(instance.id):
+            return _without_place(instance)
         if known is not None and known.age > instance.age:
             place = dataclasses.replace(
                 instance,
@@ -176,10 +198,8 @@
                 membership=known.membership,
                 staged=known.staged,
             )
-            instance = place if _same_life(known, instance) else known
-        until = clock.MonotonicTime(now + instance.cold_seconds)
-        self.cold_until_by_id[instance.id] = until
-        self._put(instance)
+            return place if _same_life(known, instance) else known
+        return instance
 
     def note_report(self, instance: ids.InstanceId, report: Report) -> bool:
         """Take over the answer of an instance unless it is old.
@@ -192,6 +212,8 @@
             return False
         if (report.started_ms, report.orders_taken) < known.age:
             return False
+        if 0 < known.started_ms < report.started_ms:
+            return self._note_other_life(known)
         told = dataclasses.replace(
             known,
             started_ms=report.started_ms,
@@ -206,6 +228,25 @@
         has_moved = known.membership != told.membership
         return has_moved and (_is_head(known) or _is_head(told))
 
+    def _note_other_life(self, known: Instance) -> bool:
+        """Take a known instance for ended: another answers in its place.
+
+        Whether it has the same id is told by the list.  Tells whether a
+        listed head has changed.
+        """
+        self.lives.note_ended(known.id, known.started_ms)
+        if self.unlisted_by_id.pop(known.id, None) is not None:
+            return False
+        self._put(_without_place(known))
+        return _is_head(known)
+
+    def _drop(self, instance: ids.InstanceId) -> None:
+        """Forget an instance that has ended."""
+        self.unlisted_by_id.pop(instance, None)
+        self.cold_until_by_id.pop(instance, None)
+        if self.by_id.pop(instance, None) is not None:
+            self._changed()
+
     def remove(
         self, instance: ids.InstanceId, now: clock.MonotonicTime
     ) -> None:
@@ -219,6 +260,8 @@
             return
         if known.membership is not None:
             self.unlisted_by_id[instance] = Unlisted(known, now)
+        else:
+            self.lives.forget(known.address, instance)
         self._changed()
 
     def keep_only(
@@ -232,13 +275,15 @@
 
     def forget_unlisted(self, instance: ids.InstanceId) -> None:
         """Drop an unlisted instance, which does not answer any more."""
-        self.unlisted_by_id.pop(instance, None)
+        past = self.unlisted_by_id.pop(instance, None)
+        if past is not None:
+            self.lives.forget(past.instance.address, instance)
 
     def forget_unlisted_before(self, before: clock.MonotonicTime) -> None:
         """Drop the instances that have been unlisted for long."""
         for instance, past in list(self.unlisted_by_id.items()):
             if past.since < before:
-                del self.unlisted_by_id[instance]
+                self.forget_unlisted(instance)
 
     def is_cold(
         self, instance: ids.InstanceId, now: clock.MonotonicTime
@@ -266,6 +311,10 @@
             callback()
 
 
+def _without_place(instance: Instance) -> Instance:
+    return dataclasses.replace(instance, membership=None, staged=())
+
+
 def _is_head(instance: Instance) -> bool:
     return instance.membership is not None and instance.membership.rank == 0
 
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -241,6 +241,7 @@
             now,
             frozenset(unlisted),
             self.contacts.slow(),
+            self.book.lives.ended(),
         )
 
     async def _give(self, item: reported.Due) -> None:
--- a/sycamoredale/groups/situations.py
+++ b/sycamoredale/groups/situations.py
@@ -14,7 +14,8 @@
 class Situation:
     """Hold what a decision rests on.
 
-    The unlisted instances have left the list and still answer.
+    The unlisted instances have left the list and still answer; at the
+    address of those that have ended another instance answers.
     """
 
     instances: collections.abc.Mapping[ids.InstanceId, listing.Instance]
@@ -25,3 +26,4 @@
     now: clock.MonotonicTime
     unlisted: frozenset[ids.InstanceId] = frozenset()
     slow: frozenset[ids.InstanceId] = frozenset()
+    ended: frozenset[ids.InstanceId] = frozenset()
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -99,6 +99,8 @@
                 continue
             if instance.id in situation.unlisted | situation.slow:
                 continue
+            if instance.id in situation.ended:
+                continue
             if instance.id in busy or self._is_held(instance, situation.now):
                 continue
             if not situation.contacts.answers(instance.id):
@@ -207,7 +209,7 @@
         if group.head is not None or was_head is None:
             return False
         # It is listed, and reports another place or none.
-        return was_head in situation.instances
+        return was_head in situation.instances or was_head in situation.ended
 
     def _may_move(
         self,
--- a/tests/engines_site.py
+++ b/tests/engines_site.py
@@ -86,7 +86,15 @@
     return reported.new_key(model, ids.Epoch(epoch))
 
 
-def situation(instances, now, silent=(), zones_out=(), unlisted=(), slow=()):
+def situation(
+    instances,
+    now,
+    silent=(),
+    zones_out=(),
+    unlisted=(),
+    slow=(),
+    ended=(),
+):
     """Return what a decision rests on; all others have just answered."""
     contacts = contact.ContactBook()
     for known in instances:
@@ -103,6 +111,7 @@
         clock.MonotonicTime(now),
         frozenset(unlisted),
         frozenset(slow),
+        frozenset(ended),
     )
 
 
--- a/tests/test_instance_book.py
+++ b/tests/test_instance_book.py
@@ -1,7 +1,9 @@
 """Test what is known of instances that come to the list and leave it."""
 
 from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import lives
 from sycamoredale.groups import reported
+from sycamoredale.http import messages
 from tests import engines_site
 
 KEY = engines_site.key()
@@ -19,6 +21,12 @@
     return listing.Report(started_ms, orders_taken, membership, ("small",))
 
 
+def _joining():
+    return listing.Membership(
+        KEY.group, KEY.epoch, 0, listing.MemberState.JOINING
+    )
+
+
 def test_member_that_leaves_the_list_is_remembered_with_what_it_tells():
     book = _book(engines_site.instance("i0", place=OPEN))
     book.remove("i0", 1.0)
@@ -72,3 +80,65 @@
     book.note_listing([], {"i0"}, None, 1.0)
     book.note_listing(found[1:2], set(), {"i1"}, 1.0)
     assert reports[1:] == [names - {"i0"}, {"i1"}]
+
+
+def test_later_instance_at_an_address_ends_the_one_before():
+    """Pattern: all instances of a zone come back under other ids."""
+    past = engines_site.instance("i0", place=OPEN)
+    later = engines_site.instance("i1", started_ms=2000)
+    book = _book(past, later)
+    assert set(book.by_id) == {"i1"}
+    assert book.lives.ended() == {"i0"}
+    # The list has the entry of the one before until it lapses.
+    book.note_listing([past, later], set(), {"i0", "i1"}, 1.0)
+    assert set(book.by_id) == {"i1"}
+    book.remove("i0", 2.0)
+    assert not book.unlisted_by_id
+
+
+def test_unlisted_instance_ends_once_another_answers_at_its_address():
+    book = _book(engines_site.instance("i0", place=OPEN))
+    book.remove("i0", 1.0)
+    assert not book.note_report("i0", _report(2000, 1, _joining()))
+    assert not book.unlisted_by_id
+    assert book.lives.ended() == {"i0"}
+
+
+def test_report_of_a_later_life_is_not_taken_for_the_listed_one():
+    """Pattern: an instance has started again and the list lags behind."""
+    book = _book(engines_site.instance("i0", place=OPEN))
+    assert book.note_report("i0", _report(2000, 1, _joining()))
+    assert book.by_id["i0"].membership is None
+    assert not book.by_id["i0"].staged
+    assert not book.note_report("i0", _report(2000, 2, _joining()))
+    book.note(engines_site.instance("i0", place=OPEN, orders_taken=9), 1.0)
+    assert book.by_id["i0"].membership is None
+    assert book.lives.ended() == {"i0"}
+
+
+def test_instance_that_started_again_under_its_id_is_alive_once_listed():
+    book = _book(engines_site.instance("i0", place=OPEN))
+    book.note_report("i0", _report(2000, 0))
+    book.remove("i0", 1.0)
+    again = engines_site.instance("i0", started_ms=2000, staged=("small",))
+    book.note(again, 2.0)
+    assert book.by_id == {"i0": again}
+    assert not book.lives.ended()
+
+
+def test_instance_that_has_moved_does_not_end_with_its_old_address():
+    moved_to = messages.Address("127.0.0.1", 2)
+    book = _book(
+        engines_site.instance("i0"),
+        engines_site.instance("i0", started_ms=2000, address=moved_to),
+        engines_site.instance("i1", started_ms=3000),
+    )
+    assert set(book.by_id) == {"i0", "i1"}
+
+
+def test_ended_instances_are_bounded_in_number():
+    known = lives.Lives()
+    for number in range(lives.ENDED_KEPT + 5):
+        known.note_ended(f"i{number}", 1)
+    assert len(known.ended()) == lives.ENDED_KEPT
+    assert not known.has_ended("i4") and known.has_ended("i5")
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -194,6 +194,24 @@
     assert _free(state, seen) == {"i0", "i1", "i2"}
 
 
+def test_head_at_whose_address_another_answers_frees_its_members():
+    state = upkeep.Upkeep()
+    key = _open_group(state)
+    group = engines_site.members(key, NAMES, State.READY, State.OPEN)
+    _orders(state, engines_site.situation(group, 19.0))
+    later = engines_site.instance("i9", started_ms=2000, staged=("small",))
+    seen = engines_site.situation([later, *group[1:]], 20.0, ended=("i0",))
+    assert _orders(state, seen) == []
+    assert _free(state, seen) == {"i9", "i1", "i2"}
+
+
+def test_instance_that_has_ended_joins_no_group():
+    state = upkeep.Upkeep()
+    found = [engines_site.instance(n, staged=("small",)) for n in NAMES]
+    seen = engines_site.situation(found, 20.0, ended=("i0",))
+    assert _free(state, seen) == {"i1", "i2"}
+
+
 def test_leaving_member_ends_the_group_after_its_requests():
     state = upkeep.Upkeep()
     key = _open_group(state)
