Count the wait for a lost keeper from its last word

Beside it, a look each 1.0 s just misses the end of the wait (2.02 s) and comes a second later.

Change: the holder tells its peers which version it wrote, with the news of load; whoever has heard of a version waits from then on, since it was written before. A daemon in line looks when the lease is free, and each 0.4 s while the store is away. No vote and no store: only the conditional write decides, as before; the model check of the lease has words that come late as rules.

Ruled out: acting on while the store is away by word of all peers; that would be a second service for coordination.

Also: a malformed datagram is logged as a warning, and the fading of the others' load is worked out in one place.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -74,7 +74,11 @@
         )
         self._node = self._build_node()
         self._news = load_news.LoadNews(
-            settings.daemon, self._endpoints, self._news_addresses
+            settings.daemon,
+            self._endpoints,
+            self._news_addresses,
+            lambda: self._upkeep.lease.own_version,
+            lambda version, now: self._upkeep.lease.hear(version, now),
         )
         self._upkeep = self._build_upkeep()
         self._service = self._build_service()
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -63,16 +63,19 @@
 
     def load(self, now: clock.MonotonicTime) -> float:
         """Return the expected number of requests at the endpoint."""
-        age = now - self.others_at
-        fading = math.pow(0.5, age / LOAD_HALF_LIFE_SECONDS)
-        return self.in_flight + self.others * fading
+        return self.in_flight + self.others * self._fading(now)
 
     def urgent_load(self, now: clock.MonotonicTime) -> float:
         """Return the load without the requests that give way."""
+        fading = self._fading(now)
+        urgent = self.in_flight - self.yielding
+        others = self.others - self.others_yielding
+        return max(0.0, urgent + others * fading)
+
+    def _fading(self, now: clock.MonotonicTime) -> float:
+        """Return how much the last word of the others still counts."""
         age = now - self.others_at
-        fading = math.pow(0.5, age / LOAD_HALF_LIFE_SECONDS)
-        yielding = self.yielding + self.others_yielding * fading
-        return max(0.0, self.load(now) - yielding)
+        return math.pow(0.5, age / LOAD_HALF_LIFE_SECONDS)
 
     def note_load(self, load: calls.Load, now: clock.MonotonicTime) -> None:
         """Learn from the load that an answer carries, for want of news."""
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -21,6 +21,7 @@
 from sycamoredale.forwarding import stalls
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
 
 # Half of the time that a healthy engine needs between two events at most.
@@ -48,11 +49,16 @@
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
-    """Hold the news of one daemon."""
+    """Hold the news of one daemon.
+
+    `lease` is the version of the lease on the groups that the daemon wrote,
+    or ABSENT if it does not hold it.
+    """
 
     daemon: ids.DaemonId
     endpoints: list[EndpointNews]
     reports: list[report_news.ReportNews] = []
+    lease: ids.ObjectVersion = objects.ABSENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +71,11 @@
     [], collections.abc.Sequence[messages.Address]
 ]
 
+GetLease = collections.abc.Callable[[], ids.ObjectVersion]
+HearLease = collections.abc.Callable[
+    [ids.ObjectVersion, clock.MonotonicTime], None
+]
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(News)
 
@@ -76,6 +87,8 @@
     daemon: ids.DaemonId
     book: endpoints.EndpointBook
     get_peers: GetPeers
+    get_lease: GetLease = lambda: objects.ABSENT
+    hear_lease: HearLease = lambda version, now: None
     _heard_by_daemon: dict[ids.DaemonId, _Heard] = dataclasses.field(
         default_factory=dict
     )
@@ -84,6 +97,7 @@
     )
     _interval_seconds: float = INTERVAL_SECONDS
     _has_told: bool = False
+    _lease_told: ids.ObjectVersion = objects.ABSENT
 
     async def run(self, address: messages.Address) -> None:
         """Exchange news for ever from an address."""
@@ -107,6 +121,8 @@
             {item.endpoint: item for item in news.endpoints},
             clock.MonotonicTime(now + seconds),
         )
+        if news.lease != objects.ABSENT:
+            self.hear_lease(news.lease, now)
         for item in news.endpoints:
             endpoint = self.book.by_id.get(item.endpoint)
             if endpoint is not None:
@@ -162,6 +178,7 @@
                 if e.in_flight or e.is_suspect(now)
             ],
             self.outbox.take(),
+            self.get_lease(),
         )
 
     def _tell(
@@ -172,9 +189,11 @@
     ) -> None:
         """Send news, and that there are none any more only once."""
         has_news = bool(news.endpoints or news.reports)
-        if not (has_news or self._has_told):
+        lease_changed = news.lease != self._lease_told
+        if not (has_news or self._has_told or lease_changed):
             return
         self._has_told = has_news
+        self._lease_told = news.lease
         data = _ENCODER.encode(news)
         for peer in peers:
             try:
@@ -188,7 +207,7 @@
             try:
                 self.hear(_DECODER.decode(data), clock.monotonic())
             except ValueError as error:  # That of msgspec is one, too.
-                LOG.debug("news_malformed", sender=sender, reason=str(error))
+                LOG.warning("news_malformed", sender=sender, reason=str(error))
 
 
 def interval_seconds(peers: int) -> float:
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -36,6 +36,8 @@
 # read is priced.  A lost owner costs a repair, and one is lost in a day.
 LOOK_SECONDS: Final = 1.0
 RARE_LOOK_SECONDS: Final = 4.0
+# A look comes this much after the lease is free, for what a call takes.
+FREE_SLACK_SECONDS: Final = 0.01
 # A step of forming a group waits for the next round.
 ROUND_SECONDS: Final = 0.05
 # Instances register within a heartbeat of their start, in any order.
@@ -89,6 +91,7 @@
     )
     state: upkeep.Upkeep = dataclasses.field(default_factory=upkeep.Upkeep)
     _stopping: bool = False
+    _store_away: bool = False
     _status_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _acts_since: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _seen_all: bool = False
@@ -117,7 +120,9 @@
             held = self.lease.held(clock.monotonic())
             try:
                 await self.lease.tend()
+                self._store_away = False
             except errors.StoreUnavailable as error:
+                self._store_away = True
                 LOG.warning("lease_not_tended", reason=error.message)
             now_held = self.lease.held(clock.monotonic())
             if held != now_held:
@@ -125,11 +130,24 @@
             await curio.sleep(self._pause_seconds(now_held))
 
     def _pause_seconds(self, held: bool) -> float:
-        # Nobody may act while the store is away; whoever held the lease
-        # can take it up as soon as the store is back.
-        if held or self.lease.was_last_own:
+        # Nobody may act while the store is away; whoever held the lease,
+        # or is in line for it, can take it as soon as the store is back.
+        in_line = self.is_in_line()
+        if held or self.lease.was_last_own or (in_line and self._store_away):
             return TEND_SECONDS
-        return LOOK_SECONDS if self.is_in_line() else RARE_LOOK_SECONDS
+        if not in_line:
+            return RARE_LOOK_SECONDS
+        return self._until_free(clock.monotonic())
+
+    def _until_free(self, now: clock.MonotonicTime) -> float:
+        """Return the pause until the lease is free, or a usual one.
+
+        A look just before that time would be followed by a whole pause.
+        """
+        free_at = self.lease.free_at()
+        if free_at is None or not now < free_at < now + 1.5 * LOOK_SECONDS:
+            return LOOK_SECONDS
+        return free_at - now + FREE_SLACK_SECONDS
 
     async def _act(self) -> None:
         """Run the rounds of one tenure."""
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -5,7 +5,9 @@
 from before the write was sent.  Whoever wants the lease waits until it has
 seen the object unchanged for that length and an allowance for the rates of
 the two clocks, and then replaces exactly the version that it saw.  No wall
-clock is compared, so a stepped clock changes nothing.
+clock is compared, so a stepped clock changes nothing.  The owner may tell
+the others which version it wrote; who has heard of a version waits from then
+on, since it was written before.
 
 Each write carries an id.  When the answer to a write is lost, the object is
 read: the write counts if its id is there, from the time it was sent.
@@ -61,6 +63,14 @@
     record: LeaseRecord | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Word:
+    """Record when an owner was heard to have written a version."""
+
+    version: ids.ObjectVersion
+    heard_at: clock.MonotonicTime
+
+
 @dataclasses.dataclass
 class Lease:
     """Acquire, renew, check and release one lease."""
@@ -72,6 +82,7 @@
     lease_seconds: float = LEASE_SECONDS
     tenure: Tenure | None = None
     _sighting: Sighting | None = None
+    _heard: Word | None = None
     _sent_by_write: dict[ids.WriteId, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
@@ -86,6 +97,24 @@
         record = self._sighting.record if self._sighting else None
         return record is not None and record.owner == self.owner
 
+    @property
+    def own_version(self) -> ids.ObjectVersion:
+        """Return the version that this owner wrote, or ABSENT."""
+        return self.tenure.version if self.tenure else objects.ABSENT
+
+    def hear(
+        self, version: ids.ObjectVersion, now: clock.MonotonicTime
+    ) -> None:
+        """Take note that an owner says that it wrote a version."""
+        if self._heard is None or version > self._heard.version:
+            self._heard = Word(version, now)
+
+    def free_at(self) -> clock.MonotonicTime | None:
+        """Return when the lease is free if nobody renews it, if known."""
+        if self.tenure is not None or self._sighting is None:
+            return None
+        return _free_at(self._sighting)
+
     def check(self, now: clock.MonotonicTime) -> None:
         """Raise LeaseLost unless the owner may act at this time."""
         if not self.held(now):
@@ -119,9 +148,19 @@
         version = objects.ABSENT if stored is None else stored.version
         if self._sighting is None or self._sighting.version != version:
             record = None if stored is None else _decode(stored)
-            self._sighting = Sighting(version, now, record)
+            self._sighting = Sighting(
+                version, self._since(version, now), record
+            )
         self._adopt_own_write(self._sighting, now)
 
+    def _since(
+        self, version: ids.ObjectVersion, now: clock.MonotonicTime
+    ) -> clock.MonotonicTime:
+        heard = self._heard
+        if heard is None or heard.version != version:
+            return now
+        return heard.heard_at
+
     def may_acquire(self, now: clock.MonotonicTime) -> bool:
         """Tell whether the lease as last seen is free to take."""
         if self.tenure is not None or self._sighting is None:
@@ -212,11 +251,15 @@
 
 def is_free(sighting: Sighting, now: clock.MonotonicTime) -> bool:
     """Tell whether no owner can still believe in what was seen."""
+    return now >= _free_at(sighting)
+
+
+def _free_at(sighting: Sighting) -> clock.MonotonicTime:
     record = sighting.record
     if record is None or record.owner == NO_OWNER:
-        return True
+        return sighting.since
     wait = with_allowance(record.lease_seconds)
-    return now >= sighting.since + wait
+    return clock.MonotonicTime(sighting.since + wait)
 
 
 def renewal_due(
--- a/tests/test_group_upkeep.py
+++ b/tests/test_group_upkeep.py
@@ -193,3 +193,42 @@
         return keeper._pause_seconds(False)
 
     assert curio.run(main) == group_upkeep.RARE_LOOK_SECONDS
+
+
+def test_daemon_in_line_takes_the_lease_as_soon_as_it_is_free():
+    """Pattern: the holder is lost, and nothing is repaired without one."""
+    store = fake_store.FakeStore()
+    book = _book(0)
+    lost = _keeper(store, "c1", book, Engines(book))
+    keeper = _keeper(store, "c2", book, Engines(book))
+
+    async def main():
+        await lost.lease.tend()
+        began = clock.monotonic()
+        await curio.spawn(keeper.run, daemon=True)
+        await _until(lambda: keeper.lease.held(clock.monotonic()))
+        return clock.monotonic() - began
+
+    wait = leases.with_allowance(group_upkeep.LEASE_SECONDS)
+    assert curio.run(main) < wait + group_upkeep.LOOK_SECONDS / 2
+
+
+def test_daemon_in_line_acts_at_once_after_an_outage_that_the_holder_left():
+    """Pattern: the store is down for all, and the holder is restarted."""
+    store = fake_store.FakeStore()
+    book = _book(0)
+    lost = _keeper(store, "c1", book, Engines(book))
+    keeper = _keeper(store, "c2", book, Engines(book))
+
+    async def main():
+        await lost.lease.tend()
+        keeper.lease.hear(lost.lease.own_version, clock.monotonic())
+        store.down = True
+        await curio.spawn(keeper.run, daemon=True)
+        await curio.sleep(leases.with_allowance(group_upkeep.LEASE_SECONDS))
+        store.down = False
+        began = clock.monotonic()
+        await _until(lambda: keeper.lease.held(clock.monotonic()))
+        return clock.monotonic() - began
+
+    assert curio.run(main) < 2 * group_upkeep.TEND_SECONDS
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -49,6 +49,17 @@
             for n, rate in enumerate(RATES)
         ]
         self.highest_epoch = 0
+        self.told: list[ids.ObjectVersion] = []
+
+    @stateful.rule(daemon=DAEMONS)
+    def tell(self, daemon: int) -> None:
+        self.told.append(self.leases[daemon].own_version)
+
+    @stateful.rule(daemon=DAEMONS, which=strategies.integers(0, 5))
+    def hear(self, daemon: int, which: int) -> None:
+        lease = self.leases[daemon]
+        for version in self.told[-1 - which :][:1]:
+            lease.hear(version, lease.read_clock())
 
     @stateful.rule(daemon=DAEMONS, fate=FATES)
     def tend(self, daemon: int, fate: fake_store.Fate) -> None:
@@ -114,6 +125,32 @@
     assert not curio.run(first.tend)
 
 
+def test_wait_for_a_lost_owner_begins_with_its_last_word() -> None:
+    """Pattern: the owner is lost while the store is down for all."""
+    time, store = Time(), fake_store.FakeStore()
+    first, second = _lease(store, time, "c1"), _lease(store, time, "c2")
+    assert curio.run(first.tend)
+    second.hear(first.own_version, second.read_clock())
+    time.now += leases.with_allowance(leases.LEASE_SECONDS) - 0.1
+    assert not curio.run(second.tend)
+    assert second.free_at() == pytest.approx(second.read_clock() + 0.1)
+    time.now += 0.2
+    assert curio.run(second.tend)
+    assert second.free_at() is None
+
+
+def test_word_of_an_older_version_shortens_no_wait() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    first, second = _lease(store, time, "c1"), _lease(store, time, "c2")
+    assert curio.run(first.tend)
+    second.hear(first.own_version, second.read_clock())
+    time.now += leases.LEASE_SECONDS * 0.9
+    assert curio.run(first.tend)
+    assert not curio.run(second.tend)
+    time.now += leases.LEASE_SECONDS * 0.9
+    assert not curio.run(second.tend)
+
+
 def test_fast_clock_waits_for_a_slow_one() -> None:
     time, store = Time(), fake_store.FakeStore()
     slow, fast = (
--- a/tests/test_report_news.py
+++ b/tests/test_report_news.py
@@ -116,3 +116,19 @@
     news = report_news.ReportNews("i0", 1, 1, "g", 1, 0, "asleep", ())
     with pytest.raises(ValueError):
         report_news.decode(news)
+
+
+def test_holder_of_the_lease_tells_the_version_that_it_wrote():
+    heard = []
+    holder = load_news.LoadNews(
+        ids.DaemonId("d1"), _router()[1], lambda: [], lambda: 7
+    )
+    other = load_news.LoadNews(
+        ids.DaemonId("d2"),
+        _router()[1],
+        lambda: [],
+        hear_lease=lambda version, now: heard.append((version, now)),
+    )
+    other.hear(holder.own(NOW), NOW)
+    other.hear(other.own(NOW), NOW)
+    assert heard == [(7, NOW)]
