Let the holder of the lease tell its peers what it sees of the store

Change: the holder of the lease watches closely and passes on what it sees, with the versions between which it was seen, packed into the news of load. A peer takes it over if it knows the version before, and asks the store itself as soon as the word is older than 0.6 of the bound for drained endpoints, or a change is missing. What settles after an outage is neither told nor taken. While a holder is heard, nobody else looks at its lease. This shares what was read; the store alone decides, and nothing is voted on.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -18,6 +18,7 @@
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import following
 from sycamoredale.forwarding import forwarder
+from sycamoredale.forwarding import kind_news
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import load_news
 from sycamoredale.forwarding import route_table
@@ -79,8 +80,11 @@
             self._news_addresses,
             lambda: self._upkeep.lease.own_version,
             lambda version, now: self._upkeep.lease.hear(version, now),
+            self._kinds_to_tell,
+            self._hear_kind,
         )
         self._upkeep = self._build_upkeep()
+        self._follower_by_kind = {f.kind: f for f in self._followers()}
         self._service = self._build_service()
         self._server = server.Server(
             self._service.handle, serves_while_draining=True
@@ -95,7 +99,7 @@
         """Serve until a stop signal, then drain."""
         stop = stopping.StopSignal()
         await curio.spawn(self._reload_for_ever, daemon=True)
-        for follower in self._followers():
+        for follower in self._follower_by_kind.values():
             await curio.spawn(follower.run, daemon=True)
         host = self._settings.callers.host
         self._metrics.bind(messages.Address(host, METRICS_PORT))
@@ -140,16 +144,40 @@
                 take,
                 on_contact=self._node.freshness.on_poll,
                 get_pause=get_pause,
+                told_seconds=following.TOLD_SHARE
+                * self._settings.bounds.drain,
+                tells=self._holds_lease,
             )
             for kind, take, get_pause in taking
         ]
 
+    def _holds_lease(self) -> bool:
+        return self._upkeep.lease.held(clock.monotonic())
+
+    def _kinds_to_tell(
+        self, now: clock.MonotonicTime
+    ) -> list[kind_news.KindNews]:
+        if not self._upkeep.lease.held(now):
+            return []
+        told = (
+            follower.teller.take(kind, now)
+            for kind, follower in self._follower_by_kind.items()
+        )
+        return [news for news in told if news is not None]
+
+    def _hear_kind(
+        self, news: kind_news.KindNews, now: clock.MonotonicTime
+    ) -> None:
+        follower = self._follower_by_kind.get(news.kind)
+        if follower is not None:
+            follower.hear(news, now)
+
     def _listing_pause(self) -> float:
         """Return the seconds between two watches of the instances.
 
         Routers hear of open heads from the keeper.
         """
-        if self._upkeep.lease.held(clock.monotonic()):
+        if self._holds_lease():
             return following.GATHER_SECONDS
         return following.shared_pause(
             self._count_daemons(), self._settings.bounds.drain
--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -1,7 +1,8 @@
 """Follow one kind of objects of the store: list, then watch for ever.
 
 What was seen stays in force while the store is away.  After an outage or a
-gap in the changes the kind is listed again.
+gap in the changes the kind is listed again.  While a peer tells what it sees
+of the kind, the store is not asked.
 """
 
 import collections.abc
@@ -15,6 +16,7 @@
 
 from sycamoredale import clock
 from sycamoredale import errors
+from sycamoredale.forwarding import kind_news
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.object_api import backoff
@@ -38,6 +40,13 @@
 # After an outage entries that lapsed are back within about two seconds;
 # until then nothing is taken as gone.
 SETTLE_SECONDS: Final = 2.5
+# Who tells others what it sees asks the store at least this often; a third
+# of the time in which a change must be known.
+TELL_WATCH_SECONDS: Final = 0.3
+# Of the bound within which a change must be known; the rest is for the call
+# that follows when a peer tells nothing any more.
+TOLD_SHARE: Final = 0.6
+TOLD_LOOK_SECONDS: Final = 0.1
 LOG: Final = logs.get("following")
 
 
@@ -71,7 +80,11 @@
 
 @dataclasses.dataclass
 class Follower:
-    """Follow a kind and hand what is seen to `take`."""
+    """Follow a kind and hand what is seen to `take`.
+
+    A word of a peer is trusted for `told_seconds` from when it was known;
+    `tells` says whether this daemon tells its peers.
+    """
 
     store: objects.ObjectStore
     kind: str
@@ -80,7 +93,13 @@
     read_clock: leases.ReadClock = clock.monotonic
     on_contact: OnContact = lambda at: None
     get_pause: GetPause = short_pause
+    told_seconds: float = 0.0
+    tells: collections.abc.Callable[[], bool] = lambda: False
     version: ids.ObjectVersion = objects.ABSENT
+    teller: kind_news.Teller = dataclasses.field(
+        default_factory=kind_news.Teller
+    )
+    _told_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _lost_at: clock.MonotonicTime | None = None
     _settles_at: clock.MonotonicTime | None = None
 
@@ -91,11 +110,15 @@
         )
         while True:
             started = self.read_clock()
+            if self.is_told(started):
+                await curio.sleep(TOLD_LOOK_SECONDS)
+                continue
             try:
                 await self.step(started)
             except errors.WatchExpired:
                 LOG.info("history_gone", kind=self.kind, version=self.version)
                 self.version = objects.ABSENT
+                self.teller.note_lost()
             except errors.StoreUnavailable as error:
                 self.lose(error, started)
                 await curio.sleep(waits.next_seconds())
@@ -109,22 +132,60 @@
         if self._settles_at is not None and now >= self._settles_at:
             self._settles_at = None
             self.version = objects.ABSENT
+        known_at = now
         if self.version == objects.ABSENT:
             seen = await self.store.list(self.kind)
             self._find(self.read_clock())
         else:
-            seen = await self.store.watch(
-                self.kind, self.version, self._wait_seconds(now)
-            )
+            wait = self._wait_seconds(now)
+            seen = await self.store.watch(self.kind, self.version, wait)
+            # The store waits for so long before it says that nothing is new.
+            if not seen.objects and not seen.deleted:
+                known_at = self._after(now, wait)
         if seen.version < self.version:
             return
         if self._settles_at is None:
             self.take(seen, complete=self.version == objects.ABSENT)
+            self.teller.note(self.version, seen, known_at)
         else:
             kept = msgspec.structs.replace(seen, deleted=[])
             self.take(kept, complete=False)
         self.version = max(self.version, seen.version)
 
+    def _after(
+        self, now: clock.MonotonicTime, seconds: float
+    ) -> clock.MonotonicTime:
+        """Return a time that much later, or now if it has not come."""
+        later = clock.MonotonicTime(now + seconds)
+        return later if later <= self.read_clock() else now
+
+    def is_told(self, now: clock.MonotonicTime) -> bool:
+        """Tell whether a peer tells what there is to know."""
+        return now < self._told_until
+
+    def hear(self, news: kind_news.KindNews, now: clock.MonotonicTime) -> None:
+        """Take over what a peer tells, unless a change before is missing.
+
+        Raises ValueError if what it tells is malformed.
+        """
+        if self.version == objects.ABSENT or self._settles_at is not None:
+            return
+        if self.version < news.version:
+            self._take_told(news.changes())
+        if self.version < news.version:
+            self._told_until = now
+            return
+        known_at = clock.MonotonicTime(now - news.age_ms / 1000)
+        until = clock.MonotonicTime(known_at + self.told_seconds)
+        self._told_until = max(self._told_until, until)
+        self.on_contact(known_at)
+
+    def _take_told(self, changes: list[kind_news.Change]) -> None:
+        for change in changes:
+            if change.since <= self.version < change.version:
+                self.take(change.as_listing(), complete=False)
+                self.version = change.version
+
     def lose(
         self, error: errors.StoreUnavailable, now: clock.MonotonicTime
     ) -> None:
@@ -137,6 +198,7 @@
             self._lost_at = now
             LOG.warning("store_lost", kind=self.kind, reason=error.message)
         self.version = objects.ABSENT
+        self.teller.note_lost()
 
     def _find(self, now: clock.MonotonicTime) -> None:
         if self._lost_at is None:
@@ -148,6 +210,8 @@
             self._settles_at = clock.MonotonicTime(now + SETTLE_SECONDS)
 
     def _wait_seconds(self, now: clock.MonotonicTime) -> float:
+        if self.tells():
+            return TELL_WATCH_SECONDS
         if self._settles_at is None:
             return WATCH_SECONDS
         return min(WATCH_SECONDS, self._settles_at - now)
--- a/sycamoredale/forwarding/load_news.py
+++ b/sycamoredale/forwarding/load_news.py
@@ -17,6 +17,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import kind_news
 from sycamoredale.forwarding import report_news
 from sycamoredale.forwarding import stalls
 from sycamoredale.http import messages
@@ -52,13 +53,15 @@
     """Hold the news of one daemon.
 
     `lease` is the version of the lease on the groups that the daemon wrote,
-    or ABSENT if it does not hold it.
+    or ABSENT if it does not hold it; its holder also tells what it sees of
+    the kinds of objects that all follow.
     """
 
     daemon: ids.DaemonId
     endpoints: list[EndpointNews]
     reports: list[report_news.ReportNews] = []
     lease: ids.ObjectVersion = objects.ABSENT
+    kinds: list[kind_news.KindNews] = []
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +79,13 @@
     [ids.ObjectVersion, clock.MonotonicTime], None
 ]
 
+GetKinds = collections.abc.Callable[
+    [clock.MonotonicTime], list[kind_news.KindNews]
+]
+HearKind = collections.abc.Callable[
+    [kind_news.KindNews, clock.MonotonicTime], None
+]
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(News)
 
@@ -89,6 +99,8 @@
     get_peers: GetPeers
     get_lease: GetLease = lambda: objects.ABSENT
     hear_lease: HearLease = lambda version, now: None
+    get_kinds: GetKinds = lambda now: []
+    hear_kind: HearKind = lambda news, now: None
     _heard_by_daemon: dict[ids.DaemonId, _Heard] = dataclasses.field(
         default_factory=dict
     )
@@ -123,6 +135,8 @@
         )
         if news.lease != objects.ABSENT:
             self.hear_lease(news.lease, now)
+        for kind in news.kinds:
+            self.hear_kind(kind, now)
         for item in news.endpoints:
             endpoint = self.book.by_id.get(item.endpoint)
             if endpoint is not None:
@@ -179,6 +193,7 @@
             ],
             self.outbox.take(),
             self.get_lease(),
+            self.get_kinds(now),
         )
 
     def _tell(
@@ -188,7 +203,7 @@
         news: News,
     ) -> None:
         """Send news, and that there are none any more only once."""
-        has_news = bool(news.endpoints or news.reports)
+        has_news = bool(news.endpoints or news.reports or news.kinds)
         lease_changed = news.lease != self._lease_told
         if not (has_news or self._has_told or lease_changed):
             return
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -117,7 +117,11 @@
 
     async def _tend(self) -> None:
         while not self._stopping:
-            held = self.lease.held(clock.monotonic())
+            now = clock.monotonic()
+            held = self.lease.held(now)
+            if not held and self._is_kept(now):
+                await curio.sleep(TEND_SECONDS)
+                continue
             try:
                 await self.lease.tend()
                 self._store_away = False
@@ -129,6 +133,17 @@
                 LOG.info("lease_changed", held=now_held)
             await curio.sleep(self._pause_seconds(now_held))
 
+    def _is_kept(self, now: clock.MonotonicTime) -> bool:
+        """Tell whether a holder was heard so lately that no look is needed.
+
+        Those in line for the lease look first.
+        """
+        kept_until = self.lease.kept_until()
+        if kept_until is None:
+            return False
+        first = TEND_SECONDS if self.is_in_line() else -LOOK_SECONDS
+        return now < kept_until - first
+
     def _pause_seconds(self, held: bool) -> float:
         # Nobody may act while the store is away; whoever held the lease,
         # or is in line for it, can take it as soon as the store is back.
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -109,6 +109,13 @@
         if self._heard is None or version > self._heard.version:
             self._heard = Word(version, now)
 
+    def kept_until(self) -> clock.MonotonicTime | None:
+        """Return until when the owner that was heard last may hold it."""
+        if self._heard is None:
+            return None
+        seconds = with_allowance(self.lease_seconds)
+        return clock.MonotonicTime(self._heard.heard_at + seconds)
+
     def free_at(self) -> clock.MonotonicTime | None:
         """Return when the lease is free if nobody renews it, if known."""
         if self.tenure is not None or self._sighting is None:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -1,5 +1,8 @@
 """Check how a kind of objects is followed through outages of the store."""
 
+import random
+import zlib
+
 import curio
 import msgspec
 import pytest
@@ -8,6 +11,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import following
+from sycamoredale.forwarding import kind_news
 from sycamoredale.object_api import objects
 
 DOWN = errors.StoreUnavailable(error_codes.STORE_UNAVAILABLE, "down")
@@ -124,3 +128,133 @@
     daemons, bound_seconds, expected
 ):
     assert following.shared_pause(daemons, bound_seconds) == expected
+
+
+class Peers:
+    """Let one follower tell another what it sees."""
+
+    def __init__(self, tells=True):
+        self.sites = [Follower(), Follower()]
+        for site in self.sites:
+            site.follower.told_seconds = 1.2
+            site.step(_seen(5, ["a"]))
+        self.holder, self.other = self.sites
+        self.holder.follower.tells = lambda: tells
+
+    def tell(self, seconds=0.0, lost=False):
+        """Advance both clocks; deliver a word unless it is lost."""
+        now = clock.MonotonicTime(self.holder.now + seconds)
+        for site in self.sites:
+            site.now = now
+        news = self.holder.follower.teller.take("servers", now)
+        if news is not None and not lost:
+            data = msgspec.msgpack.encode(news)
+            news = msgspec.msgpack.decode(data, type=kind_news.KindNews)
+            self.other.follower.hear(news, now)
+        return self.other.follower.is_told(now)
+
+
+def test_peer_is_told_what_the_holder_sees_and_asks_nothing():
+    """Pattern: many daemons watch the same kinds, and each call is priced."""
+    peers = Peers()
+    assert peers.tell(0.1)
+    peers.holder.step(_seen(9, ["b"], deleted=["a"]), 0.2)
+    assert peers.tell(0.1)
+    seen, complete = peers.other.taken[-1]
+    assert ([o.name for o in seen.objects], seen.deleted) == (["b"], ["a"])
+    assert not complete
+    assert peers.other.follower.version == 9
+    assert peers.other.store.asked == ["list"]
+
+
+def test_peer_asks_for_itself_once_the_word_is_old():
+    peers = Peers()
+    assert peers.tell(0.1)
+    assert peers.tell(1.0, lost=True)
+    assert not peers.tell(0.2, lost=True)
+    # The holder is cut off from the store; its word ages all the same.
+    assert not peers.tell(0.1)
+
+
+def test_changes_come_in_order_though_words_are_lost():
+    peers = Peers()
+    for version in (6, 7, 8):
+        peers.holder.step(_seen(version, [f"s{version}"]), 0.1)
+        peers.tell(lost=version != 8)
+    told = [o.name for seen, _ in peers.other.taken for o in seen.objects]
+    assert told == ["a", "s6", "s7", "s8"]
+
+
+def test_peer_that_missed_a_change_asks_for_itself_at_once():
+    peers = Peers()
+    assert peers.tell(0.1)
+    peers.holder.step(_seen(6, ["b"]), 0.1)
+    for _ in range(kind_news.REPEATS):
+        peers.tell(lost=True)
+    assert not peers.tell()
+    assert peers.other.follower.version == 5
+    peers.other.step(_seen(6, ["b"]))
+    assert peers.tell(0.1)
+
+
+def test_change_that_is_too_large_is_not_told():
+    peers = Peers()
+    source = random.Random(1)
+    names = [source.randbytes(50).hex() for _ in range(99)]
+    peers.holder.step(_seen(6, names), 0.1)
+    assert not peers.tell()
+    assert len(peers.other.taken) == 1
+
+
+def test_entries_of_a_large_group_fit_into_one_word():
+    """Pattern: the members of a group of 16 change at once."""
+    peers = Peers()
+    entry = msgspec.Raw(b'{"addr": "10.0.0.1:80", "staged": ["m"]}' * 15)
+    stored = [objects.StoredObject(f"i{n}", 6, entry) for n in range(16)]
+    peers.holder.step(objects.Listing(6, stored), 0.1)
+    assert peers.tell()
+    assert peers.other.taken[-1][0].objects == stored
+
+
+@pytest.mark.parametrize("packed", [b"no", zlib.compress(b"no")])
+def test_malformed_changes_are_an_error_and_change_nothing(packed):
+    peers = Peers()
+    news = kind_news.KindNews("servers", 9, 0, packed)
+    with pytest.raises(ValueError):
+        peers.other.follower.hear(news, clock.MonotonicTime(100.0))
+    assert peers.other.follower.version == 5
+
+
+def test_quiet_store_is_told_as_known_until_the_watch_ended():
+    peers = Peers()
+    peers.tell(0.3)
+    follower = peers.holder.follower
+
+    async def quiet(kind, after, wait_seconds):
+        peers.holder.now += wait_seconds
+        return _seen(6)
+
+    peers.holder.store.watch = quiet
+    curio.run(follower.step, clock.MonotonicTime(peers.holder.now))
+    news = follower.teller.take("servers", peers.holder.now)
+    assert (news.version, news.age_ms) == (6, 1)
+
+
+def test_holder_tells_nothing_while_the_store_is_away_or_settles():
+    peers = Peers()
+    peers.holder.step(DOWN, 1.0)
+    peers.holder.step(DOWN, 5.0)
+    now = clock.MonotonicTime(peers.holder.now)
+    assert peers.holder.follower.teller.take("servers", now) is None
+    peers.holder.step(_seen(9, ["a"], deleted=["b"]), 0.1)
+    assert peers.holder.follower.teller.take("servers", now) is None
+
+
+def test_peer_that_settles_after_an_outage_takes_nobodys_word():
+    peers = Peers()
+    peers.other.step(DOWN, 1.0)
+    peers.other.step(DOWN, 5.0)
+    peers.holder.step(_seen(9, [], deleted=["a"]), 0.1)
+    peers.other.step(_seen(9, []), 0.1)
+    assert not peers.tell(0.1)
+    assert not peers.other.taken[-1][0].deleted
