Hurry the end of a group across domains

Its members were what the next group in one domain needed, which was formed at 38.6 s; meanwhile one group served the model.

Change: after 2 s what such a group still runs is cut off and goes on elsewhere, as when a member is lost. A group that a member leaves keeps the time to end its requests.

Ruled out: the loads (the domain's spares were staged at 28.5 s).

--- a/sycamoredale/groups/endings.py
+++ b/sycamoredale/groups/endings.py
@@ -6,18 +6,28 @@
 
 import collections
 import dataclasses
+import math
+from typing import Final
 
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import reported
 from sycamoredale.groups import situations
 
+# A group across domains is several times slower than the one that replaces
+# it; most answers take about a second within one domain.
+FAR_PATIENCE_SECONDS: Final = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
-    """Say why a group ends, and whether it may end its requests first."""
+    """Say why a group ends, and whether it may end its requests first.
+
+    Those that take longer than the patience go on elsewhere.
+    """
 
     reason: str
     is_planned: bool = False
+    patience_seconds: float = math.inf
 
 
 def why_end(
@@ -43,7 +53,11 @@
     if group.head is not None and group.head.id in situation.unlisted:
         return End(f"head {group.head.id} has left the list", True)
     if len(group.domains) > 1 and _could_stand_near(group, situation):
-        return End("its model can have a group in one domain", True)
+        return End(
+            "its model can have a group in one domain",
+            True,
+            FAR_PATIENCE_SECONDS,
+        )
     return None
 
 
--- a/sycamoredale/groups/upkeep.py
+++ b/sycamoredale/groups/upkeep.py
@@ -55,6 +55,9 @@
     _record_by_key: dict[reported.Key, head_record.HeadRecord] = (
         dataclasses.field(default_factory=dict)
     )
+    _ending_since: dict[reported.Key, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
     _held_until: dict[ids.InstanceId, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
     )
@@ -161,6 +164,7 @@
         end = self._why_end(group, situation)
         if end is not None:
             if not self._is_closing(group, situation.now):
+                end = self._hurried(group.key, end, situation.now)
                 yield endings.order_to_end(group, head, end)
         elif group.is_formed and group.state is listing.MemberState.READY:
             record = self._record_by_key.setdefault(
@@ -169,6 +173,18 @@
             record.decide_to_open(situation.now)
             yield reported.Due(head, reported.Open(group.key), "all loaded")
 
+    def _hurried(
+        self,
+        key: reported.Key,
+        end: endings.End,
+        now: clock.MonotonicTime,
+    ) -> endings.End:
+        """Return the end, no longer a planned one if it takes too long."""
+        since = self._ending_since.setdefault(key, now)
+        if now < since + end.patience_seconds:
+            return end
+        return dataclasses.replace(end, is_planned=False)
+
     def _why_end(
         self, group: reported.ReportedGroup, situation: situations.Situation
     ) -> endings.End | None:
@@ -289,6 +305,7 @@
                 self._joined_at.pop(key, None)
                 self._hidden_since.pop(key, None)
                 self._record_by_key.pop(key, None)
+                self._ending_since.pop(key, None)
         self._ordered_at = {
             key: at
             for key, at in self._ordered_at.items()
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -333,6 +333,32 @@
     assert _orders(state, enough) == [("i0", reported.Close(key, False))]
 
 
+def test_slow_requests_of_a_group_across_domains_go_on_elsewhere():
+    """Pattern: its members are what the next group in one domain needs."""
+    state = upkeep.Upkeep()
+    key = _open_group(state)
+    far = engines_site.members(key, NAMES, State.READY, State.OPEN)
+    far[2] = dataclasses.replace(far[2], domain="d1")
+    spare = engines_site.instance("i3", domain="d0", staged=("small",))
+    orders = []
+    for now in (30.0, 31.6, 32.1):
+        if orders:
+            far[0] = engines_site.members(key, NAMES, State.CLOSING)[0]
+        seen = engines_site.situation([*far, spare], now)
+        orders += _orders(state, seen)
+    assert [order.cancel for _, order in orders] == [False, False, True]
+
+
+def test_requests_of_a_group_that_a_member_leaves_are_never_hurried():
+    state = upkeep.Upkeep()
+    key = _open_group(state)
+    group = engines_site.members(key, NAMES, State.READY, State.OPEN)
+    group[1] = dataclasses.replace(group[1], leaving=True)
+    for now in (20.0, 25.0, 29.0):
+        seen = engines_site.situation(group, now)
+        assert _orders(state, seen) == [("i0", reported.Close(key, False))]
+
+
 def test_head_that_was_opened_again_is_not_taken_for_closed():
     """Pattern: a head leaves the list, is closed, and is listed again."""
     state = upkeep.Upkeep()
