Form groups once all instances of a large site are listed

Cause: status lines of both grown sites: 4 s after it took the lease the keeper formed groups from 167 of 225 and 229 of 300 instances, so half of the domains had too few for a group of 16: four large groups on one site and six on the other, where six and eight find room.

Change: it waits up to 6 s while instances register; a list that stays the same for a second ends the wait as before. What runs in a zone that is taken out of service ends its requests, unless a member is lost: only new ones are bounded in time there.

Also: a request that must not run twice waits on its new connection until it would have been reset, and idle connections to an endpoint are shared among the daemons.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -232,7 +232,12 @@
             wire.read_envelope,
             self._routes,
             forwarder.Forwarder(
-                wire, chooser, budget, client.Pool(), self._build_poison_list()
+                wire,
+                chooser,
+                budget,
+                client.Pool(),
+                self._build_poison_list(),
+                self._count_daemons,
             ),
         )
 
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 answer.  An endpoint that stands still is left before it has failed.
 """
 
+import collections.abc
 import dataclasses
 from typing import Final
 
@@ -34,6 +35,14 @@
 # The list drops a dead instance after three heartbeats, within about that
 # time; a connection tried meanwhile would be lost time for its caller.
 UNREACHED_SECONDS: Final = 4.0
+# An endpoint with too many connections resets a new one as soon as it is
+# made, which takes as long to be seen as the connection took; between the
+# zones of a region that is some milliseconds.
+MIN_SETTLE_SECONDS: Final = 0.001
+MAX_SETTLE_SECONDS: Final = 0.02
+# Of an endpoint's connections; the others are for calls at work and for the
+# connections that daemons left behind which lost power.
+IDLE_SHARE: Final = 0.5
 # A begun answer waits for another endpoint this long; callers give up a
 # silent stream after about two seconds.
 ROOM_SECONDS: Final = 1.5
@@ -50,6 +59,7 @@
     budget: send_budget.SendBudget
     pool: client.Pool
     poison_list: poison.PoisonList
+    count_daemons: collections.abc.Callable[[], int] = lambda: 1
 
     def __post_init__(self) -> None:
         """Build the reader of answers."""
@@ -164,17 +174,16 @@
         exchange: server.Exchange,
     ) -> progress_module.Outcome:
         call = progress.call
-        # A kept connection may be closed by its end at any time, and a
-        # request lost on it could not be told from one that ran.
-        fresh = not call.route.may_repeat
         try:
-            connection = await self.pool.acquire(
-                endpoint.instance.address, fresh, CONNECT_SECONDS
-            )
+            connection = await self._connect(endpoint, call)
         except errors.ConnectionFailed as error:
             endpoint.suspect(clock.monotonic(), UNREACHED_SECONDS)
             send_log.failed(progress, endpoint, error.message)
             return progress_module.Outcome.UNREACHED
+        if not connection.is_usable():
+            await connection.close()
+            send_log.failed(progress, endpoint, "a new connection was reset")
+            return progress_module.Outcome.UNREACHED
         whole = False
         try:
             now = clock.monotonic()
@@ -203,7 +212,29 @@
             return progress_module.Outcome.BROKEN
         finally:
             progress.end_waiting(endpoint)
-            await self._leave(connection, whole)
+            await self._leave(connection, whole, call)
+
+    async def _connect(
+        self, endpoint: endpoints.Endpoint, call: calls.Call
+    ) -> client.Connection:
+        """Return a connection to an endpoint; raise ConnectionFailed.
+
+        A kept connection may be closed by its end at any time, and a new
+        one reset.  A request that is lost so could not be told from one
+        that ran, so one that must not run twice has a new connection, and
+        waits until it would have been reset.
+        """
+        address = endpoint.instance.address
+        if call.route.may_repeat:
+            return await self.pool.acquire(
+                address, connect_seconds=CONNECT_SECONDS
+            )
+        began = clock.monotonic()
+        connection = await client.open_connection(address, CONNECT_SECONDS)
+        took = clock.monotonic() - began
+        settles = min(max(took, MIN_SETTLE_SECONDS), MAX_SETTLE_SECONDS)
+        await curio.sleep(settles)
+        return connection
 
     async def _note_crash(
         self,
@@ -238,8 +269,15 @@
         else:
             await connection.close()
 
-    async def _leave(self, connection: client.Connection, whole: bool) -> None:
+    async def _leave(
+        self, connection: client.Connection, whole: bool, call: calls.Call
+    ) -> None:
         if whole:
-            await self.pool.release(connection)
+            await self.pool.release(connection, self._max_idle(call))
         else:
             await connection.close()
+
+    def _max_idle(self, call: calls.Call) -> int:
+        """Return how many connections to keep to one endpoint."""
+        share = IDLE_SHARE * call.service.max_connections
+        return int(share / max(1, self.count_daemons()))
--- a/sycamoredale/groups/endings.py
+++ b/sycamoredale/groups/endings.py
@@ -43,10 +43,10 @@
         return End("the model is not configured")
     if group.state is listing.MemberState.BROKEN:
         return End("the head is broken")
-    for member in group.by_rank.values():
-        end = _why_without(member, situation)
-        if end is not None:
-            return end
+    ends = [_why_without(m, situation) for m in group.by_rank.values()]
+    found = sorted(filter(None, ends), key=lambda end: end.is_planned)
+    if found:
+        return found[0]  # A lost member cuts off what another would end.
     if not group.has_all_members and not is_joining:
         return End("a member is missing")
     # A member takes no requests, and works on while it lives.
@@ -69,7 +69,7 @@
     if member.leaving:
         return End(f"member {member.id} is leaving", True)
     if member.zone in situation.zones_out:
-        return End(f"zone {member.zone} is out of service")
+        return End(f"zone {member.zone} is out of service", True)
     if member.id in situation.slow:
         return End(f"member {member.id} is slow")
     return None
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -42,8 +42,9 @@
 ROUND_SECONDS: Final = 0.05
 # Instances register within a heartbeat of their start, in any order.
 LIST_QUIET_SECONDS: Final = 1.0
-# Loads before the first requests are fast, but take some seconds.
-LIST_LATE_SECONDS: Final = 4.0
+# Hundreds register within five seconds.  Loads before the first requests
+# are fast, but take some seconds of the twelve until those come.
+LIST_LATE_SECONDS: Final = 6.0
 # One line tells an operator what stands; more often would only add volume.
 STATUS_SECONDS: Final = 2.0
 LOG: Final = logs.get("groups.upkeep")
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -211,10 +211,13 @@
             await connection.close()
         return await open_connection(address, connect_seconds)
 
-    async def release(self, connection: Connection) -> None:
+    async def release(
+        self, connection: Connection, max_idle: int = MAX_IDLE_PER_ADDRESS
+    ) -> None:
         """Keep a connection after a complete exchange, else close it."""
         idle = self.idle_by_address.setdefault(connection.address, [])
-        if len(idle) < MAX_IDLE_PER_ADDRESS and connection.finish_cycle():
+        room = min(max_idle, MAX_IDLE_PER_ADDRESS) - len(idle)
+        if room > 0 and connection.finish_cycle():
             idle.append(connection)
             return
         await connection.close()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,11 +1,13 @@
 """Forward calls to real endpoints on loopback that fail in many ways."""
 
 import dataclasses
+import struct
 
 import curio
 import pytest
 
 from sycamoredale import clock
+from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import choosing
@@ -85,6 +87,32 @@
         raise ConnectionAbortedError(self.fault)
 
 
+class Overfull:
+    """Reset each new connection, as an endpoint with too many does."""
+
+    def __init__(self, name):
+        self.name = name
+        self.server = self
+        self._sock = curio.socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(5)
+        self.address = messages.Address(*self._sock.getsockname())
+        self.resets = 0
+
+    async def start(self):
+        await curio.spawn(self._run, daemon=True)
+
+    async def _run(self):
+        while True:
+            sock, _ = await self._sock.accept()
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(
+                curio.socket.SOL_SOCKET, curio.socket.SO_LINGER, linger
+            )
+            await sock.close()
+            self.resets += 1
+
+
 class Site:
     """Hold endpoints behind one forwarder, and a caller's exchange."""
 
@@ -192,6 +220,34 @@
 WHOLE = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, EVENTS + 1))
 
 
+def test_request_that_must_not_repeat_survives_a_reset_of_its_connection():
+    """Pattern: many daemons keep connections, or left them on a power cut."""
+    first, second = Overfull("i0"), Endpoint("i1")
+    got, _ = Site(first, second, may_repeat=False).run()
+    assert first.resets == 1
+    assert got.finished
+    assert got.body == WHOLE
+
+
+def test_refusal_is_truthful_where_all_endpoints_have_too_many_connections():
+    first, second = Overfull("i0"), Overfull("i1")
+    got, refusal = Site(first, second, may_repeat=False).run()
+    assert not got.started
+    assert refusal.execution is error_codes.Execution.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    "daemons, kept", [(1, 1), (175, 1), (176, 0), (10_000, 0)]
+)
+def test_idle_connections_are_shared_among_the_daemons(daemons, kept):
+    endpoint = Endpoint("i0")
+    site = Site(endpoint)
+    site.forwarder.count_daemons = lambda: daemons
+    site.run()
+    idle = site.forwarder.pool.idle_by_address[endpoint.address]
+    assert len(idle) == kept
+
+
 def test_sound_endpoint_answers():
     got, _ = Site(Endpoint("i0")).run()
     assert got.finished
--- a/tests/test_group_upkeep.py
+++ b/tests/test_group_upkeep.py
@@ -1,6 +1,7 @@
 """Check the rounds of the keeper of reported groups against a lease."""
 
 import curio
+import pytest
 
 from sycamoredale import clock
 from sycamoredale.forwarding import catalogue
@@ -139,6 +140,27 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize(
+    "grows_until, begins_at",
+    [(0.0, 1.0), (4.5, 5.5), (60.0, group_upkeep.LIST_LATE_SECONDS)],
+)
+def test_groups_are_formed_once_all_instances_are_listed(
+    grows_until, begins_at
+):
+    """Pattern: hundreds of instances register within some seconds."""
+    book = _book(1)
+    keeper = _keeper(fake_store.FakeStore(), "c1", book, Engines(book))
+    keeper._acts_since = clock.MonotonicTime(0.0)
+    begun = []
+    for step in range(80):
+        now = clock.MonotonicTime(step / 10)
+        if now <= grows_until:
+            book.note(engines_site.instance(f"n{step}"), now)
+        if keeper._has_seen_all(now):
+            begun.append(now)
+    assert begun[0] == pytest.approx(begins_at)
+
+
 def test_keeper_that_stops_takes_the_lease_no_more():
     store = memory_store.MemoryStore()
     book = _book(3)
