Log whom a daemon follows and which instances have ended

Cause: two beliefs changed without a line: that an instance has ended, and that a kind of objects is told by a peer or read from the store. Each is one line a change; the book of instances is a module of its own now, apart from what an instance says of itself. No decision changes.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -18,8 +18,8 @@
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import following
 from sycamoredale.forwarding import forwarder
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import kind_news
-from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import load_news
 from sycamoredale.forwarding import route_table
 from sycamoredale.forwarding import send_budget
@@ -65,7 +65,7 @@
         """Build the parts; nothing listens until `run`."""
         self._settings = settings
         self._store = store_module.PlatformStore(settings.store, client.Pool())
-        self._book = listing.InstanceBook()
+        self._book = instance_book.InstanceBook()
         self._routes = route_table.RouteTable()
         self._zones = feeds.EvacuationFeed(self._rebuild)
         self._endpoints = endpoints.EndpointBook(
--- a/sycamoredale/forwarding/choosing.py
+++ b/sycamoredale/forwarding/choosing.py
@@ -12,7 +12,7 @@
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import cold_shares
 from sycamoredale.forwarding import endpoints
-from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import urgency
 from sycamoredale import ids
 
@@ -48,7 +48,7 @@
     """Choose among the endpoints that are known."""
 
     known: endpoints.EndpointBook
-    instances: listing.InstanceBook
+    instances: instance_book.InstanceBook
     own_zone: ids.ZoneName
     cold: cold_shares.ColdShares
     sampler: random.Random = dataclasses.field(default_factory=random.Random)
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -14,6 +14,7 @@
 from sycamoredale import clock
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale import ids
 
@@ -142,7 +143,7 @@
 class EndpointBook:
     """Hold the endpoints by id of their instance."""
 
-    book: listing.InstanceBook
+    book: instance_book.InstanceBook
     get_services: GetServices
     get_zones_out: GetZonesOut
     by_id: dict[ids.InstanceId, Endpoint] = dataclasses.field(
--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -100,6 +100,7 @@
         default_factory=kind_news.Teller
     )
     _told_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    _was_told: bool = False
     _lost_at: clock.MonotonicTime | None = None
     _settles_at: clock.MonotonicTime | None = None
 
@@ -110,7 +111,12 @@
         )
         while True:
             started = self.read_clock()
-            if self.is_told(started):
+            told = self.is_told(started)
+            if told != self._was_told:
+                event = "follows_peer" if told else "follows_store"
+                LOG.info(event, kind=self.kind, version=self.version)
+                self._was_told = told
+            if told:
                 await curio.sleep(TOLD_LOOK_SECONDS)
                 continue
             try:
--- /dev/null
+++ b/sycamoredale/forwarding/instance_book.py
@@ -0,0 +1,257 @@
+"""Keep what is known of the instances behind the system.
+
+An instance tells its state through the platform's list and when it is
+asked.  Its start time and its count of orders say which word is newer, so
+words may arrive in any order and over either way.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import lives as lives_module
+from sycamoredale import ids
+from sycamoredale.observability import logs
+
+LOG: Final = logs.get("instances")
+
+OnChange = collections.abc.Callable[[], None]
+
+# A partition from the store mostly lasts some seconds; an instance that
+# left the list for good has ended by then.
+UNLISTED_SECONDS: Final = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unlisted:
+    """Hold an instance that has left the list and may still live."""
+
+    instance: listing.Instance
+    since: clock.MonotonicTime
+
+
+@dataclasses.dataclass
+class InstanceBook:
+    """Hold the listed instances by id.
+
+    An instance that leaves the list takes no more requests.  What it runs
+    goes on for a while, so its place in a group is remembered.
+    """
+
+    by_id: dict[ids.InstanceId, listing.Instance] = dataclasses.field(
+        default_factory=dict
+    )
+    cold_until_by_id: dict[ids.InstanceId, clock.MonotonicTime] = (
+        dataclasses.field(default_factory=dict)
+    )
+    on_change: list[OnChange] = dataclasses.field(default_factory=list)
+    unlisted_by_id: dict[ids.InstanceId, Unlisted] = dataclasses.field(
+        default_factory=dict
+    )
+    lives: lives_module.Lives = dataclasses.field(
+        default_factory=lives_module.Lives
+    )
+    _is_gathering: bool = False
+    _has_changed: bool = False
+
+    def note_listing(
+        self,
+        found: collections.abc.Iterable[listing.Instance],
+        gone: collections.abc.Collection[ids.InstanceId],
+        listed: collections.abc.Set[ids.InstanceId] | None,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Take over a part of the list, or all of it if `listed` is given.
+
+        Changes are reported once, at the end.
+        """
+        self._is_gathering = True
+        try:
+            for instance in found:
+                self.note(instance, now)
+            for name in gone:
+                self.remove(name, now)
+            if listed is not None:
+                self.keep_only(listed, now)
+        finally:
+            self._is_gathering = False
+            if self._has_changed:
+                self._changed()
+
+    def note(
+        self, instance: listing.Instance, now: clock.MonotonicTime
+    ) -> None:
+        """Take over a word of the list unless a newer one is known."""
+        known = self.by_id.get(instance.id)
+        past = self.unlisted_by_id.pop(instance.id, None)
+        if known is None and past is not None:
+            known = past.instance
+        if known is not None and known.address != instance.address:
+            self.lives.forget(known.address, instance.id)
+        ended = self.lives.note_listed(
+            instance.address, instance.id, instance.started_ms
+        )
+        if ended is not None:
+            self._drop(ended)
+        if ended == instance.id:
+            return
+        instance = self._newest(known, instance)
+        until = clock.MonotonicTime(now + instance.cold_seconds)
+        self.cold_until_by_id[instance.id] = until
+        self._put(instance)
+
+    def _newest(
+        self, known: listing.Instance | None, instance: listing.Instance
+    ) -> listing.Instance:
+        """Return a listed instance with the newest word about its place."""
+        if self.lives.has_ended(instance.id):
+            return _without_place(instance)
+        if known is not None and known.age > instance.age:
+            place = dataclasses.replace(
+                instance,
+                started_ms=known.started_ms,
+                orders_taken=known.orders_taken,
+                membership=known.membership,
+                staged=known.staged,
+            )
+            return place if _same_life(known, instance) else known
+        return instance
+
+    def note_report(
+        self, instance: ids.InstanceId, report: listing.Report
+    ) -> bool:
+        """Take over the answer of an instance unless it is old.
+
+        Tells whether a listed head has changed.
+        """
+        past = self.unlisted_by_id.get(instance)
+        known = past.instance if past else self.by_id.get(instance)
+        if known is None:
+            return False
+        if (report.started_ms, report.orders_taken) < known.age:
+            return False
+        if 0 < known.started_ms < report.started_ms:
+            return self._note_other_life(known)
+        told = dataclasses.replace(
+            known,
+            started_ms=report.started_ms,
+            orders_taken=report.orders_taken,
+            membership=report.membership,
+            staged=report.staged,
+        )
+        if past is not None:
+            self.unlisted_by_id[instance] = Unlisted(told, past.since)
+            return False
+        self._put(told)
+        has_moved = known.membership != told.membership
+        return has_moved and (_is_head(known) or _is_head(told))
+
+    def _note_other_life(self, known: listing.Instance) -> bool:
+        """Take a known instance for ended: another answers in its place.
+
+        Whether it has the same id is told by the list.  Tells whether a
+        listed head has changed.
+        """
+        if not self.lives.has_ended(known.id):
+            _log_ended(known, "a later one answers at its address")
+        self.lives.note_ended(known.id, known.started_ms)
+        if self.unlisted_by_id.pop(known.id, None) is not None:
+            return False
+        self._put(_without_place(known))
+        return _is_head(known)
+
+    def _drop(self, instance: ids.InstanceId) -> None:
+        """Forget an instance that has ended."""
+        self.unlisted_by_id.pop(instance, None)
+        self.cold_until_by_id.pop(instance, None)
+        known = self.by_id.pop(instance, None)
+        if known is not None:
+            _log_ended(known, "a later one is listed with its address")
+            self._changed()
+
+    def remove(
+        self, instance: ids.InstanceId, now: clock.MonotonicTime
+    ) -> None:
+        """Give an instance that has left the list no more requests."""
+        self.cold_until_by_id.pop(instance, None)
+        self.forget_unlisted_before(
+            clock.MonotonicTime(now - UNLISTED_SECONDS)
+        )
+        known = self.by_id.pop(instance, None)
+        if known is None:
+            return
+        if known.membership is not None:
+            self.unlisted_by_id[instance] = Unlisted(known, now)
+        else:
+            self.lives.forget(known.address, instance)
+        self._changed()
+
+    def keep_only(
+        self,
+        listed: collections.abc.Set[ids.InstanceId],
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Drop the instances that a complete list no longer has."""
+        for instance in self.by_id.keys() - listed:
+            self.remove(instance, now)
+
+    def forget_unlisted(self, instance: ids.InstanceId) -> None:
+        """Drop an unlisted instance, which does not answer any more."""
+        past = self.unlisted_by_id.pop(instance, None)
+        if past is not None:
+            self.lives.forget(past.instance.address, instance)
+
+    def forget_unlisted_before(self, before: clock.MonotonicTime) -> None:
+        """Drop the instances that have been unlisted for long."""
+        for instance, past in list(self.unlisted_by_id.items()):
+            if past.since < before:
+                self.forget_unlisted(instance)
+
+    def is_cold(
+        self, instance: ids.InstanceId, now: clock.MonotonicTime
+    ) -> bool:
+        """Tell whether an instance bears only a little load."""
+        until = self.cold_until_by_id.get(instance)
+        return until is not None and now < until
+
+    def of_service(
+        self, service: ids.ServiceName
+    ) -> collections.abc.Iterator[listing.Instance]:
+        """Yield the instances of a service."""
+        return (i for i in self.by_id.values() if i.service == service)
+
+    def _put(self, instance: listing.Instance) -> None:
+        if self.by_id.get(instance.id) != instance:
+            self.by_id[instance.id] = instance
+            self._changed()
+
+    def _changed(self) -> None:
+        self._has_changed = self._is_gathering
+        if self._is_gathering:
+            return
+        for callback in self.on_change:
+            callback()
+
+
+def _log_ended(instance: listing.Instance, reason: str) -> None:
+    LOG.info(
+        "instance_ended",
+        instance=instance.id,
+        address=str(instance.address),
+        started_ms=instance.started_ms,
+        reason=reason,
+    )
+
+
+def _without_place(instance: listing.Instance) -> listing.Instance:
+    return dataclasses.replace(instance, membership=None, staged=())
+
+
+def _is_head(instance: listing.Instance) -> bool:
+    return instance.membership is not None and instance.membership.rank == 0
+
+
+def _same_life(known: listing.Instance, listed: listing.Instance) -> bool:
+    return known.started_ms == listed.started_ms
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -17,6 +17,7 @@
 from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import contact
 from sycamoredale.groups import forming as forming_module
@@ -78,7 +79,7 @@
 
     lease: leases.Lease
     engines: Engines
-    book: listing.InstanceBook
+    book: instance_book.InstanceBook
     get_catalogue: GetCatalogue
     get_zones_out: GetZonesOut
     stall_seconds: float
--- a/sycamoredale/groups/report_probing.py
+++ b/sycamoredale/groups/report_probing.py
@@ -8,6 +8,7 @@
 
 from sycamoredale import clock
 from sycamoredale import errors
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import contact
 from sycamoredale.groups import suspicion
@@ -52,7 +53,7 @@
 
     get_report: GetReport
     get_instances: GetInstances
-    book: listing.InstanceBook
+    book: instance_book.InstanceBook
     contacts: contact.ContactBook
     tell: Tell = lambda instance, report: None
     get_heard_at: GetHeardAt = never_heard
--- a/sycamoredale/platform/feeds.py
+++ b/sycamoredale/platform/feeds.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import route_table
 from sycamoredale import ids
@@ -28,7 +29,7 @@
 class InstanceFeed:
     """Fill the book of instances."""
 
-    book: listing.InstanceBook
+    book: instance_book.InstanceBook
 
     def take(self, seen: objects.Listing, complete: bool) -> None:
         """Take over the instances that were seen."""
@@ -60,7 +61,7 @@
     """Put new manifests in force."""
 
     routes: route_table.RouteTable
-    on_change: listing.OnChange
+    on_change: instance_book.OnChange
 
     def take(self, seen: objects.Listing, complete: bool) -> None:
         """Take over the newest manifest among what was seen."""
@@ -85,7 +86,7 @@
 class EvacuationFeed:
     """Hold the zones that operators have taken out of service."""
 
-    on_change: listing.OnChange
+    on_change: instance_book.OnChange
     zones_out: frozenset[ids.ZoneName] = frozenset()
 
     def take(self, seen: objects.Listing, complete: bool) -> None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -13,6 +13,7 @@
 from sycamoredale.forwarding import choosing
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import forwarder as forwarder_module
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import send_budget
@@ -118,7 +119,7 @@
 
     def __init__(self, *found, may_repeat=True, seconds=8.0):
         self.found = found
-        book = listing.InstanceBook()
+        book = instance_book.InstanceBook()
         known = endpoints.EndpointBook(
             book, lambda: engines_site.SERVICES, lambda: frozenset()
         )
--- a/tests/test_forwarding_properties.py
+++ b/tests/test_forwarding_properties.py
@@ -15,7 +15,7 @@
 from sycamoredale.forwarding import choosing
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import following
-from sycamoredale.forwarding import listing
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import progress
 from sycamoredale.forwarding import route_table
 from sycamoredale import ids
@@ -186,7 +186,7 @@
 def test_cold_endpoint_bears_what_all_daemons_send_it(daemons, seconds):
     """Send from all daemons as fast as each of them may."""
     service = engines_site.MODEL_SERVICE
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     book.note(engines_site.instance("i0"), clock.MonotonicTime(0.0))
     book.cold_until_by_id["i0"] = clock.MonotonicTime(10.0)
     own = [_chooser(book, daemons, n) for n in range(daemons)]
--- a/tests/test_forwarding_rules.py
+++ b/tests/test_forwarding_rules.py
@@ -8,6 +8,7 @@
 from sycamoredale.forwarding import choosing
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import event_stream
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import load_news
 from sycamoredale.forwarding import route_table
@@ -91,7 +92,7 @@
 
 
 def _site(*instances, own_zone="a", daemons=1):
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     known = endpoints.EndpointBook(
         book, lambda: engines_site.SERVICES, lambda: frozenset()
     )
--- a/tests/test_group_upkeep.py
+++ b/tests/test_group_upkeep.py
@@ -5,6 +5,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import forming
 from sycamoredale.groups import group_upkeep
@@ -77,7 +78,7 @@
 
 
 def _book(count):
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     for n in range(count):
         book.note(engines_site.instance(f"i{n}"), clock.monotonic())
     return book
--- a/tests/test_instance_book.py
+++ b/tests/test_instance_book.py
@@ -1,5 +1,6 @@
 """Test what is known of instances that come to the list and leave it."""
 
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import lives
 from sycamoredale.groups import reported
@@ -11,7 +12,7 @@
 
 
 def _book(*instances):
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     for instance in instances:
         book.note(instance, 0.0)
     return book
@@ -58,7 +59,7 @@
         engines_site.instance("i1", place=OPEN),
     )
     book.remove("i0", 1.0)
-    book.keep_only(set(), 2.0 + listing.UNLISTED_SECONDS)
+    book.keep_only(set(), 2.0 + instance_book.UNLISTED_SECONDS)
     assert set(book.unlisted_by_id) == {"i1"}
 
 
@@ -68,7 +69,7 @@
 
 
 def test_changes_of_one_listing_are_reported_once():
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     reports = []
     book.on_change.append(lambda: reports.append(set(book.by_id)))
     found = [engines_site.instance(f"i{n}") for n in range(300)]
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -11,6 +11,7 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import urgency
 from sycamoredale.groups import reported
@@ -303,7 +304,7 @@
 
 
 def test_newer_word_of_an_instance_wins_in_any_order():
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     now = clock.MonotonicTime(1.0)
     place = (KEY, 0, listing.MemberState.READY)
     book.note(engines_site.instance("i1", orders_taken=2, place=place), now)
--- a/tests/test_report_news.py
+++ b/tests/test_report_news.py
@@ -8,6 +8,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.forwarding import load_news
 from sycamoredale.forwarding import report_news
@@ -26,7 +27,7 @@
 
 
 def _router(**changes):
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     known = endpoints.EndpointBook(
         book, lambda: engines_site.SERVICES, lambda: frozenset()
     )
--- a/tests/test_report_probing.py
+++ b/tests/test_report_probing.py
@@ -6,6 +6,7 @@
 from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
+from sycamoredale.forwarding import instance_book
 from sycamoredale.forwarding import listing
 from sycamoredale.groups import contact
 from sycamoredale.groups import report_probing
@@ -22,7 +23,7 @@
 
 
 def _prober(ask):
-    book = listing.InstanceBook()
+    book = instance_book.InstanceBook()
     book.note(engines_site.instance("i0", place=OPEN), clock.monotonic())
     return report_probing.ReportProber(
         ask, lambda: list(book.by_id.values()), book, contact.ContactBook()
