--- a/sycamoredale/platform/feeds.py
+++ b/sycamoredale/platform/feeds.py
@@ -92,9 +92,8 @@
     def take(self, seen: objects.Listing, complete: bool) -> None:
         """Take over which zones are out."""
         named = {ids.ZoneName(stored.name) for stored in seen.objects}
-        before = frozenset() if complete else self.zones_out
         ended = {ids.ZoneName(name) for name in seen.deleted}
-        zones = (before - ended) | named
+        zones = (frozenset() if complete else self.zones_out - ended) | named
         if zones != self.zones_out:
             self.zones_out = zones
             LOG.info("zones_out", zones=sorted(zones), version=seen.version)
