Name the longest pause before a look at the lease, and explain two others

Cause: found on reading the change as a newcomer: a bare factor of 1.5, a negative time that stood for "later than", and a comment that gave a third where it is half. Names, comments and the order of two branches only; no decision and no figure changes.

--- a/sycamoredale/forwarding/following.py
+++ b/sycamoredale/forwarding/following.py
@@ -40,12 +40,14 @@
 # After an outage entries that lapsed are back within about two seconds;
 # until then nothing is taken as gone.
 SETTLE_SECONDS: Final = 2.5
-# Who tells others what it sees asks the store at least this often; a third
-# of the time in which a change must be known.
+# How long a watch of the daemon that tells the others waits.  With the pause
+# between two watches its word is 0.6 s old at most, half of what is trusted
+# where a change must be known within two seconds.
 TELL_WATCH_SECONDS: Final = 0.3
 # Of the bound within which a change must be known; the rest is for the call
 # that follows when a peer tells nothing any more.
 TOLD_SHARE: Final = 0.6
+# A follower looks this often whether a peer still tells; small beside that.
 TOLD_LOOK_SECONDS: Final = 0.1
 LOG: Final = logs.get("following")
 
--- a/sycamoredale/groups/group_upkeep.py
+++ b/sycamoredale/groups/group_upkeep.py
@@ -37,6 +37,9 @@
 # read is priced.  A lost owner costs a repair, and one is lost in a day.
 LOOK_SECONDS: Final = 1.0
 RARE_LOOK_SECONDS: Final = 4.0
+# The pause before a look may be this much longer, in looks, if the lease is
+# free by then; half a look is what a look too early would lose on average.
+LONGEST_PAUSE_LOOKS: Final = 1.5
 # A look comes this much after the lease is free, for what a call takes.
 FREE_SLACK_SECONDS: Final = 0.01
 # A step of forming a group waits for the next round.
@@ -138,13 +141,15 @@
     def _is_kept(self, now: clock.MonotonicTime) -> bool:
         """Tell whether a holder was heard so lately that no look is needed.
 
-        Those in line for the lease look first.
+        Those in line look before the lease can be free, the others only
+        when those should have taken it.
         """
         kept_until = self.lease.kept_until()
         if kept_until is None:
             return False
-        first = TEND_SECONDS if self.is_in_line() else -LOOK_SECONDS
-        return now < kept_until - first
+        if self.is_in_line():
+            return now < kept_until - TEND_SECONDS
+        return now < kept_until + LOOK_SECONDS
 
     def _pause_seconds(self, held: bool) -> float:
         # Nobody may act while the store is away; whoever held the lease,
@@ -162,7 +167,8 @@
         A look just before that time would be followed by a whole pause.
         """
         free_at = self.lease.free_at()
-        if free_at is None or not now < free_at < now + 1.5 * LOOK_SECONDS:
+        longest = LONGEST_PAUSE_LOOKS * LOOK_SECONDS
+        if free_at is None or not now < free_at < now + longest:
             return LOOK_SECONDS
         return free_at - now + FREE_SLACK_SECONDS
 
