Show up to which time a daemon knows all changes, and from whom

Each list, answered watch and peer update now proves a time up to which all changes of the kind are known. Logged are each change of source with its reason and that age, each call that failed or expired with its duration, each change of a configuration or evacuation with its source and the longest time it can have been confirmed, and an age over the operators' bound. The metrics have age, version, calls by outcome, and a histogram of the delays.

No decision uses this yet. The bounds move to a module of their own, since they are the product's and the platform package is kept small.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -55,6 +55,8 @@
 # Assumed until the registry is listed; higher than present fleet sizes, so
 # that shared limits are not exceeded.
 MIN_ASSUMED_DAEMONS: Final = 12
+# How often the age of what is known is measured and compared with its bound.
+WATCHER_CHECK_SECONDS: Final = 0.5
 # The peer service uses the first internal port, peer updates the next one.
 PEER_UPDATE_PORT_OFFSET: Final = 1
 LOG: Final = logs.get("daemon")
@@ -92,6 +94,7 @@
             self._on_kind_update,
         )
         self._group_controller = self._build_group_controller()
+        self._metric_registry = exposition.MetricRegistry()
         self._watcher_by_kind = {w.kind: w for w in self._build_watchers()}
         self._service = self._build_service()
         self._server = server.Server(
@@ -109,6 +112,7 @@
         await curio.spawn(self._reload_settings_on_signal, daemon=True)
         for watcher in self._watcher_by_kind.values():
             await curio.spawn(watcher.run, daemon=True)
+        await curio.spawn(self._check_watchers, daemon=True)
         host = self._settings.caller_address.host
         self._metrics.bind(messages.Address(host, METRICS_PORT))
         await self._metrics.start()
@@ -141,42 +145,60 @@
         LOG.info("stopped", complete=complete)
 
     def _build_watchers(self) -> list[object_watcher.ObjectWatcher]:
+        bounds = self._settings.bounds
         manifest_handler = object_handlers.ManifestHandler(
             self._routes, self._on_manifest
         )
         instance_handler = object_handlers.InstanceHandler(self._instances)
-        subscriptions: list[
-            tuple[str, object_watcher.ApplyListing, object_watcher.GetPause]
-        ] = [
-            (
+        return [
+            self._build_watcher(
                 object_handlers.MANIFEST_KIND,
                 manifest_handler.apply,
-                object_watcher.min_pause,
+                bounds.configuration_seconds,
+                logs_changes=True,
             ),
-            (
+            self._build_watcher(
                 object_handlers.INSTANCE_KIND,
                 instance_handler.apply,
-                self._instance_poll_pause,
+                bounds.drain_seconds,
+                get_pause=self._instance_poll_pause,
             ),
-            (
+            self._build_watcher(
                 object_handlers.EVACUATION_KIND,
                 self._evacuation_handler.apply,
-                object_watcher.min_pause,
+                bounds.evacuation_seconds,
+                logs_changes=True,
             ),
         ]
-        return [
-            object_watcher.ObjectWatcher(
-                self._store,
-                kind,
-                apply_listing,
-                on_contact=self._node.freshness.on_poll,
-                get_pause=get_pause,
-                peer_update_ttl_seconds=object_watcher.PEER_UPDATE_TTL_SHARE
-                * self._settings.bounds.drain_seconds,
-                is_publisher=self._holds_lease,
-            )
-            for kind, apply_listing, get_pause in subscriptions
-        ]
+
+    def _build_watcher(
+        self,
+        kind: str,
+        apply: object_watcher.ApplyListing,
+        bound_seconds: float,
+        get_pause: object_watcher.GetPause = object_watcher.min_pause,
+        logs_changes: bool = False,
+    ) -> object_watcher.ObjectWatcher:
+        return object_watcher.ObjectWatcher(
+            self._store,
+            kind,
+            apply,
+            on_contact=self._node.freshness.on_poll,
+            get_pause=get_pause,
+            peer_update_ttl_seconds=object_watcher.PEER_UPDATE_TTL_SHARE
+            * self._settings.bounds.drain_seconds,
+            is_publisher=self._holds_lease,
+            bound_seconds=bound_seconds,
+            metrics=self._metric_registry,
+            logs_changes=logs_changes,
+        )
+
+    async def _check_watchers(self) -> None:
+        while True:
+            now = clock.monotonic()
+            for watcher in self._watcher_by_kind.values():
+                watcher.check(now)
+            await curio.sleep(WATCHER_CHECK_SECONDS)
 
     def _holds_lease(self) -> bool:
         return self._group_controller.lease.is_held(clock.monotonic())
@@ -271,6 +293,7 @@
                 self._build_poison_detector(),
                 self._count_daemons,
             ),
+            self._metric_registry,
         )
 
     def _build_poison_detector(self) -> poison.PoisonDetector:
@@ -354,7 +377,11 @@
 
     async def _answer_metrics(self, exchange: server.Exchange) -> None:
         fields = [("Content-Type", exposition.CONTENT_TYPE)]
-        text = self._service.metrics.render()
+        registry = self._metric_registry
+        registry.set_gauge(
+            "config_version", "main", self._routes.current.version
+        )
+        text = registry.render()
         await exchange.respond(
             messages.Response(200, messages.Headers(fields), text.encode())
         )
--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -17,10 +17,13 @@
 from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.forwarding import kind_updates
+from sycamoredale.forwarding import knowledge
+from sycamoredale.forwarding import watch_observer
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.object_api import backoff
 from sycamoredale.object_api import objects
+from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 
 # How long a watch waits for a change.  A watch without an answer is detected
@@ -101,15 +104,32 @@
     get_pause: GetPause = min_pause
     peer_update_ttl_seconds: float = 0.0
     is_publisher: collections.abc.Callable[[], bool] = lambda: False
+    bound_seconds: float = 2.0
+    metrics: exposition.MetricRegistry = dataclasses.field(
+        default_factory=exposition.MetricRegistry
+    )
+    logs_changes: bool = False
     version: ids.ObjectVersion = objects.ABSENT_VERSION
     publisher: kind_updates.UpdatePublisher = dataclasses.field(
         default_factory=kind_updates.UpdatePublisher
     )
     _fresh_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _had_fresh_update: bool = False
+    _missed_change: bool = False
     _failing_since: clock.MonotonicTime | None = None
     _settles_at: clock.MonotonicTime | None = None
 
+    def __post_init__(self) -> None:
+        """Create the record of what is known, and its observer."""
+        self.known = knowledge.Knowledge(self.bound_seconds)
+        self.observer = watch_observer.WatchObserver(
+            self.kind, self.known, self.metrics, self.logs_changes
+        )
+
+    def check(self, now: clock.MonotonicTime) -> None:
+        """Update the metrics, and log whether the knowledge is late."""
+        self.observer.check(self.version, now)
+
     async def run(self) -> None:
         """Watch the kind until cancelled."""
         waits = backoff.Backoff(
@@ -118,10 +138,7 @@
         while True:
             started = self.read_clock()
             is_fresh = self.has_fresh_update(started)
-            if is_fresh != self._had_fresh_update:
-                event = "watching_peer" if is_fresh else "watching_store"
-                LOG.info(event, kind=self.kind, version=self.version)
-                self._had_fresh_update = is_fresh
+            self._log_source(is_fresh, started)
             if is_fresh:
                 await curio.sleep(PEER_UPDATE_CHECK_SECONDS)
                 continue
@@ -139,6 +156,17 @@
                 self.on_contact(started)
                 await curio.sleep(self.get_pause())
 
+    def _log_source(self, is_fresh: bool, now: clock.MonotonicTime) -> None:
+        if is_fresh == self._had_fresh_update:
+            return
+        self._had_fresh_update = is_fresh
+        event, reason = "watching_peer", "update received"
+        if not is_fresh:
+            event, reason = "watching_store", "updates expired"
+            if self._missed_change:
+                reason = "change missing"
+        self.observer.on_source_changed(event, reason, self.version, now)
+
     async def poll_once(self, started_at: clock.MonotonicTime) -> None:
         """List or watch the kind once, and apply the result.
 
@@ -148,17 +176,24 @@
             self._settles_at = None
             self.version = objects.ABSENT_VERSION
         known_at = started_at
+        source = knowledge.Source.STORE_LIST
         if self.version == objects.ABSENT_VERSION:
-            seen = await self.store.list(self.kind)
+            seen = await self._call(source, self.store.list(self.kind))
             self._record_contact(self.read_clock())
         else:
+            source = knowledge.Source.STORE_WATCH
             wait = self._watch_seconds(started_at)
-            seen = await self.store.watch(self.kind, self.version, wait)
+            seen = await self._call(
+                source, self.store.watch(self.kind, self.version, wait)
+            )
             # The store answers without a change only after the whole wait.
             if not seen.objects and not seen.deleted:
                 known_at = self._watched_until(started_at, wait)
         if seen.version < self.version:
             return
+        if seen.objects or seen.deleted:
+            self.observer.on_change(source, seen, self.read_clock())
+        self.known.advance(known_at, source)
         if self._settles_at is None:
             self.apply(seen, complete=self.version == objects.ABSENT_VERSION)
             self.publisher.record(self.version, seen, known_at)
@@ -167,6 +202,30 @@
             self.apply(kept, complete=False)
         self.version = max(self.version, seen.version)
 
+    async def _call(
+        self,
+        source: knowledge.Source,
+        call: collections.abc.Awaitable[objects.Listing],
+    ) -> objects.Listing:
+        """Await a call of the store, and report how it ended."""
+        started = self.read_clock()
+        outcome = watch_observer.Outcome.FAILED
+        try:
+            seen = await call
+            has_changes = bool(seen.objects or seen.deleted)
+            outcome = (
+                watch_observer.Outcome.CHANGED
+                if has_changes
+                else watch_observer.Outcome.UNCHANGED
+            )
+            return seen
+        except errors.WatchExpired:
+            outcome = watch_observer.Outcome.EXPIRED
+            raise
+        finally:
+            seconds = self.read_clock() - started
+            self.observer.on_call_ended(source, outcome, seconds)
+
     def _watched_until(
         self, started_at: clock.MonotonicTime, seconds: float
     ) -> clock.MonotonicTime:
@@ -191,20 +250,27 @@
         ):
             return
         if self.version < update.version:
-            self._apply_changes(update.unpack_changes())
-        if self.version < update.version:
-            # A change is missing: the store has to be called.
+            self._apply_changes(update.unpack_changes(), now)
+        self._missed_change = self.version < update.version
+        if self._missed_change:
+            # The store has to be called.
             self._fresh_until = now
             return
         known_at = clock.MonotonicTime(now - update.age_ms / 1000)
         until = clock.MonotonicTime(known_at + self.peer_update_ttl_seconds)
         self._fresh_until = max(self._fresh_until, until)
+        self.known.advance(known_at, knowledge.Source.PEER)
         self.on_contact(known_at)
 
-    def _apply_changes(self, changes: list[kind_updates.Change]) -> None:
+    def _apply_changes(
+        self, changes: list[kind_updates.Change], now: clock.MonotonicTime
+    ) -> None:
         for change in changes:
             if change.base_version <= self.version < change.version:
-                self.apply(change.to_listing(), complete=False)
+                seen = change.to_listing()
+                if not change.is_empty:
+                    self.observer.on_change(knowledge.Source.PEER, seen, now)
+                self.apply(seen, complete=False)
                 self.version = change.version
 
     def record_failure(
--- a/sycamoredale/observability/histograms.py
+++ b/sycamoredale/observability/histograms.py
@@ -25,11 +25,12 @@
 
 
 class Measure(enum.Enum):
-    """Identify which time of a call a histogram records."""
+    """Identify which time a histogram records."""
 
     QUEUE = "queue"
     FIRST_BYTE = "first_byte"
     TOTAL = "total"
+    CHANGE_DELAY = "change_delay"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamoredale/platform/settings.py
+++ b/sycamoredale/platform/settings.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from sycamoredale.daemons import settings
+from sycamoredale.forwarding import operator_bounds
 from sycamoredale.http import messages
 from sycamoredale import ids
 
@@ -17,27 +18,6 @@
 DEFAULT_PATH: Final = "/etc/sycamoredale/boot.conf"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
-    """Limit times and rates, as set by the operators.
-
-    A process is killed `grace_seconds` after it was told to stop.  A leaving
-    instance gets no request after `drain_seconds`.  A head that lost a member
-    fails after `stall_seconds`.  Retries are at most
-    `retry_ratio` of the requests in a window, plus `retry_burst`.
-    """
-
-    grace_seconds: float
-    drain_seconds: float
-    stall_seconds: float
-    retry_ratio: float
-    retry_window_seconds: float
-    retry_burst: float
-    cold_factor: float
-    cold_burst: float
-    load_window_seconds: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
     """Configure one process."""
@@ -50,7 +30,7 @@
     peer_ports: tuple[int, int]
     max_file_descriptors: int
     first_start: bool
-    bounds: Bounds
+    bounds: operator_bounds.OperatorBounds
 
 
 def path() -> pathlib.Path:
@@ -62,6 +42,7 @@
     """Parse the text of a settings file; raise InvalidSettings."""
     reader = _LineSettingsReader(_parse_lines(text))
     number = reader.non_negative_number
+    seconds = reader.seconds
     found = ProcessSettings(
         daemon=ids.DaemonId(reader.name("node_name")),
         zone=ids.ZoneName(reader.name("zone")),
@@ -72,10 +53,12 @@
         max_file_descriptors=int(number("limits.max_fds", 1024)),
         # Set only at the first start of the whole system.
         first_start=reader.text_by_name.get("bootstrap") == "true",
-        bounds=Bounds(
+        bounds=operator_bounds.OperatorBounds(
             grace_seconds=number("bounds.grace_s", 8.0),
-            drain_seconds=number("bounds.drain_ms", 2000.0) / 1000,
-            stall_seconds=number("bounds.stall_ms", 5000.0) / 1000,
+            drain_seconds=seconds("bounds.drain_ms", 2000.0),
+            configuration_seconds=seconds("bounds.config_apply_ms", 2000.0),
+            evacuation_seconds=seconds("bounds.evacuate_ms", 5000.0),
+            stall_seconds=seconds("bounds.stall_ms", 5000.0),
             retry_ratio=number("bounds.retry_budget_ratio", 0.1),
             retry_window_seconds=number("bounds.budget_window_s", 10.0),
             retry_burst=number("bounds.budget_burst", 10.0),
@@ -100,6 +83,10 @@
         """Return how messages refer to a setting."""
         return f"line {setting}="
 
+    def seconds(self, setting: str, default_ms: float) -> float:
+        """Return a time that is set in milliseconds."""
+        return self.non_negative_number(setting, default_ms) / 1000
+
     def ports(self, setting: str) -> tuple[int, int]:
         """Return the first and last port of a range `first,last`."""
         first, _, last = self._required(setting).partition(",")
