Let no wait on the store last until a change could be late

Callers saw: a revoked key was accepted on two fifths of the daemons up to 5.6 s after the store had confirmed the change, 3 s being allowed.

Cause: a watch that heard nothing was taken to mean that nothing had changed, for 5 s and a margin of 2 s. When the store goes silent towards a watch (here one begun after the others were cut and before the history was dropped), the daemon learns of no change until that wait is over.

Now the time up to which all changes are known decides. A watch ends when this is 0.4 of the bound ago; if its answer is missing 0.2 of the bound (at most 0.5 s) later, the kind is listed over a new connection, with 0.4 of the bound left for it. The same age ends the trust in updates of peers, now by the bound of each kind. The pauses between watches fit into this. A list that is not answered is repeated with twice the timeout, so that a slow store is not lost from sight.

Three more waits of the class go with it: - A daemon whose own calls failed ignored the updates of its peers until it had listed the kind. It keeps its version now, and applies them. - A publisher that listed sent a version without the changes before it, so that all peers listed as well. It sends what the list has changed. - After an outage of a second, the publisher sent no configurations or evacuations for 2.5 s, since entries might have expired. Only instances expire.

The test of the pauses expects the smaller ones: a pause of half the bound left no room for a watch that ends in time.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -162,6 +162,7 @@
                 instance_handler.apply,
                 bounds.drain_seconds,
                 get_pause=self._instance_poll_pause,
+                entries_expire=True,
             ),
             self._build_watcher(
                 object_handlers.EVACUATION_KIND,
@@ -178,6 +179,7 @@
         bound_seconds: float,
         get_pause: object_watcher.GetPause = object_watcher.min_pause,
         logs_changes: bool = False,
+        entries_expire: bool = False,
     ) -> object_watcher.ObjectWatcher:
         return object_watcher.ObjectWatcher(
             self._store,
@@ -185,12 +187,11 @@
             apply,
             on_contact=self._node.freshness.on_poll,
             get_pause=get_pause,
-            peer_update_ttl_seconds=object_watcher.PEER_UPDATE_TTL_SHARE
-            * self._settings.bounds.drain_seconds,
             is_publisher=self._holds_lease,
             bound_seconds=bound_seconds,
             metrics=self._metric_registry,
             logs_changes=logs_changes,
+            entries_expire=entries_expire,
         )
 
     async def _check_watchers(self) -> None:
--- a/sycamoredale/forwarding/kind_updates.py
+++ b/sycamoredale/forwarding/kind_updates.py
@@ -104,21 +104,20 @@
         seen: objects.Listing,
         known_at: clock.MonotonicTime,
     ) -> None:
-        """Record the result of a list, or of a watch since a version.
+        """Record what has changed since a version.
 
-        `known_at` is when `seen` was the newest state of the store.
+        `known_at` is when `seen` led to the newest state of the store.
         """
         self._known_at = known_at
-        if before == objects.ABSENT_VERSION or before != self._version:
+        if before != self._version:
             self._pending.clear()
-        elif seen.version > before:
+        if objects.ABSENT_VERSION < before < seen.version:
             self._append(_change(before, seen))
         self._version = seen.version
 
-    def reset(self) -> None:
-        """Send no updates until the kind is listed again."""
+    def suspend(self) -> None:
+        """Send no updates until another result is recorded."""
         self._known_at = None
-        self._version = objects.ABSENT_VERSION
 
     def take_update(
         self, kind: str, now: clock.MonotonicTime
--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -3,6 +3,10 @@
 The last known state stays in force while the store is unavailable.  After an
 outage, or if changes are missing, the kind is listed again.  While a peer
 sends recent updates of the kind, the store is not called.
+
+Only answers prove that a state is recent.  A watch that hears nothing may be
+one that the store has lost, so no wait lasts until a change could be late:
+the kind is listed before, over a new connection.
 """
 
 import collections.abc
@@ -26,18 +30,28 @@
 from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 
-# How long a watch waits for a change.  A watch without an answer is detected
-# after this time and a margin.
+# Longest wait of a watch, however late its changes may be known.
 WATCH_TIMEOUT_SECONDS: Final = 5.0
+# A shorter watch is replaced by a list.
+MIN_WATCH_SECONDS: Final = 0.1
+# The time in which a change must be known is divided: by the end of the first
+# share, a watch has ended; after another share, the kind is listed because
+# the watch was not answered; the rest is for the list.
+WATCH_END_SHARE: Final = 0.4
+WATCH_MARGIN_SHARE: Final = 0.2
+LIST_SHARE: Final = 0.4
+# An answer that is later than this is slower than a slow store.
+MAX_WATCH_MARGIN_SECONDS: Final = 0.5
 # Changes come in bursts, and each answer to a watch is a call that is charged
 # for.  This is a tenth of the time in which a lost group is replaced.
 MIN_PAUSE_SECONDS: Final = 0.3
 # Of all daemons together for one kind: a fiftieth of the 2,000 reads a second
 # that the store of the smaller sites serves.
 MAX_WATCHES_PER_SECOND: Final = 40.0
-# Share of the time in which a change must be known.  The rest allows for a
-# slow store and for the call itself.
-MAX_PAUSE_SHARE: Final = 0.5
+# Leaves part of WATCH_END_SHARE for the watch.
+MAX_PAUSE_SHARE: Final = 0.25
+# Of the timeout of a list, which reaches its limit before.
+MAX_DOUBLINGS: Final = 8
 FIRST_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 1.0
 # Entries that heartbeats renew may expire in an outage of this length.
@@ -49,9 +63,8 @@
 # between two watches its updates are at most 0.6 s old, half of their lifetime
 # where a change must be known within two seconds.
 PUBLISHER_WATCH_SECONDS: Final = 0.3
-# Share of the time in which a change must be known.  The rest is for the call
-# to the store after the updates of a peer have stopped.
-PEER_UPDATE_TTL_SHARE: Final = 0.6
+# The rest is for a list after the updates of a peer have stopped.
+PEER_UPDATE_TTL_SHARE: Final = 1.0 - LIST_SHARE
 # How often a watcher checks for recent updates; small beside their lifetime.
 PEER_UPDATE_CHECK_SECONDS: Final = 0.1
 LOG: Final = logs.get("object_watcher")
@@ -89,10 +102,10 @@
 class ObjectWatcher:
     """Watch a kind and pass each change to `apply`.
 
-    An update of a peer is recent for `peer_update_ttl_seconds` from the time
-    at which the peer's version was the newest.  `is_publisher` returns
+    A change must be known within `bound_seconds`.  `is_publisher` returns
     whether this daemon sends updates to its peers.  `on_contact` is called
-    with the time up to which all changes are known.
+    with the time up to which all changes are known.  `entries_expire` tells
+    whether entries that nobody renews are deleted.
     """
 
     store: objects.ObjectStore
@@ -102,13 +115,13 @@
     read_clock: leases.ReadClock = clock.monotonic
     on_contact: OnContact = lambda at: None
     get_pause: GetPause = min_pause
-    peer_update_ttl_seconds: float = 0.0
     is_publisher: collections.abc.Callable[[], bool] = lambda: False
     bound_seconds: float = 2.0
     metrics: exposition.MetricRegistry = dataclasses.field(
         default_factory=exposition.MetricRegistry
     )
     logs_changes: bool = False
+    entries_expire: bool = True
     version: ids.ObjectVersion = objects.ABSENT_VERSION
     publisher: kind_updates.UpdatePublisher = dataclasses.field(
         default_factory=kind_updates.UpdatePublisher
@@ -116,6 +129,9 @@
     _fresh_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _had_fresh_update: bool = False
     _missed_change: bool = False
+    _names: set[str] = dataclasses.field(default_factory=set)
+    _must_list: bool = True
+    _failed_lists: int = 0
     _failing_since: clock.MonotonicTime | None = None
     _settles_at: clock.MonotonicTime | None = None
 
@@ -145,12 +161,11 @@
             try:
                 await self.poll_once(started)
             except errors.WatchExpired:
-                LOG.info("watch_expired", kind=self.kind, version=self.version)
-                self.version = objects.ABSENT_VERSION
-                self.publisher.reset()
+                self.record_expired()
             except errors.StoreUnavailable as error:
                 self.record_failure(error, started)
-                await curio.sleep(waits.next_seconds())
+                delay = waits.next_seconds()
+                await curio.sleep(self._retry_seconds(delay))
             else:
                 waits.reset()
                 self.on_contact(started)
@@ -174,33 +189,88 @@
         """
         if self._settles_at is not None and started_at >= self._settles_at:
             self._settles_at = None
-            self.version = objects.ABSENT_VERSION
-        known_at = started_at
-        source = knowledge.Source.STORE_LIST
-        if self.version == objects.ABSENT_VERSION:
-            seen = await self._call(source, self.store.list(self.kind))
-            self._record_contact(self.read_clock())
+            self._must_list = True
+        wait = self._watch_seconds(started_at)
+        if wait:
+            await self._watch(started_at, wait)
         else:
-            source = knowledge.Source.STORE_WATCH
-            wait = self._watch_seconds(started_at)
-            seen = await self._call(
-                source, self.store.watch(self.kind, self.version, wait)
-            )
-            # The store answers without a change only after the whole wait.
-            if not seen.objects and not seen.deleted:
-                known_at = self._watched_until(started_at, wait)
+            await self._list(started_at)
+
+    async def _list(self, started_at: clock.MonotonicTime) -> None:
+        source = knowledge.Source.STORE_LIST
+        self._failed_lists += 1
+        seen = await self._call(
+            source,
+            self.store.list(
+                self.kind,
+                timeout_seconds=self._list_timeout(),
+                # Idle connections may be as silent as the one that failed.
+                new_connection=self._failing_since is not None,
+            ),
+        )
+        self._failed_lists = 0
+        self._must_list = False
+        self._record_contact(self.read_clock())
+        self._learn(seen, source, started_at)
+
+    async def _watch(
+        self, started_at: clock.MonotonicTime, wait: float
+    ) -> None:
+        source = knowledge.Source.STORE_WATCH
+        seen = await self._call(
+            source,
+            self.store.watch(
+                self.kind,
+                self.version,
+                wait,
+                margin_seconds=self._watch_margin(),
+            ),
+        )
+        known_at = started_at
+        # The store answers without a change only after the whole wait.
+        if not seen.objects and not seen.deleted:
+            known_at = self._watched_until(started_at, wait)
+        self._learn(seen, source, known_at)
+
+    def _learn(
+        self,
+        seen: objects.Listing,
+        source: knowledge.Source,
+        known_at: clock.MonotonicTime,
+    ) -> None:
+        """Apply an answer of the store that was current at `known_at`.
+
+        An older one is ignored: a peer has sent later changes meanwhile.
+        """
         if seen.version < self.version:
             return
         if seen.objects or seen.deleted:
             self.observer.on_change(source, seen, self.read_clock())
         self.known.advance(known_at, source)
+        is_list = source is knowledge.Source.STORE_LIST
         if self._settles_at is None:
-            self.apply(seen, complete=self.version == objects.ABSENT_VERSION)
-            self.publisher.record(self.version, seen, known_at)
+            changes = self._changes_in_list(seen) if is_list else seen
+            self.publisher.record(self.version, changes, known_at)
+            self._apply(seen, complete=is_list)
         else:
             kept = msgspec.structs.replace(seen, deleted=[])
-            self.apply(kept, complete=False)
-        self.version = max(self.version, seen.version)
+            self._apply(kept, complete=False)
+
+    def _changes_in_list(self, listed: objects.Listing) -> objects.Listing:
+        """Return how a list differs from the present version."""
+        names = {item.name for item in listed.objects}
+        return objects.Listing(
+            listed.version,
+            [item for item in listed.objects if item.version > self.version],
+            sorted(self._names - names),
+        )
+
+    def _apply(self, seen: objects.Listing, complete: bool) -> None:
+        names = {item.name for item in seen.objects}
+        kept = set() if complete else self._names.difference(seen.deleted)
+        self._names = kept | names
+        self.version = seen.version
+        self.apply(seen, complete=complete)
 
     async def _call(
         self,
@@ -257,7 +327,8 @@
             self._fresh_until = now
             return
         known_at = clock.MonotonicTime(now - update.age_ms / 1000)
-        until = clock.MonotonicTime(known_at + self.peer_update_ttl_seconds)
+        seconds = PEER_UPDATE_TTL_SHARE * self.bound_seconds
+        until = clock.MonotonicTime(known_at + seconds)
         self._fresh_until = max(self._fresh_until, until)
         self.known.advance(known_at, knowledge.Source.PEER)
         self.on_contact(known_at)
@@ -270,8 +341,12 @@
                 seen = change.to_listing()
                 if not change.is_empty:
                     self.observer.on_change(knowledge.Source.PEER, seen, now)
-                self.apply(seen, complete=False)
-                self.version = change.version
+                self._apply(seen, complete=False)
+
+    def record_expired(self) -> None:
+        """Record that the history has ended, and list the kind next."""
+        LOG.info("watch_expired", kind=self.kind, version=self.version)
+        self._must_list = True
 
     def record_failure(
         self, error: errors.StoreUnavailable, now: clock.MonotonicTime
@@ -284,8 +359,8 @@
         if self._failing_since is None:
             self._failing_since = now
             LOG.warning("store_lost", kind=self.kind, reason=error.message)
-        self.version = objects.ABSENT_VERSION
-        self.publisher.reset()
+        self._must_list = True
+        self.publisher.suspend()
 
     def _record_contact(self, now: clock.MonotonicTime) -> None:
         if self._failing_since is None:
@@ -293,12 +368,39 @@
         seconds = now - self._failing_since
         LOG.info("store_regained", kind=self.kind, lost_seconds=seconds)
         self._failing_since = None
-        if seconds >= ENTRY_EXPIRY_SECONDS:
+        if self.entries_expire and seconds >= ENTRY_EXPIRY_SECONDS:
             self._settles_at = clock.MonotonicTime(now + SETTLE_SECONDS)
 
     def _watch_seconds(self, now: clock.MonotonicTime) -> float:
+        """Return how long to watch, or 0 if the kind has to be listed."""
+        if self._must_list:
+            return 0.0
+        age_at_end = WATCH_END_SHARE * self.bound_seconds
+        wait = min(WATCH_TIMEOUT_SECONDS, age_at_end - self.known.age(now))
         if self.is_publisher():
-            return PUBLISHER_WATCH_SECONDS
-        if self._settles_at is None:
-            return WATCH_TIMEOUT_SECONDS
-        return min(WATCH_TIMEOUT_SECONDS, self._settles_at - now)
+            wait = min(wait, PUBLISHER_WATCH_SECONDS)
+        if self._settles_at is not None:
+            wait = min(wait, self._settles_at - now)
+        return wait if wait >= MIN_WATCH_SECONDS else 0.0
+
+    def _watch_margin(self) -> float:
+        return min(
+            MAX_WATCH_MARGIN_SECONDS, WATCH_MARGIN_SHARE * self.bound_seconds
+        )
+
+    def _list_timeout(self) -> float:
+        """Return a timeout that doubles until a slow store can answer."""
+        doublings = min(self._failed_lists - 1, MAX_DOUBLINGS)
+        seconds = LIST_SHARE * self.bound_seconds * (1 << doublings)
+        return min(objects.CALL_TIMEOUT_SECONDS, seconds)
+
+    def _retry_seconds(self, delay: float) -> float:
+        """Return the pause after a failed call.
+
+        After a failed watch, the pause ends in time for a list.
+        """
+        if self._failed_lists:
+            return delay
+        age_at_list = PEER_UPDATE_TTL_SHARE * self.bound_seconds
+        left = age_at_list - self.known.age(self.read_clock())
+        return max(0.0, min(delay, left))
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -78,19 +78,32 @@
             return None
         return decode_body(response, StoredObject)
 
-    async def list(self, kind: str) -> Listing:
+    async def list(
+        self,
+        kind: str,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        new_connection: bool = False,
+    ) -> Listing:
         """Return all objects of a kind; raise StoreUnavailable."""
         response = await self._read(
-            CallKind.LIST, object_path(OBJECT_ROOT, kind)
+            CallKind.LIST,
+            object_path(OBJECT_ROOT, kind),
+            timeout_seconds,
+            new_connection=new_connection,
         )
         return decode_body(response, Listing)
 
     async def watch(
-        self, kind: str, after: ids.ObjectVersion, wait_seconds: float
+        self,
+        kind: str,
+        after: ids.ObjectVersion,
+        wait_seconds: float,
+        margin_seconds: float = WATCH_MARGIN_SECONDS,
     ) -> Listing:
         """Wait for changes after a version; raise StoreUnavailable.
 
-        Raises WatchExpired if the store no longer has all changes since that
+        The answer may come `margin_seconds` after the wait.  Raises
+        WatchExpired if the store no longer has all changes since that
         version; the kind must then be listed again.
         """
         target = (
@@ -98,7 +111,10 @@
             f"?after={after}&wait={wait_seconds:g}"
         )
         response = await self._read(
-            CallKind.WATCH, target, wait_seconds + WATCH_MARGIN_SECONDS
+            CallKind.WATCH,
+            target,
+            wait_seconds + margin_seconds,
+            connect_seconds=margin_seconds,
         )
         if response.status == 410:
             raise errors.WatchExpired(
@@ -146,11 +162,19 @@
         kind: CallKind,
         target: str,
         seconds: float = CALL_TIMEOUT_SECONDS,
+        connect_seconds: float = client.CONNECT_TIMEOUT_SECONDS,
+        new_connection: bool = False,
     ) -> messages.Response:
         self._charge(kind, target)
         request = messages.Request("GET", target)
         try:
-            response = await self.pool.call(self.address, request, seconds)
+            response = await self.pool.call(
+                self.address,
+                request,
+                seconds,
+                new_connection,
+                min(seconds, connect_seconds),
+            )
         except errors.SycamoredaleError as error:
             raise errors.StoreUnavailable(
                 error_codes.STORE_UNAVAILABLE,
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -58,7 +58,13 @@
             return None
         return _stored(objects.decode_body(response, _Object))
 
-    async def list(self, kind: str, stale: bool = False) -> objects.Listing:
+    async def list(
+        self,
+        kind: str,
+        timeout_seconds: float = objects.CALL_TIMEOUT_SECONDS,
+        new_connection: bool = False,
+        stale: bool = False,
+    ) -> objects.Listing:
         """Return all objects of a kind; raise StoreUnavailable.
 
         A stale list costs the store less and may be seconds old.
@@ -67,7 +73,12 @@
         query = {"allow_stale": "1"} if stale else {}
         while True:
             target = _path(kind) + _query(query)
-            response = await self._read(budget.CallKind.LIST, target)
+            response = await self._read(
+                budget.CallKind.LIST,
+                target,
+                timeout_seconds,
+                new_connection=new_connection,
+            )
             page = objects.decode_body(response, _Page)
             found.extend(_stored(item) for item in page.items)
             if not page.has_more or not page.items:
@@ -75,14 +86,19 @@
             query = {**query, "after": page.items[-1].metadata.name}
 
     async def watch(
-        self, kind: str, after: ids.ObjectVersion, wait_seconds: float
+        self,
+        kind: str,
+        after: ids.ObjectVersion,
+        wait_seconds: float,
+        margin_seconds: float = objects.WATCH_MARGIN_SECONDS,
     ) -> objects.Listing:
         """Wait for changes after a version; raise as ObjectStore.watch."""
         query = {"watch": str(after), "wait_ms": str(int(wait_seconds * 1000))}
         response = await self._read(
             budget.CallKind.WATCH,
             _path(kind) + _query(query),
-            wait_seconds + objects.WATCH_MARGIN_SECONDS,
+            wait_seconds + margin_seconds,
+            connect_seconds=margin_seconds,
         )
         if response.status == 410:
             raise errors.WatchExpired(
--- a/tests/test_forwarding_properties.py
+++ b/tests/test_forwarding_properties.py
@@ -37,11 +37,11 @@
         self.kept_from = 1
         self.result = "answered"
 
-    async def list(self, kind):
+    async def list(self, kind, **limits):
         self._raise_fault()
         return self._listing()
 
-    async def watch(self, kind, after, wait_seconds):
+    async def watch(self, kind, after, wait_seconds, **limits):
         self._raise_fault()
         if self.result == "expired" or after < self.kept_from:
             raise errors.WatchExpired(
@@ -80,7 +80,7 @@
             try:
                 await self.watcher.poll_once(now)
             except errors.WatchExpired:
-                self.watcher.version = objects.ABSENT_VERSION
+                self.watcher.record_expired()
             except errors.StoreUnavailable as error:
                 self.watcher.record_failure(error, now)
 
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -24,11 +24,11 @@
         self.script = []
         self.calls = []
 
-    async def list(self, kind):
+    async def list(self, kind, **limits):
         self.calls.append("list")
         return self._next()
 
-    async def watch(self, kind, after, wait_seconds):
+    async def watch(self, kind, after, wait_seconds, **limits):
         self.calls.append(f"watch {after}")
         return self._next()
 
@@ -118,9 +118,9 @@
     "daemons, bound_seconds, expected",
     [
         (9, 2.0, object_watcher.MIN_PAUSE_SECONDS),
-        (62, 3.0, 1.5),
-        (30, 2.0, 0.75),
-        (380, 2.0, 1.0),
+        (62, 3.0, 0.75),
+        (30, 2.0, 0.5),
+        (380, 2.0, 0.5),
         (380, 0.1, object_watcher.MIN_PAUSE_SECONDS),
     ],
 )
@@ -136,7 +136,6 @@
     def __init__(self, is_publisher=True):
         self.harnesses = [WatcherHarness(), WatcherHarness()]
         for harness in self.harnesses:
-            harness.watcher.peer_update_ttl_seconds = 1.2
             harness.step(_listing(5, ["a"]))
         self.holder, self.other = self.harnesses
         self.holder.watcher.is_publisher = lambda: is_publisher
@@ -233,7 +232,7 @@
     peers.send_update(0.3)
     watcher = peers.holder.watcher
 
-    async def watch_without_changes(kind, after, wait_seconds):
+    async def watch_without_changes(kind, after, wait_seconds, **limits):
         peers.holder.now += wait_seconds
         return _listing(6)
 
--- a/tests/watch_simulation.py
+++ b/tests/watch_simulation.py
@@ -226,8 +226,6 @@
             read_clock=lambda: clock.MonotonicTime(self.scheduler.now),
             is_publisher=lambda: self.publishes,
             bound_seconds=bound,
-            peer_update_ttl_seconds=object_watcher.PEER_UPDATE_TTL_SHARE
-            * bound,
         )
 
     def _apply(self, seen: objects.Listing, complete: bool) -> None:
