Wait for a connection to the store no longer when it was slow to answer

A list whose answer time had doubled also waited 2 s for a connection. One that began just before a silent outage ended held up the next by more than the bound of 2 s. Only the time for the answer grows now.

--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -23,6 +23,7 @@
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import knowledge
 from sycamoredale.forwarding import watch_observer
+from sycamoredale.http import client
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.object_api import backoff
@@ -200,13 +201,7 @@
         source = knowledge.Source.STORE_LIST
         self._failed_lists += 1
         seen = await self._call(
-            source,
-            self.store.list(
-                self.kind,
-                timeout_seconds=self._list_timeout(),
-                # Idle connections may be as silent as the one that failed.
-                new_connection=self._failing_since is not None,
-            ),
+            source, self.store.list(self.kind, self._list_limits())
         )
         self._failed_lists = 0
         self._must_list = False
@@ -220,10 +215,7 @@
         seen = await self._call(
             source,
             self.store.watch(
-                self.kind,
-                self.version,
-                wait,
-                margin_seconds=self._watch_margin(),
+                self.kind, self.version, wait, self._watch_limits()
             ),
         )
         known_at = started_at
@@ -383,16 +375,22 @@
             wait = min(wait, self._settles_at - now)
         return wait if wait >= MIN_WATCH_SECONDS else 0.0
 
-    def _watch_margin(self) -> float:
-        return min(
+    def _watch_limits(self) -> objects.CallLimits:
+        margin = min(
             MAX_WATCH_MARGIN_SECONDS, WATCH_MARGIN_SHARE * self.bound_seconds
         )
+        return objects.CallLimits(margin, margin)
 
-    def _list_timeout(self) -> float:
-        """Return a timeout that doubles until a slow store can answer."""
+    def _list_limits(self) -> objects.CallLimits:
+        """Return limits whose answer time grows until a slow store answers."""
+        seconds = LIST_SHARE * self.bound_seconds
         doublings = min(self._failed_lists - 1, MAX_DOUBLINGS)
-        seconds = LIST_SHARE * self.bound_seconds * (1 << doublings)
-        return min(objects.CALL_TIMEOUT_SECONDS, seconds)
+        return objects.CallLimits(
+            min(objects.CALL_TIMEOUT_SECONDS, seconds * (1 << doublings)),
+            min(client.CONNECT_TIMEOUT_SECONDS, seconds),
+            # Idle connections may be as silent as the one that failed.
+            new_connection=self._failing_since is not None,
+        )
 
     def _retry_seconds(self, delay: float) -> float:
         """Return the pause after a failed call.
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -25,7 +25,6 @@
 ABSENT_VERSION: Final = ids.ObjectVersion(0)
 MAX_VALUE_BYTES: Final = 1_000_000
 CALL_TIMEOUT_SECONDS: Final = 2.0
-WATCH_MARGIN_SECONDS: Final = 2.0
 VERSION_HEADER: Final = "If-Version"
 
 
@@ -52,6 +51,19 @@
     version: ids.ObjectVersion
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Limit a read of the store.
+
+    The answer to a watch may come `answer_seconds` after its wait.
+    """
+
+    answer_seconds: float = CALL_TIMEOUT_SECONDS
+    connect_seconds: float = client.CONNECT_TIMEOUT_SECONDS
+    new_connection: bool = False
+
+
+DEFAULT_LIMITS: Final = CallLimits()
 OnCall = collections.abc.Callable[[CallKind], None]
 
 
@@ -81,15 +93,11 @@
     async def list(
         self,
         kind: str,
-        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
-        new_connection: bool = False,
+        limits: CallLimits = DEFAULT_LIMITS,
     ) -> Listing:
         """Return all objects of a kind; raise StoreUnavailable."""
         response = await self._read(
-            CallKind.LIST,
-            object_path(OBJECT_ROOT, kind),
-            timeout_seconds,
-            new_connection=new_connection,
+            CallKind.LIST, object_path(OBJECT_ROOT, kind), limits
         )
         return decode_body(response, Listing)
 
@@ -98,12 +106,11 @@
         kind: str,
         after: ids.ObjectVersion,
         wait_seconds: float,
-        margin_seconds: float = WATCH_MARGIN_SECONDS,
+        limits: CallLimits = DEFAULT_LIMITS,
     ) -> Listing:
         """Wait for changes after a version; raise StoreUnavailable.
 
-        The answer may come `margin_seconds` after the wait.  Raises
-        WatchExpired if the store no longer has all changes since that
+        Raises WatchExpired if the store no longer has all changes since that
         version; the kind must then be listed again.
         """
         target = (
@@ -111,10 +118,7 @@
             f"?after={after}&wait={wait_seconds:g}"
         )
         response = await self._read(
-            CallKind.WATCH,
-            target,
-            wait_seconds + margin_seconds,
-            connect_seconds=margin_seconds,
+            CallKind.WATCH, target, limits, wait_seconds
         )
         if response.status == 410:
             raise errors.WatchExpired(
@@ -161,9 +165,8 @@
         self,
         kind: CallKind,
         target: str,
-        seconds: float = CALL_TIMEOUT_SECONDS,
-        connect_seconds: float = client.CONNECT_TIMEOUT_SECONDS,
-        new_connection: bool = False,
+        limits: CallLimits = DEFAULT_LIMITS,
+        wait_seconds: float = 0.0,
     ) -> messages.Response:
         self._charge(kind, target)
         request = messages.Request("GET", target)
@@ -171,9 +174,9 @@
             response = await self.pool.call(
                 self.address,
                 request,
-                seconds,
-                new_connection,
-                min(seconds, connect_seconds),
+                wait_seconds + limits.answer_seconds,
+                limits.new_connection,
+                limits.connect_seconds,
             )
         except errors.SycamoredaleError as error:
             raise errors.StoreUnavailable(
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -61,8 +61,7 @@
     async def list(
         self,
         kind: str,
-        timeout_seconds: float = objects.CALL_TIMEOUT_SECONDS,
-        new_connection: bool = False,
+        limits: objects.CallLimits = objects.DEFAULT_LIMITS,
         stale: bool = False,
     ) -> objects.Listing:
         """Return all objects of a kind; raise StoreUnavailable.
@@ -73,12 +72,7 @@
         query = {"allow_stale": "1"} if stale else {}
         while True:
             target = _path(kind) + _query(query)
-            response = await self._read(
-                budget.CallKind.LIST,
-                target,
-                timeout_seconds,
-                new_connection=new_connection,
-            )
+            response = await self._read(budget.CallKind.LIST, target, limits)
             page = objects.decode_body(response, _Page)
             found.extend(_stored(item) for item in page.items)
             if not page.has_more or not page.items:
@@ -90,15 +84,15 @@
         kind: str,
         after: ids.ObjectVersion,
         wait_seconds: float,
-        margin_seconds: float = objects.WATCH_MARGIN_SECONDS,
+        limits: objects.CallLimits = objects.DEFAULT_LIMITS,
     ) -> objects.Listing:
         """Wait for changes after a version; raise as ObjectStore.watch."""
         query = {"watch": str(after), "wait_ms": str(int(wait_seconds * 1000))}
         response = await self._read(
             budget.CallKind.WATCH,
             _path(kind) + _query(query),
-            wait_seconds + margin_seconds,
-            connect_seconds=margin_seconds,
+            limits,
+            wait_seconds,
         )
         if response.status == 410:
             raise errors.WatchExpired(
--- a/tests/test_forwarding_properties.py
+++ b/tests/test_forwarding_properties.py
@@ -37,11 +37,11 @@
         self.kept_from = 1
         self.result = "answered"
 
-    async def list(self, kind, **limits):
+    async def list(self, kind, limits):
         self._raise_fault()
         return self._listing()
 
-    async def watch(self, kind, after, wait_seconds, **limits):
+    async def watch(self, kind, after, wait_seconds, limits):
         self._raise_fault()
         if self.result == "expired" or after < self.kept_from:
             raise errors.WatchExpired(
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -24,11 +24,11 @@
         self.script = []
         self.calls = []
 
-    async def list(self, kind, **limits):
+    async def list(self, kind, limits):
         self.calls.append("list")
         return self._next()
 
-    async def watch(self, kind, after, wait_seconds, **limits):
+    async def watch(self, kind, after, wait_seconds, limits):
         self.calls.append(f"watch {after}")
         return self._next()
 
@@ -232,7 +232,7 @@
     peers.send_update(0.3)
     watcher = peers.holder.watcher
 
-    async def watch_without_changes(kind, after, wait_seconds, **limits):
+    async def watch_without_changes(kind, after, wait_seconds, limits):
         peers.holder.now += wait_seconds
         return _listing(6)
 
--- a/tests/watch_simulation.py
+++ b/tests/watch_simulation.py
@@ -150,11 +150,13 @@
     daemon: str
     calls: list[str] = dataclasses.field(default_factory=list)
 
-    async def list(self, kind, **limits):
+    async def list(self, kind, limits):
         """Return the present state, unless the daemon has an outage."""
         self.calls.append("list")
-        timeout = limits.get("timeout_seconds", objects.CALL_TIMEOUT_SECONDS)
-        await self._reach(timeout)
+        timeout = limits.answer_seconds
+        await self._reach(
+            limits.connect_seconds if limits.new_connection else timeout
+        )
         seconds = self._call_seconds()
         if seconds > timeout:
             await curio.sleep(timeout)
@@ -162,11 +164,11 @@
         await curio.sleep(seconds)
         return self.model.listing()
 
-    async def watch(self, kind, after, wait_seconds, **limits):
+    async def watch(self, kind, after, wait_seconds, limits):
         """Wait for a change, subject to the faults of the model."""
         self.calls.append("watch")
         scheduler, faults = self.model.scheduler, self.model.faults
-        margin = limits.get("margin_seconds", objects.WATCH_MARGIN_SECONDS)
+        margin = limits.answer_seconds
         await self._reach(wait_seconds + margin)
         begun = scheduler.now
         is_unheard = False
