Limit answers whose bytes never end, in memory and in time

- An event without an end was kept whole and joined anew with each chunk, and each chunk renewed the wait for an event, so the stream stood until its deadline.
An event now has 1 MiB at most, is searched once, and the wait counts from the last complete event.
- The body of an answer that did not run was read up to 16 MiB before the call went on. 64 KiB and 0.1 s are enough; else the connection is closed.
- An answer outside streams is held up to 4 MiB, where it was 16 MiB, and a report of an instance up to 64 KiB.

Heads were limited before, by h11 and the stall detection; 16 interim answers are the limit now.

--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -9,6 +9,8 @@
 import dataclasses
 from typing import Final
 
+import curio
+
 from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
@@ -25,6 +27,12 @@
 # A stream without events on an endpoint that makes progress has been requeued
 # by the engine.  Callers give up after about two seconds.
 MAX_STREAM_PAUSE_SECONDS: Final = 1.5
+# An answer outside streams is held in memory until it is complete.
+MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
+# The body that says why a request did not run has a few bytes.  It is read
+# only to keep the connection.
+MAX_DISCARDED_BYTES: Final = 65536
+DISCARD_SECONDS: Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,7 +78,7 @@
                 connection, endpoint, info, progress, exchange
             )
             return progress_module.Outcome.ANSWERED
-        body = await connection.read_body()
+        body = await connection.read_body(MAX_ANSWER_BYTES)
         answer = messages.Response(head.status, info.headers, body)
         if head.status >= 500:
             progress.error_answer = answer
@@ -107,20 +115,29 @@
         exchange: server.Exchange,
     ) -> None:
         stream = progress.stream
-        max_wait_seconds = progress.call.deadline - clock.monotonic()
+        waiting_since = clock.monotonic()
+        max_wait_seconds = progress.call.deadline - waiting_since
         while True:
             chunk = await stall_detection.read_unless_stalled(
-                connection.read_chunk, endpoint, max_wait_seconds
+                connection.read_chunk,
+                endpoint,
+                max_wait_seconds,
+                waiting_since,
             )
             if not chunk:
                 break
-            events = stream.feed(chunk)
+            try:
+                events = stream.feed(chunk)
+            except ValueError as error:
+                raise _broken_answer(endpoint, str(error)) from error
             if events:
                 now = clock.monotonic()
                 endpoint.record_progress(now)
                 progress.record_events(now)
                 max_wait_seconds = MAX_STREAM_PAUSE_SECONDS
                 await _forward_events(events, info, exchange)
+                # A slow caller is no pause of the endpoint.
+                waiting_since = clock.monotonic()
             if stream.has_gap:
                 raise _broken_answer(endpoint, "a stream event is missing")
         if not stream.ends_at_boundary:
@@ -140,7 +157,8 @@
 
 async def _discard_body(connection: client.Connection) -> None:
     with contextlib.suppress(errors.ConnectionBroken):
-        await connection.read_body()
+        async with curio.ignore_after(DISCARD_SECONDS):
+            await connection.read_body(MAX_DISCARDED_BYTES)
 
 
 def _broken_answer(
--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -9,6 +9,8 @@
 
 EVENT_END: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
+# An event has a few tokens; a longer one is no event.
+MAX_EVENT_BYTES: Final = 1024 * 1024
 
 
 @dataclasses.dataclass
@@ -23,25 +25,32 @@
     last_event_id: int | None = None
     event_count: int = 0
     has_gap: bool = False
-    _partial: bytes = b""
+    _partial: bytearray = dataclasses.field(default_factory=bytearray)
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete new events in a chunk, up to the first gap.
 
-        Events that the caller already has are dropped.
+        Events that the caller already has are dropped.  Raises ValueError if
+        an event exceeds MAX_EVENT_BYTES.
         """
-        data = self._partial + chunk if self._partial else chunk
-        end = data.rfind(EVENT_END)
+        if not self._partial and chunk.endswith(EVENT_END):
+            return b"".join(self._filter_new(chunk))
+        # The end of an event may have arrived in two pieces.
+        searched = max(0, len(self._partial) - len(EVENT_END) + 1)
+        self._partial += chunk
+        end = self._partial.rfind(EVENT_END, searched)
         if end < 0:
-            self._partial = data
+            if len(self._partial) > MAX_EVENT_BYTES:
+                raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             return b""
         end += len(EVENT_END)
-        self._partial = data[end:]
-        return b"".join(self._filter_new(data[:end]))
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        return b"".join(self._filter_new(complete))
 
     def restart(self) -> None:
         """Drop the incomplete event of the endpoint that was abandoned."""
-        self._partial = b""
+        self._partial.clear()
         self.has_gap = False
 
     @property
--- a/sycamoredale/forwarding/stall_detection.py
+++ b/sycamoredale/forwarding/stall_detection.py
@@ -27,14 +27,16 @@
     read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
     endpoint: endpoints.Endpoint,
     max_wait_seconds: float,
+    waiting_since: clock.MonotonicTime | None = None,
 ) -> _T:
     """Return the result of `read`; raise EndpointStalled if it takes too long.
 
     An endpoint has stalled if it made no progress for any daemon for the
     stall timeout.  While it makes progress for other requests, this one may
-    be queued, for up to `max_wait_seconds`.
+    be queued, for up to `max_wait_seconds`.  Both count from `waiting_since`,
+    or from now.
     """
-    started = clock.monotonic()
+    started = clock.monotonic() if waiting_since is None else waiting_since
     stall_seconds = (
         CROSS_DOMAIN_STALL_TIMEOUT_SECONDS
         if endpoint.is_cross_domain
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -24,6 +24,7 @@
 RECEIVE_BYTES: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
+MAX_INTERIM_ANSWERS: Final = 16
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 
 
@@ -63,10 +64,12 @@
     async def read_head(self) -> messages.ResponseHead:
         """Read the head of the response; raise ConnectionBroken."""
         event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INTERIM_ANSWERS):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self._next_event()
         if not isinstance(event, h11.Response):
-            raise self._broken("the response has no head")
+            raise self._broken("the response has no final head")
         headers = messages.Headers(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
@@ -239,11 +242,13 @@
         timeout_seconds: float,
         new_connection: bool = False,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> messages.Response:
         """Send a request and return the response.
 
         Raises ConnectionFailed if no connection was made, and ConnectionBroken
-        if the request may have been executed, also after the timeout.
+        if the request may have been executed, also after the timeout or if
+        the body of the response is too large.
         """
         connection = await self.acquire(
             address, new_connection, connect_timeout_seconds
@@ -253,7 +258,7 @@
             async with curio.timeout_after(timeout_seconds):
                 await connection.send(request)
                 head = await connection.read_head()
-                body = await connection.read_body()
+                body = await connection.read_body(max_body_bytes)
             complete = True
             return messages.Response(head.status, head.headers, body)
         except curio.TaskTimeout as error:
--- a/sycamoredale/platform/engine_client.py
+++ b/sycamoredale/platform/engine_client.py
@@ -19,6 +19,7 @@
 
 # TCP retransmits a lost packet after 0.2 s; without loss some ms are enough.
 REPORT_TIMEOUT_SECONDS: Final = 0.3
+MAX_REPORT_BYTES: Final = 65536
 ORDER_TIMEOUT_SECONDS: Final = 1.0
 _ACCEPTED_STATUSES: Final = frozenset((200, 202))
 
@@ -41,6 +42,7 @@
             wire_format.REPORT_REQUEST,
             REPORT_TIMEOUT_SECONDS,
             connect_timeout_seconds=REPORT_TIMEOUT_SECONDS,
+            max_body_bytes=MAX_REPORT_BYTES,
         )
         try:
             return instance_decoder.decode_report(response.body)
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,179 @@
+"""Test that bytes without end, which are no answer, hold up nobody."""
+
+import dataclasses
+import time
+import tracemalloc
+
+import curio
+import curio.socket
+import pytest
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import event_stream
+from sycamoredale.http import chunked
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from tests import test_forwarder
+
+OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nReplica-Seal: s\r\n"
+STREAM = b"Content-Type: text/event-stream\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+NOT_RUN = b"HTTP/1.1 503 Full\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\n"
+JUNK = b"j" * 4096
+# What comes first, and what then comes again and again.
+HEADS = {
+    "status line": (b"", JUNK),
+    "bytes that are no text": (b"", b"\x00\xff\n" * 1000),
+    "header": (OK + b"Long: ", JUNK),
+    "headers": (OK, b"More: " + b"m" * 90 + b"\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
+BODIES = {
+    "event": (OK + STREAM + b"\r\nid: 1\ndata: ", JUNK),
+    "event in chunks": (
+        OK + STREAM + CHUNKED + b"\r\n",
+        chunked.encode_chunk(JUNK),
+    ),
+    "chunk size": (OK + STREAM + CHUNKED + b"\r\n", b"0" * 4096),
+    "trailer": (OK + STREAM + CHUNKED + b"\r\n0\r\nx: ", JUNK),
+    "trailers": (OK + STREAM + CHUNKED + b"\r\n0\r\n", b"x: y\r\n" * 500),
+    "body that did not run": (NOT_RUN + b"\r\n", JUNK),
+    "chunks that did not run": (
+        NOT_RUN + CHUNKED + b"\r\n",
+        chunked.encode_chunk(JUNK),
+    ),
+}
+CASES = HEADS | BODIES
+PLAIN = {"plain body": (OK + b"\r\n", JUNK)}
+PAUSES = {"at once": 0.0, "in drops": 0.05}
+MAX_BYTES_HELD = 12 * 1024 * 1024
+
+
+class EndlessEndpoint:
+    """Answer each request with bytes until the connection is closed."""
+
+    def __init__(self, name, case, pause):
+        self.name = name
+        self.server = self
+        self.first, self.rest = (CASES | PLAIN)[case]
+        self.pause = pause
+        self.closed_count = 0
+        self._sock = curio.socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(5)
+        self.address = messages.Address(*self._sock.getsockname())
+
+    async def start(self):
+        await curio.spawn(self._run, daemon=True)
+
+    async def _run(self):
+        while True:
+            sock, _ = await self._sock.accept()
+            await curio.spawn(self._answer, sock, daemon=True)
+
+    async def _answer(self, sock):
+        try:
+            if not await sock.recv(65536):
+                return
+            await sock.sendall(self.first)
+            while True:
+                await sock.sendall(self.rest)
+                await curio.sleep(self.pause)
+        except OSError:
+            self.closed_count += 1
+        finally:
+            await sock.close()
+
+
+# Guards against an endpoint in trouble whose bytes never end: they were
+# collected without limit, and each of them renewed the wait for an event.
+@pytest.mark.parametrize("pause", PAUSES.values(), ids=PAUSES)
+@pytest.mark.parametrize("case", CASES)
+def test_stream_goes_on_elsewhere_after_bytes_without_end(case, pause):
+    bad = EndlessEndpoint("a", case, pause)
+    good = test_forwarder.Endpoint("b")
+    site = test_forwarder.Site(bad, good)
+    tracemalloc.start()
+    began = time.monotonic()
+    caller, refusal = site.run()
+    seconds = time.monotonic() - began
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert refusal is None
+    assert caller.finished
+    assert caller.body == test_forwarder.COMPLETE
+    assert seconds < 2.0
+    assert peak < MAX_BYTES_HELD
+
+
+class PlainSite(test_forwarder.Site):
+    """Call a route whose answers are no streams."""
+
+    def call(self):
+        call = super().call()
+        policy = catalogue.RetryPolicy.ANY
+        route = dataclasses.replace(call.route, retry_policy=policy)
+        return dataclasses.replace(call, route=route)
+
+
+def test_plain_answer_without_an_end_is_abandoned_for_another_endpoint():
+    bad = EndlessEndpoint("a", "plain body", 0.0)
+    site = PlainSite(bad, test_forwarder.Endpoint("b"))
+    tracemalloc.start()
+    caller, refusal = site.run()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert refusal is None
+    assert caller.body == test_forwarder.COMPLETE
+    assert peak < MAX_BYTES_HELD
+
+
+@pytest.mark.parametrize("pause", PAUSES.values(), ids=PAUSES)
+@pytest.mark.parametrize("case", CASES)
+def test_caller_alone_with_bytes_without_end_is_refused(case, pause):
+    bad = EndlessEndpoint("a", case, pause)
+    site = test_forwarder.Site(bad, may_retry=False, seconds=1.5)
+    began = time.monotonic()
+    caller, refusal = site.run()
+    assert time.monotonic() - began < 2.0
+    assert isinstance(refusal, errors.Refusal)
+    assert not caller.finished
+    ran = "did not run" not in case
+    assert (refusal.execution.value == "unknown") is ran
+
+
+@pytest.mark.parametrize("case", ["status line", "header", "chunk size"])
+def test_call_of_another_service_ends_by_its_timeout(case):
+    endless = EndlessEndpoint("a", case, 0.0)
+
+    async def main():
+        await endless.start()
+        await client.Pool().call(
+            endless.address, messages.Request("GET", "/"), 1.0
+        )
+
+    began = clock.monotonic()
+    with pytest.raises(errors.ConnectionBroken):
+        curio.run(main)
+    assert clock.monotonic() - began < 2.0
+
+
+def test_event_without_an_end_is_limited():
+    stream = event_stream.EventStream()
+    with pytest.raises(ValueError, match="event"):
+        for _ in range(10_000):
+            stream.feed(JUNK)
+
+
+def test_long_event_in_many_pieces_takes_linear_time():
+    event = b"id: 1\ndata: " + b"x" * 500_000 + b"\n\n"
+    stream = event_stream.EventStream()
+    began = time.process_time()
+    passed = [
+        stream.feed(event[start : start + 10])
+        for start in range(0, len(event), 10)
+    ]
+    assert b"".join(passed) == event
+    assert time.process_time() - began < 1.0
