Split events of both kinds of streams in one limited buffer

The streams of the product's own engines held an event without an end without limit too, and joined it anew with each chunk. Both now use one buffer.

--- a/sycamoredale/engines/completions.py
+++ b/sycamoredale/engines/completions.py
@@ -15,10 +15,11 @@
 
 from sycamoredale import errors
 from sycamoredale.http import client
+from sycamoredale.http import event_buffer
 from sycamoredale.http import messages
 from sycamoredale import ids
 
-EVENT_END: Final = b"\n\n"
+EVENT_END: Final = event_buffer.EVENT_END
 DATA: Final = b"data: "
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 ERROR_FIELD: Final = b'"error"'
@@ -84,7 +85,9 @@
 
     done: bool = False
     error_event: str | None = None
-    _partial_event: bytes = b""
+    _buffer: event_buffer.EventBuffer = dataclasses.field(
+        default_factory=event_buffer.EventBuffer
+    )
     _delivered: list[bytes] = dataclasses.field(default_factory=list)
     _delivered_bytes: int = 0
     _tokens: int = 0
@@ -94,16 +97,10 @@
         """Return the complete events to forward to the caller.
 
         Drops an error that the engine reports and everything after it, and
-        stores the error in `error_event`.
+        stores the error in `error_event`.  Raises ValueError if an event is
+        too long.
         """
-        data = self._partial_event + chunk if self._partial_event else chunk
-        end = data.rfind(EVENT_END)
-        if end < 0:
-            self._partial_event = data
-            return b""
-        end += len(EVENT_END)
-        self._partial_event = data[end:]
-        events = data[:end] if self._partial_event else data
+        events = self._buffer.feed(chunk)
         if ERROR_FIELD in events:
             events = self._cut_at_error(events)
         if events.endswith(DONE_EVENT):
@@ -119,7 +116,7 @@
 
     def discard_partial_event(self) -> None:
         """Drop the incomplete event of the last endpoint and its error."""
-        self._partial_event = b""
+        self._buffer.clear()
         self.error_event = None
 
     def build_resume_request(
--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -132,7 +132,10 @@
             raise _connection_broken(
                 attempt, "the stream ended without its last event"
             )
-        events = stream.feed(chunk)
+        try:
+            events = stream.feed(chunk)
+        except ValueError as error:
+            raise _connection_broken(attempt, str(error)) from error
         if events:
             _count_events(attempt, events)
             if not exchange.started:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,9 +11,9 @@
 from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.forwarding import catalogue
-from sycamoredale.forwarding import event_stream
 from sycamoredale.http import chunked
 from sycamoredale.http import client
+from sycamoredale.http import event_buffer
 from sycamoredale.http import messages
 from tests import test_forwarder
 
@@ -161,18 +161,18 @@
 
 
 def test_event_without_an_end_is_limited():
-    stream = event_stream.EventStream()
+    buffer = event_buffer.EventBuffer()
     with pytest.raises(ValueError, match="event"):
         for _ in range(10_000):
-            stream.feed(JUNK)
+            buffer.feed(JUNK)
 
 
 def test_long_event_in_many_pieces_takes_linear_time():
     event = b"id: 1\ndata: " + b"x" * 500_000 + b"\n\n"
-    stream = event_stream.EventStream()
+    buffer = event_buffer.EventBuffer()
     began = time.process_time()
     passed = [
-        stream.feed(event[start : start + 10])
+        buffer.feed(event[start : start + 10])
         for start in range(0, len(event), 10)
     ]
     assert b"".join(passed) == event
