List the cold start records again after the store has lost its history

A watch whose history had ended failed, and the version that it asked for was kept: each later read failed too, and records that had not been written were never written.

--- a/sycamoredale/routing/cold_start_record_store.py
+++ b/sycamoredale/routing/cold_start_record_store.py
@@ -114,17 +114,26 @@
         self.cold_limiter.apply_record(record, clock.monotonic())
 
     async def _read(self, version: ids.ObjectVersion) -> ids.ObjectVersion:
-        if version == objects.ABSENT_VERSION:
-            listing = await self.store.list(cold_start_records.KIND)
-        else:
-            listing = await self.store.watch(
-                cold_start_records.KIND, version, WATCH_TIMEOUT_SECONDS
-            )
+        listing = await self._changes_since(version)
         for stored in listing.objects:
             for record in _decode(stored).records:
                 self.cold_limiter.apply_record(record, clock.monotonic())
         return max(version, listing.version)
 
+    async def _changes_since(
+        self, version: ids.ObjectVersion
+    ) -> objects.Listing:
+        """Return what changed since a version, or all if that is unknown."""
+        kind = cold_start_records.KIND
+        if version != objects.ABSENT_VERSION:
+            try:
+                return await self.store.watch(
+                    kind, version, WATCH_TIMEOUT_SECONDS
+                )
+            except errors.WatchExpired:
+                LOG.info("watch_expired", kind=kind, version=version)
+        return await self.store.list(kind)
+
     async def _write_all(self) -> None:
         for domain in list(self._unwritten_by_domain):
             await self._write(domain)
