Report an acceptance as unknown if it can be neither confirmed nor read

Operators saw StoreUnavailable, which promises that nothing has changed, when the answer to the write was lost and the read after it failed as well. The new configuration may be in force then. The error of the write is raised now. The test failed before with StoreUnavailable.

--- a/sycamoredale/config/store.py
+++ b/sycamoredale/config/store.py
@@ -221,8 +221,12 @@
     """Return the version of a write that took effect, or raise its error.
 
     The stored pointer shows by its write ID whether the write took effect.
+    If it cannot be read, the error of the write says what is known.
     """
-    stored = await store.get(model.POINTER_KIND, model.POINTER_NAME)
+    try:
+        stored = await store.get(model.POINTER_KIND, model.POINTER_NAME)
+    except errors.StoreUnavailable:
+        raise error from None
     current = decode_pointer(stored) if stored else None
     if stored and current and current.write_id == pointer.write_id:
         return stored.version
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -353,11 +353,33 @@
     assert found.configuration == _configuration(1 if overtaken else 2)
 
 
+# Guards against an accepted configuration that is reported as unchanged: the
+# answer to the write was lost, and the read that should show it failed.
+def test_lost_acceptance_that_cannot_be_read_is_reported_as_unknown() -> None:
+    async def main() -> None:
+        store = AnswerLosingStore(UNUSED_ADDRESS, client.Pool())
+        seen = await config_store.read(store)
+        store.lose_answers = store.fail_reads = True
+        with pytest.raises(errors.OutcomeUnknown):
+            await config_store.accept(store, seen, _configuration(2))
+
+    curio.run(main)
+
+
 @dataclasses.dataclass
 class AnswerLosingStore(MemoryStore):
     """Lose the answers to writes of the pointer after they took effect."""
 
     lose_answers: bool = False
+    fail_reads: bool = False
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject | None:
+        """Return an object unless reads fail."""
+        if self.fail_reads:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE, "down"
+            )
+        return await super().get(kind, name)
 
     async def put(
         self, kind: str, name: str, value: bytes, expected: ids.ObjectVersion
