Refuse trailers of a chunked body that h11 refuses

The reader took any line as a trailer, so that a damaged answer looked complete. A line must now be a header field or continue one, must not decide on the framing, and all lines have 16 KiB at most.

--- a/sycamoredale/http/chunked.py
+++ b/sycamoredale/http/chunked.py
@@ -11,7 +11,15 @@
 SIZE_LINE_PATTERN: Final = re.compile(
     rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n"
 )
+TRAILER_LINE_PATTERN: Final = re.compile(
+    rb"([-!#$%&'*+.^_`|~0-9A-Za-z]+):[^\x00\n\r\f\v]*"
+)
+# Continues the line before it, an obsolete form that h11 accepts.
+FOLDED_LINE_PATTERN: Final = re.compile(rb"[ \t]+[^\x00\n\r\f\v]*")
+# Fields that decide on the framing and cannot come after the body.
+FRAMING_FIELDS: Final = frozenset((b"content-length", b"transfer-encoding"))
 MAX_LINE_BYTES: Final = 4096
+MAX_TRAILER_BYTES: Final = 16384
 LINE_END: Final = b"\r\n"
 
 
@@ -28,6 +36,7 @@
         self.remainder = b""
         self._bytes_left = 0
         self._in_trailer = False
+        self._trailer_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the body bytes in `data`; raise ValueError if malformed."""
@@ -86,11 +95,26 @@
         if end < 0:
             _check_partial_line(buffer, position)
             return position
-        if end - position > MAX_LINE_BYTES:
-            raise ValueError(f"a trailer line exceeds {MAX_LINE_BYTES} bytes")
         self.complete = end == position
+        if not self.complete:
+            self._check_trailer_line(buffer[position:end])
         return end + len(LINE_END)
 
+    def _check_trailer_line(self, line: bytes) -> None:
+        if len(line) > MAX_LINE_BYTES:
+            raise ValueError(f"a trailer line exceeds {MAX_LINE_BYTES} bytes")
+        may_fold = self._trailer_bytes > 0
+        self._trailer_bytes += len(line)
+        if self._trailer_bytes > MAX_TRAILER_BYTES:
+            raise ValueError(f"the trailer exceeds {MAX_TRAILER_BYTES} bytes")
+        if may_fold and FOLDED_LINE_PATTERN.fullmatch(line):
+            return
+        field = TRAILER_LINE_PATTERN.fullmatch(line)
+        if field is None:
+            raise ValueError("a trailer line is not a header field")
+        if field[1].lower() in FRAMING_FIELDS:
+            raise ValueError(f"the trailer has the field {field[1]!r}")
+
 
 def encode_chunk(data: bytes) -> bytes:
     """Encode data, which must not be empty, as one chunk."""
--- a/tests/test_chunked.py
+++ b/tests/test_chunked.py
@@ -79,6 +79,56 @@
     assert own_body == h11_body or own_body is None
 
 
+TRAILER_PARTS = strategies.sampled_from(
+    (
+        b"X",
+        b":",
+        b" ",
+        b"\t",
+        b"\x00",
+        b"\x0b",
+        b"\x7f",
+        b"\xff",
+        b"\r",
+        b"\n",
+        b"\r\n",
+        b"a-b",
+        b"(",
+        b"Content-Length: 1",
+        b"Transfer-Encoding: gzip",
+    )
+)
+
+
+# Guards against a malformed trailer that ends a body as complete.
+@hypothesis.given(strategies.lists(TRAILER_PARTS, max_size=8), PIECE_SIZES)
+@hypothesis.example([b"\x00", b"\r\n"], [9])
+@hypothesis.example([b" ", b"X", b"\r\n"], [9])
+@hypothesis.example([b"X", b":", b"\r\n", b" ", b"\xff", b"\r\n"], [9])
+@hypothesis.settings(max_examples=500)
+def test_accepts_no_trailer_that_h11_refuses(
+    parts: list[bytes], piece_sizes: list[int]
+) -> None:
+    data = b"1\r\na\r\n0\r\n" + b"".join(parts) + b"\r\n"
+    own_body = _read(_pieces(data, piece_sizes))
+    assert own_body in (None, _read_with_h11(data))
+
+
+@pytest.mark.parametrize(
+    "line", [b"X: y", b"X:", b"a-b: \xe4 z ", b"X: a\r\n b"]
+)
+def test_accepts_each_form_of_a_trailer_line(line: bytes) -> None:
+    assert _read([b"1\r\na\r\n0\r\n" + line + b"\r\n\r\n"]) == b"a"
+
+
+def test_trailer_is_limited() -> None:
+    reader = chunked.ChunkedReader()
+    reader.feed(b"0\r\n")
+    with pytest.raises(ValueError, match="trailer"):
+        for _ in range(10_000):
+            reader.feed(b"X: y\r\n")
+
+
 @pytest.mark.parametrize("data", [b"+5\r\n", b"0x5\r\n", b"1_0\r\n", b"\r\n"])
 def test_size_that_is_not_hexadecimal_is_rejected(data: bytes) -> None:
     with pytest.raises(ValueError, match="size line"):
