Do not wait seconds for assignments on a watch without an answer

The mirror of the assignments, in the product's own interface, waited 5 s and a margin of 2 s on a watch, and began another from the same version after a failure. A watch now takes 2 s at most, its connection included, and after a failed one the kind is listed over a new connection.

--- a/sycamoredale/daemons/followers.py
+++ b/sycamoredale/daemons/followers.py
@@ -33,7 +33,8 @@
 
 POLL_INTERVAL_SECONDS: Final = 0.8
 POLL_RETRY_SECONDS: Final = 1.0
-ASSIGNMENT_WATCH_SECONDS: Final = 5.0
+# A watch that hears nothing may be one that the store has lost.
+ASSIGNMENT_WATCH_SECONDS: Final = 1.0
 PEER_COPY_WAIT_SECONDS: Final = 1.5
 TICK_SECONDS: Final = 0.1
 LOG: Final = logs.get("followers")
--- a/sycamoredale/membership/mirror.py
+++ b/sycamoredale/membership/mirror.py
@@ -19,6 +19,10 @@
 
 PATH_PREFIX: Final = "/peer/mirror/"
 FETCH_TIMEOUT_SECONDS: Final = 2.0
+# An answer that is later than this is slower than a slow store.
+WATCH_LIMITS: Final = objects.CallLimits(0.5, 0.5)
+# Idle connections may be as silent as the one of a failed watch.
+LIST_LIMITS: Final = objects.CallLimits(new_connection=True)
 MAX_RECORDED_DELETIONS: Final = 1024
 
 
@@ -71,6 +75,7 @@
         dataclasses.field(default_factory=collections.OrderedDict)
     )
     _deletions_known_since: ids.ObjectVersion = objects.ABSENT_VERSION
+    _must_list: bool = False
 
     def __post_init__(self) -> None:
         """Register the handler of requests from peers."""
@@ -82,20 +87,29 @@
         """List or watch the object API and apply the changes.
 
         Raises StoreUnavailable.  State older than the mirror is ignored.
+        After a failure the kind is listed, since a watch may miss changes
+        without an answer that says so.
         """
-        if self.watched_version == objects.ABSENT_VERSION:
-            self._apply_snapshot(await store.list(self.kind))
+        if self._must_list or self.watched_version == objects.ABSENT_VERSION:
+            await self._list(store)
             return
+        self._must_list = True
         try:
             listing = await store.watch(
-                self.kind, self.watched_version, wait_seconds
+                self.kind, self.watched_version, wait_seconds, WATCH_LIMITS
             )
         except errors.WatchExpired:
-            self._apply_snapshot(await store.list(self.kind))
+            await self._list(store)
             return
+        self._must_list = False
         if listing.version >= self.watched_version:
             self._apply_changes(listing)
 
+    async def _list(self, store: objects.ObjectStore) -> None:
+        listing = await store.list(self.kind, LIST_LIMITS)
+        self._must_list = False
+        self._apply_snapshot(listing)
+
     async def fetch(self, peer: ids.DaemonId) -> None:
         """Apply the changes that a peer has.
 
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -20,6 +20,7 @@
 from sycamoredale.config import parts
 from sycamoredale.config import propagation
 from sycamoredale.config import store as config_store
+from sycamoredale.daemons import followers
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
@@ -61,16 +62,23 @@
         """Return an object."""
         return self.current.get((kind, name))
 
-    async def list(self, kind: str) -> objects.Listing:
+    async def list(
+        self, kind: str, limits: objects.CallLimits = objects.DEFAULT_LIMITS
+    ) -> objects.Listing:
         """Return the objects of a kind."""
+        del limits
         found = [o for (k, _), o in self.current.items() if k == kind]
         return objects.Listing(self._shown_version(), found)
 
     async def watch(
-        self, kind: str, after: ids.ObjectVersion, wait_seconds: float
+        self,
+        kind: str,
+        after: ids.ObjectVersion,
+        wait_seconds: float,
+        limits: objects.CallLimits = objects.DEFAULT_LIMITS,
     ) -> objects.Listing:
         """Return the changes; the log covers the last eight versions."""
-        del wait_seconds
+        del wait_seconds, limits
         if after < self.version - 8:
             raise errors.WatchExpired(error_codes.WATCH_EXPIRED, "discarded")
         shown = self._shown_version()
@@ -198,6 +206,44 @@
     assert set(mirrors[1].by_name) == set(expected)
 
 
+class SilentStore(MemoryStore):
+    """Answer no watch, and record how long a caller waits for one."""
+
+    longest_wait: float = 0.0
+
+    async def watch(
+        self,
+        kind: str,
+        after: ids.ObjectVersion,
+        wait_seconds: float,
+        limits: objects.CallLimits = objects.DEFAULT_LIMITS,
+    ) -> objects.Listing:
+        """Raise StoreUnavailable."""
+        wait = limits.connect_seconds + wait_seconds + limits.answer_seconds
+        self.longest_wait = max(self.longest_wait, wait)
+        raise errors.StoreUnavailable(
+            error_codes.STORE_UNAVAILABLE, "no answer in time"
+        )
+
+
+# Guards against assignments that are unknown for seconds because a watch
+# waits without an answer.
+def test_mirror_lists_after_a_short_watch_without_an_answer() -> None:
+    async def main() -> None:
+        store = SilentStore(UNUSED_ADDRESS, client.Pool())
+        own_mirror = _mirrors(1)[0]
+        await store.put(KIND, "n0", b"1", objects.ABSENT_VERSION)
+        await own_mirror.poll(store, followers.ASSIGNMENT_WATCH_SECONDS)
+        await store.put(KIND, "n1", b"1", objects.ABSENT_VERSION)
+        with pytest.raises(errors.StoreUnavailable):
+            await own_mirror.poll(store, followers.ASSIGNMENT_WATCH_SECONDS)
+        await own_mirror.poll(store, followers.ASSIGNMENT_WATCH_SECONDS)
+        assert set(own_mirror.by_name) == {"n0", "n1"}
+        assert store.longest_wait <= 2.0
+
+    curio.run(main)
+
+
 def _mirrors(count: int) -> list[mirror.Mirror]:
     return [
         mirror.Mirror(KIND, one, lambda change: None)
@@ -424,6 +470,25 @@
     assert await _registered_ids(store) == {"b", "c", "d", "self"}
 
 
+# Guards against a registry that ends at an entry of another writer.
+def test_malformed_registration_is_passed_over() -> None:
+    async def main() -> None:
+        store = MemoryStore(UNUSED_ADDRESS, client.Pool())
+        absent = objects.ABSENT_VERSION
+        await store.put(view.DAEMON_KIND, "bad", b'{"id": 7}', absent)
+        await store.put(
+            view.DAEMON_KIND,
+            "d1",
+            msgspec.json.encode(registry.registration_of(_peer("d1"))),
+            absent,
+        )
+        members = view.MembershipView(_peer("d0"))
+        await registry.Registry(store, members).refresh()
+        assert set(members.by_id) == {"d0", "d1"}
+
+    curio.run(main)
+
+
 async def _registered_ids(store: MemoryStore) -> set[str]:
     return {o.name for o in (await store.list(view.DAEMON_KIND)).objects}
 
