--- a/sycamoredale/membership/registry.py
+++ b/sycamoredale/membership/registry.py
@@ -80,7 +80,9 @@
         own_version = objects.ABSENT_VERSION
         registered = False
         for stored in listing.objects:
-            registration = msgspec.json.decode(stored.value, type=Registration)
+            registration = _decode(stored)
+            if registration is None:
+                continue
             if registration.id == self.members.own.id:
                 own_version = stored.version
                 registered = registration == registration_of(self.members.own)
@@ -142,6 +144,15 @@
         LOG.info("registered", id=own.id, address=own.address)
 
 
+def _decode(stored: objects.StoredObject) -> Registration | None:
+    """Return a registration, or None if another writer malformed it."""
+    try:
+        return msgspec.json.decode(stored.value, type=Registration)
+    except msgspec.DecodeError as error:
+        LOG.warning("entry_malformed", entry=stored.name, reason=str(error))
+        return None
+
+
 def registration_of(peer: view.Peer) -> Registration:
     """Return the registration of a peer."""
     return Registration(
