--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -24,6 +24,7 @@
 from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import route_table
 from sycamoredale.forwarding import service
+from sycamoredale.forwarding import watch_timing
 from sycamoredale.groups import formation_planner
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import reported_group_controller
@@ -177,7 +178,7 @@
         kind: str,
         apply: object_watcher.ApplyListing,
         bound_seconds: float,
-        get_pause: object_watcher.GetPause = object_watcher.min_pause,
+        get_pause: object_watcher.GetPause = watch_timing.min_pause,
         logs_changes: bool = False,
         entries_expire: bool = False,
     ) -> object_watcher.ObjectWatcher:
@@ -229,8 +230,8 @@
         the lease sends them the reports of the group heads that are open.
         """
         if self._holds_lease():
-            return object_watcher.MIN_PAUSE_SECONDS
-        return object_watcher.shared_pause(
+            return watch_timing.MIN_PAUSE_SECONDS
+        return watch_timing.shared_pause(
             self._count_daemons(), self._settings.bounds.drain_seconds
         )
 
--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -4,9 +4,8 @@
 outage, or if changes are missing, the kind is listed again.  While a peer
 sends recent updates of the kind, the store is not called.
 
-Only answers prove that a state is recent.  A watch that hears nothing may be
-one that the store has lost, so no wait lasts until a change could be late:
-the kind is listed before, over a new connection.
+Only answers prove that a state is recent, so no wait lasts until a change
+could be late.
 """
 
 import collections.abc
@@ -23,7 +22,7 @@
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import knowledge
 from sycamoredale.forwarding import watch_observer
-from sycamoredale.http import client
+from sycamoredale.forwarding import watch_timing
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.object_api import backoff
@@ -31,28 +30,6 @@
 from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 
-# Longest wait of a watch, however late its changes may be known.
-WATCH_TIMEOUT_SECONDS: Final = 5.0
-# A shorter watch is replaced by a list.
-MIN_WATCH_SECONDS: Final = 0.1
-# The time in which a change must be known is divided: by the end of the first
-# share, a watch has ended; after another share, the kind is listed because
-# the watch was not answered; the rest is for the list.
-WATCH_END_SHARE: Final = 0.4
-WATCH_MARGIN_SHARE: Final = 0.2
-LIST_SHARE: Final = 0.4
-# An answer that is later than this is slower than a slow store.
-MAX_WATCH_MARGIN_SECONDS: Final = 0.5
-# Changes come in bursts, and each answer to a watch is a call that is charged
-# for.  This is a tenth of the time in which a lost group is replaced.
-MIN_PAUSE_SECONDS: Final = 0.3
-# Of all daemons together for one kind: a fiftieth of the 2,000 reads a second
-# that the store of the smaller sites serves.
-MAX_WATCHES_PER_SECOND: Final = 40.0
-# Leaves part of WATCH_END_SHARE for the watch.
-MAX_PAUSE_SHARE: Final = 0.25
-# Of the timeout of a list, which reaches its limit before.
-MAX_DOUBLINGS: Final = 8
 FIRST_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 1.0
 # Entries that heartbeats renew may expire in an outage of this length.
@@ -64,31 +41,12 @@
 # between two watches its updates are at most 0.6 s old, half of their lifetime
 # where a change must be known within two seconds.
 PUBLISHER_WATCH_SECONDS: Final = 0.3
-# The rest is for a list after the updates of a peer have stopped.
-PEER_UPDATE_TTL_SHARE: Final = 1.0 - LIST_SHARE
 # How often a watcher checks for recent updates; small beside their lifetime.
 PEER_UPDATE_CHECK_SECONDS: Final = 0.1
 LOG: Final = logs.get("object_watcher")
 
-
 # Returns the seconds between two watches.
 GetPause = collections.abc.Callable[[], float]
-
-
-def min_pause() -> float:
-    """Return the seconds between two watches of an urgent kind."""
-    return MIN_PAUSE_SECONDS
-
-
-def shared_pause(daemons: int, bound_seconds: float) -> float:
-    """Return the seconds between two watches of a kind that all daemons watch.
-
-    A change must be known within `bound_seconds`.
-    """
-    shared = daemons / MAX_WATCHES_PER_SECOND
-    return max(MIN_PAUSE_SECONDS, min(shared, MAX_PAUSE_SHARE * bound_seconds))
-
-
 OnContact = collections.abc.Callable[[clock.MonotonicTime], None]
 
 
@@ -115,7 +73,7 @@
     rng: random.Random = dataclasses.field(default_factory=random.Random)
     read_clock: leases.ReadClock = clock.monotonic
     on_contact: OnContact = lambda at: None
-    get_pause: GetPause = min_pause
+    get_pause: GetPause = watch_timing.min_pause
     is_publisher: collections.abc.Callable[[], bool] = lambda: False
     bound_seconds: float = 2.0
     metrics: exposition.MetricRegistry = dataclasses.field(
@@ -132,12 +90,13 @@
     _missed_change: bool = False
     _names: set[str] = dataclasses.field(default_factory=set)
     _must_list: bool = True
-    _failed_lists: int = 0
+    _list_attempts: int = 0
     _failing_since: clock.MonotonicTime | None = None
     _settles_at: clock.MonotonicTime | None = None
 
     def __post_init__(self) -> None:
-        """Create the record of what is known, and its observer."""
+        """Create the parts that depend on the bound."""
+        self._timing = watch_timing.WatchTiming(self.bound_seconds)
         self.known = knowledge.Knowledge(self.bound_seconds)
         self.observer = watch_observer.WatchObserver(
             self.kind, self.known, self.metrics, self.logs_changes
@@ -199,11 +158,14 @@
 
     async def _list(self, started_at: clock.MonotonicTime) -> None:
         source = knowledge.Source.STORE_LIST
-        self._failed_lists += 1
-        seen = await self._call(
-            source, self.store.list(self.kind, self._list_limits())
+        self._list_attempts += 1
+        limits = self._timing.list_limits(
+            self._list_attempts,
+            # Idle connections may be as silent as the one that failed.
+            new_connection=self._failing_since is not None,
         )
-        self._failed_lists = 0
+        seen = await self._call(source, self.store.list(self.kind, limits))
+        self._list_attempts = 0
         self._must_list = False
         self._record_contact(self.read_clock())
         self._learn(seen, source, started_at)
@@ -212,11 +174,9 @@
         self, started_at: clock.MonotonicTime, wait: float
     ) -> None:
         source = knowledge.Source.STORE_WATCH
+        limits = self._timing.watch_limits()
         seen = await self._call(
-            source,
-            self.store.watch(
-                self.kind, self.version, wait, self._watch_limits()
-            ),
+            source, self.store.watch(self.kind, self.version, wait, limits)
         )
         known_at = started_at
         # The store answers without a change only after the whole wait.
@@ -319,8 +279,7 @@
             self._fresh_until = now
             return
         known_at = clock.MonotonicTime(now - update.age_ms / 1000)
-        seconds = PEER_UPDATE_TTL_SHARE * self.bound_seconds
-        until = clock.MonotonicTime(known_at + seconds)
+        until = clock.MonotonicTime(known_at + self._timing.max_age_seconds)
         self._fresh_until = max(self._fresh_until, until)
         self.known.advance(known_at, knowledge.Source.PEER)
         self.on_contact(known_at)
@@ -367,38 +326,19 @@
         """Return how long to watch, or 0 if the kind has to be listed."""
         if self._must_list:
             return 0.0
-        age_at_end = WATCH_END_SHARE * self.bound_seconds
-        wait = min(WATCH_TIMEOUT_SECONDS, age_at_end - self.known.age(now))
+        wait = self._timing.watch_seconds(self.known.age(now))
         if self.is_publisher():
             wait = min(wait, PUBLISHER_WATCH_SECONDS)
         if self._settles_at is not None:
             wait = min(wait, self._settles_at - now)
-        return wait if wait >= MIN_WATCH_SECONDS else 0.0
-
-    def _watch_limits(self) -> objects.CallLimits:
-        margin = min(
-            MAX_WATCH_MARGIN_SECONDS, WATCH_MARGIN_SHARE * self.bound_seconds
-        )
-        return objects.CallLimits(margin, margin)
-
-    def _list_limits(self) -> objects.CallLimits:
-        """Return limits whose answer time grows until a slow store answers."""
-        seconds = LIST_SHARE * self.bound_seconds
-        doublings = min(self._failed_lists - 1, MAX_DOUBLINGS)
-        return objects.CallLimits(
-            min(objects.CALL_TIMEOUT_SECONDS, seconds * (1 << doublings)),
-            min(client.CONNECT_TIMEOUT_SECONDS, seconds),
-            # Idle connections may be as silent as the one that failed.
-            new_connection=self._failing_since is not None,
-        )
+        return wait
 
     def _retry_seconds(self, delay: float) -> float:
         """Return the pause after a failed call.
 
         After a failed watch, the pause ends in time for a list.
         """
-        if self._failed_lists:
+        if self._list_attempts:
             return delay
-        age_at_list = PEER_UPDATE_TTL_SHARE * self.bound_seconds
-        left = age_at_list - self.known.age(self.read_clock())
-        return max(0.0, min(delay, left))
+        age = self.known.age(self.read_clock())
+        return max(0.0, min(delay, self._timing.max_age_seconds - age))
--- /dev/null
+++ b/sycamoredale/forwarding/watch_timing.py
@@ -0,0 +1,83 @@
+"""Divide the time in which a change must be known among waits and calls.
+
+A watch that hears nothing may be one that the store has lost.  So it ends
+while enough time is left to notice that its answer is missing, and then to
+list the kind.
+"""
+
+import dataclasses
+from typing import Final
+
+from sycamoredale.http import client
+from sycamoredale.object_api import objects
+
+# Shares of the bound, in the order in which they are used.
+WATCH_END_SHARE: Final = 0.4
+WATCH_MARGIN_SHARE: Final = 0.2
+LIST_SHARE: Final = 0.4
+# An answer that is later than this is slower than a slow store.
+MAX_WATCH_MARGIN_SECONDS: Final = 0.5
+# Longest wait of a watch, however late its changes may be known.
+MAX_WATCH_SECONDS: Final = 5.0
+# A shorter watch is replaced by a list.
+MIN_WATCH_SECONDS: Final = 0.1
+# Changes come in bursts, and each answer to a watch is a call that is charged
+# for.  This is a tenth of the time in which a lost group is replaced.
+MIN_PAUSE_SECONDS: Final = 0.3
+# Of all daemons together for one kind: a fiftieth of the 2,000 reads a second
+# that the store of the smaller sites serves.
+MAX_WATCHES_PER_SECOND: Final = 40.0
+# Leaves part of WATCH_END_SHARE for the watch.
+MAX_PAUSE_SHARE: Final = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchTiming:
+    """Limit waits by the age of what is known; all times are in seconds."""
+
+    bound_seconds: float
+
+    @property
+    def max_age_seconds(self) -> float:
+        """Return the age of the knowledge at which the kind is listed."""
+        return (WATCH_END_SHARE + WATCH_MARGIN_SHARE) * self.bound_seconds
+
+    def watch_seconds(self, age: float) -> float:
+        """Return how long a watch may wait, or 0 if there is no time left."""
+        left = WATCH_END_SHARE * self.bound_seconds - age
+        return min(left, MAX_WATCH_SECONDS) if left > MIN_WATCH_SECONDS else 0
+
+    def watch_limits(self) -> objects.CallLimits:
+        """Return the limits of a watch."""
+        margin = min(
+            MAX_WATCH_MARGIN_SECONDS, WATCH_MARGIN_SHARE * self.bound_seconds
+        )
+        return objects.CallLimits(margin, margin)
+
+    def list_limits(
+        self, attempt: int, new_connection: bool
+    ) -> objects.CallLimits:
+        """Return the limits of a list; the first attempt is 1.
+
+        The time for the answer grows, so that a slow store can answer.
+        """
+        seconds = LIST_SHARE * self.bound_seconds
+        return objects.CallLimits(
+            min(objects.CALL_TIMEOUT_SECONDS, attempt * seconds),
+            min(client.CONNECT_TIMEOUT_SECONDS, seconds),
+            new_connection,
+        )
+
+
+def min_pause() -> float:
+    """Return the seconds between two watches of an urgent kind."""
+    return MIN_PAUSE_SECONDS
+
+
+def shared_pause(daemons: int, bound_seconds: float) -> float:
+    """Return the seconds between two watches of a kind that all daemons watch.
+
+    A change must be known within `bound_seconds`.
+    """
+    shared = daemons / MAX_WATCHES_PER_SECOND
+    return max(MIN_PAUSE_SECONDS, min(shared, MAX_PAUSE_SHARE * bound_seconds))
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -12,6 +12,7 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import object_watcher
+from sycamoredale.forwarding import watch_timing
 from sycamoredale.object_api import objects
 
 DOWN = errors.StoreUnavailable(error_codes.STORE_UNAVAILABLE, "down")
@@ -117,17 +118,17 @@
 @pytest.mark.parametrize(
     "daemons, bound_seconds, expected",
     [
-        (9, 2.0, object_watcher.MIN_PAUSE_SECONDS),
+        (9, 2.0, watch_timing.MIN_PAUSE_SECONDS),
         (62, 3.0, 0.75),
         (30, 2.0, 0.5),
         (380, 2.0, 0.5),
-        (380, 0.1, object_watcher.MIN_PAUSE_SECONDS),
+        (380, 0.1, watch_timing.MIN_PAUSE_SECONDS),
     ],
 )
 def test_pause_grows_with_the_daemons_up_to_the_bound(
     daemons, bound_seconds, expected
 ):
-    assert object_watcher.shared_pause(daemons, bound_seconds) == expected
+    assert watch_timing.shared_pause(daemons, bound_seconds) == expected
 
 
 class Peers:
--- a/tests/test_watch_bound.py
+++ b/tests/test_watch_bound.py
@@ -4,10 +4,22 @@
 from hypothesis import strategies
 import pytest
 
+from sycamoredale.forwarding import watch_timing
 from tests import watch_simulation
 from tests.watch_simulation import Span
 
 
+@pytest.mark.parametrize("bound", [0.5, 2.0, 3.0, 5.0, 18.0])
+def test_wait_and_calls_in_a_row_take_no_longer_than_the_bound(bound):
+    timing = watch_timing.WatchTiming(bound)
+    wait, margin = timing.watch_seconds(0.0), timing.watch_limits()
+    listing = timing.list_limits(1, new_connection=True)
+    assert 0 < wait
+    assert wait + margin.answer_seconds <= timing.max_age_seconds
+    assert timing.max_age_seconds + listing.answer_seconds <= bound + 1e-9
+    assert timing.watch_seconds(timing.max_age_seconds) == 0
+
+
 def _play(faults, change_times, bound, seconds=30.0):
     fleet = watch_simulation.Fleet(faults, change_times, bound)
     end = fleet.scheduler.now + seconds
