--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -261,3 +261,76 @@
     peers.other.step(_listing(9, []), 0.1)
     assert not peers.send_update(0.1)
     assert not peers.other.applied[-1][0].deleted
+
+
+# Guards against a fleet that lists as one, since its publisher had to list.
+def test_publisher_that_lists_sends_what_the_list_has_changed():
+    peers = Peers()
+    assert peers.send_update(0.1)
+    peers.holder.step(DOWN, 0.1)
+    peers.holder.step(_listing(9, ["b"]), 0.1)
+    assert peers.holder.store.calls[-1] == "list"
+    assert peers.send_update(0.1)
+    seen, _ = peers.other.applied[-1]
+    assert ([o.name for o in seen.objects], seen.deleted) == (["b"], ["a"])
+    assert peers.other.store.calls == ["list"]
+
+
+# Guards against a daemon that is cut off from the store and ignores its peers.
+def test_daemon_without_the_store_applies_updates_of_its_peers():
+    peers = Peers()
+    assert peers.send_update(0.1)
+    peers.other.step(DOWN, 0.1)
+    peers.holder.step(_listing(9, ["b"]), 0.1)
+    assert peers.send_update(0.1)
+    assert peers.other.watcher.version == 9
+
+
+# Guards against updates that stop after an outage though nothing can expire.
+def test_holder_sends_kinds_that_do_not_expire_right_after_an_outage():
+    peers = Peers()
+    for harness in peers.harnesses:
+        harness.watcher.entries_expire = False
+    assert peers.send_update(0.1)
+    peers.holder.step(DOWN, 1.0)
+    peers.holder.step(DOWN, 5.0)
+    peers.holder.step(_listing(9, ["b"]), 0.1)
+    assert peers.send_update(0.1)
+    assert peers.other.watcher.version == 9
+    assert peers.other.applied[-1][0].deleted == ["a"]
+
+
+# Guards against an older state that is put in force after an outage.
+def test_older_list_after_an_outage_is_ignored():
+    harness = WatcherHarness()
+    harness.step(_listing(5, ["a"]))
+    harness.step(DOWN, 0.1)
+    harness.step(_listing(3, ["old"]), 0.1)
+    assert len(harness.applied) == 1
+    assert harness.watcher.version == 5
+    assert harness.watcher.known.known_at == 100.0
+
+
+# Guards against a watch that undoes what a peer has sent meanwhile.
+def test_answer_that_a_peer_has_overtaken_is_ignored():
+    peers = Peers()
+    other = peers.other
+
+    async def watch_while_an_update_arrives(kind, after, wait, limits):
+        update = kind_updates.KindUpdate("servers", 9, 1, _packed(5, 9))
+        other.watcher.receive_update(update, clock.MonotonicTime(other.now))
+        return _listing(7, ["older"])
+
+    other.store.watch = watch_while_an_update_arrives
+    curio.run(other.watcher.poll_once, clock.MonotonicTime(other.now))
+    assert other.watcher.version == 9
+    assert [o.name for seen, _ in other.applied for o in seen.objects] == [
+        "a",
+        "newer",
+    ]
+
+
+def _packed(before, version):
+    newer = [("newer", version, b"{}")]
+    change = kind_updates.Change(before, version, newer)
+    return zlib.compress(msgspec.msgpack.encode([change]))
