--- a/tests/test_watch_bound.py
+++ b/tests/test_watch_bound.py
@@ -24,6 +24,7 @@
     fleet = watch_simulation.Fleet(faults, change_times, bound)
     end = fleet.scheduler.now + seconds
     fleet.scheduler.run_until(end)
+    fleet.scheduler.close()
     return fleet.late_changes(end)
 
 
--- a/tests/watch_simulation.py
+++ b/tests/watch_simulation.py
@@ -66,6 +66,11 @@
                     heapq.heappush(self._queue, entry)
         self.now = end
 
+    def close(self) -> None:
+        """End the coroutines that still wait."""
+        while self._queue:
+            self._queue.pop()[2].close()
+
 
 @dataclasses.dataclass(frozen=True)
 class Span:
