Log the parts and the score of a request at each counted crash

The envelope of a call has the shared parts of its prompt now, which are all but the last, and the line has them and the score. No decision changes.

tests/test_platform_codec.py: all but the last part are read, malformed ones are passed over.

--- a/sycamoredale/forwarding/calls.py
+++ b/sycamoredale/forwarding/calls.py
@@ -16,6 +16,8 @@
 
     `timeout_seconds` is how long the caller waits.  `last_event_id` is the
     last event that the caller has received of a stream that it resumes.
+    `shared_parts` are the parts of the prompt that other requests may have
+    as well, in order.
     """
 
     id: ids.RequestId
@@ -26,6 +28,7 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: int | None
+    shared_parts: tuple[ids.PromptPartId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -278,14 +278,15 @@
                 endpoint.instance.domain,
                 alone=active_request.ran_alone,
             )
-            is_poisoned = self.poison_detector.record_crash(
-                crash, clock.monotonic()
-            )
+            now = clock.monotonic()
+            is_poisoned = self.poison_detector.record_crash(crash, now)
             LOG.info(
                 "crash_counted",
                 request=call.id,
                 endpoint=crash.endpoint,
                 alone=crash.alone,
+                parts=call.envelope.shared_parts,
+                score=self.poison_detector.score(crash.fingerprint, now),
                 poisoned=is_poisoned,
             )
         else:
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -17,6 +17,9 @@
 # Input tokens and the maximum of output tokens, separated by a comma.
 _TOKENS: Final = "Token-Count"
 _MODEL: Final = "Model"
+# The parts of the prompt in order, as ID:TOKENS, separated by commas.  The
+# last one belongs to the request itself.
+_PARTS: Final = "Prompt-Prefix"
 _LAST_EVENT: Final = "Last-Event-Id"
 _ORGANISATION: Final = "Tenant"
 EXPECTED_INSTANCE: Final = "Expect-Replica"
@@ -65,6 +68,7 @@
         prompt_tokens=prompt,
         answer_tokens=answer,
         last_event_id=_last_event_id(headers.get(_LAST_EVENT)),
+        shared_parts=_shared_parts(headers.get(_PARTS)),
     )
 
 
@@ -127,6 +131,11 @@
     return 0, 0
 
 
+def _shared_parts(text: str | None) -> tuple[ids.PromptPartId, ...]:
+    entries = [e.strip().partition(":")[0] for e in (text or "").split(",")]
+    return tuple(ids.PromptPartId(e.lower()) for e in entries[:-1] if e)
+
+
 def _api_key(text: str | None) -> str | None:
     if text is None or not text.lower().startswith(_SCHEME):
         return None
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -281,6 +281,22 @@
         wire_format.read_envelope(request)
 
 
+@pytest.mark.parametrize(
+    "text, parts",
+    [
+        ("5c1e07a2:800, 91BD3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        ("e4402b7d:250", ()),
+        ("", ()),
+        (",:3,e4402b7d:250", ()),
+    ],
+)
+def test_shared_parts_are_all_but_the_last(text, parts):
+    request = messages.Request(
+        "GET", "/", messages.Headers([("Prompt-Prefix", text)])
+    )
+    assert wire_format.read_envelope(request).shared_parts == parts
+
+
 KEY = reported.new_key("large", ids.Epoch(3))
 GROUP = {"group": "large.3", "epoch": 3}
 
