Refuse requests with a prompt part that crashes endpoints

Cause: a request was identified by its whole content, so requests that share one part and are otherwise all different never met the threshold; and what was counted weighed 0.1, since each crash looked like a correlated loss to the others.

Evidence is kept for each shared part of a prompt now. A loss counts against all parts aboard, a complete answer at any daemon clears the parts of its request, and of the rest the part that explains the losses is blamed. Sound requests keep their caller and their other parts. The evidence travels with the updates to peers, and the record in the store outlives a start of all daemons.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -44,7 +44,9 @@
 from sycamoredale.platform import settings as settings_module
 from sycamoredale.platform import store as store_module
 from sycamoredale.platform import wire_format
+from sycamoredale.requests import part_quarantine
 from sycamoredale.requests import poison
+from sycamoredale.requests import quarantine_records
 
 # The load balancer probes once a second and removes an instance after two
 # failures; until then, it still sends requests.
@@ -83,6 +85,13 @@
             lambda: self._evacuation_handler.zones_out,
         )
         self._node = self._build_node()
+        self._metric_registry = exposition.MetricRegistry()
+        self._part_quarantine = part_quarantine.PartQuarantine(
+            self._metric_registry
+        )
+        self._quarantine_records = quarantine_records.QuarantineRecords(
+            self._store, self._part_quarantine
+        )
         self._peer_updates = peer_updates.PeerUpdateExchange(
             settings.daemon,
             self._endpoints,
@@ -93,9 +102,10 @@
             ),
             self._kind_updates_to_publish,
             self._on_kind_update,
+            self._part_quarantine.take_updates,
+            self._part_quarantine.receive_updates,
         )
         self._group_controller = self._build_group_controller()
-        self._metric_registry = exposition.MetricRegistry()
         self._watcher_by_kind = {w.kind: w for w in self._build_watchers()}
         self._service = self._build_service()
         self._server = server.Server(
@@ -114,6 +124,7 @@
         for watcher in self._watcher_by_kind.values():
             await curio.spawn(watcher.run, daemon=True)
         await curio.spawn(self._check_watchers, daemon=True)
+        await curio.spawn(self._quarantine_records.run, daemon=True)
         host = self._settings.caller_address.host
         self._metrics.bind(messages.Address(host, METRICS_PORT))
         await self._metrics.start()
@@ -293,6 +304,8 @@
                 budget,
                 client.Pool(),
                 self._build_poison_detector(),
+                self._part_quarantine,
+                self._quarantine_records.claim_trial,
                 self._count_daemons,
             ),
             self._metric_registry,
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -107,6 +107,11 @@
     422,
     "endpoints crashed each time they ran this request",
 )
+PROMPT_PART_CRASHES_ENDPOINTS: Final = _define(
+    "prompt_part_crashes_endpoints",
+    503,
+    "endpoints crashed when they ran requests with a part of this prompt",
+)
 DEADLINE_EXCEEDED: Final = _define(
     "deadline_exceeded", 504, "the deadline passed before the answer"
 )
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -88,6 +88,7 @@
                 endpoint, f"status {head.status} to a resumed stream"
             )
         endpoint.record_progress(now)
+        progress.has_success = 200 <= head.status < 300
         await exchange.respond(answer)
         return progress_module.Outcome.ANSWERED
 
@@ -115,6 +116,7 @@
         exchange: server.Exchange,
     ) -> None:
         stream = progress.stream
+        count_before = stream.event_count
         waiting_since = clock.monotonic()
         max_wait_seconds = progress.call.deadline - waiting_since
         while True:
@@ -142,6 +144,7 @@
                 raise _broken_answer(endpoint, "a stream event is missing")
         if not stream.ends_at_boundary:
             raise _broken_answer(endpoint, "the stream ended inside an event")
+        progress.has_success = stream.event_count > count_before
         if not exchange.started:
             await exchange.start(messages.ResponseHead(200, info.headers))
         await exchange.finish()
--- a/sycamoredale/forwarding/calls.py
+++ b/sycamoredale/forwarding/calls.py
@@ -36,7 +36,8 @@
     """Describe one call of a caller.
 
     The fingerprint identifies the content of the request; all attempts with
-    the same content have the same one.
+    the same content have the same one.  The part keys identify the parts of
+    its prompt that other requests may have as well.
     """
 
     envelope: Envelope
@@ -47,6 +48,7 @@
     arrived_at: clock.MonotonicTime
     deadline: clock.MonotonicTime
     fingerprint: poison.Fingerprint
+    part_keys: tuple[ids.PromptPartKey, ...] = ()
 
     @property
     def id(self) -> ids.RequestId:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 import curio
 
 from sycamoredale import clock
+from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import answer_relay
 from sycamoredale.forwarding import calls
@@ -28,6 +29,8 @@
 from sycamoredale import ids
 from sycamoredale.observability import logs
 from sycamoredale.requests import active_requests
+from sycamoredale.requests import part_evidence
+from sycamoredale.requests import part_quarantine as part_quarantine_module
 from sycamoredale.requests import poison
 
 # A healthy zone accepts a connection in a few milliseconds.
@@ -49,6 +52,9 @@
 CAPACITY_WAIT_SECONDS: Final = 1.5
 CAPACITY_POLL_SECONDS: Final = 0.05
 LOG: Final = logs.get("forwarding")
+ClaimTrial = collections.abc.Callable[
+    [ids.PromptPartKey], collections.abc.Awaitable[bool]
+]
 
 
 @dataclasses.dataclass
@@ -60,6 +66,8 @@
     budget: retry_budget.RetryBudget
     pool: client.Pool
     poison_detector: poison.PoisonDetector
+    part_quarantine: part_quarantine_module.PartQuarantine
+    claim_trial: ClaimTrial
     count_daemons: collections.abc.Callable[[], int] = lambda: 1
 
     def __post_init__(self) -> None:
@@ -75,6 +83,7 @@
         self.poison_detector.check_fingerprint(
             call.fingerprint, call.arrived_at
         )
+        await self._admit(progress)
         self.budget.record_request(call.service.name, call.arrived_at)
         try:
             async with curio.timeout_after(max(left, 0.001)):
@@ -88,6 +97,29 @@
         if progress.refusal is not None:
             raise progress.refusal
 
+    async def _admit(self, progress: progress_module.CallProgress) -> None:
+        """Raise Refusal for a part in quarantine, unless for a trial of it."""
+        part = self.part_quarantine.find_quarantined(progress.call.part_keys)
+        if part is None:
+            return
+        if self.part_quarantine.is_trial_due(part, progress.call.arrived_at):
+            if await self.claim_trial(part):
+                progress.trial_part = part
+        self._check_parts(progress)
+
+    def _check_parts(self, progress: progress_module.CallProgress) -> None:
+        """Raise Refusal if a part of the prompt may not be sent now."""
+        part = self.part_quarantine.find_quarantined(progress.call.part_keys)
+        if part is None:
+            return
+        if part == progress.trial_part and not progress.delivered_count:
+            return
+        if progress.may_have_run:
+            raise progress_module.unanswered_refusal(progress)
+        raise self.part_quarantine.refusal(
+            part, error_codes.Execution.NOT_RUN, clock.monotonic()
+        )
+
     async def _run_and_store_errors(
         self, progress: progress_module.CallProgress, exchange: server.Exchange
     ) -> None:
@@ -103,6 +135,7 @@
         self, progress: progress_module.CallProgress, exchange: server.Exchange
     ) -> None:
         while True:
+            self._check_parts(progress)
             try:
                 endpoint = await self._select(progress, exchange)
             except errors.Refusal:
@@ -177,6 +210,10 @@
                 await self._record_crash(
                     endpoint, progress.call, active_request
                 )
+            elif progress.has_success:
+                self.part_quarantine.record_answer(
+                    progress.call.part_keys, clock.monotonic()
+                )
             return outcome
         finally:
             active_request.finish()
@@ -202,6 +239,7 @@
             return progress_module.Outcome.UNREACHED
         is_reusable = False
         try:
+            self._check_parts(progress)
             now = clock.monotonic()
             self.selector.record_send(endpoint, now)
             request = self.wire.request_for(
@@ -280,12 +318,20 @@
             )
             now = clock.monotonic()
             is_poisoned = self.poison_detector.record_crash(crash, now)
+            self.part_quarantine.record_loss(
+                call.part_keys,
+                part_evidence.life_key(
+                    endpoint.id, endpoint.instance.started_ms
+                ),
+                call.id,
+                now,
+            )
             LOG.info(
                 "crash_counted",
                 request=call.id,
                 endpoint=crash.endpoint,
                 alone=crash.alone,
-                parts=call.envelope.shared_parts,
+                parts=call.part_keys,
                 score=self.poison_detector.score(crash.fingerprint, now),
                 poisoned=is_poisoned,
             )
--- /dev/null
+++ b/sycamoredale/forwarding/header_values.py
@@ -0,0 +1,28 @@
+"""Parse the values of headers that hold numbers or lists."""
+
+import math
+
+
+def integers(text: str | None, count: int) -> tuple[int, ...] | None:
+    """Return `count` integers separated by commas, None if malformed."""
+    parts = [part.strip() for part in (text or "").split(",")]
+    if len(parts) != count or not all(
+        p.isascii() and p.isdigit() for p in parts
+    ):
+        return None
+    return tuple(int(part) for part in parts)
+
+
+def decimal(text: str | None) -> float | None:
+    """Return a finite number that is not negative, None if malformed."""
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and value >= 0 else None
+
+
+def entry_names(text: str | None) -> list[str]:
+    """Return the names in a list of NAME:VALUE entries, "" if one lacks."""
+    entries = (text or "").split(",")
+    return [entry.strip().partition(":")[0].lower() for entry in entries]
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -24,6 +24,7 @@
 from sycamoredale import ids
 from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
+from sycamoredale.requests import part_updates
 
 # Less than half of the longest interval between two events of a healthy
 # engine.
@@ -33,7 +34,7 @@
 # An update expires after this many intervals: three lost datagrams in a row
 # are rare.
 UPDATE_TTL_INTERVALS: Final = 4.0
-MAX_DATAGRAM_BYTES: Final = 8192
+MAX_DATAGRAM_BYTES: Final = 16384
 LOG: Final = logs.get("peer_updates")
 
 
@@ -57,7 +58,8 @@
 
     `lease` is the version of the lease on the groups that the daemon wrote,
     or ABSENT if it does not hold the lease.  The holder also sends `kinds`,
-    the changes of the kinds of objects that all daemons watch.
+    the changes of the kinds of objects that all daemons watch.  `parts` has
+    the evidence on parts of prompts that were aboard lost endpoints.
     """
 
     daemon: ids.DaemonId
@@ -65,6 +67,7 @@
     reports: list[report_updates.ReportUpdate] = []
     lease: ids.ObjectVersion = objects.ABSENT_VERSION
     kinds: list[kind_updates.KindUpdate] = []
+    parts: list[part_updates.PartUpdate] = []
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +92,13 @@
     [kind_updates.KindUpdate, clock.MonotonicTime], None
 ]
 
+GetPartUpdates = collections.abc.Callable[
+    [clock.MonotonicTime], list[part_updates.PartUpdate]
+]
+OnPartUpdates = collections.abc.Callable[
+    [list[part_updates.PartUpdate], clock.MonotonicTime], None
+]
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(PeerUpdate)
 
@@ -108,6 +118,8 @@
     on_lease: OnLease = lambda version, now: None
     get_kind_updates: GetKindUpdates = lambda now: []
     on_kind_update: OnKindUpdate = lambda update, now: None
+    get_part_updates: GetPartUpdates = lambda now: []
+    on_part_updates: OnPartUpdates = lambda updates, now: None
     _received_by_daemon: dict[ids.DaemonId, _ReceivedUpdate] = (
         dataclasses.field(default_factory=dict)
     )
@@ -144,6 +156,8 @@
             self.on_lease(update.lease, now)
         for kind in update.kinds:
             self.on_kind_update(kind, now)
+        if update.parts:
+            self.on_part_updates(update.parts, now)
         for item in update.endpoints:
             endpoint = self.endpoint_table.by_id.get(item.endpoint)
             if endpoint is not None:
@@ -203,6 +217,7 @@
             self.outbox.take(),
             self.get_lease(),
             self.get_kind_updates(now),
+            self.get_part_updates(now),
         )
 
     def _send(
@@ -212,7 +227,9 @@
         update: PeerUpdate,
     ) -> None:
         """Send an update; of several empty ones in a row only the first."""
-        has_content = bool(update.endpoints or update.reports or update.kinds)
+        has_content = bool(
+            update.endpoints or update.reports or update.kinds or update.parts
+        )
         lease_changed = update.lease != self._lease_sent
         if not (has_content or self._had_content or lease_changed):
             return
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -41,6 +41,8 @@
 
     `endpoint_loads` has the load of each selected endpoint at the time of
     its selection.  `run_count` counts the sends that an endpoint has run.
+    `trial_part` is the part in quarantine that the call may try once, and
+    `has_success` tells whether an endpoint wrote a success to its end.
     """
 
     call: calls.Call
@@ -52,6 +54,8 @@
     run_count: int = 0
     may_have_run: bool = False
     head_received: bool = False
+    has_success: bool = False
+    trial_part: ids.PromptPartKey | None = None
     tried_ids: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     error_answer: messages.Response | None = None
     refusal: errors.Refusal | None = None
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -17,6 +17,7 @@
 from sycamoredale.observability import exposition
 from sycamoredale.observability import histograms
 from sycamoredale.observability import logs
+from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
 
 LOG: Final = logs.get("calls")
@@ -88,6 +89,10 @@
                 service.name,
                 [request.method, request.target, organisation, request.body],
             ),
+            tuple(
+                part_evidence.part_key(service.name, part)
+                for part in envelope.shared_parts
+            ),
         )
 
     def _record_end(
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -5,6 +5,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import header_values
 from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import queue_priority as queue_priority_module
 from sycamoredale.http import messages
@@ -58,17 +59,19 @@
 def read_envelope(request: messages.Request) -> calls.Envelope:
     """Decode the metadata in a request's headers; raise Refusal."""
     headers = request.headers
-    prompt, answer = _tokens(headers.get(_TOKENS))
+    tokens = header_values.integers(headers.get(_TOKENS), 2) or (0, 0)
+    parts = header_values.entry_names(headers.get(_PARTS))
+    last_event = header_values.integers(headers.get(_LAST_EVENT), 1)
     return calls.Envelope(
         id=ids.RequestId(headers.get(_ATTEMPT_ID) or ""),
         host=(headers.get("Host") or "").partition(":")[0].lower(),
         api_key=_api_key(headers.get(_AUTHORIZATION)),
         timeout_seconds=_timeout_seconds(headers.get(_DEADLINE)),
         model=headers.get(_MODEL),
-        prompt_tokens=prompt,
-        answer_tokens=answer,
-        last_event_id=_last_event_id(headers.get(_LAST_EVENT)),
-        shared_parts=_shared_parts(headers.get(_PARTS)),
+        prompt_tokens=tokens[0],
+        answer_tokens=tokens[1],
+        last_event_id=last_event[0] if last_event else None,
+        shared_parts=tuple(ids.PromptPartId(p) for p in parts[:-1] if p),
     )
 
 
@@ -102,10 +105,11 @@
 ) -> calls.AnswerInfo:
     """Decode the head of an answer."""
     headers = head.headers
+    load = header_values.integers(headers.get(_LOAD), 3)
     return calls.AnswerInfo(
         _kind(call, head),
         headers.without(_HOP_BY_HOP_HEADERS),
-        _load(headers.get(_LOAD)),
+        calls.Load(*load) if load else None,
     )
 
 
@@ -124,18 +128,6 @@
     return calls.AnswerKind.ANSWER
 
 
-def _tokens(text: str | None) -> tuple[int, int]:
-    prompt, _, answer = (text or "").partition(",")
-    if prompt.strip().isdigit() and answer.strip().isdigit():
-        return int(prompt), int(answer)
-    return 0, 0
-
-
-def _shared_parts(text: str | None) -> tuple[ids.PromptPartId, ...]:
-    entries = [e.strip().partition(":")[0] for e in (text or "").split(",")]
-    return tuple(ids.PromptPartId(e.lower()) for e in entries[:-1] if e)
-
-
 def _api_key(text: str | None) -> str | None:
     if text is None or not text.lower().startswith(_SCHEME):
         return None
@@ -155,15 +147,3 @@
             f"{_DEADLINE} is {text!r}, not a positive number of milliseconds",
         )
     return seconds
-
-
-def _last_event_id(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdigit() else None
-
-
-def _load(text: str | None) -> calls.Load | None:
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(p.strip().isdigit() for p in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return calls.Load(running, waiting, slots)
--- /dev/null
+++ b/sycamoredale/requests/part_blame.py
@@ -0,0 +1,65 @@
+"""Decide which parts of prompts are to blame for lost endpoints.
+
+A sound part is aboard a lost endpoint only by chance, or because requests
+with the crashing part have it as well.  So parts are compared: the parts
+that were answered least recently, and of these the ones with most losses,
+are blamed first, and the losses that they explain count against no other.
+"""
+
+import collections.abc
+from typing import Final
+
+from sycamoredale import clock
+from sycamoredale import ids
+from sycamoredale.requests import part_evidence
+
+MIN_LOSSES: Final = 3
+# One request that is sent again and again proves nothing about its parts.
+MIN_REQUESTS: Final = 3
+
+_Losses = dict[ids.EndpointLifeKey, part_evidence.Loss]
+
+
+def blamed_parts(
+    evidence_by_part: collections.abc.Mapping[
+        ids.PromptPartKey, part_evidence.PartEvidence
+    ],
+    now: clock.MonotonicTime,
+) -> set[ids.PromptPartKey]:
+    """Return the parts that crash endpoints, as far as the evidence shows."""
+    losses_by_part = {
+        part: losses
+        for part, evidence in evidence_by_part.items()
+        if _is_sufficient(losses := evidence.counted_losses(now))
+    }
+    ranked = sorted(
+        losses_by_part,
+        key=lambda part: (
+            evidence_by_part[part].answered_at,
+            -len(losses_by_part[part]),
+            part,
+        ),
+    )
+    blamed: set[ids.PromptPartKey] = set()
+    explained: set[ids.EndpointLifeKey] = set()
+    for part in ranked:
+        losses = losses_by_part[part]
+        if _is_sufficient(_without(losses, explained)):
+            blamed.add(part)
+            explained.update(losses)
+    return blamed
+
+
+def _without(
+    losses: _Losses, explained: collections.abc.Set[ids.EndpointLifeKey]
+) -> _Losses:
+    return {k: loss for k, loss in losses.items() if k not in explained}
+
+
+def _is_sufficient(losses: _Losses) -> bool:
+    if len(losses) < MIN_LOSSES:
+        return False
+    requests = {r for loss in losses.values() for r in loss.requests}
+    if len(requests) < MIN_REQUESTS:
+        return False
+    return part_evidence.count_separate(losses.values()) >= MIN_LOSSES
--- /dev/null
+++ b/sycamoredale/requests/part_evidence.py
@@ -0,0 +1,122 @@
+"""Keep the evidence on the parts of prompts that were aboard lost endpoints.
+
+Requests share the parts of their prompts, so a part is an identity that
+requests have in common which are otherwise all different.  The loss of an
+endpoint counts against each part of the requests aboard.  A complete answer
+counts for each part of its request: a part that crashes endpoints has none.
+"""
+
+import collections.abc
+import dataclasses
+from typing import Final
+
+import xxhash
+
+from sycamoredale import clock
+from sycamoredale import ids
+
+# A popular part is answered several times a second, so this covers the gaps
+# between its answers.
+ANSWER_CLEARS_SECONDS: Final = 2.0
+RETENTION_SECONDS: Final = 600.0
+MAX_LOSSES_PER_PART: Final = 32
+MAX_REQUESTS_PER_LOSS: Final = 4
+# Endpoints that are lost together have a common cause outside the requests.
+SIMULTANEOUS_SECONDS: Final = 0.05
+NEVER: Final = clock.MonotonicTime(float("-inf"))
+
+
+def part_key(service: ids.ServiceName, part: str) -> ids.PromptPartKey:
+    """Return the key of a part of prompts for a service."""
+    digest = xxhash.xxh128_hexdigest(f"{service}\0{part}".encode())
+    return ids.PromptPartKey(digest)
+
+
+def life_key(endpoint: ids.InstanceId, started_ms: int) -> ids.EndpointLifeKey:
+    """Return the key of one life of an endpoint, which may reuse its id."""
+    digest = xxhash.xxh64_hexdigest(f"{endpoint}:{started_ms}".encode())
+    return ids.EndpointLifeKey(digest)
+
+
+@dataclasses.dataclass
+class Loss:
+    """Record when an endpoint was lost, and requests with the part aboard."""
+
+    at: clock.MonotonicTime
+    requests: set[ids.RequestId] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass
+class PartEvidence:
+    """Collect the losses and the last complete answer of one part.
+
+    `answered_at` is the last answer that any daemon reported, and
+    `own_answered_at` the last one of this daemon.
+    """
+
+    loss_by_life: dict[ids.EndpointLifeKey, Loss] = dataclasses.field(
+        default_factory=dict
+    )
+    answered_at: clock.MonotonicTime = NEVER
+    own_answered_at: clock.MonotonicTime = NEVER
+
+    def record_loss(
+        self,
+        life: ids.EndpointLifeKey,
+        requests: collections.abc.Iterable[ids.RequestId],
+        at: clock.MonotonicTime,
+    ) -> bool:
+        """Merge the report of a loss; return whether it adds evidence.
+
+        Several reports of one loss keep the earliest time.
+        """
+        loss = self.loss_by_life.get(life)
+        if loss is None:
+            loss = self.loss_by_life[life] = Loss(at)
+            self._drop_oldest()
+            is_new = True
+        else:
+            loss.at = min(loss.at, at)
+            is_new = False
+        for request in requests:
+            if len(loss.requests) >= MAX_REQUESTS_PER_LOSS:
+                break
+            is_new = is_new or request not in loss.requests
+            loss.requests.add(request)
+        return is_new
+
+    def record_answer(self, at: clock.MonotonicTime) -> None:
+        """Record a complete answer to a request with the part."""
+        self.answered_at = max(self.answered_at, at)
+
+    def counted_losses(
+        self, now: clock.MonotonicTime
+    ) -> dict[ids.EndpointLifeKey, Loss]:
+        """Return the losses that no answer refutes."""
+        since = max(
+            self.answered_at + ANSWER_CLEARS_SECONDS, now - RETENTION_SECONDS
+        )
+        return {
+            life: loss
+            for life, loss in self.loss_by_life.items()
+            if loss.at > since
+        }
+
+    def last_loss_at(self) -> clock.MonotonicTime:
+        """Return the time of the latest loss, NEVER if there is none."""
+        return max((x.at for x in self.loss_by_life.values()), default=NEVER)
+
+    def _drop_oldest(self) -> None:
+        if len(self.loss_by_life) > MAX_LOSSES_PER_PART:
+            del self.loss_by_life[next(iter(self.loss_by_life))]
+
+
+def count_separate(losses: collections.abc.Iterable[Loss]) -> int:
+    """Count losses; those at about the same time count once."""
+    count = 0
+    last = NEVER
+    for at in sorted(loss.at for loss in losses):
+        if at > last + SIMULTANEOUS_SECONDS:
+            count += 1
+            last = at
+    return count
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -51,6 +51,25 @@
         version, value = self.by_name[name]
         return objects.StoredObject(name, version, value)
 
+    async def list(self, kind, limits=None, stale=False):
+        """Return all objects."""
+        self._check_up()
+        found = [
+            objects.StoredObject(name, version, value)
+            for name, (version, value) in self.by_name.items()
+        ]
+        return objects.Listing(self._version, found)
+
+    async def delete(self, kind, name, expected):
+        """Delete an object at the expected version."""
+        self._check_up()
+        if self.by_name.get(name, (0, b""))[0] != expected:
+            raise errors.VersionConflict(
+                error_codes.VERSION_CONFLICT, "another version"
+            )
+        self._version += 1
+        del self.by_name[name]
+
     async def put(self, kind, name, value, expected):
         """Write on the expected version, subject to the next fault."""
         self._check_up()
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -8,6 +8,7 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
 from tests import test_forwarder
 
@@ -50,6 +51,9 @@
             envelope=envelope,
             request=request,
             fingerprint=poison.Fingerprint(name),
+            part_keys=tuple(
+                part_evidence.part_key(call.service.name, p) for p in parts
+            ),
         )
 
     async def send(self, *parts):
