Keep to the limits that endpoints announce in their answers

Cause: the header was read nowhere, and selection gave each endpoint its usual share.

What a limit allows in four seconds is divided among all daemons by rank. The division of the rate of cold endpoints did the same for one second; it is one module now, and a cold endpoint keeps its quota. The latest answer decides, also one that names no limit any more, and reaches daemons that send nothing there with the updates of peers. An endpoint is never left alone, and keeps its limit while its group changes.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -14,6 +14,7 @@
 from sycamoredale.daemons import settings as settings_reader
 from sycamoredale.daemons import signals
 from sycamoredale.forwarding import cold_quota
+from sycamoredale.forwarding import daemon_shares
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import forwarder
@@ -283,10 +284,13 @@
             self._settings.zone,
             cold_quota.ColdQuota(
                 cold_quota.ColdLimits(bounds.cold_factor, bounds.cold_burst),
-                self._node.members.own.id,
-                self._count_daemons,
-                self._member_ids,
+                daemon_shares.DaemonShares(
+                    self._node.members.own.id,
+                    self._count_daemons,
+                    self._member_ids,
+                ),
             ),
+            metrics=self._metric_registry,
         )
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -62,6 +62,10 @@
         now = clock.monotonic()
         if info.load is not None:
             endpoint.record_reported_load(info.load, now)
+        if _is_announcement(info):
+            changed = endpoint.limit.record_own(info.limit, now)
+            if changed:
+                send_log.log_changed_limit(endpoint, "answer")
         if info.kind is calls.AnswerKind.NOT_RUN:
             await _discard_body(connection)
             endpoint.suspect(now)
@@ -150,6 +154,15 @@
         await exchange.finish()
 
 
+def _is_announcement(info: calls.AnswerInfo) -> bool:
+    """Return whether an answer tells if its endpoint has a limit.
+
+    A rejection without a limit may come from another instance that has the
+    address now.
+    """
+    return info.kind is calls.AnswerKind.ANSWER or info.limit is not None
+
+
 async def _forward_events(
     events: bytes, info: calls.AnswerInfo, exchange: server.Exchange
 ) -> None:
--- a/sycamoredale/forwarding/calls.py
+++ b/sycamoredale/forwarding/calls.py
@@ -88,9 +88,11 @@
 class AnswerInfo:
     """Describe the head of an answer.
 
-    `headers` are sent to the caller.
+    `headers` are sent to the caller.  `limit` is the rate that the endpoint
+    takes from all daemons, in requests a second, None without one.
     """
 
     kind: AnswerKind
     headers: messages.Headers
     load: Load | None
+    limit: float | None = None
--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -20,6 +20,7 @@
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import queue_priority
 from sycamoredale import ids
+from sycamoredale.observability import exposition
 
 # Cost of the network path to another zone, in queued requests.
 OTHER_ZONE_LOAD_PENALTY: Final = 0.5
@@ -59,6 +60,9 @@
     own_zone: ids.ZoneName
     quota: cold_quota.ColdQuota
     rng: random.Random = dataclasses.field(default_factory=random.Random)
+    metrics: exposition.MetricRegistry = dataclasses.field(
+        default_factory=exposition.MetricRegistry
+    )
 
     def select(
         self,
@@ -81,6 +85,9 @@
             if e.id not in excluded
             and self._has_cold_quota(e, call.service, now)
         ]
+        held_back = self._held_back(usable, now)
+        if held_back:
+            usable = [e for e in usable if e not in held_back]
         trusted = [e for e in usable if not e.is_suspect(now)]
         candidates = [
             e for e in trusted if not _has_recovery_probe(e, now)
@@ -88,6 +95,8 @@
         if not candidates and allow_full:
             candidates = usable
         if not candidates:
+            if held_back:
+                raise _limited_refusal(call, held_back, now)
             raise _no_endpoint_refusal(call, len(known))
         sampled = self._sample_least_loaded(candidates, now)
         is_full = _is_full(sampled, call.service, now)
@@ -100,6 +109,22 @@
             raise _overloaded_refusal(call, len(candidates))
         return best
 
+    def _held_back(
+        self,
+        usable: collections.abc.Iterable[endpoints.Endpoint],
+        now: clock.MonotonicTime,
+    ) -> list[endpoints.Endpoint]:
+        """Return the endpoints at the limit that they announced."""
+        held_back = [
+            e
+            for e in usable
+            if e.limit.was_limited
+            and not e.limit.may_send(e.id, self.quota.shares, now)
+        ]
+        if held_back:
+            self.metrics.count("announced_limits", "held_back")
+        return held_back
+
     def _sample_least_loaded(
         self,
         candidates: collections.abc.Sequence[endpoints.Endpoint],
@@ -154,18 +179,15 @@
         if not self.instances.is_cold(endpoint.id, now):
             return True
         allowed = self.quota.sends_per_second(
-            endpoint.id, service.cold_requests_per_second
+            endpoint.id, service.cold_requests_per_second, now
         )
-        recent = [t for t in endpoint.cold_send_times if now - t < 1.0]
-        endpoint.cold_send_times = recent
-        return len(recent) < allowed
+        return endpoint.limit.sends_within(1.0, now) < allowed
 
     def record_send(
         self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
     ) -> None:
-        """Count a request that is sent to a cold endpoint."""
-        if self.instances.is_cold(endpoint.id, now):
-            endpoint.cold_send_times.append(now)
+        """Count a request that is sent to an endpoint."""
+        endpoint.limit.record_send(now)
 
 
 def _model_name(call: calls.Call) -> str:
@@ -207,3 +229,16 @@
         f"{call.service.name!r} are at capacity",
         retry_after=FULL_RETRY_SECONDS,
     )
+
+
+def _limited_refusal(
+    call: calls.Call,
+    held_back: collections.abc.Sequence[endpoints.Endpoint],
+    now: clock.MonotonicTime,
+) -> errors.Refusal:
+    return errors.Refusal(
+        error_codes.OVERLOADED,
+        f"{len(held_back)} endpoints of service {call.service.name!r} "
+        "are at the limits that they announced",
+        retry_after=min(e.limit.seconds_until_next(now) for e in held_back),
+    )
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from sycamoredale import clock
+from sycamoredale.forwarding import announced_limit
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import instance_state
@@ -59,8 +60,8 @@
     suspect_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
     suspicions: int = 0
     last_progress_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
-    cold_send_times: list[clock.MonotonicTime] = dataclasses.field(
-        default_factory=list
+    limit: announced_limit.AnnouncedLimit = dataclasses.field(
+        default_factory=announced_limit.AnnouncedLimit
     )
 
     @property
@@ -146,6 +147,7 @@
         return now < self.suspect_until
 
 
+_Life = tuple[ids.InstanceId, int]
 Group = tuple[ids.GroupId, ids.Epoch]
 GetZonesOut = collections.abc.Callable[[], frozenset[ids.ZoneName]]
 GetServices = collections.abc.Callable[
@@ -167,6 +169,9 @@
     _head_by_group: dict[Group, Endpoint] = dataclasses.field(
         default_factory=dict
     )
+    _limit_by_life: dict[_Life, announced_limit.AnnouncedLimit] = (
+        dataclasses.field(default_factory=dict)
+    )
     _by_service_and_model: dict[
         tuple[ids.ServiceName, str], list[Endpoint]
     ] = dataclasses.field(default_factory=dict)
@@ -235,6 +240,7 @@
             by_id[instance.id] = endpoint
             by_model.setdefault((service.name, model), []).append(endpoint)
         self.by_id = by_id
+        self._drop_ended_lives()
         self._by_service_and_model = by_model
         self._head_by_group = head_by_group
 
@@ -250,7 +256,15 @@
             return known
         engine = service.engine
         slots = engine.slots if engine else instance.slots
-        return Endpoint(instance, model, slots)
+        limit = self._limit_by_life.setdefault(
+            _life_of(instance), announced_limit.AnnouncedLimit()
+        )
+        return Endpoint(instance, model, slots, limit=limit)
+
+    def _drop_ended_lives(self) -> None:
+        lives = set(map(_life_of, self.instances.by_id.values()))
+        for ended in self._limit_by_life.keys() - lives:
+            del self._limit_by_life[ended]
 
     def _domains_by_group(
         self,
@@ -264,6 +278,10 @@
         return domains
 
 
+def _life_of(instance: instance_state.Instance) -> _Life:
+    return instance.id, instance.started_ms
+
+
 def _is_same(known: Endpoint, instance: instance_state.Instance) -> bool:
     before = known.instance
     return (
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -16,9 +16,11 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale.forwarding import announced_limit
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import report_updates
+from sycamoredale.forwarding import send_log
 from sycamoredale.forwarding import stall_detection
 from sycamoredale.http import messages
 from sycamoredale import ids
@@ -43,7 +45,9 @@
 
     `progress_ms_ago` is -1 if the daemon has seen no progress.  `suspect_ms`
     is how much longer the daemon excludes the endpoint.  `deferred` counts
-    the requests that wait there with a low queue priority.
+    the requests that wait there with a low queue priority.  `limit` is the
+    rate that the endpoint named `limit_ms_ago` in an answer to the daemon,
+    -1 if it named none; without any news both are -1.
     """
 
     endpoint: ids.InstanceId
@@ -51,6 +55,8 @@
     progress_ms_ago: int
     suspect_ms: int
     deferred: int = 0
+    limit: float = -1.0
+    limit_ms_ago: int = -1
 
 
 class PeerUpdate(msgspec.Struct, array_like=True, frozen=True):
@@ -210,9 +216,12 @@
                     _progress_ms_ago(e, now),
                     _suspect_ms(e, now),
                     e.deferred,
+                    *_announcement_fields(e, now),
                 )
                 for e in self.endpoint_table.by_id.values()
-                if e.in_flight or e.is_suspect(now)
+                if e.in_flight
+                or e.is_suspect(now)
+                or e.limit.has_own_news(now)
             ],
             self.outbox.take(),
             self.get_lease(),
@@ -263,6 +272,7 @@
     item: EndpointUpdate,
     now: clock.MonotonicTime,
 ) -> None:
+    _apply_announcement(endpoint, item, now)
     if item.progress_ms_ago >= 0:
         progress_at = now - item.progress_ms_ago / 1000
         if progress_at > endpoint.last_progress_at:
@@ -275,6 +285,31 @@
         endpoint.apply_peer_suspicion(now, item.suspect_ms / 1000)
 
 
+def _apply_announcement(
+    endpoint: endpoints.Endpoint,
+    item: EndpointUpdate,
+    now: clock.MonotonicTime,
+) -> None:
+    if item.limit_ms_ago < 0:
+        return
+    announcement = announced_limit.Announcement(
+        item.limit if item.limit >= 0 else None,
+        clock.MonotonicTime(now - item.limit_ms_ago / 1000),
+    )
+    if endpoint.limit.record(announcement):
+        send_log.log_changed_limit(endpoint, "peer")
+
+
+def _announcement_fields(
+    endpoint: endpoints.Endpoint, now: clock.MonotonicTime
+) -> tuple[float, int]:
+    own = endpoint.limit.own
+    if not endpoint.limit.has_own_news(now):
+        return -1.0, -1
+    limit = own.requests_per_second
+    return -1.0 if limit is None else limit, int(1000 * (now - own.at))
+
+
 def _suspect_ms(endpoint: endpoints.Endpoint, now: clock.MonotonicTime) -> int:
     return max(0, int(1000 * (endpoint.suspect_until - now)))
 
--- a/sycamoredale/forwarding/send_log.py
+++ b/sycamoredale/forwarding/send_log.py
@@ -44,5 +44,15 @@
     )
 
 
+def log_changed_limit(endpoint: endpoints.Endpoint, source: str) -> None:
+    """Log a limit that an endpoint announced, None if it has ended."""
+    LOG.info(
+        "limit_changed",
+        endpoint=endpoint.id,
+        requests_per_second=endpoint.limit.latest.requests_per_second,
+        source=source,
+    )
+
+
 def _ms_since(at: clock.MonotonicTime) -> int | None:
     return int(1000 * (clock.monotonic() - at)) if at else None
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -29,6 +29,8 @@
 _NOT_RUN: Final = "Not-Executed"
 # Running requests, waiting requests and slots, separated by commas.
 _LOAD: Final = "Replica-Load"
+# Requests a second that an instance takes from all daemons.
+_LIMIT: Final = "Server-Limit"
 # 0 is admitted first, 9 last; the default is 5.
 _PRIORITY: Final = "Request-Priority"
 _PRIORITY_VALUES: Final = {
@@ -110,6 +112,7 @@
         _kind(call, head),
         headers.without(_HOP_BY_HOP_HEADERS),
         calls.Load(*load) if load else None,
+        header_values.decimal(headers.get(_LIMIT)),
     )
 
 
--- a/tests/instance_fixtures.py
+++ b/tests/instance_fixtures.py
@@ -3,6 +3,7 @@
 from sycamoredale import clock
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import cold_quota
+from sycamoredale.forwarding import daemon_shares
 from sycamoredale.forwarding import instance_state
 from sycamoredale.groups import cluster_snapshot
 from sycamoredale.groups import probe_status
@@ -121,7 +122,5 @@
     names = [ids.DaemonId(f"d{n}") for n in range(count)]
     return cold_quota.ColdQuota(
         cold_quota.ColdLimits(1.5, 5.0),
-        names[own],
-        lambda: count,
-        lambda: names,
+        daemon_shares.DaemonShares(names[own], lambda: count, lambda: names),
     )
--- a/tests/test_forwarding_properties.py
+++ b/tests/test_forwarding_properties.py
@@ -216,14 +216,19 @@
     fleet = [instance_fixtures.cold_quota_of(87, own=n) for n in range(87)]
     for endpoint in ("i0", "i1", "i2"):
         assert (
-            sum(quota.sends_per_second(endpoint, 26.0) for quota in fleet)
+            sum(
+                quota.sends_per_second(
+                    endpoint, 26.0, clock.MonotonicTime(0.0)
+                )
+                for quota in fleet
+            )
             == 44
         )
     allowed = [
         {
             n
             for n, quota in enumerate(fleet)
-            if quota.sends_per_second(endpoint, 26.0)
+            if quota.sends_per_second(endpoint, 26.0, clock.MonotonicTime(0.0))
         }
         for endpoint in ("i0", "i1")
     ]
