Take a stream without events as broken off if only a close ends it

A caller got 200 and an empty body as a whole answer if the engine ended after the head of an answer that has neither a length nor chunks. Cause: the end of the connection counts as the end of such a stream at the border of an event, and there is a border before the first one.

Such a stream is broken now, and is sent to another endpoint where its route allows that, unless it is a resumed one, which may have no events left.

--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -81,6 +81,13 @@
             await self._relay_stream(
                 connection, endpoint, info, progress, exchange
             )
+            if not exchange.started:
+                if _ended_early(head, progress):
+                    raise _broken_answer(
+                        endpoint, "the stream ended before its first event"
+                    )
+                await exchange.start(messages.ResponseHead(200, info.headers))
+            await exchange.finish()
             return progress_module.Outcome.ANSWERED
         body = await connection.read_body(MAX_ANSWER_BYTES)
         answer = messages.Response(head.status, info.headers, body)
@@ -149,9 +156,6 @@
         if not stream.ends_at_boundary:
             raise _broken_answer(endpoint, "the stream ended inside an event")
         progress.has_success = stream.event_count > count_before
-        if not exchange.started:
-            await exchange.start(messages.ResponseHead(200, info.headers))
-        await exchange.finish()
 
 
 def _is_announcement(info: calls.AnswerInfo) -> bool:
@@ -163,6 +167,17 @@
     return info.kind is calls.AnswerKind.ANSWER or info.limit is not None
 
 
+def _ended_early(
+    head: messages.ResponseHead, progress: progress_module.CallProgress
+) -> bool:
+    """Return whether a stream without events was broken off.
+
+    Only a resumed stream may have no events left.
+    """
+    is_resumed = progress.stream.last_event_id is not None
+    return head.ends_with_connection and not is_resumed
+
+
 async def _forward_events(
     events: bytes, info: calls.AnswerInfo, exchange: server.Exchange
 ) -> None:
--- a/sycamoredale/http/messages.py
+++ b/sycamoredale/http/messages.py
@@ -94,6 +94,14 @@
     status: int
     headers: Headers = dataclasses.field(default_factory=Headers)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether nothing but the close of the connection ends it."""
+        return (
+            self.headers.get("Content-Length") is None
+            and self.headers.get("Transfer-Encoding") is None
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
