Count a lost endpoint for all parts or for none

In a storm of losses sound parts went into quarantine for moments, and a daemon that had started again could keep them there. Found by a play in memory of 60 losses with 400 sound parts, before callers saw it. Causes: the losses of a part were bounded by themselves, so the oldest ones no longer counted for the crashing part, whose they were, and still for sound ones; and a peer sends the latest losses of a part only, which left older ones of sound parts unexplained at the daemon that received them.

A lost endpoint is forgotten for all parts at once, daemons send only losses that no part in quarantine explains, and they answer the reports of peers with their own complete answers, whatever the rank of the part.

test_storm_convicts_the_crashing_part_alone failed on the code before with six of six cases and passes. Tests of trials and records are added.

--- a/sycamoredale/requests/part_blame.py
+++ b/sycamoredale/requests/part_blame.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import dataclasses
 from typing import Final
 
 from sycamoredale import clock
@@ -20,13 +21,21 @@
 _Losses = dict[ids.EndpointLifeKey, part_evidence.Loss]
 
 
-def blamed_parts(
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Name the parts to blame and the lost endpoints that they explain."""
+
+    blamed: frozenset[ids.PromptPartKey] = frozenset()
+    explained: frozenset[ids.EndpointLifeKey] = frozenset()
+
+
+def reach_verdict(
     evidence_by_part: collections.abc.Mapping[
         ids.PromptPartKey, part_evidence.PartEvidence
     ],
     now: clock.MonotonicTime,
-) -> set[ids.PromptPartKey]:
-    """Return the parts that crash endpoints, as far as the evidence shows."""
+) -> Verdict:
+    """Return which parts crash endpoints, as far as the evidence shows."""
     losses_by_part = {
         part: losses
         for part, evidence in evidence_by_part.items()
@@ -47,7 +56,7 @@
         if _is_sufficient(_without(losses, explained)):
             blamed.add(part)
             explained.update(losses)
-    return blamed
+    return Verdict(frozenset(blamed), frozenset(explained))
 
 
 def _without(
--- a/sycamoredale/requests/part_evidence.py
+++ b/sycamoredale/requests/part_evidence.py
@@ -19,7 +19,6 @@
 # between its answers.
 ANSWER_CLEARS_SECONDS: Final = 2.0
 RETENTION_SECONDS: Final = 600.0
-MAX_LOSSES_PER_PART: Final = 32
 MAX_REQUESTS_PER_LOSS: Final = 4
 # Endpoints that are lost together have a common cause outside the requests.
 SIMULTANEOUS_SECONDS: Final = 0.05
@@ -28,7 +27,7 @@
 
 def part_key(service: ids.ServiceName, part: str) -> ids.PromptPartKey:
     """Return the key of a part of prompts for a service."""
-    digest = xxhash.xxh128_hexdigest(f"{service}\0{part}".encode())
+    digest = xxhash.xxh3_64_hexdigest(f"{service}\0{part}".encode())
     return ids.PromptPartKey(digest)
 
 
@@ -73,7 +72,6 @@
         loss = self.loss_by_life.get(life)
         if loss is None:
             loss = self.loss_by_life[life] = Loss(at)
-            self._drop_oldest()
             is_new = True
         else:
             loss.at = min(loss.at, at)
@@ -106,10 +104,6 @@
         """Return the time of the latest loss, NEVER if there is none."""
         return max((x.at for x in self.loss_by_life.values()), default=NEVER)
 
-    def _drop_oldest(self) -> None:
-        if len(self.loss_by_life) > MAX_LOSSES_PER_PART:
-            del self.loss_by_life[next(iter(self.loss_by_life))]
-
 
 def count_separate(losses: collections.abc.Iterable[Loss]) -> int:
     """Count losses; those at about the same time count once."""
--- a/sycamoredale/requests/part_quarantine.py
+++ b/sycamoredale/requests/part_quarantine.py
@@ -31,6 +31,9 @@
 TRIAL_INTERVAL_FACTOR: Final = 4.0
 MAX_TRIAL_INTERVAL_SECONDS: Final = 3600.0
 CLAIM_RETRY_SECONDS: Final = 5.0
+MAX_LIVES: Final = 128
+# How long peers hear of the own answers to a part after a report of theirs.
+CONTEST_SECONDS: Final = 5.0
 MAX_TRACKED_PARTS: Final = 512
 MAX_REMEMBERED_ANSWERS: Final = 4096
 # Peers hear of an answer that clears a part before the part is dropped.
@@ -89,6 +92,13 @@
     outbox: part_updates.Outbox = dataclasses.field(
         default_factory=part_updates.Outbox
     )
+    _verdict: part_blame.Verdict = part_blame.Verdict()
+    _at_by_life: dict[ids.EndpointLifeKey, clock.MonotonicTime] = (
+        dataclasses.field(default_factory=dict)
+    )
+    _contested_at_by_part: dict[ids.PromptPartKey, clock.MonotonicTime] = (
+        dataclasses.field(default_factory=dict)
+    )
     _answered_at_by_part: collections.OrderedDict[
         ids.PromptPartKey, clock.MonotonicTime
     ] = dataclasses.field(default_factory=collections.OrderedDict)
@@ -135,6 +145,7 @@
         now: clock.MonotonicTime,
     ) -> None:
         """Count the loss of an endpoint that had a request aboard."""
+        self._admit_life(life, now)
         for part in parts:
             self._evidence_of(part, now).record_loss(life, (request,), now)
         self.outbox.mark_changed()
@@ -185,42 +196,108 @@
         now: clock.MonotonicTime,
     ) -> None:
         """Merge the evidence of a peer."""
-        for update in updates:
-            evidence = self._evidence_of(update.part, now)
-            for loss in update.losses:
-                evidence.record_loss(
-                    loss.life, loss.requests, _ago(loss.age_ms, now)
-                )
-            if update.answered_ms_ago >= 0:
-                evidence.record_answer(_ago(update.answered_ms_ago, now))
-            if update.version != objects.ABSENT_VERSION:
-                record = Record(update.version, update.trials)
-                self.apply_record(update.part, record, now)
-        self._evaluate(now)
+        # Most updates repeat what is known, and a verdict is not free.
+        if any([self._merge(update, now) for update in updates]):
+            self._evaluate(now)
 
     def take_updates(
         self, now: clock.MonotonicTime
     ) -> list[part_updates.PartUpdate]:
         """Return the evidence for the next peer update, if one is due."""
-        if not self.evidence_by_part:
-            return []
-        if not self.outbox.is_due(now):
+        if not self.evidence_by_part or not self.outbox.is_due(now):
             return []
         self._drop_settled(now)
+        losses_by_part = {
+            part: self._unexplained_losses(part, now)
+            for part in self.evidence_by_part
+        }
         ranked = sorted(
-            self.evidence_by_part,
+            (p for p, losses in losses_by_part.items() if losses),
             key=lambda part: (
                 part not in self.quarantine_by_part,
-                -len(self.evidence_by_part[part].counted_losses(now)),
+                -len(losses_by_part[part]),
             ),
-        )
+        )[: part_updates.MAX_PARTS]
+        answered = [
+            part
+            for part, contested_at in self._contested_at_by_part.items()
+            if now - contested_at < CONTEST_SECONDS
+            and part in self.evidence_by_part
+            and part not in ranked
+        ][-part_updates.MAX_ANSWERED_PARTS :]
         return [
-            self._update_of(part, now)
-            for part in ranked[: part_updates.MAX_PARTS]
+            *(self._update_of(p, losses_by_part[p], now) for p in ranked),
+            *(self._update_of(p, {}, now) for p in answered),
         ]
 
-    def _update_of(
+    def _unexplained_losses(
         self, part: ids.PromptPartKey, now: clock.MonotonicTime
+    ) -> dict[ids.EndpointLifeKey, part_evidence.Loss]:
+        """Return the losses of a part that peers have to know."""
+        evidence = self.evidence_by_part[part]
+        if part in self.quarantine_by_part:
+            return evidence.loss_by_life
+        losses = evidence.counted_losses(now)
+        explained = self._verdict.explained
+        return {k: loss for k, loss in losses.items() if k not in explained}
+
+    def _merge(
+        self, update: part_updates.PartUpdate, now: clock.MonotonicTime
+    ) -> bool:
+        """Merge an update; return whether it may change a verdict."""
+        evidence = self._evidence_of(update.part, now)
+        is_new = False
+        for loss in update.losses:
+            at = _ago(loss.age_ms, now)
+            if self._admit_life(loss.life, at):
+                is_new |= evidence.record_loss(loss.life, loss.requests, at)
+        if update.losses and evidence.own_answered_at != part_evidence.NEVER:
+            self._contest(update.part, is_new, now)
+        if update.answered_ms_ago >= 0:
+            evidence.record_answer(_ago(update.answered_ms_ago, now))
+            is_new |= update.part in self.quarantine_by_part
+        if update.version != objects.ABSENT_VERSION:
+            record = Record(update.version, update.trials)
+            self.apply_record(update.part, record, now)
+        return is_new
+
+    def _contest(
+        self,
+        part: ids.PromptPartKey,
+        is_new: bool,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Tell peers of the own answers to a part that they have losses of."""
+        self._contested_at_by_part.pop(part, None)
+        self._contested_at_by_part[part] = now
+        if is_new:
+            self.outbox.mark_changed()
+
+    def _admit_life(
+        self, life: ids.EndpointLifeKey, at: clock.MonotonicTime
+    ) -> bool:
+        """Return whether a lost endpoint counts; forget the oldest one.
+
+        It is forgotten for all parts at once, since the loss would otherwise
+        count against the parts that are not to blame for it.
+        """
+        if life in self._at_by_life:
+            return True
+        if len(self._at_by_life) >= MAX_LIVES:
+            oldest = min(self._at_by_life, key=self._at_by_life.__getitem__)
+            if at < self._at_by_life[oldest]:
+                return False
+            del self._at_by_life[oldest]
+            for evidence in self.evidence_by_part.values():
+                evidence.loss_by_life.pop(oldest, None)
+        self._at_by_life[life] = at
+        return True
+
+    def _update_of(
+        self,
+        part: ids.PromptPartKey,
+        losses: dict[ids.EndpointLifeKey, part_evidence.Loss],
+        now: clock.MonotonicTime,
     ) -> part_updates.PartUpdate:
         evidence = self.evidence_by_part[part]
         quarantine = self.quarantine_by_part.get(part)
@@ -228,7 +305,7 @@
         answered_at = evidence.own_answered_at
         return part_updates.PartUpdate(
             part,
-            part_updates.encode_losses(evidence, now),
+            part_updates.encode_losses(losses, now),
             (
                 -1
                 if answered_at == part_evidence.NEVER
@@ -273,9 +350,11 @@
         ]
         for part in settled:
             del self.evidence_by_part[part]
+            self._contested_at_by_part.pop(part, None)
 
     def _evaluate(self, now: clock.MonotonicTime) -> None:
-        blamed = part_blame.blamed_parts(self.evidence_by_part, now)
+        self._verdict = part_blame.reach_verdict(self.evidence_by_part, now)
+        blamed = self._verdict.blamed
         for part, quarantine in list(self.quarantine_by_part.items()):
             answered_at = self.evidence_by_part[part].answered_at
             if answered_at > quarantine.since:
@@ -301,7 +380,9 @@
             version=record.version,
             trials=record.trials,
             losses=self._losses(part),
-            evidence=part_updates.describe(self.evidence_by_part[part], now),
+            evidence=part_updates.describe(
+                self.evidence_by_part[part].loss_by_life, now
+            ),
         )
         self.outbox.mark_changed()
 
--- a/sycamoredale/requests/part_updates.py
+++ b/sycamoredale/requests/part_updates.py
@@ -1,9 +1,11 @@
 """Encode the evidence on parts of prompts for the updates to peers.
 
-A daemon sends all that it knows of the losses, its own or not, and the last
-complete answer of its own.  Each update thus replaces the lost ones before.
+A daemon sends what it knows of the losses that no part in quarantine
+explains, its own or not, and the last complete answer of its own to each part
+that a peer has losses of.  Each update thus replaces the lost ones before.
 """
 
+import collections.abc
 import dataclasses
 from typing import Final
 
@@ -14,10 +16,11 @@
 from sycamoredale.object_api import objects
 from sycamoredale.requests import part_evidence
 
-# Together about 2 KB, which leaves room in a datagram.
-MAX_PARTS: Final = 8
-MAX_LOSSES: Final = 6
+# Together about 3 KB, which leaves room in a datagram.
+MAX_PARTS: Final = 6
+MAX_LOSSES: Final = 8
 MAX_REQUESTS: Final = 2
+MAX_ANSWERED_PARTS: Final = 32
 # Single datagrams are lost now and then, three in a row rarely.
 SENDS_PER_CHANGE: Final = 3
 # Without a change, for daemons that have started or were cut off.
@@ -67,12 +70,12 @@
 
 
 def encode_losses(
-    evidence: part_evidence.PartEvidence, now: clock.MonotonicTime
+    losses: collections.abc.Mapping[ids.EndpointLifeKey, part_evidence.Loss],
+    now: clock.MonotonicTime,
 ) -> list[LossUpdate]:
     """Return the updates for the latest losses."""
-    latest = sorted(
-        evidence.loss_by_life.items(), key=lambda entry: entry[1].at
-    )[-MAX_LOSSES:]
+    latest = sorted(losses.items(), key=lambda entry: entry[1].at)
+    latest = latest[-MAX_LOSSES:]
     return [
         LossUpdate(
             life,
@@ -84,7 +87,8 @@
 
 
 def describe(
-    evidence: part_evidence.PartEvidence, now: clock.MonotonicTime
+    losses: collections.abc.Mapping[ids.EndpointLifeKey, part_evidence.Loss],
+    now: clock.MonotonicTime,
 ) -> list[dict[str, object]]:
     """Return the latest losses in the form of the log."""
     return [
@@ -93,5 +97,5 @@
             "ms_ago": item.age_ms,
             "requests": item.requests,
         }
-        for item in encode_losses(evidence, now)
+        for item in encode_losses(losses, now)
     ]
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from sycamoredale import clock
 from sycamoredale import error_codes
@@ -159,6 +160,109 @@
     assert count <= part_quarantine.MAX_TRACKED_PARTS
 
 
+# Guards against verdicts on sound parts in a storm of losses: the losses that
+# the crashing part explains must be known wherever they count.
+@pytest.mark.parametrize("has_answers", [True, False])
+@pytest.mark.parametrize("seed", range(3))
+def test_storm_convicts_the_crashing_part_alone(seed, has_answers):
+    """Lose 60 endpoints with hundreds of sound parts; restart a daemon."""
+    rng = random.Random(seed)
+    daemons = [part_quarantine.PartQuarantine() for _ in range(3)]
+    parts = [part_evidence.part_key(SERVICE, f"p{n}") for n in range(400)]
+    for number in range(60):
+        now = clock.MonotonicTime(START + 0.2 * number)
+        if number == 40:
+            daemons[0] = part_quarantine.PartQuarantine()
+        for place, daemon in enumerate(daemons):
+            if has_answers:
+                daemon.record_answer([SHARED, *rng.sample(parts, 5)], now)
+            aboard = [CRASHING, *rng.sample(parts, 5)]
+            for part in aboard:
+                name = f"{place}-{number}-{part}"
+                _lose(daemon, [SHARED, part], number, now, name)
+        _exchange(*daemons, now=clock.MonotonicTime(now + 0.1))
+        for daemon in daemons:
+            assert set(daemon.quarantine_by_part) <= {CRASHING}
+        assert number < 4 or all(d.quarantine_by_part for d in daemons)
+
+
+def _records(store, *quarantines):
+    return [
+        quarantine_records.QuarantineRecords(
+            store, q, random.Random(n), lambda: START + 100
+        )
+        for n, q in enumerate(quarantines)
+    ]
+
+
+def _convicted():
+    quarantine = part_quarantine.PartQuarantine()
+    for number in range(3):
+        _lose(quarantine, [CRASHING], number, START + number)
+    return quarantine
+
+
+def test_one_daemon_of_all_is_granted_a_trial():
+    store = memory_store.MemoryStore()
+    fleet = _records(store, _convicted(), _convicted(), _convicted())
+    for records in fleet:
+        curio.run(records.synchronize, START + 10)
+    granted = [curio.run(r.claim_trial, CRASHING) for r in fleet]
+    assert granted.count(True) == 1
+    assert store.writes >= 1
+    for records in fleet:
+        quarantine = records.quarantine
+        assert not quarantine.is_trial_due(CRASHING, START + 101)
+
+
+def test_no_trial_is_granted_without_the_store():
+    store = memory_store.MemoryStore()
+    (records,) = _records(store, _convicted())
+    curio.run(records.synchronize, START + 10)
+    store.down = True
+    assert not curio.run(records.claim_trial, CRASHING)
+
+
+def test_verdict_outlives_a_start_of_all_daemons():
+    store = memory_store.MemoryStore()
+    before, after = _records(
+        store, _convicted(), part_quarantine.PartQuarantine()
+    )
+    curio.run(before.synchronize, START + 10)
+    assert curio.run(after.load)
+    assert CRASHING in after.quarantine.quarantine_by_part
+
+
+def test_record_of_a_part_that_was_answered_is_removed():
+    store = memory_store.MemoryStore()
+    (records,) = _records(store, _convicted())
+    curio.run(records.synchronize, START + 10)
+    assert store.by_name
+    records.quarantine.record_answer([CRASHING], START + 50)
+    curio.run(records.synchronize, START + 51)
+    assert not store.by_name
+    assert not records.quarantine.removals_by_part
+
+
+def test_record_that_the_store_has_lost_is_written_again():
+    store = memory_store.MemoryStore()
+    (records,) = _records(store, _convicted())
+    curio.run(records.synchronize, START + 10)
+    store.by_name.clear()
+    assert curio.run(records.claim_trial, CRASHING)
+    assert store.by_name
+    assert CRASHING in records.quarantine.quarantine_by_part
+
+
+@pytest.mark.parametrize("value", [b"[]", b'{"trials": "x"}', b"{"])
+def test_malformed_record_of_another_writer_is_passed_over(value):
+    store = memory_store.MemoryStore()
+    store.by_name["p"] = (1, value)
+    (records,) = _records(store, part_quarantine.PartQuarantine())
+    assert curio.run(records.load)
+    assert not records.quarantine.quarantine_by_part
+
+
 class Daemon:
     """Hold the quarantine of one daemon and its calls to the store."""
 
