--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -151,3 +151,32 @@
 ) -> poison.Crash:
     fingerprint = poison.fingerprint_of(crashed or _call())
     return poison.Crash(fingerprint, endpoint, domain, alone)
+
+
+# Guards against messages that requests have in common, which are otherwise
+# all different, and that crash one engine after the other.
+def test_message_that_crashes_engines_is_stopped() -> None:
+    """Send chats that share one crashing message to ten engines."""
+    with processes.Fleet() as fleet:
+        settings: dict[str, object] = {"cold_limit": 64}
+        site = sites.start(fleet, engines=10, engine_settings=settings)
+        for engine in site.engines:
+            sites.set_faults(engine, poison=POISON, poison_after_tokens=1)
+        for number in range(10):
+            _chat(site, POISON, f"question {number}")
+            assert _chat(site, "be kind", f"another {number}").status == 200
+        assert _count_dead_engines(site) <= 8
+
+
+def _chat(site: sites.Site, system: str, question: str) -> processes.Answer:
+    messages_sent = [
+        {"role": "system", "content": system},
+        {"role": "user", "content": question},
+    ]
+    return processes.request(
+        site.routers[0].address,
+        "POST",
+        "/v1/chat/completions",
+        {"model": "assistant", "messages": messages_sent},
+        sites.HEADERS,
+    )
