Blame the last of the parts that have the same losses

A part that sound requests have as well could go into quarantine for another one: if no part was answered since the daemons started, the parts of the same requests had equal evidence, and their order was that of a hash. With a part that all requests of a caller have, sound ones would have been refused until the first trial, 20 s later. Found in the test, not seen by callers.

Of such parts the last one in the prompt is blamed, which the fewest requests have. If the earlier one crashes endpoints, it collects losses that the later one does not explain, and is blamed after three more.

--- a/sycamoredale/requests/part_blame.py
+++ b/sycamoredale/requests/part_blame.py
@@ -4,6 +4,11 @@
 with the crashing part have it as well.  So parts are compared: the parts
 that were answered least recently, and of these the ones with most losses,
 are blamed first, and the losses that they explain count against no other.
+
+Parts of the same requests may have the same losses and no answer yet.  Then
+the last one in the prompt is blamed, which the fewest requests have.  If it is
+sound, the others collect further losses that it does not explain; a sound part
+that all requests have would not be found out in this way.
 """
 
 import collections.abc
@@ -17,6 +22,8 @@
 MIN_LOSSES: Final = 3
 # One request that is sent again and again proves nothing about its parts.
 MIN_REQUESTS: Final = 3
+# Parts with this share of the losses of another one are as suspect.
+RIVAL_SHARE: Final = 0.75
 
 _Losses = dict[ids.EndpointLifeKey, part_evidence.Loss]
 
@@ -52,13 +59,36 @@
     blamed: set[ids.PromptPartKey] = set()
     explained: set[ids.EndpointLifeKey] = set()
     for part in ranked:
-        losses = losses_by_part[part]
-        if _is_sufficient(_without(losses, explained)):
-            blamed.add(part)
-            explained.update(losses)
+        while part not in blamed:
+            left = _without(losses_by_part[part], explained)
+            if not _is_sufficient(left):
+                break
+            rivals = [
+                rival
+                for rival in ranked
+                if rival not in blamed
+                and _is_as_suspect(rival, part, left, losses_by_part)
+                and evidence_by_part[rival].answered_at
+                <= evidence_by_part[part].answered_at
+            ]
+            culprit = max(
+                rivals, key=lambda rival: evidence_by_part[rival].position
+            )
+            blamed.add(culprit)
+            explained.update(losses_by_part[culprit])
     return Verdict(frozenset(blamed), frozenset(explained))
 
 
+def _is_as_suspect(
+    rival: ids.PromptPartKey,
+    part: ids.PromptPartKey,
+    left: _Losses,
+    losses_by_part: collections.abc.Mapping[ids.PromptPartKey, _Losses],
+) -> bool:
+    shared = left.keys() & losses_by_part[rival].keys()
+    return rival == part or len(shared) >= RIVAL_SHARE * len(left)
+
+
 def _without(
     losses: _Losses, explained: collections.abc.Set[ids.EndpointLifeKey]
 ) -> _Losses:
--- a/sycamoredale/requests/part_evidence.py
+++ b/sycamoredale/requests/part_evidence.py
@@ -50,7 +50,8 @@
     """Collect the losses and the last complete answer of one part.
 
     `answered_at` is the last answer that any daemon reported, and
-    `own_answered_at` the last one of this daemon.
+    `own_answered_at` the last one of this daemon.  `position` is the last
+    place in a prompt at which the part was seen.
     """
 
     loss_by_life: dict[ids.EndpointLifeKey, Loss] = dataclasses.field(
@@ -58,6 +59,7 @@
     )
     answered_at: clock.MonotonicTime = NEVER
     own_answered_at: clock.MonotonicTime = NEVER
+    position: int = 0
 
     def record_loss(
         self,
--- a/sycamoredale/requests/part_quarantine.py
+++ b/sycamoredale/requests/part_quarantine.py
@@ -146,8 +146,10 @@
     ) -> None:
         """Count the loss of an endpoint that had a request aboard."""
         self._admit_life(life, now)
-        for part in parts:
-            self._evidence_of(part, now).record_loss(life, (request,), now)
+        for position, part in enumerate(parts):
+            evidence = self._evidence_of(part, now)
+            evidence.position = max(evidence.position, position)
+            evidence.record_loss(life, (request,), now)
         self.outbox.mark_changed()
         self._evaluate(now)
 
@@ -247,6 +249,7 @@
         """Merge an update; return whether it may change a verdict."""
         evidence = self._evidence_of(update.part, now)
         is_new = False
+        evidence.position = max(evidence.position, update.position)
         for loss in update.losses:
             at = _ago(loss.age_ms, now)
             if self._admit_life(loss.life, at):
@@ -313,6 +316,7 @@
             ),
             record.version,
             record.trials,
+            evidence.position,
         )
 
     def _evidence_of(
--- a/sycamoredale/requests/part_updates.py
+++ b/sycamoredale/requests/part_updates.py
@@ -47,6 +47,7 @@
     answered_ms_ago: int = -1
     version: ids.ObjectVersion = objects.ABSENT_VERSION
     trials: int = 0
+    position: int = 0
 
 
 @dataclasses.dataclass
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -59,6 +59,29 @@
     assert set(quarantine.quarantine_by_part) == {CRASHING}
 
 
+# Guards against a verdict on a part that sound requests have as well, which
+# would stop them, where no part was answered yet.
+def test_of_parts_with_the_same_losses_the_last_one_is_blamed():
+    for crashing in ("b", "c", "d", "e"):
+        quarantine = part_quarantine.PartQuarantine()
+        last = part_evidence.part_key(SERVICE, crashing)
+        for number in range(6):
+            now = START + number
+            _lose(quarantine, [SHARED, last], number, now)
+        _lose(quarantine, [SHARED], 6, START + 6, "sound")
+        assert set(quarantine.quarantine_by_part) == {last}
+
+
+def test_part_with_further_losses_is_blamed_after_the_last_one():
+    quarantine = part_quarantine.PartQuarantine()
+    for number in range(3):
+        _lose(quarantine, [CRASHING, SOUND], number, START + number)
+    assert set(quarantine.quarantine_by_part) == {SOUND}
+    for number in range(3, 6):
+        _lose(quarantine, [CRASHING], number, START + number)
+    assert CRASHING in quarantine.quarantine_by_part
+
+
 def test_one_request_that_is_sent_again_convicts_no_part():
     quarantine = part_quarantine.PartQuarantine()
     for number in range(6):
