Send the verdicts of the store to peers without their losses as well

After a start of all daemons those that cannot list the records let requests with a part in quarantine through, though their peers knew the record: updates named only parts with losses, and a listed record has none. Found on reading the change; not seen by callers. Parts in quarantine are in every update now. test_record_reaches_daemons_that_cannot_list_it failed before.

--- a/sycamoredale/requests/part_quarantine.py
+++ b/sycamoredale/requests/part_quarantine.py
@@ -70,8 +70,8 @@
 class PartQuarantine:
     """Track the parts aboard lost endpoints and refuse those to blame.
 
-    `removals_by_part` has the records that this daemon has to remove from
-    the store, since it received the answer that cleared them.
+    `removals_by_part` has the records of cleared parts that may still be in
+    the store.
     """
 
     metrics: exposition.MetricRegistry = dataclasses.field(
@@ -214,7 +214,11 @@
             for part in self.evidence_by_part
         }
         ranked = sorted(
-            (p for p, losses in losses_by_part.items() if losses),
+            (
+                part
+                for part, losses in losses_by_part.items()
+                if losses or part in self.quarantine_by_part
+            ),
             key=lambda part: (
                 part not in self.quarantine_by_part,
                 -len(losses_by_part[part]),
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -277,6 +277,20 @@
     assert CRASHING in records.quarantine.quarantine_by_part
 
 
+# Guards against a daemon that reaches its peers alone, after all have started.
+def test_record_reaches_daemons_that_cannot_list_it():
+    store = memory_store.MemoryStore()
+    before, after = _records(
+        store, _convicted(), part_quarantine.PartQuarantine()
+    )
+    curio.run(before.synchronize, START + 10)
+    curio.run(after.load)
+    cut_off = part_quarantine.PartQuarantine()
+    now = START + 100
+    cut_off.receive_updates(after.quarantine.take_updates(now), now)
+    assert CRASHING in cut_off.quarantine_by_part
+
+
 @pytest.mark.parametrize("value", [b"[]", b'{"trials": "x"}', b"{"])
 def test_malformed_record_of_another_writer_is_passed_over(value):
     store = memory_store.MemoryStore()
