Remove the record of a cleared part whoever received the answer

A record could stay in the store for good, so that the part was refused again for 20 s by each daemon that started: the daemon that received the answer did not know of the record, which another one had written at that moment, and only it removed records. Found on reading the change; not seen by callers. Each daemon that knew the record checks and removes it now; a later record stays. test_record_is_removed_if_the_answer_came_to_another_daemon failed before.

--- a/sycamoredale/requests/part_quarantine.py
+++ b/sycamoredale/requests/part_quarantine.py
@@ -166,11 +166,8 @@
             if evidence is not None:
                 evidence.record_answer(now)
                 evidence.own_answered_at = now
-            quarantine = self.quarantine_by_part.get(part)
-            if quarantine is not None:
+            if part in self.quarantine_by_part:
                 self._clear(part, now, "answered")
-                if quarantine.record is not UNSTORED:
-                    self.removals_by_part[part] = quarantine.record
         while len(self._answered_at_by_part) > MAX_REMEMBERED_ANSWERS:
             self._answered_at_by_part.popitem(last=False)
 
@@ -400,6 +397,7 @@
         quarantine = self.quarantine_by_part.pop(part)
         if quarantine.record is not UNSTORED:
             self.cleared_by_part[part] = quarantine.record
+            self.removals_by_part[part] = quarantine.record
         self.metrics.count("prompt_parts", "cleared")
         LOG.info(
             "part_cleared",
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -291,6 +291,29 @@
     assert CRASHING in cut_off.quarantine_by_part
 
 
+# Guards against a record that nobody removes, since the daemon with the answer
+# did not know that another one had just written it.
+def test_record_is_removed_if_the_answer_came_to_another_daemon():
+    store = memory_store.MemoryStore()
+    writer, other = _records(store, _convicted(), _convicted())
+    curio.run(writer.synchronize, START + 10)
+    other.quarantine.record_answer([CRASHING], START + 10)
+    later = clock.MonotonicTime(START + 10.1)
+    other.quarantine.receive_updates(
+        [_losses_of(writer.quarantine, later)], later
+    )
+    writer.quarantine.receive_updates(
+        other.quarantine.take_updates(later), later
+    )
+    assert not writer.quarantine.quarantine_by_part
+    curio.run(writer.synchronize, START + 11)
+    assert not store.by_name
+
+
+def _losses_of(quarantine, now):
+    return quarantine.take_updates(now)[0]
+
+
 @pytest.mark.parametrize("value", [b"[]", b'{"trials": "x"}', b"{"])
 def test_malformed_record_of_another_writer_is_passed_over(value):
     store = memory_store.MemoryStore()
