Name the incarnation of an endpoint by the project's term

Reading the change as a newcomer: "life" and "aboard" are no terms of the field, and forwarding/incarnations.py has the name.

--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -147,7 +147,7 @@
         return now < self.suspect_until
 
 
-_Life = tuple[ids.InstanceId, int]
+_Incarnation = tuple[ids.InstanceId, int]
 Group = tuple[ids.GroupId, ids.Epoch]
 GetZonesOut = collections.abc.Callable[[], frozenset[ids.ZoneName]]
 GetServices = collections.abc.Callable[
@@ -169,9 +169,9 @@
     _head_by_group: dict[Group, Endpoint] = dataclasses.field(
         default_factory=dict
     )
-    _limit_by_life: dict[_Life, announced_limit.AnnouncedLimit] = (
-        dataclasses.field(default_factory=dict)
-    )
+    _limit_by_incarnation: dict[
+        _Incarnation, announced_limit.AnnouncedLimit
+    ] = dataclasses.field(default_factory=dict)
     _by_service_and_model: dict[
         tuple[ids.ServiceName, str], list[Endpoint]
     ] = dataclasses.field(default_factory=dict)
@@ -240,7 +240,7 @@
             by_id[instance.id] = endpoint
             by_model.setdefault((service.name, model), []).append(endpoint)
         self.by_id = by_id
-        self._drop_ended_lives()
+        self._drop_ended_incarnations()
         self._by_service_and_model = by_model
         self._head_by_group = head_by_group
 
@@ -256,15 +256,15 @@
             return known
         engine = service.engine
         slots = engine.slots if engine else instance.slots
-        limit = self._limit_by_life.setdefault(
-            _life_of(instance), announced_limit.AnnouncedLimit()
+        limit = self._limit_by_incarnation.setdefault(
+            _incarnation_of(instance), announced_limit.AnnouncedLimit()
         )
         return Endpoint(instance, model, slots, limit=limit)
 
-    def _drop_ended_lives(self) -> None:
-        lives = set(map(_life_of, self.instances.by_id.values()))
-        for ended in self._limit_by_life.keys() - lives:
-            del self._limit_by_life[ended]
+    def _drop_ended_incarnations(self) -> None:
+        incarnations = set(map(_incarnation_of, self.instances.by_id.values()))
+        for ended in self._limit_by_incarnation.keys() - incarnations:
+            del self._limit_by_incarnation[ended]
 
     def _domains_by_group(
         self,
@@ -278,7 +278,7 @@
         return domains
 
 
-def _life_of(instance: instance_state.Instance) -> _Life:
+def _incarnation_of(instance: instance_state.Instance) -> _Incarnation:
     return instance.id, instance.started_ms
 
 
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -320,7 +320,7 @@
             is_poisoned = self.poison_detector.record_crash(crash, now)
             self.part_quarantine.record_loss(
                 call.part_keys,
-                part_evidence.life_key(
+                part_evidence.incarnation_key(
                     endpoint.id, endpoint.instance.started_ms
                 ),
                 call.id,
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -65,7 +65,7 @@
     `lease` is the version of the lease on the groups that the daemon wrote,
     or ABSENT if it does not hold the lease.  The holder also sends `kinds`,
     the changes of the kinds of objects that all daemons watch.  `parts` has
-    the evidence on parts of prompts that were aboard lost endpoints.
+    the evidence on parts of prompts that ran on lost endpoints.
     """
 
     daemon: ids.DaemonId
--- a/sycamoredale/requests/part_blame.py
+++ b/sycamoredale/requests/part_blame.py
@@ -1,6 +1,6 @@
 """Decide which parts of prompts are to blame for lost endpoints.
 
-A sound part is aboard a lost endpoint only by chance, or because requests
+A sound part is on a lost endpoint only by chance, or because requests
 with the crashing part have it as well.  So parts are compared: the parts
 that were answered least recently, and of these the ones with most losses,
 are blamed first, and the losses that they explain count against no other.
@@ -25,7 +25,7 @@
 # Parts with this share of the losses of another one are as suspect.
 RIVAL_SHARE: Final = 0.75
 
-_Losses = dict[ids.EndpointLifeKey, part_evidence.Loss]
+_Losses = dict[ids.IncarnationKey, part_evidence.Loss]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +33,7 @@
     """Name the parts to blame and the lost endpoints that they explain."""
 
     blamed: frozenset[ids.PromptPartKey] = frozenset()
-    explained: frozenset[ids.EndpointLifeKey] = frozenset()
+    explained: frozenset[ids.IncarnationKey] = frozenset()
 
 
 def reach_verdict(
@@ -57,7 +57,7 @@
         ),
     )
     blamed: set[ids.PromptPartKey] = set()
-    explained: set[ids.EndpointLifeKey] = set()
+    explained: set[ids.IncarnationKey] = set()
     for part in ranked:
         while part not in blamed:
             left = _without(losses_by_part[part], explained)
@@ -90,7 +90,7 @@
 
 
 def _without(
-    losses: _Losses, explained: collections.abc.Set[ids.EndpointLifeKey]
+    losses: _Losses, explained: collections.abc.Set[ids.IncarnationKey]
 ) -> _Losses:
     return {k: loss for k, loss in losses.items() if k not in explained}
 
--- a/sycamoredale/requests/part_evidence.py
+++ b/sycamoredale/requests/part_evidence.py
@@ -1,8 +1,8 @@
-"""Keep the evidence on the parts of prompts that were aboard lost endpoints.
+"""Keep the evidence on the parts of prompts that ran on lost endpoints.
 
 Requests share the parts of their prompts, so a part is an identity that
 requests have in common which are otherwise all different.  The loss of an
-endpoint counts against each part of the requests aboard.  A complete answer
+endpoint counts against each part of the requests on it.  A complete answer
 counts for each part of its request: a part that crashes endpoints has none.
 """
 
@@ -31,15 +31,17 @@
     return ids.PromptPartKey(digest)
 
 
-def life_key(endpoint: ids.InstanceId, started_ms: int) -> ids.EndpointLifeKey:
-    """Return the key of one life of an endpoint, which may reuse its id."""
+def incarnation_key(
+    endpoint: ids.InstanceId, started_ms: int
+) -> ids.IncarnationKey:
+    """Return the key of an endpoint until it starts again."""
     digest = xxhash.xxh64_hexdigest(f"{endpoint}:{started_ms}".encode())
-    return ids.EndpointLifeKey(digest)
+    return ids.IncarnationKey(digest)
 
 
 @dataclasses.dataclass
 class Loss:
-    """Record when an endpoint was lost, and requests with the part aboard."""
+    """Record when an endpoint was lost, and requests on it with the part."""
 
     at: clock.MonotonicTime
     requests: set[ids.RequestId] = dataclasses.field(default_factory=set)
@@ -54,7 +56,7 @@
     place in a prompt at which the part was seen.
     """
 
-    loss_by_life: dict[ids.EndpointLifeKey, Loss] = dataclasses.field(
+    loss_by_incarnation: dict[ids.IncarnationKey, Loss] = dataclasses.field(
         default_factory=dict
     )
     answered_at: clock.MonotonicTime = NEVER
@@ -63,7 +65,7 @@
 
     def record_loss(
         self,
-        life: ids.EndpointLifeKey,
+        incarnation: ids.IncarnationKey,
         requests: collections.abc.Iterable[ids.RequestId],
         at: clock.MonotonicTime,
     ) -> bool:
@@ -71,9 +73,9 @@
 
         Several reports of one loss keep the earliest time.
         """
-        loss = self.loss_by_life.get(life)
+        loss = self.loss_by_incarnation.get(incarnation)
         if loss is None:
-            loss = self.loss_by_life[life] = Loss(at)
+            loss = self.loss_by_incarnation[incarnation] = Loss(at)
             is_new = True
         else:
             loss.at = min(loss.at, at)
@@ -91,20 +93,22 @@
 
     def counted_losses(
         self, now: clock.MonotonicTime
-    ) -> dict[ids.EndpointLifeKey, Loss]:
+    ) -> dict[ids.IncarnationKey, Loss]:
         """Return the losses that no answer refutes."""
         since = max(
             self.answered_at + ANSWER_CLEARS_SECONDS, now - RETENTION_SECONDS
         )
         return {
-            life: loss
-            for life, loss in self.loss_by_life.items()
+            incarnation: loss
+            for incarnation, loss in self.loss_by_incarnation.items()
             if loss.at > since
         }
 
     def last_loss_at(self) -> clock.MonotonicTime:
         """Return the time of the latest loss, NEVER if there is none."""
-        return max((x.at for x in self.loss_by_life.values()), default=NEVER)
+        return max(
+            (x.at for x in self.loss_by_incarnation.values()), default=NEVER
+        )
 
 
 def count_separate(losses: collections.abc.Iterable[Loss]) -> int:
--- a/sycamoredale/requests/part_quarantine.py
+++ b/sycamoredale/requests/part_quarantine.py
@@ -31,7 +31,7 @@
 TRIAL_INTERVAL_FACTOR: Final = 4.0
 MAX_TRIAL_INTERVAL_SECONDS: Final = 3600.0
 CLAIM_RETRY_SECONDS: Final = 5.0
-MAX_LIVES: Final = 128
+MAX_INCARNATIONS: Final = 128
 # How long peers hear of the own answers to a part after a report of theirs.
 CONTEST_SECONDS: Final = 5.0
 MAX_TRACKED_PARTS: Final = 512
@@ -68,7 +68,7 @@
 
 @dataclasses.dataclass
 class PartQuarantine:
-    """Track the parts aboard lost endpoints and refuse those to blame.
+    """Track the parts that ran on lost endpoints and refuse those to blame.
 
     `removals_by_part` has the records of cleared parts that may still be in
     the store.
@@ -93,7 +93,7 @@
         default_factory=part_updates.Outbox
     )
     _verdict: part_blame.Verdict = part_blame.Verdict()
-    _at_by_life: dict[ids.EndpointLifeKey, clock.MonotonicTime] = (
+    _lost_at_by_incarnation: dict[ids.IncarnationKey, clock.MonotonicTime] = (
         dataclasses.field(default_factory=dict)
     )
     _contested_at_by_part: dict[ids.PromptPartKey, clock.MonotonicTime] = (
@@ -140,16 +140,16 @@
     def record_loss(
         self,
         parts: collections.abc.Iterable[ids.PromptPartKey],
-        life: ids.EndpointLifeKey,
+        incarnation: ids.IncarnationKey,
         request: ids.RequestId,
         now: clock.MonotonicTime,
     ) -> None:
-        """Count the loss of an endpoint that had a request aboard."""
-        self._admit_life(life, now)
+        """Count the loss of an endpoint that had a request."""
+        self._admit_incarnation(incarnation, now)
         for position, part in enumerate(parts):
             evidence = self._evidence_of(part, now)
             evidence.position = max(evidence.position, position)
-            evidence.record_loss(life, (request,), now)
+            evidence.record_loss(incarnation, (request,), now)
         self.outbox.mark_changed()
         self._evaluate(now)
 
@@ -235,11 +235,11 @@
 
     def _unexplained_losses(
         self, part: ids.PromptPartKey, now: clock.MonotonicTime
-    ) -> dict[ids.EndpointLifeKey, part_evidence.Loss]:
+    ) -> dict[ids.IncarnationKey, part_evidence.Loss]:
         """Return the losses of a part that peers have to know."""
         evidence = self.evidence_by_part[part]
         if part in self.quarantine_by_part:
-            return evidence.loss_by_life
+            return evidence.loss_by_incarnation
         losses = evidence.counted_losses(now)
         explained = self._verdict.explained
         return {k: loss for k, loss in losses.items() if k not in explained}
@@ -253,8 +253,10 @@
         evidence.position = max(evidence.position, update.position)
         for loss in update.losses:
             at = _ago(loss.age_ms, now)
-            if self._admit_life(loss.life, at):
-                is_new |= evidence.record_loss(loss.life, loss.requests, at)
+            if self._admit_incarnation(loss.incarnation, at):
+                is_new |= evidence.record_loss(
+                    loss.incarnation, loss.requests, at
+                )
         if update.losses and evidence.own_answered_at != part_evidence.NEVER:
             self._contest(update.part, is_new, now)
         if update.answered_ms_ago >= 0:
@@ -277,30 +279,33 @@
         if is_new:
             self.outbox.mark_changed()
 
-    def _admit_life(
-        self, life: ids.EndpointLifeKey, at: clock.MonotonicTime
+    def _admit_incarnation(
+        self, incarnation: ids.IncarnationKey, at: clock.MonotonicTime
     ) -> bool:
         """Return whether a lost endpoint counts; forget the oldest one.
 
         It is forgotten for all parts at once, since the loss would otherwise
         count against the parts that are not to blame for it.
         """
-        if life in self._at_by_life:
+        if incarnation in self._lost_at_by_incarnation:
             return True
-        if len(self._at_by_life) >= MAX_LIVES:
-            oldest = min(self._at_by_life, key=self._at_by_life.__getitem__)
-            if at < self._at_by_life[oldest]:
+        if len(self._lost_at_by_incarnation) >= MAX_INCARNATIONS:
+            oldest = min(
+                self._lost_at_by_incarnation,
+                key=self._lost_at_by_incarnation.__getitem__,
+            )
+            if at < self._lost_at_by_incarnation[oldest]:
                 return False
-            del self._at_by_life[oldest]
+            del self._lost_at_by_incarnation[oldest]
             for evidence in self.evidence_by_part.values():
-                evidence.loss_by_life.pop(oldest, None)
-        self._at_by_life[life] = at
+                evidence.loss_by_incarnation.pop(oldest, None)
+        self._lost_at_by_incarnation[incarnation] = at
         return True
 
     def _update_of(
         self,
         part: ids.PromptPartKey,
-        losses: dict[ids.EndpointLifeKey, part_evidence.Loss],
+        losses: dict[ids.IncarnationKey, part_evidence.Loss],
         now: clock.MonotonicTime,
     ) -> part_updates.PartUpdate:
         evidence = self.evidence_by_part[part]
@@ -386,7 +391,7 @@
             trials=record.trials,
             losses=self._losses(part),
             evidence=part_updates.describe(
-                self.evidence_by_part[part].loss_by_life, now
+                self.evidence_by_part[part].loss_by_incarnation, now
             ),
         )
         self.outbox.mark_changed()
@@ -409,7 +414,7 @@
         self.outbox.mark_changed()
 
     def _losses(self, part: ids.PromptPartKey) -> int:
-        return len(self.evidence_by_part[part].loss_by_life)
+        return len(self.evidence_by_part[part].loss_by_incarnation)
 
 
 def _next_trial_at(
--- a/sycamoredale/requests/part_updates.py
+++ b/sycamoredale/requests/part_updates.py
@@ -28,9 +28,9 @@
 
 
 class LossUpdate(msgspec.Struct, array_like=True, frozen=True):
-    """Report the loss of an endpoint and requests that were aboard."""
+    """Report the loss of an endpoint and requests that were on it."""
 
-    life: ids.EndpointLifeKey
+    incarnation: ids.IncarnationKey
     age_ms: int
     requests: list[ids.RequestId]
 
@@ -71,7 +71,7 @@
 
 
 def encode_losses(
-    losses: collections.abc.Mapping[ids.EndpointLifeKey, part_evidence.Loss],
+    losses: collections.abc.Mapping[ids.IncarnationKey, part_evidence.Loss],
     now: clock.MonotonicTime,
 ) -> list[LossUpdate]:
     """Return the updates for the latest losses."""
@@ -79,22 +79,22 @@
     latest = latest[-MAX_LOSSES:]
     return [
         LossUpdate(
-            life,
+            incarnation,
             max(0, int(1000 * (now - loss.at))),
             sorted(loss.requests)[:MAX_REQUESTS],
         )
-        for life, loss in latest
+        for incarnation, loss in latest
     ]
 
 
 def describe(
-    losses: collections.abc.Mapping[ids.EndpointLifeKey, part_evidence.Loss],
+    losses: collections.abc.Mapping[ids.IncarnationKey, part_evidence.Loss],
     now: clock.MonotonicTime,
 ) -> list[dict[str, object]]:
     """Return the latest losses in the form of the log."""
     return [
         {
-            "life": item.life,
+            "incarnation": item.incarnation,
             "ms_ago": item.age_ms,
             "requests": item.requests,
         }
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -26,7 +26,7 @@
 def _lose(quarantine, parts, number, now, request=None):
     quarantine.record_loss(
         parts,
-        part_evidence.life_key(ids.InstanceId(f"e{number}"), 1),
+        part_evidence.incarnation_key(ids.InstanceId(f"e{number}"), 1),
         ids.RequestId(request or f"r{number}"),
         now,
     )
@@ -111,10 +111,12 @@
 def test_endpoint_that_starts_again_under_its_id_counts_again():
     quarantine = part_quarantine.PartQuarantine()
     for started in range(3):
-        life = part_evidence.life_key(ids.InstanceId("e1"), started)
+        incarnation = part_evidence.incarnation_key(
+            ids.InstanceId("e1"), started
+        )
         request = ids.RequestId(f"r{started}")
         now = clock.MonotonicTime(START + 4 * started)
-        quarantine.record_loss([CRASHING], life, request, now)
+        quarantine.record_loss([CRASHING], incarnation, request, now)
     assert CRASHING in quarantine.quarantine_by_part
 
 
@@ -382,7 +384,7 @@
         self.store = memory_store.MemoryStore()
         self.daemons = [Daemon(self, n) for n in range(DAEMONS)]
         self.aboard = {n: [] for n in range(ENDPOINTS)}
-        self.lives = dict.fromkeys(self.aboard, 0)
+        self.incarnations = dict.fromkeys(self.aboard, 0)
         self.up_at = dict.fromkeys(self.aboard, START)
         self.crash_times = []
         self.late_sends = 0
@@ -510,15 +512,18 @@
             daemon.synchronize()
 
     def _crash(self, endpoint):
-        life = part_evidence.life_key(
-            ids.InstanceId(f"e{endpoint}"), self.lives[endpoint]
+        incarnation = part_evidence.incarnation_key(
+            ids.InstanceId(f"e{endpoint}"), self.incarnations[endpoint]
         )
         self.crash_times.append(self.now)
-        self.lives[endpoint] += 1
+        self.incarnations[endpoint] += 1
         self.up_at[endpoint] = self.now + RESTART_SECONDS
         for request in self.aboard[endpoint]:
             self.daemons[request.daemon].quarantine.record_loss(
-                request.parts, life, ids.RequestId(request.name), self.now
+                request.parts,
+                incarnation,
+                ids.RequestId(request.name),
+                self.now,
             )
         self.aboard[endpoint] = []
 
