Count simultaneous losses in different domains separately

Callers saw endpoints end under a second burst of requests with a part that had ended five (BUDGET). Losses within 50 ms counted once, for domains that go dark, wherever the endpoints stood: six endpoints lost within 0.12 s counted as two or three, by the times that each daemon recorded, and a verdict needs three. A loss now carries the fabric domain of its endpoint, and only losses of one domain count once.

What tells a domain from a burst is the domain itself. Ruled out: counting all losses (a domain of three heads would convict a part that was aboard it alone), and counting a zone once (eight endpoints of a burst stand in two zones of three in one case of eight).

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -325,6 +325,7 @@
                 ),
                 call.id,
                 now,
+                endpoint.instance.domain,
             )
             LOG.info(
                 "crash_counted",
--- a/sycamoredale/requests/part_evidence.py
+++ b/sycamoredale/requests/part_evidence.py
@@ -20,9 +20,10 @@
 ANSWER_CLEARS_SECONDS: Final = 2.0
 RETENTION_SECONDS: Final = 600.0
 MAX_REQUESTS_PER_LOSS: Final = 4
-# Endpoints that are lost together have a common cause outside the requests.
+# A fabric domain that goes dark takes its endpoints at about the same time.
 SIMULTANEOUS_SECONDS: Final = 0.05
 NEVER: Final = clock.MonotonicTime(float("-inf"))
+NO_DOMAIN: Final = ids.DomainName("")
 
 
 def part_key(service: ids.ServiceName, part: str) -> ids.PromptPartKey:
@@ -44,6 +45,7 @@
     """Record when an endpoint was lost, and requests on it with the part."""
 
     at: clock.MonotonicTime
+    domain: ids.DomainName = NO_DOMAIN
     requests: set[ids.RequestId] = dataclasses.field(default_factory=set)
 
 
@@ -68,6 +70,7 @@
         incarnation: ids.IncarnationKey,
         requests: collections.abc.Iterable[ids.RequestId],
         at: clock.MonotonicTime,
+        domain: ids.DomainName = NO_DOMAIN,
     ) -> bool:
         """Merge the report of a loss; return whether it adds evidence.
 
@@ -75,7 +78,7 @@
         """
         loss = self.loss_by_incarnation.get(incarnation)
         if loss is None:
-            loss = self.loss_by_incarnation[incarnation] = Loss(at)
+            loss = self.loss_by_incarnation[incarnation] = Loss(at, domain)
             is_new = True
         else:
             loss.at = min(loss.at, at)
@@ -112,11 +115,12 @@
 
 
 def count_separate(losses: collections.abc.Iterable[Loss]) -> int:
-    """Count losses; those at about the same time count once."""
+    """Count losses; those of a domain at about the same time count once."""
     count = 0
-    last = NEVER
-    for at in sorted(loss.at for loss in losses):
-        if at > last + SIMULTANEOUS_SECONDS:
+    last_by_domain: dict[ids.DomainName, clock.MonotonicTime] = {}
+    for loss in sorted(losses, key=lambda loss: loss.at):
+        last = last_by_domain.get(loss.domain, NEVER)
+        if loss.at > last + SIMULTANEOUS_SECONDS:
             count += 1
-            last = at
+            last_by_domain[loss.domain] = loss.at
     return count
--- a/sycamoredale/requests/part_quarantine.py
+++ b/sycamoredale/requests/part_quarantine.py
@@ -143,13 +143,14 @@
         incarnation: ids.IncarnationKey,
         request: ids.RequestId,
         now: clock.MonotonicTime,
+        domain: ids.DomainName = part_evidence.NO_DOMAIN,
     ) -> None:
         """Count the loss of an endpoint that had a request."""
         self._admit_incarnation(incarnation, now)
         for position, part in enumerate(parts):
             evidence = self._evidence_of(part, now)
             evidence.position = max(evidence.position, position)
-            evidence.record_loss(incarnation, (request,), now)
+            evidence.record_loss(incarnation, (request,), now, domain)
         self.outbox.mark_changed()
         self._evaluate(now)
 
@@ -255,7 +256,7 @@
             at = _ago(loss.age_ms, now)
             if self._admit_incarnation(loss.incarnation, at):
                 is_new |= evidence.record_loss(
-                    loss.incarnation, loss.requests, at
+                    loss.incarnation, loss.requests, at, loss.domain
                 )
         if update.losses and evidence.own_answered_at != part_evidence.NEVER:
             self._contest(update.part, is_new, now)
--- a/sycamoredale/requests/part_updates.py
+++ b/sycamoredale/requests/part_updates.py
@@ -33,6 +33,7 @@
     incarnation: ids.IncarnationKey
     age_ms: int
     requests: list[ids.RequestId]
+    domain: ids.DomainName = part_evidence.NO_DOMAIN
 
 
 class PartUpdate(msgspec.Struct, array_like=True, frozen=True):
@@ -82,6 +83,7 @@
             incarnation,
             max(0, int(1000 * (now - loss.at))),
             sorted(loss.requests)[:MAX_REQUESTS],
+            loss.domain,
         )
         for incarnation, loss in latest
     ]
@@ -95,6 +97,7 @@
     return [
         {
             "incarnation": item.incarnation,
+            "domain": item.domain,
             "ms_ago": item.age_ms,
             "requests": item.requests,
         }
--- a/tests/test_bursts_of_crashing_requests.py
+++ b/tests/test_bursts_of_crashing_requests.py
@@ -13,6 +13,7 @@
 from sycamoredale.requests import part_quarantine
 
 DAEMONS = 9
+DOMAINS = 6
 ENDPOINTS = 13
 EXCHANGE_SECONDS = 0.1
 MAX_DELAY_SECONDS = 0.2
@@ -144,6 +145,7 @@
                 incarnation,
                 ids.RequestId(request.id),
                 clock.MonotonicTime(now + self.rng.uniform(0, 0.02)),
+                ids.DomainName(f"d{endpoint % DOMAINS}"),
             )
         self.aboard[endpoint] = []
 
