Refuse chats with a message that crashes engines on the own interface

Callers of the product's own interface saw engine after engine end under chats that share one message and are otherwise all different, until sound chats got no_endpoint.

The messages of a chat before its last one are now parts, and the routers use the quarantine that exists: losses and answers are recorded for each part, routers exchange them by gossip, records in the object API grant the trials. What both interfaces decide alike moves from the forwarder to requests/part_admission.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -45,6 +45,7 @@
 from sycamoredale.platform import settings as settings_module
 from sycamoredale.platform import store as store_module
 from sycamoredale.platform import wire_format
+from sycamoredale.requests import part_admission
 from sycamoredale.requests import part_quarantine
 from sycamoredale.requests import poison
 from sycamoredale.requests import quarantine_records
@@ -308,8 +309,10 @@
                 budget,
                 client.Pool(),
                 self._build_poison_detector(),
-                self._part_quarantine,
-                self._quarantine_records.claim_trial,
+                part_admission.PartAdmission(
+                    self._part_quarantine,
+                    self._quarantine_records.claim_trial,
+                ),
                 self._count_daemons,
             ),
             self._metric_registry,
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -34,7 +34,11 @@
 from sycamoredale.requests import claim_service
 from sycamoredale.requests import claim_writer
 from sycamoredale.requests import dispatch
+from sycamoredale.requests import part_admission
+from sycamoredale.requests import part_gossip
+from sycamoredale.requests import part_quarantine
 from sycamoredale.requests import poison
+from sycamoredale.requests import quarantine_records
 from sycamoredale.routing import cache_event_poller
 from sycamoredale.routing import cold_start_limiter
 from sycamoredale.routing import cold_start_record_store
@@ -69,10 +73,20 @@
         self._gossip = self._node.gossip
         self._members = self._node.members
         self._selector = self._build_selector()
+        self._part_quarantine = part_quarantine.PartQuarantine()
+        self._quarantine_records = quarantine_records.QuarantineRecords(
+            self._store, self._part_quarantine
+        )
+        self._part_gossip = part_gossip.PartGossip(
+            self._gossip, self._part_quarantine
+        )
         self._dispatcher = dispatch.Dispatcher(
             self._selector,
             client.Pool(),
             poison.PoisonDetector(self._node.gossip),
+            parts=part_admission.PartAdmission(
+                self._part_quarantine, self._quarantine_records.claim_trial
+            ),
         )
         self._admission = self._build_admission()
         observer = request_observer.RequestObserver(
@@ -110,6 +124,8 @@
         await curio.spawn(self._admission.run, daemon=True)
         await curio.spawn(self._slot_lease_manager.run, daemon=True)
         await curio.spawn(self._dispatcher.liveness_monitor.run, daemon=True)
+        await curio.spawn(self._quarantine_records.run, daemon=True)
+        await curio.spawn(self._part_gossip.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -29,8 +29,8 @@
 from sycamoredale import ids
 from sycamoredale.observability import logs
 from sycamoredale.requests import active_requests
+from sycamoredale.requests import part_admission
 from sycamoredale.requests import part_evidence
-from sycamoredale.requests import part_quarantine as part_quarantine_module
 from sycamoredale.requests import poison
 
 # A healthy zone accepts a connection in a few milliseconds.
@@ -52,9 +52,6 @@
 CAPACITY_WAIT_SECONDS: Final = 1.5
 CAPACITY_POLL_SECONDS: Final = 0.05
 LOG: Final = logs.get("forwarding")
-ClaimTrial = collections.abc.Callable[
-    [ids.PromptPartKey], collections.abc.Awaitable[bool]
-]
 
 
 @dataclasses.dataclass
@@ -66,8 +63,7 @@
     budget: retry_budget.RetryBudget
     pool: client.Pool
     poison_detector: poison.PoisonDetector
-    part_quarantine: part_quarantine_module.PartQuarantine
-    claim_trial: ClaimTrial
+    parts: part_admission.PartAdmission
     count_daemons: collections.abc.Callable[[], int] = lambda: 1
 
     def __post_init__(self) -> None:
@@ -83,7 +79,9 @@
         self.poison_detector.check_fingerprint(
             call.fingerprint, call.arrived_at
         )
-        await self._admit(progress)
+        progress.trial_part = await self.parts.admit(
+            call.part_keys, call.arrived_at
+        )
         self.budget.record_request(call.service.name, call.arrived_at)
         try:
             async with curio.timeout_after(max(left, 0.001)):
@@ -97,26 +95,17 @@
         if progress.refusal is not None:
             raise progress.refusal
 
-    async def _admit(self, progress: progress_module.CallProgress) -> None:
-        """Raise Refusal for a part in quarantine, unless for a trial of it."""
-        part = self.part_quarantine.find_quarantined(progress.call.part_keys)
-        if part is None:
-            return
-        if self.part_quarantine.is_trial_due(part, progress.call.arrived_at):
-            if await self.claim_trial(part):
-                progress.trial_part = part
-        self._check_parts(progress)
-
     def _check_parts(self, progress: progress_module.CallProgress) -> None:
         """Raise Refusal if a part of the prompt may not be sent now."""
-        part = self.part_quarantine.find_quarantined(progress.call.part_keys)
+        trial_part = progress.trial_part
+        if progress.delivered_count:
+            trial_part = None
+        part = self.parts.find_blocking(progress.call.part_keys, trial_part)
         if part is None:
             return
-        if part == progress.trial_part and not progress.delivered_count:
-            return
         if progress.may_have_run:
             raise progress_module.unanswered_refusal(progress)
-        raise self.part_quarantine.refusal(
+        raise self.parts.quarantine.refusal(
             part, error_codes.Execution.NOT_RUN, clock.monotonic()
         )
 
@@ -211,7 +200,7 @@
                     endpoint, progress.call, active_request
                 )
             elif progress.has_success:
-                self.part_quarantine.record_answer(
+                self.parts.quarantine.record_answer(
                     progress.call.part_keys, clock.monotonic()
                 )
             return outcome
@@ -318,7 +307,7 @@
             )
             now = clock.monotonic()
             is_poisoned = self.poison_detector.record_crash(crash, now)
-            self.part_quarantine.record_loss(
+            self.parts.quarantine.record_loss(
                 call.part_keys,
                 part_evidence.incarnation_key(
                     endpoint.id, endpoint.instance.started_ms
--- a/sycamoredale/membership/gossip.py
+++ b/sycamoredale/membership/gossip.py
@@ -33,13 +33,20 @@
     CONFIGURATION = "configuration"
     ENDPOINT = "endpoint"
     POISON = "poison"
+    PROMPT_PART = "prompt_part"
     ASSIGNMENT = "assignment"
     COLD_SLOTS = "cold_slots"
     USAGE = "usage"
 
 
 URGENT_TOPICS: Final = frozenset(
-    (Topic.CONFIGURATION, Topic.ENDPOINT, Topic.POISON, Topic.ASSIGNMENT)
+    (
+        Topic.CONFIGURATION,
+        Topic.ENDPOINT,
+        Topic.POISON,
+        Topic.PROMPT_PART,
+        Topic.ASSIGNMENT,
+    )
 )
 
 
--- a/sycamoredale/requests/attempt_history.py
+++ b/sycamoredale/requests/attempt_history.py
@@ -21,12 +21,15 @@
     `tried` contains the endpoints of all attempts.  `lost` contains those that
     failed and, for an idempotent call, those that refused the request or were
     unreachable.  It does not contain those on which only the connection broke.
+    `trial_part` is the part in quarantine that the call may try once.
     """
 
     call: call_module.Call
     attempts: int = 0
     crashes: int = 0
     poisoned: bool = False
+    part_keys: tuple[ids.PromptPartKey, ...] = ()
+    trial_part: ids.PromptPartKey | None = None
     execution: error_codes.Execution = error_codes.Execution.NOT_RUN
     lost: set[ids.EndpointId] = dataclasses.field(default_factory=set)
     tried: set[ids.EndpointId] = dataclasses.field(default_factory=set)
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -21,11 +21,15 @@
 from sycamoredale.http import error_responses
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale import ids
 from sycamoredale.observability import logs
 from sycamoredale.requests import attempt as attempt_module
 from sycamoredale.requests import attempt_history
 from sycamoredale.requests import call as call_module
+from sycamoredale.requests import chat_parts
 from sycamoredale.requests import liveness
+from sycamoredale.requests import part_admission
+from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
 from sycamoredale.routing import endpoint_selection
 from sycamoredale.routing import table
@@ -47,6 +51,9 @@
     retries: retry_budget.RetryBudget = dataclasses.field(
         default_factory=retry_budget.RetryBudget
     )
+    parts: part_admission.PartAdmission = dataclasses.field(
+        default_factory=part_admission.PartAdmission
+    )
 
     def __post_init__(self) -> None:
         """Build the client of engines and the liveness monitor."""
@@ -59,8 +66,14 @@
         self, call: call_module.Call, exchange: server.Exchange
     ) -> None:
         """Write the complete response to an idempotent call; raise Refusal."""
-        self.poison_detector.check(call, clock.monotonic())
-        history = attempt_history.AttemptHistory(call)
+        now = clock.monotonic()
+        self.poison_detector.check(call, now)
+        part_keys = chat_parts.part_keys(call)
+        history = attempt_history.AttemptHistory(
+            call,
+            part_keys=part_keys,
+            trial_part=await self.parts.admit(part_keys, now),
+        )
         try:
             async with curio.timeout_after(call.deadline_seconds):
                 await caller_disconnect.run_while_connected(
@@ -122,6 +135,7 @@
         stream = completions.ResumableStream()
         self.retries.deposit(history.call.service.name)
         while history.may_attempt():
+            self._check_parts(history)
             if not self._may_retry(history, exchange):
                 break
             endpoint = await self._select_or_wait(history, exchange)
@@ -155,6 +169,9 @@
                 response = await attempt_module.fetch(attempt, self.pool)
                 self.liveness_monitor.remove(attempt)
                 await exchange.respond(response)
+            self.parts.quarantine.record_answer(
+                history.part_keys, clock.monotonic()
+            )
             return True
         except errors.ConnectionFailed as error:
             self._log_failure(attempt, error)
@@ -249,6 +266,8 @@
         )
         now = clock.monotonic()
         history.poisoned = self.poison_detector.record_crash(crash, now)
+        if history.part_keys:
+            self._record_part_loss(attempt, history, now)
         LOG.info(
             "crash_counted",
             request=attempt.call.id,
@@ -258,6 +277,35 @@
             poisoned=history.poisoned,
         )
 
+    def _record_part_loss(
+        self,
+        attempt: attempt_module.Attempt,
+        history: attempt_history.AttemptHistory,
+        now: clock.MonotonicTime,
+    ) -> None:
+        endpoint = attempt.endpoint
+        self.parts.quarantine.record_loss(
+            history.part_keys,
+            part_evidence.incarnation_key(
+                ids.InstanceId(endpoint.id), endpoint.epoch
+            ),
+            attempt.call.id,
+            now,
+            endpoint.domain,
+        )
+
+    def _check_parts(self, history: attempt_history.AttemptHistory) -> None:
+        """Raise Refusal if a part of the prompt may not be sent now."""
+        trial_part = None if history.crashes else history.trial_part
+        part = self.parts.find_blocking(history.part_keys, trial_part)
+        if part is None:
+            return
+        if history.execution is error_codes.Execution.NOT_RUN:
+            raise self.parts.quarantine.refusal(
+                part, history.execution, clock.monotonic()
+            )
+        raise poison.refusal(history.crashes, history.execution)
+
     async def _cancel(self, attempt: attempt_module.Attempt) -> None:
         # The close of the connection does not reach the engine if the
         # network path is broken, so a cancel request is sent over a new
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -23,7 +23,7 @@
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale.platform import wire_format
-from sycamoredale.requests import part_quarantine
+from sycamoredale.requests import part_admission
 from sycamoredale.requests import poison
 from tests import instance_fixtures
 from tests import test_platform_codec as codec
@@ -32,10 +32,6 @@
 EVENT_SECONDS = 0.01
 
 
-async def _deny_trial(part):
-    return False
-
-
 class Endpoint:
     """Stream numbered events, and fail with `fault` after event `fail_at`."""
 
@@ -153,8 +149,7 @@
             ),
             client.Pool(),
             poison.PoisonDetector(),
-            part_quarantine.PartQuarantine(),
-            _deny_trial,
+            part_admission.PartAdmission(),
         )
         self.may_retry = may_retry
         self.seconds = seconds
