Open connections to endpoints through a peer while isolated

The daemon booked each failed connection on the endpoint and tried the next, five timeouts a call.

A failed connection is now followed by a question to a peer. Three endpoints that peers reach and this daemon does not show that the fault is at this end; connections are then opened through peers, on their HTTP port, switched to a relay of bytes.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -34,6 +34,11 @@
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale import leases
+from sycamoredale.links import connector
+from sycamoredale.links import monitor as link_monitor
+from sycamoredale.links import relay_client
+from sycamoredale.links import relay_protocol
+from sycamoredale.links import relay_service
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
@@ -88,6 +93,8 @@
         )
         self._node = self._build_node()
         self._metric_registry = exposition.MetricRegistry()
+        self._links = self._build_link_monitor()
+        self._connector = self._build_connector()
         self._part_quarantine = part_quarantine.PartQuarantine(
             self._metric_registry
         )
@@ -106,6 +113,7 @@
             self._on_kind_update,
             self._part_quarantine.take_updates,
             self._part_quarantine.receive_updates,
+            lambda: self._links.is_isolated,
         )
         self._group_controller = self._build_group_controller()
         self._watcher_by_kind = {w.kind: w for w in self._build_watchers()}
@@ -118,6 +126,7 @@
         )
         self._metrics = server.Server(self._answer_metrics)
         self._is_stopping = False
+        self._register_relay()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -138,6 +147,7 @@
         await curio.spawn(
             self._peer_updates.run, self._peer_update_address(), daemon=True
         )
+        await curio.spawn(self._connector.run, daemon=True)
         await curio.spawn(self._group_controller.run, daemon=True)
         LOG.info("started", address=str(self._settings.caller_address))
         await stop_signal.wait()
@@ -277,6 +287,46 @@
             self._endpoints.last_progress_at,
         )
 
+    def _build_link_monitor(self) -> link_monitor.LinkMonitor:
+        return link_monitor.LinkMonitor(
+            lambda: len(self._endpoints.by_id),
+            self._metric_registry,
+        )
+
+    def _build_connector(self) -> connector.EndpointConnector:
+        return connector.EndpointConnector(
+            self._links,
+            relay_client.RelayClient(
+                self._node.members,
+                lambda daemon: self._peer_updates.is_peer_isolated(
+                    daemon, clock.monotonic()
+                ),
+            ),
+            lambda: [
+                endpoint.instance.address
+                for endpoint in self._endpoints.by_id.values()
+            ],
+            self._endpoints.waiting_addresses,
+        )
+
+    def _register_relay(self) -> None:
+        service = relay_service.RelayService(
+            self._connector,
+            self._node.members,
+            self._may_relay_to,
+            lambda: self._is_stopping,
+        )
+        self._node.peers.register_upgrade(relay_protocol.PATH, service.handle)
+
+    def _may_relay_to(self, address: messages.Address) -> bool:
+        zones_out = self._evacuation_handler.zones_out
+        return any(
+            instance.address == address
+            and not instance.leaving
+            and instance.zone not in zones_out
+            for instance in self._instances.by_id.values()
+        )
+
     def _build_service(self) -> service.CallService:
         bounds = self._settings.bounds
         selector = endpoint_selection.EndpointSelector(
@@ -307,12 +357,12 @@
                 wire_format,
                 selector,
                 budget,
-                client.Pool(),
                 self._build_poison_detector(),
                 part_admission.PartAdmission(
                     self._part_quarantine,
                     self._quarantine_records.claim_trial,
                 ),
+                self._connector,
                 self._count_daemons,
             ),
             self._metric_registry,
--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -35,6 +35,10 @@
     """Report that no byte was sent, because the cold start slot was lost."""
 
 
+class NoRelayAvailable(ConnectionFailed):
+    """Report that no byte was sent, because no peer could relay it."""
+
+
 class ConnectionBroken(SycamoredaleError):
     """Report that a connection failed after bytes may have been sent."""
 
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -23,6 +23,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale.links import monitor
 
 # A stream without events on an endpoint that makes progress has been requeued
 # by the engine.  Callers give up after about two seconds.
@@ -40,6 +41,7 @@
     """Relay answers of endpoints to callers."""
 
     wire: wire_protocol.WireProtocol
+    links: monitor.LinkMonitor
 
     async def relay(
         self,
@@ -60,6 +62,7 @@
         progress.end_queueing(endpoint)
         info = self.wire.read_answer(call, head)
         now = clock.monotonic()
+        self._record_heard(connection, now)
         if info.load is not None:
             endpoint.record_reported_load(info.load, now)
         if _is_announcement(info):
@@ -103,6 +106,12 @@
         await exchange.respond(answer)
         return progress_module.Outcome.ANSWERED
 
+    def _record_heard(
+        self, connection: client.Connection, now: clock.MonotonicTime
+    ) -> None:
+        if connection.relayed_by is None:
+            self.links.record_heard(now)
+
     async def _read_head(
         self,
         connection: client.Connection,
@@ -145,6 +154,7 @@
                 raise _broken_answer(endpoint, str(error)) from error
             if events:
                 now = clock.monotonic()
+                self._record_heard(connection, now)
                 endpoint.record_progress(now)
                 progress.record_events(now)
                 max_wait_seconds = MAX_STREAM_PAUSE_SECONDS
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -18,6 +18,7 @@
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import instance_table
+from sycamoredale.http import messages
 from sycamoredale import ids
 
 # The load that the peers cause is halved each second after it was reported: a
@@ -35,6 +36,8 @@
 # Limits the time of a stalled endpoint to six seconds: by then a head that has
 # lost a member reports its group as broken.
 MAX_SUSPICION_DOUBLINGS: Final = 2
+# Covers three updates of the peers.
+RECENT_PROGRESS_SECONDS: Final = 0.3
 
 
 @dataclasses.dataclass(eq=False)
@@ -132,6 +135,10 @@
     def record_progress(self, at: clock.MonotonicTime) -> None:
         """Clear the suspicion of an endpoint that made progress."""
         self.last_progress_at = at
+        self.clear_suspicion()
+
+    def clear_suspicion(self) -> None:
+        """Select the endpoint again as if it had never failed."""
         self.suspicions = 0
         self.suspect_until = clock.MonotonicTime(0.0)
 
@@ -199,6 +206,24 @@
         )
         return head.last_progress_at if head else clock.MonotonicTime(0.0)
 
+    def waiting_addresses(
+        self, now: clock.MonotonicTime
+    ) -> list[messages.Address]:
+        """Return the endpoints that work, if one has a request that waits."""
+        working = [
+            endpoint
+            for endpoint in self.by_id.values()
+            if now - endpoint.last_progress_at < RECENT_PROGRESS_SECONDS
+        ]
+        if not any(endpoint.in_flight for endpoint in working):
+            return []
+        return [endpoint.instance.address for endpoint in working]
+
+    def clear_suspicions(self) -> None:
+        """Trust all endpoints again, after a fault of this daemon."""
+        for endpoint in self.by_id.values():
+            endpoint.clear_suspicion()
+
     def update_demand(self, now: clock.MonotonicTime) -> None:
         """Update the moving average of the load of each model.
 
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -27,6 +27,8 @@
 from sycamoredale.http import client
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale.links import connector as connector_module
+from sycamoredale.links import monitor as link_monitor
 from sycamoredale.observability import logs
 from sycamoredale.requests import active_requests
 from sycamoredale.requests import part_admission
@@ -34,7 +36,7 @@
 from sycamoredale.requests import poison
 
 # A healthy zone accepts a connection in a few milliseconds.
-CONNECT_TIMEOUT_SECONDS: Final = 0.3
+CONNECT_TIMEOUT_SECONDS: Final = connector_module.CONNECT_TIMEOUT_SECONDS
 # The instance list drops a dead instance after three heartbeats, which takes
 # about this long.  Connection attempts until then only delay the caller.
 UNREACHABLE_SUSPECT_SECONDS: Final = 4.0
@@ -61,14 +63,23 @@
     wire: wire_protocol.WireProtocol
     selector: endpoint_selection.EndpointSelector
     budget: retry_budget.RetryBudget
-    pool: client.Pool
     poison_detector: poison.PoisonDetector
     parts: part_admission.PartAdmission
+    connector: connector_module.EndpointConnector
     count_daemons: collections.abc.Callable[[], int] = lambda: 1
 
     def __post_init__(self) -> None:
-        """Build the relay of answers."""
-        self._answer_relay = answer_relay.AnswerRelay(self.wire)
+        """Build the relay of answers and the pool of connections."""
+        self._answer_relay = answer_relay.AnswerRelay(
+            self.wire, self.connector.monitor
+        )
+        self._pool = client.Pool(self.connector.open, self.connector.may_reuse)
+        self.connector.monitor.on_change.append(self._on_links_changed)
+
+    def _on_links_changed(self, state: link_monitor.LinkState) -> None:
+        """Trust endpoints again whose failures were those of own links."""
+        if state is link_monitor.LinkState.ISOLATED:
+            self.selector.endpoint_table.clear_suspicions()
 
     async def run(
         self, progress: progress_module.CallProgress, exchange: server.Exchange
@@ -216,10 +227,14 @@
         call = progress.call
         try:
             connection = await self._connect(endpoint, call)
+        except errors.NoRelayAvailable as error:
+            send_log.log_failed_send(progress, endpoint, error.message)
+            return progress_module.Outcome.UNREACHED
         except errors.ConnectionFailed as error:
             endpoint.suspect(clock.monotonic(), UNREACHABLE_SUSPECT_SECONDS)
             send_log.log_failed_send(progress, endpoint, error.message)
             return progress_module.Outcome.UNREACHED
+        progress.relayed_by = connection.relayed_by
         if not connection.is_usable():
             await connection.close()
             send_log.log_failed_send(
@@ -239,7 +254,7 @@
                 progress.begin_queueing(endpoint, now),
             )
             await connection.send(request)
-            outcome = await self._answer_relay.relay(
+            outcome = await self._relay_answer(
                 connection, endpoint, progress, exchange
             )
             is_reusable = outcome in (
@@ -257,6 +272,22 @@
             progress.end_queueing(endpoint)
             await self._release_connection(connection, is_reusable, call)
 
+    async def _relay_answer(
+        self,
+        connection: client.Connection,
+        endpoint: endpoints.Endpoint,
+        progress: progress_module.CallProgress,
+        exchange: server.Exchange,
+    ) -> progress_module.Outcome:
+        relaying = self._answer_relay.relay(
+            connection, endpoint, progress, exchange
+        )
+        if not progress.call.route.may_retry:
+            # Its answer is lost for good if the connection is given up.
+            return await relaying
+        with self.connector.interrupted_if_silent(connection):
+            return await relaying
+
     async def _connect(
         self, endpoint: endpoints.Endpoint, call: calls.Call
     ) -> client.Connection:
@@ -269,11 +300,11 @@
         """
         address = endpoint.instance.address
         if call.route.may_retry:
-            return await self.pool.acquire(
+            return await self._pool.acquire(
                 address, connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS
             )
         began = clock.monotonic()
-        connection = await client.open_connection(
+        connection = await self.connector.open(
             address, CONNECT_TIMEOUT_SECONDS
         )
         took = clock.monotonic() - began
@@ -335,7 +366,7 @@
         call: calls.Call,
     ) -> None:
         if is_reusable:
-            await self.pool.release(connection, self._max_idle(call))
+            await self._pool.release(connection, self._max_idle(call))
         else:
             await connection.close()
 
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -65,7 +65,8 @@
     `lease` is the version of the lease on the groups that the daemon wrote,
     or ABSENT if it does not hold the lease.  The holder also sends `kinds`,
     the changes of the kinds of objects that all daemons watch.  `parts` has
-    the evidence on parts of prompts that ran on lost endpoints.
+    the evidence on parts of prompts that ran on lost endpoints.  An `isolated`
+    daemon opens no connections to endpoints.
     """
 
     daemon: ids.DaemonId
@@ -74,12 +75,14 @@
     lease: ids.ObjectVersion = objects.ABSENT_VERSION
     kinds: list[kind_updates.KindUpdate] = []
     parts: list[part_updates.PartUpdate] = []
+    isolated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ReceivedUpdate:
     update_by_id: dict[ids.InstanceId, EndpointUpdate]
     expires_at: clock.MonotonicTime
+    isolated: bool
 
 
 GetPeers = collections.abc.Callable[
@@ -126,6 +129,7 @@
     on_kind_update: OnKindUpdate = lambda update, now: None
     get_part_updates: GetPartUpdates = lambda now: []
     on_part_updates: OnPartUpdates = lambda updates, now: None
+    is_isolated: collections.abc.Callable[[], bool] = lambda: False
     _received_by_daemon: dict[ids.DaemonId, _ReceivedUpdate] = (
         dataclasses.field(default_factory=dict)
     )
@@ -157,6 +161,7 @@
         self._received_by_daemon[update.daemon] = _ReceivedUpdate(
             {item.endpoint: item for item in update.endpoints},
             clock.MonotonicTime(now + seconds),
+            update.isolated,
         )
         if update.lease != objects.ABSENT_VERSION:
             self.on_lease(update.lease, now)
@@ -227,6 +232,18 @@
             self.get_lease(),
             self.get_kind_updates(now),
             self.get_part_updates(now),
+            self.is_isolated(),
+        )
+
+    def is_peer_isolated(
+        self, daemon: ids.DaemonId, now: clock.MonotonicTime
+    ) -> bool:
+        """Return whether a peer said lately that it is isolated."""
+        received = self._received_by_daemon.get(daemon)
+        return (
+            received is not None
+            and received.isolated
+            and now < received.expires_at
         )
 
     def _send(
@@ -237,7 +254,11 @@
     ) -> None:
         """Send an update; of several empty ones in a row only the first."""
         has_content = bool(
-            update.endpoints or update.reports or update.kinds or update.parts
+            update.endpoints
+            or update.reports
+            or update.kinds
+            or update.parts
+            or update.isolated
         )
         lease_changed = update.lease != self._lease_sent
         if not (has_content or self._had_content or lease_changed):
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -43,6 +43,7 @@
     its selection.  `run_count` counts the sends that an endpoint has run.
     `trial_part` is the part in quarantine that the call may try once, and
     `has_success` tells whether an endpoint wrote a success to its end.
+    `relayed_by` is the peer that relays the present send, if any.
     """
 
     call: calls.Call
@@ -56,6 +57,7 @@
     head_received: bool = False
     has_success: bool = False
     trial_part: ids.PromptPartKey | None = None
+    relayed_by: ids.DaemonId | None = None
     tried_ids: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     error_answer: messages.Response | None = None
     refusal: errors.Refusal | None = None
@@ -110,7 +112,9 @@
         A stalled stream counts as run only if the head of the answer was
         received: engines send it with the first event.
         """
-        self.sends.append(f"{endpoint.id}:{outcome.value}")
+        via = f"@{self.relayed_by}" if self.relayed_by else ""
+        self.sends.append(f"{endpoint.id}:{outcome.value}{via}")
+        self.relayed_by = None
         self.current_endpoint = None
         self.tried_ids.add(endpoint.id)
         self.delivered_count += outcome is not Outcome.UNREACHED
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -20,6 +20,7 @@
 from sycamoredale.http import chunked
 from sycamoredale.http import messages
 from sycamoredale.http import sockets
+from sycamoredale import ids
 
 RECEIVE_BYTES: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
@@ -31,9 +32,16 @@
 class Connection:
     """Exchange requests and responses over one socket, one at a time."""
 
-    def __init__(self, address: messages.Address, sock: typing.Any) -> None:
-        """Use a connected socket."""
+    def __init__(
+        self,
+        address: messages.Address,
+        sock: typing.Any,
+        relayed_by: ids.DaemonId | None = None,
+    ) -> None:
+        """Use a connected socket, of a peer if the connection is relayed."""
         self.address: Final = address
+        self.relayed_by: Final = relayed_by
+        self._aborted = False
         self.reused = False
         self._ended = False
         self._chunks: chunked.ChunkedReader | None = None
@@ -154,6 +162,7 @@
 
     def abort(self) -> None:
         """Shut down the socket, so that the current exchange fails."""
+        self._aborted = True
         sockets.shut_down(self._sock, curio.socket.SHUT_RDWR)
 
     async def close(self) -> None:
@@ -178,6 +187,9 @@
             data: bytes = await self._sock.recv(RECEIVE_BYTES)
         except OSError as error:
             raise self._broken(str(error)) from error
+        if self._aborted:
+            # Else an answer without a length would look complete.
+            raise self._broken("the exchange was aborted")
         return data
 
     def _next_received_event(self) -> object:
@@ -194,10 +206,25 @@
         )
 
 
+Connect = collections.abc.Callable[
+    [messages.Address, float], collections.abc.Awaitable[Connection]
+]
+
+
 @dataclasses.dataclass
 class Pool:
-    """Pool idle connections by their remote address."""
+    """Pool idle connections by their remote address.
 
+    `connect` opens a connection within a time or raises ConnectionFailed, and
+    `may_reuse` decides whether an idle one may be used now.
+    """
+
+    connect: Connect = dataclasses.field(
+        default_factory=lambda: open_connection
+    )
+    may_reuse: collections.abc.Callable[[Connection], bool] = (
+        lambda connection: True
+    )
     idle_by_address: dict[messages.Address, list[Connection]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -212,10 +239,10 @@
         idle = self.idle_by_address.get(address)
         while idle and not new_connection:
             connection = idle.pop()
-            if connection.is_usable():
+            if connection.is_usable() and self.may_reuse(connection):
                 return connection
             await connection.close()
-        return await open_connection(address, connect_timeout_seconds)
+        return await self.connect(address, connect_timeout_seconds)
 
     async def release(
         self, connection: Connection, max_idle: int = MAX_IDLE_PER_ADDRESS
@@ -278,6 +305,13 @@
     address: messages.Address, timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
 ) -> Connection:
     """Connect within the timeout; raise ConnectionFailed."""
+    return Connection(address, await open_socket(address, timeout_seconds))
+
+
+async def open_socket(
+    address: messages.Address, timeout_seconds: float
+) -> typing.Any:
+    """Return a connected socket; raise ConnectionFailed."""
     # Addresses are IP addresses; resolving names would cost a worker thread.
     sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
     try:
@@ -291,7 +325,7 @@
             error_codes.CONNECTION_FAILED,
             f"connection to {address} failed: {error!r}",
         ) from error
-    return Connection(address, sock)
+    return sock
 
 
 async def body_chunks(
--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -47,6 +47,22 @@
         self._sock = sock
         self._is_draining = is_draining
 
+    @property
+    def remote_host(self) -> str:
+        """Return the IP address of the sender of the request."""
+        return str(self._sock.getpeername()[0])
+
+    async def switch_protocol(self, protocol: str) -> typing.Any:
+        """Accept an upgrade and return the socket, to be used directly.
+
+        The connection is closed when the exchange ends.
+        """
+        fields = [("Connection", "Upgrade"), ("Upgrade", protocol)]
+        event = h11.InformationalResponse(status_code=101, headers=fields)
+        self._begin()
+        await self._send(self._connection.send(event) or b"")
+        return self._sock
+
     async def respond(self, response: messages.Response) -> None:
         """Write a complete answer."""
         headers = self._headers(_with_length(response, self.request.method))
--- /dev/null
+++ b/sycamoredale/links/connector.py
@@ -0,0 +1,208 @@
+"""Open connections to endpoints, through a peer while this daemon is isolated.
+
+A connection that fails is followed by a question to a peer.  An isolated
+daemon probes its links until they work again.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import random
+import typing
+from typing import Final
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale.http import client
+from sycamoredale.http import messages
+from sycamoredale.links import monitor as monitor_module
+from sycamoredale.links import relay_client
+
+CONNECT_TIMEOUT_SECONDS: Final = 0.3
+CHECK_INTERVAL_SECONDS: Final = 0.1
+PROBE_INTERVAL_SECONDS: Final = 0.5
+PROBES_AT_ONCE: Final = 3
+# A peer that reaches the endpoint answers in some milliseconds.
+ANSWER_WAIT_SECONDS: Final = 0.05
+# A connection opened so recently shows that the links of this daemon work.
+OPENED_RECENTLY_SECONDS: Final = 0.2
+
+GetAddresses = collections.abc.Callable[
+    [], collections.abc.Collection[messages.Address]
+]
+# Returns the endpoints that work for peers while requests of this daemon wait.
+FindWaiting = collections.abc.Callable[
+    [clock.MonotonicTime], collections.abc.Sequence[messages.Address]
+]
+
+
+@dataclasses.dataclass
+class _Check:
+    """Hold the answer of peers that several tasks wait for."""
+
+    answer: relay_client.Reachability = relay_client.Reachability.UNKNOWN
+    done: curio.Event = dataclasses.field(default_factory=curio.Event)
+
+
+@dataclasses.dataclass
+class EndpointConnector:
+    """Open connections, record what that shows, and probe the links."""
+
+    monitor: monitor_module.LinkMonitor
+    relays: relay_client.RelayClient
+    get_addresses: GetAddresses
+    find_waiting: FindWaiting = lambda now: ()
+    rng: random.Random = dataclasses.field(default_factory=random.Random)
+    _check_by_address: dict[messages.Address, _Check] = dataclasses.field(
+        default_factory=dict
+    )
+    _interruptible: set[client.Connection] = dataclasses.field(
+        default_factory=set
+    )
+    _probed_at: clock.MonotonicTime = monitor_module.NEVER
+
+    async def open(
+        self, address: messages.Address, timeout_seconds: float
+    ) -> client.Connection:
+        """Return a connection; raise ConnectionFailed or NoRelayAvailable."""
+        if not self.monitor.is_isolated:
+            try:
+                sock = await self.open_socket(address, timeout_seconds)
+            except errors.ConnectionFailed:
+                check = await self._begin_check(address)
+                async with curio.ignore_after(ANSWER_WAIT_SECONDS):
+                    await check.done.wait()
+                if check.answer is not relay_client.Reachability.REACHABLE:
+                    raise
+            else:
+                return client.Connection(address, sock)
+        self.monitor.metrics.count("links", "relayed")
+        return await self.relays.open(address)
+
+    async def open_socket(
+        self,
+        address: messages.Address,
+        timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+    ) -> typing.Any:
+        """Return a socket of this daemon; raise ConnectionFailed."""
+        try:
+            sock = await client.open_socket(address, timeout_seconds)
+        except errors.ConnectionFailed:
+            self.monitor.record_failed()
+            raise
+        self.monitor.record_opened(address, clock.monotonic())
+        return sock
+
+    async def ask_peers(
+        self, address: messages.Address
+    ) -> relay_client.Reachability:
+        """Ask peers for an endpoint that this daemon does not reach."""
+        check = await self._begin_check(address)
+        await check.done.wait()
+        return check.answer
+
+    async def _begin_check(self, address: messages.Address) -> _Check:
+        """Return the check of an endpoint that runs, or start one."""
+        check = self._check_by_address.get(address)
+        if check is None:
+            check = self._check_by_address[address] = _Check()
+            await curio.spawn(self._run_check, address, check, daemon=True)
+        return check
+
+    async def _run_check(
+        self, address: messages.Address, check: _Check
+    ) -> None:
+        check.answer = await self.relays.check(address)
+        if check.answer is relay_client.Reachability.REACHABLE:
+            self.monitor.record_contradiction(address, clock.monotonic())
+        del self._check_by_address[address]
+        await check.done.set()
+
+    async def is_lost(self, address: messages.Address) -> bool:
+        """Return whether an endpoint accepts no connection of any daemon."""
+        if not self.monitor.is_isolated and await self._probe_one(address):
+            return False
+        answer = await self.ask_peers(address)
+        if self.monitor.is_isolated:
+            return answer is relay_client.Reachability.UNREACHABLE
+        if answer is relay_client.Reachability.UNKNOWN:
+            return await self.reaches_others(address)
+        return answer is relay_client.Reachability.UNREACHABLE
+
+    async def reaches_others(self, address: messages.Address) -> bool:
+        """Return whether this daemon opens connections to other endpoints."""
+        since = clock.monotonic() - OPENED_RECENTLY_SECONDS
+        if self.monitor.opened_at > since:
+            return True
+        others = [a for a in self.get_addresses() if a != address]
+        return not others or await self._probe(others) > 0
+
+    def may_reuse(self, connection: client.Connection) -> bool:
+        """Return whether a kept connection may carry a request now."""
+        if connection.relayed_by is not None:
+            return self.monitor.is_isolated
+        return not self.monitor.is_silent(clock.monotonic())
+
+    @contextlib.contextmanager
+    def interrupted_if_silent(
+        self, connection: client.Connection
+    ) -> collections.abc.Iterator[None]:
+        """Make an exchange fail once the links are found to be dead."""
+        if connection.relayed_by is None:
+            self._interruptible.add(connection)
+        try:
+            yield
+        finally:
+            self._interruptible.discard(connection)
+
+    async def run(self) -> None:
+        """Probe the links where that may change the conclusion."""
+        while True:
+            now = clock.monotonic()
+            if self.monitor.is_silent(now):
+                for connection in self._interruptible:
+                    connection.abort()
+            addresses = self._addresses_to_probe(now)
+            if addresses and now - self._probed_at >= PROBE_INTERVAL_SECONDS:
+                self._probed_at = now
+                await curio.spawn(self._probe_links, addresses, daemon=True)
+            await curio.sleep(CHECK_INTERVAL_SECONDS)
+
+    def _addresses_to_probe(
+        self, now: clock.MonotonicTime
+    ) -> collections.abc.Sequence[messages.Address]:
+        if self.monitor.is_isolated:
+            return list(self.get_addresses())
+        if now - self.monitor.heard_at <= monitor_module.SILENCE_SECONDS:
+            return ()
+        return self.find_waiting(now)
+
+    async def _probe_links(
+        self, addresses: collections.abc.Sequence[messages.Address]
+    ) -> None:
+        """Probe some endpoints, and ask peers if none was reached."""
+        if await self._probe(addresses) or self.monitor.is_isolated:
+            return
+        count = min(PROBES_AT_ONCE, len(addresses))
+        for address in self.rng.sample(addresses, count):
+            await self._begin_check(address)
+
+    async def _probe(
+        self, addresses: collections.abc.Sequence[messages.Address]
+    ) -> int:
+        """Open connections to some addresses; return how many opened."""
+        count = min(PROBES_AT_ONCE, len(addresses))
+        async with curio.TaskGroup() as group:
+            for address in self.rng.sample(addresses, count):
+                await group.spawn(self._probe_one, address)
+        return sum(group.results)
+
+    async def _probe_one(self, address: messages.Address) -> bool:
+        try:
+            sock = await self.open_socket(address)
+        except errors.ConnectionFailed:
+            return False
+        await sock.close()
+        return True
--- /dev/null
+++ b/sycamoredale/links/relay_service.py
@@ -0,0 +1,76 @@
+"""Relay connections to endpoints for peers that have lost their links.
+
+Only daemons that are members may ask, only for endpoints that this daemon
+would use itself, and a relayed connection is never relayed again.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+from typing import Final
+
+from sycamoredale import errors
+from sycamoredale.http import messages
+from sycamoredale.http import server
+from sycamoredale.links import connector as connector_module
+from sycamoredale.links import relay_protocol
+from sycamoredale.membership import view
+from sycamoredale.observability import logs
+
+LOG: Final = logs.get("links.relay")
+
+
+@dataclasses.dataclass
+class RelayService:
+    """Answer the relay requests of peers."""
+
+    connector: connector_module.EndpointConnector
+    members: view.MembershipView
+    may_use: collections.abc.Callable[[messages.Address], bool]
+    is_stopping: collections.abc.Callable[[], bool] = lambda: False
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Relay one connection, or say why not; raise Refusal if malformed."""
+        request = exchange.request
+        address = relay_protocol.parse_endpoint(
+            request.headers.get(relay_protocol.ENDPOINT_HEADER)
+        )
+        status = self._refusal_status(exchange.remote_host, address)
+        sock: typing.Any = None
+        if status is None:
+            try:
+                sock = await self.connector.open_socket(address)
+                status = relay_protocol.SWITCHING_STATUS
+            except errors.ConnectionFailed:
+                status = await self._failure_status(address)
+        self.connector.monitor.metrics.count("relays", f"status_{status}")
+        if sock is None:
+            LOG.info("relay_refused", endpoint=str(address), status=status)
+            await exchange.respond(messages.Response(status))
+            return
+        try:
+            caller = await exchange.switch_protocol(relay_protocol.PROTOCOL)
+            await relay_protocol.copy(caller, sock)
+        finally:
+            await sock.close()
+
+    def _refusal_status(
+        self, host: str, address: messages.Address
+    ) -> int | None:
+        hosts = {
+            messages.parse_address(peer.address).host
+            for peer in self.members.peers()
+        }
+        if host not in hosts:
+            return relay_protocol.FORBIDDEN_STATUS
+        if not self.may_use(address):
+            return relay_protocol.FORBIDDEN_STATUS
+        if self.is_stopping() or self.connector.monitor.is_isolated:
+            return relay_protocol.NO_RELAY_STATUS
+        return None
+
+    async def _failure_status(self, address: messages.Address) -> int:
+        """Return what a failed connection shows of the endpoint."""
+        if await self.connector.reaches_others(address):
+            return relay_protocol.UNREACHABLE_STATUS
+        return relay_protocol.NO_RELAY_STATUS
--- a/sycamoredale/membership/peer_service.py
+++ b/sycamoredale/membership/peer_service.py
@@ -21,12 +21,20 @@
 ]
 
 
+ExchangeHandler = collections.abc.Callable[
+    [server.Exchange], collections.abc.Awaitable[None]
+]
+
+
 @dataclasses.dataclass
 class PeerService:
     """Call peers and dispatch their requests, as JSON over HTTP."""
 
     members: view.MembershipView
     pool: client.Pool
+    upgrade_handlers_by_path: dict[str, ExchangeHandler] = dataclasses.field(
+        default_factory=dict
+    )
     handlers_by_path: dict[str, PeerHandler] = dataclasses.field(
         default_factory=dict
     )
@@ -35,6 +43,10 @@
         """Register the handler of a path; it maps a body to an answer."""
         self.handlers_by_path[path] = handler
 
+    def register_upgrade(self, path: str, handler: ExchangeHandler) -> None:
+        """Register the handler of a path that switches the protocol."""
+        self.upgrade_handlers_by_path[path] = handler
+
     async def call(
         self,
         peer: ids.DaemonId,
@@ -86,11 +98,16 @@
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Dispatch one request of a peer; raise Refusal for other paths."""
-        handler = self.handlers_by_path.get(exchange.request.path)
+        path = exchange.request.path
+        upgrade_handler = self.upgrade_handlers_by_path.get(path)
+        if upgrade_handler is not None:
+            await upgrade_handler(exchange)
+            return
+        handler = self.handlers_by_path.get(path)
         if handler is None:
             raise errors.Refusal(
                 error_codes.NOT_FOUND,
-                f"peer service has no path {exchange.request.path!r}",
+                f"peer service has no path {path!r}",
             )
         body = await handler(exchange.request.body)
         await exchange.respond(messages.Response(200, _NO_HEADERS, body))
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -18,7 +18,6 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import send_log
-from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
@@ -26,6 +25,7 @@
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import poison
 from tests import instance_fixtures
+from tests import link_fixtures
 from tests import test_platform_codec as codec
 
 EVENTS = 6
@@ -35,6 +35,8 @@
 class Endpoint:
     """Stream numbered events, and fail with `fault` after event `fail_at`."""
 
+    event_seconds = EVENT_SECONDS
+
     def __init__(self, name, fault=None, fail_at=0):
         self.name = name
         self.fault = fault
@@ -75,7 +77,7 @@
             if self.fault and number > self.fail_at:
                 await self._fail(exchange)
             await exchange.write(b"id: %d\ndata: x\n\n" % number)
-            await curio.sleep(EVENT_SECONDS)
+            await curio.sleep(self.event_seconds)
         await exchange.finish()
 
     async def _fail(self, exchange):
@@ -147,9 +149,9 @@
             retry_budget.RetryBudget(
                 0.2, 100.0, 10.0, lambda: 1, clock.MonotonicTime(0.0)
             ),
-            client.Pool(),
             poison.PoisonDetector(),
             part_admission.PartAdmission(),
+            link_fixtures.connector(endpoint_table),
         )
         self.may_retry = may_retry
         self.seconds = seconds
@@ -250,7 +252,7 @@
     site = Site(endpoint)
     site.forwarder.count_daemons = lambda: daemons
     site.run()
-    idle = site.forwarder.pool.idle_by_address[endpoint.address]
+    idle = site.forwarder._pool.idle_by_address[endpoint.address]
     assert len(idle) == kept
 
 
--- /dev/null
+++ b/tests/test_isolated_daemon.py
@@ -0,0 +1,151 @@
+"""Test that callers of a daemon without links to endpoints are served."""
+
+import curio
+import pytest
+
+from sycamoredale import clock
+from sycamoredale import errors
+from sycamoredale.forwarding import progress as progress_module
+from tests import link_fixtures
+from tests import test_forwarder
+
+ENDPOINTS = 5
+# Requests sent later than this after the cut must be answered.
+CONTACT_SECONDS = 3.0
+PEER_UPDATE_SECONDS = 0.05
+
+
+class SlowEndpoint(test_forwarder.Endpoint):
+    """Stream events over more time than it takes to notice a cut."""
+
+    event_seconds = 0.4
+
+
+class Site(test_forwarder.Site):
+    """Run the forwarder of one daemon that has a peer."""
+
+    def __init__(self, *servers, build=link_fixtures.Connector, **options):
+        super().__init__(*servers, **options)
+        self.own = link_fixtures.Daemon(
+            "own",
+            servers,
+            connector=link_fixtures.connector(
+                self.endpoint_table, link_fixtures.members("own"), build
+            ),
+        )
+        self.peer = link_fixtures.Daemon("peer", servers)
+        self.forwarder.connector = self.own.connector
+        self.forwarder.__post_init__()
+
+    async def start(self):
+        """Start endpoints, the peer and the checks of the links."""
+        for item in self.servers:
+            await item.server.start()
+        await self.peer.start()
+        self.peer.know(self.own)
+        self.own.know(self.peer)
+        await curio.spawn(self.own.connector.run, daemon=True)
+        await curio.spawn(self._hear_of_progress, daemon=True)
+
+    async def _hear_of_progress(self):
+        """Record the progress that peers see."""
+        while True:
+            now = clock.monotonic()
+            for endpoint in self.endpoint_table.by_id.values():
+                endpoint.record_progress(now)
+            await curio.sleep(PEER_UPDATE_SECONDS)
+
+    async def send(self):
+        """Return the caller, the progress and the refusal of a call."""
+        caller = test_forwarder.Caller()
+        progress = progress_module.begin(self.call())
+        refusal = None
+        try:
+            await self.forwarder.run(progress, caller)
+        except errors.Refusal as error:
+            refusal = error
+        return caller, progress, refusal
+
+    def count_requests(self):
+        """Count the requests that reached an endpoint."""
+        return sum(len(server.requests) for server in self.servers)
+
+
+def _endpoints(kind=test_forwarder.Endpoint):
+    return [kind(f"i{n}") for n in range(ENDPOINTS)]
+
+
+# Guards against callers that are refused because their daemon alone has lost
+# its links, while daemons with links stand beside it.
+@pytest.mark.parametrize("may_retry", [True, False])
+def test_callers_of_an_isolated_daemon_are_served_by_its_peers(may_retry):
+    site = Site(*_endpoints(), may_retry=may_retry)
+
+    async def main():
+        await site.start()
+        site.own.connector.cut = True
+        cut_at = clock.monotonic()
+        while clock.monotonic() < cut_at + CONTACT_SECONDS / 2:
+            await site.send()
+        before = site.count_requests()
+        for _ in range(10):
+            caller, progress, _ = await site.send()
+            assert caller.finished
+            assert progress.sends[0].endswith("answered@peer")
+        assert site.count_requests() == before + 10
+        site.own.connector.cut = False
+        await curio.sleep(CONTACT_SECONDS / 2)
+        _, progress, _ = await site.send()
+        assert progress.sends[0].endswith("answered")
+
+    curio.run(main)
+
+
+# Guards against streams that wait on a dead connection for as long as peers
+# see progress at its endpoint.
+def test_stream_on_a_link_that_hangs_is_resumed_through_a_peer():
+    site = Site(
+        *_endpoints(SlowEndpoint), build=link_fixtures.HangingConnector
+    )
+
+    async def main():
+        await site.start()
+        sending = await curio.spawn(site.send)
+        await curio.sleep(2.5 * SlowEndpoint.event_seconds)
+        site.own.connector.cut = True
+        caller, progress, _ = await sending.join()
+        assert caller.finished
+        assert progress.sends[0].endswith("broken")
+        assert progress.sends[-1].endswith("answered@peer")
+
+    curio.run(main)
+
+
+# Guards against calls that wait for nothing where no daemon has links.
+def test_callers_are_refused_at_once_if_no_daemon_has_links():
+    site = Site(*_endpoints())
+
+    async def main():
+        await site.start()
+        site.own.connector.cut = True
+        site.own.isolate()
+        site.peer.isolate()
+        began = clock.monotonic()
+        _, _, refusal = await site.send()
+        assert clock.monotonic() - began < 0.25
+        assert refusal.execution.value == "not_run"
+        assert refusal.code.status == 503
+
+    curio.run(main)
+
+
+# Guards against an empty pool of endpoints: the failures of the own links are
+# booked on endpoints that are sound.
+def test_endpoints_are_trusted_again_once_the_links_are_to_blame():
+    site = Site(*_endpoints())
+    table = site.endpoint_table
+    for endpoint in table.by_id.values():
+        endpoint.suspect(clock.monotonic())
+    site.own.isolate()
+    now = clock.monotonic()
+    assert not any(e.is_suspect(now) for e in table.by_id.values())
