Count a crash only if a peer does not reach the endpoint either

A link has two ends. A crash is now counted if this daemon opens no connection and a peer with working links does not either; if no peer can tell, opening a connection to another endpoint shows that the own links work. Through a relay the peer's word counts, so crashes behind one are still counted.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -325,11 +325,7 @@
         A connection also breaks when the group is closed or when packets
         are lost, so a broken connection alone does not prove a crash.
         """
-        try:
-            connection = await client.open_connection(
-                endpoint.instance.address, CONNECT_TIMEOUT_SECONDS
-            )
-        except errors.ConnectionFailed:
+        if await self.connector.is_lost(endpoint.instance.address):
             crash = poison.Crash(
                 call.fingerprint,
                 ids.EndpointId(endpoint.id),
@@ -356,8 +352,6 @@
                 score=self.poison_detector.score(crash.fingerprint, now),
                 poisoned=is_poisoned,
             )
-        else:
-            await connection.close()
 
     async def _release_connection(
         self,
--- a/sycamoredale/links/connector.py
+++ b/sycamoredale/links/connector.py
@@ -26,8 +26,6 @@
 PROBES_AT_ONCE: Final = 3
 # A peer that reaches the endpoint answers in some milliseconds.
 ANSWER_WAIT_SECONDS: Final = 0.05
-# A connection opened so recently shows that the links of this daemon work.
-OPENED_RECENTLY_SECONDS: Final = 0.2
 
 GetAddresses = collections.abc.Callable[
     [], collections.abc.Collection[messages.Address]
@@ -122,18 +120,25 @@
 
     async def is_lost(self, address: messages.Address) -> bool:
         """Return whether an endpoint accepts no connection of any daemon."""
+        began = clock.monotonic()
         if not self.monitor.is_isolated and await self._probe_one(address):
             return False
         answer = await self.ask_peers(address)
         if self.monitor.is_isolated:
             return answer is relay_client.Reachability.UNREACHABLE
         if answer is relay_client.Reachability.UNKNOWN:
-            return await self.reaches_others(address)
+            if not self.relays.has_peers():
+                return True
+            return await self.reaches_others(address, began)
         return answer is relay_client.Reachability.UNREACHABLE
 
-    async def reaches_others(self, address: messages.Address) -> bool:
-        """Return whether this daemon opens connections to other endpoints."""
-        since = clock.monotonic() - OPENED_RECENTLY_SECONDS
+    async def reaches_others(
+        self, address: messages.Address, since: clock.MonotonicTime
+    ) -> bool:
+        """Return whether this daemon opened a connection since some time.
+
+        It tries other endpoints than the one at the address.
+        """
         if self.monitor.opened_at > since:
             return True
         others = [a for a in self.get_addresses() if a != address]
--- a/sycamoredale/links/relay_client.py
+++ b/sycamoredale/links/relay_client.py
@@ -70,6 +70,10 @@
         await connection.close()
         return Reachability.REACHABLE
 
+    def has_peers(self) -> bool:
+        """Return whether this daemon knows any other."""
+        return any(True for _ in self.members.peers())
+
     def _candidates(self) -> list[view.Peer]:
         """Return the peers to ask, in random order.
 
--- a/sycamoredale/links/relay_service.py
+++ b/sycamoredale/links/relay_service.py
@@ -9,6 +9,7 @@
 import typing
 from typing import Final
 
+from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.http import messages
 from sycamoredale.http import server
@@ -37,12 +38,13 @@
         )
         status = self._refusal_status(exchange.remote_host, address)
         sock: typing.Any = None
+        began = clock.monotonic()
         if status is None:
             try:
                 sock = await self.connector.open_socket(address)
                 status = relay_protocol.SWITCHING_STATUS
             except errors.ConnectionFailed:
-                status = await self._failure_status(address)
+                status = await self._failure_status(address, began)
         self.connector.monitor.metrics.count("relays", f"status_{status}")
         if sock is None:
             LOG.info("relay_refused", endpoint=str(address), status=status)
@@ -69,8 +71,10 @@
             return relay_protocol.NO_RELAY_STATUS
         return None
 
-    async def _failure_status(self, address: messages.Address) -> int:
+    async def _failure_status(
+        self, address: messages.Address, began: clock.MonotonicTime
+    ) -> int:
         """Return what a failed connection shows of the endpoint."""
-        if await self.connector.reaches_others(address):
+        if await self.connector.reaches_others(address, began):
             return relay_protocol.UNREACHABLE_STATUS
         return relay_protocol.NO_RELAY_STATUS
--- a/tests/link_fixtures.py
+++ b/tests/link_fixtures.py
@@ -10,6 +10,7 @@
 from sycamoredale import errors
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale.http import sockets
 from sycamoredale import ids
 from sycamoredale.links import connector as connector_module
 from sycamoredale.links import monitor
@@ -78,6 +79,29 @@
         await target.close()
 
 
+class BreakingConnector(Connector):
+    """Break the open connections when the links are cut."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.opened = []
+
+    async def open_socket(
+        self, address, timeout_seconds=connector_module.CONNECT_TIMEOUT_SECONDS
+    ):
+        """Return a socket, and remember it."""
+        sock = await super().open_socket(address, timeout_seconds)
+        self.opened.append(sock)
+        return sock
+
+    def cut_links(self):
+        """Shut all connections down and open no other."""
+        self.cut = True
+        for sock in filter(lambda sock: sock._socket, self.opened):
+            sockets.shut_down(sock, socket.SHUT_RDWR)
+        self.opened.clear()
+
+
 def connector(endpoint_table, known=None, build=Connector):
     """Return the connector of a daemon, which has no peers by default."""
     return build(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -220,7 +220,6 @@
             reachable = relay_client.Reachability.REACHABLE
             assert await check(sound.address) is reachable
             peer.connector.cut = True
-            await curio.sleep(0.25)
             unknown = relay_client.Reachability.UNKNOWN
             assert await check(lost.address) is unknown
 
