Count the crash of an endpoint that starts again at once

A request that was cut off on an endpoint that still accepts connections is now kept for ten seconds. If the list of instances shows in that time that the endpoint has ended (a later start, or another instance at its address), it counts as lost at the time of the break.

test_crash_of_an_endpoint_that_starts_again_at_once_is_counted[True] failed before and passes. Endpoints that fall silent are still not counted: a member that is lost looks the same.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -34,6 +34,7 @@
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
+from sycamoredale.requests import unconfirmed_losses
 
 # A healthy zone accepts a connection in a few milliseconds.
 CONNECT_TIMEOUT_SECONDS: Final = connector_module.CONNECT_TIMEOUT_SECONDS
@@ -75,6 +76,8 @@
         )
         self._pool = client.Pool(self.connector.open, self.connector.may_reuse)
         self.connector.monitor.on_change.append(self._on_links_changed)
+        self._unconfirmed_losses = unconfirmed_losses.UnconfirmedLosses()
+        self.selector.instances.on_change.append(self._count_ended_endpoints)
 
     def _on_links_changed(self, state: link_monitor.LinkState) -> None:
         """Trust endpoints again whose failures were those of own links."""
@@ -325,33 +328,58 @@
         A connection also breaks when the group is closed or when packets
         are lost, so a broken connection alone does not prove a crash.
         """
-        if await self.connector.is_lost(endpoint.instance.address):
-            crash = poison.Crash(
-                call.fingerprint,
-                ids.EndpointId(endpoint.id),
-                endpoint.instance.domain,
-                alone=active_request.ran_alone,
-            )
-            now = clock.monotonic()
-            is_poisoned = self.poison_detector.record_crash(crash, now)
-            self.parts.quarantine.record_loss(
-                call.part_keys,
-                part_evidence.incarnation_key(
-                    endpoint.id, endpoint.instance.started_ms
-                ),
-                call.id,
-                now,
-                endpoint.instance.domain,
-            )
-            LOG.info(
-                "crash_counted",
-                request=call.id,
-                endpoint=crash.endpoint,
-                alone=crash.alone,
-                parts=call.part_keys,
-                score=self.poison_detector.score(crash.fingerprint, now),
-                poisoned=is_poisoned,
-            )
+        instance = endpoint.instance
+        lost = unconfirmed_losses.LostRequest(
+            call.id,
+            call.fingerprint,
+            call.part_keys,
+            instance.id,
+            instance.started_ms,
+            instance.domain,
+            active_request.ran_alone,
+            clock.monotonic(),
+        )
+        if await self.connector.is_lost(instance.address):
+            self._count_crash(lost, clock.monotonic())
+        else:
+            self._unconfirmed_losses.add(lost)
+
+    def _count_ended_endpoints(self) -> None:
+        """Count the crashes that the list of instances confirms."""
+        now = clock.monotonic()
+        confirmed = self._unconfirmed_losses.take_confirmed(
+            self.selector.instances.has_ended, now
+        )
+        for lost in confirmed:
+            self._count_crash(lost, now)
+
+    def _count_crash(
+        self, lost: unconfirmed_losses.LostRequest, now: clock.MonotonicTime
+    ) -> None:
+        crash = poison.Crash(
+            lost.fingerprint,
+            ids.EndpointId(lost.endpoint),
+            lost.domain,
+            alone=lost.ran_alone,
+        )
+        is_poisoned = self.poison_detector.record_crash(crash, now)
+        self.parts.quarantine.record_loss(
+            lost.part_keys,
+            part_evidence.incarnation_key(lost.endpoint, lost.started_ms),
+            lost.request,
+            lost.at,
+            lost.domain,
+        )
+        LOG.info(
+            "crash_counted",
+            request=lost.request,
+            endpoint=crash.endpoint,
+            alone=crash.alone,
+            parts=lost.part_keys,
+            score=self.poison_detector.score(crash.fingerprint, now),
+            poisoned=is_poisoned,
+            ms_ago=int(1000 * (now - lost.at)),
+        )
 
     async def _release_connection(
         self,
--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -231,6 +231,13 @@
         until = self.cold_until_by_id.get(instance)
         return until is not None and now < until
 
+    def has_ended(self, instance: ids.InstanceId, started_ms: int) -> bool:
+        """Return whether an instance that started at a time has ended."""
+        if self.incarnations.has_ended(instance):
+            return True
+        known = self.by_id.get(instance)
+        return known is not None and known.started_ms > started_ms
+
     def of_service(
         self, service: ids.ServiceName
     ) -> collections.abc.Iterator[instance_state.Instance]:
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -3,13 +3,16 @@
 import dataclasses
 
 import curio
+import pytest
 
+from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
+from tests import instance_fixtures
 from tests import test_forwarder
 
 ENDPOINTS = 12
@@ -28,6 +31,13 @@
         await super()._handle(exchange)
 
 
+class RestartingEndpoint(CrashingEndpoint):
+    """Crash as well, and accept connections again at once."""
+
+    async def _fail(self, exchange):
+        raise ConnectionAbortedError(self.fault)
+
+
 class Site(test_forwarder.Site):
     """Send requests of which no two are alike."""
 
@@ -101,3 +111,28 @@
     last = refusals[-1]
     assert last.execution.value == "not_run"
     assert last.code.status == 503
+
+
+# Guards against crashes that leave no trace: the endpoint that starts again at
+# once accepts the connection by which a crash is looked for.
+@pytest.mark.parametrize("starts_again", [True, False])
+def test_crash_of_an_endpoint_that_starts_again_at_once_is_counted(
+    starts_again,
+):
+    server = RestartingEndpoint("i0")
+    site = Site(server)
+    instances = site.forwarder.selector.instances
+
+    async def main():
+        await site.start()
+        await site.send(SHARED, CRASHING)
+        if starts_again:
+            restarted = instance_fixtures.instance(
+                "i1", address=server.address, started_ms=2000
+            )
+            instances.apply_listed(restarted, clock.monotonic())
+
+    curio.run(main)
+    evidence = site.forwarder.parts.quarantine.evidence_by_part.values()
+    losses = [len(e.loss_by_incarnation) for e in evidence]
+    assert losses == ([1, 1] if starts_again else [])
