--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -34,11 +34,8 @@
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale import leases
+from sycamoredale.links import assembly
 from sycamoredale.links import connector
-from sycamoredale.links import monitor as link_monitor
-from sycamoredale.links import relay_client
-from sycamoredale.links import relay_protocol
-from sycamoredale.links import relay_service
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
@@ -93,7 +90,6 @@
         )
         self._node = self._build_node()
         self._metric_registry = exposition.MetricRegistry()
-        self._links = self._build_link_monitor()
         self._connector = self._build_connector()
         self._part_quarantine = part_quarantine.PartQuarantine(
             self._metric_registry
@@ -113,7 +109,7 @@
             self._on_kind_update,
             self._part_quarantine.take_updates,
             self._part_quarantine.receive_updates,
-            lambda: self._links.is_isolated,
+            lambda: self._connector.monitor.is_isolated,
         )
         self._group_controller = self._build_group_controller()
         self._watcher_by_kind = {w.kind: w for w in self._build_watchers()}
@@ -126,7 +122,6 @@
         )
         self._metrics = server.Server(self._answer_metrics)
         self._is_stopping = False
-        self._register_relay()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
@@ -287,42 +282,25 @@
             self._is_lease_candidate,
             self._peer_updates.outbox.put,
             self._endpoints.last_progress_at,
-            lambda: self._links.is_isolated,
+            lambda: self._connector.monitor.is_isolated,
             lambda instance: self._connector.is_reached_by_peers(
                 instance.address
             ),
         )
 
-    def _build_link_monitor(self) -> link_monitor.LinkMonitor:
-        return link_monitor.LinkMonitor(
-            lambda: len(self._endpoints.by_id),
-            self._metric_registry,
-        )
-
     def _build_connector(self) -> connector.EndpointConnector:
-        return connector.EndpointConnector(
-            self._links,
-            relay_client.RelayClient(
-                self._node.members,
-                lambda daemon: self._peer_updates.is_peer_isolated(
-                    daemon, clock.monotonic()
-                ),
-            ),
-            lambda: [
-                endpoint.instance.address
-                for endpoint in self._endpoints.by_id.values()
-            ],
+        sources = assembly.LinkSources(
+            self._endpoints.addresses,
             self._endpoints.waiting_addresses,
-        )
-
-    def _register_relay(self) -> None:
-        service = relay_service.RelayService(
-            self._connector,
-            self._node.members,
             self._may_relay_to,
             lambda: self._is_stopping,
+            lambda daemon: self._peer_updates.is_peer_isolated(
+                daemon, clock.monotonic()
+            ),
+        )
+        return assembly.assemble(
+            self._node.peers, sources, self._metric_registry
         )
-        self._node.peers.register_upgrade(relay_protocol.PATH, service.handle)
 
     def _may_relay_to(self, address: messages.Address) -> bool:
         zones_out = self._evacuation_handler.zones_out
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -22,15 +22,14 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale.links import assembly
 from sycamoredale.links import connector
 from sycamoredale.links import monitor as link_monitor
-from sycamoredale.links import relay_client
-from sycamoredale.links import relay_protocol
-from sycamoredale.links import relay_service
 from sycamoredale.membership import freshness
 from sycamoredale.membership import gossip
 from sycamoredale.membership import view
 from sycamoredale.object_api import budget
+from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 from sycamoredale.observability import metrics
 from sycamoredale.observability import request_observer
@@ -194,23 +193,16 @@
         return selector
 
     def _build_connector(self) -> connector.EndpointConnector:
-        links = link_monitor.LinkMonitor(
-            lambda: len(self._routing_table.by_id),
-            on_change=[self._on_links_changed],
-        )
-        built = connector.EndpointConnector(
-            links,
-            relay_client.RelayClient(self._members),
+        sources = assembly.LinkSources(
             self._endpoint_addresses,
             self._waiting_addresses,
-        )
-        service = relay_service.RelayService(
-            built,
-            self._members,
             lambda address: address in self._endpoint_addresses(),
             lambda: self._server.draining,
         )
-        self._node.peers.register_upgrade(relay_protocol.PATH, service.handle)
+        built = assembly.assemble(
+            self._node.peers, sources, exposition.MetricRegistry()
+        )
+        built.monitor.on_change.append(self._on_links_changed)
         return built
 
     def _endpoint_addresses(self) -> list[messages.Address]:
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -206,6 +206,10 @@
         )
         return head.last_progress_at if head else clock.MonotonicTime(0.0)
 
+    def addresses(self) -> list[messages.Address]:
+        """Return the addresses of all endpoints."""
+        return [e.instance.address for e in self.by_id.values()]
+
     def waiting_addresses(
         self, now: clock.MonotonicTime
     ) -> list[messages.Address]:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import answer_relay
 from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import crash_counting
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import progress as progress_module
@@ -26,15 +27,11 @@
 from sycamoredale.http import caller_disconnect
 from sycamoredale.http import client
 from sycamoredale.http import server
-from sycamoredale import ids
 from sycamoredale.links import connector as connector_module
 from sycamoredale.links import monitor as link_monitor
-from sycamoredale.observability import logs
 from sycamoredale.requests import active_requests
 from sycamoredale.requests import part_admission
-from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
-from sycamoredale.requests import unconfirmed_losses
 
 # A healthy zone accepts a connection in a few milliseconds.
 CONNECT_TIMEOUT_SECONDS: Final = connector_module.CONNECT_TIMEOUT_SECONDS
@@ -54,7 +51,6 @@
 # up on a silent stream after about two seconds.
 CAPACITY_WAIT_SECONDS: Final = 1.5
 CAPACITY_POLL_SECONDS: Final = 0.05
-LOG: Final = logs.get("forwarding")
 
 
 @dataclasses.dataclass
@@ -76,8 +72,12 @@
         )
         self._pool = client.Pool(self.connector.open, self.connector.may_reuse)
         self.connector.monitor.on_change.append(self._on_links_changed)
-        self._unconfirmed_losses = unconfirmed_losses.UnconfirmedLosses()
-        self.selector.instances.on_change.append(self._count_ended_endpoints)
+        self._crash_counter = crash_counting.CrashCounter(
+            self.connector,
+            self.selector.instances,
+            self.poison_detector,
+            self.parts.quarantine,
+        )
 
     def _on_links_changed(self, state: link_monitor.LinkState) -> None:
         """Trust endpoints again whose failures were those of own links."""
@@ -210,8 +210,8 @@
                 endpoint, progress, exchange
             )
             if outcome is progress_module.Outcome.BROKEN:
-                await self._record_crash(
-                    endpoint, progress.call, active_request
+                await self._crash_counter.record_broken(
+                    progress.call, endpoint, active_request.ran_alone
                 )
             elif progress.has_success:
                 self.parts.quarantine.record_answer(
@@ -317,70 +317,6 @@
         await curio.sleep(reset_wait)
         return connection
 
-    async def _record_crash(
-        self,
-        endpoint: endpoints.Endpoint,
-        call: calls.Call,
-        active_request: active_requests.ActiveRequest,
-    ) -> None:
-        """Record a crash if the endpoint accepts no new connection.
-
-        A connection also breaks when the group is closed or when packets
-        are lost, so a broken connection alone does not prove a crash.
-        """
-        instance = endpoint.instance
-        lost = unconfirmed_losses.LostRequest(
-            call.id,
-            call.fingerprint,
-            call.part_keys,
-            instance.id,
-            instance.started_ms,
-            instance.domain,
-            active_request.ran_alone,
-            clock.monotonic(),
-        )
-        if await self.connector.is_lost(instance.address):
-            self._count_crash(lost, clock.monotonic())
-        else:
-            self._unconfirmed_losses.add(lost)
-
-    def _count_ended_endpoints(self) -> None:
-        """Count the crashes that the list of instances confirms."""
-        now = clock.monotonic()
-        confirmed = self._unconfirmed_losses.take_confirmed(
-            self.selector.instances.has_ended, now
-        )
-        for lost in confirmed:
-            self._count_crash(lost, now)
-
-    def _count_crash(
-        self, lost: unconfirmed_losses.LostRequest, now: clock.MonotonicTime
-    ) -> None:
-        crash = poison.Crash(
-            lost.fingerprint,
-            ids.EndpointId(lost.endpoint),
-            lost.domain,
-            alone=lost.ran_alone,
-        )
-        is_poisoned = self.poison_detector.record_crash(crash, now)
-        self.parts.quarantine.record_loss(
-            lost.part_keys,
-            part_evidence.incarnation_key(lost.endpoint, lost.started_ms),
-            lost.request,
-            lost.at,
-            lost.domain,
-        )
-        LOG.info(
-            "crash_counted",
-            request=lost.request,
-            endpoint=crash.endpoint,
-            alone=crash.alone,
-            parts=lost.part_keys,
-            score=self.poison_detector.score(crash.fingerprint, now),
-            poisoned=is_poisoned,
-            ms_ago=int(1000 * (now - lost.at)),
-        )
-
     async def _release_connection(
         self,
         connection: client.Connection,
