Ask peers about a lost endpoint once, and doubt own links sooner

An answer that a peer does not reach the endpoint either holds for a second; two peers are asked at once, the next only if one cannot tell; a peer tests its links by one connection. A peer that hears nothing from its own endpoints while requests wait there says at once that it cannot tell.

Two tests more: a crashing first part, and two crashing parts in a minute.

--- a/sycamoredale/links/connector.py
+++ b/sycamoredale/links/connector.py
@@ -24,14 +24,23 @@
 CHECK_INTERVAL_SECONDS: Final = 0.1
 PROBE_INTERVAL_SECONDS: Final = 0.5
 PROBES_AT_ONCE: Final = 5
+PROBES_WHILE_ISOLATED: Final = 3
 # A lost packet would be repeated after a second only.
 PROBE_TIMEOUT_SECONDS: Final = 0.15
 # With a few streams, events arrive every few milliseconds.
 QUIET_SECONDS: Final = 0.25
 # How long a connection opened since then is proof enough.
 QUIET_CHECK_SECONDS: Final = 1.0
-# How long nobody is asked again after peers could not tell.
-ANSWER_TTL_SECONDS: Final = 0.3
+# How long nobody is asked again.  A lost instance is probed several times a
+# second until it leaves the list.
+ANSWER_TTL_SECONDS: Final = {
+    relay_client.Reachability.REACHABLE: 0.0,
+    relay_client.Reachability.UNREACHABLE: 1.0,
+    relay_client.Reachability.UNKNOWN: 0.3,
+}
+# How long a daemon does not test its links again after it reached nobody.
+LINK_TEST_PAUSE_SECONDS: Final = 0.3
+LINK_TESTS: Final = 2
 # A peer that reaches the endpoint answers in some milliseconds.
 ANSWER_WAIT_SECONDS: Final = 0.05
 
@@ -57,9 +66,8 @@
         """Return whether the check runs, or its answer still holds."""
         if self.ended_at is None:
             return True
-        if self.answer.peer is None:
-            return now - self.ended_at < ANSWER_TTL_SECONDS
-        return False
+        ttl_seconds = ANSWER_TTL_SECONDS[self.answer.reachability]
+        return now - self.ended_at < ttl_seconds
 
 
 @dataclasses.dataclass
@@ -197,10 +205,12 @@
             return True
         async with self._probe_lock:
             now = clock.monotonic()
-            if now - self._reached_none_at < ANSWER_TTL_SECONDS:
+            if now - self._reached_none_at < LINK_TEST_PAUSE_SECONDS:
                 return False
-            if await self._probe(others):
-                return True
+            count = min(LINK_TESTS, len(others))
+            for other in self.rng.sample(others, count):
+                if await self._probe_one(other):
+                    return True
             self._reached_none_at = clock.monotonic()
             return False
 
@@ -235,6 +245,10 @@
                 await curio.spawn(self._probe_links, addresses, daemon=True)
             await curio.sleep(CHECK_INTERVAL_SECONDS)
 
+    def doubts_links(self, now: clock.MonotonicTime) -> bool:
+        """Return whether this daemon may just have lost its links."""
+        return bool(self._addresses_to_probe(now))
+
     def _addresses_to_probe(
         self, now: clock.MonotonicTime
     ) -> collections.abc.Sequence[messages.Address]:
@@ -261,7 +275,12 @@
         self, addresses: collections.abc.Sequence[messages.Address]
     ) -> int:
         """Open connections to some addresses; return how many opened."""
-        count = min(PROBES_AT_ONCE, len(addresses))
+        limit = (
+            PROBES_WHILE_ISOLATED
+            if self.monitor.is_isolated
+            else PROBES_AT_ONCE
+        )
+        count = min(limit, len(addresses))
         async with curio.TaskGroup() as group:
             for address in self.rng.sample(addresses, count):
                 await group.spawn(self._probe_one, address)
--- a/sycamoredale/links/relay_client.py
+++ b/sycamoredale/links/relay_client.py
@@ -21,7 +21,9 @@
 PEER_CONNECT_SECONDS: Final = 0.15
 # Includes the connection of the peer to the endpoint.
 ANSWER_SECONDS: Final = 0.5
-MAX_PEERS_ASKED: Final = 3
+PEERS_ASKED_AT_ONCE: Final = 2
+MAX_PEERS_ASKED: Final = 6
+MAX_PEERS_TRIED: Final = 3
 LOG: Final = logs.get("links.relay")
 
 
@@ -61,7 +63,7 @@
         Raises ConnectionFailed if a peer with links does not reach the
         endpoint, and NoRelayAvailable if there is no such peer.
         """
-        for peer in self._candidates()[:MAX_PEERS_ASKED]:
+        for peer in self._candidates()[:MAX_PEERS_TRIED]:
             try:
                 return await open_through(peer, address)
             except errors.NoRelayAvailable as error:
@@ -72,14 +74,15 @@
         )
 
     async def check(self, address: messages.Address) -> Answer:
-        """Return the first answer of a few peers that can tell.
+        """Return the first answer of a peer that can tell.
 
-        They are asked at once, because one that has just lost its links as
-        well takes long to say that it cannot tell.
+        Two are asked at once, because one that has just lost its links as
+        well may take long to say that it cannot tell.
         """
+        candidates = iter(self._candidates()[:MAX_PEERS_ASKED])
         async with curio.TaskGroup() as group:
-            for peer in self._candidates()[:MAX_PEERS_ASKED]:
-                await group.spawn(_check_through, peer, address)
+            for _ in range(PEERS_ASKED_AT_ONCE):
+                await group.spawn(_check_in_turn, candidates, address)
             async for task in group:
                 answer = task.result
                 if answer.reachability is not Reachability.UNKNOWN:
@@ -109,6 +112,17 @@
         return sorted(peers[:2], key=lambda p: p.zone != zone) + peers[2:]
 
 
+async def _check_in_turn(
+    peers: collections.abc.Iterator[view.Peer], address: messages.Address
+) -> Answer:
+    """Ask peers one after the other until one can tell."""
+    for peer in peers:
+        answer = await _check_through(peer, address)
+        if answer.reachability is not Reachability.UNKNOWN:
+            return answer
+    return NO_ANSWER
+
+
 async def _check_through(peer: view.Peer, address: messages.Address) -> Answer:
     try:
         connection = await open_through(peer, address)
--- a/sycamoredale/links/relay_service.py
+++ b/sycamoredale/links/relay_service.py
@@ -69,7 +69,9 @@
             return relay_protocol.FORBIDDEN_STATUS
         if not self.may_use(address):
             return relay_protocol.FORBIDDEN_STATUS
-        if self.is_stopping() or self.connector.monitor.is_isolated:
+        if self.is_stopping() or self.connector.doubts_links(
+            clock.monotonic()
+        ):
             return relay_protocol.NO_RELAY_STATUS
         return None
 
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -119,6 +119,26 @@
     assert all(CRASHING in d.quarantine_by_part for d in daemons)
 
 
+def test_first_part_of_the_prompt_may_be_the_one_to_blame():
+    quarantine = part_quarantine.PartQuarantine()
+    for number in range(4):
+        own = part_evidence.part_key(SERVICE, f"own{number}")
+        _lose(quarantine, [CRASHING, own], number, START + number)
+        quarantine.record_answer([SHARED, SOUND], START + number)
+    assert set(quarantine.quarantine_by_part) == {CRASHING}
+
+
+def test_two_crashing_parts_in_one_minute_are_both_blamed():
+    quarantine = part_quarantine.PartQuarantine()
+    other = part_evidence.part_key(SERVICE, "other")
+    for number in range(12):
+        now = clock.MonotonicTime(START + 2 * number)
+        part = other if number % 2 else CRASHING
+        _lose(quarantine, [SHARED, part], number, now)
+        quarantine.record_answer([SHARED], now + 0.5)
+    assert set(quarantine.quarantine_by_part) == {CRASHING, other}
+
+
 def test_endpoint_that_starts_again_under_its_id_counts_again():
     quarantine = part_quarantine.PartQuarantine()
     for started in range(3):
