Let a peer that stops finish what it relays

Callers of an isolated daemon would have lost their answers in a planned stop of another one: the peer waited for its own calls and ended with its relays.

A peer that stops now waits until no relay has carried anything for two seconds, within its time of grace; relays of kept connections that carry no request do not hold it up. test_peer_that_stops_waits_for_what_it_relays is new with the method that it calls.

--- a/benchmarks/relay_hop.py
+++ b/benchmarks/relay_hop.py
@@ -12,6 +12,7 @@
 import curio
 import curio.socket
 
+from sycamoredale import clock
 from sycamoredale.http import chunked
 from sycamoredale.http import client
 from sycamoredale.http import messages
@@ -42,7 +43,8 @@
     if relayed:
         own, caller = curio.socket.socketpair()
         near = relay_protocol.RelayedSocket(own)
-        await curio.spawn(relay_protocol.copy, caller, endpoint, daemon=True)
+        relay = relay_protocol.Relay(caller, endpoint, clock.monotonic())
+        await curio.spawn(relay.run, daemon=True)
     connection = client.Connection(messages.Address("127.0.0.1", 1), near)
     await connection.send(messages.Request("GET", "/"))
     writer = await curio.spawn(_write, far_endpoint)
--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -35,7 +35,6 @@
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.links import assembly
-from sycamoredale.links import connector
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
@@ -90,7 +89,8 @@
         )
         self._node = self._build_node()
         self._metric_registry = exposition.MetricRegistry()
-        self._connector = self._build_connector()
+        self._links = self._build_links()
+        self._connector = self._links.connector
         self._part_quarantine = part_quarantine.PartQuarantine(
             self._metric_registry
         )
@@ -157,10 +157,12 @@
         LOG.info("stopping")
         await curio.spawn(self._group_controller.stop, daemon=True)
         await curio.spawn(self._node.stop, daemon=True)
-        complete = await self._server.drain(
-            self._settings.bounds.grace_seconds - EXIT_RESERVE_SECONDS,
-            DRAIN_LISTEN_SECONDS,
-        )
+        seconds = self._settings.bounds.grace_seconds - EXIT_RESERVE_SECONDS
+        began = clock.monotonic()
+        complete = await self._server.drain(seconds, DRAIN_LISTEN_SECONDS)
+        left = began + seconds - clock.monotonic()
+        async with curio.ignore_after(max(0.0, left)):
+            await self._links.relay_service.wait_until_idle()
         LOG.info("stopped", complete=complete)
 
     def _build_watchers(self) -> list[object_watcher.ObjectWatcher]:
@@ -288,7 +290,7 @@
             ),
         )
 
-    def _build_connector(self) -> connector.EndpointConnector:
+    def _build_links(self) -> assembly.Links:
         sources = assembly.LinkSources(
             self._endpoints.addresses,
             self._endpoints.waiting_addresses,
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -23,7 +23,6 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.links import assembly
-from sycamoredale.links import connector
 from sycamoredale.links import monitor as link_monitor
 from sycamoredale.membership import freshness
 from sycamoredale.membership import gossip
@@ -77,7 +76,7 @@
         self._gossip = self._node.gossip
         self._members = self._node.members
         self._selector = self._build_selector()
-        self._connector = self._build_connector()
+        self._links = self._build_links()
         self._part_quarantine = part_quarantine.PartQuarantine()
         self._quarantine_records = quarantine_records.QuarantineRecords(
             self._store, self._part_quarantine
@@ -87,12 +86,14 @@
         )
         self._dispatcher = dispatch.Dispatcher(
             self._selector,
-            client.Pool(self._connector.open, self._connector.may_reuse),
+            client.Pool(
+                self._links.connector.open, self._links.connector.may_reuse
+            ),
             poison.PoisonDetector(self._node.gossip),
             parts=part_admission.PartAdmission(
                 self._part_quarantine, self._quarantine_records.claim_trial
             ),
-            links=self._connector.monitor,
+            links=self._links.connector.monitor,
         )
         self._admission = self._build_admission()
         observer = request_observer.RequestObserver(
@@ -132,7 +133,7 @@
         await curio.spawn(self._dispatcher.liveness_monitor.run, daemon=True)
         await curio.spawn(self._quarantine_records.run, daemon=True)
         await curio.spawn(self._part_gossip.run, daemon=True)
-        await curio.spawn(self._connector.run, daemon=True)
+        await curio.spawn(self._links.connector.run, daemon=True)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
@@ -148,6 +149,7 @@
         settled = False
         async with curio.ignore_after(SETTLE_TIMEOUT_SECONDS):
             await self._at_most_once.wait_until_idle()
+            await self._links.relay_service.wait_until_idle()
             settled = True
         LOG.info("router_stopped", complete=complete, settled=settled)
 
@@ -192,7 +194,7 @@
         )
         return selector
 
-    def _build_connector(self) -> connector.EndpointConnector:
+    def _build_links(self) -> assembly.Links:
         sources = assembly.LinkSources(
             self._endpoint_addresses,
             self._waiting_addresses,
@@ -202,7 +204,7 @@
         built = assembly.assemble(
             self._node.peers, sources, exposition.MetricRegistry()
         )
-        built.monitor.on_change.append(self._on_links_changed)
+        built.connector.monitor.on_change.append(self._on_links_changed)
         return built
 
     def _endpoint_addresses(self) -> list[messages.Address]:
--- a/sycamoredale/links/assembly.py
+++ b/sycamoredale/links/assembly.py
@@ -30,12 +30,20 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Links:
+    """Hold what opens connections to endpoints, for this daemon and peers."""
+
+    connector: connector.EndpointConnector
+    relay_service: relay_service.RelayService
+
+
 def assemble(
     peers: peer_service.PeerService,
     sources: LinkSources,
     metrics: exposition.MetricRegistry,
-) -> connector.EndpointConnector:
-    """Return the connector of a daemon, and relay for its peers."""
+) -> Links:
+    """Return the links of a daemon, and relay for its peers."""
     built = connector.EndpointConnector(
         monitor.LinkMonitor(lambda: len(sources.get_addresses()), metrics),
         relay_client.RelayClient(peers.members, sources.is_peer_isolated),
@@ -46,4 +54,4 @@
         built, peers.members, sources.may_relay_to, sources.is_stopping
     )
     peers.register_upgrade(relay_protocol.PATH, service.handle)
-    return built
+    return Links(built, service)
--- a/sycamoredale/links/relay_protocol.py
+++ b/sycamoredale/links/relay_protocol.py
@@ -7,12 +7,14 @@
 the peer is lost.
 """
 
+import dataclasses
 import typing
 from typing import Final
 
 import curio
 import h11
 
+from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import chunked
@@ -104,29 +106,40 @@
             raise ConnectionResetError("the peer gave no answer")
 
 
-async def copy(caller: typing.Any, endpoint: typing.Any) -> None:
-    """Copy bytes between a peer and an endpoint until one of them ends."""
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(_copy_to_endpoint, caller, endpoint)
-        await group.spawn(_copy_to_caller, endpoint, caller)
+@dataclasses.dataclass(eq=False)
+class Relay:
+    """Copy bytes between a peer and an endpoint until one of them ends.
 
+    `moved_at` is when bytes last passed in either direction.
+    """
 
-async def _copy_to_endpoint(caller: typing.Any, endpoint: typing.Any) -> None:
-    # curio logs a task that ends with an exception as crashed.
-    try:
-        while data := await caller.recv(RECEIVE_BYTES):
-            await endpoint.sendall(data)
-    except OSError:
-        return
+    caller: typing.Any
+    endpoint: typing.Any
+    moved_at: clock.MonotonicTime
 
+    async def run(self) -> None:
+        """Copy in both directions."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._copy_to_endpoint)
+            await group.spawn(self._copy_to_caller)
 
-async def _copy_to_caller(endpoint: typing.Any, caller: typing.Any) -> None:
-    try:
-        while data := await endpoint.recv(RECEIVE_BYTES):
-            await caller.sendall(chunked.encode_chunk(data))
-        await caller.sendall(LAST_CHUNK)
-    except OSError:
-        return
+    async def _copy_to_endpoint(self) -> None:
+        # curio logs a task that ends with an exception as crashed.
+        try:
+            while data := await self.caller.recv(RECEIVE_BYTES):
+                self.moved_at = clock.monotonic()
+                await self.endpoint.sendall(data)
+        except OSError:
+            return
+
+    async def _copy_to_caller(self) -> None:
+        try:
+            while data := await self.endpoint.recv(RECEIVE_BYTES):
+                self.moved_at = clock.monotonic()
+                await self.caller.sendall(chunked.encode_chunk(data))
+            await self.caller.sendall(LAST_CHUNK)
+        except OSError:
+            return
 
 
 def parse_endpoint(text: str | None) -> messages.Address:
--- a/sycamoredale/links/relay_service.py
+++ b/sycamoredale/links/relay_service.py
@@ -9,6 +9,8 @@
 import typing
 from typing import Final
 
+import curio
+
 from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.http import messages
@@ -18,6 +20,9 @@
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
 
+# A request waits for its first event for a second or two.
+IDLE_SECONDS: Final = 2.0
+IDLE_CHECK_SECONDS: Final = 0.1
 LOG: Final = logs.get("links.relay")
 
 
@@ -29,6 +34,7 @@
     members: view.MembershipView
     may_use: collections.abc.Callable[[messages.Address], bool]
     is_stopping: collections.abc.Callable[[], bool] = lambda: False
+    _relays: set[relay_protocol.Relay] = dataclasses.field(default_factory=set)
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Relay one connection, or say why not; raise Refusal if malformed."""
@@ -54,10 +60,29 @@
             return
         try:
             caller = await exchange.switch_protocol(relay_protocol.PROTOCOL)
-            await relay_protocol.copy(caller, sock)
+            await self._relay(caller, sock)
         finally:
             await sock.close()
 
+    async def wait_until_idle(self) -> None:
+        """Return when no relay has carried anything for a while.
+
+        The relays of kept connections stay open without carrying requests.
+        """
+        while self._is_busy(clock.monotonic()):
+            await curio.sleep(IDLE_CHECK_SECONDS)
+
+    def _is_busy(self, now: clock.MonotonicTime) -> bool:
+        return any(now - r.moved_at < IDLE_SECONDS for r in self._relays)
+
+    async def _relay(self, caller: typing.Any, sock: typing.Any) -> None:
+        relay = relay_protocol.Relay(caller, sock, clock.monotonic())
+        self._relays.add(relay)
+        try:
+            await relay.run()
+        finally:
+            self._relays.discard(relay)
+
     def _refusal_status(
         self, host: str, address: messages.Address
     ) -> int | None:
--- a/tests/link_fixtures.py
+++ b/tests/link_fixtures.py
@@ -131,14 +131,14 @@
             ),
             lambda: self.addresses,
         )
-        service = relay_service.RelayService(
+        self.relay_service = relay_service.RelayService(
             self.connector,
             self.members,
             lambda address: address in self.addresses,
             is_stopping,
         )
         peers = peer_service.PeerService(self.members, None)
-        peers.register_upgrade(relay_protocol.PATH, service.handle)
+        peers.register_upgrade(relay_protocol.PATH, self.relay_service.handle)
         self.server = server.Server(peers.handle)
 
     async def start(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from sycamoredale import clock
 from sycamoredale.config import model
 from sycamoredale.engines import completions
 from sycamoredale import errors
@@ -14,6 +15,7 @@
 from sycamoredale import ids
 from sycamoredale.links import relay_client
 from sycamoredale.links import relay_protocol
+from sycamoredale.links import relay_service
 from sycamoredale.membership import view
 from sycamoredale.requests import attempt as attempt_module
 from sycamoredale.requests import call as call_module
@@ -187,6 +189,22 @@
     curio.run(main)
 
 
+# Guards against a planned stop of a peer that cuts off what it relays.
+def test_peer_that_stops_waits_for_what_it_relays(monkeypatch):
+    monkeypatch.setattr(relay_service, "IDLE_SECONDS", 0.3)
+
+    async def main():
+        endpoint = Endpoint()
+        async with _fleet(endpoint) as (own, (peer,)):
+            connection, _ = await _fetch(own, endpoint)
+            began = clock.monotonic()
+            await peer.relay_service.wait_until_idle()
+            assert 0.2 < clock.monotonic() - began < 1.0
+            await connection.close()
+
+    curio.run(main)
+
+
 @pytest.mark.parametrize("stranger", ["sender", "endpoint"])
 def test_relay_serves_members_and_known_endpoints_alone(stranger):
     async def main():
