End the check of an endpoint whose peers cannot be asked

A call that lost its connection would have waited until its deadline, and the endpoint would never have been checked again, if the question to peers failed by an unexpected error (a member with an address that cannot be parsed). Found on reading.

test_check_that_fails_is_an_unknown_answer failed before (timed out).

--- a/sycamoredale/links/connector.py
+++ b/sycamoredale/links/connector.py
@@ -167,15 +167,17 @@
         self, address: messages.Address, check: _Check
     ) -> None:
         began = clock.monotonic()
-        check.answer = await self.relays.check(address)
-        check.ended_at = clock.monotonic()
+        try:
+            check.answer = await self.relays.check(address)
+        finally:
+            check.ended_at = clock.monotonic()
+            await check.done.set()
         # The links may have come back while the peers were asked.
         if (
             check.answer.reachability is Reachability.REACHABLE
             and self.monitor.opened_at < began
         ):
             self.monitor.record_contradiction(address, check.ended_at)
-        await check.done.set()
 
     async def is_lost(self, address: messages.Address) -> bool:
         """Return whether an endpoint accepts no connection of any daemon."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -268,6 +268,20 @@
     assert not own.connector.relays._candidates()
 
 
+# Guards against calls that wait for ever for the answer of a peer.
+def test_check_that_fails_is_an_unknown_answer():
+    async def main():
+        endpoint = Endpoint()
+        async with _fleet(endpoint) as (own, (peer,)):
+            peer.members.update_own(address="nowhere")
+            own.know(peer)
+            async with curio.timeout_after(1.0):
+                answer = await own.connector.ask_peers(endpoint.address)
+            assert answer is relay_client.Reachability.UNKNOWN
+
+    curio.run(main)
+
+
 def test_daemon_whose_connections_fail_is_isolated_and_recovers():
     async def main():
         endpoints = [Endpoint() for _ in range(4)]
