--- a/tests/test_isolated_daemon.py
+++ b/tests/test_isolated_daemon.py
@@ -5,7 +5,10 @@
 
 from sycamoredale import clock
 from sycamoredale import errors
+from sycamoredale.forwarding import peer_updates
 from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.http import messages
+from sycamoredale import ids
 from tests import link_fixtures
 from tests import test_forwarder
 
@@ -149,3 +152,56 @@
     site.own.isolate()
     now = clock.monotonic()
     assert not any(e.is_suspect(now) for e in table.by_id.values())
+
+
+class _Socket:
+    """Record datagrams, in place of a socket of curio."""
+
+    def __init__(self):
+        self.sent = []
+        self._socket = self
+
+    def sendto(self, data, address):
+        """Record a datagram."""
+        self.sent.append((data, address))
+
+
+def _exchange(name, is_isolated=lambda: False):
+    table = Site().endpoint_table
+    return peer_updates.PeerUpdateExchange(
+        ids.DaemonId(name), table, lambda: [], is_isolated=is_isolated
+    )
+
+
+# Guards against peers that are asked to relay though they have no links: they
+# say so while they have nothing else to tell.
+def test_peers_hear_that_a_daemon_is_isolated_and_when_no_more():
+    isolated = [True]
+    sender = _exchange("isolated", lambda: isolated[0])
+    receiver = _exchange("other")
+    now = clock.monotonic()
+    sock = _Socket()
+    update = sender.build_update(now)
+    sender._send(sock, [messages.Address("127.0.0.1", 1)], update)
+    assert len(sock.sent) == 1
+    receiver.receive(update, now)
+    daemon = ids.DaemonId("isolated")
+    assert receiver.is_peer_isolated(daemon, now)
+    later = clock.MonotonicTime(now + 2.0)
+    assert not receiver.is_peer_isolated(daemon, later)
+    isolated[0] = False
+    receiver.receive(sender.build_update(now), now)
+    assert not receiver.is_peer_isolated(daemon, now)
+
+
+def test_links_are_doubted_only_while_requests_wait_at_working_endpoints():
+    table = Site(*_endpoints()).endpoint_table
+    now = clock.MonotonicTime(clock.monotonic() + 100)
+    waiting, *others = table.by_id.values()
+    waiting.in_flight = 1
+    assert not table.waiting_addresses(now)
+    for endpoint in others:
+        endpoint.record_progress(now)
+    assert not table.waiting_addresses(now)
+    waiting.record_progress(now)
+    assert len(table.waiting_addresses(now)) == ENDPOINTS
