Use no kept connection through a peer that leaves

A daemon that stopped was kept busy until its time of grace ended: isolated peers sent new requests on the connections that it relayed.

A relayed connection is reused only through a peer that is alive, connected and not leaving.

test_kept_connection_through_a_peer_that_leaves_is_not_reused fails without the change by its first assertion after the leave.

--- a/sycamoredale/links/connector.py
+++ b/sycamoredale/links/connector.py
@@ -219,7 +219,9 @@
     def may_reuse(self, connection: client.Connection) -> bool:
         """Return whether a kept connection may carry a request now."""
         if connection.relayed_by is not None:
-            return self.monitor.is_isolated
+            return self.monitor.is_isolated and self.relays.may_ask(
+                connection.relayed_by
+            )
         return not self.monitor.is_silent(clock.monotonic())
 
     @contextlib.contextmanager
--- a/sycamoredale/links/relay_client.py
+++ b/sycamoredale/links/relay_client.py
@@ -94,6 +94,16 @@
         """Return whether this daemon knows any other."""
         return any(True for _ in self.members.peers())
 
+    def may_ask(self, daemon: ids.DaemonId) -> bool:
+        """Return whether a peer is alive, not leaving and has links."""
+        peer = self.members.by_id.get(daemon)
+        return (
+            peer is not None
+            and peer.state is view.PeerState.ALIVE
+            and peer.role is view.Role.ROUTER
+            and not self.is_isolated(daemon)
+        )
+
     def _candidates(self) -> list[view.Peer]:
         """Return the peers to ask, in random order.
 
@@ -101,11 +111,7 @@
         gets more of the load and not all of it.
         """
         peers = [
-            peer
-            for peer in self.members.peers()
-            if peer.state is view.PeerState.ALIVE
-            and peer.role is view.Role.ROUTER
-            and not self.is_isolated(peer.id)
+            peer for peer in self.members.peers() if self.may_ask(peer.id)
         ]
         self.rng.shuffle(peers)
         zone = self.members.own.zone
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -121,6 +121,7 @@
                 assert answer.body == b"half"
             assert endpoint.requests == 3
             (kept,) = pool.idle_by_address[endpoint.address]
+            assert own.connector.may_reuse(kept)
             own.reconnect()
             assert not own.connector.may_reuse(kept)
 
@@ -189,6 +190,25 @@
     curio.run(main)
 
 
+# Guards against a peer that stops and is kept busy until its time of grace
+# ends, by requests on kept connections.
+def test_kept_connection_through_a_peer_that_leaves_is_not_reused():
+    async def main():
+        endpoint = Endpoint()
+        async with _fleet(endpoint, peers=2) as (own, peers):
+            connection, _ = await _fetch(own, endpoint)
+            assert own.connector.may_reuse(connection)
+            by_name = {peer.name: peer for peer in peers}
+            left = by_name[connection.relayed_by]
+            left.members.update_own(state=view.PeerState.LEFT)
+            own.know(left)
+            assert not own.connector.may_reuse(connection)
+            other, _ = await _fetch(own, endpoint)
+            assert other.relayed_by != connection.relayed_by
+
+    curio.run(main)
+
+
 # Guards against a planned stop of a peer that cuts off what it relays.
 def test_peer_that_stops_waits_for_what_it_relays(monkeypatch):
     monkeypatch.setattr(relay_service, "IDLE_SECONDS", 0.3)
