Take the start of the gossip test when it runs, not when it is imported

The test took its start at the import, and notices are received by the real clock: 600 s after the import, the retention of losses, its own losses had expired. Shown by setting the start 650 s back: it fails; with 0 s it passes. Each test takes its own start now; what it asks for is the same.

--- a/tests/test_part_gossip.py
+++ b/tests/test_part_gossip.py
@@ -13,8 +13,6 @@
 from sycamoredale.requests import part_gossip
 from sycamoredale.requests import part_quarantine
 
-# Gossip counts the lifetime of notices on the real clock.
-START = clock.monotonic()
 CRASHING = part_evidence.part_key(ids.ServiceName("llm"), "crashing")
 MAX_BYTES = 100_000
 
@@ -46,25 +44,28 @@
 
 
 def test_losses_at_different_routers_are_added_up():
+    # Notices are received by the real clock.
+    start = clock.monotonic()
     daemons = [Daemon("a"), Daemon("b")]
     for number in range(6):
-        daemons[number % 2].lose(number, START + number)
-    now = clock.MonotonicTime(START + 6)
+        daemons[number % 2].lose(number, start + number)
+    now = clock.MonotonicTime(start + 6)
     _exchange(*daemons, now)
     _exchange(*reversed(daemons), now)
     assert all(CRASHING in d.quarantine.quarantine_by_part for d in daemons)
 
 
 def test_evidence_without_news_is_published_once():
+    start = clock.monotonic()
     daemons = [Daemon("a"), Daemon("b")]
-    daemons[0].lose(0, START)
+    daemons[0].lose(0, start)
     sent = sum(
-        _exchange(*daemons, clock.MonotonicTime(START + second))
+        _exchange(*daemons, clock.MonotonicTime(start + second))
         for second in range(10)
     )
     assert sent == 1
-    daemons[0].lose(1, clock.MonotonicTime(START + 10))
-    assert _exchange(*daemons, clock.MonotonicTime(START + 10)) == 1
+    daemons[0].lose(1, clock.MonotonicTime(start + 10))
+    assert _exchange(*daemons, clock.MonotonicTime(start + 10)) == 1
 
 
 def _chat(*texts):
