Log how a daemon learns that an instance leaves

The logs could not tell the hypotheses on DRAIN apart: that an instance leaves was logged neither from the list nor from its answers. The statement in an answer is decoded now, each new one gets a line and a counter by source, and what is decided stays as it was.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -15,6 +15,7 @@
 from sycamoredale.daemons import signals
 from sycamoredale.forwarding import cold_quota
 from sycamoredale.forwarding import daemon_shares
+from sycamoredale.forwarding import departures
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import forwarder
@@ -77,7 +78,10 @@
         self._store = store_module.PlatformStore(
             settings.store_address, client.Pool()
         )
-        self._instances = instance_table.InstanceTable()
+        self._metric_registry = exposition.MetricRegistry()
+        self._instances = instance_table.InstanceTable(
+            departures=departures.DepartureLog(self._metric_registry)
+        )
         self._routes = route_table.RouteTable()
         self._evacuation_handler = object_handlers.EvacuationHandler(
             self._rebuild_endpoints
@@ -88,7 +92,6 @@
             lambda: self._evacuation_handler.zones_out,
         )
         self._node = self._build_node()
-        self._metric_registry = exposition.MetricRegistry()
         self._links = self._build_links()
         self._connector = self._links.connector
         self._part_quarantine = part_quarantine.PartQuarantine(
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -15,7 +15,9 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import departures
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import send_log
 from sycamoredale.forwarding import stall_detection
@@ -42,6 +44,7 @@
 
     wire: wire_protocol.WireProtocol
     links: monitor.LinkMonitor
+    instances: instance_table.InstanceTable
 
     async def relay(
         self,
@@ -65,6 +68,10 @@
         self._record_heard(connection, now)
         if info.load is not None:
             endpoint.record_reported_load(info.load, now)
+        if info.leaving and info.kind is not calls.AnswerKind.OTHER_REQUEST:
+            self.instances.record_leaving(
+                endpoint.instance, departures.Source.ANSWER
+            )
         if _is_announcement(info):
             changed = endpoint.limit.record_own(info.limit, now)
             if changed:
--- a/sycamoredale/forwarding/calls.py
+++ b/sycamoredale/forwarding/calls.py
@@ -90,9 +90,11 @@
 
     `headers` are sent to the caller.  `limit` is the rate that the endpoint
     takes from all daemons, in requests a second, None without one.
+    `leaving` is true if the endpoint says that it leaves.
     """
 
     kind: AnswerKind
     headers: messages.Headers
     load: Load | None
     limit: float | None = None
+    leaving: bool = False
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -68,7 +68,7 @@
     def __post_init__(self) -> None:
         """Build the relay of answers and the pool of connections."""
         self._answer_relay = answer_relay.AnswerRelay(
-            self.wire, self.connector.monitor
+            self.wire, self.connector.monitor, self.selector.instances
         )
         self._pool = client.Pool(self.connector.open, self.connector.may_reuse)
         self.connector.monitor.on_change.append(self._on_links_changed)
--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from sycamoredale import clock
+from sycamoredale.forwarding import departures as departures_module
 from sycamoredale.forwarding import incarnations as incarnations_module
 from sycamoredale.forwarding import instance_state
 from sycamoredale import ids
@@ -53,6 +54,9 @@
     incarnations: incarnations_module.IncarnationTracker = dataclasses.field(
         default_factory=incarnations_module.IncarnationTracker
     )
+    departures: departures_module.DepartureLog = dataclasses.field(
+        default_factory=departures_module.DepartureLog
+    )
     _is_batching: bool = False
     _has_changed: bool = False
 
@@ -126,6 +130,16 @@
             return merged if _is_same_incarnation(known, instance) else known
         return instance
 
+    def record_leaving(
+        self,
+        instance: instance_state.Instance,
+        source: departures_module.Source,
+    ) -> None:
+        """Record that an instance has said that it leaves."""
+        self.departures.record(
+            departures_module.incarnation_of(instance), source
+        )
+
     def apply_report(
         self, instance: ids.InstanceId, report: instance_state.Report
     ) -> bool:
@@ -245,7 +259,13 @@
         return (i for i in self.by_id.values() if i.service == service)
 
     def _store(self, instance: instance_state.Instance) -> None:
-        if self.by_id.get(instance.id) != instance:
+        known = self.by_id.get(instance.id)
+        if instance.leaving and not (known and known.leaving):
+            self.departures.log(
+                departures_module.incarnation_of(instance),
+                departures_module.Source.LIST,
+            )
+        if known != instance:
             self.by_id[instance.id] = instance
             self._notify_changed()
 
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -31,6 +31,9 @@
 _LOAD: Final = "Replica-Load"
 # Requests a second that an instance takes from all daemons.
 _LIMIT: Final = "Server-Limit"
+# In all answers of an instance that leaves, with this value.
+_LEAVING: Final = "Server-Leaving"
+_IS_LEAVING: Final = "1"
 # 0 is admitted first, 9 last; the default is 5.
 _PRIORITY: Final = "Request-Priority"
 _PRIORITY_VALUES: Final = {
@@ -113,9 +116,15 @@
         headers.without(_HOP_BY_HOP_HEADERS),
         calls.Load(*load) if load else None,
         header_values.decimal(headers.get(_LIMIT)),
+        says_leaving(headers),
     )
 
 
+def says_leaving(headers: messages.Headers) -> bool:
+    """Return whether the instance that sent an answer says that it leaves."""
+    return (headers.get(_LEAVING) or "").strip() == _IS_LEAVING
+
+
 def _kind(call: calls.Call, head: messages.ResponseHead) -> calls.AnswerKind:
     headers = head.headers
     if head.status == 421:
