Stop sending to an instance once it has said that it leaves

Callers' requests reached an instance after it had said in an answer that it leaves, for as long as the list showed it as ready (DRAIN).

Cause: nothing read the statement. That an instance leaves was known from the list alone, while a daemon is bound by an answer that it has passed on, also while the store is disturbed.

Neither the list nor a peer takes it back; a later start time does. The field is the last one of an update and has a default: older builds ignore it.

--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -70,7 +70,8 @@
             endpoint.record_reported_load(info.load, now)
         if info.leaving and info.kind is not calls.AnswerKind.OTHER_REQUEST:
             self.instances.record_leaving(
-                endpoint.instance, departures.Source.ANSWER
+                departures.incarnation_of(endpoint.instance),
+                departures.Source.ANSWER,
             )
         if _is_announcement(info):
             changed = endpoint.limit.record_own(info.limit, now)
--- a/sycamoredale/forwarding/instance_state.py
+++ b/sycamoredale/forwarding/instance_state.py
@@ -93,6 +93,7 @@
     """Describe the answer of an instance to a probe.
 
     `slowdown` is the factor by which its work takes longer than usual.
+    `leaving` is true if the instance says that it leaves.
     """
 
     started_ms: int
@@ -100,3 +101,4 @@
     membership: Membership | None
     staged: tuple[str, ...]
     slowdown: float = 1.0
+    leaving: bool = False
--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -106,7 +106,7 @@
         instance = self._merge_newest(known, instance)
         until = clock.MonotonicTime(now + instance.cold_seconds)
         self.cold_until_by_id[instance.id] = until
-        self._store(instance)
+        self._store(self._with_departure(instance))
 
     def _merge_newest(
         self,
@@ -132,14 +132,58 @@
 
     def record_leaving(
         self,
-        instance: instance_state.Instance,
+        incarnation: departures_module.Incarnation,
         source: departures_module.Source,
     ) -> None:
         """Record that an instance has said that it leaves."""
-        self.departures.record(
-            departures_module.incarnation_of(instance), source
+        if not self.departures.record(incarnation, source):
+            return
+        name = incarnation.instance
+        unlisted = self.unlisted_by_id.get(name)
+        if unlisted is not None:
+            self.unlisted_by_id[name] = dataclasses.replace(
+                unlisted, instance=self._with_departure(unlisted.instance)
+            )
+        if name in self.by_id:
+            self._store(self._with_departure(self.by_id[name]))
+
+    def receive_departures(
+        self,
+        updates: collections.abc.Iterable[departures_module.DepartureUpdate],
+    ) -> None:
+        """Record what instances have said to a peer."""
+        for update in updates:
+            self.record_leaving(
+                departures_module.Incarnation(
+                    update.instance, update.started_ms
+                ),
+                departures_module.Source.PEER,
+            )
+
+    def take_departure_updates(
+        self, now: clock.MonotonicTime
+    ) -> list[departures_module.DepartureUpdate]:
+        """Return what peers are to hear of leaving instances."""
+        return self.departures.take_updates(self._is_known, now)
+
+    def _is_known(self, incarnation: departures_module.Incarnation) -> bool:
+        name = incarnation.instance
+        unlisted = self.unlisted_by_id.get(name)
+        known = unlisted.instance if unlisted else self.by_id.get(name)
+        return known is not None and (
+            departures_module.incarnation_of(known) == incarnation
         )
 
+    def _with_departure(
+        self, instance: instance_state.Instance
+    ) -> instance_state.Instance:
+        """Return an instance as leaving if it has said that it leaves."""
+        if self.departures.includes(
+            departures_module.incarnation_of(instance)
+        ):
+            return dataclasses.replace(instance, leaving=True)
+        return instance
+
     def apply_report(
         self, instance: ids.InstanceId, report: instance_state.Report
     ) -> bool:
@@ -155,12 +199,18 @@
             return False
         if 0 < known.started_ms < report.started_ms:
             return self._apply_replacement(known)
+        if report.leaving:
+            self.record_leaving(
+                departures_module.Incarnation(instance, report.started_ms),
+                departures_module.Source.REPORT,
+            )
         updated = dataclasses.replace(
             known,
             started_ms=report.started_ms,
             orders_taken=report.orders_taken,
             membership=report.membership,
             staged=report.staged,
+            leaving=known.leaving or report.leaving,
         )
         if unlisted is not None:
             self.unlisted_by_id[instance] = UnlistedInstance(
@@ -261,10 +311,9 @@
     def _store(self, instance: instance_state.Instance) -> None:
         known = self.by_id.get(instance.id)
         if instance.leaving and not (known and known.leaving):
-            self.departures.log(
-                departures_module.incarnation_of(instance),
-                departures_module.Source.LIST,
-            )
+            incarnation = departures_module.incarnation_of(instance)
+            if not self.departures.includes(incarnation):
+                self.departures.log(incarnation, departures_module.Source.LIST)
         if known != instance:
             self.by_id[instance.id] = instance
             self._notify_changed()
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -17,6 +17,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import announced_limit
+from sycamoredale.forwarding import departures as departures_module
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import report_updates
@@ -66,7 +67,8 @@
     or ABSENT if it does not hold the lease.  The holder also sends `kinds`,
     the changes of the kinds of objects that all daemons watch.  `parts` has
     the evidence on parts of prompts that ran on lost endpoints.  An `isolated`
-    daemon opens no connections to endpoints.
+    daemon opens no connections to endpoints.  `departures` are of instances
+    that have said to the daemon that they leave.
     """
 
     daemon: ids.DaemonId
@@ -76,6 +78,7 @@
     kinds: list[kind_updates.KindUpdate] = []
     parts: list[part_updates.PartUpdate] = []
     isolated: bool = False
+    departures: list[departures_module.DepartureUpdate] = []
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,6 +170,7 @@
             self.on_lease(update.lease, now)
         for kind in update.kinds:
             self.on_kind_update(kind, now)
+        self.endpoint_table.instances.receive_departures(update.departures)
         if update.parts:
             self.on_part_updates(update.parts, now)
         for item in update.endpoints:
@@ -233,6 +237,7 @@
             self.get_kind_updates(now),
             self.get_part_updates(now),
             self.is_isolated(),
+            self.endpoint_table.instances.take_departure_updates(now),
         )
 
     def is_peer_isolated(
@@ -259,6 +264,7 @@
             or update.kinds
             or update.parts
             or update.isolated
+            or update.departures
         )
         lease_changed = update.lease != self._lease_sent
         if not (has_content or self._had_content or lease_changed):
--- a/sycamoredale/platform/engine_client.py
+++ b/sycamoredale/platform/engine_client.py
@@ -45,7 +45,10 @@
             max_body_bytes=MAX_REPORT_BYTES,
         )
         try:
-            return instance_decoder.decode_report(response.body)
+            return dataclasses.replace(
+                instance_decoder.decode_report(response.body),
+                leaving=wire_format.says_leaving(response.headers),
+            )
         except ValueError as error:
             raise errors.ConnectionBroken(
                 error_codes.CONNECTION_BROKEN,
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -245,7 +245,8 @@
     def hear(self, name):
         """Receive an answer in which an instance says that it leaves."""
         self.table.record_leaving(
-            self.table.by_id[name], departures.Source.ANSWER
+            departures.incarnation_of(self.table.by_id[name]),
+            departures.Source.ANSWER,
         )
 
     def send_to(self, other, now):
