Parse bearer tokens outside the adapter of the platform

The form of a bearer token is HTTP's and not the platform's. The list of the platform's names has the new header.

--- a/sycamoredale/forwarding/header_values.py
+++ b/sycamoredale/forwarding/header_values.py
@@ -1,6 +1,9 @@
-"""Parse the values of headers that hold numbers or lists."""
+"""Parse the values of headers."""
 
 import math
+from typing import Final
+
+BEARER_SCHEME: Final = "bearer "
 
 
 def integers(text: str | None, count: int) -> tuple[int, ...] | None:
@@ -26,3 +29,10 @@
     """Return the names in a list of NAME:VALUE entries, "" if one lacks."""
     entries = (text or "").split(",")
     return [entry.strip().partition(":")[0].lower() for entry in entries]
+
+
+def bearer_token(text: str | None) -> str | None:
+    """Return the token of an Authorization header, None without one."""
+    if text is None or not text.lower().startswith(BEARER_SCHEME):
+        return None
+    return text[len(BEARER_SCHEME) :].strip()
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -41,7 +41,6 @@
     queue_priority_module.QueuePriority.LATE: "7",
 }
 _AUTHORIZATION: Final = "Authorization"
-_SCHEME: Final = "bearer "
 REPORT_REQUEST: Final = messages.Request("GET", "/v1/report")
 ORDER_PATH: Final = "/v1/order"
 DEFAULT_TIMEOUT_SECONDS: Final = 30.0
@@ -70,7 +69,7 @@
     return calls.Envelope(
         id=ids.RequestId(headers.get(_ATTEMPT_ID) or ""),
         host=(headers.get("Host") or "").partition(":")[0].lower(),
-        api_key=_api_key(headers.get(_AUTHORIZATION)),
+        api_key=header_values.bearer_token(headers.get(_AUTHORIZATION)),
         timeout_seconds=_timeout_seconds(headers.get(_DEADLINE)),
         model=headers.get(_MODEL),
         prompt_tokens=tokens[0],
@@ -140,12 +139,6 @@
     return calls.AnswerKind.ANSWER
 
 
-def _api_key(text: str | None) -> str | None:
-    if text is None or not text.lower().startswith(_SCHEME):
-        return None
-    return text[len(_SCHEME) :].strip()
-
-
 def _timeout_seconds(text: str | None) -> float:
     if text is None:
         return DEFAULT_TIMEOUT_SECONDS
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -70,6 +70,7 @@
     "stall_ms",
     "delete_pending",
     "allow_stale",
+    "Server-Leaving",
     'writes_per_s"',
     'reads_per_s"',
     "non_idempotent",
