Look at the endpoint again before a request is sent

A request reached an endpoint that the list showed as leaving by then (DRAIN), or whose zone or group had ended meanwhile: the endpoint is selected, then a connection is opened, direct or through peers, and the request goes out whatever was learned in between. Parts of the prompt and cold slots were looked at again there; the endpoint was not.

A send is withdrawn now if the endpoint is no longer in the table, and another endpoint is selected. The request was not sent, so it counts as neither a run nor a retry.

--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -193,6 +193,10 @@
         """Return the endpoints of a service that serve a model."""
         return self._by_service_and_model.get((service, model), ())
 
+    def is_current(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint still accepts requests."""
+        return self.by_id.get(endpoint.id) is endpoint
+
     def last_progress_at(
         self, instance: instance_state.Instance
     ) -> clock.MonotonicTime:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -246,6 +246,11 @@
             return progress_module.Outcome.UNREACHED
         is_reusable = False
         try:
+            if not self.selector.endpoint_table.is_current(endpoint):
+                send_log.log_failed_send(
+                    progress, endpoint, "it no longer accepts requests"
+                )
+                return progress_module.Outcome.WITHDRAWN
             self._check_parts(progress)
             now = clock.monotonic()
             self.selector.record_send(endpoint, now)
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -22,19 +22,27 @@
 class Outcome(enum.Enum):
     """Classify how a send ended.
 
-    UNREACHED: no connection.  NOT_RUN: refused before it ran.  STALLED: the
+    UNREACHED: no connection.  WITHDRAWN: the endpoint stopped accepting
+    requests before the send.  NOT_RUN: refused before it ran.  STALLED: the
     endpoint made no progress.  BROKEN: the connection or the answer broke.
     FAILED: the endpoint answered with a server error.
     """
 
     ANSWERED = "answered"
     UNREACHED = "unreached"
+    WITHDRAWN = "withdrawn"
     NOT_RUN = "not_run"
     STALLED = "stalled"
     BROKEN = "broken"
     FAILED = "failed"
 
 
+# The request was not sent.
+_UNSENT: Final = frozenset((Outcome.UNREACHED, Outcome.WITHDRAWN))
+# The request has not run.
+_UNRUN: Final = _UNSENT | {Outcome.NOT_RUN}
+
+
 @dataclasses.dataclass
 class CallProgress:
     """Track the sends of a call and how much of the answer was relayed.
@@ -117,11 +125,11 @@
         self.relayed_by = None
         self.current_endpoint = None
         self.tried_ids.add(endpoint.id)
-        self.delivered_count += outcome is not Outcome.UNREACHED
+        self.delivered_count += outcome not in _UNSENT
         if outcome is Outcome.STALLED:
             self.may_have_run = True
             self.run_count += not self.call.is_stream or self.head_received
-        elif outcome not in (Outcome.UNREACHED, Outcome.NOT_RUN):
+        elif outcome not in _UNRUN:
             self.may_have_run = True
             self.run_count += 1
         self.head_received = False
--- a/tests/test_forwarding_properties.py
+++ b/tests/test_forwarding_properties.py
@@ -169,7 +169,11 @@
         )
         state.head_received = head_seen
         state.record_outcome(endpoint, outcome)
-        may_have_run += outcome not in (Outcome.UNREACHED, Outcome.NOT_RUN)
+        may_have_run += outcome not in (
+            Outcome.UNREACHED,
+            Outcome.WITHDRAWN,
+            Outcome.NOT_RUN,
+        )
         if outcome in (Outcome.ANSWERED, Outcome.FAILED):
             break
     if not call.route.may_retry:
