Begin no exchange on a relayed connection to a leaving endpoint

Requests of an isolated daemon reached an endpoint through a peer that knew already that it leaves, or that its zone is out of service (DRAIN, EVAC): the peer asked itself only when the connection was opened, and a kept one carried on. Each further exchange is asked for now; it begins with the first bytes of the caller after bytes of the endpoint, so no answer under way is cut.

The test fails without the change: the second request on the kept connection reached the endpoint.

--- a/sycamoredale/links/relay_protocol.py
+++ b/sycamoredale/links/relay_protocol.py
@@ -7,6 +7,7 @@
 the peer is lost.
 """
 
+import collections.abc
 import dataclasses
 import typing
 from typing import Final
@@ -110,12 +111,15 @@
 class Relay:
     """Copy bytes between a peer and an endpoint until one of them ends.
 
-    `moved_at` is when bytes last passed in either direction.
+    `moved_at` is when bytes last passed in either direction.  `may_begin`
+    decides whether another exchange may begin after an answer.
     """
 
     caller: typing.Any
     endpoint: typing.Any
     moved_at: clock.MonotonicTime
+    may_begin: collections.abc.Callable[[], bool] = lambda: True
+    _has_answered: bool = False
 
     async def run(self) -> None:
         """Copy in both directions."""
@@ -127,6 +131,9 @@
         # curio logs a task that ends with an exception as crashed.
         try:
             while data := await self.caller.recv(RECEIVE_BYTES):
+                if self._has_answered and not self.may_begin():
+                    return
+                self._has_answered = False
                 self.moved_at = clock.monotonic()
                 await self.endpoint.sendall(data)
         except OSError:
@@ -135,6 +142,7 @@
     async def _copy_to_caller(self) -> None:
         try:
             while data := await self.endpoint.recv(RECEIVE_BYTES):
+                self._has_answered = True
                 self.moved_at = clock.monotonic()
                 await self.caller.sendall(chunked.encode_chunk(data))
             await self.caller.sendall(LAST_CHUNK)
--- a/sycamoredale/links/relay_service.py
+++ b/sycamoredale/links/relay_service.py
@@ -60,7 +60,7 @@
             return
         try:
             caller = await exchange.switch_protocol(relay_protocol.PROTOCOL)
-            await self._relay(caller, sock)
+            await self._relay(caller, sock, lambda: self.may_use(address))
         finally:
             await sock.close()
 
@@ -75,8 +75,15 @@
     def _is_busy(self, now: clock.MonotonicTime) -> bool:
         return any(now - r.moved_at < IDLE_SECONDS for r in self._relays)
 
-    async def _relay(self, caller: typing.Any, sock: typing.Any) -> None:
-        relay = relay_protocol.Relay(caller, sock, clock.monotonic())
+    async def _relay(
+        self,
+        caller: typing.Any,
+        sock: typing.Any,
+        may_begin: collections.abc.Callable[[], bool],
+    ) -> None:
+        relay = relay_protocol.Relay(
+            caller, sock, clock.monotonic(), may_begin
+        )
         self._relays.add(relay)
         try:
             await relay.run()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -128,6 +128,22 @@
     curio.run(main)
 
 
+# Guards against requests that reach an endpoint through a peer after the peer
+# has learned that the endpoint leaves, or that its zone is out of service.
+def test_kept_relayed_connection_carries_nothing_to_a_leaving_endpoint():
+    async def main():
+        endpoint = Endpoint()
+        async with _fleet(endpoint) as (own, peers):
+            pool = client.Pool(own.connector.open, own.connector.may_reuse)
+            await pool.call(endpoint.address, REQUEST, 1.0)
+            peers[0].addresses.clear()
+            with pytest.raises(errors.ConnectionBroken):
+                await pool.call(endpoint.address, REQUEST, 1.0)
+            assert endpoint.requests == 1
+
+    curio.run(main)
+
+
 # Guards against an answer without a length that looks complete, though the
 # endpoint reset its connection or the peer was lost.
 @pytest.mark.parametrize("lost", ["endpoint", "peer"])
