Look at the endpoint again before a router sends, on the own interface

An engine that drains refuses, so callers lost time there; one in a zone that is out does not know and ran it.

The claim and the cold slot were looked at just before the send; the table is now as well. The request counts as not sent, and another endpoint is selected. The three tests failed before: the request was sent.

--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -250,7 +250,7 @@
             "the claim was too old to send the request"
         )
     if attempt.selector is not None:
-        attempt.selector.check_slot(attempt.endpoint, clock.monotonic())
+        attempt.selector.check_may_send(attempt.endpoint, clock.monotonic())
 
 
 def _record_data(attempt: Attempt, connection: client.Connection) -> None:
--- a/sycamoredale/routing/endpoint_selection.py
+++ b/sycamoredale/routing/endpoint_selection.py
@@ -135,10 +135,18 @@
                 shared += requests
         return Capacity(shared, cold_slots)
 
-    def check_slot(
+    def check_may_send(
         self, endpoint: table.Endpoint, now: clock.MonotonicTime
     ) -> None:
-        """Raise ColdSlotLost if a request may no longer be sent."""
+        """Raise if a request may no longer be sent to a selected endpoint.
+
+        That is EndpointRefused if the endpoint takes no new requests, and
+        ColdSlotLost if this router has no slot on it.
+        """
+        if not self.routing_table.takes_requests(endpoint.id):
+            raise errors.EndpointRefused(
+                f"endpoint {endpoint.id} takes no new requests"
+            )
         if not self.cold_limiter.may_send(endpoint.id, now):
             raise errors.ColdSlotLost(
                 error_codes.COLD_SLOT_LOST,
--- a/sycamoredale/routing/table.py
+++ b/sycamoredale/routing/table.py
@@ -125,6 +125,11 @@
         """Return an endpoint, ready or draining, None if there is none."""
         return self.by_id.get(endpoint) or self.draining_by_id.get(endpoint)
 
+    def takes_requests(self, endpoint: ids.EndpointId) -> bool:
+        """Return whether an endpoint may take new requests."""
+        known = self.by_id.get(endpoint)
+        return known is not None and known.zone not in self._zones_out
+
     def is_zone_out(self, zone: ids.ZoneName) -> bool:
         """Return whether operators took the availability zone out."""
         return zone in self._zones_out
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 
 import curio
 import pytest
@@ -9,13 +10,16 @@
 from sycamoredale import clock
 from sycamoredale.config import model
 from sycamoredale import errors
+from sycamoredale.groups import model as groups_model
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import request_reader
+from sycamoredale import ids
 from sycamoredale.requests import attempt as attempt_module
 from sycamoredale.requests import call as call_module
 from sycamoredale.routing import table
 from tests import http_servers
+from tests import test_endpoint_selection
 
 
 @pytest.fixture(name="running")
@@ -89,6 +93,38 @@
     assert not any(pool.idle_by_address.values())
 
 
+# Guards against requests that were routed before, and are sent after, an
+# endpoint drains or its zone is taken out.
+@pytest.mark.parametrize("change", ["drains", "is gone", "zone is out"])
+def test_request_is_not_sent_to_an_endpoint_that_takes_no_new_work(
+    running: http_servers.RunningServer, change: str
+) -> None:
+    selector = test_endpoint_selection.build_selector(["kochi"])
+    routing_table = selector.routing_table
+    (endpoint,) = routing_table.by_id.values()
+    attempt = _attempt(running, idempotent=True)
+    attempt.endpoint = dataclasses.replace(endpoint, address=running.address)
+    attempt.selector = selector
+    if change == "zone is out":
+        zone = model.Zone(ids.ZoneName("kochi"), model.ZoneState.OUT)
+        routing_table.apply_configuration(model.Configuration(zones=[zone]))
+    else:
+        groups = test_endpoint_selection.groups_of(
+            ["kochi"], groups_model.GroupState.DRAINING
+        )
+        routing_table.apply_assignment(
+            groups_model.Assignment(
+                ids.DomainName("d"),
+                ids.Epoch(2),
+                groups if change == "drains" else [],
+            )
+        )
+    with pytest.raises(errors.EndpointRefused):
+        curio.run(attempt_module.fetch, attempt, client.Pool())
+    assert not attempt.sent
+    assert running.handled == []
+
+
 def _attempt(
     running: http_servers.RunningServer, idempotent: bool
 ) -> attempt_module.Attempt:
--- a/tests/test_endpoint_selection.py
+++ b/tests/test_endpoint_selection.py
@@ -26,7 +26,29 @@
 PROMPT = json.dumps({"model": "assistant", "prompt": "w" * 2000}).encode()
 
 
-def _selector(
+def groups_of(
+    zones: list[str],
+    state: groups_model.GroupState = groups_model.GroupState.READY,
+    versions: list[str] | None = None,
+) -> list[groups_model.Group]:
+    """Return one group per zone."""
+    return [
+        groups_model.Group(
+            id=ids.GroupId(f"g{n}"),
+            service=SERVICE.name,
+            version=ids.VersionName(versions[n] if versions else "v1"),
+            zone=ids.ZoneName(zone),
+            epoch=ids.Epoch(1),
+            state=state,
+            members=[
+                groups_model.Member(ids.InstanceId(f"i{n}"), "127.0.0.1:1")
+            ],
+        )
+        for n, zone in enumerate(zones)
+    ]
+
+
+def build_selector(
     zones: list[str], versions: list[str] | None = None, seed: int = 1
 ) -> endpoint_selection.EndpointSelector:
     """Build a selector in zone `a` with one warm endpoint per item."""
@@ -40,20 +62,7 @@
         cold_limiter,
         random.Random(seed),
     )
-    groups = [
-        groups_model.Group(
-            id=ids.GroupId(f"g{n}"),
-            service=SERVICE.name,
-            version=ids.VersionName(versions[n] if versions else "v1"),
-            zone=ids.ZoneName(zone),
-            epoch=ids.Epoch(1),
-            state=groups_model.GroupState.READY,
-            members=[
-                groups_model.Member(ids.InstanceId(f"i{n}"), "127.0.0.1:1")
-            ],
-        )
-        for n, zone in enumerate(zones)
-    ]
+    groups = groups_of(zones, versions=versions)
     routing_table.apply_assignment(
         groups_model.Assignment(ids.DomainName("d"), ids.Epoch(1), groups)
     )
@@ -105,7 +114,7 @@
 
 
 def test_own_zone_is_preferred_until_nearly_full() -> None:
-    selector = _selector(["a", "a", "b"])
+    selector = build_selector(["a", "a", "b"])
     assert {_select(selector, _call()) for _ in range(30)} <= {"g0@1", "g1@1"}
     _report(selector, 0, 9)
     _report(selector, 1, 9)
@@ -113,7 +122,7 @@
 
 
 def test_requests_sent_since_report_are_counted() -> None:
-    selector = _selector(["a", "a"])
+    selector = build_selector(["a", "a"])
     _report(selector, 0, 1)
     _report(selector, 1, 3)
     assert _select(selector, _call()) == "g0@1"
@@ -122,7 +131,7 @@
 
 
 def test_own_requests_are_not_counted_twice() -> None:
-    selector = _selector(["a", "a"])
+    selector = build_selector(["a", "a"])
     _endpoint(selector, 0).in_flight = 4
     _report(selector, 0, 4)
     _report(selector, 1, 6)
@@ -130,7 +139,7 @@
 
 
 def test_cached_prefix_is_preferred_within_load_bound() -> None:
-    selector = _selector(["a", "a", "a", "a"])
+    selector = build_selector(["a", "a", "a", "a"])
     first = _select(selector, _call(PROMPT))
     number = int(first[1])
     for other in range(4):
@@ -173,7 +182,7 @@
 
 
 def test_straggler_and_silent_endpoint_are_avoided() -> None:
-    selector = _selector(["a"] * 5)
+    selector = build_selector(["a"] * 5)
     for _ in range(10):
         for number in range(5):
             seconds = 0.8 if number == 0 else 0.1
@@ -193,14 +202,14 @@
 
 
 def test_version_of_the_call_is_honoured() -> None:
-    selector = _selector(["a", "a"], ["v1", "v2"])
+    selector = build_selector(["a", "a"], ["v1", "v2"])
     wanted = _call(version=ids.VersionName("v2"))
     assert {_select(selector, wanted) for _ in range(20)} == {"g1@1"}
     assert len({_select(selector, _call()) for _ in range(40)}) == 2
 
 
 def test_single_report_does_not_outweigh_mean() -> None:
-    selector = _selector(["a"] * 4)
+    selector = build_selector(["a"] * 4)
     for _ in range(30):
         for number in range(4):
             _report(selector, number, 5)
@@ -215,7 +224,7 @@
 
 
 def test_queue_in_engine_is_not_taken_for_cold_start() -> None:
-    selector = _selector(["a"] * 5)
+    selector = build_selector(["a"] * 5)
     turned_cold: list[str] = []
     selector.health.on_turned_cold = lambda endpoint, now: turned_cold.append(
         endpoint
@@ -237,7 +246,7 @@
 
 
 def test_session_stays_on_its_endpoint() -> None:
-    selector = _selector(["a"] * 8)
+    selector = build_selector(["a"] * 8)
     selected = {_select(selector, _call(session="s")) for _ in range(20)}
     assert len(selected) == 1
     sessions = {_select(selector, _call(session=f"s{n}")) for n in range(60)}
@@ -247,7 +256,7 @@
 def test_routers_with_same_reports_select_different_endpoints() -> None:
     selected = set()
     for seed in range(12):
-        selector = _selector(["a"] * 6, seed=seed)
+        selector = build_selector(["a"] * 6, seed=seed)
         for number in range(6):
             _report(selector, number, number)
         selected.add(_select(selector, _call()))
@@ -255,7 +264,7 @@
 
 
 def test_unhealthy_endpoint_is_selected_if_none_is_healthy() -> None:
-    selector = _selector(["a", "a"])
+    selector = build_selector(["a", "a"])
     for number in range(2):
         selector.health.record_outcome(
             _endpoint(selector, number).id,
@@ -268,7 +277,7 @@
 
 
 def test_endpoint_is_cold_after_draining() -> None:
-    selector = _selector(["a"])
+    selector = build_selector(["a"])
     (group,) = [_group(selector, groups_model.GroupState.DRAINING)]
     selector.routing_table.apply_assignment(
         groups_model.Assignment(ids.DomainName("d"), ids.Epoch(2), [group])
@@ -296,7 +305,7 @@
 
 
 def test_capacity_ramps_up_after_cold_start() -> None:
-    selector = _selector(["a"])
+    selector = build_selector(["a"])
     endpoint = _endpoint(selector, 0)
     state = selector.cold_limiter.by_id[endpoint.id]
     state.ramp_started_at = LATER
@@ -310,7 +319,7 @@
 
 
 def test_capacity_ramps_up_in_returned_zone() -> None:
-    selector = _selector(["a"])
+    selector = build_selector(["a"])
     out = model.Zone(ids.ZoneName("a"), model.ZoneState.OUT)
     selector.routing_table.apply_configuration(
         model.Configuration(zones=[out])
