Compare the id of an answer before it counts as a refusal

Callers could be told that a request has not run, or it ran at a second endpoint, because of the refusal of an earlier request that an endpoint wrote once more on a kept connection (REFUSED, TWICE).

Cause: 421 and a rejection with the platform's statement were taken as 'not run' before the id of the answer was compared. The id is what identifies an extra answer, so it goes first, for every status; only the 400 to a request without an id has none.

Weighed: skipping the extra answer and waiting for the own one. The request may be repeated, or it would have a new connection; giving the connection up costs one repeat, and trusts no endpoint that has broken the protocol.

--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -126,12 +126,16 @@
 
 def _kind(call: calls.Call, head: messages.ResponseHead) -> calls.AnswerKind:
     headers = head.headers
+    # A request without an id is refused with 400, without an id.
+    answered_id = headers.get(_ATTEMPT_ID) or (
+        "" if head.status == 400 else None
+    )
+    if answered_id != call.id:
+        return calls.AnswerKind.OTHER_REQUEST
     if head.status == 421:
         return calls.AnswerKind.NOT_RUN
     if head.status in _NOT_RUN_STATUSES and headers.get(_NOT_RUN):
         return calls.AnswerKind.NOT_RUN
-    if headers.get(_ATTEMPT_ID) != call.id:
-        return calls.AnswerKind.OTHER_REQUEST
     if headers.get("Content-Encoding"):
         return calls.AnswerKind.FAILURE
     if 200 <= head.status < 300 and not headers.get(_SEAL):
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -49,7 +49,10 @@
         request = exchange.request
         self.requests.append(request)
         if self.fault == "refuses":
-            fields = [("Not-Executed", "1")]
+            fields = [
+                ("Not-Executed", "1"),
+                ("Attempt-Id", request.headers.get("Attempt-Id")),
+            ]
             await exchange.respond(
                 messages.Response(503, messages.Headers(fields))
             )
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -257,8 +257,14 @@
             calls.AnswerKind.OTHER_REQUEST,
         ),
         (_head(200), calls.AnswerKind.OTHER_REQUEST),
-        (_head(421, Replica_Id="i-2"), calls.AnswerKind.NOT_RUN),
-        (_head(503, Not_Executed="1"), calls.AnswerKind.NOT_RUN),
+        (
+            _head(421, Attempt_Id="r1", Replica_Id="i-2"),
+            calls.AnswerKind.NOT_RUN,
+        ),
+        (
+            _head(503, Attempt_Id="r1", Not_Executed="1"),
+            calls.AnswerKind.NOT_RUN,
+        ),
         (_head(503, Attempt_Id="r1"), calls.AnswerKind.ANSWER),
         (_head(500, Attempt_Id="r1"), calls.AnswerKind.ANSWER),
     ],
