Pool no connection on which bytes follow the answer

Cause: h11 keeps what it has read behind a complete answer, and the next exchange began with it; only chunked bodies were looked at, and the check of an idle connection looks at the socket alone. A connection with such bytes is closed now. All callers of the pool are covered: requests, reports, the store and peers. The test with both copies in one packet and a length failed before; chunks, and a copy that arrives later, were right and are kept as cases.

--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -145,6 +145,9 @@
             self._connection = h11.Connection(h11.CLIENT)
             self._chunks = None
         elif self._connection.their_state is h11.DONE:
+            # Bytes after the answer belong to no request.
+            if self._connection.trailing_data[0]:
+                return False
             self._connection.start_next_cycle()
         else:
             return False
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_extra_answers.py
@@ -1,4 +1,4 @@
-"""Test refusals that an endpoint writes once more on a kept connection."""
+"""Test answers that an endpoint writes beyond the one that is due."""
 
 import dataclasses
 
@@ -8,6 +8,7 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.platform import wire_format
 from tests import test_forwarder
@@ -109,6 +110,63 @@
     curio.run(main)
 
 
+class WritesTwice(test_unframed_answers.UnframedEndpoint):
+    """Number the answers, and write the first one twice."""
+
+    def __init__(self, name, framing, together):
+        super().__init__(name)
+        self.framing = framing
+        self.together = together
+        self.connections = 0
+        self.count = 0
+
+    async def _answer(self, sock):
+        self.connections += 1
+        while await _read_request(sock):
+            self.count += 1
+            answer = self._numbered()
+            if self.count > 1:
+                await sock.sendall(answer)
+            elif self.together:
+                await sock.sendall(answer * 2)
+            else:
+                await sock.sendall(answer)
+                await curio.sleep(0.05)
+                await sock.sendall(answer)
+
+    def _numbered(self):
+        if self.framing == "chunks":
+            return (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"1\r\n%d\r\n0\r\n\r\n" % self.count
+            )
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d" % self.count
+
+
+# Guards against reports, lists and answers of peers that are those to an
+# earlier call: the answer was written twice, and one copy was kept.
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_second_copy_of_an_answer_is_not_the_answer_to_the_next_call(
+    framing, together
+):
+    endpoint = WritesTwice("i0", framing, together)
+    request = messages.Request(
+        "GET", "/", messages.Headers([("Attempt-Id", "any")])
+    )
+
+    async def main():
+        await endpoint.start()
+        pool = client.Pool()
+        for number in (b"1", b"2", b"3"):
+            answer = await pool.call(endpoint.address, request, 1.0)
+            assert answer.body == number
+            await curio.sleep(0.1)
+        assert endpoint.connections == 2
+
+    curio.run(main)
+
+
 @pytest.mark.parametrize("status", [400, 421, 429, 503])
 @pytest.mark.parametrize("other", ["r0", ""])
 def test_refusal_without_the_id_of_the_request_is_none(status, other):
