--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -31,13 +31,13 @@
     def __init__(self, name, moment):
         super().__init__(name)
         self.moment = moment
+        self.count = 0
         self.ran = []
 
     async def _answer(self, sock):
-        count = 0
         while request := await _read_request(sock):
-            count += 1
-            if count == 1:
+            self.count += 1
+            if self.count == 1:
                 again = self.moment == "at once"
                 await sock.sendall(REFUSAL * (1 + again))
                 continue
