Trust a refusal without an id on new connections only, own interface

A router took a 503 without an id, with a body that names a phase, as the refusal of its request on kept connections too. An engine that wrote an earlier refusal once more there made it send a request again that the engine then ran. On a kept connection such an answer is now one to another request; on a new one there is no earlier request. The engines of the stand-ins echo the id in their refusals, as they do in answers.

The case of a kept connection in test_attempt.py failed before: EndpointRefused, which promises that the request has not run.

--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -212,7 +212,9 @@
             attempt.endpoint, head.headers, clock.monotonic()
         )
     echoed = head.headers.get(call_module.REQUEST_ID_HEADER)
-    if attempt.call.is_model and head.status == 503 and echoed is None:
+    # On a kept connection it may be the refusal of an earlier request.
+    may_lack_id = attempt.call.is_model and not connection.reused
+    if may_lack_id and head.status == 503 and echoed is None:
         body = await connection.read_body()
         if completions.was_refused(head.status, body):
             raise errors.EndpointRefused(
--- a/sycamoredale/standins/engine.py
+++ b/sycamoredale/standins/engine.py
@@ -179,9 +179,8 @@
     async def _handle_completion(self, exchange: server.Exchange) -> None:
         phase = self.orders.phase
         if phase not in engine_orders.SERVING_PHASES:
-            await exchange.respond(
-                messages.json_response(503, {"error": phase.value})
-            )
+            refusal = messages.json_response(503, {"error": phase.value})
+            await exchange.respond(generation.echo_id(exchange, refusal))
             return
         is_cold = phase is orders.Phase.COLD
         overloads = self.load.overloads
--- a/sycamoredale/standins/generation.py
+++ b/sycamoredale/standins/generation.py
@@ -258,6 +258,17 @@
     return "".join(token_at(call, i) for i in range(call.max_tokens))
 
 
+def echo_id(
+    exchange: server.Exchange, response: messages.Response
+) -> messages.Response:
+    """Return a response with the id of its request."""
+    request_id = exchange.request.headers.get(REQUEST_ID_HEADER)
+    if request_id is None:
+        return response
+    headers = response.headers.with_field(REQUEST_ID_HEADER, request_id)
+    return dataclasses.replace(response, headers=headers)
+
+
 def completion_body(
     call: CompletionRequest, text: str, is_chat: bool
 ) -> dict[str, object]:
--- a/tests/http_servers.py
+++ b/tests/http_servers.py
@@ -30,6 +30,7 @@
         self.drained: bool | None = None
         self.slow_seconds = 0.4
         self.echoed_id: str | None = None
+        self.refuses = False
         self._commands: typing.Any = curio.UniversalQueue()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -64,6 +65,11 @@
         self.handled.append(request.path)
         if request.path == "/slow":
             await curio.sleep(self.slow_seconds)
+        if self.refuses:
+            exchange.extra_headers.clear()
+            refusal = messages.json_response(503, {"error": "draining"})
+            await exchange.respond(refusal)
+            return
         if self.echoed_id is not None:
             exchange.extra_headers.append((ID_HEADER, self.echoed_id))
         value = {"path": request.path, "size": len(request.body)}
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -125,6 +125,31 @@
     assert running.handled == []
 
 
+# Guards against a request that is sent again, though it ran, because of a
+# refusal without an id that an engine wrote to an earlier request.
+@pytest.mark.parametrize("reused", [True, False])
+def test_refusal_without_an_id_counts_on_a_new_connection_only(
+    running: http_servers.RunningServer, reused: bool
+) -> None:
+    attempt = _attempt(running, idempotent=True)
+    attempt.call = dataclasses.replace(
+        attempt.call,
+        service=model.Service("assistant", model.ServiceKind.MODEL, 1),
+    )
+
+    async def main() -> None:
+        pool = client.Pool()
+        if reused:
+            await pool.call(running.address, messages.Request("GET", "/"), 1.0)
+        running.refuses = True
+        await attempt_module.fetch(attempt, pool)
+
+    expected = errors.ConnectionBroken if reused else errors.EndpointRefused
+    with pytest.raises(expected):
+        curio.run(main)
+    assert attempt.sent is reused
+
+
 def _attempt(
     running: http_servers.RunningServer, idempotent: bool
 ) -> attempt_module.Attempt:
