Continue a stream with its own events only

A stream had begun and broke off, and another endpoint answered the request for the rest.

Cause: events without an id were passed on wherever they came from, and the framing of the second answer was taken as the end of the whole. By the protocol events have increasing ids, so what has none continues nothing: it ends that answer, after the events before it were passed on. An answer without one new event is no end either, since whoever broke off may have had more to say; the caller's stream is then broken, and a request of its own with the last id, which an endpoint answers with nothing, still ends as complete. A stream whose events had no ids is not continued at all: its events came twice.

--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -98,6 +98,11 @@
                         endpoint, "the stream ended before its first event"
                     )
                 await exchange.start(messages.ResponseHead(200, info.headers))
+            # Whoever has broken off may have had more to say.
+            elif progress.stream.is_continued and not progress.has_success:
+                raise _broken_answer(
+                    endpoint, "the rest of a stream has no events"
+                )
             await exchange.finish()
             return progress_module.Outcome.ANSWERED
         body = await connection.read_body(MAX_ANSWER_BYTES)
@@ -171,6 +176,10 @@
                 waiting_since = clock.monotonic()
             if stream.has_gap:
                 raise _broken_answer(endpoint, "a stream event is missing")
+            if stream.has_foreign_text:
+                raise _broken_answer(
+                    endpoint, "the rest of a stream has an event without id"
+                )
         if not stream.ends_at_boundary:
             raise _broken_answer(endpoint, "the stream ended inside an event")
         progress.has_success = stream.event_count > count_before
--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -1,7 +1,8 @@
 """Join the events that several endpoints send for one stream.
 
 Only complete events are relayed, each once and in order, so that another
-endpoint can continue the stream after the last one.
+endpoint can continue the stream after the last one.  Its events must have
+numbers: what has none may be the text of an error.
 """
 
 import dataclasses
@@ -10,6 +11,7 @@
 from sycamoredale.http import event_buffer
 
 ID_FIELD: Final = b"id:"
+COMMENT_PREFIX: Final = b":"
 
 
 @dataclasses.dataclass
@@ -18,12 +20,17 @@
 
     `last_event_id` is the last event that the caller has received, from this
     stream or, if the caller resumes it, from an earlier call.  `has_gap` is
-    true if the event after it is missing.
+    true if the event after it is missing.  `is_continued` is true while
+    another endpoint continues what the caller has a part of, and
+    `has_foreign_text` if that endpoint sent something else.
     """
 
     last_event_id: int | None = None
     event_count: int = 0
     has_gap: bool = False
+    is_continued: bool = False
+    has_foreign_text: bool = False
+    _has_passed: bool = False
     _buffer: event_buffer.EventBuffer = dataclasses.field(
         default_factory=event_buffer.EventBuffer
     )
@@ -31,16 +38,25 @@
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete new events in a chunk, up to the first gap.
 
-        Events that the caller already has are dropped.  Raises ValueError if
-        an event is too long.
+        Events that the caller already has are dropped, as are comments in a
+        continuation.  Raises ValueError if an event is too long.
         """
         complete = self._buffer.feed(chunk)
-        return b"".join(self._filter_new(complete)) if complete else b""
+        passed = b"".join(self._filter_new(complete)) if complete else b""
+        self._has_passed = self._has_passed or bool(passed)
+        return passed
 
     def restart(self) -> None:
         """Drop the incomplete event of the endpoint that was abandoned."""
         self._buffer.clear()
         self.has_gap = False
+        self.has_foreign_text = False
+        self.is_continued = self._has_passed
+
+    @property
+    def can_be_continued(self) -> bool:
+        """Return whether it is known after which event to continue."""
+        return not self._has_passed or self.last_event_id is not None
 
     @property
     def ends_at_boundary(self) -> bool:
@@ -51,6 +67,11 @@
         passed: list[bytes] = []
         for event in data.split(event_buffer.EVENT_END)[:-1]:
             number = _event_id(event)
+            if number is None and self.is_continued:
+                self.has_foreign_text = not _is_comment(event)
+                if self.has_foreign_text:
+                    break
+                continue
             if number is None:
                 passed.append(event + event_buffer.EVENT_END)
                 continue
@@ -74,3 +95,11 @@
             text = line[len(ID_FIELD) :].strip()
             return int(text) if text.isdigit() else None
     return None
+
+
+def _is_comment(event: bytes) -> bool:
+    """Return whether an event has nothing but comments."""
+    return all(
+        not line or line.startswith(COMMENT_PREFIX)
+        for line in event.split(b"\n")
+    )
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -105,7 +105,7 @@
 
     def may_resend(self) -> bool:
         """Return whether another send is safe and the route allows it."""
-        if len(self.sends) >= MAX_SENDS:
+        if len(self.sends) >= MAX_SENDS or not self.stream.can_be_continued:
             return False
         if not self.may_have_run:
             return True
