Accept only events of an engine in the rest of a stream, own interface

Text that is neither an event nor a comment was passed on in the middle of a stream that another engine continues, a head of an error included. It now counts as an error that the engine reports: what came before is passed on, and the stream is continued elsewhere or ends as broken. Events of the first engine are not decoded one by one, which would cost each token. The end was never in doubt here, as a stream ends with its own last event.

--- a/sycamoredale/engines/completions.py
+++ b/sycamoredale/engines/completions.py
@@ -21,6 +21,7 @@
 
 EVENT_END: Final = event_buffer.EVENT_END
 DATA: Final = b"data: "
+COMMENT_PREFIX: Final = b":"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 ERROR_FIELD: Final = b'"error"'
 MAX_PENDING_BYTES: Final = 16 * 1024
@@ -80,7 +81,8 @@
     """Track one stream over all endpoints that generate parts of it.
 
     Only complete events are forwarded, so that another endpoint can resume
-    after the last one.  `error_event` is the error that the engine reported.
+    after the last one.  `error_event` is the error that the engine reported,
+    or what it sent in place of an event of a stream that it continues.
     """
 
     done: bool = False
@@ -92,6 +94,7 @@
     _delivered_bytes: int = 0
     _tokens: int = 0
     _texts: list[str] = dataclasses.field(default_factory=list)
+    _is_continued: bool = False
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete events to forward to the caller.
@@ -101,7 +104,7 @@
         too long.
         """
         events = self._buffer.feed(chunk)
-        if ERROR_FIELD in events:
+        if ERROR_FIELD in events or (self._is_continued and events):
             events = self._cut_at_error(events)
         if events.endswith(DONE_EVENT):
             self.done = True
@@ -118,6 +121,7 @@
         """Drop the incomplete event of the last endpoint and its error."""
         self._buffer.clear()
         self.error_event = None
+        self._is_continued = self.token_count() > 0
 
     def build_resume_request(
         self, request: messages.Request
@@ -150,7 +154,9 @@
     def _cut_at_error(self, events: bytes) -> bytes:
         kept: list[bytes] = []
         for event in events.split(EVENT_END)[:-1]:
-            if _is_error_event(event):
+            if _is_error_event(event) or (
+                self._is_continued and not _is_event(event)
+            ):
                 self.error_event = event.decode("latin-1")
                 break
             kept.append(event + EVENT_END)
@@ -237,6 +243,15 @@
     return choice.text or choice.delta.content or ""
 
 
+def _is_event(event: bytes) -> bool:
+    """Return whether text is an event of an engine or a comment."""
+    return (
+        event + EVENT_END == DONE_EVENT
+        or event.startswith(COMMENT_PREFIX)
+        or _decode_event(event) is not None
+    )
+
+
 def _is_error_event(event: bytes) -> bool:
     decoded = _decode_event(event)
     return decoded is not None and decoded.error is not None
--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from sycamoredale.engines import completions
 from sycamoredale import errors
 from tests import test_forwarder
 from tests import test_unframed_answers
@@ -112,3 +113,22 @@
     text = CONTINUATIONS["events, then an error"]
     caller, _ = test_forwarder.Site(first, RawEndpoint("i1", text)).run()
     assert caller.body == b"".join(EVENTS[:4])
+
+
+TOKEN = b'data: {"choices": [{"text": "x"}]}\n\n'
+
+
+# Guards, on the own interface, against the text of an error in the middle of
+# a stream that another engine continues.
+@pytest.mark.parametrize("text", [b"oops\n\n", ERROR_TEXTS["head"]])
+def test_text_is_no_event_of_a_continued_stream(text):
+    stream = completions.ResumableStream()
+    assert stream.feed(TOKEN) == TOKEN
+    stream.discard_partial_event()
+    assert stream.feed(TOKEN + text + TOKEN) == TOKEN
+    assert stream.error_event is not None
+    assert stream.token_count() == 2
+    stream.discard_partial_event()
+    rest = b": nothing\n\n" + TOKEN + completions.DONE_EVENT
+    assert stream.feed(rest) == rest
+    assert stream.done
