Read and pass on notices of topics that a later build adds

A topic is a text on the wire and is now read as one. An unknown topic has no subscriber, goes after all others, and is passed on unchanged, so the next landing may add one. The test failed before with 'invalid enum value'.

--- a/sycamoredale/membership/gossip.py
+++ b/sycamoredale/membership/gossip.py
@@ -7,6 +7,7 @@
 A notice is sent at most once to each neighbour and dropped after its
 lifetime.  Notices of an urgent topic are sent immediately; the others wait
 for the next heartbeat.  The notices of one heartbeat are limited in bytes.
+A topic that a later build has added is passed on, least urgent.
 """
 
 import collections
@@ -27,7 +28,7 @@
 SEQUENCES_PER_MILLISECOND: Final = 1000
 
 
-class Topic(enum.Enum):
+class Topic(enum.StrEnum):
     """Distinguish the subjects of notices, in descending urgency."""
 
     CONFIGURATION = "configuration"
@@ -51,9 +52,12 @@
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True):
-    """Carry one value of a daemon; a higher sequence replaces a lower."""
+    """Carry one value of a daemon; a higher sequence replaces a lower.
 
-    topic: Topic
+    The topic is a `Topic` or the name of a later one.
+    """
+
+    topic: str
     key: str
     origin: ids.DaemonId
     sequence: int
@@ -61,7 +65,7 @@
 
 
 Subscriber = collections.abc.Callable[[Notice], None]
-_Key = tuple[Topic, str, ids.DaemonId]
+_Key = tuple[str, str, ids.DaemonId]
 
 
 @dataclasses.dataclass
@@ -81,7 +85,7 @@
     """
 
     own_id: ids.DaemonId
-    subscribers_by_topic: dict[Topic, list[Subscriber]] = dataclasses.field(
+    subscribers_by_topic: dict[str, list[Subscriber]] = dataclasses.field(
         default_factory=dict
     )
     first_sequence: int = 0
@@ -154,7 +158,7 @@
             for entry in self._queued_by_key.values()
             if peer not in entry.sent_to
         ]
-        unsent.sort(key=lambda entry: _PRIORITY_BY_TOPIC[entry.notice.topic])
+        unsent.sort(key=lambda entry: _rank(entry.notice.topic))
         notices_to_send: list[Notice] = []
         for queued in unsent:
             if queued.size_bytes > max_bytes:
@@ -206,7 +210,13 @@
             del self._queued_by_key[key]
 
 
-_PRIORITY_BY_TOPIC: Final = {topic: n for n, topic in enumerate(Topic)}
+_RANK_BY_TOPIC: Final[dict[str, int]] = {
+    topic.value: rank for rank, topic in enumerate(Topic)
+}
+
+
+def _rank(topic: str) -> int:
+    return _RANK_BY_TOPIC.get(topic, len(Topic))
 
 
 def first_sequence(started: clock.WallTime) -> int:
--- a/tests/test_membership_rules.py
+++ b/tests/test_membership_rules.py
@@ -142,6 +142,20 @@
     assert len(received) == 1
 
 
+# Guards against heartbeats that a daemon cannot read because one notice in
+# them has a topic of a later build.
+def test_notice_of_an_unknown_topic_is_read_and_passed_on() -> None:
+    data = b'["later","k","a",1,{"x":2}]'
+    notice = msgspec.json.decode(data, type=gossip.Notice)
+    receiver = gossip.Gossip(ids.DaemonId("b"))
+    known = receiver.publish(gossip.Topic.USAGE, "u", 1)
+    now = clock.monotonic()
+    receiver.receive([notice], ids.DaemonId("a"), now)
+    passed_on = receiver.dequeue(ids.DaemonId("c"), 4096, now)
+    assert passed_on == [known, notice]
+    assert msgspec.json.encode(passed_on[1]) == data
+
+
 def test_urgent_notices_are_sent_first_within_byte_limit() -> None:
     sender = gossip.Gossip(ids.DaemonId("a"))
     usage = sender.publish(gossip.Topic.USAGE, "u", "x" * 300)
