--- a/tests/processes.py
+++ b/tests/processes.py
@@ -51,22 +51,26 @@
 
 
 class Fleet(contextlib.ExitStack):
-    """Start processes and kill all of them at exit."""
+    """Start processes and kill all of them at exit.
+
+    `daemon_tree` is the work tree whose code routers and controllers run.
+    """
 
     def __init__(self) -> None:
         """Create a fleet without processes."""
         super().__init__()
+        self.daemon_tree = ROOT
         self._proxy: Process | None = None
 
-    def start(self, *arguments: str) -> Process:
-        """Run a Python module with arguments as a process."""
+    def start(self, *arguments: str, tree: pathlib.Path = ROOT) -> Process:
+        """Run a Python module of a work tree as a process."""
         popen = subprocess.Popen(
             [sys.executable, "-m", *arguments],
-            cwd=ROOT,
+            cwd=tree,
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
-            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            env={**os.environ, "PYTHONPATH": str(tree)},
         )
         process = Process(popen)
         self.callback(_kill, popen)
@@ -152,6 +156,7 @@
             "--listen",
             "127.0.0.1:0",
             *more,
+            tree=self.daemon_tree,
         )
         process.address = wait_for(lambda: _logged_address(process))
         return process
@@ -170,6 +175,7 @@
             "--platform",
             platform,
             *more,
+            tree=self.daemon_tree,
         )
 
 
--- a/tests/scenarios/actions.py
+++ b/tests/scenarios/actions.py
@@ -200,6 +200,17 @@
         )
 
 
+def replace_controllers(
+    site: site_module.Site, generator: load.LoadGenerator, event: Event
+) -> None:
+    """Replace the controllers one by one while the load continues."""
+    names = [name for name in site.daemons if name.startswith("controller-")]
+    for name in names:
+        site.start_daemon(f"{name}-new")
+        time.sleep(event.seconds)
+        site.daemons[name].terminate(30.0)
+
+
 def poison(
     site: site_module.Site, generator: load.LoadGenerator, event: Event
 ) -> None:
@@ -295,6 +306,7 @@
         platform,
         poison,
         race,
+        replace_controllers,
         replace_routers,
         revive,
         silence,
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -2,6 +2,9 @@
 
 python -m tests.scenarios.runner --seed 1            # all scenarios and pairs
 python -m tests.scenarios.runner --only kill-router  # one scenario
+
+With `--from-tree` the first daemons run the code of another work tree and
+those that replace them the code of this one; `--to-tree` is the way back.
 """
 
 import collections
@@ -33,6 +36,9 @@
 SETTLE_SECONDS: Final = 0.5
 MAX_OFFSET_SECONDS: Final = 2.0
 OVERHEAD_SECONDS: Final = 20.0
+TREE: Final = click.Path(
+    exists=True, file_okay=False, resolve_path=True, path_type=pathlib.Path
+)
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -104,15 +110,27 @@
     )
 
 
-def run_scenario(scenario: Scenario, naive: bool = False) -> Report:
+@dataclasses.dataclass(frozen=True)
+class Trees:
+    """Name the work trees of the first daemons and of later ones."""
+
+    first: pathlib.Path = processes.ROOT
+    later: pathlib.Path = processes.ROOT
+
+
+def run_scenario(
+    scenario: Scenario, naive: bool = False, trees: Trees = Trees()
+) -> Report:
     """Run a scenario and check it; `naive` replaces the routers."""
     with (
         tempfile.TemporaryDirectory() as directory,
         processes.Fleet() as fleet,
     ):
+        fleet.daemon_tree = trees.first
         site = site_module.Site(
             fleet, pathlib.Path(directory), scenario.shape, scenario.engines
         )
+        fleet.daemon_tree = trees.later
         if naive:
             site.start_naive_router()
         generator = load_module.LoadGenerator(
@@ -199,12 +217,14 @@
         yield combine(one, other, rng.randrange(2**31))
 
 
-def _run_before(scenario: Scenario, deadline: float) -> Report | None:
+def _run_before(
+    scenario: Scenario, deadline: float, trees: Trees
+) -> Report | None:
     needed_seconds = scenario.seconds + OVERHEAD_SECONDS
     if time.monotonic() + needed_seconds > deadline:
         return None
     try:
-        return run_scenario(scenario)
+        return run_scenario(scenario, trees=trees)
     except (AssertionError, OSError) as failure:
         print(f"{scenario.name}: not run: {failure}", flush=True)
         return None
@@ -255,6 +275,8 @@
 @click.option("--only", default="", help="Name of a single scenario.")
 @click.option("--curve", is_flag=True, help="Print a summary of each second.")
 @click.option("--at-a-time", default=2, help="Number of concurrent runs.")
+@click.option("--from-tree", default=processes.ROOT, type=TREE)
+@click.option("--to-tree", default=processes.ROOT, type=TREE)
 @click.option(
     "--counts", type=click.File("a"), help="Append counts as JSON lines."
 )
@@ -264,6 +286,8 @@
     only: str,
     curve: bool,
     at_a_time: int,
+    from_tree: pathlib.Path,
+    to_tree: pathlib.Path,
     counts: typing.TextIO | None,
 ) -> None:
     """Run the scenarios and their pairs and print results by promise."""
@@ -271,8 +295,11 @@
     deadline = time.monotonic() + minutes * 60
     matrix = list(_scenario_matrix(scenarios, seed))
     reports = []
+    trees = Trees(from_tree, to_tree)
     with concurrent.futures.ThreadPoolExecutor(at_a_time) as pool:
-        futures = [pool.submit(_run_before, s, deadline) for s in matrix]
+        futures = [
+            pool.submit(_run_before, s, deadline, trees) for s in matrix
+        ]
         for future in concurrent.futures.as_completed(futures):
             report = future.result()
             if report is None:
