--- a/sycamoredale/forwarding/departures.py
+++ b/sycamoredale/forwarding/departures.py
@@ -86,11 +86,10 @@
     metrics: exposition.MetricRegistry = dataclasses.field(
         default_factory=exposition.MetricRegistry
     )
-    # The oldest entry comes first.
-    _source_by_incarnation: dict[Incarnation, Source] = dataclasses.field(
+    # The oldest one comes first.
+    _recorded: dict[Incarnation, None] = dataclasses.field(
         default_factory=dict
     )
-
     # The next one to tell peers of comes first.
     _schedule_by_incarnation: dict[Incarnation, _Schedule] = dataclasses.field(
         default_factory=dict
@@ -98,7 +97,7 @@
 
     def includes(self, incarnation: Incarnation) -> bool:
         """Return whether an incarnation has said that it leaves."""
-        return incarnation in self._source_by_incarnation
+        return incarnation in self._recorded
 
     def record(self, incarnation: Incarnation, source: Source) -> bool:
         """Record a departure; return whether it was unknown."""
@@ -106,11 +105,9 @@
             self._schedule_by_incarnation.setdefault(incarnation, _Schedule())
         if self.includes(incarnation):
             return False
-        self._source_by_incarnation[incarnation] = source
-        if len(self._source_by_incarnation) > MAX_REMEMBERED:
-            del self._source_by_incarnation[
-                next(iter(self._source_by_incarnation))
-            ]
+        self._recorded[incarnation] = None
+        if len(self._recorded) > MAX_REMEMBERED:
+            del self._recorded[next(iter(self._recorded))]
         self.log(incarnation, source)
         return True
 
