Continue a stream that broke off after a comment only

Since streams without ids are not continued, one whose endpoint had sent a comment and then broke off was given up, though another endpoint can begin it: a comment is no part of the stream that could come twice.

--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -42,9 +42,7 @@
         continuation.  Raises ValueError if an event is too long.
         """
         complete = self._buffer.feed(chunk)
-        passed = b"".join(self._filter_new(complete)) if complete else b""
-        self._has_passed = self._has_passed or bool(passed)
-        return passed
+        return b"".join(self._filter_new(complete)) if complete else b""
 
     def restart(self) -> None:
         """Drop the incomplete event of the endpoint that was abandoned."""
@@ -73,6 +71,7 @@
                     break
                 continue
             if number is None:
+                self._has_passed = self._has_passed or not _is_comment(event)
                 passed.append(event + event_buffer.EVENT_END)
                 continue
             if self.last_event_id is not None and number <= self.last_event_id:
@@ -85,6 +84,7 @@
                 break
             self.last_event_id = number
             self.event_count += 1
+            self._has_passed = True
             passed.append(event + event_buffer.EVENT_END)
         return passed
 
--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -106,6 +106,16 @@
     assert refusal.execution.value == "unknown"
 
 
+# Guards against a stream that is given up because of a comment before it.
+def test_stream_that_broke_off_after_a_comment_begins_elsewhere():
+    second = RawEndpoint("i1", _answer(WHOLE))
+    caller, _ = test_forwarder.Site(
+        RawEndpoint("i0", _broken_off(b": soon\n\n")), second
+    ).run()
+    assert caller.finished
+    assert caller.body == b": soon\n\n" + WHOLE
+
+
 # Guards against an event that is lost because an error followed it in one
 # packet.
 def test_events_before_an_error_are_passed_on():
