--- a/tests/test_queue_priority.py
+++ b/tests/test_queue_priority.py
@@ -12,6 +12,7 @@
 
 from sycamoredale import clock
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import peer_updates
 from sycamoredale.forwarding import queue_priority
 from sycamoredale import ids
@@ -97,8 +98,9 @@
     endpoint = _endpoint()
     endpoint.in_flight = 4
     now = clock.MonotonicTime(1.0)
-    table = type("Table", (), {"by_id": {"i0": endpoint}})()
-    table.update_demand = lambda now: None
+    table = endpoints.EndpointTable(
+        instance_table.InstanceTable(), dict, frozenset, {"i0": endpoint}
+    )
     exchange = peer_updates.PeerUpdateExchange(
         ids.DaemonId("d1"), table, lambda: []
     )
