Start the background tasks of a daemon again after a failure

Cause: curio ends a task at an exception that it does not handle and says so in its own log only. A watcher that met one was gone, and the daemon went on with the list of that moment, for good.

Change: the tasks of both kinds of daemons run under supervision, which logs and counts the failure and starts the task again after a growing pause. A task that starts others ends them with itself.

--- a/sycamoredale/daemons/controller.py
+++ b/sycamoredale/daemons/controller.py
@@ -17,6 +17,7 @@
 from sycamoredale.object_api import instances
 from sycamoredale.object_api import weights
 from sycamoredale.observability import logs
+from sycamoredale import supervision
 
 LOG: Final = logs.get("controller")
 STOP_TIMEOUT_SECONDS: Final = 2.0
@@ -51,9 +52,9 @@
         """Control groups until SIGTERM or SIGINT, then release the leases."""
         stop_signal = signals.StopSignal()
         await self._node.start()
-        await curio.spawn(self._configuration.run, daemon=True)
-        control_task = await curio.spawn(
-            self._group_controller.run, daemon=True
+        await supervision.spawn("configuration", self._configuration.run)
+        control_task = await supervision.spawn(
+            "groups", self._group_controller.run
         )
         LOG.info("controller_started")
         await stop_signal.wait()
--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -51,6 +51,7 @@
 from sycamoredale.requests import part_quarantine
 from sycamoredale.requests import poison
 from sycamoredale.requests import quarantine_records
+from sycamoredale import supervision
 
 # The load balancer probes once a second and removes an instance after two
 # failures; until then, it still sends requests.
@@ -129,11 +130,11 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
         stop_signal = signals.StopSignal()
-        await curio.spawn(self._reload_settings_on_signal, daemon=True)
-        for watcher in self._watcher_by_kind.values():
-            await curio.spawn(watcher.run, daemon=True)
-        await curio.spawn(self._check_watchers, daemon=True)
-        await curio.spawn(self._quarantine_records.run, daemon=True)
+        await self._spawn("settings", self._reload_settings_on_signal)
+        for kind, watcher in self._watcher_by_kind.items():
+            await self._spawn(f"watch_{kind}", watcher.run)
+        await self._spawn("watch_check", self._check_watchers)
+        await self._spawn("quarantine", self._quarantine_records.run)
         host = self._settings.caller_address.host
         self._metrics.bind(messages.Address(host, METRICS_PORT))
         await self._metrics.start()
@@ -142,15 +143,22 @@
         self._server.bind(self._settings.caller_address)
         await self._server.start()
         await self._node.start()
-        await curio.spawn(
-            self._peer_updates.run, self._peer_update_address(), daemon=True
+        await self._spawn(
+            "peer_updates", self._peer_updates.run, self._peer_update_address()
         )
-        await curio.spawn(self._connector.run, daemon=True)
-        await curio.spawn(self._group_controller.run, daemon=True)
+        await self._spawn("links", self._connector.run)
+        await self._spawn("groups", self._group_controller.run)
         LOG.info("started", address=str(self._settings.caller_address))
         await stop_signal.wait()
         await self._drain()
 
+    async def _spawn(
+        self, name: str, run: supervision.Run, *args: object
+    ) -> None:
+        await supervision.spawn(
+            name, run, *args, metrics=self._metric_registry
+        )
+
     def _peer_update_address(self) -> messages.Address:
         port = self._settings.peer_ports[0] + PEER_UPDATE_PORT_OFFSET
         return messages.Address(self._settings.caller_address.host, port)
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -49,6 +49,7 @@
 from sycamoredale.routing import health
 from sycamoredale.routing import slot_lease_manager
 from sycamoredale.routing import table
+from sycamoredale import supervision
 
 DRAIN_LISTEN_SECONDS: Final = 2.0
 SETTLE_TIMEOUT_SECONDS: Final = 5.0
@@ -124,16 +125,20 @@
         """Serve until SIGTERM or SIGINT, then drain."""
         stop_signal = signals.StopSignal()
         await self._node.start()
-        await curio.spawn(self._configuration.run, daemon=True)
-        await curio.spawn(self._assignments.run, daemon=True)
-        await curio.spawn(self._record_store.run, daemon=True)
-        await curio.spawn(self._cache_event_poller.run, daemon=True)
-        await curio.spawn(self._admission.run, daemon=True)
-        await curio.spawn(self._slot_lease_manager.run, daemon=True)
-        await curio.spawn(self._dispatcher.liveness_monitor.run, daemon=True)
-        await curio.spawn(self._quarantine_records.run, daemon=True)
-        await curio.spawn(self._part_gossip.run, daemon=True)
-        await curio.spawn(self._links.connector.run, daemon=True)
+        run_by_name: dict[str, supervision.Run] = {
+            "configuration": self._configuration.run,
+            "assignments": self._assignments.run,
+            "cold_start_records": self._record_store.run,
+            "cache_events": self._cache_event_poller.run,
+            "admission": self._admission.run,
+            "slot_leases": self._slot_lease_manager.run,
+            "liveness": self._dispatcher.liveness_monitor.run,
+            "quarantine": self._quarantine_records.run,
+            "part_gossip": self._part_gossip.run,
+            "links": self._links.connector.run,
+        }
+        for name, run_task in run_by_name.items():
+            await supervision.spawn(name, run_task)
         bound = self._server.bind(self._settings.listen)
         await self._server.start()
         LOG.info("router_listening", address=str(bound))
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -28,6 +28,7 @@
 from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
 from sycamoredale.requests import part_updates
+from sycamoredale import supervision
 
 # Less than half of the longest interval between two events of a healthy
 # engine.
@@ -148,8 +149,17 @@
         sock = curio.socket.socket(
             curio.socket.AF_INET, curio.socket.SOCK_DGRAM
         )
-        sock.bind((address.host, address.port))
-        await curio.spawn(self._receive, sock, daemon=True)
+        async with sock:
+            sock.bind((address.host, address.port))
+            receiving = await supervision.spawn(
+                "peer_update_reader", self._receive, sock
+            )
+            try:
+                await self._send_periodically(sock)
+            finally:
+                await receiving.cancel()
+
+    async def _send_periodically(self, sock: typing.Any) -> None:
         while True:
             peers = self.get_peers()
             self._interval_seconds = interval_seconds(len(peers))
--- a/sycamoredale/groups/group_controller.py
+++ b/sycamoredale/groups/group_controller.py
@@ -29,6 +29,7 @@
 from sycamoredale.object_api import objects
 from sycamoredale.object_api import weights
 from sycamoredale.observability import logs
+from sycamoredale import supervision
 
 LEASE_RENEWAL_SECONDS: Final = 0.4
 LIMITS_INTERVAL_SECONDS: Final = 30.0
@@ -80,9 +81,18 @@
 
     async def run(self) -> None:
         """Run all tasks, forever."""
-        await curio.spawn(self._assignments.follow, daemon=True)
-        await curio.spawn(self._poll_instance_list, daemon=True)
-        await curio.spawn(self._poll_weight_limits, daemon=True)
+        tasks = [
+            await supervision.spawn("assignments", self._assignments.follow),
+            await supervision.spawn("instances", self._poll_instance_list),
+            await supervision.spawn("weights", self._poll_weight_limits),
+        ]
+        try:
+            await self._maintain_leases()
+        finally:
+            for task in tasks:
+                await task.cancel()
+
+    async def _maintain_leases(self) -> None:
         while True:
             try:
                 await self._renew_leases()
--- a/sycamoredale/groups/reported_group_controller.py
+++ b/sycamoredale/groups/reported_group_controller.py
@@ -28,6 +28,7 @@
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.observability import logs
+from sycamoredale import supervision
 
 LEASE_NAME: Final = "groups"
 # Short, because no group is repaired between the failure of the owner and
@@ -126,7 +127,15 @@
 
     async def run(self) -> None:
         """Acquire the lease when it is free; run rounds while it is held."""
-        await curio.spawn(self._maintain_lease, daemon=True)
+        lease_task = await supervision.spawn(
+            "group_lease", self._maintain_lease
+        )
+        try:
+            await self._run_terms()
+        finally:
+            await lease_task.cancel()
+
+    async def _run_terms(self) -> None:
         while True:
             if not self.lease.is_held(clock.monotonic()):
                 await curio.sleep(ROUND_INTERVAL_SECONDS)
@@ -228,7 +237,7 @@
             self.get_last_progress_at,
             self.is_reached_by_peers,
         )
-        probing = await curio.spawn(prober.run, daemon=True)
+        probing = await supervision.spawn("group_probes", prober.run)
         try:
             while self._holds_lease(term.epoch) and not self.is_isolated():
                 if prober.may_act():
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -24,6 +24,7 @@
 from sycamoredale.object_api import budget
 from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
+from sycamoredale import supervision
 
 SEED_INTERVAL_SECONDS: Final = 2.0
 DEREGISTER_TIMEOUT_SECONDS: Final = 2.0
@@ -108,9 +109,9 @@
         self.members.update_own(address=str(self._options.advertise or bound))
         await self._server.start()
         LOG.info("peer_service_listening", address=str(bound))
-        await curio.spawn(self.heartbeats.run, daemon=True)
-        await curio.spawn(self.registry.run, daemon=True)
-        await curio.spawn(self._contact_seeds, daemon=True)
+        await supervision.spawn("heartbeats", self.heartbeats.run)
+        await supervision.spawn("registry", self.registry.run)
+        await supervision.spawn("seeds", self._contact_seeds)
         return bound
 
     async def stop(self) -> None:
