Take the sound entries of a list that has an odd one

Cause: one entry that is nested deeply makes the decoder of the whole list, and of each watch that has it, raise RecursionError, which none of the 35 modules that decode input expected: the watcher's task ended for good, on all daemons at once. Slots of 0 or less, a start of 10^30, port 0 and a NUL in the host were taken; an entry with a start in the future and the address of a sound instance displaced that one.

Ruled out: a depth limit before each decoder, which would scan every list; a deep value is cut out only after a decoder has refused the document.

Change: sycamoredale/decoding.py decodes all input from outside and raises one error. Lists and watches are decoded object by object, numbers have ranges stated in their types, and addresses are those that can be used. An odd entry is logged and counted once for each of its versions and changes nothing. An answer without a list is not an empty list. A lease that cannot be read is not free.

--- a/sycamoredale/admission/usage.py
+++ b/sycamoredale/admission/usage.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import ids
 from sycamoredale.membership import gossip
 
@@ -65,7 +66,7 @@
         if notice.origin == self.notices.own_id:
             return
         try:
-            usage = msgspec.json.decode(notice.payload, type=RouterUsage)
+            usage = decoding.decode_json(notice.payload, RouterUsage)
         except msgspec.DecodeError:
             return
         expires = now + EXPIRY_PERIODS * usage.period_seconds
--- a/sycamoredale/commands/daemon_requests.py
+++ b/sycamoredale/commands/daemon_requests.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 import curio
-import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale.http import client
 from sycamoredale.http import messages
@@ -25,7 +25,7 @@
     """Return the registrations of all daemons; raise StoreUnavailable."""
     listing = await store.list(view.DAEMON_KIND)
     return [
-        msgspec.json.decode(stored.value, type=registry.Registration)
+        decoding.decode_json(stored.value, registry.Registration)
         for stored in listing.objects
     ]
 
--- a/sycamoredale/commands/fleet_status.py
+++ b/sycamoredale/commands/fleet_status.py
@@ -10,6 +10,7 @@
 from sycamoredale.commands import daemon_requests
 from sycamoredale.config import model
 from sycamoredale.config import store as config_store
+from sycamoredale import decoding
 from sycamoredale import ids
 from sycamoredale.membership import registry
 from sycamoredale.membership import status
@@ -105,7 +106,7 @@
 
 def _decode_status(body: bytes | None) -> status.DaemonStatus | None:
     try:
-        return msgspec.json.decode(body or b"", type=status.DaemonStatus)
+        return decoding.decode_json(body or b"", status.DaemonStatus)
     except msgspec.DecodeError:
         return None  # The report of the fleet shows this daemon as silent.
 
--- a/sycamoredale/commands/histogram.py
+++ b/sycamoredale/commands/histogram.py
@@ -10,6 +10,7 @@
 from sycamoredale.commands import daemon_requests
 from sycamoredale.commands import exit_codes
 from sycamoredale.commands import parameters
+from sycamoredale import decoding
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.membership import view
@@ -92,8 +93,8 @@
     a router are either merged completely or not at all.
     """
     try:
-        encoded_histograms = msgspec.json.decode(
-            body, type=list[histograms.EncodedHistogram]
+        encoded_histograms = decoding.decode_json(
+            body, list[histograms.EncodedHistogram]
         )
         decoded = histograms.HistogramSet()
         for encoded in encoded_histograms:
--- a/sycamoredale/config/parts.py
+++ b/sycamoredale/config/parts.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from sycamoredale.config import model
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
@@ -75,8 +76,8 @@
                 error_codes.INVALID_CONFIGURATION,
                 f"section {part.section!r} is not supported by this version",
             )
-        entities_by_section[part.section] += msgspec.json.decode(
-            part.entities, type=entity_type
+        entities_by_section[part.section] += decoding.decode_json(
+            part.entities, entity_type
         )
     limits = entities_by_section.pop(LIMITS_SECTION, [model.Limits()])[0]
     for entities in entities_by_section.values():
--- a/sycamoredale/config/propagation.py
+++ b/sycamoredale/config/propagation.py
@@ -12,6 +12,7 @@
 
 from sycamoredale.config import parts as parts_module
 from sycamoredale.config import store as config_store
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import peer_service
@@ -91,10 +92,10 @@
         response = await self.peers.call(
             peer, PATH, body, FETCH_TIMEOUT_SECONDS
         )
-        return msgspec.json.decode(response, type=Answer)
+        return decoding.decode_json(response, Answer)
 
     async def _handle_request(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=Request)
+        request = decoding.decode_json(body, Request)
         requester_digests: frozenset[str] = self._digests_by_generation.get(
             request.generation, frozenset()
         )
--- a/sycamoredale/config/store.py
+++ b/sycamoredale/config/store.py
@@ -21,6 +21,7 @@
 
 from sycamoredale.config import model
 from sycamoredale.config import parts as parts_module
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
@@ -173,7 +174,7 @@
 
 def decode_pointer(stored: objects.StoredObject) -> model.Pointer:
     """Decode the pointer to the accepted configuration."""
-    return msgspec.json.decode(stored.value, type=model.Pointer)
+    return decoding.decode_json(stored.value, model.Pointer)
 
 
 async def _write_part(
@@ -240,4 +241,4 @@
 
 
 def _decode_part(stored: objects.StoredObject) -> StoredPart:
-    return msgspec.json.decode(stored.value, type=StoredPart)
+    return decoding.decode_json(stored.value, StoredPart)
--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -181,7 +181,9 @@
         manifest_handler = object_handlers.ManifestHandler(
             self._routes, self._on_manifest
         )
-        instance_handler = object_handlers.InstanceHandler(self._instances)
+        instance_handler = object_handlers.InstanceHandler(
+            self._instances, self._metric_registry
+        )
         return [
             self._build_watcher(
                 object_handlers.MANIFEST_KIND,
--- a/sycamoredale/daemons/followers.py
+++ b/sycamoredale/daemons/followers.py
@@ -13,12 +13,12 @@
 from typing import Final
 
 import curio
-import msgspec
 
 from sycamoredale import clock
 from sycamoredale.config import model as config_model
 from sycamoredale.config import propagation
 from sycamoredale.config import store as config_store
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.groups import model as groups_model
@@ -250,7 +250,7 @@
 
     def _apply(self, change: mirror.Change) -> None:
         assignments = (
-            msgspec.json.decode(stored.value, type=groups_model.Assignment)
+            decoding.decode_json(stored.value, groups_model.Assignment)
             for stored in change.updated
         )
         deleted = (ids.DomainName(name) for name in change.deleted)
--- a/sycamoredale/engines/completions.py
+++ b/sycamoredale/engines/completions.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale.http import client
 from sycamoredale.http import event_buffer
@@ -72,8 +73,8 @@
     error: str = ""
 
 
-_EVENT_DECODER: Final = msgspec.json.Decoder(_Event)
-_BODY_DECODER: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_EVENT_DECODER: Final = decoding.JsonDecoder(_Event)
+_BODY_DECODER: Final = decoding.JsonDecoder(dict[str, msgspec.Raw])
 
 
 @dataclasses.dataclass
@@ -182,7 +183,7 @@
             address, request, PROBE_TIMEOUT_SECONDS, new_connection=True
         )
         try:
-            return msgspec.json.decode(response.body, type=RequestProgress)
+            return decoding.decode_json(response.body, RequestProgress)
         except msgspec.DecodeError as error:
             raise errors.EndpointFault(
                 f"engine {address} sent a malformed progress report: {error}"
@@ -203,7 +204,7 @@
     if status != 503:
         return False
     try:
-        refused = msgspec.json.decode(body, type=_RefusalBody)
+        refused = decoding.decode_json(body, _RefusalBody)
     except msgspec.DecodeError:
         return False
     return refused.error in REFUSING_PHASES
@@ -212,7 +213,7 @@
 def is_complete_json(body: bytes) -> bool:
     """Return whether the body of an answer is complete JSON."""
     try:
-        msgspec.json.decode(body)
+        decoding.decode_json(body)
     except msgspec.DecodeError:
         return False
     return True
--- a/sycamoredale/engines/model_engine.py
+++ b/sycamoredale/engines/model_engine.py
@@ -12,6 +12,7 @@
 import curio
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale.engines import orders
 from sycamoredale import error_codes
 from sycamoredale import errors
@@ -90,7 +91,7 @@
     address: messages.Address, response: messages.Response
 ) -> orders.EngineState:
     try:
-        return msgspec.json.decode(response.body, type=orders.EngineState)
+        return decoding.decode_json(response.body, orders.EngineState)
     except msgspec.DecodeError as error:
         raise errors.ConnectionBroken(
             error_codes.CONNECTION_BROKEN,
--- a/sycamoredale/engines/reports.py
+++ b/sycamoredale/engines/reports.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from sycamoredale import decoding
 from sycamoredale.engines import model_engine
 from sycamoredale.engines import orders
 from sycamoredale import error_codes
@@ -64,7 +65,7 @@
         request = messages.Request("GET", target)
         response = await self.pool.call(address, request, CALL_TIMEOUT_SECONDS)
         try:
-            return msgspec.json.decode(response.body, type=list[CacheEvent])
+            return decoding.decode_json(response.body, list[CacheEvent])
         except msgspec.DecodeError as error:
             raise errors.ConnectionBroken(
                 error_codes.CONNECTION_BROKEN,
@@ -77,7 +78,7 @@
     prompt: msgspec.Raw = msgspec.Raw(b"")
 
 
-_PROMPT_DECODER: Final = msgspec.json.Decoder(_PromptText)
+_PROMPT_DECODER: Final = decoding.JsonDecoder(_PromptText)
 
 
 def hash_prompt_blocks(body: bytes) -> list[int]:
--- a/sycamoredale/forwarding/kind_updates.py
+++ b/sycamoredale/forwarding/kind_updates.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import ids
 from sycamoredale.object_api import objects
 
@@ -85,7 +86,7 @@
 
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(list[Change])
+_DECODER: Final = decoding.MessagePackDecoder(list[Change])
 
 
 @dataclasses.dataclass
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale.forwarding import announced_limit
 from sycamoredale.forwarding import departures as departures_module
 from sycamoredale.forwarding import endpoints
@@ -113,7 +114,7 @@
 ]
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(PeerUpdate)
+_DECODER: Final = decoding.MessagePackDecoder(PeerUpdate)
 
 
 @dataclasses.dataclass
--- a/sycamoredale/groups/assignment_store.py
+++ b/sycamoredale/groups/assignment_store.py
@@ -13,6 +13,7 @@
 import curio
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale.groups import model
 from sycamoredale import ids
@@ -115,7 +116,7 @@
 
     def apply(self, stored: objects.StoredObject) -> None:
         """Cache a stored object unless the cached one is newer."""
-        assignment = msgspec.json.decode(stored.value, type=model.Assignment)
+        assignment = decoding.decode_json(stored.value, model.Assignment)
         self._replace_if_newer(VersionedAssignment(stored.version, assignment))
 
     async def _read_changes(
--- a/sycamoredale/groups/load_slots.py
+++ b/sycamoredale/groups/load_slots.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale.groups import model
 from sycamoredale import ids
@@ -120,4 +121,4 @@
 def _decode(stored: objects.StoredObject | None) -> Slots:
     if stored is None:
         return Slots()
-    return msgspec.json.decode(stored.value, type=Slots)
+    return decoding.decode_json(stored.value, Slots)
--- a/sycamoredale/http/messages.py
+++ b/sycamoredale/http/messages.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import dataclasses
+import re
 from typing import Final
 import urllib.parse
 
@@ -12,6 +13,11 @@
 
 JSON_TYPE: Final = "application/json"
 EVENT_STREAM_TYPE: Final = "text/event-stream"
+# An IP address or a host name; name lookups raise other errors for the rest.
+_HOST: Final = re.compile(
+    r"[0-9A-Fa-f:.]{2,45}|(?=.{1,253}$)[\w-]{1,63}(\.[\w-]{1,63})*",
+    re.ASCII,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +42,16 @@
     return Address(host, int(port))
 
 
+def parse_destination(text: str) -> Address:
+    """Parse the address of another process; raise ValueError."""
+    address = parse_address(text)
+    if not address.port:
+        raise ValueError(f"address {text!r} has port 0")
+    if not _HOST.fullmatch(address.host):
+        raise ValueError(f"address {text!r} names no host")
+    return address
+
+
 class Headers:
     """Store header fields in order of arrival."""
 
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -25,6 +25,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
@@ -295,7 +296,13 @@
 
 
 def _decode(stored: objects.StoredObject) -> LeaseRecord:
-    return msgspec.json.decode(stored.value, type=LeaseRecord)
+    try:
+        return decoding.decode_json(stored.value, LeaseRecord)
+    except decoding.MalformedInput as error:
+        raise errors.StoreUnavailable(
+            error_codes.STORE_UNAVAILABLE,
+            f"the record of lease {stored.name!r} is malformed: {error}",
+        ) from error
 
 
 def _new_write_id() -> ids.WriteId:
--- a/sycamoredale/membership/failure_detector.py
+++ b/sycamoredale/membership/failure_detector.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import member_updates
@@ -116,7 +117,7 @@
             LOG.info(f"member_{state.value}", id=peer.id)
 
     async def _on_probe(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=peer_messages.ProbeRequest)
+        request = decoding.decode_json(body, peer_messages.ProbeRequest)
         reached = await self.send_heartbeat(
             request.target, new_connection=True
         )
@@ -142,9 +143,7 @@
                 body,
                 PROBE_TIMEOUT_SECONDS,
             )
-            decoded = msgspec.json.decode(
-                answer, type=peer_messages.ProbeAnswer
-            )
+            decoded = decoding.decode_json(answer, peer_messages.ProbeAnswer)
         except (errors.SycamoredaleError, msgspec.DecodeError):
             return False
         return decoded.reached
--- a/sycamoredale/membership/heartbeats.py
+++ b/sycamoredale/membership/heartbeats.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import failure_detector
@@ -138,7 +139,7 @@
                 failure_detector.PROBE_TIMEOUT_SECONDS,
                 new_connection,
             )
-            answer = msgspec.json.decode(body, type=peer_messages.Heartbeat)
+            answer = decoding.decode_json(body, peer_messages.Heartbeat)
         except (errors.SycamoredaleError, msgspec.DecodeError) as error:
             LOG.debug("heartbeat_failed", peer=peer.id, reason=str(error))
             self.updates.requeue(peer.id, message.members)
@@ -186,7 +187,7 @@
         self.gossip.receive(message.notices, sender.id, now)
 
     async def _on_heartbeat(self, body: bytes) -> bytes:
-        message = msgspec.json.decode(body, type=peer_messages.Heartbeat)
+        message = decoding.decode_json(body, peer_messages.Heartbeat)
         now = clock.monotonic()
         self._merge_heartbeat(message, now)
         await self.on_peer_versions(message.sender.id, message.versions)
@@ -195,7 +196,7 @@
         )
 
     async def _on_members(self, body: bytes) -> bytes:
-        request = msgspec.json.decode(body, type=peer_messages.MembersRequest)
+        request = decoding.decode_json(body, peer_messages.MembersRequest)
         known_by_id = {known.id: known for known in request.known}
         newer = [
             peer
@@ -226,8 +227,8 @@
         except errors.SycamoredaleError as error:
             LOG.info("member_sync_failed", peer=peer.id, reason=error.message)
             return
-        for member in msgspec.json.decode(
-            body, type=peer_messages.MembersAnswer
+        for member in decoding.decode_json(
+            body, peer_messages.MembersAnswer
         ).members:
             self.members.merge(member, clock.monotonic())
 
--- a/sycamoredale/membership/mirror.py
+++ b/sycamoredale/membership/mirror.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import peer_service
@@ -119,7 +120,7 @@
         body = await self.peers.call(
             peer, PATH_PREFIX + self.kind, request, FETCH_TIMEOUT_SECONDS
         )
-        answer = msgspec.json.decode(body, type=Answer)
+        answer = decoding.decode_json(body, Answer)
         listing = objects.Listing(
             answer.version, answer.objects, answer.deleted
         )
@@ -181,7 +182,7 @@
             )
 
     async def _handle_request(self, body: bytes) -> bytes:
-        after_version = msgspec.json.decode(body, type=Request).after_version
+        after_version = decoding.decode_json(body, Request).after_version
         is_snapshot = after_version < self._deletions_known_since
         answer = Answer(
             version=self.version,
--- a/sycamoredale/membership/registry.py
+++ b/sycamoredale/membership/registry.py
@@ -9,12 +9,14 @@
 
 import dataclasses
 import random
+import typing
 from typing import Final
 
 import curio
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import view
@@ -40,7 +42,9 @@
     address: str
     zone: ids.ZoneName
     role: view.Role
-    incarnation: ids.Incarnation
+    incarnation: typing.Annotated[
+        ids.Incarnation, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)
+    ]
 
 
 @dataclasses.dataclass
@@ -147,7 +151,7 @@
 def _decode(stored: objects.StoredObject) -> Registration | None:
     """Return a registration, or None if another writer malformed it."""
     try:
-        return msgspec.json.decode(stored.value, type=Registration)
+        return decoding.decode_json(stored.value, Registration)
     except msgspec.DecodeError as error:
         LOG.warning("entry_malformed", entry=stored.name, reason=str(error))
         return None
--- a/sycamoredale/object_api/instances.py
+++ b/sycamoredale/object_api/instances.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
@@ -58,7 +59,7 @@
                     error_codes.STORE_UNAVAILABLE,
                     f"the instance list answered status {response.status}",
                 )
-            return msgspec.json.decode(response.body, type=list[Instance])
+            return decoding.decode_json(response.body, list[Instance])
         except (errors.ConnectionFailed, errors.ConnectionBroken) as error:
             raise errors.StoreUnavailable(
                 error_codes.STORE_UNAVAILABLE,
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
@@ -253,7 +254,7 @@
 def decode_body(response: messages.Response, kind: type[_T]) -> _T:
     """Decode the JSON body of an answer; raise StoreUnavailable."""
     try:
-        return msgspec.json.decode(response.body, type=kind)
+        return decoding.decode_json(response.body, kind)
     except msgspec.DecodeError as error:
         raise errors.StoreUnavailable(
             error_codes.STORE_UNAVAILABLE,
--- a/sycamoredale/object_api/weights.py
+++ b/sycamoredale/object_api/weights.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import client
@@ -32,7 +33,7 @@
         """Return the limits of the store; raise StoreUnavailable."""
         response = await self._get("/v1/weights", CALL_TIMEOUT_SECONDS)
         try:
-            return msgspec.json.decode(response.body, type=WeightLimits)
+            return decoding.decode_json(response.body, WeightLimits)
         except msgspec.DecodeError as error:
             raise _unavailable(f"its limits are malformed: {error}") from error
 
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale.forwarding import catalogue
 from sycamoredale import ids
 
@@ -94,7 +95,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-_DECODER = msgspec.json.Decoder(_Manifest)
+_DECODER = decoding.JsonDecoder(_Manifest)
 
 
 def decode(data: bytes | msgspec.Raw) -> catalogue.Catalogue:
--- a/sycamoredale/platform/object_handlers.py
+++ b/sycamoredale/platform/object_handlers.py
@@ -12,6 +12,7 @@
 from sycamoredale.forwarding import route_table
 from sycamoredale import ids
 from sycamoredale.object_api import objects
+from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 from sycamoredale.platform import instance_decoder
 from sycamoredale.platform import manifest
@@ -27,31 +28,56 @@
 
 @dataclasses.dataclass
 class InstanceHandler:
-    """Keep the table of instances up to date."""
+    """Keep the table of instances up to date.
+
+    A malformed entry is no change of its instance, and is logged once.
+    """
 
     table: instance_table.InstanceTable
+    metrics: exposition.MetricRegistry = dataclasses.field(
+        default_factory=exposition.MetricRegistry
+    )
+    _malformed_version_by_name: dict[str, ids.ObjectVersion] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def apply(self, seen: objects.Listing, complete: bool) -> None:
         """Apply changed or deleted instances to the table."""
+        for name in seen.deleted:
+            self._malformed_version_by_name.pop(name, None)
         listed = {ids.InstanceId(item.name) for item in seen.objects}
         for name in seen.deleted:
             LOG.info("instance_gone", instance=name, version=seen.version)
         self.table.apply_listing(
-            _instances(seen),
+            self._decode(seen, clock.wall()),
             {ids.InstanceId(name) for name in seen.deleted},
             listed if complete else None,
             clock.monotonic(),
         )
 
-
-def _instances(
-    seen: objects.Listing,
-) -> collections.abc.Iterator[instance_state.Instance]:
-    for item in seen.objects:
-        try:
-            yield instance_decoder.decode_entry(item.name, item.value)
-        except (msgspec.DecodeError, ValueError) as error:
-            LOG.warning("entry_malformed", entry=item.name, reason=str(error))
+    def _decode(
+        self, seen: objects.Listing, now: clock.WallTime
+    ) -> collections.abc.Iterator[instance_state.Instance]:
+        for item in seen.objects:
+            try:
+                instance = instance_decoder.decode_entry(
+                    item.name, item.value, now
+                )
+            except ValueError as error:
+                self._record_malformed(item, str(error))
+            else:
+                self._malformed_version_by_name.pop(item.name, None)
+                yield instance
+
+    def _record_malformed(
+        self, item: objects.StoredObject, reason: str
+    ) -> None:
+        version_by_name = self._malformed_version_by_name
+        if version_by_name.get(item.name) == item.version:
+            return
+        version_by_name[item.name] = item.version
+        self.metrics.count("malformed_entries", INSTANCE_KIND)
+        LOG.warning("entry_malformed", entry=item.name, reason=reason)
 
 
 @dataclasses.dataclass
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -1,22 +1,29 @@
 """Implement the object API on top of the platform's store.
 
 An object's revision in the store is its object version, and its specification
-is the stored value.
+is the stored value.  Other writers may leave an object that cannot be decoded:
+it is skipped, so that the others of its kind are still known.
 """
 
+import collections.abc
 import dataclasses
 import functools
+import typing
+from typing import Final
 import urllib.parse
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.object_api import budget
 from sycamoredale.object_api import objects
+from sycamoredale.observability import logs
 
+LOG: Final = logs.get("platform.store")
 _path = functools.partial(objects.object_path, "/v1/objects")
 
 
@@ -32,8 +39,8 @@
 
 class _Page(msgspec.Struct):
     # Revision of the store at this page, from which a watch continues.
-    at: int
-    items: list[_Object] = []
+    at: decoding.Count
+    items: list[msgspec.Raw]
     has_more: bool = False
 
 
@@ -43,8 +50,15 @@
 
 
 class _Events(msgspec.Struct):
-    at: int
-    events: list[_Event] = []
+    at: decoding.Count
+    events: list[msgspec.Raw] = []
+
+
+_PAGE_DECODER: Final = decoding.JsonDecoder(_Page)
+_EVENTS_DECODER: Final = decoding.JsonDecoder(_Events)
+_OBJECT_DECODER: Final = decoding.JsonDecoder(_Object)
+_EVENT_DECODER: Final = decoding.JsonDecoder(_Event)
+_T = typing.TypeVar("_T")
 
 
 @dataclasses.dataclass
@@ -73,11 +87,14 @@
         while True:
             target = _path(kind) + _query(query)
             response = await self._read(budget.CallKind.LIST, target, limits)
-            page = objects.decode_body(response, _Page)
-            found.extend(_stored(item) for item in page.items)
-            if not page.has_more or not page.items:
+            page = _decode_list(response, _PAGE_DECODER)
+            items = list(_decode_each(page.items, _OBJECT_DECODER, kind))
+            found.extend(map(_stored, items))
+            if not page.has_more:
                 return objects.Listing(ids.ObjectVersion(page.at), found)
-            query = {**query, "after": page.items[-1].metadata.name}
+            if not items:
+                raise _malformed("no object of a page can be decoded")
+            query = {**query, "after": items[-1].metadata.name}
 
     async def watch(
         self,
@@ -99,9 +116,12 @@
                 error_codes.WATCH_EXPIRED,
                 f"the store no longer has changes of {kind} after {after}",
             )
-        events = objects.decode_body(response, _Events)
+        events = _decode_list(response, _EVENTS_DECODER)
         # Of an object deleted and recreated, only the last event counts.
-        last = {e.object.metadata.name: e for e in events.events}
+        last = {
+            e.object.metadata.name: e
+            for e in _decode_each(events.events, _EVENT_DECODER, kind)
+        }
         return objects.Listing(
             ids.ObjectVersion(events.at),
             [_stored(e.object) for e in last.values() if not e.deleted],
@@ -138,3 +158,37 @@
     return objects.StoredObject(
         item.metadata.name, ids.ObjectVersion(item.metadata.rev), item.spec
     )
+
+
+def _decode_list(
+    response: messages.Response, decoder: decoding.JsonDecoder[_T]
+) -> _T:
+    """Decode the answer to a list or watch; raise StoreUnavailable."""
+    try:
+        try:
+            return decoder.decode(response.body)
+        except decoding.MalformedInput:
+            body = decoding.without_deep_values(response.body)
+            return decoder.decode(body)
+    except decoding.MalformedInput as error:
+        raise _malformed(str(error)) from error
+
+
+def _decode_each(
+    values: collections.abc.Iterable[msgspec.Raw],
+    decoder: decoding.JsonDecoder[_T],
+    kind: str,
+) -> collections.abc.Iterator[_T]:
+    """Yield the values that can be decoded."""
+    for value in values:
+        try:
+            yield decoder.decode(value)
+        except decoding.MalformedInput as error:
+            LOG.warning("object_malformed", kind=kind, reason=str(error))
+
+
+def _malformed(reason: str) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(
+        error_codes.STORE_UNAVAILABLE,
+        f"the object API sent a malformed answer: {reason}",
+    )
--- a/sycamoredale/requests/call.py
+++ b/sycamoredale/requests/call.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sycamoredale.config import model
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import messages
@@ -30,7 +31,7 @@
     stream: bool = False
 
 
-_COMPLETION_DECODER: Final = msgspec.json.Decoder(_Completion)
+_COMPLETION_DECODER: Final = decoding.JsonDecoder(_Completion)
 
 
 class Priority(enum.Enum):
--- a/sycamoredale/requests/chat_parts.py
+++ b/sycamoredale/requests/chat_parts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sycamoredale import decoding
 from sycamoredale import ids
 from sycamoredale.requests import call as call_module
 from sycamoredale.requests import part_evidence
@@ -20,7 +21,7 @@
     if not call.is_model:
         return ()
     try:
-        chat = msgspec.json.decode(call.upstream.body, type=_Chat)
+        chat = decoding.decode_json(call.upstream.body, _Chat)
     except msgspec.DecodeError:
         return ()
     return tuple(
--- a/sycamoredale/requests/claim_service.py
+++ b/sycamoredale/requests/claim_service.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import view
@@ -100,7 +101,7 @@
 
         Raises SycamoredaleError.
         """
-        request = msgspec.json.decode(body, type=PeerOperation)
+        request = decoding.decode_json(body, PeerOperation)
         result = await self.writer.apply(
             request.shard, request.operation, TAKE_TIMEOUT_SECONDS
         )
@@ -138,7 +139,7 @@
             answer = await self.peers.call(
                 home.id, PEER_PATH, body, PEER_TIMEOUT_SECONDS
             )
-            return msgspec.json.decode(answer, type=claims.OperationResult)
+            return decoding.decode_json(answer, claims.OperationResult)
         except (
             errors.ConnectionFailed,
             errors.ConnectionBroken,
--- a/sycamoredale/requests/claim_writer.py
+++ b/sycamoredale/requests/claim_writer.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
@@ -275,4 +276,4 @@
 
 
 def _decode(value: bytes) -> claims.Shard:
-    return msgspec.json.decode(value, type=claims.Shard)
+    return decoding.decode_json(value, claims.Shard)
--- a/sycamoredale/requests/part_gossip.py
+++ b/sycamoredale/requests/part_gossip.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import ids
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.requests import part_quarantine
@@ -70,8 +71,8 @@
     ) -> None:
         """Merge the evidence of a peer; ignore a malformed notice."""
         try:
-            update = msgspec.json.decode(
-                notice.payload, type=part_updates.PartUpdate
+            update = decoding.decode_json(
+                notice.payload, part_updates.PartUpdate
             )
         except msgspec.DecodeError:
             return
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
@@ -103,7 +104,7 @@
     ) -> None:
         """Count a crash that another daemon detected."""
         try:
-            crash = msgspec.json.decode(notice.payload, type=Crash)
+            crash = decoding.decode_json(notice.payload, Crash)
         except msgspec.DecodeError:
             return
         self._add(crash, now)
@@ -177,7 +178,7 @@
     if not call.is_model:
         content: object = [request.method, request.target, request.body]
     else:
-        fields = msgspec.json.decode(request.body)
+        fields = decoding.decode_json(request.body)
         content = [fields.get(name) for name in CONTENT_FIELDS]
     return fingerprint_of_content(call.service.name, content)
 
--- a/sycamoredale/requests/quarantine_records.py
+++ b/sycamoredale/requests/quarantine_records.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.object_api import objects
@@ -140,7 +141,7 @@
         self, part: ids.PromptPartKey, stored: objects.StoredObject
     ) -> None:
         try:
-            decoded = msgspec.json.decode(stored.value, type=StoredRecord)
+            decoded = decoding.decode_json(stored.value, StoredRecord)
         except msgspec.DecodeError as error:
             LOG.warning("record_malformed", part=part, reason=str(error))
             return
--- a/sycamoredale/routing/cold_start_record_store.py
+++ b/sycamoredale/routing/cold_start_record_store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import gossip
@@ -106,8 +107,8 @@
 
     def _handle_notice(self, notice: gossip.Notice) -> None:
         try:
-            record = msgspec.json.decode(
-                notice.payload, type=cold_start_records.ColdStartRecord
+            record = decoding.decode_json(
+                notice.payload, cold_start_records.ColdStartRecord
             )
         except msgspec.DecodeError:
             return
@@ -198,6 +199,6 @@
 def _decode(
     stored: objects.StoredObject,
 ) -> cold_start_records.DomainColdStartRecords:
-    return msgspec.json.decode(
-        stored.value, type=cold_start_records.DomainColdStartRecords
+    return decoding.decode_json(
+        stored.value, cold_start_records.DomainColdStartRecords
     )
--- a/sycamoredale/routing/health.py
+++ b/sycamoredale/routing/health.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import ids
 from sycamoredale.membership import gossip
 from sycamoredale.routing import latency
@@ -193,7 +194,7 @@
         """
         endpoint = ids.EndpointId(notice.key)
         try:
-            report = msgspec.json.decode(notice.payload, type=HealthReport)
+            report = decoding.decode_json(notice.payload, HealthReport)
         except msgspec.DecodeError:
             return
         endpoints = self.latencies.service_by_id
--- a/sycamoredale/routing/slot_lease_manager.py
+++ b/sycamoredale/routing/slot_lease_manager.py
@@ -18,6 +18,7 @@
 
 from sycamoredale import clock
 from sycamoredale.config import model as config_model
+from sycamoredale import decoding
 from sycamoredale.engines import orders
 from sycamoredale.engines import reports
 from sycamoredale import errors
@@ -263,5 +264,5 @@
 ) -> tuple[cold_slots.DomainSlots, ids.ObjectVersion]:
     if stored is None:
         return cold_slots.DomainSlots(domain), objects.ABSENT_VERSION
-    decoded = msgspec.json.decode(stored.value, type=cold_slots.DomainSlots)
+    decoded = decoding.decode_json(stored.value, cold_slots.DomainSlots)
     return decoded, stored.version
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -37,6 +37,7 @@
 bootstrap=true
 some.new=thing
 """
+NOW = 1_790_000_000.0
 ENTRY = {
     "backend": "llm",
     "addr": "10.0.0.9:8080",
@@ -135,7 +136,9 @@
 
 
 def test_list_entry_is_decoded():
-    found = instance_decoder.decode_entry("i-1", json.dumps(ENTRY).encode())
+    found = instance_decoder.decode_entry(
+        "i-1", json.dumps(ENTRY).encode(), NOW
+    )
     assert found.service == "llm"
     assert found.cold_seconds == 1.5
     assert found.state_version == (77, 4)
@@ -155,12 +158,12 @@
 def test_malformed_entry_is_rejected(changes):
     data = json.dumps({**ENTRY, **changes}).encode()
     with pytest.raises((ValueError, msgspec.DecodeError)):
-        instance_decoder.decode_entry("i-1", data)
+        instance_decoder.decode_entry("i-1", data, NOW)
 
 
 def test_entry_that_is_not_json_is_rejected():
     with pytest.raises((ValueError, msgspec.DecodeError)):
-        instance_decoder.decode_entry("i-1", b"\xff\x00")
+        instance_decoder.decode_entry("i-1", b"\xff\x00", NOW)
 
 
 def test_manifest_is_decoded():
