Record no member with an address that cannot be used

Cause: the address of a member was parsed each time it was used. A member with port 70000, from the registry or a peer's heartbeat, raised ValueError in the task that sends updates to all peers, and ended it. An incarnation of 10^30 was taken and raised.

Change: the view refuses the address, and the type of a member has the range of an incarnation.

Result: the new cases of tests/test_membership_rules.py fail before.

--- a/sycamoredale/membership/view.py
+++ b/sycamoredale/membership/view.py
@@ -10,16 +10,21 @@
 import collections.abc
 import dataclasses
 import enum
+import typing
 from typing import Final
 
 import msgspec
 import xxhash
 
 from sycamoredale import clock
+from sycamoredale import decoding
+from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.observability import logs
 
 DAEMON_KIND: Final = "daemon"
 DIGEST_MASK: Final = (1 << 48) - 1
+LOG: Final = logs.get("membership.view")
 
 
 class PeerState(enum.Enum):
@@ -48,7 +53,9 @@
     address: str
     zone: ids.ZoneName
     role: Role
-    incarnation: ids.Incarnation
+    incarnation: typing.Annotated[
+        ids.Incarnation, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)
+    ]
     state: PeerState = PeerState.ALIVE
 
 
@@ -98,6 +105,9 @@
         recorded = self.by_id.get(peer.id)
         if recorded is not None and precedence(peer) <= precedence(recorded):
             return False
+        if not _is_reachable_address(peer.address):
+            LOG.warning("member_malformed", id=peer.id, address=peer.address)
+            return False
         self.by_id[peer.id] = peer
         self.state_since_by_id[peer.id] = now
         self.revision += 1
@@ -178,3 +188,11 @@
 
 def _peer_hash(peer: Peer) -> int:
     return xxhash.xxh64_intdigest(f"{precedence(peer)}{peer.id}".encode())
+
+
+def _is_reachable_address(text: str) -> bool:
+    try:
+        messages.parse_destination(text)
+    except ValueError:
+        return False
+    return True
--- a/tests/test_membership_rules.py
+++ b/tests/test_membership_rules.py
@@ -7,8 +7,10 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import pytest
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale import ids
 from sycamoredale.membership import freshness
 from sycamoredale.membership import gossip
@@ -241,3 +243,20 @@
 def _own_fields() -> tuple[str, str, str]:
     own = peer("self")
     return own.address, own.zone, own.role.value
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.1:0", "10.0.0.1:70000", "a\0b:80", "nowhere", ":80"]
+)
+def test_member_with_an_unusable_address_is_not_recorded(address):
+    own = view.Peer("a", "10.0.0.9:1", "z", view.Role.ROUTER, 1)
+    members = view.MembershipView(own)
+    odd = view.Peer("b", address, "z", view.Role.ROUTER, 1)
+    assert not members.merge(odd, clock.MonotonicTime(0.0))
+    assert list(members.by_id) == ["a"]
+
+
+def test_registration_with_a_large_incarnation_is_malformed():
+    text = b'["b","10.0.0.1:1","z","router",%s]' % (b"9" * 30)
+    with pytest.raises(decoding.MalformedInput):
+        decoding.decode_json(text, view.Peer)
