Spoil the address of a peer in the view itself in a test

The view refuses the address since, so the test kept the sound one and saw an answer. What is tested is as before: a check that fails gives no answer about the endpoint.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import curio
+import msgspec
 import pytest
 
 from sycamoredale import clock
@@ -309,8 +310,10 @@
     async def main():
         endpoint = Endpoint()
         async with _fleet(endpoint) as (own, (peer,)):
-            peer.members.update_own(address="nowhere")
-            own.know(peer)
+            # The view itself records no such address.
+            own.members.by_id[peer.members.own.id] = msgspec.structs.replace(
+                peer.members.own, address="nowhere"
+            )
             async with curio.timeout_after(1.0):
                 answer = await own.connector.ask_peers(endpoint.address)
             assert answer is relay_client.Reachability.UNKNOWN
