Answer each request that is read during a planned stop

Cause: after the listener had closed, a connection with half a head was not idle, and its request was passed on whenever it became complete, also 0.3 s before the end, and was cut there. Calls that waited in the daemon or at an endpoint until the end were cut as well, and a retry or an exchange on a kept relayed connection could begin at any time.

Change: what is read after the listener has closed is refused (not run). A request or another attempt is begun only if the time left is longer than what the route has lately taken (forwarding/stop_plan.py). 0.4 s before the end the handlers without an answer are interrupted: the caller hears 'not run' if the request was not sent, else 504 with execution 'unknown'. A stopping peer begins no exchange on a kept relay. The HTTP server does the first and third for routers of the own interface as well.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -26,6 +26,7 @@
 from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import route_table
 from sycamoredale.forwarding import service
+from sycamoredale.forwarding import stop_plan
 from sycamoredale.forwarding import watch_timing
 from sycamoredale.groups import formation_planner
 from sycamoredale.groups import load_rate
@@ -116,6 +117,7 @@
             lambda: self._connector.monitor.is_isolated,
         )
         self._group_controller = self._build_group_controller()
+        self._stop_plan = stop_plan.StopPlan()
         self._watcher_by_kind = {w.kind: w for w in self._build_watchers()}
         self._service = self._build_service()
         self._server = server.Server(
@@ -170,6 +172,9 @@
         await curio.spawn(self._node.stop, daemon=True)
         seconds = self._settings.bounds.grace_seconds - EXIT_RESERVE_SECONDS
         began = clock.monotonic()
+        self._stop_plan.answers_until = clock.MonotonicTime(
+            began + seconds - server.ANSWER_RESERVE_SECONDS
+        )
         complete = await self._server.drain(seconds, DRAIN_LISTEN_SECONDS)
         left = began + seconds - clock.monotonic()
         async with curio.ignore_after(max(0.0, left)):
@@ -363,6 +368,7 @@
                 ),
                 self._connector,
                 self._count_daemons,
+                self._stop_plan,
             ),
             self._metric_registry,
         )
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -115,6 +115,9 @@
 DEADLINE_EXCEEDED: Final = _define(
     "deadline_exceeded", 504, "the deadline passed before the answer"
 )
+STOPPED_UNANSWERED: Final = _define(
+    "stopped_unanswered", 504, "the router stopped before the answer"
+)
 INTERNAL: Final = _define("internal", 500, "the router failed")
 
 # Errors of the object API.
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import send_log
+from sycamoredale.forwarding import stop_plan as stop_plan_module
 from sycamoredale.forwarding import wire_protocol
 from sycamoredale.http import caller_disconnect
 from sycamoredale.http import client
@@ -64,6 +65,9 @@
     parts: part_admission.PartAdmission
     connector: connector_module.EndpointConnector
     count_daemons: collections.abc.Callable[[], int] = lambda: 1
+    stop_plan: stop_plan_module.StopPlan = dataclasses.field(
+        default_factory=stop_plan_module.StopPlan
+    )
 
     def __post_init__(self) -> None:
         """Build the relay of answers and the pool of connections."""
@@ -150,7 +154,7 @@
             progress.record_outcome(endpoint, outcome)
             if outcome is progress_module.Outcome.ANSWERED:
                 return
-            if not progress.may_resend() or not self._withdraw_retry(progress):
+            if not self._may_resend(progress):
                 break
             if progress.may_have_run:
                 self.poison_detector.check_fingerprint(
@@ -162,6 +166,15 @@
             return
         raise progress_module.unanswered_refusal(progress)
 
+    def _may_resend(self, progress: progress_module.CallProgress) -> bool:
+        """Return whether another send is safe and may begin."""
+        route = progress.call.route
+        return (
+            progress.may_resend()
+            and self.stop_plan.may_begin(route, clock.monotonic())
+            and self._withdraw_retry(progress)
+        )
+
     def _withdraw_retry(self, progress: progress_module.CallProgress) -> bool:
         """Withdraw a retry from the budget; return whether it was granted.
 
@@ -261,6 +274,7 @@
                 progress.stream.last_event_id,
                 progress.begin_queueing(endpoint, now),
             )
+            progress.is_sent = True
             await connection.send(request)
             outcome = await self._relay_answer(
                 connection, endpoint, progress, exchange
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -12,6 +12,7 @@
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import event_stream
 from sycamoredale.forwarding import queue_priority as queue_priority_module
+from sycamoredale.http import error_responses
 from sycamoredale.http import messages
 from sycamoredale import ids
 
@@ -51,7 +52,8 @@
     its selection.  `run_count` counts the sends that an endpoint has run.
     `trial_part` is the part in quarantine that the call may try once, and
     `has_success` tells whether an endpoint wrote a success to its end.
-    `relayed_by` is the peer that relays the present send, if any.
+    `relayed_by` is the peer that relays the present send, if any, and
+    `is_sent` tells whether the endpoint may have received it.
     """
 
     call: calls.Call
@@ -62,6 +64,7 @@
     delivered_count: int = 0
     run_count: int = 0
     may_have_run: bool = False
+    is_sent: bool = False
     head_received: bool = False
     has_success: bool = False
     trial_part: ids.PromptPartKey | None = None
@@ -123,6 +126,7 @@
         via = f"@{self.relayed_by}" if self.relayed_by else ""
         self.sends.append(f"{endpoint.id}:{outcome.value}{via}")
         self.relayed_by = None
+        self.is_sent = False
         self.current_endpoint = None
         self.tried_ids.add(endpoint.id)
         self.delivered_count += outcome not in _UNSENT
@@ -159,6 +163,13 @@
     )
 
 
+def stop_refusal(progress: CallProgress) -> errors.Refusal:
+    """Return the refusal of a call that the daemon's stop interrupts."""
+    if progress.may_have_run or progress.is_sent:
+        return error_responses.stopped_unanswered()
+    return error_responses.draining()
+
+
 def deadline_refusal() -> errors.Refusal:
     """Return the refusal of a call that reached its deadline."""
     return errors.Refusal(
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -12,6 +12,7 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import route_table
 from sycamoredale.http import caller_disconnect
+from sycamoredale.http import error_responses
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.observability import exposition
@@ -47,6 +48,8 @@
         try:
             envelope = self.read_envelope(exchange.request)
             call = self._build_call(envelope, exchange.request, now)
+            if not self.call_forwarder.stop_plan.may_begin(call.route, now):
+                raise error_responses.draining()
         except errors.Refusal as refusal:
             self.metrics.count("refusals", refusal.code.name)
             self._log_refused(exchange.request, envelope, refusal)
@@ -58,14 +61,29 @@
         try:
             await self.call_forwarder.run(progress, exchange)
             self._record_end(progress, exchange, "answered")
+            self.call_forwarder.stop_plan.record_answered(
+                call.route, clock.monotonic() - now
+            )
         except caller_disconnect.CallerDisconnected:
             self._record_end(progress, exchange, "caller_gone")
-        except errors.Refusal as refusal:
-            self._record_end(
-                progress, exchange, refusal.code.name, refusal.message
+        except server.Stopping:
+            await self._refuse(
+                progress, exchange, progress_module.stop_refusal(progress)
             )
-            if not exchange.started:
-                await exchange.respond(error_answers.from_error(refusal))
+        except errors.Refusal as refusal:
+            await self._refuse(progress, exchange, refusal)
+
+    async def _refuse(
+        self,
+        progress: progress_module.CallProgress,
+        exchange: server.Exchange,
+        refusal: errors.Refusal,
+    ) -> None:
+        self._record_end(
+            progress, exchange, refusal.code.name, refusal.message
+        )
+        if not exchange.started:
+            await exchange.respond(error_answers.from_error(refusal))
 
     def _build_call(
         self,
--- a/sycamoredale/http/error_responses.py
+++ b/sycamoredale/http/error_responses.py
@@ -66,6 +66,15 @@
     )
 
 
+def stopped_unanswered() -> errors.Refusal:
+    """Return the refusal of a request that a stop leaves unanswered."""
+    return errors.Refusal(
+        error_codes.STOPPED_UNANSWERED,
+        "this daemon stops before the request has an answer",
+        error_codes.Execution.UNKNOWN,
+    )
+
+
 def too_many_connections(limit: int) -> errors.Refusal:
     """Return the refusal of a connection above the limit."""
     return errors.Refusal(
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -5,10 +5,12 @@
 gets a JSON error.  If it fails later, the connection closes without the final
 chunk, so that an incomplete answer does not look complete.
 
-A drain has three steps.  First the listener stays open and each new request
-is refused, so that the load balancer detects the drain and new callers still
-get an answer.  Then the listener and idle connections are closed.  Last, the
-open exchanges finish.
+A drain has four steps.  First the listener stays open, so that the load
+balancer detects the drain and new callers still get an answer.  Then the
+listener and idle connections are closed, and each request that arrives on
+another connection is refused.  The open exchanges finish.  Shortly before the
+end, those that have no answer yet are interrupted by `Stopping`, so that all
+requests that were read are answered.
 """
 
 import collections.abc
@@ -36,6 +38,8 @@
 LISTEN_BACKLOG: Final = 1024
 DRAIN_POLL_SECONDS: Final = 0.02
 ACCEPT_RETRY_SECONDS: Final = 0.05
+# Part of a drain that is left for answers to the requests that are waiting.
+ANSWER_RESERVE_SECONDS: Final = 0.4
 LINGER_SECONDS: Final = 1.0
 LINGER_BYTES: Final = 4 * 1024 * 1024
 LOG: Final = logs.get("http.server")
@@ -43,11 +47,18 @@
 Handler = collections.abc.Callable[[Exchange], collections.abc.Awaitable[None]]
 
 
+class Stopping(curio.CancelledError):  # type: ignore[misc]
+    """Interrupt a handler, since the server ends before the answer is due."""
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class _Connection:
     sock: typing.Any
     protocol: h11.Connection
     idle: bool = True
+    task: typing.Any = None
+    exchange: Exchange | None = None
+    is_interrupted: bool = False
 
 
 class Server:
@@ -70,6 +81,7 @@
         self._sock: typing.Any = None
         self._accept_task: typing.Any = None
         self._connections: set[_Connection] = set()
+        self._is_listening = True
         self.draining = False
 
     def bind(self, address: messages.Address) -> messages.Address:
@@ -94,20 +106,40 @@
         """Refuse new requests and return whether all open ones finished.
 
         The listener stays open for `listen_seconds` of `timeout_seconds`.
+        Requests without an answer are interrupted at the end.
         """
         deadline = clock.monotonic() + timeout_seconds
+        answer_by = deadline - ANSWER_RESERVE_SECONDS
+        is_complete = True
         self.draining = True
         await curio.sleep(min(listen_seconds, timeout_seconds))
         await self._close_listener()
+        self._is_listening = False
         while True:
             for connection in list(self._connections):
                 _close_if_idle(connection)
             if not self._connections:
-                return True
-            if clock.monotonic() >= deadline:
+                return is_complete
+            now = clock.monotonic()
+            if now >= answer_by and await self._interrupt_unanswered():
+                is_complete = False
+            if now >= deadline:
                 return False
             await curio.sleep(DRAIN_POLL_SECONDS)
 
+    async def _interrupt_unanswered(self) -> bool:
+        """Interrupt handlers without an answer; return whether any was."""
+        was_interrupted = False
+        for connection in list(self._connections):
+            exchange = connection.exchange
+            if exchange is None or exchange.started:
+                continue
+            if not connection.is_interrupted:
+                connection.is_interrupted = True
+                await connection.task.cancel(exc=Stopping, blocking=False)
+                was_interrupted = True
+        return was_interrupted
+
     async def _close_listener(self) -> None:
         if self._sock is None:
             return
@@ -141,7 +173,9 @@
             return
         self._connections.add(connection)
         async with curio.disable_cancellation():
-            await curio.spawn(self._serve, connection, daemon=True)
+            connection.task = await curio.spawn(
+                self._serve, connection, daemon=True
+            )
 
     def _reject_connection(self, connection: _Connection) -> None:
         # Refused without a task, so that the limit also bounds the tasks.
@@ -191,7 +225,9 @@
             request, protocol, connection.sock, lambda: self.draining
         )
         self._assign_request_id(exchange)
+        connection.exchange = exchange
         await self._handle(exchange)
+        connection.exchange = None
         if not exchange.finished or exchange.closes_connection:
             return False
         return (
@@ -220,6 +256,10 @@
             await self._handler(exchange)
         except errors.SycamoredaleError as error:
             await self._answer_error(exchange, error)
+        except Stopping:
+            await self._answer_error(
+                exchange, error_responses.stopped_unanswered()
+            )
         except OSError as error:
             LOG.debug("caller_gone", reason=str(error))
         except Exception:
@@ -229,8 +269,9 @@
             )
 
     def _is_served(self, path: str) -> bool:
-        served = self._paths_served_while_draining
-        return self._serves_while_draining or path in served
+        if path in self._paths_served_while_draining:
+            return True
+        return self._serves_while_draining and self._is_listening
 
     async def _answer_error(
         self, exchange: Exchange, error: errors.SycamoredaleError
--- a/sycamoredale/links/relay_service.py
+++ b/sycamoredale/links/relay_service.py
@@ -60,7 +60,11 @@
             return
         try:
             caller = await exchange.switch_protocol(relay_protocol.PROTOCOL)
-            await self._relay(caller, sock, lambda: self.may_use(address))
+            await self._relay(
+                caller,
+                sock,
+                lambda: self.may_use(address) and not self.is_stopping(),
+            )
         finally:
             await sock.close()
 
