Let the largest machines of a zone be hubs and hold the lease

Cause: hubs were ranked by a hash and the candidates for the lease by their id, so a machine of half a core could plan for 1,100 instances and pass on the updates of a zone, while 15 of 195 machines have three cores.

Change: a daemon tells its cores in its registration, instead of a mere flag; both rank by them. Without hub or lease of another kind, nothing changes in a fleet of equal machines.

Result: tests/test_update_hubs.py has the case for hubs.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -392,7 +392,7 @@
             self._settings.zone,
             view.Role.ROUTER,
             messages.Address(self._settings.caller_address.host, first_port),
-            relays_updates=True,
+            cores=self._settings.cores,
         )
         return node_module.Node(options, self._store, clock.wall())
 
@@ -402,20 +402,21 @@
         )
 
     def _is_lease_candidate(self) -> bool:
-        """Return whether this daemon has the lowest id alive in its zone.
+        """Return whether this daemon has the most cores alive in its zone.
 
-        Isolated daemons are passed over.
+        Of several the one with the lowest id; isolated ones are passed over.
         """
         now = clock.monotonic()
         own = self._node.members.own
-        alive_ids = (
-            p.id
+        alive = (
+            (-p.cores, p.id)
             for p in self._node.members.live_routers()
             if p.zone == own.zone
             and p.state is view.PeerState.ALIVE
             and not self._peer_updates.is_peer_isolated(p.id, now)
         )
-        return own.id == min(alive_ids, default=own.id)
+        own_rank = -own.cores, own.id
+        return own_rank == min(alive, default=own_rank)
 
     def _count_daemons(self) -> int:
         """Return an upper estimate of the daemons that share a limit.
--- a/sycamoredale/forwarding/hub_selection.py
+++ b/sycamoredale/forwarding/hub_selection.py
@@ -6,9 +6,10 @@
 hubs of other zones, and sends the total to the daemons of its zone; the second
 one takes over when the first one is silent.
 
-Every daemon ranks the members by a hash of their ids, so all with the same
-view select the same hubs without an agreement.  A hub is one because others
-ask it for totals; daemons with different views merely use more hubs.
+Every daemon ranks the members by their cores and a hash of their ids, so all
+with the same view select the same hubs without an agreement.  A hub is one
+because others ask it for totals; daemons with different views merely use more
+hubs.
 """
 
 import collections.abc
@@ -36,13 +37,13 @@
 class UpdatePeer:
     """Identify a daemon that updates are sent to.
 
-    Builds without hubs have `relays_updates` unset and get each update.
+    Builds without hubs tell no `cores` and get each update.
     """
 
     id: ids.DaemonId
     zone: ids.ZoneName
     address: messages.Address
-    relays_updates: bool = False
+    cores: float = 0.0
 
 
 GetPeers = collections.abc.Callable[[], collections.abc.Sequence[UpdatePeer]]
@@ -86,7 +87,7 @@
     @property
     def legacy_peers(self) -> list[UpdatePeer]:
         """Return the peers whose build knows no hubs."""
-        return [p for p in self.peers if not p.relays_updates]
+        return [p for p in self.peers if not p.cores]
 
     def own_hubs(self, now: clock.MonotonicTime) -> list[UpdatePeer]:
         """Return the hubs of the own zone; the first one is asked for totals.
@@ -149,13 +150,14 @@
         self._address_by_id = {peer.id: peer.address for peer in peers}
         ranked_by_zone: dict[ids.ZoneName, list[UpdatePeer]] = {}
         for peer in sorted(members, key=_rank):
-            if peer.relays_updates:
+            if peer.cores:
                 ranked_by_zone.setdefault(peer.zone, []).append(peer)
         self._ranked_by_zone = ranked_by_zone
 
 
-def _rank(peer: UpdatePeer) -> int:
-    return xxhash.xxh64_intdigest(f"hub/{peer.id}".encode())
+def _rank(peer: UpdatePeer) -> tuple[float, int]:
+    """Return the sort key by which the largest machines come first."""
+    return -peer.cores, xxhash.xxh64_intdigest(f"hub/{peer.id}".encode())
 
 
 @dataclasses.dataclass
@@ -185,5 +187,5 @@
             peer.id,
             peer.zone,
             messages.Address(address.host, address.port + self.port_offset),
-            peer.relays_updates,
+            peer.cores,
         )
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -40,7 +40,7 @@
 
     `advertise` is the address given to peers if it differs from `listen`.
     `seeds` are addresses of daemons to contact while no peer is known.
-    `relays_updates` tells peers that the daemon may be a hub of updates.
+    `cores` is the processor time that the daemon may use.
     """
 
     daemon: ids.DaemonId
@@ -49,7 +49,7 @@
     listen: messages.Address
     seeds: tuple[messages.Address, ...] = ()
     advertise: messages.Address | None = None
-    relays_updates: bool = False
+    cores: float = 0.0
 
 
 class Node:
@@ -75,7 +75,7 @@
                 options.zone,
                 options.role,
                 incarnation,
-                relays_updates=options.relays_updates,
+                cores=options.cores,
             )
         )
         self.gossip: Final = gossip.Gossip(
--- a/sycamoredale/membership/registry.py
+++ b/sycamoredale/membership/registry.py
@@ -42,7 +42,7 @@
     zone: ids.ZoneName
     role: view.Role
     incarnation: ids.Incarnation
-    relays_updates: bool = False
+    cores: float = 0.0
 
 
 @dataclasses.dataclass
@@ -165,7 +165,7 @@
         peer.zone,
         peer.role,
         peer.incarnation,
-        peer.relays_updates,
+        peer.cores,
     )
 
 
@@ -176,5 +176,5 @@
         registration.zone,
         registration.role,
         registration.incarnation,
-        relays_updates=registration.relays_updates,
+        cores=registration.cores,
     )
--- a/sycamoredale/membership/view.py
+++ b/sycamoredale/membership/view.py
@@ -46,7 +46,8 @@
     """Describe a daemon as seen by others; `address` is its peer address.
 
     The incarnation increases with each start under the same id.
-    `relays_updates` tells whether the daemon may be a hub of updates.
+    `cores` is the processor time that the daemon may use, 0 if its build does
+    not tell.
     """
 
     id: ids.DaemonId
@@ -55,7 +56,7 @@
     role: Role
     incarnation: ids.Incarnation
     state: PeerState = PeerState.ALIVE
-    relays_updates: bool = False
+    cores: float = 0.0
 
 
 _RANK_BY_STATE: Final = {state: rank for rank, state in enumerate(PeerState)}
--- a/sycamoredale/platform/settings.py
+++ b/sycamoredale/platform/settings.py
@@ -29,6 +29,7 @@
     store_address: messages.Address
     peer_ports: tuple[int, int]
     max_file_descriptors: int
+    cores: float
     first_start: bool
     bounds: operator_bounds.OperatorBounds
 
@@ -51,6 +52,7 @@
         store_address=reader.address("platform.addr"),
         peer_ports=reader.ports("internal_ports"),
         max_file_descriptors=int(number("limits.max_fds", 1024)),
+        cores=number("limits.cpu_share", 1.0) * number("limits.cores", 1.0),
         # Set only at the first start of the whole system.
         first_start=reader.text_by_name.get("bootstrap") == "true",
         bounds=operator_bounds.OperatorBounds(
--- a/tests/test_update_hubs.py
+++ b/tests/test_update_hubs.py
@@ -29,10 +29,10 @@
 
 
 class _Daemon:
-    def __init__(self, fleet, number, relays_updates=True):
+    def __init__(self, fleet, number, cores=1.0):
         self.fleet = fleet
         self.peer = update_fixtures.peer(
-            f"d{number}", ZONES[number % len(ZONES)], relays_updates, number
+            f"d{number}", ZONES[number % len(ZONES)], cores, number
         )
         self._peers = None
         self.instances = instance_table.InstanceTable()
@@ -93,7 +93,9 @@
         self.received = collections.Counter()
         self.in_flight = []
         self.lost = set()
-        self.daemons = [_Daemon(self, n, n not in legacy) for n in range(size)]
+        self.daemons = [
+            _Daemon(self, n, 0.0 if n in legacy else 1.0) for n in range(size)
+        ]
         self.members = list(self.daemons)
         self.by_id = {d.peer.id: d for d in self.daemons}
 
@@ -310,3 +312,14 @@
     loads, news = map(peer_updates.decode, update_exchange._datagrams(update))
     assert loads.endpoints == items and not loads.kinds
     assert news.kinds == kinds and news.scope is peer_updates.Scope.NEWS
+
+
+# Pattern: a fleet has a few machines of three cores and many of half a core.
+def test_hubs_are_the_largest_machines_of_their_zone():
+    peers = [
+        update_fixtures.peer(f"d{n}", "a", 2.15 if n in (3, 30) else 0.516)
+        for n in range(1, 40)
+    ]
+    selector = update_fixtures.selector("d40", peers)
+    hubs = selector.own_hubs(clock.MonotonicTime(1.0))
+    assert {hub.id for hub in hubs} == {"d3", "d30"}
--- a/tests/update_fixtures.py
+++ b/tests/update_fixtures.py
@@ -5,13 +5,13 @@
 from sycamoredale import ids
 
 
-def peer(name, zone="a", relays_updates=True, number=1):
+def peer(name, zone="a", cores=1.0, number=1):
     """Return a daemon that updates are sent to."""
     return hub_selection.UpdatePeer(
         ids.DaemonId(name),
         ids.ZoneName(zone),
         messages.Address("127.0.0.1", number),
-        relays_updates,
+        cores,
     )
 
 
