Limit the probes of a large site

Cause: the holder of the lease probes each instance every 0.4 s, and every 1.2 s while its group makes progress.

Change: groups that make progress are probed 250 times a second in all at most, idle ones 500 times; those whose requests wait, and all others, as before. Progress counts for as much longer as updates take through hubs. Nothing changes below 200 instances.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -307,6 +307,8 @@
             lambda instance: self._connector.is_reached_by_peers(
                 instance.address
             ),
+            self._endpoints.is_idle,
+            self._peer_updates.delay_seconds,
         )
 
     def _build_links(self) -> assembly.Links:
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -36,6 +36,8 @@
 # Limits the time of a stalled endpoint to six seconds: by then a head that has
 # lost a member reports its group as broken.
 MAX_SUSPICION_DOUBLINGS: Final = 2
+# The load that peers reported decays and does not become 0.
+IDLE_LOAD: Final = 0.5
 # Covers three updates of the peers.
 RECENT_PROGRESS_SECONDS: Final = 0.3
 
@@ -204,12 +206,23 @@
 
         A group makes progress only while all of its members work.
         """
-        membership = instance.membership
-        head = membership and self._head_by_group.get(
-            (membership.group, membership.epoch)
-        )
+        head = self._head_of(instance)
         return head.last_progress_at if head else clock.MonotonicTime(0.0)
 
+    def is_idle(
+        self, instance: instance_state.Instance, now: clock.MonotonicTime
+    ) -> bool:
+        """Return whether an instance is in an open group without requests."""
+        head = self._head_of(instance)
+        return head is not None and head.load(now) < IDLE_LOAD
+
+    def _head_of(self, instance: instance_state.Instance) -> Endpoint | None:
+        membership = instance.membership
+        if membership is None:
+            return None
+        group = membership.group, membership.epoch
+        return self._head_by_group.get(group)
+
     def addresses(self) -> list[messages.Address]:
         """Return the addresses of all endpoints."""
         return [e.instance.address for e in self.by_id.values()]
--- a/sycamoredale/forwarding/update_exchange.py
+++ b/sycamoredale/forwarding/update_exchange.py
@@ -34,6 +34,8 @@
 MAX_DATAGRAM_BYTES: Final = 16384
 # Between two updates to the hubs, and two sums of a hub.
 HUB_INTERVAL_SECONDS: Final = 0.2
+# To a hub, to another hub and to a daemon there; each waits half an interval.
+HUB_DELAY_INTERVALS: Final = 2.0
 # Without content; a hub forgets a daemon that asks it no more.
 ASK_SECONDS: Final = 0.6
 HUB_UPDATE_TTL_SECONDS: Final = 1.5
@@ -124,6 +126,12 @@
             return HUB_INTERVAL_SECONDS
         return interval_seconds(len(self.hubs.peers))
 
+    def delay_seconds(self) -> float:
+        """Return how late the statements of peers arrive at most, usually."""
+        if self.hubs.uses_hubs:
+            return HUB_DELAY_INTERVALS * HUB_INTERVAL_SECONDS
+        return 0.0
+
     def send_updates(self, sock: typing.Any, now: clock.MonotonicTime) -> None:
         """Send what is due to the peers or hubs."""
         update = self.build_update(now)
--- a/sycamoredale/groups/report_probing.py
+++ b/sycamoredale/groups/report_probing.py
@@ -22,6 +22,10 @@
 # Members of a group that makes progress are probed less often, only to learn
 # their slowdown, which progress does not show.
 ACTIVE_PROBE_INTERVAL_SECONDS: Final = 1.2
+# Of all instances together: a probe costs the daemon a fraction of a
+# millisecond and the engine a turn.
+MAX_ACTIVE_PROBES_PER_SECOND: Final = 250.0
+MAX_IDLE_PROBES_PER_SECOND: Final = 500.0
 # A busy engine finishes all but its longest steps within this time.
 PROGRESS_WINDOW_SECONDS: Final = 0.25
 # Short compared with the duration of a probe.
@@ -48,6 +52,19 @@
     return clock.MonotonicTime(0.0)
 
 
+IsIdle = collections.abc.Callable[
+    [instance_state.Instance, clock.MonotonicTime], bool
+]
+
+
+def never_idle(
+    instance: instance_state.Instance, now: clock.MonotonicTime
+) -> bool:
+    """Return False, as if requests always waited."""
+    del instance, now
+    return False
+
+
 IsReachedByPeers = collections.abc.Callable[
     [instance_state.Instance], collections.abc.Awaitable[bool]
 ]
@@ -59,6 +76,7 @@
     return False
 
 
+GetUpdateDelay = collections.abc.Callable[[], float]
 GetInstances = collections.abc.Callable[
     [], collections.abc.Iterable[instance_state.Instance]
 ]
@@ -66,7 +84,12 @@
 
 @dataclasses.dataclass
 class ReportProber:
-    """Probe instances and record reports and probe results."""
+    """Probe instances and record reports and probe results.
+
+    `is_idle` tells whether the group of an instance has no requests, and
+    `get_update_delay` how late the progress that others see is known, in
+    seconds.
+    """
 
     get_report: GetReport
     get_instances: GetInstances
@@ -75,6 +98,8 @@
     on_head_change: OnHeadChange = lambda instance, report: None
     get_last_progress_at: GetLastProgressAt = no_progress
     is_reached_by_peers: IsReachedByPeers = reached_by_nobody
+    is_idle: IsIdle = never_idle
+    get_update_delay: GetUpdateDelay = lambda: 0.0
     _is_suspended: bool = False
     _probed_at: dict[ids.InstanceId, clock.MonotonicTime] = dataclasses.field(
         default_factory=dict
@@ -85,9 +110,10 @@
         """Probe each engine when it is due; one timeout delays no other."""
         while True:
             now = clock.monotonic()
-            for instance in list(self.get_instances()):
+            instances = list(self.get_instances())
+            for instance in instances:
                 if instance.id not in self._probing and self.is_due(
-                    instance, now
+                    instance, now, len(instances)
                 ):
                     self._probed_at[instance.id] = now
                     self._probing.add(instance.id)
@@ -95,16 +121,26 @@
             await curio.sleep(SCHEDULING_INTERVAL_SECONDS)
 
     def is_due(
-        self, instance: instance_state.Instance, now: clock.MonotonicTime
+        self,
+        instance: instance_state.Instance,
+        now: clock.MonotonicTime,
+        count: int = 1,
     ) -> bool:
-        """Return whether an instance is to be probed.
+        """Return whether one of `count` instances is to be probed.
 
         An instance whose group makes progress is probed less often, since
-        it must be running.
+        it must be running.  In a large site, so is one whose group has no
+        requests: nobody waits for it.
         """
         pause = PROBE_INTERVAL_SECONDS
-        if now - self.get_last_progress_at(instance) < PROGRESS_WINDOW_SECONDS:
-            pause = ACTIVE_PROBE_INTERVAL_SECONDS
+        window = PROGRESS_WINDOW_SECONDS + self.get_update_delay()
+        if now - self.get_last_progress_at(instance) < window:
+            pause = max(
+                ACTIVE_PROBE_INTERVAL_SECONDS,
+                count / MAX_ACTIVE_PROBES_PER_SECOND,
+            )
+        elif self.is_idle(instance, now):
+            pause = max(pause, count / MAX_IDLE_PROBES_PER_SECOND)
         return now - self._probed_at.get(instance.id, 0.0) >= pause
 
     async def _probe(self, instance: instance_state.Instance) -> None:
--- a/sycamoredale/groups/reported_group_controller.py
+++ b/sycamoredale/groups/reported_group_controller.py
@@ -111,6 +111,8 @@
     is_reached_by_peers: report_probing.IsReachedByPeers = (
         report_probing.reached_by_nobody
     )
+    is_idle: report_probing.IsIdle = report_probing.never_idle
+    get_update_delay: report_probing.GetUpdateDelay = lambda: 0.0
     probe_statuses: probe_status.ProbeStatusTable = dataclasses.field(
         default_factory=probe_status.ProbeStatusTable
     )
@@ -236,6 +238,8 @@
             self.on_head_change,
             self.get_last_progress_at,
             self.is_reached_by_peers,
+            self.is_idle,
+            self.get_update_delay,
         )
         probing = await supervision.spawn("group_probes", prober.run)
         try:
--- a/tests/test_report_probing.py
+++ b/tests/test_report_probing.py
@@ -184,3 +184,70 @@
         statuses.record_success(f"i{number}", clock.monotonic())
     assert prober.may_act()
     assert not any(map(statuses.is_unreachable, table.by_id))
+
+
+def _probes_per_second(count, progress_ago=None, is_idle=False, seconds=20.0):
+    """Return how often instances of a large site are probed, by instance."""
+    instances = [instance_fixtures.instance(f"i{n}") for n in range(count)]
+    table = instance_table.InstanceTable()
+    now = 1000.0
+    prober = report_probing.ReportProber(
+        None,
+        lambda: instances,
+        table,
+        probe_status.ProbeStatusTable(),
+        get_last_progress_at=lambda i: (
+            now - progress_ago if progress_ago is not None else 0.0
+        ),
+        is_idle=lambda i, now: is_idle,
+    )
+    probes = 0
+    while now < 1000.0 + seconds:
+        for instance in instances:
+            if prober.is_due(instance, now, count):
+                prober._probed_at[instance.id] = now
+                probes += 1
+        now += report_probing.SCHEDULING_INTERVAL_SECONDS
+    return probes / seconds / count
+
+
+# Pattern: a site of 1,100 instances, nearly all in groups that are busy.
+def test_probes_of_a_large_site_are_limited():
+    active = _probes_per_second(1100, progress_ago=0.0)
+    idle = _probes_per_second(1100, is_idle=True)
+    assert 0.8 * 250 <= 1100 * active <= 1.25 * 250
+    assert 0.8 * 500 <= 1100 * idle <= 1.25 * 500
+
+
+def test_probes_of_a_smaller_site_are_as_before():
+    assert _probes_per_second(175, progress_ago=0.0) == pytest.approx(
+        1 / report_probing.ACTIVE_PROBE_INTERVAL_SECONDS, rel=0.1
+    )
+    assert _probes_per_second(175, is_idle=True) == pytest.approx(
+        1 / report_probing.PROBE_INTERVAL_SECONDS, rel=0.15
+    )
+
+
+# Pattern: a member of a busy group dies in a large site; requests wait there.
+def test_group_whose_requests_wait_is_probed_at_the_usual_interval():
+    rate = _probes_per_second(1100, progress_ago=5.0, seconds=5.0)
+    assert rate == pytest.approx(
+        1 / report_probing.PROBE_INTERVAL_SECONDS, rel=0.2
+    )
+
+
+def test_late_news_of_progress_count_as_progress():
+    table = instance_table.InstanceTable()
+    instance = instance_fixtures.instance("i0")
+    prober = report_probing.ReportProber(
+        None,
+        lambda: [instance],
+        table,
+        probe_status.ProbeStatusTable(),
+        get_last_progress_at=lambda i: clock.MonotonicTime(99.5),
+        get_update_delay=lambda: 0.4,
+    )
+    prober._probed_at["i0"] = clock.MonotonicTime(99.4)
+    assert not prober.is_due(instance, clock.MonotonicTime(100.0))
+    prober.get_update_delay = lambda: 0.0
+    assert prober.is_due(instance, clock.MonotonicTime(100.0))
