Let calls wait shortly for the lists of a daemon that has just started

Cause: a daemon accepts calls some milliseconds before it has read the manifest, and longer before the instances of a large site are listed. It refused them with Retry-After of 1 or 2 s, and said that it is ready before it knew any instance.

Change: such a call waits up to 1 s for both; readiness needs both.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -41,6 +41,7 @@
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
+from sycamoredale.object_api import objects
 from sycamoredale.observability import exposition
 from sycamoredale.observability import line_writer
 from sycamoredale.observability import logs
@@ -374,6 +375,15 @@
                 self._stop_plan,
             ),
             self._metric_registry,
+            is_ready=self._is_ready,
+        )
+
+    def _is_ready(self) -> bool:
+        """Return whether the manifest and the instances are known."""
+        instances = self._watcher_by_kind[object_handlers.INSTANCE_KIND]
+        return (
+            self._routes.current.version > 0
+            and instances.version != objects.ABSENT_VERSION
         )
 
     def _build_poison_detector(self) -> poison.PoisonDetector:
@@ -456,7 +466,7 @@
                 LOG.info("settings_reloaded")
 
     async def _answer_readiness(self, exchange: server.Exchange) -> None:
-        ready = not self._is_stopping and self._routes.current.version > 0
+        ready = not self._is_stopping and self._is_ready()
         await exchange.respond(messages.Response(200 if ready else 503))
 
     async def _answer_metrics(self, exchange: server.Exchange) -> None:
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -4,6 +4,8 @@
 import dataclasses
 from typing import Final
 
+import curio
+
 from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
@@ -21,6 +23,10 @@
 from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
 
+# A daemon that has just started reads its lists within some tenths of a
+# second, sooner than a caller would come back.
+READY_WAIT_SECONDS: Final = 1.0
+READY_POLL_SECONDS: Final = 0.01
 LOG: Final = logs.get("calls")
 
 ReadEnvelope = collections.abc.Callable[[messages.Request], calls.Envelope]
@@ -31,6 +37,7 @@
     """Handle the HTTP exchanges of callers.
 
     `handled_count` counts the calls that were passed to the forwarder.
+    Calls that arrive before `is_ready` wait for it for a short time.
     """
 
     read_envelope: ReadEnvelope
@@ -40,6 +47,7 @@
         default_factory=exposition.MetricRegistry
     )
     handled_count: int = 0
+    is_ready: collections.abc.Callable[[], bool] = lambda: True
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -47,6 +55,7 @@
         envelope: calls.Envelope | None = None
         try:
             envelope = self.read_envelope(exchange.request)
+            await self._wait_until_ready(now)
             call = self._build_call(envelope, exchange.request, now)
             if not self.call_forwarder.stop_plan.may_begin(call.route, now):
                 raise error_responses.draining()
@@ -85,6 +94,12 @@
         if not exchange.started:
             await exchange.respond(error_answers.from_error(refusal))
 
+    async def _wait_until_ready(self, arrived_at: clock.MonotonicTime) -> None:
+        while not self.is_ready():
+            if clock.monotonic() - arrived_at >= READY_WAIT_SECONDS:
+                return
+            await curio.sleep(READY_POLL_SECONDS)
+
     def _build_call(
         self,
         envelope: calls.Envelope,
