Estimate the usual time of a route by two deviations

Change: two deviations. A stream that takes longer is still cut only at the end, and other requests are answered there.

--- a/sycamoredale/forwarding/stop_plan.py
+++ b/sycamoredale/forwarding/stop_plan.py
@@ -14,7 +14,7 @@
 # Weights of a new observation, as in the estimate of round trip times of TCP.
 MEAN_WEIGHT: Final = 0.125
 DEVIATION_WEIGHT: Final = 0.25
-DEVIATIONS: Final = 4.0
+DEVIATIONS: Final = 2.0
 
 
 @dataclasses.dataclass
@@ -45,7 +45,7 @@
         duration = self._duration_by_route.get(route.name)
         if duration is None:
             self._duration_by_route[route.name] = _Duration(
-                seconds, seconds / 2
+                seconds, seconds / 4
             )
         else:
             duration.observe(seconds)
