Assume more daemons than any fleet has until the registry is listed

Cause: a daemon that has just started took a twelfth of each shared limit, 16 times the share in a fleet of 195, just after a kill of all.

Change: it assumes 400, above the 380 of the target.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -63,9 +63,9 @@
 EXIT_RESERVE_SECONDS: Final = 0.5
 # The metrics port in the deployment file.
 METRICS_PORT: Final = 9464
-# Assumed until the registry is listed; higher than present fleet sizes, so
+# Assumed until the registry is listed; more than the largest fleet has, so
 # that shared limits are not exceeded.
-MIN_ASSUMED_DAEMONS: Final = 12
+MIN_ASSUMED_DAEMONS: Final = 400
 # How often the age of what is known is measured and compared with its bound.
 WATCHER_CHECK_SECONDS: Final = 0.5
 # The peer service uses the first internal port, peer updates the next one.
--- a/tests/test_start_of_daemon.py
+++ b/tests/test_start_of_daemon.py
@@ -8,10 +8,13 @@
 import pytest
 
 from sycamoredale import clock
+from sycamoredale.daemons import entry
 from sycamoredale import error_codes
 from sycamoredale import errors
+from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import service as service_module
 from sycamoredale.http import messages
+from sycamoredale import ids
 from tests import test_forwarder
 
 
@@ -73,3 +76,18 @@
     exchange = _call(30.0)
     assert exchange.status == 503
     assert b'"execution":"not_run"' in exchange.body
+
+
+# Pattern: all of 195 daemons are killed; each assumes a number of daemons
+# until it has listed the registry, and uses its share of each limit.
+def test_daemons_of_the_largest_fleet_keep_limits_before_they_know_it():
+    largest_fleet = 380
+    budget = retry_budget.RetryBudget(
+        0.2,
+        496.0,
+        10.0,
+        lambda: entry.MIN_ASSUMED_DAEMONS,
+        clock.MonotonicTime(0.0),
+    )
+    usage = budget.usage(ids.ServiceName("llm"), clock.MonotonicTime(60.0))
+    assert largest_fleet * usage.allowed <= 496.0
