Keep the publisher of kind updates watching the store

Cause: a hub sends its total to the holder of the lease as well, with the kind updates that the holder has sent. Seen in the log of the holder: 'watching_peer' while it holds the lease.

Change: the publisher never goes by updates of peers, and a version of the own lease is no news.

Result: the new test of tests/test_object_watcher.py failed before.

--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -113,7 +113,9 @@
         )
         while True:
             started = self.read_clock()
+            # Peers return to the publisher what it has sent itself.
             is_fresh = self.has_fresh_update(started)
+            is_fresh = is_fresh and not self.is_publisher()
             self._log_source(is_fresh, started)
             if is_fresh:
                 await curio.sleep(PEER_UPDATE_CHECK_SECONDS)
--- a/sycamoredale/forwarding/update_exchange.py
+++ b/sycamoredale/forwarding/update_exchange.py
@@ -199,7 +199,7 @@
         if update.scope is peer_updates.Scope.ALL:
             self.hubs.record_total(update.daemon, now)
         self._gatherer.receive(update, now, self._ttl_seconds())
-        if update.lease != objects.ABSENT_VERSION:
+        if update.lease not in (objects.ABSENT_VERSION, self.get_lease()):
             self.on_lease(update.lease, now)
         for kind in update.kinds:
             self.on_kind_update(kind, now)
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -334,3 +334,24 @@
     newer = [("newer", version, b"{}")]
     change = kind_updates.Change(before, version, newer)
     return zlib.compress(msgspec.msgpack.encode([change]))
+
+
+# Pattern: a hub sends its total to the publisher as well, with the updates
+# that the publisher has sent.
+def test_publisher_calls_the_store_though_its_own_updates_come_back():
+    harness = WatcherHarness()
+    harness.watcher.is_publisher = lambda: True
+    harness.watcher.get_pause = lambda: 0.01
+    harness.store.script = [_listing(5, ["a"])] + [_listing(5)] * 50
+    echo = kind_updates.KindUpdate("servers", 5, 10)
+
+    async def main():
+        running = await curio.spawn(harness.watcher.run)
+        for _ in range(10):
+            await curio.sleep(0.02)
+            now = clock.MonotonicTime(harness.now)
+            harness.watcher.receive_update(echo, now)
+        await running.cancel()
+
+    curio.run(main)
+    assert len(harness.store.calls) > 5
