Catch up with a long kind by a watch, not by a list

Cause: a daemon whose updates of a peer had become too old listed the kind: 22 pages for 1,100 instances, on all daemons at the same time.

Ruled out: the same for short kinds, where a list is one call and the watch would take of the time that is left for it.

Change: if more than a page of objects is known, a watch that does not wait follows, and a list only if that fails. The updates of a peer expire earlier by the time in which that watch may fail, so the bound holds as before.

Result: the first of the new tests in tests/test_object_watcher.py failed before: list in place of watch.

--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -43,6 +43,8 @@
 PUBLISHER_WATCH_SECONDS: Final = 0.3
 # How often a watcher checks for recent updates; small beside their lifetime.
 PEER_UPDATE_CHECK_SECONDS: Final = 0.1
+# The shortest pages of a list that were met have this many.
+LONG_LIST_OBJECTS: Final = 50
 LOG: Final = logs.get("object_watcher")
 
 # Returns the seconds between two watches.
@@ -281,7 +283,8 @@
             self._fresh_until = now
             return
         known_at = clock.MonotonicTime(now - update.age_ms / 1000)
-        until = clock.MonotonicTime(known_at + self._timing.max_age_seconds)
+        max_age = self._timing.peer_age_seconds(self._is_long)
+        until = clock.MonotonicTime(known_at + max_age)
         self._fresh_until = max(self._fresh_until, until)
         self.known.advance(known_at, knowledge.Source.PEER)
         self.on_contact(known_at)
@@ -324,11 +327,18 @@
         if self.entries_expire and seconds >= ENTRY_EXPIRY_SECONDS:
             self._settles_at = clock.MonotonicTime(now + SETTLE_SECONDS)
 
+    @property
+    def _is_long(self) -> bool:
+        """Return whether a list of the kind may take several calls."""
+        return len(self._names) > LONG_LIST_OBJECTS
+
     def _watch_seconds(self, now: clock.MonotonicTime) -> float:
         """Return how long to watch, or 0 if the kind has to be listed."""
         if self._must_list:
             return 0.0
         wait = self._timing.watch_seconds(self.known.age(now))
+        if not wait and self._is_long:
+            wait = watch_timing.CATCH_UP_SECONDS
         if self.is_publisher():
             wait = min(wait, PUBLISHER_WATCH_SECONDS)
         if self._settles_at is not None:
--- a/sycamoredale/forwarding/watch_timing.py
+++ b/sycamoredale/forwarding/watch_timing.py
@@ -21,6 +21,9 @@
 MAX_WATCH_SECONDS: Final = 5.0
 # A shorter watch is replaced by a list.
 MIN_WATCH_SECONDS: Final = 0.1
+# Of a watch for what has changed already.  Where a list takes many calls, it
+# proves as much with one.
+CATCH_UP_SECONDS: Final = 0.001
 # Changes come in bursts, and each answer to a watch is a call that is charged
 # for.  This is a tenth of the time in which a lost group is replaced.
 MIN_PAUSE_SECONDS: Final = 0.3
@@ -47,11 +50,23 @@
         left = WATCH_END_SHARE * self.bound_seconds - age
         return min(left, MAX_WATCH_SECONDS) if left > MIN_WATCH_SECONDS else 0
 
-    def watch_limits(self) -> objects.CallLimits:
-        """Return the limits of a watch."""
-        margin = min(
+    def peer_age_seconds(self, is_long: bool) -> float:
+        """Return the age at which the updates of a peer are too old.
+
+        A long kind is watched then, which may fail before it is listed.
+        """
+        margin = self._watch_margin_seconds if is_long else 0.0
+        return self.max_age_seconds - margin
+
+    @property
+    def _watch_margin_seconds(self) -> float:
+        return min(
             MAX_WATCH_MARGIN_SECONDS, WATCH_MARGIN_SHARE * self.bound_seconds
         )
+
+    def watch_limits(self) -> objects.CallLimits:
+        """Return the limits of a watch."""
+        margin = self._watch_margin_seconds
         return objects.CallLimits(margin, margin)
 
     def list_limits(
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -355,3 +355,30 @@
 
     curio.run(main)
     assert len(harness.store.calls) > 5
+
+
+# Pattern: the updates of the publisher stop in a large site, and each of 195
+# daemons lists 1,100 instances in 22 pages.
+def test_long_kind_is_caught_up_by_a_watch_after_updates_of_a_peer():
+    harness = WatcherHarness()
+    names = [f"i{n}" for n in range(60)]
+    harness.step(_listing(5, names))
+    harness.step(_listing(6), seconds=2.0)
+    harness.step(DOWN, seconds=2.0)
+    harness.step(_listing(7, names))
+    assert harness.store.calls == ["list", "watch 5", "watch 6", "list"]
+
+
+def test_short_kind_that_is_too_old_is_listed():
+    harness = WatcherHarness()
+    harness.step(_listing(5, ["a"]))
+    harness.step(_listing(6, ["a"]), seconds=2.0)
+    assert harness.store.calls == ["list", "list"]
+
+
+@pytest.mark.parametrize("bound", [2.0, 3.0, 4.0, 5.0])
+def test_time_is_left_for_a_list_after_a_silent_watch(bound):
+    timing = watch_timing.WatchTiming(bound)
+    silent = timing.watch_limits().answer_seconds
+    listed = timing.list_limits(1, new_connection=True).answer_seconds
+    assert timing.peer_age_seconds(True) + silent + listed <= bound + 0.01
