--- a/sycamoredale/membership/registry.py
+++ b/sycamoredale/membership/registry.py
@@ -127,15 +127,12 @@
         recorded = self.members.by_id.get(registration.id)
         if recorded is None or registration.incarnation > recorded.incarnation:
             return False
-        if self.members.alive_share() <= MAJORITY_SHARE:
-            return False
         since = self.members.state_since_by_id.get(registration.id, now)
-        if recorded.state is view.PeerState.LEFT:
-            return True
-        return (
+        has_ended = recorded.state is view.PeerState.LEFT or (
             recorded.state is view.PeerState.DEAD
             and now - since > STALE_REMOVAL_SECONDS
         )
+        return has_ended and self.members.alive_share() > MAJORITY_SHARE
 
     async def _remove(
         self, name: ids.DaemonId, version: ids.ObjectVersion
