Rebuild the endpoints once for all reports of an update

Change: the reports and departures of an update are applied as one batch, as lists are.

Result: the new test of tests/test_report_updates.py failed before, with 12 rebuilds.

--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import contextlib
 import dataclasses
 from typing import Final
 
@@ -73,14 +74,20 @@
         not in it are removed.
         `on_change` is called at most once, at the end.
         """
-        self._is_batching = True
-        try:
+        with self.batch():
             for instance in listed:
                 self.apply_listed(instance, now)
             for name in removed:
                 self.remove_listed(name, now)
             if listed_ids is not None:
                 self.retain(listed_ids, now)
+
+    @contextlib.contextmanager
+    def batch(self) -> collections.abc.Iterator[None]:
+        """Call `on_change` at most once, at the end of the block."""
+        self._is_batching = True
+        try:
+            yield
         finally:
             self._is_batching = False
             if self._has_changed:
--- a/sycamoredale/forwarding/update_exchange.py
+++ b/sycamoredale/forwarding/update_exchange.py
@@ -203,15 +203,16 @@
             self.on_lease(update.lease, now)
         for kind in update.kinds:
             self.on_kind_update(kind, now)
-        self.endpoint_table.instances.receive_departures(update.departures)
+        with self.endpoint_table.instances.batch():
+            self.endpoint_table.instances.receive_departures(update.departures)
+            for report_update in update.reports:
+                self._apply_report(report_update, update.daemon)
         if update.parts:
             self.on_part_updates(update.parts, now)
         for item in update.endpoints:
             endpoint = self.endpoint_table.by_id.get(item.endpoint)
             if endpoint is not None:
                 peer_updates.apply_endpoint_update(endpoint, item, now)
-        for report_update in update.reports:
-            self._apply_report(report_update, update.daemon)
 
     def _ttl_seconds(self) -> float:
         if self.hubs.uses_hubs:
--- a/tests/test_report_updates.py
+++ b/tests/test_report_updates.py
@@ -13,6 +13,7 @@
 from sycamoredale.forwarding import peer_updates
 from sycamoredale.forwarding import report_updates
 from sycamoredale.forwarding import update_exchange
+from sycamoredale.http import messages
 from sycamoredale import ids
 from tests import instance_fixtures
 from tests import update_fixtures
@@ -164,3 +165,31 @@
     other.receive(holder.build_update(NOW), NOW)
     other.receive(other.build_update(NOW), NOW)
     assert received == [(7, NOW)]
+
+
+# Pattern: hundreds of heads change at once, and the endpoints of a site of
+# 1,100 instances are rebuilt for each of them.
+def test_reports_of_one_update_rebuild_the_endpoints_once():
+    instances, table, exchange = _router()
+    for number in range(1, 12):
+        instances.apply_listed(
+            instance_fixtures.instance(
+                f"i{number}",
+                address=messages.Address("10.0.0.1", number),
+            ),
+            NOW,
+        )
+    updates = [
+        report_updates.encode(
+            ids.InstanceId(f"i{number}"),
+            _report(instance_state.MemberState.OPEN, 2),
+        )
+        for number in range(12)
+    ]
+    rebuilt = []
+    instances.on_change.append(lambda: rebuilt.append(1))
+    exchange.receive(
+        peer_updates.PeerUpdate(ids.DaemonId("d2"), [], updates), NOW
+    )
+    assert len(rebuilt) == 1
+    assert len(table.by_id) == 12
