--- a/sycamoredale/forwarding/hub_selection.py
+++ b/sycamoredale/forwarding/hub_selection.py
@@ -22,6 +22,7 @@
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.membership import view
+from sycamoredale.observability import logs
 
 # Up to so many peers, all daemons send to each other.
 MAX_MESH_PEERS: Final = 15
@@ -30,6 +31,7 @@
 SILENT_SECONDS: Final = 1.0
 # Until a silent hub is asked again, if it is still a member.
 RETRY_SECONDS: Final = 5.0
+LOG: Final = logs.get("peer_updates")
 NEVER: Final = clock.MonotonicTime(float("-inf"))
 
 
@@ -101,10 +103,10 @@
             if self._silent_until.get(peer.id, NEVER) <= now
         ]
         while ranked and self._is_silent(ranked[0], now):
-            self._silent_until[ranked[0].id] = clock.MonotonicTime(
-                now + RETRY_SECONDS
-            )
-            del ranked[0]
+            silent = ranked.pop(0)
+            until = clock.MonotonicTime(now + RETRY_SECONDS)
+            self._silent_until[silent.id] = until
+            LOG.warning("hub_silent", hub=silent.id)
         return ranked[:HUBS_PER_ZONE]
 
     def remote_hubs(self) -> collections.abc.Iterator[UpdatePeer]:
@@ -135,6 +137,7 @@
     def _is_silent(self, hub: UpdatePeer, now: clock.MonotonicTime) -> bool:
         if hub.id != self._asked:
             self._asked, self._asked_since = hub.id, now
+            LOG.info("hub_asked", hub=hub.id)
         if hub.id == self.own.id:
             return False
         heard_at = self._heard_at.get(hub.id, NEVER)
