Take the sound entries of a list of the own interface as well

Cause: the instance list and the lists and watches of the own object API were decoded as a whole. One odd entry made each of them fail, so routers and controllers followed them no longer; an address with port 70000 raised in the tasks of the controller.

Change: both interfaces share the decoding of lists entry by entry (object_api/objects.py); an instance without a usable address or with an accelerator count out of range is passed over.

--- a/sycamoredale/object_api/instances.py
+++ b/sycamoredale/object_api/instances.py
@@ -12,9 +12,14 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.object_api import objects
+from sycamoredale.observability import logs
 
 CALL_TIMEOUT_SECONDS: Final = 2.0
 ENGINE: Final = "engine"
+INSTANCE_KIND: Final = "instance"
+MAX_ACCELERATORS: Final = 65536
+LOG: Final = logs.get("object_api")
 
 
 class InstanceState(enum.Enum):
@@ -40,6 +45,10 @@
     state: InstanceState = InstanceState.LIVE
 
 
+_LIST_DECODER: Final = decoding.JsonDecoder(list[msgspec.Raw])
+_DECODER: Final = decoding.JsonDecoder(Instance)
+
+
 @dataclasses.dataclass
 class InstanceList:
     """Call the list of instances at one address."""
@@ -59,14 +68,21 @@
                     error_codes.STORE_UNAVAILABLE,
                     f"the instance list answered status {response.status}",
                 )
-            return decoding.decode_json(response.body, list[Instance])
+            values = objects.decode_list(response, _LIST_DECODER)
+            listed = objects.decode_each(values, _DECODER, INSTANCE_KIND)
+            return [item for item in listed if _is_usable(item)]
         except (errors.ConnectionFailed, errors.ConnectionBroken) as error:
             raise errors.StoreUnavailable(
                 error_codes.STORE_UNAVAILABLE,
                 f"the instance list is unavailable: {error.message}",
             ) from error
-        except msgspec.DecodeError as error:
-            raise errors.StoreUnavailable(
-                error_codes.STORE_UNAVAILABLE,
-                f"the instance list is malformed: {error}",
-            ) from error
+
+
+def _is_usable(instance: Instance) -> bool:
+    """Return whether an instance has an address and accelerators."""
+    try:
+        messages.parse_destination(instance.address)
+    except ValueError as error:
+        LOG.warning("entry_malformed", entry=instance.id, reason=str(error))
+        return False
+    return 0 <= instance.accelerators <= MAX_ACCELERATORS
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -21,7 +21,9 @@
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.object_api import budget
+from sycamoredale.observability import logs
 
+LOG: Final = logs.get("object_api")
 OBJECT_ROOT: Final = "/v1/object"
 ABSENT_VERSION: Final = ids.ObjectVersion(0)
 MAX_VALUE_BYTES: Final = 1_000_000
@@ -105,7 +107,7 @@
         response = await self._read(
             CallKind.LIST, object_path(OBJECT_ROOT, kind), limits
         )
-        return decode_body(response, Listing)
+        return _decode_listing(response, kind)
 
     async def watch(
         self,
@@ -131,7 +133,7 @@
                 error_codes.WATCH_EXPIRED,
                 f"the store no longer has changes of {kind} after {after}",
             )
-        return decode_body(response, Listing)
+        return _decode_listing(response, kind)
 
     async def put(
         self, kind: str, name: str, value: bytes, expected: ids.ObjectVersion
@@ -256,12 +258,63 @@
 _T = typing.TypeVar("_T")
 
 
+class _RawListing(msgspec.Struct):
+    version: decoding.Count
+    objects: list[msgspec.Raw]
+    deleted: list[str] = []
+
+
+_LISTING_DECODER: Final = decoding.JsonDecoder(_RawListing)
+_OBJECT_DECODER: Final = decoding.JsonDecoder(StoredObject)
+
+
 def decode_body(response: messages.Response, kind: type[_T]) -> _T:
     """Decode the JSON body of an answer; raise StoreUnavailable."""
     try:
         return decoding.decode_json(response.body, kind)
-    except msgspec.DecodeError as error:
-        raise errors.StoreUnavailable(
-            error_codes.STORE_UNAVAILABLE,
-            f"the object API sent a malformed answer: {error}",
-        ) from error
+    except decoding.MalformedInput as error:
+        raise malformed_answer(str(error)) from error
+
+
+def decode_list(
+    response: messages.Response, decoder: decoding.JsonDecoder[_T]
+) -> _T:
+    """Decode an answer with objects of other writers; raise StoreUnavailable.
+
+    Values that are nested too deeply become null.
+    """
+    try:
+        try:
+            return decoder.decode(response.body)
+        except decoding.MalformedInput:
+            body = decoding.without_deep_values(response.body)
+            return decoder.decode(body)
+    except decoding.MalformedInput as error:
+        raise malformed_answer(str(error)) from error
+
+
+def decode_each(
+    values: collections.abc.Iterable[msgspec.Raw],
+    decoder: decoding.JsonDecoder[_T],
+    kind: str,
+) -> collections.abc.Iterator[_T]:
+    """Yield the objects of a kind that can be decoded."""
+    for value in values:
+        try:
+            yield decoder.decode(value)
+        except decoding.MalformedInput as error:
+            LOG.warning("object_malformed", kind=kind, reason=str(error))
+
+
+def malformed_answer(reason: str) -> errors.StoreUnavailable:
+    """Return the error for an answer that cannot be decoded."""
+    return errors.StoreUnavailable(
+        error_codes.STORE_UNAVAILABLE,
+        f"the object API sent a malformed answer: {reason}",
+    )
+
+
+def _decode_listing(response: messages.Response, kind: str) -> Listing:
+    raw = decode_list(response, _LISTING_DECODER)
+    found = list(decode_each(raw.objects, _OBJECT_DECODER, kind))
+    return Listing(ids.ObjectVersion(raw.version), found, raw.deleted)
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -5,10 +5,8 @@
 it is skipped, so that the others of its kind are still known.
 """
 
-import collections.abc
 import dataclasses
 import functools
-import typing
 from typing import Final
 import urllib.parse
 
@@ -60,7 +58,6 @@
 _EVENTS_DECODER: Final = decoding.JsonDecoder(_Events)
 _OBJECT_DECODER: Final = decoding.JsonDecoder(_Object)
 _EVENT_DECODER: Final = decoding.JsonDecoder(_Event)
-_T = typing.TypeVar("_T")
 
 
 @dataclasses.dataclass
@@ -79,7 +76,9 @@
 
     def add(self, page: _Page) -> None:
         """Add the next page; raise StoreUnavailable."""
-        items = list(_decode_each(page.items, _OBJECT_DECODER, self.kind))
+        items = list(
+            objects.decode_each(page.items, _OBJECT_DECODER, self.kind)
+        )
         self.found.extend(map(_stored, items))
         version = ids.ObjectVersion(page.at)
         self.version = min(self.version, version) if self.count else version
@@ -87,7 +86,9 @@
         self.is_complete = not page.has_more
         if page.has_more:
             if not items:
-                raise _malformed("no object of a page can be decoded")
+                raise objects.malformed_answer(
+                    "no object of a page can be decoded"
+                )
             self.last_name = items[-1].metadata.name
 
     def to_listing(self) -> objects.Listing:
@@ -155,7 +156,7 @@
             query["after"] = pages.last_name
         target = _path(pages.kind) + _query(query)
         response = await self._read(budget.CallKind.LIST, target, limits)
-        pages.add(_decode_list(response, _PAGE_DECODER))
+        pages.add(objects.decode_list(response, _PAGE_DECODER))
 
     async def watch(
         self,
@@ -177,11 +178,11 @@
                 error_codes.WATCH_EXPIRED,
                 f"the store no longer has changes of {kind} after {after}",
             )
-        events = _decode_list(response, _EVENTS_DECODER)
+        events = objects.decode_list(response, _EVENTS_DECODER)
         # Of an object deleted and recreated, only the last event counts.
         last = {
             e.object.metadata.name: e
-            for e in _decode_each(events.events, _EVENT_DECODER, kind)
+            for e in objects.decode_each(events.events, _EVENT_DECODER, kind)
         }
         return objects.Listing(
             ids.ObjectVersion(events.at),
@@ -219,37 +220,3 @@
     return objects.StoredObject(
         item.metadata.name, ids.ObjectVersion(item.metadata.rev), item.spec
     )
-
-
-def _decode_list(
-    response: messages.Response, decoder: decoding.JsonDecoder[_T]
-) -> _T:
-    """Decode the answer to a list or watch; raise StoreUnavailable."""
-    try:
-        try:
-            return decoder.decode(response.body)
-        except decoding.MalformedInput:
-            body = decoding.without_deep_values(response.body)
-            return decoder.decode(body)
-    except decoding.MalformedInput as error:
-        raise _malformed(str(error)) from error
-
-
-def _decode_each(
-    values: collections.abc.Iterable[msgspec.Raw],
-    decoder: decoding.JsonDecoder[_T],
-    kind: str,
-) -> collections.abc.Iterator[_T]:
-    """Yield the values that can be decoded."""
-    for value in values:
-        try:
-            yield decoder.decode(value)
-        except decoding.MalformedInput as error:
-            LOG.warning("object_malformed", kind=kind, reason=str(error))
-
-
-def _malformed(reason: str) -> errors.StoreUnavailable:
-    return errors.StoreUnavailable(
-        error_codes.STORE_UNAVAILABLE,
-        f"the object API sent a malformed answer: {reason}",
-    )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -19,6 +19,7 @@
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale import leases
+from sycamoredale.object_api import instances
 from sycamoredale.object_api import objects
 from sycamoredale.observability import exposition
 from sycamoredale.platform import instance_decoder
@@ -231,3 +232,61 @@
     with pytest.raises(errors.StoreUnavailable):
         lease.observe(stored, clock.MonotonicTime(0.0))
     assert not lease.can_acquire(clock.MonotonicTime(100.0))
+
+
+class _Pool:
+    """Answer each call of the own object API with one body."""
+
+    def __init__(self, body):
+        self.body = body
+
+    async def call(self, *args):
+        return messages.Response(200, messages.Headers(), self.body)
+
+
+OWN_SOUND = b'{"id":"b","address":"10.0.0.1:80","zone":"z","domain":"d"}'
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b"7",
+        b'{"id":"a"}',
+        OWN_SOUND[:-1] + b',"x":' + DEEP + b"}",
+        OWN_SOUND.replace(b":80", b":70000"),
+        OWN_SOUND.replace(b":80", b":0"),
+        OWN_SOUND[:-1] + b',"accelerators":' + b"9" * 30 + b"}",
+    ],
+)
+def test_one_odd_instance_of_the_own_list_leaves_the_others(odd):
+    body = b"[" + odd.replace(b'"b"', b'"odd"') + b"," + OWN_SOUND + b"]"
+    listed = curio.run(
+        instances.InstanceList(
+            messages.Address("127.0.0.1", 1), _Pool(body)
+        ).read
+    )
+    assert "b" in {item.id for item in listed}
+    assert all(item.accelerators == 8 for item in listed)
+
+
+@pytest.mark.parametrize("odd", [b"7", b'{"name":"odd"}', DEEP])
+@pytest.mark.parametrize("call", ["list", "watch"])
+def test_one_odd_object_of_the_own_interface_leaves_the_others(odd, call):
+    sound = b'{"name":"sound","version":6,"value":{"a":1}}'
+    body = b'{"version":7,"objects":[%s,%s]}' % (odd, sound)
+    store = objects.ObjectStore(messages.Address("127.0.0.1", 1), _Pool(body))
+    arguments = ("lease",) if call == "list" else ("lease", 5, 1.0)
+    listing = curio.run(getattr(store, call), *arguments)
+    assert [item.name for item in listing.objects] == ["sound"]
+    assert listing.version == 7
+
+
+@pytest.mark.parametrize("body", [b"", b"null", b'{"version":7}', DEEP])
+def test_own_list_that_cannot_be_read_is_no_empty_list(body):
+    address = messages.Address("127.0.0.1", 1)
+    store = objects.ObjectStore(address, _Pool(body))
+    with pytest.raises(errors.StoreUnavailable):
+        curio.run(store.list, "lease")
+    if body != DEEP:
+        with pytest.raises(errors.StoreUnavailable):
+            curio.run(instances.InstanceList(address, _Pool(body)).read)
