Move what is no adapter out of the package of the platform

Change: lists in pages and malformed entries are modules of object_api, the handlers of watched objects one of forwarding, to which the adapter gives its decoders.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -22,6 +22,7 @@
 from sycamoredale.forwarding import hub_selection
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import kind_updates
+from sycamoredale.forwarding import object_handlers
 from sycamoredale.forwarding import object_watcher
 from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import route_table
@@ -41,12 +42,15 @@
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
+from sycamoredale.object_api import malformed_entries
 from sycamoredale.object_api import objects
 from sycamoredale.observability import exposition
 from sycamoredale.observability import line_writer
 from sycamoredale.observability import logs
 from sycamoredale.platform import engine_client
-from sycamoredale.platform import object_handlers
+from sycamoredale.platform import instance_decoder
+from sycamoredale.platform import manifest
+from sycamoredale.platform import object_kinds
 from sycamoredale.platform import settings as settings_module
 from sycamoredale.platform import store as store_module
 from sycamoredale.platform import wire_format
@@ -186,27 +190,34 @@
     def _build_watchers(self) -> list[object_watcher.ObjectWatcher]:
         bounds = self._settings.bounds
         manifest_handler = object_handlers.ManifestHandler(
-            self._routes, self._on_manifest
+            self._routes,
+            object_kinds.MANIFEST_NAME,
+            manifest.decode,
+            self._on_manifest,
         )
         instance_handler = object_handlers.InstanceHandler(
-            self._instances, self._metric_registry
+            self._instances,
+            instance_decoder.decode_entry,
+            malformed_entries.MalformedEntries(
+                object_kinds.INSTANCE_KIND, self._metric_registry
+            ),
         )
         return [
             self._build_watcher(
-                object_handlers.MANIFEST_KIND,
+                object_kinds.MANIFEST_KIND,
                 manifest_handler.apply,
                 bounds.configuration_seconds,
                 logs_changes=True,
             ),
             self._build_watcher(
-                object_handlers.INSTANCE_KIND,
+                object_kinds.INSTANCE_KIND,
                 instance_handler.apply,
                 bounds.drain_seconds,
                 get_pause=self._instance_poll_pause,
                 entries_expire=True,
             ),
             self._build_watcher(
-                object_handlers.EVACUATION_KIND,
+                object_kinds.EVACUATION_KIND,
                 self._evacuation_handler.apply,
                 bounds.evacuation_seconds,
                 logs_changes=True,
@@ -380,7 +391,7 @@
 
     def _is_ready(self) -> bool:
         """Return whether the manifest and the instances are known."""
-        instances = self._watcher_by_kind[object_handlers.INSTANCE_KIND]
+        instances = self._watcher_by_kind[object_kinds.INSTANCE_KIND]
         return (
             self._routes.current.version > 0
             and instances.version != objects.ABSENT_VERSION
--- a/sycamoredale/platform/object_handlers.py
+++ b/sycamoredale/forwarding/object_handlers.py
@@ -1,4 +1,7 @@
-"""Apply changes of the platform's objects to the daemon's state."""
+"""Apply lists and changes of watched objects to the daemon's state.
+
+How the platform encodes an object is left to functions of its adapter.
+"""
 
 import collections.abc
 import dataclasses
@@ -7,23 +10,23 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import route_table
 from sycamoredale import ids
+from sycamoredale.object_api import malformed_entries
 from sycamoredale.object_api import objects
-from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
-from sycamoredale.platform import instance_decoder
-from sycamoredale.platform import manifest
 
-# The platform names the instances "servers" and the manifest "config".
-INSTANCE_KIND: Final = "servers"
-MANIFEST_KIND: Final = "config"
-MANIFEST_NAME: Final = "main"
-# Each object of this kind takes the zone of that name out of service.
-EVACUATION_KIND: Final = "evacuations"
-LOG: Final = logs.get("platform.object_handlers")
+LOG: Final = logs.get("forwarding.object_handlers")
+
+# Decodes the entry of a name at a time; raises ValueError.
+DecodeInstance = collections.abc.Callable[
+    [str, msgspec.Raw, clock.WallTime], instance_state.Instance
+]
+# Raises ValueError.
+DecodeManifest = collections.abc.Callable[[msgspec.Raw], catalogue.Catalogue]
 
 
 @dataclasses.dataclass
@@ -34,67 +37,52 @@
     """
 
     table: instance_table.InstanceTable
-    metrics: exposition.MetricRegistry = dataclasses.field(
-        default_factory=exposition.MetricRegistry
-    )
-    _malformed_version_by_name: dict[str, ids.ObjectVersion] = (
-        dataclasses.field(default_factory=dict)
-    )
+    decode: DecodeInstance
+    malformed: malformed_entries.MalformedEntries
 
     def apply(self, seen: objects.Listing, complete: bool) -> None:
         """Apply changed or deleted instances to the table."""
-        for name in seen.deleted:
-            self._malformed_version_by_name.pop(name, None)
         listed = {ids.InstanceId(item.name) for item in seen.objects}
         for name in seen.deleted:
+            self.malformed.forget(name)
             LOG.info("instance_gone", instance=name, version=seen.version)
         self.table.apply_listing(
-            self._decode(seen, clock.wall()),
+            self._decode_sound(seen, clock.wall()),
             {ids.InstanceId(name) for name in seen.deleted},
             listed if complete else None,
             clock.monotonic(),
         )
 
-    def _decode(
+    def _decode_sound(
         self, seen: objects.Listing, now: clock.WallTime
     ) -> collections.abc.Iterator[instance_state.Instance]:
         for item in seen.objects:
             try:
-                instance = instance_decoder.decode_entry(
-                    item.name, item.value, now
-                )
+                instance = self.decode(item.name, item.value, now)
             except ValueError as error:
-                self._record_malformed(item, str(error))
+                self.malformed.record(item, str(error))
             else:
-                self._malformed_version_by_name.pop(item.name, None)
+                self.malformed.forget(item.name)
                 yield instance
 
-    def _record_malformed(
-        self, item: objects.StoredObject, reason: str
-    ) -> None:
-        version_by_name = self._malformed_version_by_name
-        if version_by_name.get(item.name) == item.version:
-            return
-        version_by_name[item.name] = item.version
-        self.metrics.count("malformed_entries", INSTANCE_KIND)
-        LOG.warning("entry_malformed", entry=item.name, reason=reason)
-
 
 @dataclasses.dataclass
 class ManifestHandler:
-    """Activate new manifests."""
+    """Activate newer versions of the manifest, the object of one name."""
 
     routes: route_table.RouteTable
+    name: str
+    decode: DecodeManifest
     on_change: instance_table.OnChange
 
     def apply(self, seen: objects.Listing, complete: bool) -> None:
         """Activate the manifest if the listing has a newer one."""
         for item in seen.objects:
-            if item.name != MANIFEST_NAME:
+            if item.name != self.name:
                 continue
             try:
-                decoded = manifest.decode(item.value)
-            except msgspec.DecodeError as error:
+                decoded = self.decode(item.value)
+            except ValueError as error:
                 LOG.error("manifest_malformed", reason=str(error))
                 continue
             if self.routes.activate(decoded):
--- a/sycamoredale/forwarding/update_exchange.py
+++ b/sycamoredale/forwarding/update_exchange.py
@@ -116,7 +116,6 @@
     async def _send_periodically(self, sock: typing.Any) -> None:
         while True:
             now = clock.monotonic()
-            self._gatherer.expire(now)
             self.apply_peer_loads(now)
             self.send_updates(sock, now)
             await curio.sleep(self._interval_seconds())
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -19,11 +19,8 @@
 from sycamoredale import ids
 from sycamoredale.object_api import budget
 from sycamoredale.object_api import objects
-from sycamoredale.observability import logs
+from sycamoredale.object_api import paged_lists
 
-# A watch for what has changed already.
-CATCH_UP_SECONDS: Final = 0.001
-LOG: Final = logs.get("platform.store")
 _path = functools.partial(objects.object_path, "/v1/objects")
 
 
@@ -60,49 +57,6 @@
 _EVENT_DECODER: Final = decoding.JsonDecoder(_Event)
 
 
-@dataclasses.dataclass
-class _Pages:
-    """Collect the pages of a list.
-
-    `version` is one whose later changes may be missing.
-    """
-
-    kind: str
-    version: ids.ObjectVersion = objects.ABSENT_VERSION
-    count: int = 0
-    is_complete: bool = False
-    last_name: str | None = None
-    found: list[objects.StoredObject] = dataclasses.field(default_factory=list)
-
-    def add(self, page: _Page) -> None:
-        """Add the next page; raise StoreUnavailable."""
-        items = list(
-            objects.decode_each(page.items, _OBJECT_DECODER, self.kind)
-        )
-        self.found.extend(map(_stored, items))
-        version = ids.ObjectVersion(page.at)
-        self.version = min(self.version, version) if self.count else version
-        self.count += 1
-        self.is_complete = not page.has_more
-        if page.has_more:
-            if not items:
-                raise objects.malformed_answer(
-                    "no object of a page can be decoded"
-                )
-            self.last_name = items[-1].metadata.name
-
-    def to_listing(self) -> objects.Listing:
-        """Return the list of these pages."""
-        return objects.Listing(self.version, self.found)
-
-    def with_changes(self, changes: objects.Listing) -> objects.Listing:
-        """Return the list after changes since its version."""
-        changed = {item.name for item in changes.objects}
-        changed.update(changes.deleted)
-        kept = [item for item in self.found if item.name not in changed]
-        return objects.Listing(changes.version, [*kept, *changes.objects])
-
-
 @dataclasses.dataclass
 class PlatformStore(objects.ObjectStore):
     """Call the store at one address."""
@@ -122,41 +76,29 @@
     ) -> objects.Listing:
         """Return all objects of a kind; raise StoreUnavailable.
 
-        A stale list costs the store less and may be seconds old.  Of a long
-        list that must be current, the pages after the first one are read as
-        stale ones, and the changes since then are applied to them.
+        A stale list costs the store less and may be seconds old.
         """
-        pages = _Pages(kind)
-        while not pages.is_complete:
-            is_stale = stale or pages.count > 0
-            await self._read_page(pages, limits, is_stale)
-        if stale or pages.count == 1:
-            return pages.to_listing()
-        try:
-            changes = await self.watch(
-                kind, pages.version, CATCH_UP_SECONDS, limits
-            )
-        except errors.WatchExpired:
-            return await self._list_current(kind, limits)
-        return pages.with_changes(changes)
 
-    async def _list_current(
-        self, kind: str, limits: objects.CallLimits
-    ) -> objects.Listing:
-        pages = _Pages(kind)
-        while not pages.is_complete:
-            await self._read_page(pages, limits, stale=False)
-        return pages.to_listing()
+        async def read_page(
+            after: str | None, stale: bool
+        ) -> paged_lists.Page:
+            query = {"allow_stale": "1"} if stale else {}
+            query |= {"after": after} if after is not None else {}
+            target = _path(kind) + _query(query)
+            response = await self._read(budget.CallKind.LIST, target, limits)
+            page = objects.decode_list(response, _PAGE_DECODER)
+            items = objects.decode_each(page.items, _OBJECT_DECODER, kind)
+            return paged_lists.Page(
+                ids.ObjectVersion(page.at),
+                [_stored(item) for item in items],
+                page.has_more,
+            )
 
-    async def _read_page(
-        self, pages: "_Pages", limits: objects.CallLimits, stale: bool
-    ) -> None:
-        query = {"allow_stale": "1"} if stale else {}
-        if pages.last_name is not None:
-            query["after"] = pages.last_name
-        target = _path(pages.kind) + _query(query)
-        response = await self._read(budget.CallKind.LIST, target, limits)
-        pages.add(objects.decode_list(response, _PAGE_DECODER))
+        return await paged_lists.read(
+            read_page,
+            lambda after, wait: self.watch(kind, after, wait, limits),
+            stale,
+        )
 
     async def watch(
         self,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,15 +16,16 @@
 from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale.forwarding import instance_table
+from sycamoredale.forwarding import object_handlers
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.object_api import instances
+from sycamoredale.object_api import malformed_entries
 from sycamoredale.object_api import objects
 from sycamoredale.observability import exposition
 from sycamoredale.platform import instance_decoder
 from sycamoredale.platform import manifest
-from sycamoredale.platform import object_handlers
 from sycamoredale.platform import store as store_module
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
@@ -78,6 +79,16 @@
         return messages.Response(200, messages.Headers(), self.bodies.pop(0))
 
 
+def _handler(table, metrics=None):
+    return object_handlers.InstanceHandler(
+        table,
+        instance_decoder.decode_entry,
+        malformed_entries.MalformedEntries(
+            "servers", metrics or exposition.MetricRegistry()
+        ),
+    )
+
+
 def _page(odd, more=False):
     sound = SOUND.replace(b":80", b":81")
     return (
@@ -119,7 +130,7 @@
     store = _ScriptedStore(_page(ODD_ENTRIES[kind]))
     table = instance_table.InstanceTable()
     listing = curio.run(store.list, "servers")
-    object_handlers.InstanceHandler(table).apply(listing, True)
+    _handler(table).apply(listing, True)
     _assert_sound(table)
 
 
@@ -128,14 +139,14 @@
     store = _ScriptedStore(_events(ODD_ENTRIES[kind]))
     table = instance_table.InstanceTable()
     listing = curio.run(store.watch, "servers", 5, 1.0)
-    object_handlers.InstanceHandler(table).apply(listing, False)
+    _handler(table).apply(listing, False)
     assert listing.version == 7
     _assert_sound(table)
 
 
 def test_entry_at_a_used_address_from_the_future_displaces_nobody():
     table = instance_table.InstanceTable()
-    handler = object_handlers.InstanceHandler(table)
+    handler = _handler(table)
     sound = objects.StoredObject("sound", 6, msgspec.Raw(SOUND))
     odd = _with_field(b"born", b"4102444800000")
     handler.apply(objects.Listing(6, [sound]), True)
@@ -148,7 +159,7 @@
 
 def test_odd_state_of_a_known_instance_changes_nothing():
     table = instance_table.InstanceTable()
-    handler = object_handlers.InstanceHandler(table)
+    handler = _handler(table)
     for version, value in ((6, SOUND), (7, ODD_ENTRIES["negative slots"])):
         stored = objects.StoredObject("a", version, msgspec.Raw(value))
         handler.apply(objects.Listing(version, [stored]), True)
@@ -157,9 +168,7 @@
 
 def test_odd_entry_is_counted_once_for_each_version():
     metrics = exposition.MetricRegistry()
-    handler = object_handlers.InstanceHandler(
-        instance_table.InstanceTable(), metrics
-    )
+    handler = _handler(instance_table.InstanceTable(), metrics)
     for version in (6, 6, 7):
         stored = objects.StoredObject("odd", version, msgspec.Raw(b"7"))
         handler.apply(objects.Listing(version, [stored]), True)
