Choose ports for tests below those of outgoing connections

The port was taken from those that the kernel gives to outgoing connections and released again, and one of them took it before the router started.

Change: free_address draws from 16000 to 31999.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,9 @@
 
 ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_SECONDS: typing.Final = 20.0
+LISTEN_PORTS: typing.Final = range(16000, 32000)
+# Test runs beside each other must not draw the same ports.
+PORT_RNG: typing.Final = random.SystemRandom()
 
 
 @dataclasses.dataclass
@@ -233,10 +237,17 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that was free."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address with a port that was free.
+
+    The port is below those that the kernel gives to outgoing connections, one
+    of which could take it before the process that is to listen there.
+    """
+    while True:
+        port = PORT_RNG.choice(LISTEN_PORTS)
+        with socket.socket() as sock:
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
+                return f"127.0.0.1:{port}"
 
 
 def _logged_address(process: Process) -> str:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 import collections.abc
 import http.client
 import os
+import pathlib
 import time
 
 import pytest
@@ -142,3 +143,13 @@
 
 def _inventory(address: str, seconds: float = 10.0) -> processes.Answer:
     return processes.request(address, "GET", "/inventory", seconds=seconds)
+
+
+# A daemon of a scenario failed to start because an outgoing connection had
+# taken the port that was chosen for it.
+def test_free_address_has_no_port_of_outgoing_connections() -> None:
+    path = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+    first = int(path.read_text().split()[0]) if path.exists() else 32768
+    for _ in range(50):
+        port = int(processes.free_address().rpartition(":")[2])
+        assert 1024 < port < first
