Log removals that are kept back, and count them as not in force

Change: removals_kept_back and removals_in_force name the entries and for how long; knowledge_late, the metrics and each call_ended line (known_ms_ago, by kind) count kept removals as changes that are not in force. instance_gone is logged after the removal is applied. No decision depends on it.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -387,8 +387,15 @@
             ),
             self._metric_registry,
             is_ready=self._is_ready,
+            get_known_ages=self._known_ages,
         )
 
+    def _known_ages(self, now: clock.MonotonicTime) -> dict[str, int]:
+        return {
+            kind: watcher.in_force_ms_ago(now)
+            for kind, watcher in self._watcher_by_kind.items()
+        }
+
     def _is_ready(self) -> bool:
         """Return whether the manifest and the instances are known."""
         instances = self._watcher_by_kind[object_kinds.INSTANCE_KIND]
--- a/sycamoredale/forwarding/knowledge.py
+++ b/sycamoredale/forwarding/knowledge.py
@@ -25,11 +25,22 @@
 
 @dataclasses.dataclass
 class Knowledge:
-    """Record that all changes confirmed before `known_at` are known."""
+    """Record that all changes confirmed before `known_at` are known.
+
+    Removals that are kept back since a time are known and not in force.
+    """
 
     bound_seconds: float
     known_at: clock.MonotonicTime = NEVER
     source: Source = Source.NONE
+    removals_kept_since: clock.MonotonicTime | None = None
+
+    @property
+    def in_force_at(self) -> clock.MonotonicTime:
+        """Return the time up to which all changes are in force."""
+        if self.removals_kept_since is None:
+            return self.known_at
+        return min(self.known_at, self.removals_kept_since)
 
     def advance(self, known_at: clock.MonotonicTime, source: Source) -> None:
         """Record a proof, unless a later time is known."""
@@ -42,5 +53,6 @@
         return now - self.known_at
 
     def is_late(self, now: clock.MonotonicTime) -> bool:
-        """Return whether a change may be unknown for longer than allowed."""
-        return self.known_at != NEVER and self.age(now) > self.bound_seconds
+        """Return whether a change may be in force later than allowed."""
+        at = self.in_force_at
+        return at != NEVER and now - at > self.bound_seconds
--- a/sycamoredale/forwarding/object_handlers.py
+++ b/sycamoredale/forwarding/object_handlers.py
@@ -45,13 +45,14 @@
         listed = {ids.InstanceId(item.name) for item in seen.objects}
         for name in seen.deleted:
             self.malformed.forget(name)
-            LOG.info("instance_gone", instance=name, version=seen.version)
         self.table.apply_listing(
             self._decode_sound(seen, clock.wall()),
             {ids.InstanceId(name) for name in seen.deleted},
             listed if complete else None,
             clock.monotonic(),
         )
+        for name in seen.deleted:
+            LOG.info("instance_gone", instance=name, version=seen.version)
 
     def _decode_sound(
         self, seen: objects.Listing, now: clock.WallTime
--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -108,6 +108,11 @@
         """Update the metrics, and log whether the knowledge is late."""
         self.observer.check(self.version, now)
 
+    def in_force_ms_ago(self, now: clock.MonotonicTime) -> int:
+        """Return how long ago all changes were in force, -1 if never."""
+        at = self.known.in_force_at
+        return -1 if at == knowledge.NEVER else int(1000 * (now - at))
+
     async def run(self) -> None:
         """Watch the kind until cancelled."""
         waits = backoff.Backoff(
@@ -204,11 +209,16 @@
             self.observer.on_change(source, seen, self.read_clock())
         self.known.advance(known_at, source)
         is_list = source is knowledge.Source.STORE_LIST
+        changes = self._changes_in_list(seen) if is_list else seen
+        now = self.read_clock()
         if self._settles_at is None:
-            changes = self._changes_in_list(seen) if is_list else seen
+            self.observer.on_removals_settled(changes.deleted, now)
             self.publisher.record(self.version, changes, known_at)
             self._apply(seen, complete=is_list)
         else:
+            self.observer.on_removals_kept(
+                changes.deleted, seen.version, self._settles_at, now
+            )
             kept = msgspec.structs.replace(seen, deleted=[])
             self._apply(kept, complete=False)
 
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -29,6 +29,8 @@
 READY_POLL_SECONDS: Final = 0.01
 LOG: Final = logs.get("calls")
 
+# Returns how many milliseconds ago all changes of each kind were in force.
+GetKnownAges = collections.abc.Callable[[clock.MonotonicTime], dict[str, int]]
 ReadEnvelope = collections.abc.Callable[[messages.Request], calls.Envelope]
 
 
@@ -48,6 +50,7 @@
     )
     handled_count: int = 0
     is_ready: collections.abc.Callable[[], bool] = lambda: True
+    get_known_ages: GetKnownAges = lambda now: {}
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -150,6 +153,7 @@
             organisation=call.organisation,
             model=call.envelope.model,
             config=self.routes.current.version,
+            known_ms_ago=self.get_known_ages(now),
             first_ms=first and int(1000 * (first - call.arrived_at)),
             ms=int(1000 * (now - call.arrived_at)),
             pause_ms=int(1000 * progress.longest_pause_seconds),
--- a/sycamoredale/forwarding/watch_observer.py
+++ b/sycamoredale/forwarding/watch_observer.py
@@ -1,5 +1,6 @@
 """Log and measure what a daemon learns of a kind of objects, and when."""
 
+import collections.abc
 import dataclasses
 import enum
 from typing import Final
@@ -34,6 +35,47 @@
     )
     logs_changes: bool = False
     _late_since: clock.MonotonicTime | None = None
+    _kept_since: dict[str, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def on_removals_kept(
+        self,
+        names: collections.abc.Collection[str],
+        version: ids.ObjectVersion,
+        until: clock.MonotonicTime,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Log removed objects that stay in force for now."""
+        new = sorted(set(names) - self._kept_since.keys())
+        if not new:
+            return
+        self._kept_since.update(dict.fromkeys(new, now))
+        self.known.removals_kept_since = min(self._kept_since.values())
+        LOG.info(
+            "removals_kept_back",
+            kind=self.kind,
+            version=version,
+            names=new,
+            seconds=round(until - now, 3),
+        )
+
+    def on_removals_settled(
+        self,
+        removed: collections.abc.Collection[str],
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Log which removals take effect that were kept back."""
+        since = [self._kept_since[n] for n in removed if n in self._kept_since]
+        if since:
+            LOG.info(
+                "removals_in_force",
+                kind=self.kind,
+                names=sorted(removed),
+                kept_seconds=round(now - min(since), 3),
+            )
+        self._kept_since.clear()
+        self.known.removals_kept_since = None
 
     def on_call_ended(
         self, call: knowledge.Source, outcome: Outcome, seconds: float
@@ -93,11 +135,14 @@
         self, version: ids.ObjectVersion, now: clock.MonotonicTime
     ) -> None:
         """Set the gauges, and log when the knowledge is late or again not."""
-        age = self.known.age(now)
+        age = now - self.known.in_force_at
         self.metrics.set_gauge("known_age_seconds", self.kind, age)
         self.metrics.set_gauge("object_version", self.kind, version)
+        self.metrics.set_gauge(
+            "removals_kept_back", self.kind, len(self._kept_since)
+        )
         if self.known.is_late(now) and self._late_since is None:
-            self._late_since = self.known.known_at
+            self._late_since = self.known.in_force_at
             self.metrics.count("late", self.kind)
             LOG.warning(
                 "knowledge_late",
@@ -105,6 +150,7 @@
                 version=version,
                 known_seconds_ago=round(age, 3),
                 source=self.known.source.value,
+                removals_kept_back=sorted(self._kept_since),
             )
         elif not self.known.is_late(now) and self._late_since is not None:
             LOG.info(
--- a/tests/test_watch_observer.py
+++ b/tests/test_watch_observer.py
@@ -77,3 +77,25 @@
     assert 'sycamoredale_known_age_seconds{kind="config"} 1.5' in text
     assert 'sycamoredale_object_version{kind="config"} 7' in text
     assert 'store_calls_total{kind="config.store_watch.failed"} 1' in text
+
+
+# Guards against removals that are kept back while the knowledge seems recent.
+def test_removal_that_is_kept_back_makes_the_knowledge_late():
+    observer = _observer()
+    observer.known.advance(_at(10), knowledge.Source.STORE_LIST)
+    with structlog.testing.capture_logs() as lines:
+        observer.on_removals_kept(["a"], VERSION, _at(14), _at(10))
+        observer.on_removals_kept(["a"], VERSION, _at(14), _at(11))
+        observer.known.advance(_at(13), knowledge.Source.STORE_LIST)
+        observer.check(VERSION, _at(13.5))
+        observer.on_removals_settled(["a"], _at(14))
+        observer.check(VERSION, _at(14))
+    kept, late, in_force, recovered = lines
+    assert (kept["names"], kept["seconds"]) == (["a"], 4.0)
+    assert late["event"] == "knowledge_late"
+    assert (late["known_seconds_ago"], late["removals_kept_back"]) == (
+        3.5,
+        ["a"],
+    )
+    assert (in_force["names"], in_force["kept_seconds"]) == (["a"], 4.0)
+    assert recovered["event"] == "knowledge_recovered"
