Play removed entries, pages and outages of the store in simulated time

Callers saw requests reach an instance 3.4 s after its removal was confirmed. The simulation of the watchers had one object that changes, a list that is one call, and excused each daemon whose calls failed at any time within the bound. Now it has entries that are removed or lapse and return, lists of several pages of which the later ones may be stale, events in parts, and calls that are accepted and never answered.

--- a/tests/test_watch_bound.py
+++ b/tests/test_watch_bound.py
@@ -6,8 +6,16 @@
 
 from sycamoredale.forwarding import watch_timing
 from tests import watch_simulation
+from tests.watch_simulation import Change
+from tests.watch_simulation import Faults
 from tests.watch_simulation import Span
 
+ALL_DAEMONS = ("publisher", *(f"peer{n}" for n in range(4)))
+SOME_DAEMONS = ("publisher", "peer0", "peer1")
+# Two pages, the later of which may be stale.
+LONG_SHAPE = watch_simulation.Shape(entries=57, stale_seconds=3.0)
+MANY_PAGES = watch_simulation.Shape(entries=180, stale_seconds=3.0)
+
 
 @pytest.mark.parametrize("bound", [0.5, 2.0, 3.0, 5.0, 18.0])
 def test_wait_and_calls_in_a_row_take_no_longer_than_the_bound(bound):
@@ -20,40 +28,131 @@
     assert timing.watch_seconds(timing.max_age_seconds) == 0
 
 
-def _play(faults, change_times, bound, seconds=30.0):
-    fleet = watch_simulation.Fleet(faults, change_times, bound)
-    end = fleet.scheduler.now + seconds
-    fleet.scheduler.run_until(end)
-    fleet.scheduler.close()
-    return fleet.late_changes(end)
-
-
 def _silence(start):
     """Return the faults of a store that drops its history after a silence.
 
     The store cuts the watches that wait, and drops its history a moment
     later.  A watch that begins in between is neither cut nor answered.
     """
-    return watch_simulation.Faults(
+    return Faults(
         silences=[Span(start, start + 1.26)],
         cuts=[start + 1.2],
         compactions=[start + 1.26],
     )
 
 
+def _outages(names, start, seconds, silent):
+    span = Span(start, start + seconds)
+    return Faults(outages=[(name, span, silent) for name in names])
+
+
+def _late_in_phases(play, phases=20):
+    """Return what is late in runs that differ in the time of the fault."""
+    return [found for n in range(phases) for found in play(111.0 + n / phases)]
+
+
 # Guards against a watch that the store neither answers nor cuts: it was
 # waited for longer than the time in which a change has to be in force.
 @pytest.mark.parametrize("bound", [2.0, 3.0])
 def test_watch_without_an_answer_does_not_delay_a_change(bound):
-    late = [
-        found
-        for tenth in range(30)
-        for start in [111.0 + tenth / 30]
-        for found in _play(
-            _silence(start), [start + 0.37, start + 0.67], bound
+    def play(start):
+        changes = [Change(start + 0.37), Change(start + 0.67)]
+        return watch_simulation.late_changes(_silence(start), changes, bound)
+
+    assert _late_in_phases(play) == []
+
+
+# Guards against a list of several pages that fails while watches do.
+@pytest.mark.parametrize("bound", [2.0, 3.0])
+@pytest.mark.parametrize(
+    "shape", [watch_simulation.Shape(), LONG_SHAPE, MANY_PAGES]
+)
+def test_removal_in_a_dropped_history_is_in_force_in_time(bound, shape):
+    def play(start):
+        return watch_simulation.late_changes(
+            _silence(start),
+            [watch_simulation.removal(start + 0.5)],
+            bound,
+            shape=shape,
         )
-    ]
-    assert late == []
+
+    assert _late_in_phases(play) == []
+
+
+# Guards against removals that are kept back for entries that cannot have
+# expired, since the store was away for some daemons only.
+@pytest.mark.parametrize("silent", [False, True])
+@pytest.mark.parametrize("seconds", [0.9, 1.5, 2.5, 4.0])
+def test_removal_while_some_daemons_have_lost_the_store(silent, seconds):
+    def play(start):
+        faults = _outages(SOME_DAEMONS, start, seconds, silent)
+        removal = watch_simulation.removal(start + 0.5)
+        return watch_simulation.late_changes(faults, [removal], 2.0)
+
+    assert _late_in_phases(play) == []
+
+
+# Guards against removals that are kept back for longer than a daemon may need
+# after an outage.
+@pytest.mark.parametrize("silent", [False, True])
+@pytest.mark.parametrize("seconds", [1.5, 2.5, 4.0])
+def test_removal_after_the_store_was_away_for_all(silent, seconds):
+    def play(start):
+        faults = _outages(ALL_DAEMONS, start, seconds, silent)
+        removal = watch_simulation.removal(start + seconds + 0.3)
+        return watch_simulation.late_changes(faults, [removal], 2.0)
+
+    assert _late_in_phases(play) == []
+
+
+# Guards against calls and pauses that begin in an outage and together outlast
+# the time in which a daemon has to be up to date after it.
+@pytest.mark.parametrize("names", [ALL_DAEMONS, SOME_DAEMONS])
+@pytest.mark.parametrize("seconds", [2.5, 4.0, 6.0, 9.0])
+def test_configuration_is_in_force_in_time_after_an_outage(names, seconds):
+    def play(start):
+        faults = _outages(names, start, seconds, silent=True)
+        change = Change(start + seconds - 0.1)
+        return watch_simulation.late_changes(faults, [change], 2.0)
+
+    assert _late_in_phases(play) == []
+
+
+# Guards against a single failed call that counts as an outage long after the
+# updates of a peer have replaced it.
+@pytest.mark.parametrize("bound", [2.0, 3.0])
+def test_removal_long_after_a_single_failed_call(bound):
+    def play(start):
+        start -= 3.0
+        again = start + 10.0
+        faults = _outages(["peer0"], start, 4.0, silent=True)
+        faults.lost_updates = [
+            ("peer0", Span(start - 1.0, start + 1.8)),
+            ("peer0", Span(again, again + 3.0)),
+        ]
+        removal = watch_simulation.removal(again + 1.4)
+        return watch_simulation.late_changes(faults, [removal], bound)
+
+    assert _late_in_phases(play) == []
+
+
+# Guards against live instances that are taken out of service because their
+# entries expired while the store was away.
+@pytest.mark.parametrize("silent", [False, True])
+@pytest.mark.parametrize("seconds", [1.5, 2.5, 4.0])
+def test_entries_that_return_after_an_outage_stay_in_force(silent, seconds):
+    def play(start):
+        end = start + seconds
+        faults = _outages(ALL_DAEMONS, start, seconds, silent)
+        lapses = [
+            *watch_simulation.lapse(end - 0.2, end + 2.0, "e0"),
+            *watch_simulation.lapse(end + 0.5, end + 1.2, "e1"),
+        ]
+        shape = watch_simulation.Shape(entries=3)
+        fleet = watch_simulation.play(faults, lapses, 2.0, shape=shape)
+        return fleet.removed_by_mistake()
+
+    assert _late_in_phases(play) == []
 
 
 def _spans(longest):
@@ -65,9 +164,9 @@
     )
 
 
-DAEMONS = strategies.sampled_from(["publisher", "peer0", "peer1"])
+DAEMONS = strategies.sampled_from(SOME_DAEMONS)
 FAULTS = strategies.builds(
-    watch_simulation.Faults,
+    Faults,
     silences=strategies.lists(_spans(4.0), max_size=2),
     cuts=strategies.lists(strategies.floats(105.0, 117.0), max_size=2),
     compactions=strategies.lists(strategies.floats(105.0, 117.0), max_size=2),
@@ -80,19 +179,38 @@
         strategies.tuples(DAEMONS, _spans(4.0)), max_size=2
     ),
 )
+TIMES = strategies.floats(104.0, 117.0)
+CHANGES = strategies.tuples(
+    strategies.lists(TIMES.map(Change), min_size=1, max_size=4),
+    strategies.lists(
+        strategies.builds(
+            watch_simulation.removal,
+            TIMES,
+            strategies.integers(0, 9).map(lambda n: f"e{n}"),
+        ),
+        max_size=3,
+        unique_by=lambda change: change.name,
+    ),
+).map(lambda lists: sum(lists, []))
+SHAPES = strategies.builds(
+    watch_simulation.Shape,
+    entries=strategies.sampled_from([10, 57, 180]),
+    stale_seconds=strategies.sampled_from([0.0, 3.0]),
+    max_events=strategies.sampled_from([1, 2, 1000]),
+)
 
 
 # Guards against the whole class: knowledge that grows older than the bound
-# while the daemon could have listed the store.
+# while the daemon could have read the store.
 @hypothesis.given(
     faults=FAULTS,
-    change_times=strategies.lists(
-        strategies.floats(104.0, 117.0), min_size=1, max_size=4
-    ),
+    changes=CHANGES,
     bound=strategies.sampled_from([2.0, 3.0, 4.0]),
+    shape=SHAPES,
 )
 @hypothesis.settings(max_examples=120)
 def test_change_is_in_force_within_the_bound_under_any_faults(
-    faults, change_times, bound
+    faults, changes, bound, shape
 ):
-    assert _play(faults, sorted(change_times), bound, seconds=20.0) == []
+    late = watch_simulation.late_changes(faults, changes, bound, 24.0, shape)
+    assert late == []
--- a/tests/watch_simulation.py
+++ b/tests/watch_simulation.py
@@ -1,14 +1,18 @@
-"""Run watchers of a kind of objects in simulated time, with store faults.
+"""Run watchers of two kinds of objects in simulated time, with store faults.
 
 The watchers run their own loops.  Only the store, the datagrams between the
 daemons and the clock are models, so a run takes no time and repeats exactly.
+One kind has a single object, which changes, the other one entries that are
+removed, with or without a return.
 """
 
+import bisect
 import collections.abc
 import contextlib
 import dataclasses
 import heapq
 import itertools
+import random
 import typing
 from unittest import mock
 
@@ -21,12 +25,16 @@
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import object_watcher
 from sycamoredale.object_api import objects
+from sycamoredale.object_api import paged_lists
 
-KIND = "config"
+CONFIG = "config"
 OBJECT_NAME = "main"
-TICK_SECONDS = 0.01
+ENTRIES = "entries"
+FIRST_VERSION = 10
 CALL_SECONDS = 0.006
 UPDATE_INTERVAL_SECONDS = 0.38
+# A daemon has to know all changes this long after its trouble has ended.
+CONTACT_SECONDS = 3.0
 
 
 class _Sleep:
@@ -50,6 +58,10 @@
         """Return an awaitable that ends after simulated seconds."""
         return _Sleep(max(0.0, seconds))
 
+    def read_clock(self) -> clock.MonotonicTime:
+        """Return the simulated time."""
+        return clock.MonotonicTime(self.now)
+
     def spawn(self, coroutine: collections.abc.Coroutine) -> None:
         """Run a coroutine that waits only by `sleep`."""
         entry = (self.now, next(self._ties), coroutine)
@@ -91,7 +103,7 @@
     Watches that wait or begin within `silences` get no answer.  Those that
     waited before a silence are cut at a time within it.  Changes up to the
     time of a compaction are dropped from the history.  Within `outages`, a
-    daemon's calls fail, after the timeout if the outage is silent.
+    daemon's calls fail; in a silent one they are accepted and not answered.
     """
 
     silences: list[Span] = dataclasses.field(default_factory=list)
@@ -117,34 +129,152 @@
         """Return whether the datagrams to a daemon are lost."""
         return any(n == daemon and at in span for n, span in self.lost_updates)
 
+    def due_at(self, daemon: str, changed_at: float, bound: float) -> float:
+        """Return when a daemon has to have a change in force."""
+        due = changed_at + bound
+        spans = [span for name, span, _ in self.outages if name == daemon]
+        for span in sorted(spans, key=lambda span: span.start):
+            if span.start < due and span.end > changed_at - CONTACT_SECONDS:
+                due = max(due, span.end + CONTACT_SECONDS)
+        return due
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Change:
+    """Write or remove an object at a time."""
+
+    at: float
+    kind: str = CONFIG
+    name: str = OBJECT_NAME
+    removes: bool = False
+
+
+def removal(at: float, name: str = "e0") -> Change:
+    """Return the removal of an entry."""
+    return Change(at, ENTRIES, name, removes=True)
+
+
+def lapse(at: float, returns_at: float, name: str) -> list[Change]:
+    """Return the removal of a live entry, and its return."""
+    return [removal(at, name), Change(returns_at, ENTRIES, name)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """Describe how the store divides its answers.
+
+    Pages have `page_size` objects, stale ones show the state of
+    `stale_seconds` ago, and a watch returns `max_events` at most.
+    """
+
+    entries: int = 1
+    page_size: int = 50
+    stale_seconds: float = 0.0
+    max_events: int = 1000
+
 
 @dataclasses.dataclass
 class StoreModel:
-    """Hold one object, whose changes are confirmed at given times."""
+    """Hold the objects, whose changes are confirmed at given times."""
 
     scheduler: Scheduler
     faults: Faults
-    change_times: list[float]
+    changes: list[Change]
+    shape: Shape = Shape()
+
+    def __post_init__(self) -> None:
+        """Sort the times at which anything happens."""
+        self._change_times = [change.at for change in self.changes]
+        faults = self.faults
+        spans = [*faults.silences, *(span for _, span, _ in faults.outages)]
+        self._moments = sorted(
+            [
+                *self._change_times,
+                *faults.cuts,
+                *faults.compactions,
+                *(at for span in spans for at in (span.start, span.end)),
+            ]
+        )
 
-    def version(self) -> int:
-        """Return the version of the newest confirmed change, from 10."""
-        return 10 + sum(at <= self.scheduler.now for at in self.change_times)
+    def version(self, at: float | None = None) -> int:
+        """Return the version at a time, by default the present."""
+        at = self.scheduler.now if at is None else at
+        return FIRST_VERSION + bisect.bisect_right(self._change_times, at)
+
+    def seconds_until_event(self, end: float) -> float:
+        """Return the time until something happens, or until the end."""
+        now = self.scheduler.now
+        index = bisect.bisect_right(self._moments, now)
+        following = [*self._moments[index : index + 1], end]
+        # Rounding must not end a wait before the event.
+        return max(0.0, min(following) - now) + 1e-6
 
     def is_dropped(self, after: int) -> bool:
         """Return whether the history no longer reaches back to a version."""
         now = self.scheduler.now
         dropped = [at for at in self.faults.compactions if at <= now]
-        newest = 10 + sum(
-            at <= max(dropped, default=0.0) for at in self.change_times
+        return bool(dropped) and after < self.version(max(dropped))
+
+    def page(
+        self, kind: str, after: str | None, stale: bool
+    ) -> paged_lists.Page:
+        """Return the objects after a name."""
+        age = self.shape.stale_seconds if stale else 0.0
+        version = self.version(self.scheduler.now - age)
+        version_by_name = self._state(kind, version)
+        names = sorted(n for n in version_by_name if n > (after or ""))
+        size = self.shape.page_size
+        return paged_lists.Page(
+            version,
+            [_stored(name, version_by_name[name]) for name in names[:size]],
+            len(names) > size,
+        )
+
+    def events(self, kind: str, after: int) -> list[tuple[int, Change]]:
+        """Return the changes of a kind after a version, with theirs."""
+        newest = self.version()
+        numbered = enumerate(self.changes, FIRST_VERSION + 1)
+        return [
+            (version, change)
+            for version, change in numbered
+            if change.kind == kind and after < version <= newest
+        ]
+
+    def listing_of(
+        self, events: list[tuple[int, Change]]
+    ) -> tuple[objects.Listing, bool]:
+        """Return what a watch returns, and whether there is more."""
+        seen, rest = (
+            events[: self.shape.max_events],
+            events[self.shape.max_events :],
         )
-        return bool(dropped) and after < newest
+        last = {change.name: (version, change) for version, change in seen}
+        listing = objects.Listing(
+            seen[-1][0] if rest else self.version(),
+            [_stored(n, v) for n, (v, c) in last.items() if not c.removes],
+            [n for n, (_, c) in last.items() if c.removes],
+        )
+        return listing, bool(rest)
+
+    def _state(self, kind: str, version: int) -> dict[str, int]:
+        names = [OBJECT_NAME]
+        if kind == ENTRIES:
+            names = [f"e{n}" for n in range(self.shape.entries)]
+        state = dict.fromkeys(names, FIRST_VERSION)
+        seen = self.changes[: version - FIRST_VERSION]
+        for number, change in enumerate(seen, FIRST_VERSION + 1):
+            if change.kind != kind:
+                continue
+            if change.removes:
+                state.pop(change.name, None)
+            else:
+                state[change.name] = number
+        return state
 
-    def listing(self) -> objects.Listing:
-        """Return the present state."""
-        version = self.version()
-        value = msgspec.Raw(msgspec.json.encode(version))
-        stored = objects.StoredObject(OBJECT_NAME, version, value)
-        return objects.Listing(version, [stored])
+
+def _stored(name: str, version: int) -> objects.StoredObject:
+    value = msgspec.Raw(msgspec.json.encode(version))
+    return objects.StoredObject(name, version, value)
 
 
 @dataclasses.dataclass
@@ -158,16 +288,16 @@
     async def list(self, kind, limits):
         """Return the present state, unless the daemon has an outage."""
         self.calls.append("list")
-        timeout = limits.answer_seconds
-        await self._reach(
-            limits.connect_seconds if limits.new_connection else timeout
+
+        async def read_page(after, stale):
+            await self._call(limits)
+            return self.model.page(kind, after, stale)
+
+        return await paged_lists.read(
+            read_page,
+            lambda after, wait: self.watch(kind, after, wait, limits),
+            stale=False,
         )
-        seconds = self._call_seconds()
-        if seconds > timeout:
-            await curio.sleep(timeout)
-            raise _no_answer()
-        await curio.sleep(seconds)
-        return self.model.listing()
 
     async def watch(self, kind, after, wait_seconds, limits):
         """Wait for a change, subject to the faults of the model."""
@@ -177,26 +307,38 @@
         await self._reach(wait_seconds + margin)
         begun = scheduler.now
         is_unheard = False
-        while scheduler.now < begun + wait_seconds + margin:
+        due = begun + wait_seconds
+        while scheduler.now < due + margin:
             now = scheduler.now
             if any(begun < cut <= now for cut in faults.cuts):
                 raise _no_answer()
+            if faults.outage(self.daemon, now) is False:
+                raise _no_answer()
             is_unheard |= any(now in span for span in faults.silences)
-            is_due = now >= begun + wait_seconds
+            is_unheard |= faults.outage(self.daemon, now) is not None
             if not is_unheard:
                 if self.model.is_dropped(after):
                     raise errors.WatchExpired(
                         error_codes.WATCH_EXPIRED, "history dropped"
                     )
-                if self.model.version() > after:
+                events = self.model.events(kind, after)
+                if events or now >= due:
+                    listing, _ = self.model.listing_of(events)
                     await curio.sleep(self._call_seconds())
-                    return self.model.listing()
-                if is_due:
-                    await curio.sleep(self._call_seconds())
-                    return objects.Listing(after)
-            await curio.sleep(TICK_SECONDS)
+                    return listing
+            ends_at = due if now < due else due + margin
+            await curio.sleep(self.model.seconds_until_event(ends_at))
         raise _no_answer()
 
+    async def _call(self, limits: objects.CallLimits) -> None:
+        timeout = limits.answer_seconds
+        await self._reach(timeout)
+        seconds = self._call_seconds()
+        if seconds > timeout:
+            await curio.sleep(timeout)
+            raise _no_answer()
+        await curio.sleep(seconds)
+
     async def _reach(self, timeout: float) -> None:
         is_silent = self.model.faults.outage(
             self.daemon, self.model.scheduler.now
@@ -215,32 +357,49 @@
 
 
 class Daemon:
-    """Run the watcher of one daemon and record what it put in force."""
+    """Run the watchers of one daemon and record what they put in force."""
 
     def __init__(
         self, name: str, model: StoreModel, bound: float, publishes: bool
     ) -> None:
-        """Create the watcher as the entry daemon does."""
+        """Create the watchers as the entry daemon does."""
         self.name = name
         self.scheduler = model.scheduler
         self.client = StoreClient(model, name)
         self.in_force: list[tuple[float, int]] = []
+        self.entries: set[str] = set()
+        self.removed_at: list[tuple[float, str]] = []
         self.publishes = publishes
-        self.watcher = object_watcher.ObjectWatcher(
-            self.client,
-            KIND,
-            self._apply,
-            read_clock=lambda: clock.MonotonicTime(self.scheduler.now),
-            is_publisher=lambda: self.publishes,
-            bound_seconds=bound,
-        )
-
-    def _apply(self, seen: objects.Listing, complete: bool) -> None:
+        self.watcher_by_kind = {
+            kind: object_watcher.ObjectWatcher(
+                self.client,
+                kind,
+                apply,
+                random.Random(f"{name}/{kind}"),
+                read_clock=self.scheduler.read_clock,
+                is_publisher=lambda: self.publishes,
+                bound_seconds=bound,
+                entries_expire=kind == ENTRIES,
+            )
+            for kind, apply in (
+                (CONFIG, self._apply_config),
+                (ENTRIES, self._apply_entries),
+            )
+        }
+
+    def _apply_config(self, seen: objects.Listing, complete: bool) -> None:
         for item in seen.objects:
             version = msgspec.json.decode(item.value)
             assert version >= self.version, f"{self.name} went back"
             self.in_force.append((self.scheduler.now, version))
 
+    def _apply_entries(self, seen: objects.Listing, complete: bool) -> None:
+        names = {item.name for item in seen.objects}
+        gone = self.entries - names if complete else set(seen.deleted)
+        gone &= self.entries
+        self.removed_at += [(self.scheduler.now, name) for name in gone]
+        self.entries = (self.entries - gone) | names
+
     @property
     def version(self) -> int:
         """Return the version in force, 0 before the first list."""
@@ -250,6 +409,10 @@
         """Return the version that was in force at a time."""
         return max((v for t, v in self.in_force if t <= at), default=0)
 
+    def has_removed(self, name: str, at: float) -> bool:
+        """Return whether an entry was removed by a time."""
+        return any(n == name and t <= at for t, n in self.removed_at)
+
 
 class Fleet:
     """Run a publisher and its peers against one store."""
@@ -257,68 +420,121 @@
     def __init__(
         self,
         faults: Faults,
-        change_times: list[float],
+        changes: collections.abc.Iterable[Change],
         bound: float = 3.0,
         peers: int = 4,
+        shape: Shape = Shape(),
     ) -> None:
         """Start the daemons some milliseconds apart."""
         self.scheduler = Scheduler()
         self.faults = faults
         self.bound = bound
-        self.store = StoreModel(self.scheduler, faults, change_times)
+        self.store = StoreModel(self.scheduler, faults, sorted(changes), shape)
         names = ["publisher", *(f"peer{n}" for n in range(peers))]
         self.daemons = [
             Daemon(name, self.store, bound, publishes=name == "publisher")
             for name in names
         ]
         for index, daemon in enumerate(self.daemons):
-            self.scheduler.spawn(self._start(daemon, 0.013 * index))
+            for watcher in daemon.watcher_by_kind.values():
+                self.scheduler.spawn(self._start(watcher.run, 0.013 * index))
         self.scheduler.spawn(self._send_updates(self.daemons[0]))
 
-    async def _start(self, daemon: Daemon, delay: float) -> None:
+    async def _start(
+        self,
+        run: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+        delay: float,
+    ) -> None:
         await curio.sleep(delay)
-        await daemon.watcher.run()
+        await run()
 
     async def _send_updates(self, sender: Daemon) -> None:
         while True:
             await curio.sleep(UPDATE_INTERVAL_SECONDS)
-            now = clock.MonotonicTime(self.scheduler.now)
-            update = sender.watcher.publisher.take_update(KIND, now)
-            if update is None or not sender.publishes:
+            if not sender.publishes:
                 continue
-            data = msgspec.msgpack.encode(update)
-            for daemon in self.daemons[1:]:
-                if not self.faults.loses_update(daemon.name, now):
-                    daemon.watcher.receive_update(
-                        msgspec.msgpack.decode(
-                            data, type=kind_updates.KindUpdate
-                        ),
-                        now,
-                    )
-
-    def late_changes(self, end: float) -> list[tuple[str, float, int]]:
-        """Return each daemon, time and version that was late in force.
-
-        Each daemon that could reach the store during the whole bound has to
-        have a change in force once the bound has passed.
+            for kind, watcher in sender.watcher_by_kind.items():
+                update = watcher.publisher.take_update(
+                    kind, self.scheduler.read_clock()
+                )
+                if update is not None:
+                    self._deliver(update)
+
+    def _deliver(self, update: kind_updates.KindUpdate) -> None:
+        now = self.scheduler.read_clock()
+        data = msgspec.msgpack.encode(update)
+        for daemon in self.daemons[1:]:
+            if not self.faults.loses_update(daemon.name, now):
+                daemon.watcher_by_kind[update.kind].receive_update(
+                    msgspec.msgpack.decode(data, type=kind_updates.KindUpdate),
+                    now,
+                )
+
+    def late_changes(self, end: float) -> list[tuple[str, str, float]]:
+        """Return each daemon, name and time of a change in force late.
+
+        A change is due once the bound has passed, and once the daemon has
+        been in touch with the store for a time.
         """
         found = []
         for daemon in self.daemons:
-            for at in self.store.change_times:
-                due = at + self.bound
-                if due > end or self._was_cut_off(daemon.name, at, due):
-                    continue
-                wanted = 10 + sum(t <= at for t in self.store.change_times)
-                if daemon.version_at(due) < wanted:
-                    found.append((daemon.name, at, wanted))
+            for change in self.store.changes:
+                due = self.faults.due_at(daemon.name, change.at, self.bound)
+                is_due = due <= end and not self._is_undone(change)
+                if is_due and not self._is_in_force(daemon, change, due):
+                    found.append((daemon.name, change.name, change.at))
         return found
 
-    def _was_cut_off(self, daemon: str, start: float, end: float) -> bool:
-        return any(
-            name == daemon and span.start < end and span.end > start
-            for name, span, _ in self.faults.outages
+    def _is_undone(self, change: Change) -> bool:
+        return change.kind == ENTRIES and any(
+            (other.name, other.kind) == (change.name, change.kind)
+            and other.at > change.at
+            for other in self.store.changes
         )
 
+    def _is_in_force(self, daemon: Daemon, change: Change, due: float) -> bool:
+        if change.kind == CONFIG:
+            return daemon.version_at(due) >= self.store.version(change.at)
+        if change.removes:
+            return daemon.has_removed(change.name, due)
+        return change.name in daemon.entries
+
+    def removed_by_mistake(self) -> list[tuple[str, str, float]]:
+        """Return each daemon, name and time of a live entry's removal."""
+        live = {c.name for c in self.store.changes if self._is_undone(c)}
+        return [
+            (daemon.name, name, at)
+            for daemon in self.daemons
+            for at, name in daemon.removed_at
+            if name in live
+        ]
+
+
+def play(
+    faults: Faults,
+    changes: collections.abc.Iterable[Change],
+    bound: float,
+    seconds: float = 30.0,
+    shape: Shape = Shape(),
+) -> Fleet:
+    """Return a fleet after a run."""
+    fleet = Fleet(faults, changes, bound, shape=shape)
+    fleet.scheduler.run_until(fleet.scheduler.now + seconds)
+    fleet.scheduler.close()
+    return fleet
+
+
+def late_changes(
+    faults: Faults,
+    changes: collections.abc.Iterable[Change],
+    bound: float,
+    seconds: float = 30.0,
+    shape: Shape = Shape(),
+) -> list[tuple[str, str, float]]:
+    """Return what was in force late in a run."""
+    fleet = play(faults, changes, bound, seconds, shape)
+    return fleet.late_changes(fleet.scheduler.now)
+
 
 def _no_answer() -> errors.StoreUnavailable:
     return errors.StoreUnavailable(
