Read two pages of a list as current, and all if the watch after them fails

Callers saw requests reach an instance whose entry had been removed while the store dropped its history. Just while the store ignores watches, lists failed as well. And each call of a list had the time of the whole list for itself. Change: the second page is read as current like the first one, which costs less than an old page and a watch. If the watch after further pages fails, they are read again as current. All calls share the time of one list. test_long_lists had the calls of a list of seven pages as one page, a watch and six old pages; it is now two, a watch and five, and a list of two pages needs neither.

--- a/sycamoredale/clock.py
+++ b/sycamoredale/clock.py
@@ -4,11 +4,13 @@
 edge of a process read a clock, through this module.
 """
 
+import collections.abc
 import time
 import typing
 
 MonotonicTime = typing.NewType("MonotonicTime", float)
 WallTime = typing.NewType("WallTime", float)
+ReadClock = collections.abc.Callable[[], MonotonicTime]
 
 
 def monotonic() -> MonotonicTime:
--- a/sycamoredale/forwarding/watch_timing.py
+++ b/sycamoredale/forwarding/watch_timing.py
@@ -81,6 +81,7 @@
             min(objects.CALL_TIMEOUT_SECONDS, attempt * seconds),
             min(client.CONNECT_TIMEOUT_SECONDS, seconds),
             new_connection,
+            attempt * seconds,
         )
 
 
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -37,7 +37,7 @@
 CLOCK_RATE_ALLOWANCE: Final = 0.01
 NO_OWNER: Final = ids.DaemonId("")
 
-ReadClock = collections.abc.Callable[[], clock.MonotonicTime]
+ReadClock = clock.ReadClock
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -43,11 +43,15 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """List the objects of a kind, or those changed since a version."""
+    """List the objects of a kind, or those changed since a version.
+
+    If it `is_partial`, the store may have later changes already.
+    """
 
     version: ids.ObjectVersion
     objects: list[StoredObject] = []
     deleted: list[str] = []
+    is_partial: bool = False
 
 
 class _WriteResult(msgspec.Struct, frozen=True):
@@ -58,12 +62,14 @@
 class CallLimits:
     """Limit a read of the store.
 
-    The answer to a watch may come `answer_seconds` after its wait.
+    The answer to a watch may come `answer_seconds` after its wait.  A list
+    of several calls ends after `list_seconds`, or after `answer_seconds`.
     """
 
     answer_seconds: float = CALL_TIMEOUT_SECONDS
     connect_seconds: float = client.CONNECT_TIMEOUT_SECONDS
     new_connection: bool = False
+    list_seconds: float | None = None
 
 
 DEFAULT_LIMITS: Final = CallLimits()
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -80,7 +80,7 @@
         """
 
         async def read_page(
-            after: str | None, stale: bool
+            after: str | None, stale: bool, limits: objects.CallLimits
         ) -> paged_lists.Page:
             query = {"allow_stale": "1"} if stale else {}
             query |= {"after": after} if after is not None else {}
@@ -96,7 +96,8 @@
 
         return await paged_lists.read(
             read_page,
-            lambda after, wait: self.watch(kind, after, wait, limits),
+            functools.partial(self.watch, kind),
+            limits,
             stale,
         )
 
