Count the wait for expired entries from the return of the store

Callers saw requests reach an instance 3.4 s after its removal was confirmed (DRAIN, 2 s), on daemons that had lost the store while the others had it. Cause: after its own calls had failed for a second, a daemon kept all removals back for 2.5 s, ignored the updates of its peers, and listed again then. That counted from its own return, also where the store had not been away, and one failed call counted as an outage until the next own list, minutes later. Calls in an outage took up to 2 s and pauses up to 1 s, so that a return was noticed late. The sum of detection, wait and second list was compared with no bound. Where an outage was short, entries that had expired were removed although their instances lived. Change: daemons tell each other in which interval the store has answered any of them, and join intervals that meet (store_contact.py); peer updates have two new fields for it, at the end. Removals are kept back only if an interval begins after an outage, until 2.2 s after its start, and take effect with the first proof of a later time, from a peer or by one call (removal_filter.py). Updates of peers are applied meanwhile. A call in an outage takes at most a third of contact_ms, and the pause after it another third; later attempts differ in length, so that daemons that fail together do not notice the return together late. Connecting counts as time of a call.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -28,6 +28,7 @@
 from sycamoredale.forwarding import route_table
 from sycamoredale.forwarding import service
 from sycamoredale.forwarding import stop_plan
+from sycamoredale.forwarding import store_contact
 from sycamoredale.forwarding import update_exchange
 from sycamoredale.forwarding import watch_timing
 from sycamoredale.groups import formation_planner
@@ -83,8 +84,13 @@
     def __init__(self, settings: settings_module.ProcessSettings) -> None:
         """Initialize all components without listening."""
         self._settings = settings
+        self._store_contact = store_contact.StoreContact()
         self._store = store_module.PlatformStore(
-            settings.store_address, client.Pool()
+            settings.store_address,
+            client.Pool(),
+            on_answer=lambda: self._store_contact.record_answer(
+                clock.monotonic()
+            ),
         )
         self._metric_registry = exposition.MetricRegistry()
         self._instances = instance_table.InstanceTable(
@@ -121,6 +127,7 @@
             self._part_quarantine.take_updates,
             self._part_quarantine.receive_updates,
             lambda: self._connector.monitor.is_isolated,
+            self._store_contact,
         )
         self._group_controller = self._build_group_controller()
         self._stop_plan = stop_plan.StopPlan()
@@ -241,9 +248,11 @@
             get_pause=get_pause,
             is_publisher=self._holds_lease,
             bound_seconds=bound_seconds,
+            contact_seconds=self._settings.bounds.contact_seconds,
             metrics=self._metric_registry,
             logs_changes=logs_changes,
             entries_expire=entries_expire,
+            contact=self._store_contact,
         )
 
     async def _check_watchers(self) -> None:
--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -1,7 +1,7 @@
 """List a kind of objects in the store, then watch it for changes.
 
-The last known state stays in force while the store is unavailable.  After an
-outage, or if changes are missing, the kind is listed again.  While a peer
+The last known state stays in force while the store is unavailable.  After a
+failed call, or if changes are missing, the kind is listed again.  While a peer
 sends recent updates of the kind, the store is not called.
 
 Only answers prove that a state is recent, so no wait lasts until a change
@@ -21,6 +21,8 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import knowledge
+from sycamoredale.forwarding import removal_filter
+from sycamoredale.forwarding import store_contact
 from sycamoredale.forwarding import watch_observer
 from sycamoredale.forwarding import watch_timing
 from sycamoredale import ids
@@ -31,12 +33,6 @@
 from sycamoredale.observability import logs
 
 FIRST_RETRY_SECONDS: Final = 0.2
-MAX_RETRY_SECONDS: Final = 1.0
-# Entries that heartbeats renew may expire in an outage of this length.
-ENTRY_EXPIRY_SECONDS: Final = 1.0
-# Entries that expired in an outage are restored within about two seconds after
-# it; until then no entry is taken as deleted.
-SETTLE_SECONDS: Final = 2.5
 # How long a watch of the daemon that sends updates waits.  With the pause
 # between two watches its updates are at most 0.6 s old, half of their lifetime
 # where a change must be known within two seconds.
@@ -63,10 +59,12 @@
 class ObjectWatcher:
     """Watch a kind and pass each change to `apply`.
 
-    A change must be known within `bound_seconds`.  `is_publisher` returns
+    A change must be known within `bound_seconds`, and `contact_seconds` after
+    an outage.  `is_publisher` returns
     whether this daemon sends updates to its peers.  `on_contact` is called
     with the time up to which all changes are known.  `entries_expire` tells
-    whether entries that nobody renews are deleted.
+    whether entries that nobody renews are deleted.  `contact` is that of all
+    watchers of a daemon.
     """
 
     store: objects.ObjectStore
@@ -78,11 +76,15 @@
     get_pause: GetPause = watch_timing.min_pause
     is_publisher: collections.abc.Callable[[], bool] = lambda: False
     bound_seconds: float = 2.0
+    contact_seconds: float = 3.0
     metrics: exposition.MetricRegistry = dataclasses.field(
         default_factory=exposition.MetricRegistry
     )
     logs_changes: bool = False
     entries_expire: bool = True
+    contact: store_contact.StoreContact = dataclasses.field(
+        default_factory=store_contact.StoreContact
+    )
     version: ids.ObjectVersion = objects.ABSENT_VERSION
     publisher: kind_updates.UpdatePublisher = dataclasses.field(
         default_factory=kind_updates.UpdatePublisher
@@ -90,19 +92,23 @@
     _fresh_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _had_fresh_update: bool = False
     _missed_change: bool = False
-    _names: set[str] = dataclasses.field(default_factory=set)
     _must_list: bool = True
     _list_attempts: int = 0
     _failing_since: clock.MonotonicTime | None = None
-    _settles_at: clock.MonotonicTime | None = None
+    _has_failed: bool = False
 
     def __post_init__(self) -> None:
         """Create the parts that depend on the bound."""
-        self._timing = watch_timing.WatchTiming(self.bound_seconds)
+        self._timing = watch_timing.WatchTiming(
+            self.bound_seconds, self.contact_seconds
+        )
         self.known = knowledge.Knowledge(self.bound_seconds)
         self.observer = watch_observer.WatchObserver(
             self.kind, self.known, self.metrics, self.logs_changes
         )
+        self._removals = removal_filter.RemovalFilter(
+            self.contact, self.observer, self.entries_expire
+        )
 
     def check(self, now: clock.MonotonicTime) -> None:
         """Update the metrics, and log whether the knowledge is late."""
@@ -116,13 +122,17 @@
     async def run(self) -> None:
         """Watch the kind until cancelled."""
         waits = backoff.Backoff(
-            self.rng, FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
+            self.rng,
+            FIRST_RETRY_SECONDS,
+            self._timing.max_retry_pause_seconds,
         )
         while True:
             started = self.read_clock()
             # Peers return to the publisher what it has sent itself.
             is_fresh = self.has_fresh_update(started)
             is_fresh = is_fresh and not self.is_publisher()
+            # What a peer says may be older than the end of the wait.
+            is_fresh = is_fresh and not self._removals_are_due(started)
             self._log_source(is_fresh, started)
             if is_fresh:
                 await curio.sleep(PEER_UPDATE_CHECK_SECONDS)
@@ -138,14 +148,16 @@
             else:
                 waits.reset()
                 self.on_contact(started)
-                await curio.sleep(self.get_pause())
+                await curio.sleep(self._until_removals(self.get_pause()))
 
     def _log_source(self, is_fresh: bool, now: clock.MonotonicTime) -> None:
         if is_fresh == self._had_fresh_update:
             return
         self._had_fresh_update = is_fresh
         event, reason = "watching_peer", "update received"
-        if not is_fresh:
+        if is_fresh:
+            self._failing_since = None
+        else:
             event, reason = "watching_store", "updates expired"
             if self._missed_change:
                 reason = "change missing"
@@ -156,9 +168,6 @@
 
         Raises WatchExpired or StoreUnavailable.
         """
-        if self._settles_at is not None and started_at >= self._settles_at:
-            self._settles_at = None
-            self._must_list = True
         wait = self._watch_seconds(started_at)
         if wait:
             await self._watch(started_at, wait)
@@ -171,12 +180,12 @@
         limits = self._timing.list_limits(
             self._list_attempts,
             # Idle connections may be as silent as the one that failed.
-            new_connection=self._failing_since is not None,
+            new_connection=self._has_failed,
+            spread=self.rng.random(),
         )
         seen = await self._call(source, self.store.list(self.kind, limits))
         self._list_attempts = 0
         self._must_list = False
-        self._record_contact(self.read_clock())
         self._learn(seen, source, started_at)
 
     async def _watch(
@@ -210,17 +219,8 @@
         self.known.advance(known_at, source)
         is_list = source is knowledge.Source.STORE_LIST
         changes = self._changes_in_list(seen) if is_list else seen
-        now = self.read_clock()
-        if self._settles_at is None:
-            self.observer.on_removals_settled(changes.deleted, now)
-            self.publisher.record(self.version, changes, known_at)
-            self._apply(seen, complete=is_list)
-        else:
-            self.observer.on_removals_kept(
-                changes.deleted, seen.version, self._settles_at, now
-            )
-            kept = msgspec.structs.replace(seen, deleted=[])
-            self._apply(kept, complete=False)
+        self.publisher.record(self.version, changes, known_at)
+        self._apply(seen, is_list, known_at)
 
     def _changes_in_list(self, listed: objects.Listing) -> objects.Listing:
         """Return how a list differs from the present version."""
@@ -228,14 +228,19 @@
         return objects.Listing(
             listed.version,
             [item for item in listed.objects if item.version > self.version],
-            sorted(self._names - names),
+            sorted(self._removals.names - names),
         )
 
-    def _apply(self, seen: objects.Listing, complete: bool) -> None:
-        names = {item.name for item in seen.objects}
-        kept = set() if complete else self._names.difference(seen.deleted)
-        self._names = kept | names
+    def _apply(
+        self,
+        seen: objects.Listing,
+        complete: bool,
+        known_at: clock.MonotonicTime,
+    ) -> None:
         self.version = seen.version
+        seen, complete = self._removals.filter(
+            seen, complete, known_at, self.read_clock()
+        )
         self.apply(seen, complete=complete)
 
     async def _call(
@@ -248,6 +253,7 @@
         outcome = watch_observer.Outcome.FAILED
         try:
             seen = await call
+            self._record_answer(self.read_clock())
             has_changes = bool(seen.objects or seen.deleted)
             outcome = (
                 watch_observer.Outcome.CHANGED
@@ -257,6 +263,7 @@
             return seen
         except errors.WatchExpired:
             outcome = watch_observer.Outcome.EXPIRED
+            self._record_answer(self.read_clock())
             raise
         finally:
             seconds = self.read_clock() - started
@@ -280,19 +287,19 @@
 
         Raises ValueError if the update is malformed.
         """
-        if (
-            self.version == objects.ABSENT_VERSION
-            or self._settles_at is not None
-        ):
+        if self.version == objects.ABSENT_VERSION:
             return
+        known_at = clock.MonotonicTime(now - update.age_ms / 1000)
+        self.contact.record_answer(known_at)
         if self.version < update.version:
-            self._apply_changes(update.unpack_changes(), now)
+            self._apply_changes(update.unpack_changes(), known_at, now)
         self._missed_change = self.version < update.version
         if self._missed_change:
             # The store has to be called.
             self._fresh_until = now
             return
-        known_at = clock.MonotonicTime(now - update.age_ms / 1000)
+        if self._removals_are_due(known_at):
+            self._apply(objects.Listing(self.version), False, known_at)
         max_age = self._timing.peer_age_seconds(self._is_long)
         until = clock.MonotonicTime(known_at + max_age)
         self._fresh_until = max(self._fresh_until, until)
@@ -300,14 +307,19 @@
         self.on_contact(known_at)
 
     def _apply_changes(
-        self, changes: list[kind_updates.Change], now: clock.MonotonicTime
+        self,
+        changes: list[kind_updates.Change],
+        known_at: clock.MonotonicTime,
+        now: clock.MonotonicTime,
     ) -> None:
         for change in changes:
             if change.base_version <= self.version < change.version:
                 seen = change.to_listing()
                 if not change.is_empty:
                     self.observer.on_change(knowledge.Source.PEER, seen, now)
-                self._apply(seen, complete=False)
+                is_last = change is changes[-1]
+                at = known_at if is_last else self.known.known_at
+                self._apply(seen, False, at)
 
     def record_expired(self) -> None:
         """Record that the history has ended, and list the kind next."""
@@ -322,25 +334,27 @@
         An interrupted watch may have missed changes that the store no longer
         keeps at the time of the next watch.
         """
+        self._has_failed = True
+        self.contact.record_failure(now)
         if self._failing_since is None:
             self._failing_since = now
             LOG.warning("store_lost", kind=self.kind, reason=error.message)
         self._must_list = True
         self.publisher.suspend()
 
-    def _record_contact(self, now: clock.MonotonicTime) -> None:
+    def _record_answer(self, now: clock.MonotonicTime) -> None:
+        self._has_failed = False
+        self.contact.record_answer(now)
         if self._failing_since is None:
             return
-        seconds = now - self._failing_since
+        seconds = round(now - self._failing_since, 3)
         LOG.info("store_regained", kind=self.kind, lost_seconds=seconds)
         self._failing_since = None
-        if self.entries_expire and seconds >= ENTRY_EXPIRY_SECONDS:
-            self._settles_at = clock.MonotonicTime(now + SETTLE_SECONDS)
 
     @property
     def _is_long(self) -> bool:
         """Return whether a list of the kind may take several calls."""
-        return len(self._names) > LONG_LIST_OBJECTS
+        return len(self._removals.names) > LONG_LIST_OBJECTS
 
     def _watch_seconds(self, now: clock.MonotonicTime) -> float:
         """Return how long to watch, or 0 if the kind has to be listed."""
@@ -351,9 +365,17 @@
             wait = watch_timing.CATCH_UP_SECONDS
         if self.is_publisher():
             wait = min(wait, PUBLISHER_WATCH_SECONDS)
-        if self._settles_at is not None:
-            wait = min(wait, self._settles_at - now)
-        return wait
+        return self._until_removals(wait)
+
+    def _removals_are_due(self, now: clock.MonotonicTime) -> bool:
+        return self._removals.seconds_until_due(now) == 0.0
+
+    def _until_removals(self, seconds: float) -> float:
+        """Return a wait that ends when kept removals are due."""
+        due = self._removals.seconds_until_due(self.read_clock())
+        if due is None or due >= seconds:
+            return seconds
+        return max(due, watch_timing.CATCH_UP_SECONDS)
 
     def _retry_seconds(self, delay: float) -> float:
         """Return the pause after a failed call.
--- a/sycamoredale/forwarding/operator_bounds.py
+++ b/sycamoredale/forwarding/operator_bounds.py
@@ -10,7 +10,8 @@
     A process is killed `grace_seconds` after it was told to stop.  A leaving
     instance gets no request after `drain_seconds`, a zone out of service none
     after `evacuation_seconds`, and a configuration is in force everywhere
-    after `configuration_seconds`.  A head that lost a member fails after
+    after `configuration_seconds`.  A daemon that had lost the store has to
+    know all changes `contact_seconds` after its return.  A head that lost a member fails after
     `stall_seconds`.  Retries are at most `retry_ratio` of the requests in a
     window, plus `retry_burst`.
     """
@@ -26,3 +27,4 @@
     cold_factor: float
     cold_burst: float
     load_window_seconds: float
+    contact_seconds: float = 3.0
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -21,6 +21,7 @@
 from sycamoredale.forwarding import report_updates
 from sycamoredale.forwarding import send_log
 from sycamoredale.forwarding import stall_detection
+from sycamoredale.forwarding import store_contact
 from sycamoredale import ids
 from sycamoredale.object_api import objects
 from sycamoredale.requests import part_updates
@@ -75,6 +76,9 @@
     lease and the news are then those of others as well, and
     `isolated_daemons` names the isolated ones.  A daemon that `wants_total`
     asks the receiver for the sum of all.
+
+    `store_since_ms` and `store_heard_ms` tell how long ago the interval began
+    and ended in which the store has answered daemons, -1 if that is unknown.
     """
 
     daemon: ids.DaemonId
@@ -88,6 +92,8 @@
     scope: Scope = Scope.OWN
     isolated_daemons: list[ids.DaemonId] = []
     wants_total: bool = False
+    store_since_ms: int = store_contact.NO_AGES[0]
+    store_heard_ms: int = store_contact.NO_AGES[1]
 
     @property
     def has_content(self) -> bool:
--- a/sycamoredale/forwarding/update_exchange.py
+++ b/sycamoredale/forwarding/update_exchange.py
@@ -15,6 +15,7 @@
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import peer_updates
 from sycamoredale.forwarding import report_updates
+from sycamoredale.forwarding import store_contact
 from sycamoredale.forwarding import update_gathering
 from sycamoredale.http import messages
 from sycamoredale import ids
@@ -81,6 +82,9 @@
     get_part_updates: GetPartUpdates = lambda now: []
     on_part_updates: OnPartUpdates = lambda updates, now: None
     is_isolated: collections.abc.Callable[[], bool] = lambda: False
+    contact: store_contact.StoreContact = dataclasses.field(
+        default_factory=store_contact.StoreContact
+    )
     outbox: report_updates.Outbox = dataclasses.field(
         default_factory=report_updates.Outbox
     )
@@ -200,6 +204,10 @@
         self._gatherer.receive(update, now, self._ttl_seconds())
         if update.lease not in (objects.ABSENT_VERSION, self.get_lease()):
             self.on_lease(update.lease, now)
+        # Before the kinds, whose age counts as an answer of the store.
+        self.contact.receive(
+            (update.store_since_ms, update.store_heard_ms), now
+        )
         for kind in update.kinds:
             self.on_kind_update(kind, now)
         with self.endpoint_table.instances.batch():
@@ -267,6 +275,7 @@
 
     def build_update(self, now: clock.MonotonicTime) -> PeerUpdate:
         """Return the update of this daemon, and count its parts as sent."""
+        since_ms, heard_ms = self.contact.ages(now)
         return PeerUpdate(
             self.daemon,
             list(peer_updates.endpoint_updates(self.endpoint_table, now)),
@@ -276,6 +285,8 @@
             self.get_part_updates(now),
             self.is_isolated(),
             self.endpoint_table.instances.take_departure_updates(now),
+            store_since_ms=since_ms,
+            store_heard_ms=heard_ms,
         )
 
     def is_peer_isolated(
--- a/sycamoredale/forwarding/watch_observer.py
+++ b/sycamoredale/forwarding/watch_observer.py
@@ -46,12 +46,16 @@
         until: clock.MonotonicTime,
         now: clock.MonotonicTime,
     ) -> None:
-        """Log removed objects that stay in force for now."""
+        """Record which removed objects stay in force for now."""
         new = sorted(set(names) - self._kept_since.keys())
+        self._kept_since = {
+            name: self._kept_since.get(name, now) for name in names
+        }
+        self.known.removals_kept_since = min(
+            self._kept_since.values(), default=None
+        )
         if not new:
             return
-        self._kept_since.update(dict.fromkeys(new, now))
-        self.known.removals_kept_since = min(self._kept_since.values())
         LOG.info(
             "removals_kept_back",
             kind=self.kind,
@@ -65,14 +69,14 @@
         removed: collections.abc.Collection[str],
         now: clock.MonotonicTime,
     ) -> None:
-        """Log which removals take effect that were kept back."""
-        since = [self._kept_since[n] for n in removed if n in self._kept_since]
-        if since:
+        """Log that the removals take effect that were kept back."""
+        since = self.known.removals_kept_since
+        if since is not None:
             LOG.info(
                 "removals_in_force",
                 kind=self.kind,
                 names=sorted(removed),
-                kept_seconds=round(now - min(since), 3),
+                kept_seconds=round(now - since, 3),
             )
         self._kept_since.clear()
         self.known.removals_kept_since = None
--- a/sycamoredale/forwarding/watch_timing.py
+++ b/sycamoredale/forwarding/watch_timing.py
@@ -3,6 +3,10 @@
 A watch that hears nothing may be one that the store has lost.  So it ends
 while enough time is left to notice that its answer is missing, and then to
 list the kind.
+
+After an outage another bound holds.  A call that began in it, the pause after
+that call and a list have to end within the time that a daemon has to be up to
+date again.
 """
 
 import dataclasses
@@ -15,8 +19,15 @@
 WATCH_END_SHARE: Final = 0.4
 WATCH_MARGIN_SHARE: Final = 0.2
 LIST_SHARE: Final = 0.4
+# Shares of the time after an outage.
+LAST_CALL_SHARE: Final = 0.33
+LAST_PAUSE_SHARE: Final = 0.33
+# Calls that begin together in an outage end at different times, so that one of
+# many daemons notices its end at once.
+MIN_RETRY_SHARE: Final = 0.5
 # An answer that is later than this is slower than a slow store.
 MAX_WATCH_MARGIN_SECONDS: Final = 0.5
+MAX_RETRY_SECONDS: Final = 1.0
 # Longest wait of a watch, however late its changes may be known.
 MAX_WATCH_SECONDS: Final = 5.0
 # A shorter watch is replaced by a list.
@@ -36,9 +47,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchTiming:
-    """Limit waits by the age of what is known; all times are in seconds."""
+    """Limit waits by the age of what is known; all times are in seconds.
+
+    All changes have to be known `contact_seconds` after an outage.
+    """
 
     bound_seconds: float
+    contact_seconds: float = 3.0
+
+    @property
+    def max_retry_pause_seconds(self) -> float:
+        """Return the longest pause after a failed call."""
+        return min(MAX_RETRY_SECONDS, LAST_PAUSE_SHARE * self.contact_seconds)
 
     @property
     def max_age_seconds(self) -> float:
@@ -70,18 +90,26 @@
         return objects.CallLimits(margin, margin)
 
     def list_limits(
-        self, attempt: int, new_connection: bool
+        self, attempt: int, new_connection: bool, spread: float = 1.0
     ) -> objects.CallLimits:
         """Return the limits of a list; the first attempt is 1.
 
-        The time for the answer grows, so that a slow store can answer.
+        The time for the answer grows, so that a slow store can answer.  Of
+        later attempts, `spread` (0 to 1) selects it within a range.
         """
         seconds = LIST_SHARE * self.bound_seconds
+        longest = min(
+            attempt * seconds, LAST_CALL_SHARE * self.contact_seconds
+        )
+        answer = longest
+        if attempt > 1:
+            shortest = MIN_RETRY_SHARE * min(longest, seconds)
+            answer = shortest + spread * (longest - shortest)
         return objects.CallLimits(
-            min(objects.CALL_TIMEOUT_SECONDS, attempt * seconds),
-            min(client.CONNECT_TIMEOUT_SECONDS, seconds),
+            answer,
+            min(client.CONNECT_TIMEOUT_SECONDS, answer),
             new_connection,
-            attempt * seconds,
+            max(answer, attempt * seconds),
         )
 
 
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -11,6 +11,7 @@
 from typing import Final
 import urllib.parse
 
+import curio
 import msgspec
 
 from sycamoredale import clock
@@ -28,6 +29,8 @@
 ABSENT_VERSION: Final = ids.ObjectVersion(0)
 MAX_VALUE_BYTES: Final = 1_000_000
 CALL_TIMEOUT_SECONDS: Final = 2.0
+# Of the time for a read; the rest is for its answer.
+CONNECT_SHARE: Final = 0.5
 VERSION_HEADER: Final = "If-Version"
 
 
@@ -83,6 +86,7 @@
     address: messages.Address
     pool: client.Pool
     on_call: OnCall = lambda kind: None
+    on_answer: collections.abc.Callable[[], None] = lambda: None
     call_budget: budget.CallBudget | None = None
     priority: budget.Priority = budget.Priority.LEASE
 
@@ -184,14 +188,22 @@
     ) -> messages.Response:
         self._charge(kind, target)
         request = messages.Request("GET", target)
+        seconds = wait_seconds + limits.answer_seconds
         try:
-            response = await self.pool.call(
-                self.address,
-                request,
-                wait_seconds + limits.answer_seconds,
-                limits.new_connection,
-                limits.connect_seconds,
-            )
+            # Connecting counts as well.
+            async with curio.timeout_after(seconds):
+                response = await self.pool.call(
+                    self.address,
+                    request,
+                    seconds,
+                    limits.new_connection,
+                    min(limits.connect_seconds, CONNECT_SHARE * seconds),
+                )
+        except curio.TaskTimeout as error:
+            raise errors.StoreUnavailable(
+                error_codes.STORE_UNAVAILABLE,
+                f"read of {target} was not answered within {seconds:g} s",
+            ) from error
         except errors.SycamoredaleError as error:
             raise errors.StoreUnavailable(
                 error_codes.STORE_UNAVAILABLE,
@@ -202,6 +214,7 @@
                 error_codes.STORE_UNAVAILABLE,
                 f"read of {target} answered status {response.status}",
             )
+        self.on_answer()
         return response
 
     async def _write(self, request: messages.Request) -> messages.Response:
--- a/sycamoredale/platform/settings.py
+++ b/sycamoredale/platform/settings.py
@@ -67,6 +67,7 @@
             cold_factor=number("bounds.cold_overage_factor", 1.0),
             cold_burst=number("bounds.warmup_burst", 0.0),
             load_window_seconds=number("bounds.ceiling_window_s", 5.0),
+            contact_seconds=seconds("bounds.contact_ms", 3000.0),
         ),
     )
     reader.raise_findings()
