Keep the newest update of a kind at a hub, not the one that came last

Cause: of the copies of the publisher's updates that reach a hub from two others, an older one replaced a newer one, and its changes were passed on with the next update only. Nobody acted on older knowledge, since the age goes along; a peer that missed all copies of a change called the store. Change: a kept update is replaced by a newer one, or after its lifetime. Test: fails on the code before (version 8 is passed on), passes now.

--- a/sycamoredale/forwarding/update_gathering.py
+++ b/sycamoredale/forwarding/update_gathering.py
@@ -136,10 +136,21 @@
         self._departures.extend(update.departures)
         self._parts.extend(update.parts)
         for kind in update.kinds:
-            self._kind_by_name[kind.kind] = kind, now
+            if self._is_newest(kind, now):
+                self._kind_by_name[kind.kind] = kind, now
         if update.lease != objects.ABSENT_VERSION:
             self._lease = update.lease, now
 
+    def _is_newest(
+        self, kind: kind_updates.KindUpdate, now: clock.MonotonicTime
+    ) -> bool:
+        """Return whether no copy of a later update is still kept."""
+        kept, at = self._kind_by_name.get(kind.kind, (kind, now))
+        if now - at >= KIND_TTL_SECONDS:
+            return True
+        kept_age_ms = kept.age_ms + 1000 * (now - at)
+        return (kind.version, -kind.age_ms) >= (kept.version, -kept_age_ms)
+
     def fill(self, update: PeerUpdate, now: clock.MonotonicTime) -> PeerUpdate:
         """Return an update with the news that are due."""
         version, lease_at = self._lease
--- a/tests/test_update_hubs.py
+++ b/tests/test_update_hubs.py
@@ -7,6 +7,7 @@
 
 import collections
 
+import msgspec
 import pytest
 
 from sycamoredale import clock
@@ -28,6 +29,24 @@
 ENDPOINTS = 4
 
 
+# Guards against a change that is passed on late, since the copy of an older
+# update from another hub has replaced the newer one.
+def test_older_copy_of_an_update_does_not_replace_a_newer_one():
+    queue = update_gathering.NewsQueue()
+    newer = kind_updates.KindUpdate("servers", 9, 100)
+    empty = peer_updates.PeerUpdate(ids.DaemonId("d1"), [])
+    for update in (newer, kind_updates.KindUpdate("servers", 8, 50)):
+        sent = msgspec.structs.replace(empty, kinds=[update])
+        queue.put(sent, clock.MonotonicTime(10.0))
+    [kept] = queue.fill(empty, clock.MonotonicTime(10.1)).kinds
+    assert kept.version == 9
+    late = clock.MonotonicTime(10.1 + update_gathering.KIND_TTL_SECONDS)
+    older = kind_updates.KindUpdate("servers", 8, 50)
+    queue.put(msgspec.structs.replace(empty, kinds=[older]), late)
+    [kept] = queue.fill(empty, late).kinds
+    assert kept.version == 8
+
+
 class _Daemon:
     def __init__(self, fleet, number, cores=1.0):
         self.fleet = fleet
