Take a watch with a full page of changes as behind the store

Cause: a watch may return its changes in parts. The first part counted as all changes up to the start of the call. And a long kind was watched in place of a list at any age, also where a watch without an answer left no time for the list. Change: after a watch with as many changes as a page has, nothing counts as proven, and the store is called again at once. A list follows directly where the time for a failing watch and a list is no longer left. Tests: new in test_object_watcher.py and test_long_lists.py; they need fields that the code before lacks. The simulation plays events in parts.

--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -37,10 +37,6 @@
 # between two watches its updates are at most 0.6 s old, half of their lifetime
 # where a change must be known within two seconds.
 PUBLISHER_WATCH_SECONDS: Final = 0.3
-# How often a watcher checks for recent updates; small beside their lifetime.
-PEER_UPDATE_CHECK_SECONDS: Final = 0.1
-# The shortest pages of a list that were met have this many.
-LONG_LIST_OBJECTS: Final = 50
 LOG: Final = logs.get("object_watcher")
 
 # Returns the seconds between two watches.
@@ -96,6 +92,8 @@
     _list_attempts: int = 0
     _failing_since: clock.MonotonicTime | None = None
     _has_failed: bool = False
+    # Whether the store may have more changes than it has returned.
+    _is_behind: bool = False
 
     def __post_init__(self) -> None:
         """Create the parts that depend on the bound."""
@@ -135,7 +133,7 @@
             is_fresh = is_fresh and not self._removals_are_due(started)
             self._log_source(is_fresh, started)
             if is_fresh:
-                await curio.sleep(PEER_UPDATE_CHECK_SECONDS)
+                await curio.sleep(watch_timing.PEER_CHECK_SECONDS)
                 continue
             try:
                 await self.poll_once(started)
@@ -148,7 +146,7 @@
             else:
                 waits.reset()
                 self.on_contact(started)
-                await curio.sleep(self._until_removals(self.get_pause()))
+                await curio.sleep(self._pause_seconds())
 
     def _log_source(self, is_fresh: bool, now: clock.MonotonicTime) -> None:
         if is_fresh == self._had_fresh_update:
@@ -216,9 +214,12 @@
             return
         if seen.objects or seen.deleted:
             self.observer.on_change(source, seen, self.read_clock())
+        if seen.is_partial:
+            known_at = self.known.known_at
         self.known.advance(known_at, source)
         is_list = source is knowledge.Source.STORE_LIST
         changes = self._changes_in_list(seen) if is_list else seen
+        self._is_behind = seen.is_partial
         self.publisher.record(self.version, changes, known_at)
         self._apply(seen, is_list, known_at)
 
@@ -354,7 +355,7 @@
     @property
     def _is_long(self) -> bool:
         """Return whether a list of the kind may take several calls."""
-        return len(self._removals.names) > LONG_LIST_OBJECTS
+        return len(self._removals.names) > objects.MIN_PAGE_OBJECTS
 
     def _watch_seconds(self, now: clock.MonotonicTime) -> float:
         """Return how long to watch, or 0 if the kind has to be listed."""
@@ -362,7 +363,7 @@
             return 0.0
         wait = self._timing.watch_seconds(self.known.age(now))
         if not wait and self._is_long:
-            wait = watch_timing.CATCH_UP_SECONDS
+            wait = self._timing.catch_up_seconds(self.known.age(now))
         if self.is_publisher():
             wait = min(wait, PUBLISHER_WATCH_SECONDS)
         return self._until_removals(wait)
@@ -377,6 +378,12 @@
             return seconds
         return max(due, watch_timing.CATCH_UP_SECONDS)
 
+    def _pause_seconds(self) -> float:
+        """Return the pause after an answered call."""
+        if self._is_behind:
+            return 0.0
+        return self._until_removals(self.get_pause())
+
     def _retry_seconds(self, delay: float) -> float:
         """Return the pause after a failed call.
 
--- a/sycamoredale/forwarding/watch_timing.py
+++ b/sycamoredale/forwarding/watch_timing.py
@@ -32,6 +32,8 @@
 MAX_WATCH_SECONDS: Final = 5.0
 # A shorter watch is replaced by a list.
 MIN_WATCH_SECONDS: Final = 0.1
+# How often a watcher looks for recent updates of a peer.
+PEER_CHECK_SECONDS: Final = 0.1
 # Of a watch for what has changed already.  Where a list takes many calls, it
 # proves as much with one.
 CATCH_UP_SECONDS: Final = 0.001
@@ -70,6 +72,16 @@
         left = WATCH_END_SHARE * self.bound_seconds - age
         return min(left, MAX_WATCH_SECONDS) if left > MIN_WATCH_SECONDS else 0
 
+    def catch_up_seconds(self, age: float) -> float:
+        """Return how long to watch in place of a list, or 0 for a list.
+
+        A watch that may fail needs time for a list after it.
+        """
+        left = self.max_age_seconds + PEER_CHECK_SECONDS - age
+        is_late = age >= self.bound_seconds
+        has_time = left >= self._watch_margin_seconds
+        return CATCH_UP_SECONDS if is_late or has_time else 0.0
+
     def peer_age_seconds(self, is_long: bool) -> float:
         """Return the age at which the updates of a peer are too old.
 
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -29,6 +29,9 @@
 ABSENT_VERSION: Final = ids.ObjectVersion(0)
 MAX_VALUE_BYTES: Final = 1_000_000
 CALL_TIMEOUT_SECONDS: Final = 2.0
+# The shortest pages that were met have this many; a watch that returns as many
+# changes may not have returned all.
+MIN_PAGE_OBJECTS: Final = 50
 # Of the time for a read; the rest is for its answer.
 CONNECT_SHARE: Final = 0.5
 VERSION_HEADER: Final = "If-Version"
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -131,6 +131,7 @@
             ids.ObjectVersion(events.at),
             [_stored(e.object) for e in last.values() if not e.deleted],
             [name for name, e in last.items() if e.deleted],
+            is_partial=len(events.events) >= objects.MIN_PAGE_OBJECTS,
         )
 
     async def put(
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -10,6 +10,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import messages
+from sycamoredale.object_api import objects
 from sycamoredale.platform import store as store_module
 
 PAGE = 3
@@ -192,3 +193,10 @@
     store.before_call = fail
     with pytest.raises(errors.StoreUnavailable):
         curio.run(store.list, "servers")
+
+
+def test_watch_with_as_many_changes_as_a_page_may_not_have_all():
+    store = _filled(objects.MIN_PAGE_OBJECTS)
+    seen = curio.run(store.watch, "servers", 0, 1.0)
+    assert seen.is_partial
+    assert not curio.run(store.watch, "servers", 1, 1.0).is_partial
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -394,3 +394,33 @@
     silent = timing.watch_limits().answer_seconds
     listed = timing.list_limits(1, new_connection=True).answer_seconds
     assert timing.peer_age_seconds(True) + silent + listed <= bound + 0.01
+
+
+# Guards against changes that count as known though the store has not returned
+# them yet.
+def test_watch_that_may_have_more_changes_proves_nothing():
+    harness = WatcherHarness()
+    harness.step(_listing(5, ["a"]))
+    part = msgspec.structs.replace(_listing(6, ["b"]), is_partial=True)
+    harness.step(part, 0.5)
+    assert harness.watcher.version == 6
+    assert harness.watcher.known.known_at == 100.0
+    assert harness.watcher._pause_seconds() == 0.0
+    harness.step(_listing(7, ["c"]), 0.1)
+    assert harness.watcher.known.known_at == harness.now
+    assert harness.watcher._pause_seconds() > 0.0
+
+
+# Guards against a watch after which too little time is left for a list.
+@pytest.mark.parametrize("bound", [2.0, 3.0, 5.0])
+def test_late_watch_in_place_of_a_list_leaves_time_for_it(bound):
+    timing = watch_timing.WatchTiming(bound)
+    margin = timing.watch_limits().answer_seconds
+    listed = timing.list_limits(1, new_connection=True).answer_seconds
+    for tenth in range(int(10 * bound)):
+        age = tenth / 10
+        if timing.catch_up_seconds(age):
+            due = bound + watch_timing.PEER_CHECK_SECONDS
+            assert age + margin + listed <= due + 0.01
+    assert timing.catch_up_seconds(timing.peer_age_seconds(True))
+    assert timing.catch_up_seconds(bound + 0.1)
--- a/tests/watch_simulation.py
+++ b/tests/watch_simulation.py
@@ -243,21 +243,19 @@
             if change.kind == kind and after < version <= newest
         ]
 
-    def listing_of(
-        self, events: list[tuple[int, Change]]
-    ) -> tuple[objects.Listing, bool]:
-        """Return what a watch returns, and whether there is more."""
+    def listing_of(self, events: list[tuple[int, Change]]) -> objects.Listing:
+        """Return what a watch returns."""
         seen, rest = (
             events[: self.shape.max_events],
             events[self.shape.max_events :],
         )
         last = {change.name: (version, change) for version, change in seen}
-        listing = objects.Listing(
+        return objects.Listing(
             seen[-1][0] if rest else self.version(),
             [_stored(n, v) for n, (v, c) in last.items() if not c.removes],
             [n for n, (_, c) in last.items() if c.removes],
+            is_partial=len(seen) >= self.shape.max_events,
         )
-        return listing, bool(rest)
 
     def _state(self, kind: str, version: int) -> dict[str, int]:
         names = [OBJECT_NAME]
@@ -330,7 +328,7 @@
                     )
                 events = self.model.events(kind, after)
                 if events or now >= due:
-                    listing, _ = self.model.listing_of(events)
+                    listing = self.model.listing_of(events)
                     await curio.sleep(self._call_seconds())
                     return listing
             ends_at = due if now < due else due + margin
