--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -15,7 +15,6 @@
 from typing import Final
 
 import curio
-import msgspec
 
 from sycamoredale import clock
 from sycamoredale import errors
--- a/sycamoredale/forwarding/operator_bounds.py
+++ b/sycamoredale/forwarding/operator_bounds.py
@@ -10,10 +10,10 @@
     A process is killed `grace_seconds` after it was told to stop.  A leaving
     instance gets no request after `drain_seconds`, a zone out of service none
     after `evacuation_seconds`, and a configuration is in force everywhere
-    after `configuration_seconds`.  A daemon that had lost the store has to
-    know all changes `contact_seconds` after its return.  A head that lost a member fails after
-    `stall_seconds`.  Retries are at most `retry_ratio` of the requests in a
-    window, plus `retry_burst`.
+    after `configuration_seconds`.  A daemon that had lost the store knows all
+    changes `contact_seconds` after its return.  A head that lost a member
+    fails after `stall_seconds`.  Retries are at most `retry_ratio` of the
+    requests in a window, plus `retry_burst`.
     """
 
     grace_seconds: float
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -17,7 +17,6 @@
 the time at which the write was sent.
 """
 
-import collections.abc
 import dataclasses
 from typing import Final
 import uuid
