--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -55,11 +55,10 @@
     """Watch a kind and pass each change to `apply`.
 
     A change must be known within `bound_seconds`, and `contact_seconds` after
-    an outage.  `is_publisher` returns
-    whether this daemon sends updates to its peers.  `on_contact` is called
-    with the time up to which all changes are known.  `entries_expire` tells
-    whether entries that nobody renews are deleted.  `contact` is that of all
-    watchers of a daemon.
+    an outage.  `is_publisher` returns whether this daemon sends updates to its
+    peers.  `on_contact` is called with the time up to which all changes are
+    known.  `entries_expire` tells whether entries that nobody renews are
+    deleted.  All watchers of a daemon share `contact`.
     """
 
     store: objects.ObjectStore
