Take silence towards a watch as no outage, and list when removals are due

Cause: a watch that the store ignored counted as a failed call. Where all watches are ignored for a second, while lists are answered, the store counted as away, and removals were kept back for 2.2 s on all daemons. And a watch at the end of that wait could itself be silent, with the list only after it. Change: only a list that fails shows that the store is away. No watch lasts until kept removals are due; the kind is listed then.

--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -10,6 +10,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 import typing
 from typing import Final
@@ -334,7 +335,9 @@
         keeps at the time of the next watch.
         """
         self._has_failed = True
-        self.contact.record_failure(now)
+        # Silence towards a watch does not show that the store is away.
+        if self._list_attempts:
+            self.contact.record_failure(now)
         if self._failing_since is None:
             self._failing_since = now
             LOG.warning("store_lost", kind=self.kind, reason=error.message)
@@ -364,23 +367,32 @@
             wait = self._timing.catch_up_seconds(self.known.age(now))
         if self.is_publisher():
             wait = min(wait, PUBLISHER_WATCH_SECONDS)
-        return self._until_removals(wait)
+        return min(wait, self._seconds_until_last_watch(now))
 
     def _removals_are_due(self, now: clock.MonotonicTime) -> bool:
         return self._removals.seconds_until_due(now) == 0.0
 
-    def _until_removals(self, seconds: float) -> float:
-        """Return a wait that ends when kept removals are due."""
-        due = self._removals.seconds_until_due(self.read_clock())
-        if due is None or due >= seconds:
-            return seconds
-        return max(due, watch_timing.CATCH_UP_SECONDS)
+    def _seconds_until_last_watch(self, now: clock.MonotonicTime) -> float:
+        """Return how long to watch at most before kept removals are due.
+
+        Then the kind is listed, since a watch may have no answer.
+        """
+        due = self._removals.seconds_until_due(now)
+        if due is None:
+            return math.inf
+        margin = self._timing.watch_limits().answer_seconds
+        return max(0.0, due - margin)
 
     def _pause_seconds(self) -> float:
         """Return the pause after an answered call."""
         if self._is_behind:
             return 0.0
-        return self._until_removals(self.get_pause())
+        now = self.read_clock()
+        pause = self.get_pause()
+        left = self._seconds_until_last_watch(now)
+        if left < pause + watch_timing.MIN_WATCH_SECONDS:
+            return self._removals.seconds_until_due(now) or 0.0
+        return pause
 
     def _retry_seconds(self, delay: float) -> float:
         """Return the pause after a failed call.
--- a/sycamoredale/forwarding/store_contact.py
+++ b/sycamoredale/forwarding/store_contact.py
@@ -51,7 +51,7 @@
         self.heard_at = max(self.heard_at, at)
 
     def record_failure(self, started_at: clock.MonotonicTime) -> None:
-        """Record that a call of this daemon has failed."""
+        """Record that a call failed that the store answers at once."""
         self._failed_at = max(self._failed_at, started_at)
 
     def settles_at(self) -> clock.MonotonicTime:
--- a/tests/test_watch_bound.py
+++ b/tests/test_watch_bound.py
@@ -79,6 +79,24 @@
     assert _late_in_phases(play) == []
 
 
+# Guards against a store that is taken for away since it answers no watch.
+@pytest.mark.parametrize("seconds", [0.7, 1.0, 1.2, 2.0, 3.7])
+@pytest.mark.parametrize("bound", [2.0, 3.0])
+def test_removal_while_watches_get_no_answer(bound, seconds):
+    def play(start):
+        faults = Faults(silences=[Span(start, start + seconds)])
+        changes = [
+            watch_simulation.removal(start + part * seconds, f"e{number}")
+            for number, part in enumerate((0.2, 0.5, 0.9))
+        ]
+        shape = watch_simulation.Shape(entries=10)
+        return watch_simulation.late_changes(
+            faults, changes, bound, shape=shape
+        )
+
+    assert _late_in_phases(play) == []
+
+
 # Guards against removals that are kept back for entries that cannot have
 # expired, since the store was away for some daemons only.
 @pytest.mark.parametrize("silent", [False, True])
