Add the drawn outage in which a removal is late, as known red

Two of five daemons put a removal in force 0.02 s after it is due: an outage of 4.4 s for all, 1.6 s later no answers to watches, a list of four pages, a bound of 2 s.

--- a/tests/test_watch_bound.py
+++ b/tests/test_watch_bound.py
@@ -173,6 +173,25 @@
     assert _late_in_phases(play) == []
 
 
+# Guards against two silent calls in a row at the end of the wait for entries
+# that may have expired.
+def test_removal_after_an_outage_for_all_and_a_silence_of_watches():
+    start, end = 110.45534137750255, 114.8364561780833
+    faults = _outages(ALL_DAEMONS, start, end - start, silent=True)
+    faults.silences = [Span(116.39554120330308, 119.05441194447758)]
+    faults.lost_updates = [("peer1", Span(105.66619696717243, 106.6))]
+    changes = [
+        watch_simulation.removal(115.22678083145681, "e0"),
+        watch_simulation.removal(114.9464065304083, "e1"),
+        Change(115.0364561780833),
+        *watch_simulation.lapse(115.73559130067103, 116.18890286, "e8"),
+        *watch_simulation.lapse(114.5364561780833, 116.8364561780833, "e9"),
+    ]
+    shape = watch_simulation.Shape(entries=180)
+    late = watch_simulation.late_changes(faults, changes, 2.0, shape=shape)
+    assert late == []
+
+
 def _spans(longest):
     """Return spans that begin between 5 and 15 s after the start."""
     return strategies.builds(
