--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -80,10 +80,16 @@
 
 
 class Server:
-    """Serve a handler on one address; `abort` resets all connections."""
+    """Serve a handler on one address; `abort` resets all connections.
+
+    `all` has each server of this process.
+    """
+
+    all = []
 
     def __init__(self, handle):
         """Use a coroutine function that turns a Request into an Answer."""
+        self.all.append(self)
         self._handle = handle
         self._server = None
         self._writers = set()
--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -158,6 +158,12 @@
 
     join_again_seconds = 0.2
     form_seconds = 0.3
+    # A request with a prompt as long as this is preempted once, in the middle
+    # of its stream, if others run beside it: their memory has run out.  It is
+    # silent for so long until it has been read again.
+    preempted_tokens = 4000
+    preempted_seconds = 0.0
+    preempted_before_event = 10
 
     def __init__(self, site, name, service, zone, domain, models, fleet):
         """Describe an engine; `models` gives load_s and warm_s by name."""
@@ -170,6 +176,7 @@
         self.group = None
         self.staged = []
         self.was_ready = set()
+        self.finished = []
         self.breaks = []
         self._last_model = None
         self._highest_epoch = 0
@@ -366,17 +373,22 @@
         self.ran.append(attempt)
         self.site.note(f"{self.name} runs {attempt} in {group.name}")
         last = int(request.headers.get("last-event-id", "0"))
+        tokens = request.headers.get("token-count", "0").partition(",")[0]
+        is_long = int(tokens) >= self.preempted_tokens
         return http.Answer(
             200,
             {**self._seal(attempt), "Content-Type": "text/event-stream"},
-            events=self._events(group, attempt, last),
+            events=self._events(group, attempt, last, is_long),
         )
 
-    async def _events(self, group, attempt, last):
+    async def _events(self, group, attempt, last, is_long):
         self.running += 1
         try:
             for number in range(last + 1, EVENTS + 1):
                 await asyncio.sleep(EVENT_SECONDS)
+                is_due = number == self.preempted_before_event
+                if is_due and is_long and self.running > 1:
+                    await asyncio.sleep(self.preempted_seconds)
                 if self.group is not group:
                     self.site.note(
                         f"{self.name} cuts off {attempt}: it has left "
@@ -384,5 +396,8 @@
                     )
                     raise OSError("the group has ended")
                 yield b"id: %d\ndata: token\n\n" % number
+            self.finished.append(attempt)
         finally:
             self.running -= 1
+            if attempt not in self.finished:
+                self.site.note(f"{self.name} has not finished {attempt}")
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -209,6 +209,17 @@
         return "".join(f"{name}={value}\n" for name, value in lines.items())
 
 
+async def _play(main, site):
+    try:
+        return await main(site)
+    finally:
+        for daemon in site.daemons:
+            daemon.kill()
+        for server in http.Server.all:
+            server.crash()
+        await asyncio.sleep(0.1)
+
+
 def run(main, folder):
     """Run a case; exit with 1 if its rule broke, 0 if not, 2 if it failed.
 
@@ -217,7 +228,7 @@
     """
     site = Site(folder)
     try:
-        breaks = asyncio.run(main(site))
+        breaks = asyncio.run(_play(main, site))
     except Exception as error:
         site.note(f"the case could not run: {error!r}")
         sys.exit(2)
