--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -32,6 +32,7 @@
         self.born = 0
         self.ran = []
         self.running = 0
+        self.has_ended = False
         self.paths_at_work = []
         self.server = http.Server(self._handle)
         self._beat = None
@@ -49,6 +50,7 @@
 
     def crash(self):
         """End without a word; the store's entry stays for three beats."""
+        self.has_ended = True
         self.server.crash()
         self._beat.cancel()
         self.site.note(f"replica {self.name} crashes")
@@ -66,6 +68,7 @@
         await asyncio.sleep(seconds)
         self._beat.cancel()
         self.site.store.remove("servers", self.name)
+        self.has_ended = True
         self.server.crash()
         self.site.note(f"replica {self.name} has left")
 
@@ -94,6 +97,11 @@
 
     async def _handle(self, request):
         answer = await self._route(request)
+        attempt = request.headers.get("attempt-id")
+        if attempt is not None:
+            answer.headers.setdefault("Attempt-Id", attempt)
+        if answer.status == 421:
+            answer.headers["Not-Executed"] = "1"
         if self.state == "draining":
             answer.headers["Server-Leaving"] = "1"
         return answer
@@ -157,6 +165,10 @@
     """
 
     ever_ready = set()
+    stall_seconds = 5.0
+    # Beyond so many at once, each load takes proportionally longer.
+    loads_at_once = 6
+    _loading = []
 
     join_again_seconds = 0.2
     form_seconds = 0.3
@@ -172,6 +184,7 @@
         self.group = None
         self.staged = []
         self.finished = []
+        self.cut_off = []
         self.silent_until = 0.0
         self.breaks = []
         self._last_model = None
@@ -307,7 +320,8 @@
             staged = model in self.staged
             seconds = self.models[model]["warm_s"]
             if not staged:
-                seconds = self._load_seconds(model)
+                seconds = 0.0
+                await self._load_weights(model)
         await asyncio.sleep(seconds)
         self._last_model = model
         self.staged = [model]
@@ -315,10 +329,18 @@
         self.ever_ready.add((self.name, group.key))
         self.register()
 
-    def _load_seconds(self, model):
-        """Return the time of a load, a tenth before the first request."""
-        share = 1.0 if self.site.has_traffic else 0.1
-        return share * self.models[model]["load_s"]
+    async def _load_weights(self, model):
+        """Load from the store, in a tenth of the time before any request."""
+        seconds = self.models[model]["load_s"]
+        seconds *= 1.0 if self.site.has_traffic else 0.1
+        self._loading.append(self)
+        try:
+            # Those that begin together count.
+            await asyncio.sleep(0.05)
+            crowding = len(self._loading) / self.loads_at_once
+            await asyncio.sleep(seconds * max(1.0, crowding))
+        finally:
+            self._loading.remove(self)
 
     def _open(self, group):
         if group.state == "open":
@@ -333,6 +355,30 @@
         await asyncio.sleep(self.form_seconds)
         group.state = "open"
         self.register()
+        asyncio.create_task(self._watch_members(group))
+
+    def _is_whole(self, group):
+        """Return whether all members of a group still belong to it."""
+        return all(
+            (member := self.fleet.get(name)) is not None
+            and not member.has_ended
+            and member.group is not None
+            and member.group.key == group.key
+            for name in group.members
+        )
+
+    async def _watch_members(self, group):
+        """Break the group once it has stood still for the stall time."""
+        whole_at = time.monotonic()
+        while self.group is group and group.state in ("open", "closing"):
+            if self._is_whole(group):
+                whole_at = time.monotonic()
+            elif time.monotonic() - whole_at > self.stall_seconds:
+                group.state = "broken"
+                self.register()
+                self.site.note(f"{self.name} is broken in {group.name}")
+                return
+            await asyncio.sleep(0.05)
 
     def _close(self, group, mode):
         if group.state != "open":
@@ -346,8 +392,9 @@
     async def _finish(self, group, mode):
         while self.running and mode != "cancel":
             await asyncio.sleep(0.02)
-        group.state = "ready"
-        self.register()
+        if group.state == "closing":
+            group.state = "ready"
+            self.register()
 
     def _stage(self, model):
         if model in self.staged:
@@ -357,7 +404,7 @@
         return 202
 
     async def _stage_later(self, model):
-        await asyncio.sleep(self._load_seconds(model))
+        await self._load_weights(model)
         self.staged = [model]
         self.register()
 
@@ -398,10 +445,15 @@
             for number in range(last + 1, EVENTS + 1):
                 await asyncio.sleep(EVENT_SECONDS)
                 await asyncio.sleep(self.silent_until - time.monotonic())
-                if self.group is not group:
+                while self.group is group and not self._is_whole(group):
+                    if group.state == "broken":
+                        break
+                    await asyncio.sleep(0.05)
+                if self.group is not group or group.state == "broken":
+                    self.cut_off.append(attempt)
                     self.site.note(
-                        f"{self.name} cuts off {attempt}: it has left "
-                        f"{group.name}"
+                        f"{self.name} cuts off {attempt}: {group.name} has "
+                        "ended or is broken"
                     )
                     raise OSError("the group has ended")
                 yield b"id: %d\ndata: token\n\n" % number
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -1,11 +1,13 @@
 """Start the project's daemons against stand-ins, and record what happens."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -17,11 +19,14 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 ZONES = ("kochi", "thrissur", "kozhikode")
-FRONT_PORT = 8227
-READINESS_PORT = 8220
-CONTROL_PORT = 8229
-FIRST_PEER_PORT = 7340
-LAST_PEER_PORT = 7355
+# A daemon listens at its front, readiness and control ports, and may use the
+# peer ports; they are the same on all machines.
+PEER_PORTS = 16
+PORTS = 3 + PEER_PORTS
+# Below those that the kernel gives to outgoing connections.
+PORT_RANGE = range(16000, 32000 - PORTS)
+# A case ends within two minutes, also if something hangs.
+MAX_SECONDS = 110.0
 # Those of the small deployment vh-cellars, as its sheet gives them.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -53,6 +58,20 @@
 }
 
 
+def _free_ports(host):
+    """Return the first of PORTS free ports in a row at a loopback address."""
+    while True:
+        first = random.choice(PORT_RANGE)
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in range(first, first + PORTS):
+                    sock = stack.enter_context(socket.socket())
+                    sock.bind((host, port))
+            except OSError:
+                continue
+        return first
+
+
 class Site:
     """Hold the store, the daemons and the record of one run."""
 
@@ -65,6 +84,7 @@
         self.began = time.monotonic()
         self._net = f"127.{random.randint(20, 120)}.{random.randint(1, 250)}"
         self._hosts = iter(range(10, 250))
+        self.first_port = _free_ports(self.new_host())
         self._directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._record = open(pathlib.Path(folder) / "record.txt", "w")
         self.note(f"trouble: {self.trouble}")
@@ -120,8 +140,12 @@
         self.name = name
         self.zone = zone
         self.host = host
-        self.front = f"{host}:{FRONT_PORT}"
-        self._seeds = [f"{h}:{CONTROL_PORT}" for h in hosts[:3]]
+        first = site.first_port
+        self.front = f"{host}:{first}"
+        self._readiness = f"{host}:{first + 1}"
+        self._control = f"{host}:{first + 2}"
+        self._peer_ports = f"{first + 3},{first + 2 + PEER_PORTS}"
+        self._seeds = [f"{h}:{first + 2}" for h in hosts[:3]]
         self._process = None
 
     def start(self, command, directory):
@@ -146,9 +170,8 @@
 
     async def is_ready(self):
         """Return whether the daemon says that it is ready."""
-        address = f"{self.host}:{READINESS_PORT}"
         reply = await http.call(
-            address, "GET", "/v1/ready", {"Host": "ready"}, seconds=1.0
+            self._readiness, "GET", "/v1/ready", {"Host": "ready"}, seconds=1.0
         )
         return reply.status == 200
 
@@ -177,9 +200,9 @@
             "region": "kerala",
             **{f"zones.{zone}": "kerala" for zone in ZONES},
             "listen.front": self.front,
-            "listen.readiness": f"{self.host}:{READINESS_PORT}",
-            "listen.control": f"{self.host}:{CONTROL_PORT}",
-            "internal_ports": f"{FIRST_PEER_PORT},{LAST_PEER_PORT}",
+            "listen.readiness": self._readiness,
+            "listen.control": self._control,
+            "internal_ports": self._peer_ports,
             "seeds": ",".join(self._seeds),
             "bootstrap": "true",
             "in_tolerance": "true",
@@ -211,7 +234,8 @@
 
 async def _play(main, site):
     try:
-        return await main(site)
+        async with asyncio.timeout(MAX_SECONDS):
+            return await main(site)
     finally:
         for daemon in site.daemons:
             daemon.kill()
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -111,6 +111,8 @@
             if request.method == "POST":
                 return self._create(kind, request)
             return http.json_answer(400, {})
+        if len(parts) == 5:
+            return http.json_answer(400, {})
         return self._one(kind, parts[3], request)
 
     def _list(self, kind, query):
