--- a/review/4/case.py
+++ b/review/4/case.py
@@ -113,6 +113,7 @@
         "Token-Count": "1460,140",
         "Prompt-Prefix": f"5c1e07a2:40,{attempt[:8]}:1420",
     }
+    site.note(f"client sends {attempt} to {daemon.name}")
     began = asyncio.get_running_loop().time()
     reply = await http.call(
         daemon.front, "POST", "/summary/1", headers, b"prompt", seconds=9.0
@@ -175,8 +176,10 @@
         for engine in ran:
             engine.fall_silent(SILENCE_SECONDS)
         reply = await stream
-        # Only what is cut off around planned work counts.
-        if site.trouble and ran and not reply.complete:
+        # Only what is cut off around planned work counts, and nothing that
+        # the replica has broken off itself.
+        broke_off = any(attempt in engine.cut_off for engine in ran)
+        if site.trouble and ran and not broke_off and not reply.complete:
             breaks.append(
                 f"{daemon.name} cut off {attempt} during its planned stop"
             )
