--- a/review/3/case.py
+++ b/review/3/case.py
@@ -78,6 +78,7 @@
         "Request-Deadline": "2500",
         "Authorization": f"Bearer {key}",
     }
+    site.note(f"client sends {attempt} to {daemon.name}")
     reply = await http.call(
         daemon.front, "GET", f"/stock/{attempt}", headers, seconds=3.0
     )
