--- a/review/5/case.py
+++ b/review/5/case.py
@@ -77,6 +77,7 @@
         "Request-Deadline": "2500",
         "Authorization": f"Bearer {KEY}",
     }
+    site.note(f"client sends {attempt} to {daemon.name}")
     reply = await http.call(daemon.front, "GET", path, headers, seconds=3.0)
     site.note(f"{daemon.name} answers {attempt} {path}: {reply.status}")
     results.append((path, reply.status))
