--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -13,6 +13,7 @@
 from sycamoredale import clock
 from sycamoredale.daemons import settings as settings_reader
 from sycamoredale.daemons import signals
+from sycamoredale.forwarding import address_checks
 from sycamoredale.forwarding import cold_quota
 from sycamoredale.forwarding import daemon_shares
 from sycamoredale.forwarding import departures
@@ -162,6 +163,7 @@
             "peer_updates", self._peer_updates.run, self._peer_update_address()
         )
         await self._spawn("links", self._connector.run)
+        await self._spawn("address_checks", self._build_address_checker().run)
         await self._spawn("groups", self._group_controller.run)
         LOG.info("started", address=str(self._settings.caller_address))
         await stop_signal.wait()
@@ -306,9 +308,7 @@
         )
         return reported_group_controller.ReportedGroupController(
             lease,
-            engine_client.PlatformEngineClient(
-                client.Pool(self._connector.open_direct)
-            ),
+            self._build_engine_client(),
             self._instances,
             lambda: self._routes.current,
             lambda: self._evacuation_handler.zones_out,
@@ -332,6 +332,20 @@
             self._peer_updates.delay_seconds,
         )
 
+    def _build_address_checker(self) -> address_checks.AddressChecker:
+        return address_checks.AddressChecker(
+            self._instances,
+            lambda: self._routes.current.service_by_name,
+            self._build_engine_client().occupant,
+            self._count_daemons,
+            self._metric_registry,
+        )
+
+    def _build_engine_client(self) -> engine_client.PlatformEngineClient:
+        return engine_client.PlatformEngineClient(
+            client.Pool(self._connector.open_direct)
+        )
+
     def _build_links(self) -> assembly.Links:
         sources = assembly.LinkSources(
             self._endpoints.addresses,
--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -14,6 +14,7 @@
 from sycamoredale.forwarding import departures as departures_module
 from sycamoredale.forwarding import incarnations as incarnations_module
 from sycamoredale.forwarding import instance_state
+from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.observability import logs
 
@@ -28,18 +29,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnlistedInstance:
-    """Record an instance that has left the list and may still run."""
+    """Record an instance that is not used and may still run.
+
+    It has left the list, or is superseded: a later instance is listed at its
+    address.
+    """
 
     instance: instance_state.Instance
     since: clock.MonotonicTime
+    is_superseded: bool = False
 
 
 @dataclasses.dataclass
 class InstanceTable:
     """Index the listed instances by id.
 
-    An instance that leaves the list gets no more requests.  The requests that
-    it runs may go on, so its membership in a group is kept for a while.
+    An instance that leaves the list or is superseded gets no more requests.
+    Those that it runs may go on, so its membership in a group is kept for a
+    while.
     """
 
     by_id: dict[ids.InstanceId, instance_state.Instance] = dataclasses.field(
@@ -101,20 +108,94 @@
         unlisted = self.unlisted_by_id.pop(instance.id, None)
         if known is None and unlisted is not None:
             known = unlisted.instance
+        self.incarnations.record_started(instance.id, instance.started_ms)
+        instance = self._merge_newest(known, instance)
         if known is not None and known.address != instance.address:
             self.incarnations.remove_address(known.address, instance.id)
-        ended = self.incarnations.record_listed(
+            self._reinstate_at(known.address)
+        superseded = self.incarnations.record_listed(
             instance.address, instance.id, instance.started_ms
         )
-        if ended is not None:
-            self._remove_ended(ended)
-        if ended == instance.id:
+        if superseded == instance.id:
+            since = unlisted.since if unlisted else now
+            self._apply_superseded(instance, since)
             return
-        instance = self._merge_newest(known, instance)
+        if superseded in self.by_id:
+            self._apply_superseded(self.by_id[superseded], now)
         until = clock.MonotonicTime(now + instance.cold_seconds)
         self.cold_until_by_id[instance.id] = until
         self._store(self._with_departure(instance))
 
+    def _apply_superseded(
+        self, instance: instance_state.Instance, since: clock.MonotonicTime
+    ) -> None:
+        """Use an instance no more, and keep it unless it has ended."""
+        is_known = self.by_id.pop(instance.id, None) is not None
+        if is_known:
+            self._notify_changed()
+        if self.incarnations.has_ended(instance.id):
+            return
+        if self.incarnations.is_refuted(instance.id, instance.started_ms):
+            return
+        if is_known:
+            _log("instance_superseded", instance, "a later one is listed")
+        self.unlisted_by_id[instance.id] = UnlistedInstance(
+            instance, since, is_superseded=True
+        )
+
+    def contested(
+        self,
+    ) -> list[instance_state.Instance]:
+        """Return the instances at whose address a later one is listed."""
+        return [
+            unlisted.instance
+            for name, unlisted in self.unlisted_by_id.items()
+            if not self.incarnations.is_latest(unlisted.instance.address, name)
+        ]
+
+    def record_answering(self, instance: instance_state.Instance) -> None:
+        """Record that a contested instance has answered at its address.
+
+        The other entries with that address do not name an instance there.
+        """
+        unlisted = self.unlisted_by_id.get(instance.id)
+        if unlisted is None or not _is_same_incarnation(
+            unlisted.instance, instance
+        ):
+            return
+        with self.batch():
+            for other in self._others_at(instance):
+                self.incarnations.refute(other.id, other.started_ms)
+                self._remove(other.id)
+                _log("entry_refuted", other, "another instance answers there")
+            self.incarnations.set_latest(
+                instance.address, instance.id, instance.started_ms
+            )
+            if unlisted.is_superseded:
+                self._reinstate(instance.id)
+
+    def _others_at(
+        self, instance: instance_state.Instance
+    ) -> list[instance_state.Instance]:
+        known = [u.instance for u in self.unlisted_by_id.values()]
+        return [
+            other
+            for other in [*self.by_id.values(), *known]
+            if other.address == instance.address and other.id != instance.id
+        ]
+
+    def _reinstate(self, name: ids.InstanceId) -> None:
+        instance = self.unlisted_by_id.pop(name).instance
+        _log("instance_reinstated", instance, "no other one is at its address")
+        self._store(self._with_departure(instance))
+
+    def record_replaced(self, instance: instance_state.Instance) -> None:
+        """Record that another instance has answered at its address."""
+        if not self.incarnations.has_ended(instance.id):
+            _log_ended(instance, "another instance answers at its address")
+        self.incarnations.record_ended(instance.id, instance.started_ms)
+        self._remove(instance.id)
+
     def _merge_newest(
         self,
         known: instance_state.Instance | None,
@@ -220,8 +301,8 @@
             leaving=known.leaving or report.leaving,
         )
         if unlisted is not None:
-            self.unlisted_by_id[instance] = UnlistedInstance(
-                updated, unlisted.since
+            self.unlisted_by_id[instance] = dataclasses.replace(
+                unlisted, instance=updated
             )
             return False
         self._store(updated)
@@ -242,13 +323,10 @@
         self._store(_without_membership(known))
         return _is_head(known)
 
-    def _remove_ended(self, instance: ids.InstanceId) -> None:
-        """Remove an instance that has ended."""
+    def _remove(self, instance: ids.InstanceId) -> None:
         self.unlisted_by_id.pop(instance, None)
         self.cold_until_by_id.pop(instance, None)
-        known = self.by_id.pop(instance, None)
-        if known is not None:
-            _log_ended(known, "a later instance is listed at its address")
+        if self.by_id.pop(instance, None) is not None:
             self._notify_changed()
 
     def remove_listed(
@@ -264,30 +342,58 @@
             clock.MonotonicTime(now - UNLISTED_RETENTION_SECONDS)
         )
         known = self.by_id.pop(instance, None)
+        unlisted = self.unlisted_by_id.get(instance)
+        if unlisted is not None and unlisted.is_superseded:
+            known = self.unlisted_by_id.pop(instance).instance
         if known is None:
             return
         if known.membership is not None:
             self.unlisted_by_id[instance] = UnlistedInstance(known, now)
         else:
             self.incarnations.remove_address(known.address, instance)
+            self._reinstate_at(known.address)
         self._notify_changed()
 
+    def _reinstate_at(self, address: messages.Address) -> None:
+        """Use the latest superseded instance at an address if it is free."""
+        found = [
+            unlisted.instance
+            for name, unlisted in self.unlisted_by_id.items()
+            if unlisted.is_superseded
+            and unlisted.instance.address == address
+            and self.incarnations.is_latest(address, name)
+        ]
+        if found:
+            latest = max(found, key=lambda instance: instance.started_ms)
+            self.incarnations.set_latest(address, latest.id, latest.started_ms)
+            self._reinstate(latest.id)
+
     def retain(
         self,
         listed_ids: collections.abc.Set[ids.InstanceId],
         now: clock.MonotonicTime,
     ) -> None:
         """Remove the instances that are missing in a complete list."""
-        for instance in self.by_id.keys() - listed_ids:
+        superseded = {
+            name
+            for name, unlisted in self.unlisted_by_id.items()
+            if unlisted.is_superseded
+        }
+        for instance in (self.by_id.keys() | superseded) - listed_ids:
             self.remove_listed(instance, now)
 
     def remove_unlisted(self, instance: ids.InstanceId) -> None:
-        """Remove an unlisted instance, which has ended."""
-        unlisted = self.unlisted_by_id.pop(instance, None)
-        if unlisted is not None:
-            self.incarnations.remove_address(
-                unlisted.instance.address, instance
-            )
+        """Remove an unlisted instance, which has ended.
+
+        A superseded one is kept for as long as it is listed.
+        """
+        unlisted = self.unlisted_by_id.get(instance)
+        if unlisted is None or unlisted.is_superseded:
+            return
+        del self.unlisted_by_id[instance]
+        address = unlisted.instance.address
+        self.incarnations.remove_address(address, instance)
+        self._reinstate_at(address)
 
     def remove_unlisted_before(self, before: clock.MonotonicTime) -> None:
         """Remove the unlisted instances that left the list before a time."""
@@ -334,8 +440,12 @@
 
 
 def _log_ended(instance: instance_state.Instance, reason: str) -> None:
+    _log("instance_ended", instance, reason)
+
+
+def _log(event: str, instance: instance_state.Instance, reason: str) -> None:
     LOG.info(
-        "instance_ended",
+        event,
         instance=instance.id,
         address=str(instance.address),
         started_ms=instance.started_ms,
--- a/sycamoredale/platform/engine_client.py
+++ b/sycamoredale/platform/engine_client.py
@@ -10,6 +10,8 @@
 
 from sycamoredale import error_codes
 from sycamoredale import errors
+from sycamoredale.forwarding import address_checks
+from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import instance_state
 from sycamoredale.groups import reported
 from sycamoredale.http import client
@@ -37,13 +39,7 @@
         self, instance: instance_state.Instance
     ) -> instance_state.Report:
         """Return an instance's report; raise ConnectionFailed/Broken."""
-        response = await self.pool.call(
-            instance.address,
-            wire_format.REPORT_REQUEST,
-            REPORT_TIMEOUT_SECONDS,
-            connect_timeout_seconds=REPORT_TIMEOUT_SECONDS,
-            max_body_bytes=MAX_REPORT_BYTES,
-        )
+        response = await self._call(instance, wire_format.REPORT_REQUEST)
         try:
             return dataclasses.replace(
                 instance_decoder.decode_report(response.body),
@@ -55,6 +51,33 @@
                 f"instance {instance.id} sent a malformed report: {error}",
             ) from error
 
+    async def occupant(
+        self, instance: instance_state.Instance, service: catalogue.Service
+    ) -> address_checks.Occupant:
+        """Return which instance is at an address; raise as `report`."""
+        request = wire_format.identity_request(instance, service)
+        response = await self._call(instance, request)
+        if response.status == wire_format.OTHER_INSTANCE_STATUS:
+            return address_checks.Occupant.OTHER
+        if service.engine is not None:
+            report = instance_decoder.decode_report(response.body)
+            return address_checks.compare(
+                instance.started_ms, report.started_ms
+            )
+        name = response.headers.get(wire_format.INSTANCE_ID)
+        return address_checks.compare(instance.id, name)
+
+    async def _call(
+        self, instance: instance_state.Instance, request: messages.Request
+    ) -> messages.Response:
+        return await self.pool.call(
+            instance.address,
+            request,
+            REPORT_TIMEOUT_SECONDS,
+            connect_timeout_seconds=REPORT_TIMEOUT_SECONDS,
+            max_body_bytes=MAX_REPORT_BYTES,
+        )
+
     async def order(
         self,
         instance: instance_state.Instance,
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -5,6 +5,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import header_values
 from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import queue_priority as queue_priority_module
@@ -29,6 +30,8 @@
 _NOT_RUN: Final = "Not-Executed"
 # Running requests, waiting requests and slots, separated by commas.
 _LOAD: Final = "Replica-Load"
+# In answers to health probes.
+INSTANCE_ID: Final = "Replica-Id"
 # Requests a second that an instance takes from all daemons.
 _LIMIT: Final = "Server-Limit"
 # In all answers of an instance that leaves, with this value.
@@ -57,7 +60,8 @@
     _PRIORITY.lower(),
     _AUTHORIZATION.lower(),
 }
-_NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
+OTHER_INSTANCE_STATUS: Final = 421
+_NOT_RUN_STATUSES: Final = frozenset((OTHER_INSTANCE_STATUS, 429, 503, 400))
 
 
 def read_envelope(request: messages.Request) -> calls.Envelope:
@@ -124,6 +128,17 @@
     return (headers.get(_LEAVING) or "").strip() == _IS_LEAVING
 
 
+def identity_request(
+    instance: instance_state.Instance, service: catalogue.Service
+) -> messages.Request:
+    """Return the request whose answer tells which instance sends it."""
+    headers = messages.Headers([(EXPECTED_INSTANCE, instance.id)])
+    target = service.health_path
+    if service.engine is not None:
+        target = REPORT_REQUEST.target
+    return messages.Request("GET", target, headers)
+
+
 def _kind(call: calls.Call, head: messages.ResponseHead) -> calls.AnswerKind:
     headers = head.headers
     # A request without an id is refused with 400, without an id.
@@ -132,7 +147,7 @@
     )
     if answered_id != call.id:
         return calls.AnswerKind.OTHER_REQUEST
-    if head.status == 421:
+    if head.status == OTHER_INSTANCE_STATUS:
         return calls.AnswerKind.NOT_RUN
     if head.status in _NOT_RUN_STATUSES and headers.get(_NOT_RUN):
         return calls.AnswerKind.NOT_RUN
--- a/tests/test_instance_table.py
+++ b/tests/test_instance_table.py
@@ -93,6 +93,9 @@
     later = instance_fixtures.instance("i1", started_ms=2000)
     table = _table(predecessor, later)
     assert set(table.by_id) == {"i1"}
+    assert not table.incarnations.ended_ids()
+    table.record_replaced(table.contested()[0])
+    assert set(table.by_id) == {"i1"}
     assert table.incarnations.ended_ids() == {"i0"}
     # The list shows the predecessor until its entry expires.
     table.apply_listing([predecessor, later], set(), {"i0", "i1"}, 1.0)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,8 +15,10 @@
 from sycamoredale import clock
 from sycamoredale import decoding
 from sycamoredale import errors
+from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import object_handlers
+from sycamoredale.groups import group_lifecycle
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale import leases
@@ -27,6 +29,7 @@
 from sycamoredale.platform import instance_decoder
 from sycamoredale.platform import manifest
 from sycamoredale.platform import store as store_module
+from tests import instance_fixtures
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
 NESTED_BOTH_WAYS = b'[{"a":' * 30_000 + b"1" + b"}]" * 30_000
@@ -157,6 +160,41 @@
     assert list(table.by_id) == ["sound"]
 
 
+# Guards against TWO: the members of an open head were free, and joined other
+# groups, once another writer's entry named the address of the head.
+def test_entry_of_another_writer_at_the_address_of_a_head_frees_no_member():
+    State = instance_state.MemberState
+    key = instance_fixtures.key()
+    names = ("i0", "i1", "i2")
+    table = instance_table.InstanceTable()
+    for port, rank_state in enumerate((State.OPEN, State.READY, State.READY)):
+        member = instance_fixtures.instance(
+            names[port],
+            staged=("small",),
+            membership=(key, port, rank_state),
+            address=messages.Address("127.0.0.1", 8100 + port),
+        )
+        table.apply_listed(member, 1.0)
+    odd = instance_fixtures.instance(
+        "agent-7",
+        service="inventory-agent",
+        started_ms=2000,
+        address=messages.Address("127.0.0.1", 8100),
+    )
+    lifecycle = group_lifecycle.GroupLifecycle()
+    lifecycle.record_join(key, names, 1.0)
+    table.apply_listed(odd, 10.0)
+    unlisted = {i: u.instance for i, u in table.unlisted_by_id.items()}
+    snapshot = instance_fixtures.snapshot(
+        [*table.by_id.values(), *unlisted.values()],
+        20.0,
+        unlisted=unlisted,
+        replaced=table.incarnations.ended_ids(),
+    )
+    free = {i.id for i in lifecycle.free_instances(snapshot)}
+    assert not free & set(names)
+
+
 def test_odd_state_of_a_known_instance_changes_nothing():
     table = instance_table.InstanceTable()
     handler = _handler(table)
