Order versions of objects by the era of the store (CONFIG)

Cause: revisions were compared across eras. The log of edge-kochi-1 shows it: known_ms_ago of config grows to 9,134 while the store answers, then 'update received' once the new era has reached revision 25, with manifest 1 in force until the end. Store-Era was read nowhere. Not the cause: the 410 (the list after it was made, and dropped) and the calls' timing.

Change: versions have the era before the revision. Answers of a former era are not applied, watches and conditional writes on one are not sent, updates of peers count within the present era. What the copy lacks stays in force for 2.2 s; a lower manifest is not put in force.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -93,6 +93,9 @@
                 clock.monotonic()
             ),
         )
+        self._store.eras.on_change.append(
+            lambda: self._store_contact.begin_era(clock.monotonic())
+        )
         self._metric_registry = exposition.MetricRegistry()
         self._instances = instance_table.InstanceTable(
             departures=departures.DepartureLog(self._metric_registry)
--- a/sycamoredale/forwarding/kind_updates.py
+++ b/sycamoredale/forwarding/kind_updates.py
@@ -16,6 +16,7 @@
 from sycamoredale import clock
 from sycamoredale import decoding
 from sycamoredale import ids
+from sycamoredale.object_api import eras
 from sycamoredale.object_api import objects
 
 # Single datagrams are lost now and then, three in a row rarely.
@@ -112,7 +113,9 @@
         self._known_at = known_at
         if before != self._version:
             self._pending.clear()
-        if objects.ABSENT_VERSION < before < seen.version:
+        # Changes since a former era are not known, so peers list the kind.
+        is_known = eras.are_comparable(before, seen.version)
+        if is_known and objects.ABSENT_VERSION < before < seen.version:
             self._append(_change(before, seen))
         self._version = seen.version
 
--- a/sycamoredale/forwarding/object_watcher.py
+++ b/sycamoredale/forwarding/object_watcher.py
@@ -28,6 +28,7 @@
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.object_api import backoff
+from sycamoredale.object_api import eras
 from sycamoredale.object_api import objects
 from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
@@ -289,6 +290,8 @@
         """
         if self.version == objects.ABSENT_VERSION:
             return
+        if not self._accepts_era_of(update, now):
+            return
         known_at = clock.MonotonicTime(now - update.age_ms / 1000)
         self.contact.record_answer(known_at)
         if self.version < update.version:
@@ -306,6 +309,22 @@
         self.known.advance(known_at, knowledge.Source.PEER)
         self.on_contact(known_at)
 
+    def _accepts_era_of(
+        self, update: kind_updates.KindUpdate, now: clock.MonotonicTime
+    ) -> bool:
+        """Return whether an update is of the era of the present state.
+
+        One of a former era proves nothing.  After one of a later era the
+        kind is listed.
+        """
+        if eras.are_comparable(update.version, self.version):
+            return True
+        self.metrics.count("updates_of_other_era", self.kind)
+        if update.version > self.version:
+            self._must_list = self._missed_change = True
+            self._fresh_until = now
+        return False
+
     def _apply_changes(
         self,
         changes: list[kind_updates.Change],
--- a/sycamoredale/forwarding/removal_filter.py
+++ b/sycamoredale/forwarding/removal_filter.py
@@ -2,7 +2,8 @@
 
 Entries that heartbeats renew expire while the store is away, and return after
 it.  A removal takes effect once it is known of a time at which all expired
-entries had returned.
+entries had returned.  The same holds for all objects once the store has come
+back from an older copy, since those that it lacks are written again.
 """
 
 import dataclasses
@@ -40,8 +41,8 @@
         removed = self.names - listed if complete else set(seen.deleted)
         self.names = (self.names - removed) | listed
         self._kept -= listed
-        settles_at = self.contact.settles_at()
-        if self.entries_expire and known_at < settles_at:
+        settles_at = self._settles_at()
+        if known_at < settles_at:
             self._kept |= removed
             self.observer.on_removals_kept(
                 self._kept, seen.version, settles_at, now
@@ -59,4 +60,9 @@
         """Return until when removals are kept, None if there are none."""
         if not self._kept:
             return None
-        return max(0.0, self.contact.settles_at() - now)
+        return max(0.0, self._settles_at() - now)
+
+    def _settles_at(self) -> clock.MonotonicTime:
+        if self.entries_expire:
+            return self.contact.settles_at()
+        return self.contact.rewritten_at()
--- a/sycamoredale/forwarding/store_contact.py
+++ b/sycamoredale/forwarding/store_contact.py
@@ -34,6 +34,8 @@
 
     since: clock.MonotonicTime = NEVER
     heard_at: clock.MonotonicTime = NEVER
+    # When this daemon noticed that the store came back from an older copy.
+    era_began_at: clock.MonotonicTime = NEVER
     _failed_at: clock.MonotonicTime = NEVER
     # Whether the interval begins with the first answer to this daemon.
     _is_first: bool = True
@@ -54,11 +56,23 @@
         """Record that a call failed that the store answers at once."""
         self._failed_at = max(self._failed_at, started_at)
 
+    def begin_era(self, at: clock.MonotonicTime) -> None:
+        """Record that the store came back from an older copy.
+
+        What it has lost is written again by those who wrote it.
+        """
+        self.era_began_at = at
+
+    def rewritten_at(self) -> clock.MonotonicTime:
+        """Return until when objects that the copy lacks may return."""
+        return clock.MonotonicTime(self.era_began_at + SETTLE_SECONDS)
+
     def settles_at(self) -> clock.MonotonicTime:
         """Return until when expired entries may still return."""
         if self._is_first:
-            return NEVER
-        return clock.MonotonicTime(self.since + SETTLE_SECONDS)
+            return self.rewritten_at()
+        since = max(self.since, self.era_began_at)
+        return clock.MonotonicTime(since + SETTLE_SECONDS)
 
     def ages(self, now: clock.MonotonicTime) -> Ages:
         """Return the interval for peers, NO_AGES if it tells them nothing.
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -22,6 +22,7 @@
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.object_api import budget
+from sycamoredale.object_api import eras as era_module
 from sycamoredale.observability import logs
 
 LOG: Final = logs.get("object_api")
@@ -90,6 +91,9 @@
     pool: client.Pool
     on_call: OnCall = lambda kind: None
     on_answer: collections.abc.Callable[[], None] = lambda: None
+    eras: era_module.EraTracker = dataclasses.field(
+        default_factory=era_module.EraTracker
+    )
     call_budget: budget.CallBudget | None = None
     priority: budget.Priority = budget.Priority.LEASE
 
@@ -217,6 +221,7 @@
                 error_codes.STORE_UNAVAILABLE,
                 f"read of {target} answered status {response.status}",
             )
+        self.eras.record_answer(self._era_text(response))
         self.on_answer()
         return response
 
@@ -239,6 +244,14 @@
                 f"{error.message}",
                 error_codes.Execution.UNKNOWN,
             ) from error
+        try:
+            self.eras.record_answer(self._era_text(response))
+        except errors.StoreUnavailable as error:
+            raise errors.OutcomeUnknown(
+                error_codes.OUTCOME_UNKNOWN,
+                f"write of {target}: {error.message}",
+                error_codes.Execution.UNKNOWN,
+            ) from error
         if response.status == 409:
             raise errors.VersionConflict(
                 error_codes.VERSION_CONFLICT,
@@ -257,6 +270,11 @@
             )
         return response
 
+    def _era_text(self, response: messages.Response) -> str | None:
+        """Return how an answer names the era of the store, if it does."""
+        del response
+        return None
+
     def _charge(self, kind: CallKind, target: str) -> None:
         if self.call_budget is not None:
             now = clock.monotonic()
--- a/sycamoredale/object_api/paged_lists.py
+++ b/sycamoredale/object_api/paged_lists.py
@@ -15,6 +15,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
+from sycamoredale.object_api import eras
 from sycamoredale.object_api import objects
 
 # A watch for what has changed already.
@@ -141,9 +142,17 @@
 
 
 def _join(pages: collections.abc.Sequence[Page]) -> objects.Listing:
-    """Return the objects at a version whose later changes may be missing."""
+    """Return the objects at a version whose later changes may be missing.
+
+    Raises StoreUnavailable if the store came back from a copy meanwhile.
+    """
+    versions = [page.version for page in pages]
+    if not eras.are_comparable(min(versions), max(versions)):
+        raise errors.StoreUnavailable(
+            error_codes.STORE_UNAVAILABLE, "the pages are of two eras"
+        )
     return objects.Listing(
-        min(page.version for page in pages),
+        min(versions),
         [item for page in pages for item in page.objects],
     )
 
--- a/sycamoredale/platform/store.py
+++ b/sycamoredale/platform/store.py
@@ -21,6 +21,8 @@
 from sycamoredale.object_api import objects
 from sycamoredale.object_api import paged_lists
 
+# Rises by one each time the store comes back from an older copy.
+_ERA: Final = "Store-Era"
 _path = functools.partial(objects.object_path, "/v1/objects")
 
 
@@ -66,7 +68,7 @@
         response = await self._read(budget.CallKind.READ, _path(kind, name))
         if response.status == 404:
             return None
-        return _stored(objects.decode_body(response, _Object))
+        return self._stored(objects.decode_body(response, _Object))
 
     async def list(
         self,
@@ -84,13 +86,13 @@
         ) -> paged_lists.Page:
             query = {"allow_stale": "1"} if stale else {}
             query |= {"after": after} if after is not None else {}
-            target = _path(kind) + _query(query)
+            target = _path(kind) + _query(**query)
             response = await self._read(budget.CallKind.LIST, target, limits)
             page = objects.decode_list(response, _PAGE_DECODER)
             items = objects.decode_each(page.items, _OBJECT_DECODER, kind)
             return paged_lists.Page(
-                ids.ObjectVersion(page.at),
-                [_stored(item) for item in items],
+                self.eras.version(page.at),
+                [self._stored(item) for item in items],
                 page.has_more,
             )
 
@@ -109,18 +111,17 @@
         limits: objects.CallLimits = objects.DEFAULT_LIMITS,
     ) -> objects.Listing:
         """Wait for changes after a version; raise as ObjectStore.watch."""
-        query = {"watch": str(after), "wait_ms": str(int(wait_seconds * 1000))}
+        revision = self.eras.revision_to_watch(after)
+        query = _query(watch=revision, wait_ms=int(wait_seconds * 1000))
         response = await self._read(
-            budget.CallKind.WATCH,
-            _path(kind) + _query(query),
-            limits,
-            wait_seconds,
+            budget.CallKind.WATCH, _path(kind) + query, limits, wait_seconds
         )
         if response.status == 410:
             raise errors.WatchExpired(
                 error_codes.WATCH_EXPIRED,
                 f"the store no longer has changes of {kind} after {after}",
             )
+        self.eras.revision_to_watch(after)
         events = objects.decode_list(response, _EVENTS_DECODER)
         # Of an object deleted and recreated, only the last event counts.
         last = {
@@ -128,8 +129,8 @@
             for e in objects.decode_each(events.events, _EVENT_DECODER, kind)
         }
         return objects.Listing(
-            ids.ObjectVersion(events.at),
-            [_stored(e.object) for e in last.values() if not e.deleted],
+            self.eras.version(events.at),
+            [self._stored(e.object) for e in last.values() if not e.deleted],
             [name for name, e in last.items() if e.deleted],
             is_partial=len(events.events) >= objects.MIN_PAGE_OBJECTS,
         )
@@ -142,25 +143,29 @@
         if expected == objects.ABSENT_VERSION:
             request = messages.json_request("POST", _path(kind), body)
         else:
-            body["metadata"] = {"name": name, "rev": expected}
+            revision = self.eras.revision_to_replace(expected)
+            body["metadata"] = {"name": name, "rev": revision}
             request = messages.json_request("PUT", _path(kind, name), body)
         response = await self._write(request)
-        written = objects.decode_body(response, _Object)
-        return ids.ObjectVersion(written.metadata.rev)
+        if expected != objects.ABSENT_VERSION:
+            self.eras.revision_to_replace(expected)
+        return self._stored(objects.decode_body(response, _Object)).version
 
     async def delete(
         self, kind: str, name: str, expected: ids.ObjectVersion
     ) -> None:
         """Delete an object at the expected version; raise as `put`."""
-        target = _path(kind, name) + _query({"rev": str(expected)})
+        revision = self.eras.revision_to_replace(expected)
+        target = _path(kind, name) + _query(rev=revision)
         await self._write(messages.Request("DELETE", target))
 
+    def _era_text(self, response: messages.Response) -> str | None:
+        return response.headers.get(_ERA)
 
-def _query(fields: dict[str, str]) -> str:
-    return f"?{urllib.parse.urlencode(fields)}" if fields else ""
+    def _stored(self, item: _Object) -> objects.StoredObject:
+        version = self.eras.version(item.metadata.rev)
+        return objects.StoredObject(item.metadata.name, version, item.spec)
 
 
-def _stored(item: _Object) -> objects.StoredObject:
-    return objects.StoredObject(
-        item.metadata.name, ids.ObjectVersion(item.metadata.rev), item.spec
-    )
+def _query(**fields: object) -> str:
+    return f"?{urllib.parse.urlencode(fields)}" if fields else ""
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -133,9 +133,7 @@
 ) -> messages.Request:
     """Return the request whose answer tells which instance sends it."""
     headers = messages.Headers([(EXPECTED_INSTANCE, instance.id)])
-    target = service.health_path
-    if service.engine is not None:
-        target = REPORT_REQUEST.target
+    target = REPORT_REQUEST.target if service.engine else service.health_path
     return messages.Request("GET", target, headers)
 
 
--- a/tests/test_watch_bound.py
+++ b/tests/test_watch_bound.py
@@ -192,6 +192,67 @@
     assert late == []
 
 
+def _drills(starts, copy_seconds, away_seconds):
+    """Return drills of the store, which is away for a moment before each."""
+    return Faults(
+        drills=[
+            watch_simulation.Drill(start + away_seconds, copy_seconds)
+            for start in starts
+        ],
+        outages=[
+            (name, Span(start, start + away_seconds), False)
+            for name in ALL_DAEMONS
+            for start in starts
+        ],
+    )
+
+
+# Guards against CONFIG after a drill: daemons ignored each answer of the store
+# until its revisions had passed those from before the drill.
+@pytest.mark.parametrize("copy_seconds", [1.5, 4.0, 9.0, 30.0])
+@pytest.mark.parametrize("away_seconds", [0.05, 0.5, 2.5])
+def test_change_after_a_drill_is_in_force_in_time(copy_seconds, away_seconds):
+    def play(start):
+        faults = _drills([start], copy_seconds, away_seconds)
+        back_at = start + away_seconds
+        changes = [
+            *(Change(102.0 + n) for n in range(9)),
+            watch_simulation.removal(start - 1.0, "e2"),
+            Change(back_at + 3.0),
+            watch_simulation.removal(back_at + 3.0, "e1"),
+        ]
+        shape = watch_simulation.Shape(entries=3)
+        return watch_simulation.late_changes(faults, changes, 2.0, shape=shape)
+
+    assert _late_in_phases(play, 5) == []
+
+
+def test_changes_between_drills_in_series_are_in_force_in_time():
+    def play(start):
+        faults = _drills([start, start + 1.3, start + 4.0], 6.0, 0.4)
+        changes = [Change(start + n / 3 - 2.0) for n in range(24)]
+        return watch_simulation.late_changes(faults, changes, 2.0)
+
+    assert _late_in_phases(play, 10) == []
+
+
+# The other side: what the copy lacks is written again, so it stays in force
+# meanwhile.
+def test_entry_that_the_copy_lacks_stays_until_it_is_written_again():
+    for phase in range(10):
+        start = 111.0 + phase / 10
+        changes = watch_simulation.lapse(103.0, start - 1.0, "e1")
+        faults = _drills([start], 4.0, 0.4)
+        faults.drills = [
+            watch_simulation.Drill(d.at, d.copy_seconds, 1.2)
+            for d in faults.drills
+        ]
+        shape = watch_simulation.Shape(entries=3)
+        fleet = watch_simulation.play(faults, changes, 2.0, shape=shape)
+        removed = [at for _, _, at in fleet.removed_by_mistake()]
+        assert all(at < start for at in removed)
+
+
 def _spans(longest):
     """Return spans that begin between 5 and 15 s after the start."""
     return strategies.builds(
@@ -215,6 +276,15 @@
     lost_updates=strategies.lists(
         strategies.tuples(DAEMONS, _spans(4.0)), max_size=2
     ),
+    drills=strategies.lists(
+        strategies.builds(
+            watch_simulation.Drill,
+            strategies.floats(105.0, 115.0),
+            strategies.sampled_from([0.5, 4.0, 9.0]),
+        ),
+        max_size=2,
+        unique_by=lambda drill: drill.at,
+    ),
 )
 TIMES = strategies.floats(104.0, 117.0)
 CHANGES = strategies.tuples(
