Leave a silent endpoint only if the stream can go on elsewhere (LOST)

Where all endpoints fell silent together, resumable streams ended too.

Cause: half a second without progress was proof of a stall, and nobody asked whether the stream could go on elsewhere. The log shows it: send_failed with progress_ms_ago 500 and 7 events, then the cut.

Change: a stream leaves only if route, attempts, stop, budget, quarantine and another endpoint at work allow it at that moment; else it waits and looks again. A group that has lost a member is still left for another one that works, within the time of before.

--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -52,15 +52,17 @@
         endpoint: endpoints.Endpoint,
         progress: progress_module.CallProgress,
         exchange: server.Exchange,
+        may_leave: stall_detection.MayLeave,
     ) -> progress_module.Outcome:
         """Read the answer to a sent request and relay it to the caller.
 
+        `may_leave` tells whether the request can go on elsewhere.
         Raises ConnectionBroken if the connection or the answer is broken,
         EndpointStalled if the endpoint makes no progress and OSError if the
         caller is gone.
         """
         call = progress.call
-        head = await self._read_head(connection, endpoint, call)
+        head = await self._read_head(connection, endpoint, call, may_leave)
         progress.end_queueing(endpoint)
         info = self.wire.read_answer(call, head)
         now = clock.monotonic()
@@ -89,7 +91,7 @@
             )
         if call.is_stream and head.status == 200:
             await self._relay_stream(
-                connection, endpoint, info, progress, exchange
+                connection, endpoint, info, progress, exchange, may_leave
             )
             if not exchange.started:
                 if _ended_early(head, progress):
@@ -129,14 +131,13 @@
         connection: client.Connection,
         endpoint: endpoints.Endpoint,
         call: calls.Call,
+        may_leave: stall_detection.MayLeave,
     ) -> messages.ResponseHead:
-        if not call.route.may_retry:
-            return await connection.read_head()
         if not call.is_stream:
             return await connection.read_head()
         max_wait_seconds = call.deadline - clock.monotonic()
         return await stall_detection.read_unless_stalled(
-            connection.read_head, endpoint, max_wait_seconds
+            connection.read_head, endpoint, max_wait_seconds, may_leave
         )
 
     async def _relay_stream(
@@ -146,6 +147,7 @@
         info: calls.AnswerInfo,
         progress: progress_module.CallProgress,
         exchange: server.Exchange,
+        may_leave: stall_detection.MayLeave,
     ) -> None:
         stream = progress.stream
         count_before = stream.event_count
@@ -156,6 +158,7 @@
                 connection.read_chunk,
                 endpoint,
                 max_wait_seconds,
+                may_leave,
                 waiting_since,
             )
             if not chunk:
--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -109,6 +109,28 @@
             raise _overloaded_refusal(call, len(candidates))
         return best
 
+    def has_working_endpoint(
+        self,
+        call: calls.Call,
+        excluded: collections.abc.Set[ids.InstanceId],
+        now: clock.MonotonicTime,
+    ) -> bool:
+        """Return whether an endpoint that is not excluded is at work or idle.
+
+        One with requests that makes no progress may be as silent as those
+        that are excluded.
+        """
+        known = self.endpoint_table.for_model(
+            call.service.name, _model_name(call)
+        )
+        return any(
+            e.id not in excluded
+            and not e.is_suspect(now)
+            and self._has_cold_quota(e, call.service, now)
+            and (e.is_idle(now) or e.made_progress(now))
+            for e in known
+        )
+
     def _held_back(
         self,
         usable: collections.abc.Iterable[endpoints.Endpoint],
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -40,6 +40,8 @@
 IDLE_LOAD: Final = 0.5
 # Covers three updates of the peers.
 RECENT_PROGRESS_SECONDS: Final = 0.3
+# Longer than the pauses of a healthy engine, as seen by its peers.
+WORKING_SECONDS: Final = 0.5
 
 
 @dataclasses.dataclass(eq=False)
@@ -144,6 +146,14 @@
         self.suspicions = 0
         self.suspect_until = clock.MonotonicTime(0.0)
 
+    def is_idle(self, now: clock.MonotonicTime) -> bool:
+        """Return whether the endpoint has no requests."""
+        return self.load(now) < IDLE_LOAD
+
+    def made_progress(self, now: clock.MonotonicTime) -> bool:
+        """Return whether the endpoint has lately made progress."""
+        return now - self.last_progress_at < WORKING_SECONDS
+
     def is_half_open(self, now: clock.MonotonicTime) -> bool:
         """Return whether a suspicion has expired without progress since.
 
@@ -214,7 +224,7 @@
     ) -> bool:
         """Return whether an instance is in an open group without requests."""
         head = self._head_of(instance)
-        return head is not None and head.load(now) < IDLE_LOAD
+        return head is not None and head.is_idle(now)
 
     def _head_of(self, instance: instance_state.Instance) -> Endpoint | None:
         membership = instance.membership
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -302,7 +302,11 @@
         exchange: server.Exchange,
     ) -> progress_module.Outcome:
         relaying = self._answer_relay.relay(
-            connection, endpoint, progress, exchange
+            connection,
+            endpoint,
+            progress,
+            exchange,
+            lambda: self._may_leave(endpoint, progress, clock.monotonic()),
         )
         if not progress.call.route.may_retry:
             # Its answer is lost for good if the connection is given up.
@@ -310,6 +314,29 @@
         with self.connector.interrupted_if_silent(connection):
             return await relaying
 
+    def _may_leave(
+        self,
+        endpoint: endpoints.Endpoint,
+        progress: progress_module.CallProgress,
+        now: clock.MonotonicTime,
+    ) -> bool:
+        """Return whether a call can go on elsewhere if it leaves now.
+
+        Leaving costs the caller the rest of the answer unless another
+        endpoint may run it, and is at work.
+        """
+        call = progress.call
+        return (
+            progress.may_resend_after_run()
+            and self.stop_plan.may_begin(call.route, now)
+            and self.budget.usage(call.service.name, now).allows_retry
+            and self.parts.find_blocking(call.part_keys) is None
+            and not self.poison_detector.is_poison(call.fingerprint, now)
+            and self.selector.has_working_endpoint(
+                call, progress.tried_ids | {endpoint.id}, now
+            )
+        )
+
     async def _connect(
         self, endpoint: endpoints.Endpoint, call: calls.Call
     ) -> client.Connection:
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -114,6 +114,16 @@
         route = self.call.route
         return route.may_retry and self.run_count < route.max_runs
 
+    def may_resend_after_run(self) -> bool:
+        """Return whether another send is allowed after one that has run."""
+        route = self.call.route
+        return (
+            route.may_retry
+            and self.stream.can_be_continued
+            and len(self.sends) + 1 < MAX_SENDS
+            and self.run_count + 1 < route.max_runs
+        )
+
     def record_outcome(
         self, endpoint: endpoints.Endpoint, outcome: Outcome
     ) -> None:
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -77,13 +77,19 @@
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> None:
         """Raise Refusal if the fingerprint is that of a poison request."""
-        if self.score(fingerprint, now) < SCORE_THRESHOLD:
+        if not self.is_poison(fingerprint, now):
             return
         raise refusal(
             len(self._recent(fingerprint, now)),
             error_codes.Execution.NOT_RUN,
         )
 
+    def is_poison(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> bool:
+        """Return whether the fingerprint is that of a poison request."""
+        return self.score(fingerprint, now) >= SCORE_THRESHOLD
+
     def record_crash(self, crash: Crash, now: clock.MonotonicTime) -> bool:
         """Count a crash that this daemon detected and publish a notice.
 
