Let answers refute the crashes beneath a request (DENIED)

Cause: the detector counted crashes alone. The log shows it: crash_counted with score 1.0, nine seconds in which the other replicas answer the same lookup, then score 2.0 and poisoned.

Change: a complete answer at any daemon refutes the crashes before it and those of the next two seconds, and peers are told. A request that was answered lately needs three crashes without an answer. The same for the own interface.

--- a/sycamoredale/forwarding/crash_counting.py
+++ b/sycamoredale/forwarding/crash_counting.py
@@ -76,7 +76,7 @@
             lost.domain,
             alone=lost.ran_alone,
         )
-        is_poisoned = self.poison_detector.record_crash(crash, now)
+        is_poisoned = self.poison_detector.record_crash(crash, now, lost.at)
         self.quarantine.record_loss(
             lost.part_keys,
             part_evidence.incarnation_key(lost.endpoint, lost.started_ms),
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -226,14 +226,25 @@
                 await self._crash_counter.record_broken(
                     progress.call, endpoint, active_request.ran_alone
                 )
-            elif progress.has_success:
-                self.parts.quarantine.record_answer(
-                    progress.call.part_keys, clock.monotonic()
-                )
+            else:
+                self._record_answered(progress, outcome, clock.monotonic())
             return outcome
         finally:
             active_request.finish()
 
+    def _record_answered(
+        self,
+        progress: progress_module.CallProgress,
+        outcome: progress_module.Outcome,
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Let an answer speak for the request and the parts of its prompt."""
+        call = progress.call
+        if outcome is progress_module.Outcome.ANSWERED:
+            self.poison_detector.record_answer(call.fingerprint, now)
+        if progress.has_success:
+            self.parts.quarantine.record_answer(call.part_keys, now)
+
     async def _send_on_connection(
         self,
         endpoint: endpoints.Endpoint,
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -117,7 +117,9 @@
             history.execution = error_codes.Execution.UNKNOWN
             self.liveness_monitor.add(attempt, clock.monotonic())
             try:
-                return await attempt_module.fetch(attempt, self.pool)
+                response = await attempt_module.fetch(attempt, self.pool)
+                self.poison_detector.record_answer_to(call, clock.monotonic())
+                return response
             except errors.ConnectionFailed as error:
                 self._log_failure(attempt, error)
             except errors.ConnectionBroken as error:
@@ -173,9 +175,9 @@
                 response = await attempt_module.fetch(attempt, self.pool)
                 self.liveness_monitor.remove(attempt)
                 await exchange.respond(response)
-            self.parts.quarantine.record_answer(
-                history.part_keys, clock.monotonic()
-            )
+            now = clock.monotonic()
+            self.parts.quarantine.record_answer(history.part_keys, now)
+            self.poison_detector.record_answer_to(history.call, now)
             return True
         except errors.ConnectionFailed as error:
             self._log_failure(attempt, error)
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -7,6 +7,10 @@
 if other endpoints of the same fabric domain were lost at the same time.
 Daemons exchange notices of crashes, so that each of them counts the crashes
 of all.
+
+A poison request has no answer, since it crashes each endpoint that runs it.
+So an answer at any daemon refutes the crashes before it, and those that follow
+at once.  Requests that have been answered lately need more crashes.
 """
 
 import collections.abc
@@ -23,7 +27,9 @@
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.membership import gossip as gossip_module
+from sycamoredale.observability import logs
 from sycamoredale.requests import call as call_module
+from sycamoredale.requests import part_evidence
 
 MAX_CRASHES_PER_CALL: Final = 3
 # Reached by two crashes alone or by three concurrent ones.
@@ -34,8 +40,11 @@
 CORRELATION_WINDOW_SECONDS: Final = 5.0
 RETENTION_SECONDS: Final = 3600.0
 MAX_FINGERPRINTS: Final = 4096
+# Of answered requests; those that are asked for often stay.
+MAX_ANSWERED: Final = 1024
 MAX_CRASHES_PER_FINGERPRINT: Final = 32
 MAX_NOTICES_PER_SECOND: Final = 20
+LOG: Final = logs.get("poison")
 CONTENT_FIELDS: Final = ("model", "messages", "prompt", "adapter")
 
 Fingerprint = typing.NewType("Fingerprint", str)
@@ -50,6 +59,15 @@
     alone: bool
 
 
+class Answered(msgspec.Struct, frozen=True):
+    """Report that an endpoint has answered a request, despite crashes.
+
+    An earlier build finds no crash in it, and ignores it.
+    """
+
+    answered: Fingerprint
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _TimedCrash:
     crash: Crash
@@ -58,12 +76,19 @@
 
 @dataclasses.dataclass
 class PoisonDetector:
-    """Score crashes by fingerprint and refuse requests above the threshold."""
+    """Score crashes by fingerprint and refuse requests above the threshold.
+
+    Notices above MAX_NOTICES_PER_SECOND are not published.
+    """
 
     gossip: gossip_module.Gossip | None = None
     _crashes_by_fingerprint: dict[Fingerprint, list[_TimedCrash]] = (
         dataclasses.field(default_factory=dict)
     )
+    # The one that was answered last comes last.
+    _answered_at: dict[Fingerprint, clock.MonotonicTime] = dataclasses.field(
+        default_factory=dict
+    )
     _notice_times: list[clock.MonotonicTime] = dataclasses.field(
         default_factory=list
     )
@@ -90,30 +115,85 @@
         """Return whether the fingerprint is that of a poison request."""
         return self.score(fingerprint, now) >= SCORE_THRESHOLD
 
-    def record_crash(self, crash: Crash, now: clock.MonotonicTime) -> bool:
+    def record_crash(
+        self,
+        crash: Crash,
+        now: clock.MonotonicTime,
+        lost_at: clock.MonotonicTime | None = None,
+    ) -> bool:
         """Count a crash that this daemon detected and publish a notice.
 
         Returns whether further requests with the fingerprint are refused.
-        Notices above MAX_NOTICES_PER_SECOND are not published.
         """
-        self._add(crash, now)
-        recent = [t for t in self._notice_times if t > now - 1.0]
-        if self.gossip is not None and len(recent) < MAX_NOTICES_PER_SECOND:
-            recent.append(now)
-            key = f"{crash.fingerprint}:{crash.endpoint}"
-            self.gossip.publish(gossip_module.Topic.POISON, key, crash)
-        self._notice_times = recent
-        return self.score(crash.fingerprint, now) >= SCORE_THRESHOLD
+        self._add(crash, now, now if lost_at is None else lost_at)
+        self._publish(f"{crash.fingerprint}:{crash.endpoint}", crash, now)
+        return self.is_poison(crash.fingerprint, now)
+
+    def record_answer_to(
+        self, call: call_module.Call, now: clock.MonotonicTime
+    ) -> None:
+        """Record an answer to a call of the own interface.
+
+        Without any crash the fingerprint is not worth its computation.
+        """
+        if self._crashes_by_fingerprint:
+            self.record_answer(fingerprint_of(call), now)
+
+    def record_answer(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> None:
+        """Forget the crashes of a request that an endpoint has answered."""
+        self._keep_answer(fingerprint, now)
+        if fingerprint in self._crashes_by_fingerprint:
+            self._refute(fingerprint, now)
 
     def handle_notice(
         self, notice: gossip_module.Notice, now: clock.MonotonicTime
     ) -> None:
-        """Count a crash that another daemon detected."""
+        """Apply the crash or the answer that another daemon has seen."""
         try:
             crash = decoding.decode_json(notice.payload, Crash)
+        except msgspec.DecodeError:
+            self._handle_answered(notice, now)
+        else:
+            self._add(crash, now, now)
+
+    def _handle_answered(
+        self, notice: gossip_module.Notice, now: clock.MonotonicTime
+    ) -> None:
+        try:
+            answered = decoding.decode_json(notice.payload, Answered).answered
         except msgspec.DecodeError:
             return
-        self._add(crash, now)
+        self._keep_answer(answered, now)
+        self._crashes_by_fingerprint.pop(answered, None)
+
+    def _keep_answer(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> None:
+        self._answered_at.pop(fingerprint, None)
+        self._answered_at[fingerprint] = now
+        if len(self._answered_at) > MAX_ANSWERED:
+            del self._answered_at[next(iter(self._answered_at))]
+
+    def _refute(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> None:
+        """Forget the crashes of a request, here and at the peers."""
+        crashes = self._crashes_by_fingerprint.pop(fingerprint, [])
+        LOG.info(
+            "crashes_refuted", fingerprint=fingerprint, crashes=len(crashes)
+        )
+        self._publish(f"{fingerprint}:answered", Answered(fingerprint), now)
+
+    def _publish(
+        self, key: str, value: Crash | Answered, now: clock.MonotonicTime
+    ) -> None:
+        recent = [t for t in self._notice_times if t > now - 1.0]
+        if self.gossip is not None and len(recent) < MAX_NOTICES_PER_SECOND:
+            recent.append(now)
+            self.gossip.publish(gossip_module.Topic.POISON, key, value)
+        self._notice_times = recent
 
     def score(
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
@@ -132,7 +212,10 @@
     def _weight(self, timed: _TimedCrash) -> float:
         if self._is_correlated(timed):
             return CORRELATED_WEIGHT
-        return ALONE_WEIGHT if timed.crash.alone else CONCURRENT_WEIGHT
+        was_answered = timed.crash.fingerprint in self._answered_at
+        if timed.crash.alone and not was_answered:
+            return ALONE_WEIGHT
+        return CONCURRENT_WEIGHT
 
     def _is_correlated(self, timed: _TimedCrash) -> bool:
         # Endpoints that were lost while they ran the same request are not
@@ -153,7 +236,19 @@
         for crashes in self._crashes_by_fingerprint.values():
             yield from crashes
 
-    def _add(self, crash: Crash, now: clock.MonotonicTime) -> None:
+    def _add(
+        self,
+        crash: Crash,
+        now: clock.MonotonicTime,
+        lost_at: clock.MonotonicTime,
+    ) -> None:
+        answered_at = self._answered_at.get(crash.fingerprint)
+        if (
+            answered_at is not None
+            and lost_at - answered_at < part_evidence.ANSWER_CLEARS_SECONDS
+        ):
+            self._refute(crash.fingerprint, now)
+            return
         # Each endpoint counts once, with its latest crash.
         retained = [
             timed
--- a/tests/message_formats.py
+++ b/tests/message_formats.py
@@ -34,6 +34,7 @@
     "requests.quarantine_records:StoredRecord": "json",
     "requests.part_updates:PartUpdate": "json",
     "requests.poison:Crash": "json",
+    "requests.poison:Answered": "json",
     "routing.health:HealthReport": "json",
     "routing.cold_slots:DomainSlots": "json",
     "routing.cold_start_records:DomainColdStartRecords": "json",
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -392,6 +392,19 @@
         self.lines.append({"event": event, **fields})
 
 
+# Guards against DENIED: a request that endpoints answer was refused after two
+# of them had crashed beneath it.
+def test_request_that_is_answered_is_not_refused_after_ordinary_crashes():
+    detector = poison.PoisonDetector()
+    for number in range(4):
+        site = Site(Endpoint(f"a{number}", "crashes", 2), Endpoint("b"))
+        site.forwarder.poison_detector = detector
+        site.forwarder._crash_counter.poison_detector = detector
+        caller, refusal = site.run()
+        assert refusal is None
+        assert caller.body == COMPLETE
+
+
 def test_denied_retry_is_logged(monkeypatch):
     log = _Log()
     monkeypatch.setattr(send_log, "LOG", log)
