Give no term of a lease out twice over the eras of the store (TWO)

Cause: the epoch of a lease's term came from the stored record alone. The log shows it: the holder before the drill orders joins of m1.1000001 at 15:30:02, the one after it at 15:30:14. Ordering versions by the era did not change that; the case still failed once with it.

Change: the first epoch in an era is greater than all of former eras, and the epochs of groups with it. A daemon that notices a later era waits for the length of a lease, unless it holds the lease itself. The model of the lease draws copies and drills.

--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -12,6 +12,10 @@
 that receives such a report counts the wait from then on, because the version
 was written earlier.
 
+When the store comes back from an older copy, the lease may be lost with it,
+while its owner still acts.  Another daemon waits until that term has expired;
+the last owner need not.  Epochs of terms in a later era are greater.
+
 Each write carries an id.  When the answer to a write is lost, the object is
 read: if it contains the id, the write took effect, and the lease counts from
 the time at which the write was sent.
@@ -29,12 +33,15 @@
 from sycamoredale import errors
 from sycamoredale import ids
 from sycamoredale.object_api import objects
+from sycamoredale.observability import logs
 
+LOG: Final = logs.get("leases")
 LEASE_KIND: Final = "lease"
 LEASE_SECONDS: Final = 6.0
 RENEWALS_PER_LEASE: Final = 2
 CLOCK_RATE_ALLOWANCE: Final = 0.01
 NO_OWNER: Final = ids.DaemonId("")
+NEVER: Final = clock.MonotonicTime(float("-inf"))
 
 ReadClock = clock.ReadClock
 
@@ -87,10 +94,26 @@
     term: Term | None = None
     _observation: Observation | None = None
     _report: OwnerReport | None = None
+    # Until when the last term of this daemon and one of a former era may last.
+    _own_until: clock.MonotonicTime = NEVER
+    _former_until: clock.MonotonicTime = NEVER
     _sent_at_by_write_id: dict[ids.WriteId, clock.MonotonicTime] = (
         dataclasses.field(default_factory=dict)
     )
 
+    def __post_init__(self) -> None:
+        """Subscribe to the eras of the store."""
+        self.store.eras.on_change.append(self._begin_era)
+
+    def _begin_era(self) -> None:
+        """Wait for the owner of a former era, unless that is this daemon."""
+        now = self.read_clock()
+        if now < self._own_until:
+            return
+        wait = with_clock_allowance(self.lease_seconds)
+        self._former_until = clock.MonotonicTime(now + wait)
+        LOG.info("lease_wait_began", name=self.name, seconds=wait)
+
     def is_held(self, now: clock.MonotonicTime) -> bool:
         """Return whether this daemon may act as the owner now."""
         return self.term is not None and now < self.term.expires_at
@@ -130,7 +153,7 @@
         """
         if self.term is not None or self._observation is None:
             return None
-        return _free_at(self._observation)
+        return max(_free_at(self._observation), self._former_until)
 
     def check(self, now: clock.MonotonicTime) -> None:
         """Raise LeaseLost unless this daemon may act as the owner now."""
@@ -183,6 +206,8 @@
         """Return whether the lease is free by the last read of the object."""
         if self.term is not None or self._observation is None:
             return False
+        if now < self._former_until:
+            return False
         record = self._observation.record
         if record is not None and record.write_id in self._sent_at_by_write_id:
             return True  # No other daemon has written since this one did.
@@ -199,6 +224,7 @@
         version = self.term.version
         epoch = self.term.epoch
         self.term = None
+        self._own_until = NEVER
         record = LeaseRecord(NO_OWNER, epoch, _new_write_id())
         try:
             await self._put(record, version)
@@ -236,6 +262,7 @@
             assert self._observation is not None
             last = self._observation.record
             epoch = ids.Epoch(last.epoch + 1 if last else 1)
+            epoch = max(epoch, self.store.eras.first_epoch())
             expected = self._observation.version
         record = LeaseRecord(owner, epoch, write_id, self.lease_seconds)
         return record, expected
@@ -255,6 +282,7 @@
         expires_at = clock.MonotonicTime(sent_at + record.lease_seconds)
         term = Term(record.epoch, observation.version, acquired_at, expires_at)
         self.term = term if now < expires_at else None
+        self._own_until = max(self._own_until, expires_at)
         self._sent_at_by_write_id = {
             write_id: time
             for write_id, time in self._sent_at_by_write_id.items()
--- a/sycamoredale/object_api/eras.py
+++ b/sycamoredale/object_api/eras.py
@@ -18,6 +18,8 @@
 # A decimal number, so that logs show the era and the revision.
 REVISIONS_PER_ERA: Final = 10**12
 MAX_ERA: Final = 10**6
+# More than leases have terms in one era.
+EPOCHS_PER_ERA: Final = 10**5
 UNKNOWN_ERA: Final = ids.StoreEra(0)
 LOG: Final = logs.get("object_api.eras")
 
@@ -71,6 +73,10 @@
         for callback in self.on_change:
             callback()
 
+    def first_epoch(self) -> ids.Epoch:
+        """Return an epoch that no term of a former era has had."""
+        return ids.Epoch(self.current * EPOCHS_PER_ERA + 1)
+
     def version(self, revision: int) -> ids.ObjectVersion:
         """Return the version of a revision that was just answered."""
         return ids.ObjectVersion(self.current * REVISIONS_PER_ERA + revision)
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -11,6 +11,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.object_api import eras
 from sycamoredale.object_api import objects
 
 
@@ -81,6 +82,28 @@
             return ids.ObjectVersion(self.version)
         raise errors.OutcomeUnknown(error_codes.OUTCOME_UNKNOWN, "lost")
 
+    def take_copy(self) -> tuple[int, dict[str, objects.StoredObject]]:
+        """Return a copy of the state, for a drill."""
+        return self.version, dict(self.by_name)
+
+    def roll_back(
+        self, copy: tuple[int, dict[str, objects.StoredObject]]
+    ) -> None:
+        """Go on from a copy in the next era, of which all daemons know."""
+        if self.eras.current == eras.UNKNOWN_ERA:
+            self.eras.record_answer("1")
+        self.eras.record_answer(str(self.eras.current + 1))
+        self.version = self._in_this_era(copy[0])
+        self.by_name = {
+            path: msgspec.structs.replace(
+                stored, version=self._in_this_era(stored.version)
+            )
+            for path, stored in copy[1].items()
+        }
+
+    def _in_this_era(self, version: int) -> ids.ObjectVersion:
+        return self.eras.version(version % eras.REVISIONS_PER_ERA)
+
     def deliver_delayed(self) -> None:
         """Apply the delayed writes in the order in which they were sent."""
         for path, value, expected in self.delayed:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -49,6 +49,7 @@
             for n, rate in enumerate(RATES)
         ]
         self.highest_epoch = 0
+        self.copy = self.store.take_copy()
         self.reports: list[ids.ObjectVersion] = []
 
     @stateful.rule(daemon=DAEMONS)
@@ -84,6 +85,15 @@
     def deliver_delayed_writes(self) -> None:
         self.store.deliver_delayed()
 
+    @stateful.rule()
+    def take_copy(self) -> None:
+        self.copy = self.store.take_copy()
+
+    @stateful.rule()
+    def hold_drill(self) -> None:
+        """Let the store come back from the last copy."""
+        self.store.roll_back(self.copy)
+
     @stateful.invariant()
     def has_at_most_one_owner(self) -> None:
         held = [x for x in self.leases if x.is_held(x.read_clock())]
@@ -103,6 +113,48 @@
     return leases.Lease(store, "domain", ids.DaemonId(name), time.reader(1.0))
 
 
+# Guards against TWO: terms and their epochs were given out again after the
+# store had come back from a copy without them.
+def test_term_after_a_drill_has_a_greater_epoch() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    first, second = _lease(store, time, "c1"), _lease(store, time, "c2")
+    copy = store.take_copy()
+    assert curio.run(first.renew_or_acquire)
+    assert first.term is not None
+    epoch = first.term.epoch
+    store.roll_back(copy)
+    time.now += 2 * leases.LEASE_SECONDS
+    assert curio.run(second.renew_or_acquire)
+    assert second.term is not None
+    assert second.term.epoch > epoch
+
+
+def test_owner_of_a_former_era_is_waited_for() -> None:
+    """The owner does not reach the store, and its term still lasts."""
+    time, store = Time(), fake_store.FakeStore()
+    first, second = _lease(store, time, "c1"), _lease(store, time, "c2")
+    copy = store.take_copy()
+    assert curio.run(first.renew_or_acquire)
+    store.roll_back(copy)
+    assert not curio.run(second.renew_or_acquire)
+    assert first.is_held(first.read_clock())
+    time.now += leases.with_clock_allowance(leases.LEASE_SECONDS) + 0.1
+    assert not first.is_held(first.read_clock())
+    assert curio.run(second.renew_or_acquire)
+
+
+def test_owner_of_a_former_era_takes_the_lease_again_at_once() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    lease = _lease(store, time, "c1")
+    copy = store.take_copy()
+    assert curio.run(lease.renew_or_acquire)
+    store.roll_back(copy)
+    time.now += leases.LEASE_SECONDS * 0.6
+    for _ in range(2):
+        curio.run(lease.renew_or_acquire)
+    assert lease.is_held(lease.read_clock())
+
+
 def test_term_of_a_lost_answer_counts_from_before_the_write() -> None:
     time, store = Time(), fake_store.FakeStore()
     lease = _lease(store, time, "c1")
