Keep an instance leaving for its whole life, whatever entry is listed (DRAIN)

Cause: after a drill the copy lists an instance as ready that had said in its entry that it leaves. Statements in answers were kept for the life of the instance already, those of the list were not.

Change: an entry of the same start does not undo what an earlier one said. An instance that starts again is not bound by it.

Measured: the new test in test_instance_table.py failed without the change.

--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -109,7 +109,9 @@
         if known is None and unlisted is not None:
             known = unlisted.instance
         self.incarnations.record_started(instance.id, instance.started_ms)
-        instance = self._merge_newest(known, instance)
+        instance = self._keep_leaving(
+            known, self._merge_newest(known, instance)
+        )
         if known is not None and known.address != instance.address:
             self.incarnations.remove_address(known.address, instance.id)
             self._reinstate_at(known.address)
@@ -218,6 +220,22 @@
             return merged if _is_same_incarnation(known, instance) else known
         return instance
 
+    def _keep_leaving(
+        self,
+        known: instance_state.Instance | None,
+        instance: instance_state.Instance,
+    ) -> instance_state.Instance:
+        """Return a listed instance as leaving if it was before.
+
+        An older entry may be listed after the store has come back from a
+        copy, and an instance that leaves does so for its whole life.
+        """
+        if known is None or not known.leaving:
+            return instance
+        if not _is_same_incarnation(known, instance):
+            return instance
+        return dataclasses.replace(instance, leaving=True)
+
     def record_leaving(
         self,
         incarnation: departures_module.Incarnation,
--- a/tests/test_instance_table.py
+++ b/tests/test_instance_table.py
@@ -148,6 +148,17 @@
     assert set(table.by_id) == {"i0", "i1"}
 
 
+# Guards against DRAIN after a drill: the copy listed an instance as
+# ready that had said that it leaves.
+def test_leaving_instance_stays_leaving_though_its_older_entry_is_listed():
+    table = _table(instance_fixtures.instance("i0"))
+    table.apply_listed(instance_fixtures.instance("i0", leaving=True), 1.0)
+    table.apply_listed(instance_fixtures.instance("i0"), 2.0)
+    assert table.by_id["i0"].leaving
+    table.apply_listed(instance_fixtures.instance("i0", started_ms=2000), 3.0)
+    assert not table.by_id["i0"].leaving
+
+
 def test_number_of_ended_instances_is_limited():
     tracker = incarnations.IncarnationTracker()
     for number in range(incarnations.MAX_ENDED + 5):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -29,6 +29,7 @@
 from sycamoredale.platform import instance_decoder
 from sycamoredale.platform import manifest
 from sycamoredale.platform import store as store_module
+from tests import fake_store
 from tests import instance_fixtures
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
@@ -274,7 +275,8 @@
 
 
 def test_malformed_lease_is_an_unavailable_one():
-    lease = leases.Lease(None, "groups", ids.DaemonId("a"))
+    store = fake_store.FakeStore()
+    lease = leases.Lease(store, "groups", ids.DaemonId("a"))
     stored = objects.StoredObject("groups", 3, msgspec.Raw(DEEP))
     with pytest.raises(errors.StoreUnavailable):
         lease.observe(stored, clock.MonotonicTime(0.0))
