--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -145,9 +145,7 @@
             instance, since, is_superseded=True
         )
 
-    def contested(
-        self,
-    ) -> list[instance_state.Instance]:
+    def contested(self) -> list[instance_state.Instance]:
         """Return the instances at whose address a later one is listed."""
         return [
             unlisted.instance
@@ -160,16 +158,15 @@
 
         The other entries with that address do not name an instance there.
         """
-        unlisted = self.unlisted_by_id.get(instance.id)
-        if unlisted is None or not _is_same_incarnation(
-            unlisted.instance, instance
-        ):
+        unlisted = self._find_unlisted(instance)
+        if unlisted is None:
             return
         with self.batch():
             for other in self._others_at(instance):
-                self.incarnations.refute(other.id, other.started_ms)
-                self._remove(other.id)
-                _log("entry_refuted", other, "another instance answers there")
+                if other.started_ms < instance.started_ms:
+                    self._record_replaced(other)
+                else:
+                    self._refute(other)
             self.incarnations.set_latest(
                 instance.address, instance.id, instance.started_ms
             )
@@ -193,6 +190,26 @@
 
     def record_replaced(self, instance: instance_state.Instance) -> None:
         """Record that another instance has answered at its address."""
+        if self._find_unlisted(instance) is not None:
+            self._record_replaced(instance)
+
+    def _find_unlisted(
+        self, instance: instance_state.Instance
+    ) -> UnlistedInstance | None:
+        """Return the record of an instance unless it has started again."""
+        unlisted = self.unlisted_by_id.get(instance.id)
+        if unlisted is None:
+            return None
+        is_same = _is_same_incarnation(unlisted.instance, instance)
+        return unlisted if is_same else None
+
+    def _refute(self, instance: instance_state.Instance) -> None:
+        """Use an entry no more that names no instance at its address."""
+        self.incarnations.refute(instance.id, instance.started_ms)
+        self._remove(instance.id)
+        _log("entry_refuted", instance, "another instance answers there")
+
+    def _record_replaced(self, instance: instance_state.Instance) -> None:
         if not self.incarnations.has_ended(instance.id):
             _log_ended(instance, "another instance answers at its address")
         self.incarnations.record_ended(instance.id, instance.started_ms)
--- a/sycamoredale/platform/engine_client.py
+++ b/sycamoredale/platform/engine_client.py
@@ -61,9 +61,8 @@
             return address_checks.Occupant.OTHER
         if service.engine is not None:
             report = instance_decoder.decode_report(response.body)
-            return address_checks.compare(
-                instance.started_ms, report.started_ms
-            )
+            started_ms = report.started_ms or None
+            return address_checks.compare(instance.started_ms, started_ms)
         name = response.headers.get(wire_format.INSTANCE_ID)
         return address_checks.compare(instance.id, name)
 
--- a/tests/test_contested_addresses.py
+++ b/tests/test_contested_addresses.py
@@ -132,6 +132,19 @@
     assert _free(table, 20.0) == {"i9", "i1", "i2"}
 
 
+def test_late_check_does_not_end_an_instance_that_has_started_again():
+    table = _group_table()
+    table.apply_listed(_rival("i9", service=instance_fixtures.SERVICE), 10.0)
+    asked = table.contested()[0]
+    again = instance_fixtures.instance(
+        "i0", started_ms=3000, address=_address(0)
+    )
+    table.apply_listed(again, 11.0)
+    table.record_replaced(asked)
+    assert table.by_id["i0"] == again
+    assert not table.has_ended("i0", 3000)
+
+
 class _Address:
     """Answer as one instance does, or not at all."""
 
@@ -216,6 +229,7 @@
     report = b'{"seq": 1, "born": %d}'
     assert _occupant(engines, 200, report % 1000) is Occupant.SAME
     assert _occupant(engines, 200, report % 2000) is Occupant.OTHER
+    assert _occupant(engines, 200, b'{"seq": 1}') is Occupant.UNKNOWN
     for service in (engines, plain):
         assert _occupant(service, 421) is Occupant.OTHER
     own = [("Replica-Id", "i0")]
