--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -125,8 +125,9 @@
 
         Returns whether further requests with the fingerprint are refused.
         """
-        self._add(crash, now, now if lost_at is None else lost_at)
-        self._publish(f"{crash.fingerprint}:{crash.endpoint}", crash, now)
+        if self._add(crash, now, now if lost_at is None else lost_at):
+            key = f"{crash.fingerprint}:{crash.endpoint}"
+            self._publish(key, crash, now)
         return self.is_poison(crash.fingerprint, now)
 
     def record_answer_to(
@@ -156,7 +157,8 @@
         except msgspec.DecodeError:
             self._handle_answered(notice, now)
         else:
-            self._add(crash, now, now)
+            if not self._add(crash, now, now):
+                self._publish_answer(crash.fingerprint, now)
 
     def _handle_answered(
         self, notice: gossip_module.Notice, now: clock.MonotonicTime
@@ -184,6 +186,12 @@
         LOG.info(
             "crashes_refuted", fingerprint=fingerprint, crashes=len(crashes)
         )
+        if crashes:
+            self._publish_answer(fingerprint, now)
+
+    def _publish_answer(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> None:
         self._publish(f"{fingerprint}:answered", Answered(fingerprint), now)
 
     def _publish(
@@ -241,14 +249,15 @@
         crash: Crash,
         now: clock.MonotonicTime,
         lost_at: clock.MonotonicTime,
-    ) -> None:
+    ) -> bool:
+        """Return whether the crash counts, which an answer may refute."""
         answered_at = self._answered_at.get(crash.fingerprint)
         if (
             answered_at is not None
             and lost_at - answered_at < part_evidence.ANSWER_CLEARS_SECONDS
         ):
             self._refute(crash.fingerprint, now)
-            return
+            return False
         # Each endpoint counts once, with its latest crash.
         retained = [
             timed
@@ -265,6 +274,7 @@
         while self._should_evict_oldest(now):
             oldest = next(iter(self._crashes_by_fingerprint))
             del self._crashes_by_fingerprint[oldest]
+        return True
 
     def _should_evict_oldest(self, now: clock.MonotonicTime) -> bool:
         if len(self._crashes_by_fingerprint) > MAX_FINGERPRINTS:
