Read the era of the store only from answers that decide a write

A write that is refused with 429 or 503 does nothing, and may come from in front of the store without an era; it was taken for one of unknown outcome once an era was known.

Measured: test_store_eras.py and test_leases.py hold as before.

--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -244,14 +244,6 @@
                 f"{error.message}",
                 error_codes.Execution.UNKNOWN,
             ) from error
-        try:
-            self.eras.record_answer(self._era_text(response))
-        except errors.StoreUnavailable as error:
-            raise errors.OutcomeUnknown(
-                error_codes.OUTCOME_UNKNOWN,
-                f"write of {target}: {error.message}",
-                error_codes.Execution.UNKNOWN,
-            ) from error
         if response.status == 409:
             raise errors.VersionConflict(
                 error_codes.VERSION_CONFLICT,
@@ -262,6 +254,14 @@
                 error_codes.STORE_UNAVAILABLE,
                 f"write of {target} answered status {response.status}",
             )
+        try:
+            self.eras.record_answer(self._era_text(response))
+        except errors.StoreUnavailable as error:
+            raise errors.OutcomeUnknown(
+                error_codes.OUTCOME_UNKNOWN,
+                f"write of {target}: {error.message}",
+                error_codes.Execution.UNKNOWN,
+            ) from error
         if response.status not in (200, 201):
             raise errors.OutcomeUnknown(
                 error_codes.OUTCOME_UNKNOWN,
