--- a/tests/test_watch_bound.py
+++ b/tests/test_watch_bound.py
@@ -236,6 +236,29 @@
     assert _late_in_phases(play, 10) == []
 
 
+# The reads a second that the store of the grown sites serves.
+GROWN_READS_PER_SECOND = 6000
+
+
+@pytest.mark.parametrize("away_seconds", [0.05, 0.5, 2.5])
+def test_calls_after_a_drill_are_within_the_rate_of_the_store(away_seconds):
+    names = ["publisher", *(f"peer{n}" for n in range(61))]
+    back_at = 111.0 + away_seconds
+    faults = Faults(
+        drills=[watch_simulation.Drill(back_at, 6.0)],
+        outages=[(name, Span(111.0, back_at), False) for name in names],
+    )
+    changes = [Change(104.0 + n / 2) for n in range(20)]
+    shape = watch_simulation.Shape(entries=300, stale_seconds=3.0)
+    fleet = watch_simulation.play(
+        faults, changes, 2.0, 18.0, shape, len(names) - 1
+    )
+    times = [at for d in fleet.daemons for at in d.client.called_at]
+    for start in (back_at, back_at + 0.5, back_at + 1.0, back_at + 2.0):
+        count = sum(start <= at < start + 1.0 for at in times)
+        assert count <= GROWN_READS_PER_SECOND
+
+
 # The other side: what the copy lacks is written again, so it stays in force
 # meanwhile.
 def test_entry_that_the_copy_lacks_stays_until_it_is_written_again():
--- a/tests/watch_simulation.py
+++ b/tests/watch_simulation.py
@@ -388,6 +388,7 @@
     daemon: str
     contact: store_contact.StoreContact
     calls: list[str] = dataclasses.field(default_factory=list)
+    called_at: list[float] = dataclasses.field(default_factory=list)
     noted: int = 0
 
     async def list(self, kind, limits):
@@ -461,6 +462,7 @@
         await curio.sleep(seconds)
 
     async def _reach(self, timeout: float) -> None:
+        self.called_at.append(self.model.scheduler.now)
         is_silent = self.model.faults.outage(
             self.daemon, self.model.scheduler.now
         )
@@ -651,9 +653,10 @@
     bound: float,
     seconds: float = 30.0,
     shape: Shape = Shape(),
+    peers: int = 4,
 ) -> Fleet:
     """Return a fleet after a run."""
-    fleet = Fleet(faults, changes, bound, shape=shape)
+    fleet = Fleet(faults, changes, bound, peers, shape)
     with structlog.testing.capture_logs():
         fleet.scheduler.run_until(fleet.scheduler.now + seconds)
     fleet.scheduler.close()
