--- a/sycamoredale/forwarding/instance_table.py
+++ b/sycamoredale/forwarding/instance_table.py
@@ -214,6 +214,8 @@
             _log_ended(instance, "another instance answers at its address")
         self.incarnations.record_ended(instance.id, instance.started_ms)
         self._remove(instance.id)
+        # Also if it was not used: what ran on it has ended.
+        self._notify_changed()
 
     def _merge_newest(
         self,
@@ -354,6 +356,7 @@
             _log_ended(known, "a later instance answers at its address")
         self.incarnations.record_ended(known.id, known.started_ms)
         if self.unlisted_by_id.pop(known.id, None) is not None:
+            self._notify_changed()
             return False
         self._store(_without_membership(known))
         return _is_head(known)
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -7,6 +7,7 @@
 
 from sycamoredale import clock
 from sycamoredale import errors
+from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.http import messages
 from sycamoredale import ids
@@ -131,8 +132,52 @@
                 "i1", address=server.address, started_ms=2000
             )
             instances.apply_listed(restarted, clock.monotonic())
+            assert _count_losses(site) == []
+            instances.record_replaced(instances.contested()[0])
 
     curio.run(main)
+    assert _count_losses(site) == ([1, 1] if starts_again else [])
+
+
+def test_crash_is_counted_if_the_report_of_a_later_instance_shows_it():
+    server = RestartingEndpoint("i0")
+    site = Site(server)
+    instances = site.forwarder.selector.instances
+
+    async def main():
+        await site.start()
+        await site.send(SHARED, CRASHING)
+        restarted = instance_fixtures.instance(
+            "i1", address=server.address, started_ms=2000
+        )
+        instances.apply_listed(restarted, clock.monotonic())
+        report = instance_state.Report(2000, 0, None, ())
+        instances.apply_report("i0", report)
+
+    curio.run(main)
+    assert _count_losses(site) == [1, 1]
+
+
+# Guards against DENIED: an entry of another writer counted as the crash of the
+# endpoint whose address it names.
+def test_entry_that_the_address_refutes_counts_no_crash():
+    server = RestartingEndpoint("i0")
+    site = Site(server)
+    instances = site.forwarder.selector.instances
+
+    async def main():
+        await site.start()
+        await site.send(SHARED, CRASHING)
+        odd = instance_fixtures.instance(
+            "agent-7", service="agent", address=server.address, started_ms=2000
+        )
+        instances.apply_listed(odd, clock.monotonic())
+        instances.record_answering(instances.contested()[0])
+
+    curio.run(main)
+    assert _count_losses(site) == []
+
+
+def _count_losses(site):
     evidence = site.forwarder.parts.quarantine.evidence_by_part.values()
-    losses = [len(e.loss_by_incarnation) for e in evidence]
-    assert losses == ([1, 1] if starts_again else [])
+    return [len(e.loss_by_incarnation) for e in evidence]
