Keep the simulation's comparison of outages as strict as it was

The change that let the simulation hold drills had also excused a change that is due at the very start of an outage. Drills do not need that.

Measured: tests/test_watch_bound.py holds.

--- a/tests/watch_simulation.py
+++ b/tests/watch_simulation.py
@@ -158,7 +158,7 @@
             # take as long as the bound.
             spans += self.slow
         for span in sorted(spans, key=lambda span: span.start):
-            if span.start <= due and span.end > changed_at - CONTACT_SECONDS:
+            if span.start < due and span.end > changed_at - CONTACT_SECONDS:
                 due = max(due, span.end + CONTACT_SECONDS)
         return due
 
