Log requests whose open callers get no answer, and delays of the loop

Cause: the logs could not tell the four hypotheses on LOST apart. A caller that left and an error that was taken for that were both caller_gone, and a held-up event loop left no line.

No decision is changed.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -49,6 +49,7 @@
 from sycamoredale.observability import exposition
 from sycamoredale.observability import line_writer
 from sycamoredale.observability import logs
+from sycamoredale.observability import loop_monitor
 from sycamoredale.platform import engine_client
 from sycamoredale.platform import instance_decoder
 from sycamoredale.platform import manifest
@@ -150,6 +151,7 @@
         """Serve until SIGTERM or SIGINT, then drain."""
         stop_signal = signals.StopSignal()
         await self._spawn("settings", self._reload_settings_on_signal)
+        await self._spawn("loop", loop_monitor.run, self._metric_registry)
         for kind, watcher in self._watcher_by_kind.items():
             await self._spawn(f"watch_{kind}", watcher.run)
         await self._spawn("watch_check", self._check_watchers)
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -77,7 +77,12 @@
                 call.route, clock.monotonic() - now
             )
         except caller_disconnect.CallerDisconnected:
-            self._record_end(progress, exchange, "caller_gone")
+            self._record_end(
+                progress,
+                exchange,
+                "caller_gone",
+                exchange.disconnect_reason or "connection still open",
+            )
         except server.Stopping:
             await self._refuse(
                 progress, exchange, progress_module.stop_refusal(progress)
--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -23,7 +23,9 @@
     `extra_headers` are added to the headers of every answer.  `intact` is
     false during a write and stays false if the write is interrupted; nothing
     may be written after that.  `closes_connection` is true if the answer
-    announced the end of the connection to the caller.
+    announced the end of the connection to the caller, and `is_upgraded` if
+    the connection no longer carries HTTP.  `disconnect_reason` says how the
+    caller's connection ended, if it is known to have ended.
     """
 
     def __init__(
@@ -42,6 +44,8 @@
         self.finished = False
         self.intact = True
         self.closes_connection = False
+        self.is_upgraded = False
+        self.disconnect_reason: str | None = None
         self._chunked = False
         self._connection = connection
         self._sock = sock
@@ -59,6 +63,7 @@
         """
         fields = [("Connection", "Upgrade"), ("Upgrade", protocol)]
         event = h11.InformationalResponse(status_code=101, headers=fields)
+        self.is_upgraded = True
         self._begin()
         await self._send(self._connection.send(event) or b"")
         return self._sock
@@ -110,9 +115,11 @@
         while buffered < MAX_BUFFERED_BYTES:
             try:
                 data = await self._sock.recv(RECEIVE_BYTES)
-            except OSError:
+            except OSError as error:
+                self.disconnect_reason = str(error)
                 return
             if not data:
+                self.disconnect_reason = "closed by the caller"
                 return
             buffered += len(data)
             self._connection.receive_data(data)
@@ -126,7 +133,11 @@
         if not self.intact:
             raise ConnectionAbortedError("an earlier write was interrupted")
         self.intact = False
-        await self._sock.sendall(data)
+        try:
+            await self._sock.sendall(data)
+        except OSError as error:
+            self.disconnect_reason = str(error)
+            raise
         self.intact = True
 
     def _headers(self, headers: messages.Headers) -> list[tuple[bytes, bytes]]:
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -228,6 +228,7 @@
         connection.exchange = exchange
         await self._handle(exchange)
         connection.exchange = None
+        _log_if_unanswered(exchange)
         if not exchange.finished or exchange.closes_connection:
             return False
         return (
@@ -319,6 +320,19 @@
     return error_responses.error_response(error)
 
 
+def _log_if_unanswered(exchange: Exchange) -> None:
+    """Log a request whose caller waits for an answer that does not come."""
+    if exchange.finished or exchange.is_upgraded:
+        return
+    if exchange.disconnect_reason is None:
+        LOG.warning(
+            "request_unanswered",
+            request=exchange.request_id,
+            target=exchange.request.target,
+            started=exchange.started,
+        )
+
+
 def _close_if_idle(connection: _Connection) -> None:
     # The shutdown wakes the waiting task, which ends.  If a request has
     # already arrived, the task reads and refuses it.
