--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -145,6 +145,9 @@
     "connection_broken", 502, "the connection broke during an exchange"
 )
 
+NO_SOCKET: Final = _define(
+    "no_socket", 503, "the daemon can open no further connection"
+)
 COLD_SLOT_LOST: Final = _define(
     "cold_slot_lost", 503, "the router has no slot of a cold endpoint"
 )
--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -35,10 +35,21 @@
     """Report that no byte was sent, because the cold start slot was lost."""
 
 
-class NoRelayAvailable(ConnectionFailed):
+class LocalFailure(ConnectionFailed):
+    """Report that no byte was sent, for a reason on this daemon's side.
+
+    It says nothing of the remote end.
+    """
+
+
+class NoRelayAvailable(LocalFailure):
     """Report that no byte was sent, because no peer could relay it."""
 
 
+class NoSocketAvailable(LocalFailure):
+    """Report that no byte was sent, because this daemon lacks a socket."""
+
+
 class ConnectionBroken(SycamoredaleError):
     """Report that a connection failed after bytes may have been sent."""
 
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -58,8 +58,8 @@
 
         `may_leave` tells whether the request can go on elsewhere.
         Raises ConnectionBroken if the connection or the answer is broken,
-        EndpointStalled if the endpoint makes no progress and OSError if the
-        caller is gone.
+        EndpointStalled if the endpoint makes no progress and
+        CallerDisconnected if the caller is gone.
         """
         call = progress.call
         head = await self._read_head(connection, endpoint, call, may_leave)
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 from sycamoredale.http import server
 from sycamoredale.links import connector as connector_module
 from sycamoredale.links import monitor as link_monitor
+from sycamoredale.observability import logs
 from sycamoredale.requests import active_requests
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import poison
@@ -52,6 +53,7 @@
 # up on a silent stream after about two seconds.
 CAPACITY_WAIT_SECONDS: Final = 1.5
 CAPACITY_POLL_SECONDS: Final = 0.05
+LOG: Final = logs.get("forwarding")
 
 
 @dataclasses.dataclass
@@ -135,8 +137,11 @@
             await self._send_until_answered(progress, exchange)
         except errors.Refusal as refusal:
             progress.refusal = refusal
-        except OSError:
+        except caller_disconnect.CallerDisconnected:
             progress.caller_gone = True
+        except Exception:
+            LOG.exception("forwarding_failed", request=progress.call.id)
+            progress.refusal = progress_module.internal_refusal(progress)
 
     async def _send_until_answered(
         self, progress: progress_module.CallProgress, exchange: server.Exchange
@@ -257,6 +262,10 @@
         except errors.NoRelayAvailable as error:
             send_log.log_failed_send(progress, endpoint, error.message)
             return progress_module.Outcome.UNREACHED
+        except errors.NoSocketAvailable as error:
+            # No other endpoint could be reached either.
+            send_log.log_failed_send(progress, endpoint, error.message)
+            raise progress_module.local_refusal(progress, error) from error
         except errors.ConnectionFailed as error:
             endpoint.suspect(clock.monotonic(), UNREACHABLE_SUSPECT_SECONDS)
             send_log.log_failed_send(progress, endpoint, error.message)
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -175,6 +175,33 @@
     return error_responses.draining()
 
 
+def local_refusal(
+    progress: CallProgress, error: errors.LocalFailure
+) -> errors.Refusal:
+    """Return the refusal of a call that this daemon cannot send."""
+    if progress.may_have_run:
+        return unanswered_refusal(progress)
+    return errors.Refusal(
+        error.code,
+        error.message,
+        retry_after=endpoint_selection.NO_ENDPOINT_RETRY_SECONDS,
+    )
+
+
+def internal_refusal(progress: CallProgress) -> errors.Refusal:
+    """Return the refusal of a call for which this daemon failed."""
+    may_have_run = progress.may_have_run or progress.is_sent
+    return errors.Refusal(
+        error_codes.INTERNAL,
+        "the request failed inside the daemon",
+        (
+            error_codes.Execution.UNKNOWN
+            if may_have_run
+            else error_codes.Execution.NOT_RUN
+        ),
+    )
+
+
 def deadline_refusal() -> errors.Refusal:
     """Return the refusal of a call that reached its deadline."""
     return errors.Refusal(
--- a/sycamoredale/groups/report_probing.py
+++ b/sycamoredale/groups/report_probing.py
@@ -180,7 +180,9 @@
         instance: instance_state.Instance,
         error: errors.SycamoredaleError,
     ) -> None:
-        """Record a failure unless a peer reaches the instance."""
+        """Record a failure that is neither local nor refuted by a peer."""
+        if isinstance(error, errors.LocalFailure):
+            return
         if isinstance(error, errors.ConnectionFailed):
             if await self.is_reached_by_peers(instance):
                 self.probe_statuses.forget_failures(instance.id)
--- a/sycamoredale/http/caller_disconnect.py
+++ b/sycamoredale/http/caller_disconnect.py
@@ -7,10 +7,7 @@
 from sycamoredale.http import exchange as exchange_module
 
 _T = typing.TypeVar("_T")
-
-
-class CallerDisconnected(Exception):
-    """Signal that the caller closed its connection."""
+CallerDisconnected = exchange_module.CallerDisconnected
 
 
 async def run_while_connected(
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import errno
 import typing
 from typing import Final
 
@@ -23,6 +24,16 @@
 from sycamoredale import ids
 
 RECEIVE_BYTES: Final = 65536
+# What this machine lacks for a connection: descriptors, memory or ports.
+LOCAL_ERROR_NUMBERS: Final = frozenset(
+    (
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    )
+)
 MAX_IDLE_PER_ADDRESS: Final = 32
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 MAX_INTERIM_ANSWERS: Final = 16
@@ -314,9 +325,17 @@
 async def open_socket(
     address: messages.Address, timeout_seconds: float
 ) -> typing.Any:
-    """Return a connected socket; raise ConnectionFailed."""
+    """Return a connected socket.
+
+    Raises ConnectionFailed, or NoSocketAvailable if the reason is local.
+    """
     # Addresses are IP addresses; resolving names would cost a worker thread.
-    sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
+    try:
+        sock = curio.socket.socket(
+            curio.socket.AF_INET, curio.socket.SOCK_STREAM
+        )
+    except OSError as error:
+        raise _no_socket(address, error) from error
     try:
         sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         sockets.keep_alive(sock)
@@ -324,6 +343,8 @@
             await sock.connect((address.host, address.port))
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
+        if getattr(error, "errno", None) in LOCAL_ERROR_NUMBERS:
+            raise _no_socket(address, error) from error
         raise errors.ConnectionFailed(
             error_codes.CONNECTION_FAILED,
             f"connection to {address} failed: {error!r}",
@@ -331,6 +352,15 @@
     return sock
 
 
+def _no_socket(
+    address: messages.Address, error: Exception
+) -> errors.NoSocketAvailable:
+    return errors.NoSocketAvailable(
+        error_codes.NO_SOCKET,
+        f"this daemon can open no connection to {address}: {error!r}",
+    )
+
+
 async def body_chunks(
     connection: Connection,
 ) -> collections.abc.AsyncIterator[bytes]:
--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -13,13 +13,18 @@
 
 RECEIVE_BYTES: Final = 65536
 MAX_BUFFERED_BYTES: Final = 65536
-CHUNKED_HEADER: Final = b"transfer-encoding: chunked"
 NO_BODY_STATUSES: Final = frozenset((204, 304))
+CHUNKED_HEADER: Final = b"transfer-encoding: chunked"
+
+
+class CallerDisconnected(Exception):
+    """Signal that the caller's connection has ended or broken."""
 
 
 class Exchange:
     """Represent one request and write its answer.
 
+    Each write raises CallerDisconnected if the caller's connection is broken.
     `extra_headers` are added to the headers of every answer.  `intact` is
     false during a write and stays false if the write is interrupted; nothing
     may be written after that.  `closes_connection` is true if the answer
@@ -131,13 +136,13 @@
 
     async def _send(self, data: bytes) -> None:
         if not self.intact:
-            raise ConnectionAbortedError("an earlier write was interrupted")
+            raise CallerDisconnected("an earlier write was interrupted")
         self.intact = False
         try:
             await self._sock.sendall(data)
         except OSError as error:
             self.disconnect_reason = str(error)
-            raise
+            raise CallerDisconnected(str(error)) from error
         self.intact = True
 
     def _headers(self, headers: messages.Headers) -> list[tuple[bytes, bytes]]:
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -200,8 +200,11 @@
                 )
                 while await self._serve_one(connection):
                     connection.protocol.start_next_cycle()
-        except (OSError, h11.LocalProtocolError) as error:
+        except OSError as error:
+            # Only the caller's own socket is used here.
             LOG.debug("connection_ended", reason=str(error))
+        except h11.LocalProtocolError:
+            LOG.exception("connection_failed")
         finally:
             self._connections.discard(connection)
 
@@ -261,7 +264,7 @@
             await self._answer_error(
                 exchange, error_responses.stopped_unanswered()
             )
-        except OSError as error:
+        except exchange_module.CallerDisconnected as error:
             LOG.debug("caller_gone", reason=str(error))
         except Exception:
             LOG.exception("handler_failed", target=exchange.request.target)
@@ -281,7 +284,7 @@
             return
         try:
             await exchange.respond(error_responses.error_response(error))
-        except OSError as failure:
+        except exchange_module.CallerDisconnected as failure:
             LOG.debug("caller_gone", reason=str(failure))
 
     async def _send_refusal(
--- a/sycamoredale/links/connector.py
+++ b/sycamoredale/links/connector.py
@@ -92,10 +92,12 @@
     async def open(
         self, address: messages.Address, timeout_seconds: float
     ) -> client.Connection:
-        """Return a connection; raise ConnectionFailed or NoRelayAvailable."""
+        """Return a connection; raise ConnectionFailed or LocalFailure."""
         if not self.monitor.is_isolated:
             try:
                 return await self.open_direct(address, timeout_seconds)
+            except errors.LocalFailure:
+                raise
             except errors.ConnectionFailed:
                 answer = await self._ask_briefly(address)
                 if answer.reachability is not Reachability.REACHABLE:
@@ -121,6 +123,8 @@
         """Return a socket of this daemon; raise ConnectionFailed."""
         try:
             sock = await client.open_socket(address, timeout_seconds)
+        except errors.LocalFailure:
+            raise
         except errors.ConnectionFailed:
             self.monitor.record_failed()
             raise
@@ -182,8 +186,9 @@
     async def is_lost(self, address: messages.Address) -> bool:
         """Return whether an endpoint accepts no connection of any daemon."""
         began = clock.monotonic()
-        if not self.monitor.is_isolated and await self._probe_one(address):
-            return False
+        if not self.monitor.is_isolated:
+            if await self._probe_one(address) is not False:
+                return False
         answer = await self.ask_peers(address)
         if self.monitor.is_isolated:
             return answer is Reachability.UNREACHABLE
@@ -269,7 +274,10 @@
         self, addresses: collections.abc.Sequence[messages.Address]
     ) -> None:
         """Probe some endpoints, and ask peers if none was reached."""
-        if await self._probe(addresses) or self.monitor.is_isolated:
+        found = await self._probe(addresses)
+        if any(opened is not False for opened in found):
+            return
+        if self.monitor.is_isolated:
             return
         count = min(PROBES_AT_ONCE, len(addresses))
         for address in self.rng.sample(addresses, count):
@@ -277,8 +285,8 @@
 
     async def _probe(
         self, addresses: collections.abc.Sequence[messages.Address]
-    ) -> int:
-        """Open connections to some addresses; return how many opened."""
+    ) -> list[bool | None]:
+        """Probe some addresses; return the results of `_probe_one`."""
         limit = (
             PROBES_WHILE_ISOLATED
             if self.monitor.is_isolated
@@ -288,11 +296,14 @@
         async with curio.TaskGroup() as group:
             for address in self.rng.sample(addresses, count):
                 await group.spawn(self._probe_one, address)
-        return sum(group.results)
+        return list(group.results)
 
-    async def _probe_one(self, address: messages.Address) -> bool:
+    async def _probe_one(self, address: messages.Address) -> bool | None:
+        """Return whether a connection opens, None if it cannot be tried."""
         try:
             sock = await self.open_socket(address, PROBE_TIMEOUT_SECONDS)
+        except errors.LocalFailure:
+            return None
         except errors.ConnectionFailed:
             return False
         await sock.close()
--- a/sycamoredale/links/relay_service.py
+++ b/sycamoredale/links/relay_service.py
@@ -51,6 +51,8 @@
                     address, connector_module.PROBE_TIMEOUT_SECONDS
                 )
                 status = relay_protocol.SWITCHING_STATUS
+            except errors.LocalFailure:
+                status = relay_protocol.NO_RELAY_STATUS
             except errors.ConnectionFailed:
                 status = await self._failure_status(address, began)
         self.connector.monitor.metrics.count("relays", f"status_{status}")
--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -270,7 +270,7 @@
 def _outcome(
     attempt: Attempt, error: errors.SycamoredaleError
 ) -> health.Outcome:
-    if isinstance(error, errors.ColdSlotLost | errors.NoRelayAvailable):
+    if isinstance(error, errors.ColdSlotLost | errors.LocalFailure):
         return health.Outcome.ABANDONED
     if isinstance(error, errors.EndpointRefused):
         refused = health.Outcome.REFUSED
--- a/sycamoredale/requests/dispatch.py
+++ b/sycamoredale/requests/dispatch.py
@@ -185,7 +185,7 @@
         except errors.ConnectionBroken as error:
             self._log_failure(attempt, error)
             await self._record_crash(attempt, history)
-        except (curio.CancelledError, OSError):
+        except (curio.CancelledError, caller_disconnect.CallerDisconnected):
             await self._cancel(attempt)
             raise
         finally:
--- a/sycamoredale/requests/liveness.py
+++ b/sycamoredale/requests/liveness.py
@@ -121,6 +121,8 @@
             progress = await self.engines.progress(
                 attempt.endpoint.address, attempt.call.id
             )
+        except errors.LocalFailure:
+            return
         except (errors.ConnectionFailed, errors.ConnectionBroken) as error:
             self._abort(monitored, error.message, endpoint_lost=True)
             return
@@ -142,6 +144,8 @@
             )
             await probe.close()
             monitored.failed_probes = 0
+        except errors.LocalFailure:
+            return
         except errors.ConnectionFailed as error:
             monitored.failed_probes += 1
             if monitored.failed_probes >= MAX_FAILED_PROBES:
@@ -211,8 +215,8 @@
         progress = await engines.progress(
             attempt.endpoint.address, ids.RequestId(attempt.call.id)
         )
-    except errors.NoRelayAvailable:
-        return False  # The links of this daemon are lost.
+    except errors.LocalFailure:
+        return False
     except (errors.ConnectionFailed, errors.ConnectionBroken):
         return True
     is_unknown = progress.state is completions.RequestState.UNKNOWN
--- /dev/null
+++ b/tests/test_local_failures.py
@@ -0,0 +1,150 @@
+"""Test that a fault of the daemon itself is blamed on nobody else.
+
+A daemon without a free descriptor opens no connection.  That says nothing of
+the caller, of the endpoint or of the links.
+"""
+
+import collections
+import contextlib
+import os
+import resource
+import socket
+import threading
+
+import curio
+import curio.socket
+import pytest
+
+from sycamoredale import errors
+from sycamoredale.forwarding import error_answers
+from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.http import caller_disconnect
+from sycamoredale.http import messages
+from sycamoredale.http import server
+from sycamoredale.links import monitor as link_monitor
+from tests import test_forwarder
+
+CALLERS = 8
+REQUEST = b"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb"
+
+
+@contextlib.contextmanager
+def no_free_descriptor():
+    """Let the process open no further descriptor."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+class Front:
+    """Serve a site's forwarder to callers on real connections."""
+
+    def __init__(self, site):
+        self.site = site
+        self.server = server.Server(self._handle)
+        self.address = self.server.bind(messages.Address("127.0.0.1", 0))
+
+    async def start(self):
+        for item in self.site.servers:
+            await item.server.start()
+        await self.server.start()
+
+    async def _handle(self, exchange):
+        progress = progress_module.begin(self.site.call())
+        try:
+            await self.site.forwarder.run(progress, exchange)
+        except caller_disconnect.CallerDisconnected:
+            return
+        except errors.Refusal as refusal:
+            if not exchange.started:
+                await exchange.respond(error_answers.from_error(refusal))
+
+
+def _ask(connection, answers):
+    connection.sendall(REQUEST)
+    connection.settimeout(6)
+    try:
+        data = connection.recv(65536)
+    except OSError as error:
+        answers.append(repr(error))
+        return
+    answers.append(data.split(b"\r\n")[0] or b"closed without a byte")
+
+
+# Guards against requests on kept connections that ended without a byte: an
+# OSError of a socket to an endpoint was taken for a caller that is gone.
+def test_daemon_without_descriptors_answers_each_request():
+    site = test_forwarder.Site(test_forwarder.Endpoint("b"), seconds=4.0)
+    front = Front(site)
+    answers = []
+
+    async def main():
+        await front.start()
+        host, port = front.address.host, front.address.port
+        callers = [
+            socket.create_connection((host, port)) for _ in range(CALLERS)
+        ]
+        await curio.sleep(0.2)
+        with no_free_descriptor():
+            threads = [
+                threading.Thread(target=_ask, args=(caller, answers))
+                for caller in callers
+            ]
+            for thread in threads:
+                thread.start()
+            await curio.sleep(1.0)
+        for thread in threads:
+            await curio.run_in_thread(thread.join)
+        for caller in callers:
+            caller.close()
+
+    curio.run(main)
+    refused = b"HTTP/1.1 503 "
+    assert collections.Counter(answers) == {refused: CALLERS}
+    assert not site.servers[0].requests
+
+
+def test_lack_of_descriptors_is_no_fault_of_endpoint_or_links():
+    site = test_forwarder.Site(test_forwarder.Endpoint("b"), may_retry=False)
+    connector = site.forwarder.connector
+    endpoint = site.endpoint_table.by_id["b"]
+    address = endpoint.instance.address
+    refusals = []
+
+    async def main():
+        await site.servers[0].server.start()
+        with no_free_descriptor():
+            progress = progress_module.begin(site.call())
+            with pytest.raises(errors.Refusal) as caught:
+                await site.forwarder.run(progress, test_forwarder.Caller())
+            refusals.append(caught.value)
+            assert not await connector.is_lost(address)
+        # No peer and no time is needed before the endpoint is used again.
+        caller = test_forwarder.Caller()
+        await site.forwarder.run(progress_module.begin(site.call()), caller)
+        assert caller.finished
+
+    curio.run(main)
+    assert refusals[0].execution.value == "not_run"
+    assert refusals[0].retry_after
+    assert connector.monitor.state is link_monitor.LinkState.CONNECTED
+
+
+@pytest.mark.parametrize("is_sent", [False, True])
+def test_unexpected_error_is_no_disconnect_of_the_caller(monkeypatch, is_sent):
+    site = test_forwarder.Site(test_forwarder.Endpoint("b"))
+
+    async def fail(endpoint, progress, exchange):
+        progress.is_sent = is_sent
+        raise OSError("an error that nobody expected")
+
+    monkeypatch.setattr(site.forwarder, "_send", fail)
+    caller, refusal = site.run()
+    assert refusal.code.name == "internal"
+    assert (refusal.execution.value == "unknown") is is_sent
+    assert not caller.started
