--- a/sycamoredale/forwarding/update_exchange.py
+++ b/sycamoredale/forwarding/update_exchange.py
@@ -18,6 +18,7 @@
 from sycamoredale.forwarding import store_contact
 from sycamoredale.forwarding import update_gathering
 from sycamoredale.http import messages
+from sycamoredale.http import sockets
 from sycamoredale import ids
 from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
@@ -312,7 +313,9 @@
 
     async def _receive(self, sock: typing.Any) -> None:
         while True:
-            data, sender = await sock.recvfrom(MAX_DATAGRAM_BYTES)
+            data, sender = await sockets.receive_datagram(
+                sock, MAX_DATAGRAM_BYTES
+            )
             try:
                 self.receive(peer_updates.decode(data), clock.monotonic())
             except ValueError as error:  # Includes msgspec.MsgspecError.
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -13,7 +13,6 @@
 
 import curio
 import curio.socket
-import curio.traps
 import h11
 
 from sycamoredale import error_codes
@@ -23,7 +22,6 @@
 from sycamoredale.http import sockets
 from sycamoredale import ids
 
-RECEIVE_BYTES: Final = 65536
 # What this machine lacks for a connection: descriptors, memory or ports.
 LOCAL_ERROR_NUMBERS: Final = frozenset(
     (
@@ -121,7 +119,7 @@
     async def _read_chunked(self, chunks: chunked.ChunkedReader) -> bytes:
         data = b""
         while not data and not chunks.complete:
-            arrived = self._received or await self._receive_next_chunk()
+            arrived = self._received or await self._receive()
             self._received = b""
             if not arrived:
                 raise self._broken("the response is incomplete")
@@ -190,15 +188,9 @@
                 return event
             self._connection.receive_data(await self._receive())
 
-    async def _receive_next_chunk(self) -> bytes:
-        # The engine takes a step to the next token.  Waiting first saves a
-        # receive call that would return no data.
-        await curio.traps._read_wait(self._sock)
-        return await self._receive()
-
     async def _receive(self) -> bytes:
         try:
-            data: bytes = await self._sock.recv(RECEIVE_BYTES)
+            data: bytes = await sockets.receive(self._sock)
         except OSError as error:
             raise self._broken(str(error)) from error
         if self._aborted:
--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -10,8 +10,8 @@
 from sycamoredale import clock
 from sycamoredale.http import chunked
 from sycamoredale.http import messages
+from sycamoredale.http import sockets
 
-RECEIVE_BYTES: Final = 65536
 MAX_BUFFERED_BYTES: Final = 65536
 NO_BODY_STATUSES: Final = frozenset((204, 304))
 CHUNKED_HEADER: Final = b"transfer-encoding: chunked"
@@ -119,7 +119,7 @@
         buffered = 0
         while buffered < MAX_BUFFERED_BYTES:
             try:
-                data = await self._sock.recv(RECEIVE_BYTES)
+                data = await sockets.receive(self._sock)
             except OSError as error:
                 self.disconnect_reason = str(error)
                 return
--- a/sycamoredale/http/request_reader.py
+++ b/sycamoredale/http/request_reader.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import typing
-from typing import Final
 
 import curio
 import h11
@@ -11,8 +10,7 @@
 from sycamoredale import errors
 from sycamoredale.http import exchange as exchange_module
 from sycamoredale.http import messages
-
-RECEIVE_BYTES: Final = 65536
+from sycamoredale.http import sockets
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +81,7 @@
                 status_code=100, headers=[]
             )
             await sock.sendall(connection.send(continue_response))
-        connection.receive_data(await sock.recv(RECEIVE_BYTES))
+        connection.receive_data(await sockets.receive(sock))
 
 
 def _check_length(head: h11.Request, limits: Limits) -> None:
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -148,14 +148,13 @@
         # Connections that the kernel has already accepted still get an answer.
         async with curio.ignore_after(DRAIN_POLL_SECONDS):
             while True:
-                sock, _ = await self._sock.accept()
-                await self._spawn(sock)
+                await self._spawn(await sockets.accept(self._sock))
         await self._sock.close()
 
     async def _accept(self) -> None:
         while True:
             try:
-                sock, _ = await self._sock.accept()
+                sock = await sockets.accept(self._sock)
             except OSError as error:
                 LOG.warning("accept_failed", reason=str(error))
                 await curio.sleep(ACCEPT_RETRY_SECONDS)
@@ -210,7 +209,10 @@
 
     async def _serve_one(self, connection: _Connection) -> bool:
         protocol = connection.protocol
-        if not protocol.trailing_data[0]:
+        if protocol.trailing_data[0]:
+            # Requests that were sent together are read without a wait.
+            await sockets.give_way()
+        else:
             connection.idle = True
             if not await self._wait_for_request(connection):
                 return False
@@ -240,7 +242,7 @@
 
     async def _wait_for_request(self, connection: _Connection) -> bool:
         async with curio.ignore_after(self._limits.idle_timeout_seconds):
-            data = await connection.sock.recv(request_reader.RECEIVE_BYTES)
+            data = await sockets.receive(connection.sock)
             connection.protocol.receive_data(data)
             return bool(data)
         return False
@@ -349,7 +351,7 @@
     size = 0
     async with curio.ignore_after(LINGER_SECONDS):
         while size < LINGER_BYTES:
-            data = await sock.recv(request_reader.RECEIVE_BYTES)
+            data = await sockets.receive(sock)
             if not data:
                 return
             size += len(data)
--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -1,14 +1,56 @@
-"""Operate on curio sockets without blocking."""
+"""Operate on curio sockets without blocking.
 
+curio switches to another task only when a socket has to wait.  A loop over a
+socket that always has data would run until the other side ends it, so
+`receive` gives way before each piece.
+"""
+
+import functools
 import socket
 import typing
 from typing import Final
 
+import curio
+import curio.traps
+
 # A connection whose peer no longer responds fails after about three seconds of
 # keep-alive probes by the kernel.
 KEEP_ALIVE_IDLE_SECONDS: Final = 1
 KEEP_ALIVE_INTERVAL_SECONDS: Final = 1
 KEEP_ALIVE_PROBES: Final = 2
+# Bounds how long the bytes of one piece are parsed before others get a turn.
+RECEIVE_BYTES: Final = 16384
+
+
+@functools.singledispatch
+async def receive(sock: typing.Any) -> bytes:
+    """Return the next bytes, none at the end; raise OSError."""
+    # Also saves a receive call that would return no data: the other side
+    # mostly has not written yet.
+    await curio.traps._read_wait(sock)
+    data: bytes = await sock.recv(RECEIVE_BYTES)
+    return data
+
+
+async def receive_datagram(
+    sock: typing.Any, max_bytes: int
+) -> tuple[bytes, typing.Any]:
+    """Return the next datagram and its sender; raise OSError."""
+    await curio.traps._read_wait(sock)
+    received: tuple[bytes, typing.Any] = await sock.recvfrom(max_bytes)
+    return received
+
+
+async def accept(sock: typing.Any) -> typing.Any:
+    """Return the socket of the next connection; raise OSError."""
+    await curio.traps._read_wait(sock)
+    accepted, _ = await sock.accept()
+    return accepted
+
+
+async def give_way() -> None:
+    """Let all other tasks that are ready run first."""
+    await curio.sleep(0)
 
 
 def keep_alive(sock: typing.Any) -> None:
--- a/sycamoredale/links/relay_protocol.py
+++ b/sycamoredale/links/relay_protocol.py
@@ -20,6 +20,7 @@
 from sycamoredale import errors
 from sycamoredale.http import chunked
 from sycamoredale.http import messages
+from sycamoredale.http import sockets
 
 PATH: Final = "/links/relay"
 PROTOCOL: Final = "relay"
@@ -31,7 +32,6 @@
 NO_RELAY_STATUS: Final = 503
 FORBIDDEN_STATUS: Final = 403
 SWITCHING_STATUS: Final = 101
-RECEIVE_BYTES: Final = 65536
 
 
 class RelayedSocket:
@@ -54,13 +54,13 @@
         """Send bytes to the endpoint."""
         await self._sock.sendall(data)
 
-    async def recv(self, max_bytes: int) -> bytes:
+    async def receive(self) -> bytes:
         """Return bytes of the endpoint, none after it has closed its end.
 
         Raises OSError if the peer ended before that.
         """
         while not self._reader.complete:
-            data = await self._sock.recv(max_bytes)
+            data = await sockets.receive(self._sock)
             if not data:
                 raise ConnectionResetError("the peer ended the relay")
             try:
@@ -76,6 +76,11 @@
         await self._sock.close()
 
 
+@sockets.receive.register
+async def _receive_relayed(sock: RelayedSocket) -> bytes:
+    return await sock.receive()
+
+
 async def request_relay(sock: typing.Any, endpoint: messages.Address) -> int:
     """Ask the peer on a socket to relay; return the status of its answer.
 
@@ -100,7 +105,7 @@
         except h11.RemoteProtocolError as error:
             raise ConnectionResetError(str(error)) from error
         if event is h11.NEED_DATA:
-            protocol.receive_data(await sock.recv(RECEIVE_BYTES))
+            protocol.receive_data(await sockets.receive(sock))
         elif isinstance(event, h11.InformationalResponse | h11.Response):
             return event.status_code
         else:
@@ -130,7 +135,7 @@
     async def _copy_to_endpoint(self) -> None:
         # curio logs a task that ends with an exception as crashed.
         try:
-            while data := await self.caller.recv(RECEIVE_BYTES):
+            while data := await sockets.receive(self.caller):
                 if self._has_answered and not self.may_begin():
                     return
                 self._has_answered = False
@@ -141,7 +146,7 @@
 
     async def _copy_to_caller(self) -> None:
         try:
-            while data := await self.endpoint.recv(RECEIVE_BYTES):
+            while data := await sockets.receive(self.endpoint):
                 self._has_answered = True
                 self.moved_at = clock.monotonic()
                 await self.caller.sendall(chunked.encode_chunk(data))
