--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -163,6 +163,7 @@
             )
             if not chunk:
                 break
+            progress_before = stream.progress_count
             try:
                 events = stream.feed(chunk)
             except ValueError as error:
@@ -171,13 +172,23 @@
                 now = clock.monotonic()
                 self._record_heard(connection, now)
                 endpoint.record_progress(now)
-                progress.record_events(now)
-                max_wait_seconds = MAX_STREAM_PAUSE_SECONDS
+                # Comments show that the endpoint is alive, but the wait for
+                # the next event goes on.
+                if stream.progress_count > progress_before:
+                    progress.record_events(now)
+                    max_wait_seconds = MAX_STREAM_PAUSE_SECONDS
+                    waiting_since = now
                 await _forward_events(events, info, exchange)
                 # A slow caller is no pause of the endpoint.
-                waiting_since = clock.monotonic()
+                waiting_since = clock.MonotonicTime(
+                    waiting_since + clock.monotonic() - now
+                )
             if stream.has_gap:
                 raise _broken_answer(endpoint, "a stream event is missing")
+            if stream.has_excess_comments:
+                raise _broken_answer(
+                    endpoint, "too many comments between two events"
+                )
             if stream.has_foreign_text:
                 raise _broken_answer(
                     endpoint, "the rest of a stream has an event without id"
--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -12,6 +12,8 @@
 
 ID_FIELD: Final = b"id:"
 COMMENT_PREFIX: Final = b":"
+# Comments that keep a connection alive have a few bytes, one in a second.
+MAX_COMMENT_BYTES: Final = 65536
 
 
 @dataclasses.dataclass
@@ -22,15 +24,18 @@
     stream or, if the caller resumes it, from an earlier call.  `has_gap` is
     true if the event after it is missing.  `is_continued` is true while
     another endpoint continues what the caller has a part of, and
-    `has_foreign_text` if that endpoint sent something else.
+    `has_foreign_text` if that endpoint sent something else.  `progress_count`
+    counts the new events, numbered or not; comments are none.
     """
 
     last_event_id: int | None = None
     event_count: int = 0
+    progress_count: int = 0
     has_gap: bool = False
     is_continued: bool = False
     has_foreign_text: bool = False
     _has_passed: bool = False
+    _comment_bytes: int = 0
     _buffer: event_buffer.EventBuffer = dataclasses.field(
         default_factory=event_buffer.EventBuffer
     )
@@ -47,6 +52,7 @@
     def restart(self) -> None:
         """Drop the incomplete event of the endpoint that was abandoned."""
         self._buffer.clear()
+        self._comment_bytes = 0
         self.has_gap = False
         self.has_foreign_text = False
         self.is_continued = self._has_passed
@@ -56,6 +62,11 @@
         """Return whether it is known after which event to continue."""
         return not self._has_passed or self.last_event_id is not None
 
+    @property
+    def has_excess_comments(self) -> bool:
+        """Return whether comments since the last event exceed their limit."""
+        return self._comment_bytes > MAX_COMMENT_BYTES
+
     @property
     def ends_at_boundary(self) -> bool:
         """Return whether no part of an event is pending."""
@@ -65,13 +76,18 @@
         passed: list[bytes] = []
         for event in data.split(event_buffer.EVENT_END)[:-1]:
             number = _event_id(event)
-            if number is None and self.is_continued:
-                self.has_foreign_text = not _is_comment(event)
-                if self.has_foreign_text:
+            if number is None and _is_comment(event):
+                self._comment_bytes += len(event) + len(event_buffer.EVENT_END)
+                if self.has_excess_comments:
                     break
+                if not self.is_continued:
+                    passed.append(event + event_buffer.EVENT_END)
                 continue
+            if number is None and self.is_continued:
+                self.has_foreign_text = True
+                break
             if number is None:
-                self._has_passed = self._has_passed or not _is_comment(event)
+                self._record_progress()
                 passed.append(event + event_buffer.EVENT_END)
                 continue
             if self.last_event_id is not None and number <= self.last_event_id:
@@ -84,10 +100,15 @@
                 break
             self.last_event_id = number
             self.event_count += 1
-            self._has_passed = True
+            self._record_progress()
             passed.append(event + event_buffer.EVENT_END)
         return passed
 
+    def _record_progress(self) -> None:
+        self._has_passed = True
+        self.progress_count += 1
+        self._comment_bytes = 0
+
 
 def _event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
