--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -44,6 +44,7 @@
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
+from sycamoredale.object_api import eras
 from sycamoredale.object_api import malformed_entries
 from sycamoredale.object_api import objects
 from sycamoredale.observability import exposition
@@ -86,6 +87,7 @@
     def __init__(self, settings: settings_module.ProcessSettings) -> None:
         """Initialize all components without listening."""
         self._settings = settings
+        self._metric_registry = exposition.MetricRegistry()
         self._store_contact = store_contact.StoreContact()
         self._store = store_module.PlatformStore(
             settings.store_address,
@@ -93,11 +95,11 @@
             on_answer=lambda: self._store_contact.record_answer(
                 clock.monotonic()
             ),
+            eras=eras.EraTracker(self._metric_registry),
         )
         self._store.eras.on_change.append(
             lambda: self._store_contact.begin_era(clock.monotonic())
         )
-        self._metric_registry = exposition.MetricRegistry()
         self._instances = instance_table.InstanceTable(
             departures=departures.DepartureLog(self._metric_registry)
         )
--- a/sycamoredale/object_api/eras.py
+++ b/sycamoredale/object_api/eras.py
@@ -13,6 +13,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale import ids
+from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 
 # A decimal number, so that logs show the era and the revision.
@@ -43,6 +44,9 @@
     `on_change` is called once for each later era.
     """
 
+    metrics: exposition.MetricRegistry = dataclasses.field(
+        default_factory=exposition.MetricRegistry
+    )
     current: ids.StoreEra = UNKNOWN_ERA
     on_change: list[collections.abc.Callable[[], None]] = dataclasses.field(
         default_factory=list
@@ -59,6 +63,7 @@
             return
         era = _parse(text)
         if era is None or era < self.current:
+            self.metrics.count("store_eras", "rejected")
             LOG.warning("era_rejected", era=text, current=self.current)
             raise errors.StoreUnavailable(
                 error_codes.STORE_UNAVAILABLE,
@@ -67,8 +72,10 @@
             )
         has_known, self._has_known = self._has_known, True
         before, self.current = self.current, era
+        self.metrics.set_gauge("store_era", "current", era)
         if not has_known or era == before:
             return
+        self.metrics.count("store_eras", "changed")
         LOG.warning("era_changed", before=before, era=era)
         for callback in self.on_change:
             callback()
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -24,6 +24,7 @@
 from sycamoredale.http import messages
 from sycamoredale.object_api import eras
 from sycamoredale.object_api import objects
+from sycamoredale.observability import exposition
 from sycamoredale.platform import store as store_module
 
 KIND = "config"
@@ -226,6 +227,20 @@
     assert tracker.current == 2
 
 
+# Guards against drills that an operator sees in no metric.
+def test_eras_that_change_or_are_rejected_are_counted():
+    metrics = exposition.MetricRegistry()
+    tracker = eras.EraTracker(metrics)
+    for text in ("4", "4", "5", "7"):
+        tracker.record_answer(text)
+    for text in ("6", None, "x"):
+        with pytest.raises(errors.StoreUnavailable):
+            tracker.record_answer(text)
+    assert metrics.counts["store_eras", "changed"] == 2
+    assert metrics.counts["store_eras", "rejected"] == 3
+    assert metrics.gauges["store_era", "current"] == 7
+
+
 def test_store_that_names_no_era_stays_in_one():
     server = Server(sends_era=False)
     daemon = Daemon(server)
