--- a/tests/test_giving_way.py
+++ b/tests/test_giving_way.py
@@ -20,6 +20,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import request_reader
 from sycamoredale.http import server
+from sycamoredale.http import sockets
 from sycamoredale.links import relay_protocol
 from tests import endless_source
 from tests import test_endless_answers
@@ -200,6 +201,24 @@
     assert curio.run(main) < MAX_DELAY_SECONDS
 
 
+# Guards against a daemon that ends: registering a closed descriptor in the
+# selector raises an error inside of curio's kernel, which does not survive it.
+@pytest.mark.parametrize("read", [sockets.receive, sockets.accept])
+def test_closed_socket_ends_the_read_and_not_the_process(read):
+    async def main():
+        left = curio.io.Socket(socket.socketpair()[0])
+        await left.close()
+        with pytest.raises(OSError, match="closed"):
+            await read(left)
+        async with curio.io.Socket(socket.socketpair()[0]) as sock:
+            pass
+        with pytest.raises(OSError, match="closed"):
+            await read(sock)
+        await curio.sleep(0)
+
+    curio.run(main)
+
+
 def test_call_of_the_store_ends_by_its_timeout_beside_endless_bytes():
     source = endless_source.EndlessSource(
         "a", b"HTTP/1.1 200 OK\r\n\r\n", b"j" * 4096
