--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -28,9 +28,8 @@
     `extra_headers` are added to the headers of every answer.  `intact` is
     false during a write and stays false if the write is interrupted; nothing
     may be written after that.  `closes_connection` is true if the answer
-    announced the end of the connection to the caller, and `is_upgraded` if
-    the connection no longer carries HTTP.  `disconnect_reason` says how the
-    caller's connection ended, if it is known to have ended.
+    announced the end of the connection to the caller.  `disconnect_reason`
+    says how the caller's connection ended, if it is known to have ended.
     """
 
     def __init__(
@@ -49,7 +48,6 @@
         self.finished = False
         self.intact = True
         self.closes_connection = False
-        self.is_upgraded = False
         self.disconnect_reason: str | None = None
         self._chunked = False
         self._connection = connection
@@ -68,7 +66,6 @@
         """
         fields = [("Connection", "Upgrade"), ("Upgrade", protocol)]
         event = h11.InformationalResponse(status_code=101, headers=fields)
-        self.is_upgraded = True
         self._begin()
         await self._send(self._connection.send(event) or b"")
         return self._sock
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -327,14 +327,12 @@
 
 def _log_if_unanswered(exchange: Exchange) -> None:
     """Log a request whose caller waits for an answer that does not come."""
-    if exchange.finished or exchange.is_upgraded:
-        return
-    if exchange.disconnect_reason is None:
+    # An answer that breaks off shows the caller that it is incomplete.
+    if not exchange.started and exchange.disconnect_reason is None:
         LOG.warning(
             "request_unanswered",
             request=exchange.request_id,
             target=exchange.request.target,
-            started=exchange.started,
         )
 
 
