--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -504,14 +504,19 @@
         """Reload the settings at each signal unless they are invalid."""
         reload_signal = signals.SignalWaiter(signals.RELOAD_SIGNALS)
         while True:
+            # Signals during the start were ignored, so the first reload is
+            # now.
+            self._reload_settings()
             await reload_signal.wait()
-            try:
-                text = settings_module.path().read_text()
-                self._settings = settings_module.read(text)
-            except (OSError, settings_reader.InvalidSettings) as error:
-                LOG.error("settings_reload_failed", reason=str(error))
-            else:
-                LOG.info("settings_reloaded")
+
+    def _reload_settings(self) -> None:
+        try:
+            text = settings_module.path().read_text()
+            self._settings = settings_module.read(text)
+        except (OSError, settings_reader.InvalidSettings) as error:
+            LOG.error("settings_reload_failed", reason=str(error))
+        else:
+            LOG.info("settings_reloaded")
 
     async def _answer_readiness(self, exchange: server.Exchange) -> None:
         ready = not self._is_stopping and self._is_ready()
--- a/sycamoredale/platform/__main__.py
+++ b/sycamoredale/platform/__main__.py
@@ -1,6 +1,6 @@
 """Run a daemon on the users' platform."""
 
-from sycamoredale.daemons import entry
+from sycamoredale.daemons import launch
 
 if __name__ == "__main__":
-    entry.run()
+    launch.run_entry()
--- a/tests/test_start_of_daemon.py
+++ b/tests/test_start_of_daemon.py
@@ -4,6 +4,12 @@
 once, some milliseconds before the manifest and the list of instances.
 """
 
+import os
+import signal
+import subprocess
+import sys
+import time
+
 import curio
 import pytest
 
@@ -15,6 +21,7 @@
 from sycamoredale.forwarding import service as service_module
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale.platform import settings as settings_module
 from tests import test_forwarder
 
 
@@ -91,3 +98,27 @@
     )
     usage = budget.usage(ids.ServiceName("llm"), clock.MonotonicTime(60.0))
     assert largest_fleet * usage.allowed <= 496.0
+
+
+# Guards against a daemon that SIGHUP ends while it starts: the default action
+# held until the handler was installed, after all imports.
+def test_reload_signal_during_the_start_does_not_end_the_daemon(tmp_path):
+    path = tmp_path / "settings"
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "sycamoredale.platform"],
+        env=os.environ | {settings_module.PATH_VARIABLE: str(path)},
+        stderr=subprocess.PIPE,
+    )
+    try:
+        # Opens once the daemon opens the other end to read its settings.
+        with path.open("w") as settings:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            settings.write("nonsense")
+        _, errors_text = process.communicate(timeout=20)
+    finally:
+        process.kill()
+        process.wait()
+    assert process.returncode == 1
+    assert b"InvalidSettings" in errors_text
