Finish an exchange also if its deadline comes meanwhile (LOST)

What callers saw: the request after one that was answered right at its deadline ended without a byte, on a kept connection, sent nowhere. The log says deadline_exceeded for the one before, though its caller has a whole 200, and "Task Crash: Server._serve" for the connection.

Cause: run_while_connected cancelled the task that watches the caller in a finally, where the deadline, if it is due at the same moment, interrupts the wait for its end. The watcher was still registered as the reader of the socket, and the server's wait for the next request raised ReadResourceBusy. A stop that interrupts the handler could do the same.

Change: both tasks are cancelled with cancellation held back. A deadline that passes when the answer is finished refuses nothing.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -109,7 +109,8 @@
                     self._run_and_store_errors, progress, exchange
                 )
         except curio.TaskTimeout:
-            raise progress_module.deadline_refusal() from None
+            if not exchange.finished:
+                raise progress_module.deadline_refusal() from None
         if progress.caller_gone:
             raise caller_disconnect.CallerDisconnected()
         if progress.refusal is not None:
--- a/sycamoredale/http/caller_disconnect.py
+++ b/sycamoredale/http/caller_disconnect.py
@@ -32,8 +32,11 @@
         assert cause is not None
         raise cause from None
     finally:
-        await watcher.cancel()
-        await worker.cancel()
+        # A deadline or stop that comes now may not leave the watcher reading
+        # the socket, on which the caller sends its next request.
+        async with curio.disable_cancellation():
+            await watcher.cancel()
+            await worker.cancel()
 
 
 async def _watch_caller(
