--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -146,20 +146,25 @@
         if self._accept_task is not None:
             await self._accept_task.cancel()
         # Connections that the kernel has already accepted still get an answer.
-        async with curio.ignore_after(DRAIN_POLL_SECONDS):
-            while True:
-                await self._spawn(await sockets.accept(self._sock))
+        try:
+            waiting = sockets.accept_waiting(self._sock, LISTEN_BACKLOG)
+        except OSError as error:
+            LOG.warning("accept_failed", reason=str(error))
+            waiting = []
+        for sock in waiting:
+            await self._spawn(sock)
         await self._sock.close()
 
     async def _accept(self) -> None:
         while True:
             try:
-                sock = await sockets.accept(self._sock)
+                accepted = await sockets.accept(self._sock)
             except OSError as error:
                 LOG.warning("accept_failed", reason=str(error))
                 await curio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            await self._spawn(sock)
+            for sock in accepted:
+                await self._spawn(sock)
 
     async def _spawn(self, sock: typing.Any) -> None:
         protocol = h11.Connection(
--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 import curio
+import curio.io
 import curio.traps
 
 # A connection whose peer no longer responds fails after about three seconds of
@@ -21,6 +22,8 @@
 KEEP_ALIVE_PROBES: Final = 2
 # Bounds how long the bytes of one piece are parsed before others get a turn.
 RECEIVE_BYTES: Final = 16384
+# A burst of connections does not wait for a turn of the loop for each.
+ACCEPTED_AT_ONCE: Final = 64
 
 
 @functools.singledispatch
@@ -42,10 +45,28 @@
     return received
 
 
-async def accept(sock: typing.Any) -> typing.Any:
-    """Return the socket of the next connection; raise OSError."""
+async def accept(sock: typing.Any) -> list[typing.Any]:
+    """Return the sockets of the next connections; raise OSError."""
     await _wait_until_readable(sock)
-    accepted, _ = await sock.accept()
+    return accept_waiting(sock, ACCEPTED_AT_ONCE)
+
+
+def accept_waiting(sock: typing.Any, max_count: int) -> list[typing.Any]:
+    """Return the sockets of connections that wait already.
+
+    Raises OSError if the first of them cannot be accepted.
+    """
+    accepted: list[typing.Any] = []
+    while len(accepted) < max_count:
+        try:
+            connection, _ = sock._socket.accept()
+        except BlockingIOError:
+            break
+        except OSError:
+            if accepted:
+                break
+            raise
+        accepted.append(curio.io.Socket(connection))
     return accepted
 
 
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -148,3 +148,56 @@
     assert refusal.code.name == "internal"
     assert (refusal.execution.value == "unknown") is is_sent
     assert not caller.started
+
+
+# Guards against a planned stop that ended the daemon with a traceback, and all
+# its requests: the last connections could not be accepted.
+def test_drain_without_descriptors_completes_open_requests():
+    release = curio.Event()
+
+    async def handle(exchange):
+        await release.wait()
+        await exchange.respond(messages.Response(200))
+
+    async def main():
+        front = server.Server(handle)
+        address = front.bind(messages.Address("127.0.0.1", 0))
+        await front.start()
+        late = socket.socket()
+        open_one = socket.create_connection((address.host, address.port))
+        open_one.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await curio.sleep(0.1)
+        with no_free_descriptor():
+            late.connect((address.host, address.port))
+            drain = await curio.spawn(front.drain, 3.0, 0.0)
+            await curio.sleep(0.2)
+            await release.set()
+            is_complete = await drain.join()
+        answer = open_one.recv(65536)
+        open_one.close()
+        late.close()
+        return is_complete, answer.split(b"\r\n")[0]
+
+    assert curio.run(main) == (True, b"HTTP/1.1 200 ")
+
+
+def test_connections_that_wait_at_the_close_of_the_listener_are_answered():
+    async def handle(exchange):
+        await exchange.respond(messages.Response(200))
+
+    async def main():
+        front = server.Server(handle)
+        address = front.bind(messages.Address("127.0.0.1", 0))
+        connections = [
+            socket.create_connection((address.host, address.port))
+            for _ in range(100)
+        ]
+        for connection in connections:
+            connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await front.drain(2.0)
+        answers = [connection.recv(12) for connection in connections]
+        for connection in connections:
+            connection.close()
+        return set(answers)
+
+    assert curio.run(main) == {b"HTTP/1.1 503"}
