Keep a stop going when no connection can be accepted (LOST)

What callers saw: a daemon that was stopped while it had no free descriptor, and a connection waited in its backlog, ended at once. All its open requests ended without an answer.

Cause: the accept loop of a stop, unlike that of a running server, let the error of `accept` pass. It ended `drain` and with it the daemon.

Change: a stop uses the accept loop of the running server, which logs the error and tries again, for the same 20 ms.

Measured: the test of tests/test_errors_during_a_stop.py failed before, with OSError 24 out of `drain`, and passes, as do the 43 of test_http_server.py and test_planned_stop.py.

--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -147,8 +147,7 @@
             await self._accept_task.cancel()
         # Connections that the kernel has already accepted still get an answer.
         async with curio.ignore_after(DRAIN_POLL_SECONDS):
-            while True:
-                await self._spawn(await sockets.accept(self._sock))
+            await self._accept()
         await self._sock.close()
 
     async def _accept(self) -> None:
