--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -5,6 +5,7 @@
 `receive` gives way before each piece.
 """
 
+import errno
 import functools
 import socket
 import typing
@@ -27,7 +28,7 @@
     """Return the next bytes, none at the end; raise OSError."""
     # Also saves a receive call that would return no data: the other side
     # mostly has not written yet.
-    await curio.traps._read_wait(sock)
+    await _wait_until_readable(sock)
     data: bytes = await sock.recv(RECEIVE_BYTES)
     return data
 
@@ -36,18 +37,25 @@
     sock: typing.Any, max_bytes: int
 ) -> tuple[bytes, typing.Any]:
     """Return the next datagram and its sender; raise OSError."""
-    await curio.traps._read_wait(sock)
+    await _wait_until_readable(sock)
     received: tuple[bytes, typing.Any] = await sock.recvfrom(max_bytes)
     return received
 
 
 async def accept(sock: typing.Any) -> typing.Any:
     """Return the socket of the next connection; raise OSError."""
-    await curio.traps._read_wait(sock)
+    await _wait_until_readable(sock)
     accepted, _ = await sock.accept()
     return accepted
 
 
+async def _wait_until_readable(sock: typing.Any) -> None:
+    # curio's kernel, and so the process, ends if it waits for a closed socket.
+    if sock.fileno() < 0:
+        raise OSError(errno.EBADF, "the socket is closed")
+    await curio.traps._read_wait(sock)
+
+
 async def give_way() -> None:
     """Let all other tasks that are ready run first."""
     await curio.sleep(0)
