Let the abort of a closed connection change nothing

What operators saw: a crashed task of the liveness monitor in the log, if its probe ended while the dispatcher found out why an exchange had broken.

Cause: curio drops the socket of a closed connection, and `shut_down` promised to leave such a one unchanged, but raised AttributeError; so did `has_nothing_to_read`.

Change: both look at the descriptor first.

Measured: the test of an abort failed before with AttributeError and passes, as do 98 tests near it (liveness, attempts, links, relay, server, forwarder). The crash of the monitor was read in the code, not seen.

--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -79,6 +79,8 @@
     Unlike curio's method this is no coroutine, so code that cannot await can
     call it.  A closed socket is left unchanged.
     """
+    if sock.fileno() < 0:
+        return
     try:
         sock._socket.shutdown(how)
     except OSError:
@@ -87,6 +89,8 @@
 
 def has_nothing_to_read(sock: typing.Any) -> bool:
     """Return whether a socket is open and has no data to read."""
+    if sock.fileno() < 0:
+        return False
     try:
         sock._socket.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
--- a/tests/test_closed_sockets.py
+++ b/tests/test_closed_sockets.py
@@ -10,6 +10,8 @@
 import curio.io
 import pytest
 
+from sycamoredale.http import client
+from sycamoredale.http import messages
 from sycamoredale.http import sockets
 
 
@@ -36,3 +38,14 @@
             await read(await _closed_socket())
 
     curio.run(main)
+
+
+# A probe may find that an exchange is to be aborted that has just ended.
+def test_abort_of_a_closed_connection_changes_nothing():
+    async def main():
+        address = messages.Address("127.0.0.1", 1)
+        connection = client.Connection(address, await _closed_socket())
+        connection.abort()
+        return connection.is_usable()
+
+    assert curio.run(main) is False
