--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -55,6 +55,7 @@
 class _Connection:
     sock: typing.Any
     protocol: h11.Connection
+    header_limit_bytes: int
     idle: bool = True
     task: typing.Any = None
     exchange: Exchange | None = None
@@ -161,11 +162,11 @@
             await self._spawn(sock)
 
     async def _spawn(self, sock: typing.Any) -> None:
-        protocol = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.header_limit_bytes,
+        connection = _Connection(
+            sock,
+            _new_protocol(self._limits),
+            self._limits.header_limit_bytes,
         )
-        connection = _Connection(sock, protocol)
         if len(self._connections) >= self._limits.max_connections:
             self._reject_connection(connection)
             return
@@ -207,8 +208,7 @@
             self._connections.discard(connection)
 
     async def _serve_one(self, connection: _Connection) -> bool:
-        protocol = connection.protocol
-        if protocol.trailing_data[0]:
+        if connection.protocol.trailing_data[0]:
             # Requests that were sent together are read without a wait.
             await sockets.give_way()
         else:
@@ -216,6 +216,7 @@
             if not await self._wait_for_request(connection):
                 return False
         connection.idle = False
+        protocol = self._protocol_for_request(connection)
         try:
             request = await request_reader.read_request(
                 connection.sock, protocol, self._limits
@@ -239,6 +240,17 @@
             protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         )
 
+    def _protocol_for_request(self, connection: _Connection) -> h11.Connection:
+        """Return the protocol state, with the limits now in force."""
+        limit = self._limits.header_limit_bytes
+        if connection.header_limit_bytes != limit:
+            # h11 takes the limit of a connection only at its beginning.
+            received = connection.protocol.trailing_data[0]
+            connection.protocol = _new_protocol(self._limits)
+            connection.protocol.receive_data(received)
+            connection.header_limit_bytes = limit
+        return connection.protocol
+
     async def _wait_for_request(self, connection: _Connection) -> bool:
         async with curio.ignore_after(self._limits.idle_timeout_seconds):
             data = await sockets.receive(connection.sock)
@@ -324,6 +336,12 @@
     return error_responses.error_response(error)
 
 
+def _new_protocol(limits: Limits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.header_limit_bytes
+    )
+
+
 def _log_if_unanswered(exchange: Exchange) -> None:
     """Log a request whose caller waits for an answer that does not come."""
     if exchange.finished or exchange.is_upgraded:
