Pass on a held failure if no socket is left for another send

What callers saw: an endpoint had answered 500, and the daemon, without a free descriptor, could try no other one: the caller got an own refusal in place of the endpoint's answer.

Cause: since the lack of a socket is a refusal of its own, it was raised past the end of the loop, which passes a held answer on.

Change: a refusal of a send ends the loop like one of the selection. Without a held answer the caller gets what it got before.

Measured: the test of tests/test_held_answers.py failed before with the own refusal and passes, as do 59 of forwarder, local failures, prompt parts, continued and complete answers.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -150,12 +150,12 @@
             self._check_parts(progress)
             try:
                 endpoint = await self._select(progress, exchange)
+                outcome = await self._send(endpoint, progress, exchange)
             except errors.Refusal:
                 if not progress.may_have_run:
                     raise
                 # The refusal says that the request has not run; it may have.
                 break
-            outcome = await self._send(endpoint, progress, exchange)
             progress.record_outcome(endpoint, outcome)
             if outcome is progress_module.Outcome.ANSWERED:
                 return
