End the wait for a trial at the deadline or with the caller (CONFIG, GONE)

What callers saw: a request with a part of a prompt in quarantine, for which a trial was due, had no answer at its deadline while the store was slow. Each write takes up to 4 s with its connection, and a claim needs up to three calls.

Cause: the claim was awaited before the deadline of the call was set and before its caller was watched.

Change: it is part of the work that both end.

Measured: both tests of tests/test_slow_trials.py failed before (4.5 s at a deadline of 0.5 s, 4.2 s after a caller that left after 0.2 s) and pass, as do 119 of forwarder, quarantine, poison and stops. The times of the store were read in the code.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -99,10 +99,6 @@
         self.poison_detector.check_fingerprint(
             call.fingerprint, call.arrived_at
         )
-        progress.trial_part = await self.parts.admit(
-            call.part_keys, call.arrived_at
-        )
-        self.budget.record_request(call.service.name, call.arrived_at)
         try:
             async with curio.timeout_after(max(left, 0.001)):
                 await caller_disconnect.run_while_connected(
@@ -133,14 +129,20 @@
         self, progress: progress_module.CallProgress, exchange: server.Exchange
     ) -> None:
         # curio logs a task that ends with an exception as crashed.
+        call = progress.call
         try:
+            # May ask the store, so the deadline and the caller count.
+            progress.trial_part = await self.parts.admit(
+                call.part_keys, call.arrived_at
+            )
+            self.budget.record_request(call.service.name, call.arrived_at)
             await self._send_until_answered(progress, exchange)
         except errors.Refusal as refusal:
             progress.refusal = refusal
         except caller_disconnect.CallerDisconnected:
             progress.caller_gone = True
         except Exception:
-            LOG.exception("forwarding_failed", request=progress.call.id)
+            LOG.exception("forwarding_failed", request=call.id)
             progress.refusal = progress_module.internal_refusal(progress)
 
     async def _send_until_answered(
