Count no lack of a descriptor as a failed probe (own interface)

What operators would see: a controller without a free descriptor counts all its instances as unreachable, and may replace their groups.

Cause: the prober of the own interface counted each error as one of the instance; the one of the platform's interface already tells them apart.

Change: a local failure is neither a failure nor a report.

Measured: both cases of the test failed before with two failures each and pass, as do 22 tests of local failures, groups and health. A group that was replaced for this reason was not seen.

--- a/sycamoredale/groups/probing.py
+++ b/sycamoredale/groups/probing.py
@@ -64,6 +64,9 @@
         probed_at = self.read_clock()
         try:
             state = await self._ask(instance, fresh)
+        except errors.LocalFailure:
+            # It says nothing of the instance.
+            return
         except errors.SycamoredaleError as error:
             connection_refused = isinstance(
                 error.__cause__, ConnectionRefusedError
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -15,13 +15,19 @@
 import curio.socket
 import pytest
 
+from sycamoredale.engines import model_engine
 from sycamoredale import errors
 from sycamoredale.forwarding import error_answers
 from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.groups import health
+from sycamoredale.groups import probing
 from sycamoredale.http import caller_disconnect
+from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale import ids
 from sycamoredale.links import monitor as link_monitor
+from sycamoredale.object_api import instances
 from tests import test_forwarder
 
 CALLERS = 8
@@ -148,3 +154,22 @@
     assert refusal.code.name == "internal"
     assert (refusal.execution.value == "unknown") is is_sent
     assert not caller.started
+
+
+# Guards against groups that are repaired because their controller lacked a
+# descriptor to probe them.
+@pytest.mark.parametrize("runs", [instances.ENGINE, "plain"])
+def test_lack_of_descriptors_is_no_failed_probe(runs):
+    instance = instances.Instance(
+        ids.InstanceId("i"), "127.0.0.1:1", "z", "d", runs=runs
+    )
+    table = health.HealthTable()
+    table.register(instance.id, instance.address)
+    prober = probing.Prober(model_engine.ModelEngineClient(client.Pool()))
+
+    async def main():
+        with no_free_descriptor():
+            await prober.probe_all([instance], table)
+
+    curio.run(main)
+    assert not table.by_id[instance.id].failures
