Divide the descriptors of a daemon, and limit callers from the start

What callers saw: nothing yet at their load; read in the code. Beside resets and pauses of all endpoints, callers and connections to endpoints could take all descriptors between them, and the order decided who got an answer.

Cause: only callers had a limit, half of the descriptors. It was set with the first manifest, before which 8,192 were allowed whatever the machine allows, and a reload of the settings changed it only with the next manifest.

The limit of callers holds from the start and follows a reload.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -36,6 +36,7 @@
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import reported_group_controller
 from sycamoredale.http import client
+from sycamoredale.http import descriptor_shares
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
@@ -141,6 +142,7 @@
         self._server = server.Server(
             self._service.handle, serves_while_draining=True
         )
+        self._divide_descriptors()
         self._readiness = server.Server(
             self._answer_readiness, serves_while_draining=True
         )
@@ -509,6 +511,7 @@
             except (OSError, settings_reader.InvalidSettings) as error:
                 LOG.error("settings_reload_failed", reason=str(error))
             else:
+                self._divide_descriptors()
                 LOG.info("settings_reloaded")
 
     async def _answer_readiness(self, exchange: server.Exchange) -> None:
@@ -527,18 +530,33 @@
         )
 
     def _on_manifest(self) -> None:
+        self._limit_callers()
+        self._rebuild_endpoints()
+
+    def _divide_descriptors(self) -> None:
+        """Bound what opens sockets by its share of the descriptors."""
+        self._shares = descriptor_shares.divide(
+            descriptor_shares.process_limit(
+                self._settings.max_file_descriptors
+            )
+        )
+        self._limit_callers()
+
+    def _limit_callers(self) -> None:
+        callers = self._shares.callers
         limits = self._routes.current.limits
-        if limits is not None:
-            self._server.set_limits(
-                server.Limits(
-                    limits.header_limit_bytes,
-                    limits.body_limit_bytes,
-                    limits.header_timeout_seconds,
-                    limits.idle_timeout_seconds,
-                    self._settings.max_file_descriptors // 2,
-                )
+        if limits is None:
+            self._server.set_limits(server.Limits(max_connections=callers))
+            return
+        self._server.set_limits(
+            server.Limits(
+                limits.header_limit_bytes,
+                limits.body_limit_bytes,
+                limits.header_timeout_seconds,
+                limits.idle_timeout_seconds,
+                callers,
             )
-        self._rebuild_endpoints()
+        )
 
     def _rebuild_endpoints(self) -> None:
         self._endpoints.rebuild()
--- /dev/null
+++ b/tests/test_descriptor_shares.py
@@ -0,0 +1,75 @@
+"""Test that no kind of connection takes the descriptors of another."""
+
+import dataclasses
+import resource
+
+import pytest
+
+from sycamoredale.daemons import entry
+from sycamoredale.http import descriptor_shares
+from sycamoredale.platform import settings
+from tests import test_platform_codec
+
+FILES = 200
+USERS_LIMIT = 4100
+# Of the target: 27,000 requests/s on 380 daemons, each for ten seconds.
+REQUESTS_IN_PROGRESS = 27_000 // 380 * 10
+# Of the large site at 101 machines, where one daemon probes all of them.
+PROBED_INSTANCES = 1000
+
+
+def _settings(max_file_descriptors):
+    read = settings.read(test_platform_codec.SETTINGS_TEXT)
+    return dataclasses.replace(read, max_file_descriptors=max_file_descriptors)
+
+
+# Guards against callers and endpoints that together use up the descriptors,
+# so that the order decides who gets an answer: the shares had no sum.
+@pytest.mark.parametrize("limit", [0, 40, 256, 1024, USERS_LIMIT, 65536])
+def test_shares_together_stay_below_the_limit(limit):
+    shares = descriptor_shares.divide(limit)
+    used = (
+        shares.callers
+        + shares.endpoints
+        + descriptor_shares.DESCRIPTORS_PER_RELAY * shares.relays
+        + shares.probes
+        + shares.reserve
+    )
+    files = min(FILES, limit // 20)
+    assert used <= max(limit - files, descriptor_shares.MIN_SOCKETS)
+    assert min(dataclasses.astuple(shares)) >= 1
+    assert shares.peers - shares.relays < max(2, shares.reserve)
+
+
+def test_shares_of_the_users_machines():
+    shares = descriptor_shares.divide(USERS_LIMIT)
+    # A request in progress takes one of each.
+    assert shares.callers >= REQUESTS_IN_PROGRESS
+    assert shares.endpoints >= REQUESTS_IN_PROGRESS
+    assert shares.probes >= PROBED_INSTANCES
+    assert shares.reserve >= FILES
+
+
+# Guards against a daemon that takes 8,192 callers until its first manifest
+# arrives, and one that keeps the limit of its start after a reload.
+def test_callers_are_limited_from_the_start_and_after_a_reload():
+    daemon = entry.EntryDaemon(_settings(256))
+    shares = descriptor_shares.divide(256)
+    assert daemon._server._limits.max_connections == shares.callers
+    daemon._settings = _settings(128)
+    daemon._divide_descriptors()
+    shares = descriptor_shares.divide(128)
+    assert daemon._server._limits.max_connections == shares.callers
+    daemon._on_manifest()
+    assert daemon._server._limits.max_connections == shares.callers
+
+
+# Guards against settings that promise more than the process may open.
+def test_shares_follow_the_limit_of_the_process():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (200, hard))
+    try:
+        assert descriptor_shares.process_limit(USERS_LIMIT) == 200
+        assert descriptor_shares.process_limit(100) == 100
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
