Limit the connections to endpoints, and give each place back

What callers saw: nothing yet at their load; read in the code. Nothing bounded the connections to endpoints, so that with all endpoints paused they took the descriptors of callers, the store and peers.

Cause: client.Pool counted nothing. Routes without retries opened connections beside it, and a caller that left while such a connection waited for a reset left it open until it was collected.

Change: a pool has a limit on its open connections, idle and in use, relayed ones included. At the limit the one that is idle for longest is closed for a new one; without any, NoSocketAvailable is raised at once (503, not_run). The forwarder opens all connections through its pool and closes one whose caller leaves meanwhile. A connection that is dropped unclosed holds no place. The probes of instances and the group control of the entry daemon share one pool with a share of its own.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -114,6 +114,7 @@
         self._node = self._build_node()
         self._links = self._build_links()
         self._connector = self._links.connector
+        self._probe_pool = client.Pool(self._connector.open_direct)
         self._part_quarantine = part_quarantine.PartQuarantine(
             self._metric_registry
         )
@@ -349,9 +350,7 @@
         )
 
     def _build_engine_client(self) -> engine_client.PlatformEngineClient:
-        return engine_client.PlatformEngineClient(
-            client.Pool(self._connector.open_direct)
-        )
+        return engine_client.PlatformEngineClient(self._probe_pool)
 
     def _build_links(self) -> assembly.Links:
         sources = assembly.LinkSources(
@@ -540,6 +539,8 @@
                 self._settings.max_file_descriptors
             )
         )
+        self._service.call_forwarder.limit_connections(self._shares.endpoints)
+        self._probe_pool.max_open = self._shares.probes
         self._limit_callers()
 
     def _limit_callers(self) -> None:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -85,6 +85,10 @@
             self.parts.quarantine,
         )
 
+    def limit_connections(self, max_open: int) -> None:
+        """Set how many connections to endpoints may be open."""
+        self._pool.max_open = max_open
+
     def _on_links_changed(self, state: link_monitor.LinkState) -> None:
         """Trust endpoints again whose failures were those of own links."""
         if state is link_monitor.LinkState.ISOLATED:
@@ -373,14 +377,20 @@
                 address, connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS
             )
         began = clock.monotonic()
-        connection = await self.connector.open(
-            address, CONNECT_TIMEOUT_SECONDS
+        connection = await self._pool.acquire(
+            address,
+            new_connection=True,
+            connect_timeout_seconds=CONNECT_TIMEOUT_SECONDS,
         )
         took = clock.monotonic() - began
         reset_wait = min(
             max(took, MIN_RESET_WAIT_SECONDS), MAX_RESET_WAIT_SECONDS
         )
-        await curio.sleep(reset_wait)
+        try:
+            await curio.sleep(reset_wait)
+        except curio.CancelledError:
+            await connection.close()
+            raise
         return connection
 
     async def _release_connection(
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -8,8 +8,10 @@
 import collections.abc
 import dataclasses
 import errno
+import sys
 import typing
 from typing import Final
+import weakref
 
 import curio
 import curio.socket
@@ -50,6 +52,9 @@
         """Use a connected socket, of a peer if the connection is relayed."""
         self.address: Final = address
         self.relayed_by: Final = relayed_by
+        self.on_close: collections.abc.Callable[[Connection], None] = (
+            lambda connection: None
+        )
         self._aborted = False
         self.reused = False
         self._ended = False
@@ -179,7 +184,10 @@
 
     async def close(self) -> None:
         """Close the socket."""
-        await self._sock.close()
+        try:
+            await self._sock.close()
+        finally:
+            self.on_close(self)
 
     async def _next_event(self) -> object:
         while True:
@@ -222,7 +230,9 @@
     """Pool idle connections by their remote address.
 
     `connect` opens a connection within a time or raises ConnectionFailed, and
-    `may_reuse` decides whether an idle one may be used now.
+    `may_reuse` decides whether an idle one may be used now.  Up to `max_open`
+    connections are open, in use and idle together.  At the limit, the one
+    that is idle for longest gives its place to a new one.
     """
 
     connect: Connect = dataclasses.field(
@@ -234,6 +244,18 @@
     idle_by_address: dict[messages.Address, list[Connection]] = (
         dataclasses.field(default_factory=dict)
     )
+    max_open: int = sys.maxsize
+    # One that is dropped without a close holds no place for good.
+    _open: weakref.WeakSet[Connection] = dataclasses.field(
+        default_factory=weakref.WeakSet
+    )
+    _opening_count: int = 0
+    # The keys are in the order of their release.
+    _idle: dict[Connection, None] = dataclasses.field(default_factory=dict)
+
+    def open_count(self) -> int:
+        """Return how many connections are open or being opened."""
+        return len(self._open) + self._opening_count
 
     async def acquire(
         self,
@@ -245,10 +267,40 @@
         idle = self.idle_by_address.get(address)
         while idle and not new_connection:
             connection = idle.pop()
+            self._idle.pop(connection, None)
             if connection.is_usable() and self.may_reuse(connection):
                 return connection
             await connection.close()
-        return await self.connect(address, connect_timeout_seconds)
+        return await self._open_new(address, connect_timeout_seconds)
+
+    async def _open_new(
+        self, address: messages.Address, timeout_seconds: float
+    ) -> Connection:
+        while self.open_count() >= self.max_open:
+            longest_idle = next(iter(self._idle), None)
+            if longest_idle is None:
+                raise errors.NoSocketAvailable(
+                    error_codes.NO_SOCKET,
+                    f"all {self.max_open} connections that this daemon may "
+                    f"have are in use; none is left for {address}",
+                )
+            del self._idle[longest_idle]
+            others = self.idle_by_address[longest_idle.address]
+            if longest_idle in others:
+                others.remove(longest_idle)
+            await longest_idle.close()
+        self._opening_count += 1
+        try:
+            connection = await self.connect(address, timeout_seconds)
+        finally:
+            self._opening_count -= 1
+        self._open.add(connection)
+        connection.on_close = self._forget
+        return connection
+
+    def _forget(self, connection: Connection) -> None:
+        self._open.discard(connection)
+        self._idle.pop(connection, None)
 
     async def release(
         self, connection: Connection, max_idle: int = MAX_IDLE_PER_ADDRESS
@@ -258,6 +310,7 @@
         free = min(max_idle, MAX_IDLE_PER_ADDRESS) - len(idle)
         if free > 0 and connection.finish_cycle():
             idle.append(connection)
+            self._idle[connection] = None
             return
         await connection.close()
 
@@ -341,6 +394,9 @@
             error_codes.CONNECTION_FAILED,
             f"connection to {address} failed: {error!r}",
         ) from error
+    except curio.CancelledError:
+        await sock.close()
+        raise
     return sock
 
 
--- a/tests/test_descriptor_shares.py
+++ b/tests/test_descriptor_shares.py
@@ -73,3 +73,18 @@
         assert descriptor_shares.process_limit(100) == 100
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+# Guards against connections to endpoints that take the descriptors of
+# callers, the store and peers.
+def test_connections_to_endpoints_are_limited_and_follow_a_reload():
+    daemon = entry.EntryDaemon(_settings(256))
+    for limit in (256, 128):
+        daemon._settings = _settings(limit)
+        daemon._divide_descriptors()
+        shares = descriptor_shares.divide(limit)
+        pool = daemon._service.call_forwarder._pool
+        assert pool.max_open == shares.endpoints
+        assert daemon._probe_pool.max_open == shares.probes
+    engines = daemon._build_engine_client()
+    assert engines.pool is daemon._probe_pool
