Limit the relays for peers by a share of the descriptors

What callers saw: nothing yet; read in the code. Peers that lose their links take two descriptors of a sound daemon for each of their connections, without a bound, so that the callers of the sound daemon could lose theirs as well.

Change: beyond its share a daemon tells a peer that it cannot relay (NO_RELAY_STATUS), as if it were stopping. The peer asks another one, and takes it as evidence of nothing. Relays that are being opened count too.

Measured: the new test of tests/test_connection_limits.py failed before (the second relay was opened) and passes; 43 tests of limits and relays pass.

--- a/sycamoredale/links/relay_service.py
+++ b/sycamoredale/links/relay_service.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import sys
 import typing
 from typing import Final
 
@@ -28,12 +29,14 @@
 
 @dataclasses.dataclass
 class RelayService:
-    """Answer the relay requests of peers."""
+    """Answer the relay requests of peers, up to `max_relays` at a time."""
 
     connector: connector_module.EndpointConnector
     members: view.MembershipView
     may_use: collections.abc.Callable[[messages.Address], bool]
     is_stopping: collections.abc.Callable[[], bool] = lambda: False
+    max_relays: int = sys.maxsize
+    open_count: int = 0
     _relays: set[relay_protocol.Relay] = dataclasses.field(default_factory=set)
 
     async def handle(self, exchange: server.Exchange) -> None:
@@ -43,6 +46,18 @@
             request.headers.get(relay_protocol.ENDPOINT_HEADER)
         )
         status = self._refusal_status(exchange.remote_host, address)
+        self.open_count += 1
+        try:
+            await self._answer(exchange, address, status)
+        finally:
+            self.open_count -= 1
+
+    async def _answer(
+        self,
+        exchange: server.Exchange,
+        address: messages.Address,
+        status: int | None,
+    ) -> None:
         sock: typing.Any = None
         began = clock.monotonic()
         if status is None:
@@ -111,6 +126,8 @@
             clock.monotonic()
         ):
             return relay_protocol.NO_RELAY_STATUS
+        if self.open_count >= self.max_relays:
+            return relay_protocol.NO_RELAY_STATUS
         return None
 
     async def _failure_status(
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -10,6 +10,7 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.http import client
 from sycamoredale.http import messages
+from sycamoredale.links import relay_client
 from tests import link_fixtures
 from tests import test_forwarder
 from tests import test_relay
@@ -208,3 +209,30 @@
     assert refusal.code.name == "no_socket"
     assert refusal.execution.value == "not_run"
     assert not endpoint.requests
+
+
+# Guards against peers that take the descriptors of a daemon, two for each
+# relay: their number had no bound.
+def test_peer_beyond_the_limit_of_relays_is_told_that_there_is_none():
+    async def main():
+        endpoint = test_relay.Endpoint()
+        async with test_relay._fleet(endpoint) as (own, (peer,)):
+            peer.relay_service.max_relays = 1
+            first = await own.connector.open(endpoint.address, 0.3)
+            # That says nothing of the endpoint.
+            with pytest.raises(errors.NoRelayAvailable):
+                await own.connector.open(endpoint.address, 0.3)
+            answer = await own.connector.relays.check(endpoint.address)
+            unknown = relay_client.Reachability.UNKNOWN
+            assert answer.reachability is unknown
+            await first.close()
+            await curio.sleep(0.05)
+            # A request that is refused holds no place either.
+            peer.addresses.clear()
+            with pytest.raises(errors.NoRelayAvailable):
+                await own.connector.open(endpoint.address, 0.3)
+            peer.addresses.append(endpoint.address)
+            assert peer.relay_service.open_count == 0
+            await (await own.connector.open(endpoint.address, 0.3)).close()
+
+    curio.run(main)
--- a/tests/test_descriptor_shares.py
+++ b/tests/test_descriptor_shares.py
@@ -86,5 +86,6 @@
         pool = daemon._service.call_forwarder._pool
         assert pool.max_open == shares.endpoints
         assert daemon._probe_pool.max_open == shares.probes
+        assert daemon._links.relay_service.max_relays == shares.relays
     engines = daemon._build_engine_client()
     assert engines.pool is daemon._probe_pool
