Limit the connections from and to peers

What callers saw: nothing yet; read in the code. A daemon that has lost the store asks ten peers a second, each over a new connection. The pool kept up to 32 of them for each peer, and the peer's server kept its end for 75 s: with 100 peers up to 3,200 descriptors on one side and 750 on the other, which callers and the store then lack.

Change: the pool for peers and the server for them have limits, parts of the reserve; relays come on top of the latter. The server closes connections of peers after 10 s without a request: neighbours send every 3 s, and what ten questions a second leave behind (100) stays below the limit, so that it refuses no heartbeat.

Measured: tests/test_descriptor_shares.py (the limit of the peer server was 8,192, that of the pool missing) passes; 62 tests of membership, relays and the server pass. The outage itself was not played.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -542,6 +542,9 @@
         self._service.call_forwarder.limit_connections(self._shares.endpoints)
         self._probe_pool.max_open = self._shares.probes
         self._links.relay_service.max_relays = self._shares.relays
+        self._node.limit_connections(
+            self._shares.from_peers, self._shares.to_peers
+        )
         self._limit_callers()
 
     def _limit_callers(self) -> None:
--- a/sycamoredale/http/descriptor_shares.py
+++ b/sycamoredale/http/descriptor_shares.py
@@ -23,6 +23,8 @@
 # a new one for each probe would cost it processor time.
 PROBE_PARTS: Final = 5
 DESCRIPTORS_PER_RELAY: Final = 2
+# For the heartbeats from and to the neighbours of a daemon, and some more.
+MIN_PEERS: Final = 16
 # With fewer, a share would be empty and nothing could be served.
 MIN_SOCKETS: Final = 2 * PARTS
 
@@ -32,14 +34,16 @@
     """Say how many connections of each kind a daemon may have.
 
     `reserve` is for the store, peers, readiness, metrics and single probes.
-    `peers` is the part of it for connections that peers open, plus relays.
+    `from_peers` and `to_peers` are the parts of it for connections that peers
+    open, relays included, and for those that are opened to peers.
     """
 
     callers: int
     endpoints: int
     relays: int
     probes: int
-    peers: int
+    from_peers: int
+    to_peers: int
     reserve: int
 
 
@@ -58,7 +62,8 @@
         endpoints=endpoints,
         relays=relays,
         probes=probes,
-        peers=relays + max(1, reserve // 2),
+        from_peers=relays + max(MIN_PEERS, reserve // 2),
+        to_peers=max(MIN_PEERS, reserve // 4),
         reserve=reserve,
     )
 
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -28,8 +28,12 @@
 
 SEED_INTERVAL_SECONDS: Final = 2.0
 DEREGISTER_TIMEOUT_SECONDS: Final = 2.0
+# Neighbours send every three seconds.  A daemon that has lost the store asks
+# ten peers a second over new connections, which are not needed again.
 PEER_LIMITS: Final = server.Limits(
-    header_limit_bytes=8 * 1024, request_timeout_seconds=5.0
+    header_limit_bytes=8 * 1024,
+    request_timeout_seconds=5.0,
+    idle_timeout_seconds=10.0,
 )
 LOG: Final = logs.get("membership.node")
 
@@ -123,6 +127,13 @@
         async with curio.ignore_after(DEREGISTER_TIMEOUT_SECONDS):
             await self.registry.deregister()
 
+    def limit_connections(self, from_peers: int, to_peers: int) -> None:
+        """Set how many connections peers and this daemon may open."""
+        self._server.set_limits(
+            dataclasses.replace(PEER_LIMITS, max_connections=from_peers)
+        )
+        self.pool.max_open = to_peers
+
     def add_versions_listener(
         self, listener: heartbeats.OnPeerVersions
     ) -> None:
