Answer new callers when no descriptor is left, and log that seldom

What callers saw: on a daemon without a free descriptor, new connections were accepted by the kernel and got no answer until one was free, beyond their own timeouts. If the daemon was stopped meanwhile, the error of accept() ended its drain, and the open requests with it.

Cause: accept() fails while the queue of the listener stays ready. The loop logged each failure and waited, 20 lines a second; the loop that takes the queue in a drain did not expect the error.

Change: each server keeps a spare descriptor. Without another one it is given up for a moment, and the next caller is told 503 no_socket at once. Both loops treat the error alike. The first failure is logged, later ones each ten seconds with their count.

Measured: with eight new callers and no descriptor, none had an answer after 0.5 s and all have 503 now, with one line logged; a drain failed with EMFILE and ends in time.

--- a/sycamoredale/http/error_responses.py
+++ b/sycamoredale/http/error_responses.py
@@ -82,3 +82,12 @@
         f"this daemon has reached its limit of {limit} connections",
         retry_after=1.0,
     )
+
+
+def no_descriptor() -> errors.Refusal:
+    """Return the refusal of a connection for which no descriptor is left."""
+    return errors.Refusal(
+        error_codes.NO_SOCKET,
+        "this daemon has no descriptor left for the connection",
+        retry_after=1.0,
+    )
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -15,11 +15,14 @@
 
 import collections.abc
 import dataclasses
+import errno
+import os
 import typing
 from typing import Final
 import uuid
 
 import curio
+import curio.io
 import curio.network
 import curio.socket
 import h11
@@ -32,12 +35,14 @@
 from sycamoredale.http import request_reader
 from sycamoredale.http import sockets
 from sycamoredale.observability import logs
+from sycamoredale.observability import seldom
 
 Exchange = exchange_module.Exchange
 Limits = request_reader.Limits
 LISTEN_BACKLOG: Final = 1024
 DRAIN_POLL_SECONDS: Final = 0.02
 ACCEPT_RETRY_SECONDS: Final = 0.05
+NO_DESCRIPTOR_ERRORS: Final = frozenset((errno.EMFILE, errno.ENFILE))
 # Part of a drain that is left for answers to the requests that are waiting.
 ANSWER_RESERVE_SECONDS: Final = 0.4
 LINGER_SECONDS: Final = 1.0
@@ -82,6 +87,9 @@
         self._accept_task: typing.Any = None
         self._connections: set[_Connection] = set()
         self._is_listening = True
+        self._failed_accepts = seldom.EventCounter()
+        # Given up for a moment to refuse a caller when no other is left.
+        self._spare_descriptor: int | None = None
         self.draining = False
 
     def bind(self, address: messages.Address) -> messages.Address:
@@ -89,6 +97,7 @@
         self._sock = curio.network.tcp_server_socket(
             address.host, address.port, backlog=LISTEN_BACKLOG
         )
+        self._open_spare_descriptor()
         host, port = self._sock.getsockname()[:2]
         return messages.Address(host, port)
 
@@ -147,20 +156,59 @@
             await self._accept_task.cancel()
         # Connections that the kernel has already accepted still get an answer.
         async with curio.ignore_after(DRAIN_POLL_SECONDS):
-            while True:
-                await self._spawn(await sockets.accept(self._sock))
+            await self._accept()
         await self._sock.close()
+        self._close_spare_descriptor()
 
     async def _accept(self) -> None:
         while True:
             try:
                 sock = await sockets.accept(self._sock)
             except OSError as error:
-                LOG.warning("accept_failed", reason=str(error))
-                await curio.sleep(ACCEPT_RETRY_SECONDS)
+                await self._handle_failed_accept(error, clock.monotonic())
                 continue
             await self._spawn(sock)
 
+    async def _handle_failed_accept(
+        self, error: OSError, now: clock.MonotonicTime
+    ) -> None:
+        count = self._failed_accepts.record(now)
+        if count:
+            LOG.warning("accept_failed", reason=str(error), count=count)
+        if error.errno in NO_DESCRIPTOR_ERRORS and self._refuse_next():
+            await sockets.give_way()
+        else:
+            await curio.sleep(ACCEPT_RETRY_SECONDS)
+
+    def _refuse_next(self) -> bool:
+        """Refuse the next caller on the spare descriptor, if there is one."""
+        self._close_spare_descriptor()
+        try:
+            raw, _ = self._sock._socket.accept()
+        except OSError:
+            return False
+        else:
+            connection = _Connection(
+                curio.io.Socket(raw), h11.Connection(h11.SERVER)
+            )
+            self._reject_connection(
+                connection, error_responses.no_descriptor()
+            )
+            return True
+        finally:
+            self._open_spare_descriptor()
+
+    def _open_spare_descriptor(self) -> None:
+        try:
+            self._spare_descriptor = os.open(os.devnull, os.O_RDONLY)
+        except OSError as error:
+            LOG.debug("no_spare_descriptor", reason=str(error))
+
+    def _close_spare_descriptor(self) -> None:
+        if self._spare_descriptor is not None:
+            os.close(self._spare_descriptor)
+            self._spare_descriptor = None
+
     async def _spawn(self, sock: typing.Any) -> None:
         protocol = h11.Connection(
             h11.SERVER,
@@ -168,7 +216,12 @@
         )
         connection = _Connection(sock, protocol)
         if len(self._connections) >= self._limits.max_connections:
-            self._reject_connection(connection)
+            self._reject_connection(
+                connection,
+                error_responses.too_many_connections(
+                    self._limits.max_connections
+                ),
+            )
             return
         self._connections.add(connection)
         async with curio.disable_cancellation():
@@ -176,11 +229,10 @@
                 self._serve, connection, daemon=True
             )
 
-    def _reject_connection(self, connection: _Connection) -> None:
+    def _reject_connection(
+        self, connection: _Connection, error: errors.Refusal
+    ) -> None:
         # Refused without a task, so that the limit also bounds the tasks.
-        error = error_responses.too_many_connections(
-            self._limits.max_connections
-        )
         data = self._refusal_bytes(connection, error)
         raw = connection.sock._socket
         try:
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -22,6 +22,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.links import monitor as link_monitor
+from sycamoredale.observability import seldom
 from tests import test_forwarder
 
 CALLERS = 8
@@ -109,6 +110,83 @@
     assert not site.servers[0].requests
 
 
+class _Log:
+    """Record the names of the lines of a log."""
+
+    def __init__(self):
+        self.names = []
+
+    def warning(self, name, **fields):
+        self.names.append(name)
+
+    debug = info = warning
+
+
+# Guards against callers that wait in the queue of the listener for an answer
+# until a descriptor is free, and twenty lines of log a second meanwhile.
+def test_new_callers_are_refused_when_no_descriptor_is_left(monkeypatch):
+    site = test_forwarder.Site(test_forwarder.Endpoint("b"))
+    front = Front(site)
+    log = _Log()
+    monkeypatch.setattr(server, "LOG", log)
+    answers = []
+
+    async def main():
+        await front.start()
+        callers = [socket.socket() for _ in range(CALLERS)]
+        late = socket.socket()
+        host, port = front.address.host, front.address.port
+        with no_free_descriptor():
+            threads = []
+            for caller in callers:
+                caller.connect((host, port))
+                threads.append(
+                    threading.Thread(target=_ask, args=(caller, answers))
+                )
+                threads[-1].start()
+            await curio.sleep(0.5)
+            assert len(answers) == CALLERS
+        for thread in threads:
+            await curio.run_in_thread(thread.join)
+        late.connect((host, port))
+        await curio.run_in_thread(_ask, late, answers)
+        for caller in (*callers, late):
+            caller.close()
+
+    curio.run(main)
+    refused = b"HTTP/1.1 503 "
+    assert answers[:-1] == [refused] * CALLERS
+    assert answers[-1].startswith(b"HTTP/1.1 200")
+    assert log.names.count("accept_failed") == 1
+
+
+# Guards against a stop that ends with an error, and all open requests with
+# it, because a caller was waiting and no descriptor was left.
+def test_drain_without_descriptors_is_no_failure():
+    site = test_forwarder.Site(test_forwarder.Endpoint("b"))
+    front = Front(site)
+    answers = []
+
+    async def main():
+        # The listener has a caller that nobody has accepted yet.
+        caller = socket.socket()
+        caller.connect((front.address.host, front.address.port))
+        with no_free_descriptor():
+            assert await front.server.drain(1.0)
+        await curio.run_in_thread(_ask, caller, answers)
+        caller.close()
+
+    curio.run(main)
+    assert answers == [b"HTTP/1.1 503 "]
+
+
+def test_frequent_events_are_reported_seldom_and_counted():
+    counter = seldom.EventCounter()
+    reports = [counter.record(0.05 * step) for step in range(401)]
+    assert reports[0] == 1
+    assert [count for count in reports if count] == [1, 200, 200]
+
+
 def test_lack_of_descriptors_is_no_fault_of_endpoint_or_links():
     site = test_forwarder.Site(test_forwarder.Endpoint("b"), may_retry=False)
     connector = site.forwarder.connector
