Show the connections of each share in the metrics

Operators could not see which share of the descriptors runs out, nor that one does before requests are refused.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -523,11 +523,35 @@
         registry.set_gauge(
             "config_version", "main", self._routes.current.version
         )
+        self._record_sockets()
         text = registry.render()
         await exchange.respond(
             messages.Response(200, messages.Headers(fields), text.encode())
         )
 
+    def _record_sockets(self) -> None:
+        """Set the gauges of the connections that are open and allowed."""
+        shares = self._shares
+        calls = self._service.call_forwarder
+        for share, open_count, allowed in (
+            ("callers", self._server.connection_count(), shares.callers),
+            ("endpoints", calls.connection_count(), shares.endpoints),
+            ("probes", self._probe_pool.open_count(), shares.probes),
+            (
+                "relays",
+                self._links.relay_service.open_count,
+                shares.relays,
+            ),
+            (
+                "from_peers",
+                self._node.peer_connection_count(),
+                shares.from_peers,
+            ),
+            ("to_peers", self._node.pool.open_count(), shares.to_peers),
+        ):
+            self._metric_registry.set_gauge("sockets_open", share, open_count)
+            self._metric_registry.set_gauge("sockets_allowed", share, allowed)
+
     def _on_manifest(self) -> None:
         self._limit_callers()
         self._rebuild_endpoints()
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -89,6 +89,10 @@
         """Set how many connections to endpoints may be open."""
         self._pool.max_open = max_open
 
+    def connection_count(self) -> int:
+        """Return how many connections to endpoints are open."""
+        return self._pool.open_count()
+
     def _on_links_changed(self, state: link_monitor.LinkState) -> None:
         """Trust endpoints again whose failures were those of own links."""
         if state is link_monitor.LinkState.ISOLATED:
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -109,6 +109,10 @@
         """Set the limits of the following requests and connections."""
         self._limits = limits
 
+    def connection_count(self) -> int:
+        """Return how many connections of callers are open."""
+        return len(self._connections)
+
     async def drain(
         self, timeout_seconds: float, listen_seconds: float = 0.0
     ) -> bool:
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -134,6 +134,10 @@
         )
         self.pool.max_open = to_peers
 
+    def peer_connection_count(self) -> int:
+        """Return how many connections of peers are open."""
+        return self._server.connection_count()
+
     def add_versions_listener(
         self, listener: heartbeats.OnPeerVersions
     ) -> None:
--- a/tests/test_descriptor_shares.py
+++ b/tests/test_descriptor_shares.py
@@ -116,3 +116,19 @@
     assert (
         limits.idle_timeout_seconds > 3 * heartbeats.NEIGHBOUR_PERIOD_SECONDS
     )
+
+
+# Guards against shares that run out unseen.
+def test_metrics_show_the_sockets_of_each_share():
+    daemon = entry.EntryDaemon(_settings(256))
+    daemon._links.relay_service.open_count = 3
+    daemon._record_sockets()
+    lines = daemon._metric_registry.render().splitlines()
+    assert 'sycamoredale_sockets_open{kind="relays"} 3' in lines
+    shares = dataclasses.asdict(descriptor_shares.divide(256))
+    # The reserve is what is left, and nobody counts it.
+    del shares["reserve"]
+    for share, allowed in shares.items():
+        label = f'{{kind="{share}"}}'
+        assert f"sycamoredale_sockets_allowed{label} {allowed}" in lines
+        assert any(f"sockets_open{label} " in line for line in lines)
