Suspect no peer for a lack of sockets of the own daemon

What could be seen: a daemon without a free socket suspected its neighbours after their heartbeats, which it had not sent, and told the fleet. Its questions to peers counted as answers that there is no outage of the store.

Cause: a heartbeat that was not answered and one that could not be sent had the same result.

Change: a heartbeat that this daemon could not send says nothing. A daemon that probes for another still answers "not reached" then; the message has no word for "not tried".

Measured: the new test of tests/test_descriptor_shares.py failed before (the peer was suspected); 37 tests of membership and shares pass.

--- a/sycamoredale/membership/failure_detector.py
+++ b/sycamoredale/membership/failure_detector.py
@@ -40,11 +40,14 @@
 
 
 class SendHeartbeat(typing.Protocol):
-    """Exchange a heartbeat and return whether the peer answered."""
+    """Exchange a heartbeat and return whether the peer answered.
+
+    The result is None if this daemon could not send one.
+    """
 
     def __call__(
         self, peer: view.Peer, new_connection: bool = False
-    ) -> collections.abc.Awaitable[bool]:
+    ) -> collections.abc.Awaitable[bool | None]:
         """Send to the peer, over a new connection if `new_connection`."""
 
 
@@ -66,11 +69,14 @@
     async def check(self, peer: view.Peer) -> None:
         """Probe a peer and suspect it if every probe fails."""
         started = clock.monotonic()
-        if await self.send_heartbeat(peer) or await self.send_heartbeat(
-            peer, new_connection=True
-        ):
+        if await self.send_heartbeat(peer):
+            return
+        if await self.send_heartbeat(peer, new_connection=True) is not False:
             return
-        if await self._probe_indirectly(peer):
+        try:
+            if await self._probe_indirectly(peer):
+                return
+        except errors.LocalFailure:
             return
         now = clock.monotonic()
         max_seconds = (2 + INDIRECT_PROBES) * PROBE_TIMEOUT_SECONDS
@@ -121,7 +127,7 @@
         reached = await self.send_heartbeat(
             request.target, new_connection=True
         )
-        return msgspec.json.encode(peer_messages.ProbeAnswer(reached))
+        return msgspec.json.encode(peer_messages.ProbeAnswer(bool(reached)))
 
     async def _probe_indirectly(self, peer: view.Peer) -> bool:
         own = self.members.own.id
@@ -144,6 +150,8 @@
                 PROBE_TIMEOUT_SECONDS,
             )
             decoded = decoding.decode_json(answer, peer_messages.ProbeAnswer)
+        except errors.LocalFailure:
+            raise
         except (errors.SycamoredaleError, msgspec.DecodeError):
             return False
         return decoded.reached
--- a/sycamoredale/membership/heartbeats.py
+++ b/sycamoredale/membership/heartbeats.py
@@ -127,8 +127,11 @@
 
     async def send(
         self, peer: view.Peer, new_connection: bool = False
-    ) -> bool:
-        """Exchange one heartbeat and return whether the peer answered."""
+    ) -> bool | None:
+        """Exchange one heartbeat and return whether the peer answered.
+
+        Returns None if this daemon could not send it.
+        """
         sent_at = clock.monotonic()
         message = self._build_heartbeat(peer.id, sent_at)
         try:
@@ -144,7 +147,7 @@
             LOG.debug("heartbeat_failed", peer=peer.id, reason=str(error))
             self.updates.requeue(peer.id, message.members)
             self.gossip.requeue(peer.id, message.notices)
-            return False
+            return None if isinstance(error, errors.LocalFailure) else False
         now = clock.monotonic()
         self._merge_heartbeat(answer, now)
         self.freshness.on_answer(
@@ -282,7 +285,7 @@
 
     async def _query_peer(self, peer: view.Peer) -> None:
         sent_at = clock.monotonic()
-        if not await self.send(peer, new_connection=True):
+        if await self.send(peer, new_connection=True) is False:
             self.freshness.on_no_answer(peer.id, sent_at)
 
 
--- a/tests/test_descriptor_shares.py
+++ b/tests/test_descriptor_shares.py
@@ -3,12 +3,17 @@
 import dataclasses
 import resource
 
+import curio
+import msgspec
 import pytest
 
+from sycamoredale import clock
 from sycamoredale.daemons import entry
 from sycamoredale.http import descriptor_shares
+from sycamoredale import ids
 from sycamoredale.membership import heartbeats
 from sycamoredale.membership import node
+from sycamoredale.membership import view
 from sycamoredale.platform import settings
 from tests import test_platform_codec
 
@@ -132,3 +137,29 @@
         label = f'{{kind="{share}"}}'
         assert f"sycamoredale_sockets_allowed{label} {allowed}" in lines
         assert any(f"sockets_open{label} " in line for line in lines)
+
+
+# Guards against a daemon that lacks sockets itself and has its peers declared
+# dead, or counts them as witnesses against an outage of the store.
+def test_lack_of_sockets_is_no_evidence_against_a_peer():
+    daemon_node = entry.EntryDaemon(_settings(256))._node
+    peer = msgspec.structs.replace(
+        daemon_node.members.own, id=ids.DaemonId("peer"), address="127.0.0.1:1"
+    )
+    daemon_node.members.merge(peer, clock.monotonic())
+    daemon_node.pool.max_open = 0
+
+    async def check():
+        await daemon_node.heartbeats.detector.check(peer)
+        await daemon_node.heartbeats._query_peer(peer)
+
+    curio.run(check)
+    known = daemon_node.members.by_id[peer.id]
+    assert known.state is view.PeerState.ALIVE
+    assert peer.id not in daemon_node.freshness.vote_by_id
+    # Nobody listens there, which is found once a socket is free.
+    daemon_node.pool.max_open = 4
+    curio.run(check)
+    known = daemon_node.members.by_id[peer.id]
+    assert known.state is view.PeerState.SUSPECT
+    assert not daemon_node.freshness.vote_by_id[peer.id].stale
