Close an idle connection when the machine has no descriptor left

What callers saw: 503 no_socket while the pool kept idle connections to other endpoints, where the machine has fewer descriptors than its limits promise.

Change: if a connection cannot be opened for want of a socket, the one that is idle for longest is closed, and the opening is tried once more.

--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -277,27 +277,44 @@
         self, address: messages.Address, timeout_seconds: float
     ) -> Connection:
         while self.open_count() >= self.max_open:
-            longest_idle = next(iter(self._idle), None)
-            if longest_idle is None:
+            if not await self._close_longest_idle():
                 raise errors.NoSocketAvailable(
                     error_codes.NO_SOCKET,
                     f"all {self.max_open} connections that this daemon may "
                     f"have are in use; none is left for {address}",
                 )
-            del self._idle[longest_idle]
-            others = self.idle_by_address[longest_idle.address]
-            if longest_idle in others:
-                others.remove(longest_idle)
-            await longest_idle.close()
         self._opening_count += 1
         try:
-            connection = await self.connect(address, timeout_seconds)
+            connection = await self._connect(address, timeout_seconds)
         finally:
             self._opening_count -= 1
         self._open.add(connection)
         connection.on_close = self._forget
         return connection
 
+    async def _connect(
+        self, address: messages.Address, timeout_seconds: float
+    ) -> Connection:
+        try:
+            return await self.connect(address, timeout_seconds)
+        except errors.NoSocketAvailable:
+            # The machine may have less than the limit allows.
+            if not await self._close_longest_idle():
+                raise
+        return await self.connect(address, timeout_seconds)
+
+    async def _close_longest_idle(self) -> bool:
+        """Close an idle connection; return whether there was one."""
+        longest_idle = next(iter(self._idle), None)
+        if longest_idle is None:
+            return False
+        del self._idle[longest_idle]
+        others = self.idle_by_address[longest_idle.address]
+        if longest_idle in others:
+            others.remove(longest_idle)
+        await longest_idle.close()
+        return True
+
     def _forget(self, connection: Connection) -> None:
         self._open.discard(connection)
         self._idle.pop(connection, None)
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -13,6 +13,7 @@
 from sycamoredale.links import relay_client
 from tests import link_fixtures
 from tests import test_forwarder
+from tests import test_local_failures
 from tests import test_relay
 
 REQUEST = messages.Request("GET", "/x")
@@ -236,3 +237,24 @@
             await (await own.connector.open(endpoint.address, 0.3)).close()
 
     curio.run(main)
+
+
+# Guards against requests that are refused for want of a descriptor while
+# connections that nobody uses have some.
+def test_idle_connection_gives_its_descriptor_if_the_machine_has_none():
+    async def main():
+        endpoints = [test_relay.Endpoint() for _ in range(2)]
+        for endpoint in endpoints:
+            await curio.spawn(endpoint.run, daemon=True)
+        pool = client.Pool()
+        connection = await pool.acquire(endpoints[0].address)
+        await _finish(connection)
+        await pool.release(connection)
+        with test_local_failures.no_free_descriptor():
+            fresh = await pool.acquire(endpoints[1].address)
+            with pytest.raises(errors.NoSocketAvailable):
+                await pool.acquire(endpoints[0].address)
+        assert pool.open_count() == 1
+        await fresh.close()
+
+    curio.run(main)
