--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -36,6 +36,7 @@
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import reported_group_controller
 from sycamoredale.http import client
+from sycamoredale.http import descriptor_shares
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
@@ -115,6 +116,7 @@
         self._node = self._build_node()
         self._links = self._build_links()
         self._connector = self._links.connector
+        self._probe_pool = client.Pool(self._connector.open_direct)
         self._part_quarantine = part_quarantine.PartQuarantine(
             self._metric_registry
         )
@@ -143,6 +145,7 @@
         self._server = server.Server(
             self._service.handle, serves_while_draining=True
         )
+        self._divide_descriptors()
         self._readiness = server.Server(
             self._answer_readiness, serves_while_draining=True
         )
@@ -349,9 +352,7 @@
         )
 
     def _build_engine_client(self) -> engine_client.PlatformEngineClient:
-        return engine_client.PlatformEngineClient(
-            client.Pool(self._connector.open_direct)
-        )
+        return engine_client.PlatformEngineClient(self._probe_pool)
 
     def _build_links(self) -> assembly.Links:
         sources = assembly.LinkSources(
@@ -516,6 +517,7 @@
         except (OSError, settings_reader.InvalidSettings) as error:
             LOG.error("settings_reload_failed", reason=str(error))
         else:
+            self._divide_descriptors()
             LOG.info("settings_reloaded")
 
     async def _answer_readiness(self, exchange: server.Exchange) -> None:
@@ -528,24 +530,69 @@
         registry.set_gauge(
             "config_version", "main", self._routes.current.version
         )
+        self._record_sockets()
         text = registry.render()
         await exchange.respond(
             messages.Response(200, messages.Headers(fields), text.encode())
         )
 
+    def _record_sockets(self) -> None:
+        """Set the gauges of the connections that are open and allowed."""
+        shares = self._shares
+        calls = self._service.call_forwarder
+        for share, open_count, allowed in (
+            ("callers", self._server.connection_count(), shares.callers),
+            ("endpoints", calls.connection_count(), shares.endpoints),
+            ("probes", self._probe_pool.open_count(), shares.probes),
+            (
+                "relays",
+                self._links.relay_service.open_count,
+                shares.relays,
+            ),
+            (
+                "from_peers",
+                self._node.peer_connection_count(),
+                shares.from_peers,
+            ),
+            ("to_peers", self._node.pool.open_count(), shares.to_peers),
+        ):
+            self._metric_registry.set_gauge("sockets_open", share, open_count)
+            self._metric_registry.set_gauge("sockets_allowed", share, allowed)
+
     def _on_manifest(self) -> None:
+        self._limit_callers()
+        self._rebuild_endpoints()
+
+    def _divide_descriptors(self) -> None:
+        """Bound what opens sockets by its share of the descriptors."""
+        self._shares = descriptor_shares.divide(
+            descriptor_shares.process_limit(
+                self._settings.max_file_descriptors
+            )
+        )
+        self._service.call_forwarder.limit_connections(self._shares.endpoints)
+        self._probe_pool.max_open = self._shares.probes
+        self._links.relay_service.max_relays = self._shares.relays
+        self._node.limit_connections(
+            self._shares.from_peers, self._shares.to_peers
+        )
+        self._limit_callers()
+
+    def _limit_callers(self) -> None:
+        callers = self._shares.callers
         limits = self._routes.current.limits
-        if limits is not None:
-            self._server.set_limits(
-                server.Limits(
-                    limits.header_limit_bytes,
-                    limits.body_limit_bytes,
-                    limits.header_timeout_seconds,
-                    limits.idle_timeout_seconds,
-                    self._settings.max_file_descriptors // 2,
-                )
+        if limits is None:
+            self._server.set_limits(server.Limits(max_connections=callers))
+            return
+        self._server.set_limits(
+            server.Limits(
+                limits.header_limit_bytes,
+                limits.body_limit_bytes,
+                limits.header_timeout_seconds,
+                limits.idle_timeout_seconds,
+                callers,
             )
-        self._rebuild_endpoints()
+        )
 
     def _rebuild_endpoints(self) -> None:
         self._endpoints.rebuild()
