--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -36,6 +36,7 @@
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import reported_group_controller
 from sycamoredale.http import client
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
@@ -68,6 +69,9 @@
 DRAIN_LISTEN_SECONDS: Final = 3.0
 # Part of the grace period that is left for the exit of the process.
 EXIT_RESERVE_SECONDS: Final = 0.5
+# The rest is for the process itself, which needs about 64 MB, for the buffers
+# of the kernel and for copies while bytes are passed on.
+HELD_ANSWERS_SHARE: Final = 0.125
 # The metrics port in the deployment file.
 METRICS_PORT: Final = 9464
 # Assumed until the registry is listed; more than the largest fleet has, so
@@ -77,6 +81,7 @@
 WATCHER_CHECK_SECONDS: Final = 0.5
 # The peer service uses the first internal port, peer updates the next one.
 PEER_UPDATE_PORT_OFFSET: Final = 1
+BYTES_PER_MB: Final = 1_000_000
 LOG: Final = logs.get("daemon")
 
 
@@ -98,6 +103,11 @@
             lambda: self._store_contact.begin_era(clock.monotonic())
         )
         self._metric_registry = exposition.MetricRegistry()
+        self._held_answers = held_bytes.HeldBytes(
+            settings.memory_mb * HELD_ANSWERS_SHARE * BYTES_PER_MB,
+            "answers",
+            self._metric_registry,
+        )
         self._instances = instance_table.InstanceTable(
             departures=departures.DepartureLog(self._metric_registry)
         )
@@ -412,6 +422,7 @@
                 self._connector,
                 self._count_daemons,
                 self._stop_plan,
+                self._held_answers,
             ),
             self._metric_registry,
             is_ready=self._is_ready,
@@ -521,6 +532,7 @@
         registry.set_gauge(
             "config_version", "main", self._routes.current.version
         )
+        self._held_answers.set_gauge()
         text = registry.render()
         await exchange.respond(
             messages.Response(200, messages.Headers(fields), text.encode())
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -23,6 +23,7 @@
 from sycamoredale.forwarding import stall_detection
 from sycamoredale.forwarding import wire_protocol
 from sycamoredale.http import client
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale.links import monitor
@@ -45,6 +46,9 @@
     wire: wire_protocol.WireProtocol
     links: monitor.LinkMonitor
     instances: instance_table.InstanceTable
+    held: held_bytes.HeldBytes = dataclasses.field(
+        default_factory=held_bytes.HeldBytes
+    )
 
     async def relay(
         self,
@@ -90,9 +94,19 @@
                 endpoint, f"unusable answer of kind {info.kind.value!r}"
             )
         if call.is_stream and head.status == 200:
-            await self._relay_stream(
-                connection, endpoint, info, progress, exchange, may_leave
-            )
+            with self.held.reserve(connection.address) as reservation:
+                try:
+                    await self._relay_stream(
+                        connection,
+                        endpoint,
+                        info,
+                        progress,
+                        exchange,
+                        may_leave,
+                        reservation,
+                    )
+                finally:
+                    progress.stream.drop_pending()
             if not exchange.started:
                 if _ended_early(head, progress):
                     raise _broken_answer(
@@ -106,18 +120,19 @@
                 )
             await exchange.finish()
             return progress_module.Outcome.ANSWERED
-        body = await connection.read_body(MAX_ANSWER_BYTES)
-        answer = messages.Response(head.status, info.headers, body)
-        if head.status >= 500:
-            progress.error_answer = answer
-            return progress_module.Outcome.FAILED
-        if exchange.started:
-            raise _broken_answer(
-                endpoint, f"status {head.status} to a resumed stream"
-            )
-        endpoint.record_progress(now)
-        progress.has_success = 200 <= head.status < 300
-        await exchange.respond(answer)
+        with self.held.reserve(connection.address) as reservation:
+            body = await connection.read_body(MAX_ANSWER_BYTES, reservation)
+            answer = messages.Response(head.status, info.headers, body)
+            if head.status >= 500:
+                progress.keep_error_answer(answer, reservation.move())
+                return progress_module.Outcome.FAILED
+            if exchange.started:
+                raise _broken_answer(
+                    endpoint, f"status {head.status} to a resumed stream"
+                )
+            endpoint.record_progress(now)
+            progress.has_success = 200 <= head.status < 300
+            await exchange.respond(answer)
         return progress_module.Outcome.ANSWERED
 
     def _record_heard(
@@ -148,6 +163,7 @@
         progress: progress_module.CallProgress,
         exchange: server.Exchange,
         may_leave: stall_detection.MayLeave,
+        reservation: held_bytes.Reservation,
     ) -> None:
         stream = progress.stream
         count_before = stream.event_count
@@ -183,6 +199,13 @@
                 waiting_since = clock.MonotonicTime(
                     waiting_since + clock.monotonic() - now
                 )
+            # Most pieces end with an event, and leave nothing to hold.
+            if (stream.pending_bytes or reservation.size) and (
+                not reservation.resize(stream.pending_bytes)
+            ):
+                raise _broken_answer(
+                    endpoint, "this daemon holds too many bytes"
+                )
             if stream.has_gap:
                 raise _broken_answer(endpoint, "a stream event is missing")
             if stream.has_excess_comments:
--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -57,6 +57,10 @@
         self.has_foreign_text = False
         self.is_continued = self._has_passed
 
+    def drop_pending(self) -> None:
+        """Drop the incomplete event, so that its bytes are not held."""
+        self._buffer.clear()
+
     @property
     def can_be_continued(self) -> bool:
         """Return whether it is known after which event to continue."""
@@ -67,6 +71,11 @@
         """Return whether comments since the last event exceed their limit."""
         return self._comment_bytes > MAX_COMMENT_BYTES
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return self._buffer.size
+
     @property
     def ends_at_boundary(self) -> bool:
         """Return whether no part of an event is pending."""
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -27,6 +27,7 @@
 from sycamoredale.forwarding import wire_protocol
 from sycamoredale.http import caller_disconnect
 from sycamoredale.http import client
+from sycamoredale.http import held_bytes
 from sycamoredale.http import server
 from sycamoredale.links import connector as connector_module
 from sycamoredale.links import monitor as link_monitor
@@ -70,11 +71,17 @@
     stop_plan: stop_plan_module.StopPlan = dataclasses.field(
         default_factory=stop_plan_module.StopPlan
     )
+    held_answers: held_bytes.HeldBytes = dataclasses.field(
+        default_factory=held_bytes.HeldBytes
+    )
 
     def __post_init__(self) -> None:
         """Build the relay of answers and the pool of connections."""
         self._answer_relay = answer_relay.AnswerRelay(
-            self.wire, self.connector.monitor, self.selector.instances
+            self.wire,
+            self.connector.monitor,
+            self.selector.instances,
+            self.held_answers,
         )
         self._pool = client.Pool(self.connector.open, self.connector.may_reuse)
         self.connector.monitor.on_change.append(self._on_links_changed)
@@ -110,6 +117,8 @@
                 )
         except curio.TaskTimeout:
             raise progress_module.deadline_refusal() from None
+        finally:
+            progress.release()
         if progress.caller_gone:
             raise caller_disconnect.CallerDisconnected()
         if progress.refusal is not None:
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -13,6 +13,7 @@
 from sycamoredale.forwarding import event_stream
 from sycamoredale.forwarding import queue_priority as queue_priority_module
 from sycamoredale.http import error_responses
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale import ids
 
@@ -76,6 +77,25 @@
     is_deferred: bool = False
     longest_pause_seconds: float = 0.0
     _last_events_at: clock.MonotonicTime | None = None
+    _error_reservation: held_bytes.Reservation | None = None
+
+    def keep_error_answer(
+        self, answer: messages.Response, reservation: held_bytes.Reservation
+    ) -> None:
+        """Keep the answer of an endpoint that failed, instead of an earlier.
+
+        Its bytes stay reserved until `release`.
+        """
+        self.release()
+        self.error_answer = answer
+        self._error_reservation = reservation
+
+    def release(self) -> None:
+        """Drop the answer that was kept."""
+        self.error_answer = None
+        if self._error_reservation is not None:
+            self._error_reservation.release()
+            self._error_reservation = None
 
     def record_events(self, now: clock.MonotonicTime) -> None:
         """Update the longest pause between two arrivals of events."""
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -18,6 +18,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import chunked
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import sockets
 from sycamoredale import ids
@@ -130,8 +131,15 @@
         self._ended = chunks.complete
         return data
 
-    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
-        """Read the rest of the body; raise ConnectionBroken."""
+    async def read_body(
+        self,
+        max_bytes: int = MAX_BODY_BYTES,
+        reservation: held_bytes.Reservation | None = None,
+    ) -> bytes:
+        """Read the rest of the body; raise ConnectionBroken.
+
+        The body is held in the reservation, and is broken if denied.
+        """
         parts: list[bytes] = []
         size = 0
         while True:
@@ -141,6 +149,8 @@
             size += len(part)
             if size > max_bytes:
                 raise self._broken(f"the body exceeds {max_bytes} bytes")
+            if reservation is not None and not reservation.resize(size):
+                raise self._broken("this daemon holds too many bytes")
             parts.append(part)
 
     def finish_cycle(self) -> bool:
--- a/sycamoredale/http/event_buffer.py
+++ b/sycamoredale/http/event_buffer.py
@@ -42,6 +42,11 @@
         """Drop the incomplete event."""
         self._partial.clear()
 
+    @property
+    def size(self) -> int:
+        """Return the number of bytes of the incomplete event."""
+        return len(self._partial)
+
     @property
     def is_blank(self) -> bool:
         """Return whether no part of an event is held."""
--- a/sycamoredale/platform/settings.py
+++ b/sycamoredale/platform/settings.py
@@ -29,6 +29,7 @@
     store_address: messages.Address
     peer_ports: tuple[int, int]
     max_file_descriptors: int
+    memory_mb: float
     cores: float
     first_start: bool
     bounds: operator_bounds.OperatorBounds
@@ -52,6 +53,7 @@
         store_address=reader.address("platform.addr"),
         peer_ports=reader.ports("internal_ports"),
         max_file_descriptors=int(number("limits.max_fds", 1024)),
+        memory_mb=number("limits.memory_mb", 300.0),
         cores=number("limits.cpu_share", 1.0) * number("limits.cores", 1.0),
         # Set only at the first start of the whole system.
         first_start=reader.text_by_name.get("bootstrap") == "true",
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,10 +11,13 @@
 from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.http import chunked
 from sycamoredale.http import client
 from sycamoredale.http import event_buffer
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
+from sycamoredale.http import server
 from tests import test_forwarder
 
 OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nReplica-Seal: s\r\n"
@@ -49,6 +52,8 @@
 PLAIN = {"plain body": (OK + b"\r\n", JUNK)}
 PAUSES = {"at once": 0.0, "in drops": 0.05}
 MAX_BYTES_HELD = 12 * 1024 * 1024
+HELD_LIMIT_BYTES = 20 * 1024 * 1024
+SOURCES = 40
 
 
 class EndlessEndpoint:
@@ -62,7 +67,7 @@
         self.closed_count = 0
         self._sock = curio.socket.socket()
         self._sock.bind(("127.0.0.1", 0))
-        self._sock.listen(5)
+        self._sock.listen(100)
         self.address = messages.Address(*self._sock.getsockname())
 
     async def start(self):
@@ -160,6 +165,118 @@
     assert clock.monotonic() - began < 2.0
 
 
+class LargeEndpoint:
+    """Answer each request with one large body, in many pieces."""
+
+    def __init__(self, name, body, status=200):
+        self.name = name
+        self.body = body
+        self.status = status
+        self.server = server.Server(self._handle)
+        self.address = self.server.bind(messages.Address("127.0.0.1", 0))
+
+    async def _handle(self, exchange):
+        fields = [("Attempt-Id", "r1"), ("Replica-Seal", "s")]
+        await exchange.respond(
+            messages.Response(self.status, messages.Headers(fields), self.body)
+        )
+
+
+async def _call(site, seconds_by_site=None):
+    """Return what the caller of a site received, and the refusal."""
+    caller = test_forwarder.Caller()
+    began = time.monotonic()
+    refusal = None
+    try:
+        await site.forwarder.run(progress_module.begin(site.call()), caller)
+    except errors.Refusal as error:
+        refusal = error
+    if seconds_by_site is not None:
+        seconds_by_site.append(time.monotonic() - began)
+    return caller, refusal
+
+
+# Guards against an endpoint in trouble that fills the memory with many
+# answers, each of them below its own limit.
+@pytest.mark.parametrize("case", ["plain body", "event"])
+def test_many_answers_without_end_leave_room_for_a_sound_one(case):
+    held = held_bytes.HeldBytes(HELD_LIMIT_BYTES)
+    body = b"b" * (4 * 1024 * 1024 - 1000)
+    bad = PlainSite(EndlessEndpoint("a", case, 0.0), held=held)
+    if case == "event":
+        bad = test_forwarder.Site(bad.servers[0], may_retry=False, held=held)
+    large = PlainSite(LargeEndpoint("b", body), held=held)
+    small = test_forwarder.Site(test_forwarder.Endpoint("c"), held=held)
+    seconds = []
+
+    async def main():
+        for site in (bad, large, small):
+            await site.servers[0].server.start()
+        refused = [await curio.spawn(_call, bad) for _ in range(SOURCES)]
+        await curio.sleep(0.02)
+        whole = await curio.spawn(_call, large)
+        others = []
+        for _ in range(5):
+            others.append(await curio.spawn(_call, small, seconds))
+            await curio.sleep(0.05)
+        return [
+            [await task.join() for task in tasks]
+            for tasks in (refused, [whole], others)
+        ]
+
+    tracemalloc.start()
+    refused, whole, others = curio.run(main)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak < 1.25 * HELD_LIMIT_BYTES
+    assert whole[0][1] is None
+    assert whole[0][0].body == body
+    for caller, _ in others:
+        assert caller.body == test_forwarder.COMPLETE
+    assert max(seconds) < 2.0
+    for caller, refusal in refused:
+        assert not caller.finished
+        assert refusal.code.status == 502
+        assert refusal.execution.value == "unknown"
+    assert held.total == 0
+
+
+def test_kept_error_answers_are_held_until_the_call_ends():
+    held = held_bytes.HeldBytes(HELD_LIMIT_BYTES)
+    body = b"b" * 1_000_000
+    first = LargeEndpoint("a", body, 500)
+    second = test_forwarder.Endpoint("b", "silent")
+    site = PlainSite(first, second, seconds=1.0, held=held)
+    sizes = []
+
+    async def main():
+        await first.server.start()
+        await second.server.start()
+        task = await curio.spawn(_call, site)
+        await curio.sleep(0.5)
+        sizes.append(held.total)
+        await task.join()
+
+    curio.run(main)
+    assert sizes == [len(body)]
+    assert held.total == 0
+
+
+def test_cancelled_read_holds_nothing():
+    held = held_bytes.HeldBytes(HELD_LIMIT_BYTES)
+    bad = PlainSite(EndlessEndpoint("a", "plain body", 0.05), held=held)
+
+    async def main():
+        await bad.servers[0].start()
+        task = await curio.spawn(_call, bad)
+        await curio.sleep(0.3)
+        assert held.total > 0
+        await task.cancel()
+
+    curio.run(main)
+    assert held.total == 0
+
+
 def test_event_without_an_end_is_limited():
     buffer = event_buffer.EventBuffer()
     with pytest.raises(ValueError, match="event"):
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -18,6 +18,7 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import send_log
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
@@ -123,7 +124,7 @@
 class Site:
     """Run one forwarder in front of several endpoints."""
 
-    def __init__(self, *servers, may_retry=True, seconds=8.0):
+    def __init__(self, *servers, may_retry=True, seconds=8.0, held=None):
         self.servers = servers
         instances = instance_table.InstanceTable()
         endpoint_table = endpoints.EndpointTable(
@@ -155,6 +156,7 @@
             poison.PoisonDetector(),
             part_admission.PartAdmission(),
             link_fixtures.connector(endpoint_table),
+            held_answers=held or held_bytes.HeldBytes(),
         )
         self.may_retry = may_retry
         self.seconds = seconds
