--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -72,6 +72,7 @@
 # The rest is for the process itself, which needs about 64 MB, for the buffers
 # of the kernel and for copies while bytes are passed on.
 HELD_ANSWERS_SHARE: Final = 0.125
+HELD_REQUESTS_SHARE: Final = 0.125
 # The metrics port in the deployment file.
 METRICS_PORT: Final = 9464
 # Assumed until the registry is listed; more than the largest fleet has, so
@@ -108,6 +109,12 @@
             "answers",
             self._metric_registry,
         )
+        # Apart from the answers, which callers cannot crowd out.
+        self._held_requests = held_bytes.HeldBytes(
+            settings.memory_mb * HELD_REQUESTS_SHARE * BYTES_PER_MB,
+            "requests",
+            self._metric_registry,
+        )
         self._instances = instance_table.InstanceTable(
             departures=departures.DepartureLog(self._metric_registry)
         )
@@ -149,7 +156,9 @@
         self._watcher_by_kind = {w.kind: w for w in self._build_watchers()}
         self._service = self._build_service()
         self._server = server.Server(
-            self._service.handle, serves_while_draining=True
+            self._service.handle,
+            serves_while_draining=True,
+            held_requests=self._held_requests,
         )
         self._readiness = server.Server(
             self._answer_readiness, serves_while_draining=True
@@ -533,6 +542,7 @@
             "config_version", "main", self._routes.current.version
         )
         self._held_answers.set_gauge()
+        self._held_requests.set_gauge()
         text = registry.render()
         await exchange.respond(
             messages.Response(200, messages.Headers(fields), text.encode())
--- a/sycamoredale/error_codes.py
+++ b/sycamoredale/error_codes.py
@@ -58,6 +58,9 @@
 BODY_TOO_LARGE: Final = _define(
     "body_too_large", 413, "the request body exceeds the limit"
 )
+MEMORY_LIMIT: Final = _define(
+    "memory_limit", 503, "the daemon holds as many bytes of requests as it may"
+)
 HEADERS_TOO_LARGE: Final = _define(
     "headers_too_large", 431, "the request headers exceed the limit"
 )
--- a/sycamoredale/http/request_reader.py
+++ b/sycamoredale/http/request_reader.py
@@ -9,6 +9,7 @@
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import exchange as exchange_module
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import sockets
 
@@ -25,19 +26,23 @@
 
 
 async def read_request(
-    sock: typing.Any, connection: h11.Connection, limits: Limits
+    sock: typing.Any,
+    connection: h11.Connection,
+    limits: Limits,
+    reservation: held_bytes.Reservation,
 ) -> messages.Request | None:
     """Return the next request, or None at the end of the connection.
 
-    Raises Refusal if the request is malformed, too large or too slow.
+    The body is held in the reservation.  Raises Refusal if that is denied, or
+    if the request is malformed, too large or too slow.
     """
     try:
         async with curio.timeout_after(limits.request_timeout_seconds):
             head = await _next_event(sock, connection)
             if not isinstance(head, h11.Request):
                 return None
-            _check_length(head, limits)
-            body = await _read_body(sock, connection, limits)
+            _check_length(head, limits, reservation)
+            body = await _read_body(sock, connection, limits, reservation)
     except h11.RemoteProtocolError as error:
         raise _protocol_error(error) from error
     except curio.TaskTimeout as error:
@@ -55,7 +60,10 @@
 
 
 async def _read_body(
-    sock: typing.Any, connection: h11.Connection, limits: Limits
+    sock: typing.Any,
+    connection: h11.Connection,
+    limits: Limits,
+    reservation: held_bytes.Reservation,
 ) -> bytes:
     parts: list[bytes] = []
     size = 0
@@ -68,6 +76,10 @@
         size += len(event.data)
         if size > limits.body_limit_bytes:
             raise _body_too_large(limits)
+        if not reservation.resize(size):
+            # The trace of the refusal lives on while the rest is discarded.
+            parts.clear()
+            raise _memory_limit()
         parts.append(bytes(event.data))
 
 
@@ -84,11 +96,26 @@
         connection.receive_data(await sockets.receive(sock))
 
 
-def _check_length(head: h11.Request, limits: Limits) -> None:
+def _check_length(
+    head: h11.Request, limits: Limits, reservation: held_bytes.Reservation
+) -> None:
     # Refuses before a `100 Continue` asks the caller for the body.
     for name, value in head.headers:
-        if name == b"content-length" and int(value) > limits.body_limit_bytes:
+        if name != b"content-length":
+            continue
+        if int(value) > limits.body_limit_bytes:
             raise _body_too_large(limits)
+        # Not reserved yet: the body may never come.
+        if not reservation.may_reach(int(value)):
+            raise _memory_limit()
+
+
+def _memory_limit() -> errors.Refusal:
+    return errors.Refusal(
+        error_codes.MEMORY_LIMIT,
+        "this daemon holds as many bytes of requests as it may",
+        retry_after=1.0,
+    )
 
 
 def _body_too_large(limits: Limits) -> errors.Refusal:
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -28,6 +28,7 @@
 from sycamoredale import errors
 from sycamoredale.http import error_responses
 from sycamoredale.http import exchange as exchange_module
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import request_reader
 from sycamoredale.http import sockets
@@ -71,6 +72,7 @@
         request_id_header: str | None = None,
         paths_served_while_draining: collections.abc.Set[str] = frozenset(),
         serves_while_draining: bool = False,
+        held_requests: held_bytes.HeldBytes | None = None,
     ) -> None:
         """Configure the server, which listens from `bind` on."""
         self._handler = handler
@@ -78,6 +80,7 @@
         self._request_id_header = request_id_header
         self._paths_served_while_draining = paths_served_while_draining
         self._serves_while_draining = serves_while_draining
+        self._held_requests = held_requests or held_bytes.HeldBytes()
         self._sock: typing.Any = None
         self._accept_task: typing.Any = None
         self._connections: set[_Connection] = set()
@@ -217,15 +220,24 @@
             if not await self._wait_for_request(connection):
                 return False
         connection.idle = False
-        try:
-            request = await request_reader.read_request(
-                connection.sock, protocol, self._limits
-            )
-        except errors.Refusal as refusal:
-            await self._send_refusal(connection, refusal)
-            return False
-        if request is None:
-            return False
+        with self._held_requests.reserve() as reservation:
+            try:
+                request = await request_reader.read_request(
+                    connection.sock, protocol, self._limits, reservation
+                )
+            except errors.Refusal as refusal:
+                reservation.release()
+                await self._send_refusal(connection, refusal)
+                return False
+            if request is None:
+                return False
+            return await self._serve_request(connection, request)
+
+    async def _serve_request(
+        self, connection: _Connection, request: messages.Request
+    ) -> bool:
+        """Return whether another request may follow on the connection."""
+        protocol = connection.protocol
         exchange = Exchange(
             request, protocol, connection.sock, lambda: self.draining
         )
