--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -37,6 +37,7 @@
 from sycamoredale.groups import reported_group_controller
 from sycamoredale.http import client
 from sycamoredale.http import descriptor_shares
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
@@ -70,6 +71,10 @@
 DRAIN_LISTEN_SECONDS: Final = 3.0
 # Part of the grace period that is left for the exit of the process.
 EXIT_RESERVE_SECONDS: Final = 0.5
+# The rest is for the process itself, which needs about 64 MB, for the buffers
+# of the kernel and for copies while bytes are passed on.
+HELD_ANSWERS_SHARE: Final = 0.125
+HELD_REQUESTS_SHARE: Final = 0.125
 # The metrics port in the deployment file.
 METRICS_PORT: Final = 9464
 # Assumed until the registry is listed; more than the largest fleet has, so
@@ -79,6 +84,7 @@
 WATCHER_CHECK_SECONDS: Final = 0.5
 # The peer service uses the first internal port, peer updates the next one.
 PEER_UPDATE_PORT_OFFSET: Final = 1
+BYTES_PER_MB: Final = 1_000_000
 LOG: Final = logs.get("daemon")
 
 
@@ -101,6 +107,17 @@
         self._store.eras.on_change.append(
             lambda: self._store_contact.begin_era(clock.monotonic())
         )
+        self._held_answers = held_bytes.HeldBytes(
+            settings.memory_mb * HELD_ANSWERS_SHARE * BYTES_PER_MB,
+            "answers",
+            self._metric_registry,
+        )
+        # Apart from the answers, which callers cannot crowd out.
+        self._held_requests = held_bytes.HeldBytes(
+            settings.memory_mb * HELD_REQUESTS_SHARE * BYTES_PER_MB,
+            "requests",
+            self._metric_registry,
+        )
         self._instances = instance_table.InstanceTable(
             departures=departures.DepartureLog(self._metric_registry)
         )
@@ -143,7 +160,9 @@
         self._watcher_by_kind = {w.kind: w for w in self._build_watchers()}
         self._service = self._build_service()
         self._server = server.Server(
-            self._service.handle, serves_while_draining=True
+            self._service.handle,
+            serves_while_draining=True,
+            held_requests=self._held_requests,
         )
         self._divide_descriptors()
         self._readiness = server.Server(
@@ -415,6 +434,7 @@
                 self._connector,
                 self._count_daemons,
                 self._stop_plan,
+                self._held_answers,
             ),
             self._metric_registry,
             is_ready=self._is_ready,
@@ -531,6 +551,8 @@
             "config_version", "main", self._routes.current.version
         )
         self._record_sockets()
+        self._held_answers.set_gauge()
+        self._held_requests.set_gauge()
         text = registry.render()
         await exchange.respond(
             messages.Response(200, messages.Headers(fields), text.encode())
--- a/tests/test_descriptor_burst.py
+++ b/tests/test_descriptor_burst.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import itertools
 import os
 import resource
 import socket
@@ -37,13 +38,22 @@
         await super()._handle(exchange)
 
 
+def _is_open(descriptor):
+    try:
+        os.fstat(descriptor)
+    except OSError:
+        return False
+    return True
+
+
 @contextlib.contextmanager
 def _free_descriptors(count):
     """Let the process open so many further descriptors."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    probe = os.dup(0)
-    os.close(probe)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (probe + count, hard))
+    # Earlier tests may have left some open between free ones.
+    free = (number for number in itertools.count() if not _is_open(number))
+    last = next(itertools.islice(free, count - 1, None))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (last + 1, hard))
     try:
         yield
     finally:
