Free the sockets of earlier tests before descriptors are counted

Cause: the limit is the lowest free descriptor. Sockets of earlier tests that are kept by reference cycles have lower ones, and a collection within the block frees them.

Change: collect before the limit is taken. No check is changed.

--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -6,6 +6,7 @@
 
 import collections
 import contextlib
+import gc
 import os
 import resource
 import socket
@@ -31,6 +32,8 @@
 @contextlib.contextmanager
 def no_free_descriptor():
     """Let the process open no further descriptor."""
+    # A collection within the block would free sockets of earlier tests.
+    gc.collect()
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     lowest_free = os.dup(0)
     os.close(lowest_free)
