--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -70,12 +70,12 @@
             target=request.target,
             headers=headers.fields,
         )
-        data = self._connection.send(event) or b""
-        if request.body:
-            data += self._connection.send(h11.Data(data=request.body)) or b""
-        data += self._connection.send(h11.EndOfMessage()) or b""
+        # With a length, h11 passes the body through and ends it with nothing.
+        head = self._connection.send(event) or b""
+        body = self._connection.send(h11.Data(data=request.body)) or b""
+        self._connection.send(h11.EndOfMessage())
         try:
-            await self._sock.sendall(data)
+            await sockets.send_all(self._sock, head, body)
         except OSError as error:
             raise self._broken(str(error)) from error
 
--- a/sycamoredale/http/exchange.py
+++ b/sycamoredale/http/exchange.py
@@ -78,11 +78,13 @@
         headers = self._headers(_with_length(response, self.request.method))
         head = h11.Response(status_code=response.status, headers=headers)
         self._begin()
-        parts = [self._connection.send(head)]
+        sent_head = self._connection.send(head) or b""
+        body = b""
         if response.body and self.request.method != "HEAD":
-            parts.append(self._connection.send(h11.Data(data=response.body)))
-        parts.append(self._connection.send(h11.EndOfMessage()))
-        await self._send(b"".join(p for p in parts if p))
+            body = self._connection.send(h11.Data(data=response.body)) or b""
+        # With a length, h11 ends the body with nothing.
+        end = self._connection.send(h11.EndOfMessage()) or b""
+        await self._send(sent_head, body + end if end else body)
         self.finished = True
 
     async def start(self, head: messages.ResponseHead) -> None:
@@ -134,12 +136,15 @@
         self.started = True
         self.first_byte_at = clock.monotonic()
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, data: bytes, body: bytes = b"") -> None:
         if not self.intact:
             raise CallerDisconnected("an earlier write was interrupted")
         self.intact = False
         try:
-            await self._sock.sendall(data)
+            if body:
+                await sockets.send_all(self._sock, data, body)
+            else:
+                await self._sock.sendall(data)
         except OSError as error:
             self.disconnect_reason = str(error)
             raise CallerDisconnected(str(error)) from error
--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -20,6 +20,8 @@
 KEEP_ALIVE_PROBES: Final = 2
 # Bounds how long the bytes of one piece are parsed before others get a turn.
 RECEIVE_BYTES: Final = 16384
+# Up to this size a copy is cheaper than another system call.
+MAX_JOINED_BYTES: Final = 65536
 
 
 @functools.singledispatch
@@ -32,6 +34,18 @@
     return data
 
 
+async def send_all(sock: typing.Any, head: bytes, body: bytes) -> None:
+    """Send both, without a copy of a large body; raise OSError.
+
+    A copy would live for as long as the other side is slow to read.
+    """
+    if len(body) > MAX_JOINED_BYTES:
+        await sock.sendall(head)
+        await sock.sendall(body)
+    else:
+        await sock.sendall(head + body)
+
+
 async def receive_datagram(
     sock: typing.Any, max_bytes: int
 ) -> tuple[bytes, typing.Any]:
--- a/tests/test_held_requests.py
+++ b/tests/test_held_requests.py
@@ -9,6 +9,7 @@
 import curio.socket
 import pytest
 
+from sycamoredale.http import client
 from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import server
@@ -163,3 +164,42 @@
     assert answer.endswith(b'{"size":%d}' % size)
     # The caller of this test has seven bytes for two.
     assert peak - size // 2 * 7 < 4 * size
+
+
+# A joined copy of head and body lived for as long as the other side was slow.
+@pytest.mark.parametrize("direction", ["answer", "request"])
+def test_large_body_is_not_copied_for_a_slow_reader(direction):
+    body = b"x" * 8_000_000
+    request = messages.Request("POST", "/", body=body)
+    grown = []
+
+    async def answer(exchange):
+        await exchange.respond(messages.Response(200, body=body))
+
+    async def ask(address):
+        connection = await client.open_connection(address)
+        await connection.send(request)
+
+    async def main():
+        front = server.Server(answer)
+        address = front.bind(messages.Address("127.0.0.1", 0))
+        if direction == "answer":
+            await front.start()
+        before, _ = tracemalloc.get_traced_memory()
+        socks = []
+        for _ in range(CALLERS // 4):
+            if direction == "answer":
+                sock = curio.socket.socket()
+                await sock.connect((address.host, address.port))
+                await sock.sendall(HEAD % 0)
+                socks.append(sock)
+            else:
+                # Nobody accepts the connection, nor reads it.
+                await curio.spawn(ask, address, daemon=True)
+        await curio.sleep(0.5)
+        grown.append(tracemalloc.get_traced_memory()[0] - before)
+
+    tracemalloc.start()
+    curio.run(main)
+    tracemalloc.stop()
+    assert grown[0] < len(body)
