--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -37,6 +37,8 @@
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 MAX_INTERIM_ANSWERS: Final = 16
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+# Chunks cost processor time each; those of 32 bytes have this much framing.
+MAX_FRAMING_SHARE: Final = 0.25
 
 
 class Connection:
@@ -56,6 +58,7 @@
         self._ended = False
         self._chunks: chunked.ChunkedReader | None = None
         self._received = b""
+        self._framing_bytes = 0
         self._sock = sock
         self._connection = h11.Connection(h11.CLIENT)
 
@@ -95,6 +98,7 @@
         if _is_chunked(headers):
             self._chunks = chunked.ChunkedReader()
             self._received = self._connection.trailing_data[0]
+            self._framing_bytes = 0
         return messages.ResponseHead(event.status_code, headers)
 
     async def read_chunk(self) -> bytes:
@@ -128,6 +132,7 @@
                 data = chunks.feed(arrived)
             except ValueError as error:
                 raise self._broken(str(error)) from error
+            self._framing_bytes += len(arrived) - len(data)
         self._ended = chunks.complete
         return data
 
@@ -148,6 +153,8 @@
             size = len(body) + len(part)
             if size > max_bytes:
                 raise self._broken(f"the body exceeds {max_bytes} bytes")
+            if self._framing_bytes > max_bytes * MAX_FRAMING_SHARE:
+                raise self._broken("the chunks of the body are too small")
             if reservation is not None and not reservation.resize(size):
                 raise self._broken("this daemon holds too many bytes")
             body += part
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Test that bytes without end, which are no answer, hold up nobody."""
 
+import contextlib
 import dataclasses
 import time
 import tracemalloc
@@ -241,6 +242,57 @@
     assert held.total == 0
 
 
+class ChunkSource:
+    """Answer with some bytes in chunks of one size."""
+
+    def __init__(self, size, chunk_bytes):
+        chunk = chunked.encode_chunk(b"c" * chunk_bytes)
+        self._data = OK + CHUNKED + b"\r\n"
+        self._data += chunk * (size // chunk_bytes) + b"0\r\n\r\n"
+        self._sock = curio.socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(5)
+        self.address = messages.Address(*self._sock.getsockname())
+
+    async def run(self):
+        """Answer one request."""
+        sock, _ = await self._sock.accept()
+        async with sock:
+            with contextlib.suppress(OSError):
+                await sock.recv(65536)
+                await sock.sendall(self._data)
+
+
+def _read_chunks(size, chunk_bytes):
+    """Return the size of the body that was read, with a limit of 4 MiB."""
+    source = ChunkSource(size, chunk_bytes)
+
+    async def main():
+        await curio.spawn(source.run, daemon=True)
+        connection = await client.open_connection(source.address)
+        await connection.send(messages.Request("GET", "/"))
+        await connection.read_head()
+        return len(await connection.read_body(4 * 1024 * 1024))
+
+    return curio.run(main)
+
+
+# Guards against processor time: the limit of the body alone takes seconds to
+# reach in chunks of two bytes.
+def test_plain_answer_in_tiny_chunks_ends_soon():
+    began = time.process_time()
+    with pytest.raises(errors.ConnectionBroken, match="chunks"):
+        _read_chunks(4 * 1024 * 1024, 2)
+    assert time.process_time() - began < 1.0
+
+
+@pytest.mark.parametrize("chunk_bytes", [32, 100, 1000, 65536])
+def test_plain_answer_in_ordinary_chunks_is_read_whole(chunk_bytes):
+    size = 4 * 1024 * 1024 - 65536
+    read = _read_chunks(size, chunk_bytes)
+    assert read == size // chunk_bytes * chunk_bytes
+
+
 def test_kept_error_answers_are_held_until_the_call_ends():
     held = held_bytes.HeldBytes(HELD_LIMIT_BYTES)
     body = b"b" * 1_000_000
