--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -39,6 +39,8 @@
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 MAX_INTERIM_ANSWERS: Final = 16
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+# Chunks cost processor time each; those of 32 bytes have this much framing.
+MAX_FRAMING_SHARE: Final = 0.25
 
 
 class Connection:
@@ -61,6 +63,7 @@
         self._ended = False
         self._chunks: chunked.ChunkedReader | None = None
         self._received = b""
+        self._framing_bytes = 0
         self._sock = sock
         self._connection = h11.Connection(h11.CLIENT)
 
@@ -75,12 +78,12 @@
             target=request.target,
             headers=headers.fields,
         )
-        data = self._connection.send(event) or b""
-        if request.body:
-            data += self._connection.send(h11.Data(data=request.body)) or b""
-        data += self._connection.send(h11.EndOfMessage()) or b""
+        # With a length, h11 passes the body through and ends it with nothing.
+        head = self._connection.send(event) or b""
+        body = self._connection.send(h11.Data(data=request.body)) or b""
+        self._connection.send(h11.EndOfMessage())
         try:
-            await self._sock.sendall(data)
+            await sockets.send_all(self._sock, head, body)
         except OSError as error:
             raise self._broken(str(error)) from error
 
@@ -100,6 +103,7 @@
         if _is_chunked(headers):
             self._chunks = chunked.ChunkedReader()
             self._received = self._connection.trailing_data[0]
+            self._framing_bytes = 0
         return messages.ResponseHead(event.status_code, headers)
 
     async def read_chunk(self) -> bytes:
@@ -133,6 +137,7 @@
                 data = chunks.feed(arrived)
             except ValueError as error:
                 raise self._broken(str(error)) from error
+            self._framing_bytes += len(arrived) - len(data)
         self._ended = chunks.complete
         return data
 
@@ -153,6 +158,8 @@
             size = len(body) + len(part)
             if size > max_bytes:
                 raise self._broken(f"the body exceeds {max_bytes} bytes")
+            if self._framing_bytes > max_bytes * MAX_FRAMING_SHARE:
+                raise self._broken("the chunks of the body are too small")
             if reservation is not None and not reservation.resize(size):
                 raise self._broken("this daemon holds too many bytes")
             body += part
