Ask an engine that sends only comments (own interface)

What callers would see: a stream on an engine that has stopped, but still sends comments, goes on until its deadline, though another engine could continue it.

Cause: the monitor of silent exchanges asks the engine only if no data arrives, and comments counted as data.

Change: comments of an engine no longer count. A request that waits for its first token is asked for and kept, as without comments. They still show that the links work.

Measured: the case of comments failed before (never asked in 1.6 s) and passes, as do the case of tokens, which passed before too, and 54 tests of attempts, liveness and continued streams.

--- a/sycamoredale/engines/completions.py
+++ b/sycamoredale/engines/completions.py
@@ -219,6 +219,11 @@
     return True
 
 
+def has_data(events: bytes) -> bool:
+    """Return whether there is an event among comments."""
+    return events.startswith(DATA) or b"\n" + DATA in events
+
+
 def error_event(value: object) -> bytes:
     """Return the error event that ends an incomplete stream."""
     return b"event: error\n" + DATA + msgspec.json.encode(value) + EVENT_END
--- a/sycamoredale/requests/attempt.py
+++ b/sycamoredale/requests/attempt.py
@@ -35,9 +35,9 @@
     """Track one attempt to run a call on one endpoint.
 
     `sent` is set before the first byte is sent, and cleared if the endpoint
-    refused the request.  `data_received` is set whenever data arrives, and the
-    liveness monitor clears it.  The request may not be sent after
-    `dispatch_before`.
+    refused the request.  `data_received` is set whenever data arrives, other
+    than comments of an engine, and the liveness monitor clears it.  The
+    request may not be sent after `dispatch_before`.
     """
 
     call: call_module.Call
@@ -129,7 +129,7 @@
 ) -> None:
     while not stream.done:
         chunk = await connection.read_chunk()
-        _record_data(attempt, connection)
+        _record_heard(attempt, connection)
         if not chunk:
             raise _connection_broken(
                 attempt, "the stream ended without its last event"
@@ -138,6 +138,9 @@
             events = stream.feed(chunk)
         except ValueError as error:
             raise _connection_broken(attempt, str(error)) from error
+        # An engine that has stopped may still send comments.
+        if not attempt.call.is_model or completions.has_data(events):
+            attempt.data_received = True
         if events:
             _count_events(attempt, events)
             if not exchange.started:
@@ -257,6 +260,10 @@
 
 def _record_data(attempt: Attempt, connection: client.Connection) -> None:
     attempt.data_received = True
+    _record_heard(attempt, connection)
+
+
+def _record_heard(attempt: Attempt, connection: client.Connection) -> None:
     if attempt.links is not None and connection.relayed_by is None:
         attempt.links.record_heard(clock.monotonic())
 
