Check for a closed socket without a task switch of its own

The check before each receive was a coroutine and asked for the descriptor, which costs a call in Python. A plain function that looks at the socket does the same.

Measured, processor time of a receive in a loop of 80,000 between two tasks, on a busy machine, three runs each: 13.7 to 14.1 us before, 12.6 to 13.3 us now; 12.7 to 12.9 us without a check, 11.6 to 12.0 us with curio's wait and receive alone. The tests of closed sockets, giving way, relay, server and updates pass.

--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -26,9 +26,10 @@
 @functools.singledispatch
 async def receive(sock: typing.Any) -> bytes:
     """Return the next bytes, none at the end; raise OSError."""
+    _check_open(sock)
     # Also saves a receive call that would return no data: the other side
     # mostly has not written yet.
-    await _wait_until_readable(sock)
+    await curio.traps._read_wait(sock)
     data: bytes = await sock.recv(RECEIVE_BYTES)
     return data
 
@@ -37,23 +38,24 @@
     sock: typing.Any, max_bytes: int
 ) -> tuple[bytes, typing.Any]:
     """Return the next datagram and its sender; raise OSError."""
-    await _wait_until_readable(sock)
+    _check_open(sock)
+    await curio.traps._read_wait(sock)
     received: tuple[bytes, typing.Any] = await sock.recvfrom(max_bytes)
     return received
 
 
 async def accept(sock: typing.Any) -> typing.Any:
     """Return the socket of the next connection; raise OSError."""
-    await _wait_until_readable(sock)
+    _check_open(sock)
+    await curio.traps._read_wait(sock)
     accepted, _ = await sock.accept()
     return accepted
 
 
-async def _wait_until_readable(sock: typing.Any) -> None:
+def _check_open(sock: typing.Any) -> None:
     # curio's kernel, and so the process, ends if it waits for a closed socket.
-    if sock.fileno() < 0:
+    if sock._socket is None:
         raise OSError(errno.EBADF, "the socket is closed")
-    await curio.traps._read_wait(sock)
 
 
 async def give_way() -> None:
