--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -31,9 +31,10 @@
 @functools.singledispatch
 async def receive(sock: typing.Any) -> bytes:
     """Return the next bytes, none at the end; raise OSError."""
+    _check_open(sock)
     # Also saves a receive call that would return no data: the other side
     # mostly has not written yet.
-    await _wait_until_readable(sock)
+    await curio.traps._read_wait(sock._fileno)
     data: bytes = await sock.recv(RECEIVE_BYTES)
     return data
 
@@ -54,14 +55,16 @@
     sock: typing.Any, max_bytes: int
 ) -> tuple[bytes, typing.Any]:
     """Return the next datagram and its sender; raise OSError."""
-    await _wait_until_readable(sock)
+    _check_open(sock)
+    await curio.traps._read_wait(sock._fileno)
     received: tuple[bytes, typing.Any] = await sock.recvfrom(max_bytes)
     return received
 
 
 async def accept(sock: typing.Any) -> list[typing.Any]:
     """Return the sockets of the next connections; raise OSError."""
-    await _wait_until_readable(sock)
+    _check_open(sock)
+    await curio.traps._read_wait(sock._fileno)
     return accept_waiting(sock, ACCEPTED_AT_ONCE)
 
 
@@ -84,11 +87,10 @@
     return accepted
 
 
-async def _wait_until_readable(sock: typing.Any) -> None:
+def _check_open(sock: typing.Any) -> None:
+    # curio's kernel, and so the process, ends if it waits for a closed socket.
     if sock._socket is None or sock._socket.fileno() < 0:
-        # The kernel of curio ends at a descriptor that cannot be registered.
         raise OSError(errno.EBADF, "the socket is closed")
-    await curio.traps._read_wait(sock._fileno)
 
 
 async def give_way() -> None:
