--- /dev/null
+++ b/tests/soak/client.py
@@ -0,0 +1,171 @@
+"""Send requests on kept connections, and tell how each one ended."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+import typing
+import uuid
+
+from tests.soak import site as site_module
+
+KEPT_BYTES: typing.Final = 65536
+READ_BYTES: typing.Final = 65536
+# After its deadline, a request without an end counts as held for good.
+PATIENCE_SECONDS: typing.Final = 4.0
+CONNECT_SECONDS: typing.Final = 3.0
+EVENT_SECONDS: typing.Final = 0.5
+
+
+@dataclasses.dataclass
+class Exchange:
+    """Record one request and its end, in wall time."""
+
+    route: site_module.Route
+    daemon: site_module.Daemon
+    process: site_module.Incarnation
+    is_kept: bool
+    attempt: str = dataclasses.field(
+        default_factory=lambda: uuid.uuid4().hex[:16]
+    )
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    status: int = 0
+    got_bytes: bool = False
+    is_complete: bool = False
+    is_held: bool = False
+    closes: bool = False
+    body: bytes = b""
+    reason: str = ""
+
+    @property
+    def deadline(self) -> float:
+        """Return when the daemon has to have ended it."""
+        return self.sent_at + self.route.timeout_ms / 1000
+
+    def describe(self) -> str:
+        """Return what a reader of the logs needs."""
+        return (
+            f"{self.attempt} {self.route.name} at {self.process.label} sent "
+            f"{self.sent_at:.3f} took {self.ended_at - self.sent_at:.3f} "
+            f"status {self.status} complete {self.is_complete} bytes "
+            f"{len(self.body)} kept {self.is_kept} held {self.is_held} "
+            f"{self.reason}"
+        )
+
+
+class Client:
+    """Send requests of one route to one daemon, one after the other."""
+
+    def __init__(
+        self, daemon: site_module.Daemon, route: site_module.Route
+    ) -> None:
+        self._daemon = daemon
+        self._route = route
+        self._streams: typing.Any = None
+        self._process = daemon.current
+        self._is_kept = False
+
+    async def call(self) -> Exchange | None:
+        """Send one request; return None unless it was sent completely."""
+        if self._streams is None and not await self._connect():
+            return None
+        reader, writer = self._streams
+        found = Exchange(
+            self._route, self._daemon, self._process, self._is_kept
+        )
+        seconds = self._route.timeout_ms / 1000 + PATIENCE_SECONDS
+        try:
+            found.sent_at = time.time()
+            writer.write(_request(found))
+            await writer.drain()
+            async with asyncio.timeout(seconds):
+                await _read_answer(reader, found)
+        except TimeoutError:
+            found.is_held = True
+        except (OSError, ValueError, asyncio.IncompleteReadError) as error:
+            found.reason = repr(error)
+        found.ended_at = time.time()
+        self._is_kept = True
+        if not found.is_complete or found.closes:
+            self.close()
+        return found
+
+    async def _connect(self) -> bool:
+        host, port = self._daemon.front.split(":")
+        self._process = self._daemon.current
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                self._streams = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        self._is_kept = False
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+            self._streams = None
+
+
+def _request(found: Exchange) -> bytes:
+    fields = {
+        "Host": site_module.HOST_NAME,
+        "Attempt-Id": found.attempt,
+        "Request-Deadline": str(found.route.timeout_ms),
+        "Authorization": f"Bearer {site_module.KEY}",
+        "Content-Length": "6",
+    }
+    lines = [f"POST {found.route.path}x HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + b"prompt"
+
+
+async def _read_answer(reader: asyncio.StreamReader, found: Exchange) -> None:
+    line = await reader.readline()
+    found.got_bytes = bool(line)
+    if not line.endswith(b"\n"):
+        raise ValueError(f"the connection ended, {line!r}")
+    found.status = int(line.split()[1])
+    fields = {}
+    while (line := await reader.readline()) not in (b"\r\n", b""):
+        name, _, value = line.decode("latin-1").partition(":")
+        fields[name.strip().lower()] = value.strip()
+    found.closes = fields.get("connection") == "close"
+    if "content-length" in fields:
+        found.body = await reader.readexactly(int(fields["content-length"]))
+        found.is_complete = True
+        return
+    tail = b"\r\n"
+    while not tail.endswith(b"\r\n0\r\n\r\n"):
+        data = await reader.read(READ_BYTES)
+        if not data:
+            raise ValueError("the answer broke off")
+        tail = (tail + data)[-16:]
+        if len(found.body) < KEPT_BYTES:
+            found.body += data
+        # A reader with data does not wait for any.
+        await asyncio.sleep(0)
+    found.is_complete = True
+
+
+async def probe(streams: typing.Any) -> int:
+    """Ask whether a daemon is ready, on a kept connection."""
+    reader, writer = streams
+    writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n")
+    status = int((await reader.readline()).split()[1])
+    while (await reader.readline()).strip():
+        pass
+    return status
+
+
+@contextlib.asynccontextmanager
+async def connected(address: str) -> typing.AsyncIterator[typing.Any]:
+    """Hold a connection."""
+    host, port = address.split(":")
+    streams = await asyncio.open_connection(host, int(port))
+    try:
+        yield streams
+    finally:
+        streams[1].transport.abort()
--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,483 @@
+"""Draw disturbances from a seed, play them beside clients, and judge."""
+
+import asyncio
+import collections
+import contextlib
+import datetime
+import pathlib
+import random
+import signal
+import time
+import typing
+
+from tests.soak import client as client_module
+from tests.soak import endpoint as endpoint_module
+from tests.soak import report as report_module
+from tests.soak import site as site_module
+
+SLACK_SECONDS: typing.Final = 0.5
+READY_SECONDS: typing.Final = 1.0
+READY_EVERY_SECONDS: typing.Final = 0.25
+MAX_RSS_MB: typing.Final = 300.0
+RECOVER_SECONDS: typing.Final = 12.0
+START_SECONDS: typing.Final = 30.0
+LAG_CHECK_SECONDS: typing.Final = 0.05
+REFUSALS: typing.Final = (503, 429)
+# Beside the play: start, the last stop, recovery, the last streams, reading.
+MORE_SECONDS: typing.Final = 90.0
+# Of each route, for each daemon.
+CLIENTS: typing.Final = 2
+BURST_CLIENTS: typing.Final = 40
+
+
+class Play:
+    """Play one run, and judge it when it has ended."""
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        daemon_count: int,
+        folder: pathlib.Path,
+    ) -> None:
+        self.report = report_module.Report(folder)
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._site = site_module.Site(self._rng, daemon_count, folder)
+        self._exchanges: list[client_module.Exchange] = []
+        self._own = report_module.Suspensions()
+        self._quiet = report_module.Suspensions()
+        self._probes: list[typing.Any] = []
+        self._version = 1
+        self._is_over = False
+        # So that at least one daemon stays.
+        self._may_end = asyncio.Semaphore(max(1, daemon_count - 1))
+        self._disturbances = (
+            self._reload,
+            self._stop,
+            self._kill,
+            self._change_manifest,
+            self._silence_all,
+            self._burst,
+            self._use_up_descriptors,
+        )
+
+    async def run(self) -> None:
+        """Play, within a bounded time, and end all processes."""
+        try:
+            async with asyncio.timeout(self._seconds + MORE_SECONDS):
+                await self._site.start()
+                await self._run_all()
+        finally:
+            self._site.end()
+        self._judge()
+
+    async def _run_all(self) -> None:
+        daemons = self._site.daemons
+        watching = [asyncio.create_task(self._measure_own_lag())]
+        watching += [asyncio.create_task(self._watch(d)) for d in daemons]
+        ends_at = time.time() + START_SECONDS
+        while not all(d.current.ready_at for d in daemons):
+            if time.time() > ends_at:
+                raise RuntimeError("the daemons were not ready in time")
+            await asyncio.sleep(0.05)
+        clients = [
+            asyncio.create_task(self._use(daemon, route, random.random()))
+            for daemon in daemons
+            for route in site_module.ROUTES
+            for _ in range(CLIENTS)
+        ]
+        await asyncio.sleep(1.0)
+        await self._disturb()
+        await self._recover()
+        self._is_over = True
+        await asyncio.gather(*clients)
+        for task in watching:
+            task.cancel()
+        await asyncio.gather(*watching, return_exceptions=True)
+
+    async def _disturb(self) -> None:
+        ends_at = time.time() + self._seconds
+        faults = [
+            asyncio.create_task(self._be_faulty(one, ends_at, rng))
+            for one in self._site.faulty
+            if (rng := random.Random(self._rng.random()))
+        ]
+        tasks = []
+        kinds: list[typing.Any] = []
+        while time.time() < ends_at:
+            # Each kind once in a round, in a new order.
+            kinds = kinds or self._rng.sample(self._disturbances, 7)
+            daemon = self._rng.choice(self._site.daemons)
+            rng = random.Random(self._rng.random())
+            tasks.append(asyncio.create_task(kinds.pop()(daemon, rng)))
+            await asyncio.sleep(self._rng.uniform(0.2, 1.6))
+        await asyncio.gather(*faults, *tasks)
+
+    async def _be_faulty(
+        self,
+        one: site_module.Endpoint,
+        ends_at: float,
+        rng: random.Random,
+    ) -> None:
+        while time.time() < ends_at:
+            one.order(endpoint_module.draw_faults(rng))
+            self.report.note(f"{one.name} is {one.faults}")
+            await asyncio.sleep(rng.uniform(0.8, 3.0))
+        one.order(endpoint_module.SOUND)
+
+    # The disturbances.
+
+    async def _reload(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        for _ in range(rng.randint(1, 4)):
+            for one in self._site.daemons:
+                self.report.note(f"SIGHUP to {one.current.label}")
+                one.current.signal(signal.SIGHUP)
+            await asyncio.sleep(rng.uniform(0.05, 0.6))
+
+    async def _stop(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        async with self._may_end:
+            if not daemon.current.is_staying:
+                return
+            self.report.note(f"SIGTERM to {daemon.current.label}")
+            label = daemon.current.label
+            in_time = await daemon.stop(site_module.GRACE_SECONDS + 0.5)
+            self.report.note(f"{label} has ended")
+            self.report.check(
+                report_module.STOPPED, in_time, f"{label} did not end"
+            )
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            await self._start(daemon)
+
+    async def _kill(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        async with self._may_end:
+            if not daemon.current.is_staying:
+                return
+            self.report.note(f"SIGKILL to {daemon.current.label}")
+            daemon.kill()
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            await self._start(daemon)
+
+    async def _start(self, daemon: site_module.Daemon) -> None:
+        daemon.start()
+        process = daemon.current
+        self.report.note(f"{process.label} starts")
+        ends_at = time.time() + START_SECONDS
+        while process.ready_at is None and time.time() < ends_at:
+            await asyncio.sleep(0.05)
+
+    async def _change_manifest(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        for _ in range(rng.randint(1, 5)):
+            self._version += 1
+            version = site_module.manifest(self._version)
+            self._site.store.write("config", "main", version)
+            self.report.note(f"version {self._version}")
+            await asyncio.sleep(rng.uniform(0.1, 0.8))
+
+    async def _silence_all(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        for _ in range(rng.randint(1, 2)):
+            seconds = rng.uniform(0.4, 1.3)
+            self.report.note(f"all endpoints are silent for {seconds:.2f} s")
+            for one in self._site.all_endpoints:
+                one.order(f"quiet {seconds}")
+            self._quiet.add(time.time() + seconds, seconds)
+            await asyncio.sleep(seconds + rng.uniform(0.2, 0.5))
+
+    async def _burst(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        self.report.note(f"burst at {daemon.current.label}")
+        routes = [rng.choice(site_module.ROUTES) for _ in range(BURST_CLIENTS)]
+        await asyncio.gather(
+            *(self._use(daemon, route, 0.0, 3) for route in routes)
+        )
+
+    async def _use_up_descriptors(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        count, seconds = rng.randint(0, 8), rng.uniform(0.5, 2.5)
+        self.report.note(
+            f"{daemon.current.label} has {count} free descriptors for "
+            f"{seconds:.2f} s"
+        )
+        await daemon.be_short(count, seconds)
+
+    # The clients.
+
+    async def _use(
+        self,
+        daemon: site_module.Daemon,
+        route: site_module.Route,
+        pause: float,
+        count: int = 1_000_000,
+    ) -> None:
+        client = client_module.Client(daemon, route)
+        await asyncio.sleep(pause)
+        for _ in range(count):
+            if self._is_over:
+                break
+            found = await client.call()
+            if found is None:
+                self.report.count("no connection")
+                await asyncio.sleep(0.1)
+                continue
+            self._exchanges.append(found)
+            refused = found.status in REFUSALS
+            await asyncio.sleep(0.2 if refused else random.uniform(0.01, 0.1))
+        client.close()
+
+    async def _recover(self) -> None:
+        began = time.time()
+        self.report.note("the disturbances have ended")
+        while True:
+            asked = await asyncio.gather(
+                *(
+                    self._ask_once(daemon, route)
+                    for daemon in self._site.daemons
+                    for route in site_module.ROUTES
+                )
+            )
+            seconds = time.time() - began
+            if all(asked) or seconds > RECOVER_SECONDS + 3:
+                break
+            await asyncio.sleep(0.2)
+        allowed = RECOVER_SECONDS + self._own.seconds_between(
+            began, time.time()
+        )
+        self.report.note(f"service is back after {seconds:.2f} s")
+        self.report.check(
+            report_module.RECOVERED,
+            all(asked) and seconds <= allowed,
+            f"{seconds:.2f} s, {asked.count(False)} of {len(asked)} fail",
+        )
+
+    async def _ask_once(
+        self, daemon: site_module.Daemon, route: site_module.Route
+    ) -> bool:
+        client = client_module.Client(daemon, route)
+        found = await client.call()
+        client.close()
+        return found is not None and found.is_complete and found.status == 200
+
+    # The watch over the processes.
+
+    async def _measure_own_lag(self) -> None:
+        while True:
+            began = time.time()
+            await asyncio.sleep(LAG_CHECK_SECONDS)
+            lag = time.time() - began - LAG_CHECK_SECONDS
+            if lag > LAG_CHECK_SECONDS:
+                self._own.add(time.time(), lag)
+
+    async def _watch(self, daemon: site_module.Daemon) -> None:
+        while True:
+            await asyncio.sleep(READY_EVERY_SECONDS)
+            process = daemon.current
+            if process.popen.poll() is not None:
+                continue
+            with contextlib.suppress(OSError):
+                async with client_module.connected(daemon.readiness) as pair:
+                    await self._watch_process(process, pair)
+
+    async def _watch_process(
+        self, process: site_module.Incarnation, streams: typing.Any
+    ) -> None:
+        while process.popen.poll() is None:
+            began = time.time()
+            reason, status = "late", 0
+            try:
+                async with asyncio.timeout(3 * READY_SECONDS):
+                    status = await client_module.probe(streams)
+            except (OSError, IndexError, TimeoutError) as error:
+                reason = repr(error)
+            took = time.time() - began
+            if status == 200 and process.ready_at is None:
+                process.ready_at = time.time()
+                self.report.note(f"{process.label} is ready")
+            process.max_rss_mb = max(process.max_rss_mb, process.rss_mb())
+            # A process that ends closes the connection a moment before.
+            await asyncio.sleep(0 if status else 1.0)
+            is_ending = process.stopping_at is not None and not took > 1.0
+            if status or (process.popen.poll() is None and not is_ending):
+                lost = self._own.seconds_between(began, began + took)
+                self._probes.append(
+                    (process, began, took - lost, status, reason)
+                )
+            if not status:
+                return
+            await asyncio.sleep(READY_EVERY_SECONDS)
+
+    # The judgement.
+
+    def _judge(self) -> None:
+        self._logs = {
+            process: report_module.read_log(process.log, _to_time)
+            for daemon in self._site.daemons
+            for process in daemon.incarnations
+        }
+        for process, found in self._logs.items():
+            self.report.check(
+                report_module.LOGS,
+                not found.forbidden,
+                f"{process.label}: {found.forbidden[:3]}",
+            )
+            self.report.check(
+                report_module.MEMORY,
+                process.max_rss_mb < MAX_RSS_MB,
+                f"{process.label}: {process.max_rss_mb:.0f} MB",
+            )
+            # A reload that meets the last moment of a stop may end it.
+            allowed = {0} if process.killed_at is None else {-signal.SIGKILL}
+            if process.stopping_at is not None:
+                allowed.add(-signal.SIGHUP)
+            self.report.check(
+                report_module.LOGS,
+                process.popen.returncode in allowed,
+                f"{process.label} ended with {process.popen.returncode}",
+            )
+        self._judge_probes()
+        runs_by_id = self._site.runs_by_id()
+        for found in self._exchanges:
+            self._judge_exchange(found, runs_by_id.get(found.attempt, []))
+        rss = max(p.max_rss_mb for p in self._logs)
+        self.report.counts["max RSS in MB"] = round(rss)
+        self.report.counts["own lag in ms"] = round(
+            1000 * sum(end - start for start, end in self._own.spans)
+        )
+        self.report.close()
+
+    def _judge_probes(self) -> None:
+        for process, began, took, status, reason in self._probes:
+            took -= self._logs[process].suspensions.seconds_between(
+                began, began + took
+            )
+            self.report.check(
+                report_module.READY,
+                bool(status) and took < READY_SECONDS,
+                f"{process.label} at {began:.3f}: {status} after "
+                f"{took:.2f} s, {reason}",
+            )
+
+    def _judge_exchange(
+        self, found: client_module.Exchange, runs: list[list[str]]
+    ) -> None:
+        text = f"{found.describe()} runs {runs}"
+        report = self.report
+        kind = self._classify(found, runs)
+        report.count(f"{found.route.name}: {kind}")
+        if kind in ("crossed", "broken-off"):
+            report.note(f"{kind}: {text}")
+        report.count(f"status {found.status}")
+        if kind not in ("killed", "crossed"):
+            report.check(
+                report_module.ANSWERED,
+                kind not in ("silent", "held", "wrong"),
+                f"{kind}: {text}",
+            )
+        if found.route.kind == "non_idempotent" or not found.route.resumable:
+            if found.route.max_runs == 1:
+                report.check(report_module.RUN_ONCE, len(runs) <= 1, text)
+        if found.status in REFUSALS:
+            report.check(report_module.RUN_ONCE, not runs, f"denied {text}")
+        if kind == "killed":
+            return
+        lost = self._lost_seconds(found)
+        # What waits for a free descriptor was not accepted yet.
+        is_short = (
+            not found.is_kept
+            and found.process.shortages.seconds_between(
+                found.sent_at - SLACK_SECONDS, found.ended_at
+            )
+        )
+        over = found.ended_at - found.deadline - lost
+        if not is_short:
+            report.check(
+                report_module.IN_TIME,
+                over <= SLACK_SECONDS,
+                f"{over:.2f} s after its deadline: {text}",
+            )
+        if found.route.service == site_module.CALM and kind != "crossed":
+            report.check(
+                report_module.CALM,
+                bool(is_short) or self._is_served(found, kind, lost),
+                text,
+            )
+
+    def _lost_seconds(self, found: client_module.Exchange) -> float:
+        """Return how long the soak or the daemon could not run meanwhile."""
+        span = found.sent_at, found.ended_at
+        suspensions = self._logs[found.process].suspensions
+        return self._own.seconds_between(*span) + suspensions.seconds_between(
+            *span
+        )
+
+    def _is_served(
+        self, found: client_module.Exchange, kind: str, lost: float
+    ) -> bool:
+        """Return whether a request to sound endpoints was served in time."""
+        if kind in ("answered", "refused"):
+            return True
+        # The end of a stop cuts what its grace does not cover.
+        stopping_at = found.process.stopping_at
+        if stopping_at is not None and found.ended_at > stopping_at:
+            return True
+        # What no daemon could have had from its endpoint by the deadline.
+        span = found.sent_at, found.ended_at
+        lost += self._quiet.seconds_between(*span)
+        lost += max(
+            one.suspensions.seconds_between(*span)
+            for one in self._site.endpoints[site_module.CALM]
+        )
+        return lost + SLACK_SECONDS >= found.route.timeout_ms / 1000
+
+    def _classify(
+        self, found: client_module.Exchange, runs: list[list[str]]
+    ) -> str:
+        process = found.process
+        if process.killed_at is not None and (
+            found.ended_at >= process.killed_at - 0.1
+        ):
+            return "killed"
+        if found.is_held:
+            return "held"
+        if found.is_complete:
+            if found.status in REFUSALS:
+                return "refused"
+            if found.status != 200:
+                return f"failed-{found.status}"
+            is_sound = all(f == [endpoint_module.SOUND] for f in runs)
+            return "wrong" if is_sound and not _is_whole(found) else "answered"
+        if found.got_bytes:
+            return "broken-off"
+        is_stopping = (
+            process.stopping_at is not None
+            and found.ended_at >= process.stopping_at
+        )
+        return "crossed" if is_stopping and not runs else "silent"
+
+
+def _is_whole(found: client_module.Exchange) -> bool:
+    """Return whether a success has all that a sound endpoint sends."""
+    if not found.route.is_stream:
+        return found.body.startswith(found.attempt.encode())
+    numbers = collections.Counter(
+        line[3:].strip()
+        for line in found.body.split(b"\n")
+        if line.startswith(b"id:")
+    )
+    expected = range(1, endpoint_module.EVENTS + 1)
+    return numbers == {str(n).encode(): 1 for n in expected}
+
+
+def _to_time(text: str) -> float:
+    return datetime.datetime.fromisoformat(text).timestamp()
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,388 @@
+"""Run the daemons, the endpoints and the store of a soak."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+from tests import processes
+from tests.soak import endpoint as endpoint_module
+from tests.soak import report as report_module
+
+REVIEW: typing.Final = processes.ROOT / "review"
+if str(REVIEW) not in sys.path:
+    sys.path.insert(0, str(REVIEW))
+
+from standins import store as store_module  # noqa: E402
+
+HOST_NAME: typing.Final = "soak.example"
+KEY: typing.Final = "key-soak"
+ZONES: typing.Final = ("zone-a", "zone-b", "zone-c")
+CALM, MIXED = "calm-app", "mixed-app"
+ENDPOINTS: typing.Final = {CALM: (4, 0), MIXED: (4, 5)}
+METRICS_PORT: typing.Final = 9464
+GRACE_SECONDS: typing.Final = 8.0
+# Callers may use half of the descriptors, 1 to 3 for each endpoint the rest.
+MAX_FDS: typing.Final = (110, 1024, 4100)
+PORT_RNG: typing.Final = random.SystemRandom()
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Describe a route of the manifest, and its requests."""
+
+    name: str
+    kind: str
+    service: str
+    timeout_ms: int
+    max_runs: int = 1
+    resumable: bool = False
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether its answers are streams."""
+        return self.kind == "streaming"
+
+    @property
+    def path(self) -> str:
+        """Return its path prefix, which tells endpoints what to answer."""
+        return f"/{'stream' if self.is_stream else 'plain'}-{self.name}/"
+
+
+ROUTES: typing.Final = tuple(
+    route
+    for service in (CALM, MIXED)
+    for route in (
+        Route(f"look-{service}", "idempotent", service, 2500, 2),
+        Route(f"book-{service}", "non_idempotent", service, 2500),
+        Route(f"chat-{service}", "streaming", service, 5000, 3, True),
+        Route(f"sum-{service}", "streaming", service, 5000),
+    )
+)
+
+
+def manifest(version: int) -> dict[str, typing.Any]:
+    """Return a version; each has a route and a key of its own."""
+    routes = [
+        {
+            "name": route.name,
+            "hostname": HOST_NAME,
+            "path_prefix": route.path,
+            "kind": route.kind,
+            "timeout_ms": route.timeout_ms,
+            "slo_ms": 500,
+            "priority": 1,
+            "backend": route.service,
+            "max_attempts": route.max_runs,
+            "public": False,
+            "resumable": route.resumable,
+            "gap_target_ms": 300,
+        }
+        for route in ROUTES
+    ]
+    more = {**routes[0], "name": "more", "path_prefix": f"/more-{version}/"}
+    return {
+        "version": version,
+        "routes": [*routes, more],
+        "services": [
+            {
+                "name": name,
+                "health_path": "/healthz",
+                "max_conns": 300,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in ENDPOINTS
+        ],
+        "tenants": [{"name": "soak", "api_keys": [KEY, f"key-{version}"]}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 60000,
+        },
+    }
+
+
+class Endpoint:
+    """Command one endpoint process, and collect what it has run."""
+
+    def __init__(self, name: str, service: str, host: str, zone: str) -> None:
+        self.name = name
+        self.faults = endpoint_module.SOUND
+        self.runs: list[tuple[str, list[str]]] = []
+        self.suspensions = report_module.Suspensions()
+        self._service = service
+        self._zone = zone
+        self._born = int(time.time() * 1000)
+        self._process = subprocess.Popen(
+            [sys.executable, endpoint_module.__file__, name, host],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        port = json.loads(self._process.stdout.readline())["port"]
+        self._address = f"{host}:{port}"
+        threading.Thread(target=self._collect, daemon=True).start()
+
+    def _collect(self) -> None:
+        for line in self._process.stdout:
+            fields = json.loads(line)
+            if "lag" in fields:
+                self.suspensions.add(fields["at"], fields["lag"])
+                continue
+            self.runs.append((fields["id"], fields["faults"]))
+
+    def order(self, command: str) -> None:
+        """Give a command; see the module `endpoint`."""
+        if not command.startswith("quiet"):
+            self.faults = command
+        self._process.stdin.write(command + "\n")
+        self._process.stdin.flush()
+
+    def entry(self) -> dict[str, typing.Any]:
+        """Return its entry in the store."""
+        return {
+            "backend": self._service,
+            "addr": self._address,
+            "zone": self._zone,
+            "version": "v1",
+            "slots": 32,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 0,
+            "born": self._born,
+        }
+
+    def kill(self) -> None:
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+
+
+@dataclasses.dataclass(eq=False)
+class Incarnation:
+    """Describe one process of a daemon."""
+
+    popen: subprocess.Popen[bytes]
+    log: pathlib.Path
+    label: str
+    ready_at: float | None = None
+    stopping_at: float | None = None
+    killed_at: float | None = None
+    # When descriptors were short.
+    shortages: report_module.Suspensions = dataclasses.field(
+        default_factory=report_module.Suspensions
+    )
+    max_rss_mb: float = 0.0
+
+    def signal(self, number: int) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    @property
+    def is_staying(self) -> bool:
+        """Return whether it is ready, runs and was not told to end."""
+        return (
+            self.ready_at is not None
+            and self.stopping_at is None
+            and self.killed_at is None
+        )
+
+    def rss_mb(self) -> float:
+        """Return the resident memory, 0 if the process has ended."""
+        with contextlib.suppress(OSError, ValueError):
+            status = pathlib.Path(f"/proc/{self.popen.pid}/status")
+            for line in status.read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
+
+class Daemon:
+    """Start and end the processes of one daemon."""
+
+    def __init__(
+        self, name: str, host: str, settings: str, folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.incarnations: list[Incarnation] = []
+        self._folder = folder
+        self._settings = folder / f"{name}.conf"
+        self._settings.write_text(settings)
+        lines = dict(line.split("=", 1) for line in settings.splitlines())
+        self.front = lines["listen.front"]
+        self.readiness = lines["listen.readiness"]
+
+    @property
+    def current(self) -> Incarnation:
+        """Return the latest process."""
+        return self.incarnations[-1]
+
+    def start(self) -> None:
+        """Start a process."""
+        label = f"{self.name}-{len(self.incarnations) + 1}"
+        log = self._folder / f"{label}.log"
+        with open(log, "wb") as file:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", "sycamoredale.platform"],
+                cwd=processes.ROOT,
+                env={
+                    **os.environ,
+                    "SYCAMOREDALE_SETTINGS": str(self._settings),
+                    "PYTHONPATH": str(processes.ROOT),
+                },
+                stdout=file,
+                stderr=file,
+            )
+        self.incarnations.append(Incarnation(popen, log, label))
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.current.popen.poll() is None:
+            self.current.killed_at = time.time()
+        self.current.signal(signal.SIGKILL)
+        self.current.popen.wait()
+
+    async def stop(self, seconds: float) -> bool:
+        """Stop as planned; return whether that took no longer."""
+        self.current.stopping_at = time.time()
+        self.current.signal(signal.SIGTERM)
+        ends_at = time.time() + seconds
+        while self.current.popen.poll() is None:
+            if time.time() > ends_at:
+                self.kill()
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
+    async def be_short(self, free_count: int, seconds: float) -> None:
+        """Leave the process only some free descriptors for a time."""
+        process = self.current
+        pid, number = process.popen.pid, resource.RLIMIT_NOFILE
+        with contextlib.suppress(OSError):
+            used = len(os.listdir(f"/proc/{pid}/fd"))
+            limits = resource.prlimit(pid, number)
+            resource.prlimit(pid, number, (used + free_count, limits[1]))
+            began = time.time()
+            await asyncio.sleep(seconds)
+            process.shortages.add(time.time(), time.time() - began)
+            resource.prlimit(pid, number, limits)
+
+
+class Site:
+    """Hold all processes of a run."""
+
+    def __init__(
+        self, rng: random.Random, daemon_count: int, folder: pathlib.Path
+    ) -> None:
+        self.store = store_module.Store()
+        self.daemons: list[Daemon] = []
+        self.endpoints: dict[str, list[Endpoint]] = {s: [] for s in ENDPOINTS}
+        # Runs beside each other must not draw the same addresses.
+        net = f"127.{PORT_RNG.randint(130, 250)}.{PORT_RNG.randint(1, 250)}"
+        self._hosts = (f"{net}.{n}" for n in range(1, 250))
+        self._folder = folder
+        self._hosts_of_daemons = [
+            next(self._hosts) for _ in range(daemon_count)
+        ]
+        self._first_port = _draw_ports(self._hosts_of_daemons)
+        self._fds = [rng.choice(MAX_FDS) for _ in range(daemon_count)]
+
+    async def start(self) -> None:
+        """Start the store, the endpoints and then the daemons."""
+        await self.store.start(next(self._hosts))
+        self.store.write("config", "main", manifest(1))
+        for service, counts in ENDPOINTS.items():
+            for number in range(sum(counts)):
+                one = Endpoint(
+                    f"{service}-{number}",
+                    service,
+                    next(self._hosts),
+                    ZONES[number % len(ZONES)],
+                )
+                self.endpoints[service].append(one)
+                self.store.write("servers", one.name, one.entry())
+        for number, host in enumerate(self._hosts_of_daemons):
+            name = f"edge-{number + 1}"
+            self.daemons.append(
+                Daemon(name, host, self._settings(number), self._folder)
+            )
+            self.daemons[-1].start()
+
+    @property
+    def faulty(self) -> list[Endpoint]:
+        """Return the endpoints that may be faulty."""
+        return self.endpoints[MIXED][ENDPOINTS[MIXED][0] :]
+
+    @property
+    def all_endpoints(self) -> list[Endpoint]:
+        """Return all endpoints."""
+        return [e for found in self.endpoints.values() for e in found]
+
+    def runs_by_id(self) -> dict[str, list[list[str]]]:
+        """Return the faults that each request met, once for each run."""
+        runs: dict[str, list[list[str]]] = {}
+        for one in self.all_endpoints:
+            for attempt, faults in list(one.runs):
+                runs.setdefault(attempt, []).append(faults)
+        return runs
+
+    def end(self) -> None:
+        """End all processes."""
+        for daemon in self.daemons:
+            daemon.kill()
+        for one in self.all_endpoints:
+            one.kill()
+        self.store.server.crash()
+
+    def _settings(self, number: int) -> str:
+        host, port = self._hosts_of_daemons[number], self._first_port
+        seeds = [f"{h}:{port + 2}" for h in self._hosts_of_daemons[:3]]
+        lines = {
+            "node_name": f"edge-{number + 1}",
+            "zone": ZONES[number % len(ZONES)],
+            "region": "region",
+            **{f"zones.{zone}": "region" for zone in ZONES},
+            "ip": host,
+            "listen.front": f"{host}:{port}",
+            "listen.readiness": f"{host}:{port + 1}",
+            "listen.control": f"{host}:{port + 2}",
+            "internal_ports": f"{port + 3},{port + 18}",
+            "seeds": ",".join(seeds),
+            "bootstrap": "true",
+            "limits.max_fds": self._fds[number],
+            "limits.cores": 1,
+            "bounds.grace_s": GRACE_SECONDS,
+            "bounds.retry_budget_ratio": 0.2,
+            "bounds.budget_burst": 136,
+            "platform.addr": self.store.server.address,
+        }
+        return "".join(f"{name}={value}\n" for name, value in lines.items())
+
+
+def _draw_ports(hosts: list[str]) -> int:
+    """Return the first of 19 ports that are free on all hosts."""
+    while True:
+        first = PORT_RNG.choice(range(16000, 31900))
+        ports = [*range(first, first + 19), METRICS_PORT]
+        with contextlib.ExitStack() as stack:
+            with contextlib.suppress(OSError):
+                for host in hosts:
+                    for port in ports:
+                        sock = stack.enter_context(socket.socket())
+                        sock.bind((host, port))
+                return first
