--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -211,6 +211,9 @@
     async def _use_up_descriptors(
         self, daemon: site_module.Daemon, rng: random.Random
     ) -> None:
+        # No daemon starts with fewer than it needs to listen.
+        if daemon.current.ready_at is None:
+            return
         count, seconds = rng.randint(0, 8), rng.uniform(0.5, 2.5)
         self.report.note(
             f"{daemon.current.label} has {count} free descriptors for "
