Give up an answer that is not held without blame for its endpoint

What operators saw: a daemon that had no memory for an answer examined the endpoint as crashed, and counted the request toward crashes.

The tests that use up all descriptors now take each free number. A limit below the highest open one made the spare descriptor useless, and two tests failed after a collection of earlier sockets; no check is changed.

--- a/sycamoredale/errors.py
+++ b/sycamoredale/errors.py
@@ -54,6 +54,19 @@
     """Report that a connection failed after bytes may have been sent."""
 
 
+class AnswerNotHeld(ConnectionBroken):
+    """Report that this daemon gave up an answer that it has no memory for."""
+
+    def __init__(self, remote: str) -> None:
+        """Initialize the error; the request may have been executed."""
+        super().__init__(
+            error_codes.CONNECTION_BROKEN,
+            f"the answer of {remote} was given up, since this daemon holds "
+            "too many bytes",
+            error_codes.Execution.UNKNOWN,
+        )
+
+
 class EndpointFault(ConnectionBroken):
     """Report that an endpoint sent an error instead of an answer."""
 
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -203,9 +203,7 @@
             if (stream.pending_bytes or reservation.size) and (
                 not reservation.resize(stream.pending_bytes)
             ):
-                raise _broken_answer(
-                    endpoint, "this daemon holds too many bytes"
-                )
+                raise errors.AnswerNotHeld(f"endpoint {endpoint.id}")
             if stream.has_gap:
                 raise _broken_answer(endpoint, "a stream event is missing")
             if stream.has_excess_comments:
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -327,6 +327,9 @@
         except errors.EndpointStalled as error:
             send_log.log_failed_send(progress, endpoint, error.message)
             return progress_module.Outcome.STALLED
+        except errors.AnswerNotHeld as error:
+            send_log.log_failed_send(progress, endpoint, error.message)
+            return progress_module.Outcome.GIVEN_UP
         except errors.ConnectionBroken as error:
             send_log.log_failed_send(progress, endpoint, error.message)
             return progress_module.Outcome.BROKEN
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -27,7 +27,8 @@
     UNREACHED: no connection.  WITHDRAWN: the endpoint stopped accepting
     requests before the send.  NOT_RUN: refused before it ran.  STALLED: the
     endpoint made no progress.  BROKEN: the connection or the answer broke.
-    FAILED: the endpoint answered with a server error.
+    GIVEN_UP: this daemon gave the answer up.  FAILED: the endpoint answered
+    with a server error.
     """
 
     ANSWERED = "answered"
@@ -36,6 +37,7 @@
     NOT_RUN = "not_run"
     STALLED = "stalled"
     BROKEN = "broken"
+    GIVEN_UP = "given_up"
     FAILED = "failed"
 
 
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -161,7 +161,7 @@
             if self._framing_bytes > max_bytes * MAX_FRAMING_SHARE:
                 raise self._broken("the chunks of the body are too small")
             if reservation is not None and not reservation.resize(size):
-                raise self._broken("this daemon holds too many bytes")
+                raise errors.AnswerNotHeld(str(self.address))
             body += part
 
     def finish_cycle(self) -> bool:
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -24,12 +24,14 @@
 from sycamoredale.groups import probing
 from sycamoredale.http import caller_disconnect
 from sycamoredale.http import client
+from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
 from sycamoredale.links import monitor as link_monitor
 from sycamoredale.object_api import instances
 from sycamoredale.observability import seldom
+from tests import test_endless_answers
 from tests import test_forwarder
 
 CALLERS = 8
@@ -39,16 +41,21 @@
 @contextlib.contextmanager
 def no_free_descriptor():
     """Let the process open no further descriptor."""
-    # A collection within the block would free sockets of earlier tests.
+    # Sockets that earlier tests have left would be closed meanwhile.
     gc.collect()
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    lowest_free = os.dup(0)
-    os.close(lowest_free)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, hard))
+    highest = max(int(number) for number in os.listdir("/proc/self/fd"))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 1, hard))
+    taken = []
     try:
+        with contextlib.suppress(OSError):
+            while True:
+                taken.append(os.dup(0))
         yield
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for number in taken:
+            os.close(number)
 
 
 class Front:
@@ -307,3 +314,33 @@
 
     curio.run(main)
     assert not table.by_id[instance.id].failures
+
+
+# Guards against endpoints that are examined as crashed, since the daemon had
+# no memory for their answer.
+def test_answer_that_is_not_held_is_no_crash_of_its_endpoint(monkeypatch):
+    class Large(test_forwarder.Endpoint):
+        async def _handle(self, exchange):
+            self.requests.append(exchange.request)
+            fields = [("Attempt-Id", "r1"), ("Replica-Seal", "s")]
+            await exchange.respond(
+                messages.Response(
+                    200, messages.Headers(fields), b"x" * 100_000
+                )
+            )
+
+    site = test_endless_answers.PlainSite(
+        Large("a"), may_retry=False, held=held_bytes.HeldBytes(20_000)
+    )
+    broken = []
+
+    async def record_broken(call, endpoint, ran_alone):
+        broken.append(endpoint.id)
+
+    counter = site.forwarder._crash_counter
+    monkeypatch.setattr(counter, "record_broken", record_broken)
+    caller, refusal = site.run()
+    assert not broken
+    assert not caller.started
+    assert refusal.code.status == 502
+    assert refusal.execution.value == "unknown"
