Limit and close idle connections that receive bytes (LOST)

What callers saw: with bytes after a complete answer, an idle connection took 3.9 MB in a probe and stayed open, since nobody reads it until it is used again. Bytes that wait in the kernel count as the daemon's, and a daemon over its limit ends with all its requests.

Change: receive buffers of connections that the daemon opens have 128 KiB, and idle connections to endpoints are checked every five seconds and closed if they have ended or received something.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -192,6 +192,10 @@
             "peer_updates", self._peer_updates.run, self._peer_update_address()
         )
         await self._spawn("links", self._connector.run)
+        await self._spawn(
+            "idle_connections",
+            self._service.call_forwarder.close_unusable_connections,
+        )
         await self._spawn("address_checks", self._build_address_checker().run)
         await self._spawn("groups", self._group_controller.run)
         LOG.info("started", address=str(self._settings.caller_address))
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -54,6 +54,8 @@
 # up on a silent stream after about two seconds.
 CAPACITY_WAIT_SECONDS: Final = 1.5
 CAPACITY_POLL_SECONDS: Final = 0.05
+# Each check of an idle connection costs a system call.
+IDLE_CHECK_SECONDS: Final = 5.0
 LOG: Final = logs.get("forwarding")
 
 
@@ -96,6 +98,12 @@
         """Set how many connections to endpoints may be open."""
         self._pool.max_open = max_open
 
+    async def close_unusable_connections(self) -> None:
+        """Close idle connections to endpoints that carry no request again."""
+        while True:
+            await self._pool.close_unusable()
+            await curio.sleep(IDLE_CHECK_SECONDS)
+
     def connection_count(self) -> int:
         """Return how many connections to endpoints are open."""
         return self._pool.open_count()
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -324,13 +324,16 @@
         longest_idle = next(iter(self._idle), None)
         if longest_idle is None:
             return False
-        del self._idle[longest_idle]
-        others = self.idle_by_address[longest_idle.address]
-        if longest_idle in others:
-            others.remove(longest_idle)
-        await longest_idle.close()
+        await self._close_idle(longest_idle)
         return True
 
+    async def _close_idle(self, connection: Connection) -> None:
+        del self._idle[connection]
+        others = self.idle_by_address[connection.address]
+        if connection in others:
+            others.remove(connection)
+        await connection.close()
+
     def _forget(self, connection: Connection) -> None:
         self._open.discard(connection)
         self._idle.pop(connection, None)
@@ -347,6 +350,15 @@
             return
         await connection.close()
 
+    async def close_unusable(self) -> None:
+        """Close idle connections that have ended or received something.
+
+        What nobody reads stays in memory until the connection closes.
+        """
+        for connection in list(self._idle):
+            if connection in self._idle and not connection.is_usable():
+                await self._close_idle(connection)
+
     async def close(self) -> None:
         """Close all idle connections."""
         for idle in self.idle_by_address.values():
@@ -417,6 +429,7 @@
     try:
         sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         sockets.keep_alive(sock)
+        sockets.limit_unread_bytes(sock)
         async with curio.timeout_after(timeout_seconds):
             await sock.connect((address.host, address.port))
     except (OSError, curio.TaskTimeout) as error:
--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -24,6 +24,8 @@
 RECEIVE_BYTES: Final = 16384
 # A burst of connections does not wait for a turn of the loop for each.
 ACCEPTED_AT_ONCE: Final = 64
+# An answer outside of streams is read as it arrives; streams need far less.
+MAX_UNREAD_BYTES: Final = 131072
 # Up to this size a copy is cheaper than another system call.
 MAX_JOINED_BYTES: Final = 65536
 
@@ -110,6 +112,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def limit_unread_bytes(sock: typing.Any) -> None:
+    """Limit what the kernel keeps of a connection that nobody reads."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_UNREAD_BYTES)
+
+
 def shut_down(sock: typing.Any, how: int) -> None:
     """Shut down one or both directions of a curio socket.
 
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -3,6 +3,10 @@
 Each way in which a connection ends gives its place back.
 """
 
+import array
+import fcntl
+import termios
+
 import curio
 import pytest
 
@@ -10,7 +14,9 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.http import client
 from sycamoredale.http import messages
+from sycamoredale.http import sockets
 from sycamoredale.links import relay_client
+from tests import endless_source
 from tests import link_fixtures
 from tests import test_forwarder
 from tests import test_local_failures
@@ -258,3 +264,42 @@
         await fresh.close()
 
     curio.run(main)
+
+
+def _unread_bytes(connection):
+    count = array.array("i", [0])
+    fcntl.ioctl(connection._sock.fileno(), termios.FIONREAD, count)
+    return count[0]
+
+
+# Guards against memory that bytes after a complete answer take: nobody reads
+# an idle connection, and what waits in the kernel counts as the daemon's.
+def test_idle_connection_that_receives_bytes_is_limited_and_closed():
+    complete = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    source = endless_source.EndlessSource("a", complete, b"j" * 4096)
+
+    async def main():
+        endpoint = test_relay.Endpoint()
+        await curio.spawn(endpoint.run, daemon=True)
+        pool = client.Pool()
+        sound = await pool.acquire(endpoint.address)
+        flooded = await pool.acquire(source.address)
+        await _finish(sound)
+        await flooded.send(REQUEST)
+        await flooded.read_head()
+        # The answer was read before the bytes after it came.
+        pool._idle[flooded] = None
+        pool.idle_by_address[flooded.address] = [flooded]
+        await pool.release(sound)
+        await curio.sleep(0.5)
+        unread = _unread_bytes(flooded)
+        await pool.close_unusable()
+        return unread, pool.open_count(), await pool.acquire(endpoint.address)
+
+    try:
+        unread, open_count, again = curio.run(main)
+    finally:
+        source.close()
+    assert 0 < unread <= 2 * sockets.MAX_UNREAD_BYTES
+    assert open_count == 1
+    assert again.reused
