Take slow stand-ins and kept limits of the soak for what they are

A reload while the soak held descriptors back made the daemon keep the low limit; the soak reloads it again when it gives them back.

--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -111,7 +111,7 @@
             head = self._head(fields, "Content-Length: 0\r\nNot-Executed: 1")
             sock.sendall(head.replace(b"200 OK", b"421 Other"))
             return True
-        faults = list(self._faults)
+        faults, began = list(self._faults), time.time()
         self._tell(id=fields.get("attempt-id", ""), faults=faults)
         is_stream = words[1].startswith(b"/stream")
         first = int(fields.get("last-event-id", 0)) + 1
@@ -119,6 +119,7 @@
             self._suffer(sock, fields, fault, is_stream)
         time.sleep(WORK_SECONDS)
         self._wait_while_quiet()
+        self._tell(ready=fields.get("attempt-id", ""), at=[began, time.time()])
         if is_stream:
             self._send_events(sock, fields, range(first, EVENTS + 1))
             return True
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -440,6 +440,8 @@
         # What no daemon could have had from its endpoint by the deadline.
         calm = self._site.endpoints[site_module.CALM]
         lost = lost.joined(self._quiet, *(one.suspensions for one in calm))
+        for one in calm:
+            lost.spans += one.work.get(found.attempt, [])
         seconds = lost.seconds_between(found.sent_at, found.ended_at)
         return seconds + SLACK_SECONDS >= found.route.timeout_ms / 1000
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -33,7 +33,7 @@
 ENDPOINTS: typing.Final = {CALM: (4, 0), MIXED: (4, 5)}
 METRICS_PORT: typing.Final = 9464
 GRACE_SECONDS: typing.Final = 8.0
-# Callers may use half of the descriptors, 1 to 3 for each endpoint the rest.
+# The least bears the steady load, 24 requests at once, but no burst beside it.
 MAX_FDS: typing.Final = (110, 1024, 4100)
 TICKS_PER_SECOND: typing.Final = os.sysconf("SC_CLK_TCK")
 PORT_RNG: typing.Final = random.SystemRandom()
@@ -124,6 +124,8 @@
         self.faults = endpoint_module.SOUND
         self.runs: list[tuple[str, list[str]]] = []
         self.suspensions = report_module.Suspensions()
+        # From the end of each request to the beginning of its answer.
+        self.work: dict[str, list[tuple[float, float]]] = {}
         self._service = service
         self._zone = zone
         self._born = int(time.time() * 1000)
@@ -143,6 +145,10 @@
             if "lag" in fields:
                 self.suspensions.add(fields["at"], fields["lag"])
                 continue
+            if "ready" in fields:
+                spans = self.work.setdefault(fields["ready"], [])
+                spans.append(tuple(fields["at"]))
+                continue
             self.runs.append((fields["id"], fields["faults"]))
 
     def order(self, command: str) -> None:
@@ -305,6 +311,8 @@
             await asyncio.sleep(seconds)
             process.shortages.add(time.time(), time.time() - began)
             resource.prlimit(pid, number, limits)
+            # A reload meanwhile has taken the low limit for the one to keep.
+            process.signal(signal.SIGHUP)
 
 
 class Site:
