Measure how late the sound stand-ins of the soak accept

A probe on a new connection now measures this, and only this is given as slack to requests to sound endpoints.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -78,6 +78,10 @@
         daemons = self._site.daemons
         watching = [asyncio.create_task(self._measure_own_lag())]
         watching += [asyncio.create_task(self._watch(d)) for d in daemons]
+        watching += [
+            asyncio.create_task(self._watch_endpoint(one))
+            for one in self._site.endpoints[site_module.CALM]
+        ]
         ends_at = time.time() + START_SECONDS
         while not all(d.current.ready_at for d in daemons):
             if time.time() > ends_at:
@@ -288,6 +292,19 @@
             if lag > LAG_CHECK_SECONDS:
                 self._own.add(time.time(), lag)
 
+    async def _watch_endpoint(self, one: site_module.Endpoint) -> None:
+        """Measure how late a sound endpoint accepts and reads."""
+        while True:
+            began = time.time()
+            with contextlib.suppress(OSError, IndexError):
+                async with client_module.connected(one.address) as pair:
+                    work = client_module.probe(pair, "/healthz")
+                    await client_module.finished(work, START_SECONDS)
+            took = time.time() - began
+            if took > LAG_CHECK_SECONDS:
+                one.suspensions.add(time.time(), took)
+            await asyncio.sleep(READY_EVERY_SECONDS)
+
     async def _watch(self, daemon: site_module.Daemon) -> None:
         while True:
             await asyncio.sleep(READY_EVERY_SECONDS)
