--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -157,13 +157,14 @@
     A soak that was suspended itself first reads what has arrived meanwhile.
     """
     task = asyncio.create_task(work)
-    for share in (0.5, 0.5):
-        await asyncio.wait({task}, timeout=share * seconds)
-    if not task.done():
+    try:
+        for share in (0.5, 0.5):
+            await asyncio.wait({task}, timeout=share * seconds)
+        if not task.done():
+            raise TimeoutError
+        return task.result()
+    finally:
         task.cancel()
-        await asyncio.wait({task})
-        raise TimeoutError
-    return task.result()
 
 
 async def probe(streams: typing.Any, path: str = "/v1/ready") -> int:
