Log why a begun answer was cut, and the delays of the event loop

Change: call_ended says how long the daemon did not read within the last second, what each endpoint that was left had sent by then, and why the caller has a part only. The metric answers_cut counts these; endpoint_left should stay at zero. The selector of the event loop records the delays, so that they are known before any task runs again. No logic is changed.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -43,6 +43,7 @@
 from sycamoredale import ids
 from sycamoredale import leases
 from sycamoredale.links import assembly
+from sycamoredale import loop_delays
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
@@ -91,9 +92,17 @@
 class EntryDaemon:
     """Route calls, and control groups while this daemon has the lease."""
 
-    def __init__(self, settings: settings_module.ProcessSettings) -> None:
-        """Initialize all components without listening."""
+    def __init__(
+        self,
+        settings: settings_module.ProcessSettings,
+        delays: loop_delays.LoopDelays | None = None,
+    ) -> None:
+        """Initialize all components without listening.
+
+        `delays` are those of the event loop that runs the daemon.
+        """
         self._settings = settings
+        self._delays = delays or loop_delays.LoopDelays()
         self._metric_registry = exposition.MetricRegistry()
         self._store_contact = store_contact.StoreContact()
         self._store = store_module.PlatformStore(
@@ -443,6 +452,7 @@
             self._metric_registry,
             is_ready=self._is_ready,
             get_known_ages=self._known_ages,
+            delays=self._delays,
         )
 
     def _known_ages(self, now: clock.MonotonicTime) -> dict[str, int]:
@@ -632,4 +642,8 @@
         line_writer.LineWriter(sys.stdout.fileno()),
         daemon=settings.daemon,
     )
-    curio.run(EntryDaemon(settings).run)
+    delays = loop_delays.LoopDelays()
+    curio.run(
+        EntryDaemon(settings, delays).run,
+        selector=loop_delays.DelayRecordingSelector(delays),
+    )
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -333,6 +333,7 @@
             )
             return outcome
         except errors.EndpointStalled as error:
+            progress.record_left(connection.unread_bytes())
             send_log.log_failed_send(progress, endpoint, error.message)
             return progress_module.Outcome.STALLED
         except errors.AnswerNotHeld as error:
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -55,6 +55,8 @@
     its selection.  `run_count` counts the sends that an endpoint has run.
     `trial_part` is the part in quarantine that the call may try once, and
     `has_success` tells whether an endpoint wrote a success to its end.
+    `left_unread` has, for each endpoint that was left while its connection
+    was whole, the size of what it had sent by then.
     `relayed_by` is the peer that relays the present send, if any, and
     `is_sent` tells whether the endpoint may have received it.
     """
@@ -64,6 +66,7 @@
     sends: list[str] = dataclasses.field(default_factory=list)
     endpoint_loads: list[float] = dataclasses.field(default_factory=list)
     current_endpoint: ids.InstanceId | None = None
+    left_unread: list[int] = dataclasses.field(default_factory=list)
     delivered_count: int = 0
     run_count: int = 0
     may_have_run: bool = False
@@ -106,6 +109,11 @@
             self.longest_pause_seconds = max(self.longest_pause_seconds, pause)
         self._last_events_at = now
 
+    def record_left(self, unread_bytes: int | None) -> None:
+        """Record that an endpoint is left; None if its connection ended."""
+        if unread_bytes is not None:
+            self.left_unread.append(unread_bytes)
+
     def begin_queueing(
         self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
     ) -> queue_priority_module.QueuePriority:
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -7,6 +7,7 @@
 import curio
 
 from sycamoredale import clock
+from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import error_answers
@@ -17,6 +18,7 @@
 from sycamoredale.http import error_responses
 from sycamoredale.http import messages
 from sycamoredale.http import server
+from sycamoredale import loop_delays
 from sycamoredale.observability import exposition
 from sycamoredale.observability import histograms
 from sycamoredale.observability import logs
@@ -27,6 +29,8 @@
 # second, sooner than a caller would come back.
 READY_WAIT_SECONDS: Final = 1.0
 READY_POLL_SECONDS: Final = 0.01
+# How far back the log of a call reports delays of the event loop.
+REPORTED_DELAY_SECONDS: Final = 1.0
 LOG: Final = logs.get("calls")
 
 # Returns how many milliseconds ago all changes of each kind were in force.
@@ -51,6 +55,9 @@
     handled_count: int = 0
     is_ready: collections.abc.Callable[[], bool] = lambda: True
     get_known_ages: GetKnownAges = lambda now: {}
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -146,6 +153,9 @@
         call = progress.call
         now = clock.monotonic()
         self.metrics.count("calls", outcome)
+        cut = _cut_kind(progress, exchange, outcome)
+        if cut is not None:
+            self.metrics.count("answers_cut", cut)
         first = exchange.first_byte_at
         if first is not None:
             self._record_time(call, histograms.Measure.FIRST_BYTE, first)
@@ -170,6 +180,14 @@
             urgency=progress.queue_priority and progress.queue_priority.value,
             at=progress.current_endpoint,
             events=progress.stream.event_count,
+            cut=cut,
+            left_unread=progress.left_unread,
+            loop_delay_ms=int(
+                1000
+                * self.delays.seconds_between(
+                    clock.MonotonicTime(now - REPORTED_DELAY_SECONDS), now
+                )
+            ),
         )
 
     def _record_time(
@@ -207,3 +225,20 @@
     if progress.longest_pause_seconds > call.route.max_event_gap_seconds:
         return "pause"
     return None
+
+
+def _cut_kind(
+    progress: progress_module.CallProgress,
+    exchange: server.Exchange,
+    outcome: str,
+) -> str | None:
+    """Return why the caller has a part of the answer only, None if not.
+
+    An answer that is cut since its endpoint was left, though the connection
+    was whole, is a fault of this daemon.
+    """
+    if not exchange.started or exchange.finished or outcome == "caller_gone":
+        return None
+    if outcome == error_codes.ENDPOINT_FAILED.name and progress.left_unread:
+        return "endpoint_left"
+    return outcome
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -193,6 +193,10 @@
         """
         return sockets.has_nothing_to_read(self._sock)
 
+    def unread_bytes(self) -> int | None:
+        """Return how many bytes wait to be read, None if it has ended."""
+        return sockets.unread_bytes(self._sock)
+
     def abort(self) -> None:
         """Shut down the socket, so that the current exchange fails."""
         self._aborted = True
--- a/sycamoredale/http/sockets.py
+++ b/sycamoredale/http/sockets.py
@@ -6,8 +6,11 @@
 """
 
 import errno
+import fcntl
 import functools
 import socket
+import struct
+import termios
 import typing
 from typing import Final
 
@@ -142,3 +145,16 @@
     except OSError:
         return False
     return False
+
+
+def unread_bytes(sock: typing.Any) -> int | None:
+    """Return how much an open connection has received, None if it ended."""
+    try:
+        _check_open(sock)
+    except OSError:
+        return None
+    size = fcntl.ioctl(sock._socket, termios.FIONREAD, struct.pack("i", 0))
+    count: int = struct.unpack("i", size)[0]
+    if count or has_nothing_to_read(sock):
+        return count
+    return None
--- /dev/null
+++ b/sycamoredale/loop_delays.py
@@ -0,0 +1,82 @@
+"""Record when the event loop of a daemon could not run.
+
+While the process is suspended, or one task runs for long, nothing is read.
+What others send meanwhile waits in the sockets, so this time is no evidence
+that they were silent.
+"""
+
+import collections
+import dataclasses
+import selectors
+from typing import Final
+
+from sycamoredale import clock
+
+# Shorter steps of the loop are ordinary.
+MIN_DELAY_SECONDS: Final = 0.05
+# Longer than any timeout that is judged by what was received.
+KEPT_SECONDS: Final = 30.0
+
+
+@dataclasses.dataclass
+class LoopDelays:
+    """Record the spans of time in which the loop did not read.
+
+    `step_began_at` is when the tasks that run now were last woken, None
+    while the loop waits or if nothing measures it.
+    """
+
+    step_began_at: clock.MonotonicTime | None = None
+    _spans: collections.deque[
+        tuple[clock.MonotonicTime, clock.MonotonicTime]
+    ] = dataclasses.field(default_factory=collections.deque)
+
+    def record(
+        self, began: clock.MonotonicTime, ended: clock.MonotonicTime
+    ) -> bool:
+        """Record a span, unless it is short; return whether it was long."""
+        if ended - began < MIN_DELAY_SECONDS:
+            return False
+        while self._spans and self._spans[0][1] < ended - KEPT_SECONDS:
+            self._spans.popleft()
+        self._spans.append((began, ended))
+        return True
+
+    def seconds_between(
+        self, since: clock.MonotonicTime, now: clock.MonotonicTime
+    ) -> float:
+        """Return for how long the loop did not read since some time."""
+        total = sum(
+            max(0.0, min(ended, now) - max(began, since))
+            for began, ended in self._spans
+            if ended > since
+        )
+        step = self.step_began_at
+        if step is not None and now - step >= MIN_DELAY_SECONDS:
+            total += max(0.0, now - max(step, since))
+        return total
+
+
+class DelayRecordingSelector(selectors.DefaultSelector):
+    """Wait for events of sockets, and record how late the wait ends."""
+
+    def __init__(self, delays: LoopDelays) -> None:
+        """Record in `delays`."""
+        super().__init__()
+        self._delays: Final = delays
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Return the sockets that are ready."""
+        began = clock.monotonic()
+        if self._delays.step_began_at is not None:
+            self._delays.record(self._delays.step_began_at, began)
+        self._delays.step_began_at = None
+        events = super().select(timeout)
+        now = clock.monotonic()
+        if timeout is not None:
+            due = clock.MonotonicTime(began + max(0.0, timeout))
+            self._delays.record(due, now)
+        self._delays.step_began_at = now
+        return events
