Keep a silent endpoint until another has taken its stream over (LOST)

Cause: a stream closed the connection to its silent endpoint and only then asked another one. What _may_leave had checked no longer held by then: the other endpoint rejected the request as full, reset the connection, broke off or was as silent, or the streams that left in the same moment had used the retry budget up. Nothing led back to the first endpoint. The class is check, then act, with the only way back given up in between.

Change: while an endpoint is silent, another one begins the rest of the stream beside it (takeover.py). The caller gets the next event from whichever sends it first; the other connection is closed then, and at the end of the call. Runs, sends and the budget count both. A send has its state in a record of its own (sends.py), and the events of an answer are read apart from being relayed (answer_events.py), so that the second send can stop at its first event.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -448,6 +448,7 @@
                 self._count_daemons,
                 self._stop_plan,
                 self._held_answers,
+                self._delays,
             ),
             self._metric_registry,
             is_ready=self._is_ready,
--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -12,25 +12,22 @@
 import curio
 
 from sycamoredale import clock
-from sycamoredale import error_codes
 from sycamoredale import errors
+from sycamoredale.forwarding import answer_events
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import departures
-from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import send_log
+from sycamoredale.forwarding import sends
 from sycamoredale.forwarding import stall_detection
+from sycamoredale.forwarding import takeover as takeover_module
 from sycamoredale.forwarding import wire_protocol
 from sycamoredale.http import client
 from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import server
-from sycamoredale.links import monitor
 
-# A stream without events on an endpoint that makes progress has been requeued
-# by the engine.  Callers give up after about two seconds.
-MAX_STREAM_PAUSE_SECONDS: Final = 1.5
 # An answer outside streams is held in memory until it is complete.
 MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
 # The body that says why a request did not run has a few bytes.  It is read
@@ -44,7 +41,7 @@
     """Relay answers of endpoints to callers."""
 
     wire: wire_protocol.WireProtocol
-    links: monitor.LinkMonitor
+    detector: stall_detection.StallDetector
     instances: instance_table.InstanceTable
     held: held_bytes.HeldBytes = dataclasses.field(
         default_factory=held_bytes.HeldBytes
@@ -53,24 +50,91 @@
     async def relay(
         self,
         connection: client.Connection,
-        endpoint: endpoints.Endpoint,
+        send: sends.Send,
         progress: progress_module.CallProgress,
         exchange: server.Exchange,
-        may_leave: stall_detection.MayLeave,
-    ) -> progress_module.Outcome:
+        takeover: takeover_module.Takeover,
+    ) -> sends.Outcome:
         """Read the answer to a sent request and relay it to the caller.
 
-        `may_leave` tells whether the request can go on elsewhere.
         Raises ConnectionBroken if the connection or the answer is broken,
-        EndpointStalled if the endpoint makes no progress and
+        EndpointStalled if another endpoint goes on with the request and
         CallerDisconnected if the caller is gone.
         """
-        call = progress.call
-        head = await self._read_head(connection, endpoint, call, may_leave)
-        progress.end_queueing(endpoint)
+        if send.answer is None:
+            await self._read_head(connection, send, progress, takeover)
+        answer = send.answer
+        if answer is None:
+            return sends.Outcome.NOT_RUN
+        if answer.events is None:
+            return await self._relay_body(
+                connection, send, answer, progress, exchange
+            )
+        await self._relay_events(
+            answer, answer.events, send, progress, exchange, takeover
+        )
+        if not exchange.started:
+            if _ended_early(answer.head, send):
+                raise answer_events.broken_answer(
+                    send.endpoint, "the stream ended before its first event"
+                )
+            await exchange.start(
+                messages.ResponseHead(200, answer.info.headers)
+            )
+        # Whoever has broken off may have had more to say.
+        elif send.stream.is_continued and not progress.has_success:
+            raise answer_events.broken_answer(
+                send.endpoint, "the rest of a stream has no events"
+            )
+        await exchange.finish()
+        return sends.Outcome.ANSWERED
+
+    async def begin_elsewhere(
+        self,
+        connection: client.Connection,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        takeover: stall_detection.Takeover,
+    ) -> sends.Outcome | None:
+        """Read the first event of another endpoint; return None with one.
+
+        The event is kept for `relay`.  Raises ConnectionBroken and
+        EndpointStalled.
+        """
+        await self._read_head(connection, send, progress, takeover)
+        answer = send.answer
+        if answer is None:
+            return sends.Outcome.NOT_RUN
+        if answer.events is None:
+            send_log.log_failed_send(
+                progress, send.endpoint, f"status {answer.head.status}"
+            )
+            return sends.Outcome.FAILED
+        count_before = send.stream.progress_count
+        while send.stream.progress_count == count_before:
+            events = await answer.events.read(takeover)
+            answer.events.check()
+            if not events:
+                raise answer_events.broken_answer(
+                    send.endpoint, "the rest of a stream has no events"
+                )
+            send.first_events += events
+        return None
+
+    async def _read_head(
+        self,
+        connection: client.Connection,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        takeover: stall_detection.Takeover,
+    ) -> None:
+        """Set the answer of a send, unless the request was not run."""
+        call, endpoint = progress.call, send.endpoint
+        head = await self._wait_for_head(connection, send, call, takeover)
+        send.end_queueing()
         info = self.wire.read_answer(call, head)
         now = clock.monotonic()
-        self._record_heard(connection, now)
+        self.detector.record_heard(connection, now)
         if info.load is not None:
             endpoint.record_reported_load(info.load, now)
         if info.leaving and info.kind is not calls.AnswerKind.OTHER_REQUEST:
@@ -88,135 +152,95 @@
             send_log.log_failed_send(
                 progress, endpoint, f"status {head.status}, request not run"
             )
-            return progress_module.Outcome.NOT_RUN
+            return
         if info.kind is not calls.AnswerKind.ANSWER:
-            raise _broken_answer(
+            raise answer_events.broken_answer(
                 endpoint, f"unusable answer of kind {info.kind.value!r}"
             )
+        events = None
         if call.is_stream and head.status == 200:
-            with self.held.reserve(connection.address) as reservation:
-                try:
-                    await self._relay_stream(
-                        connection,
-                        endpoint,
-                        info,
-                        progress,
-                        exchange,
-                        may_leave,
-                        reservation,
-                    )
-                finally:
-                    progress.stream.drop_pending()
-            if not exchange.started:
-                if _ended_early(head, progress):
-                    raise _broken_answer(
-                        endpoint, "the stream ended before its first event"
-                    )
-                await exchange.start(messages.ResponseHead(200, info.headers))
-            # Whoever has broken off may have had more to say.
-            elif progress.stream.is_continued and not progress.has_success:
-                raise _broken_answer(
-                    endpoint, "the rest of a stream has no events"
-                )
-            await exchange.finish()
-            return progress_module.Outcome.ANSWERED
-        with self.held.reserve(connection.address) as reservation:
-            body = await connection.read_body(MAX_ANSWER_BYTES, reservation)
-            answer = messages.Response(head.status, info.headers, body)
-            if head.status >= 500:
-                progress.keep_error_answer(answer, reservation.move())
-                return progress_module.Outcome.FAILED
-            if exchange.started:
-                raise _broken_answer(
-                    endpoint, f"status {head.status} to a resumed stream"
-                )
-            endpoint.record_progress(now)
-            progress.has_success = 200 <= head.status < 300
-            await exchange.respond(answer)
-        return progress_module.Outcome.ANSWERED
-
-    def _record_heard(
-        self, connection: client.Connection, now: clock.MonotonicTime
-    ) -> None:
-        if connection.relayed_by is None:
-            self.links.record_heard(now)
+            now = clock.monotonic()
+            events = answer_events.AnswerEvents(
+                connection,
+                endpoint,
+                send.stream,
+                self.held.reserve(connection.address),
+                self.detector,
+                waiting_since=now,
+                max_wait_seconds=call.deadline - now,
+                returned_at=now,
+            )
+        send.answer = sends.Answer(head, info, events)
 
-    async def _read_head(
+    async def _wait_for_head(
         self,
         connection: client.Connection,
-        endpoint: endpoints.Endpoint,
+        send: sends.Send,
         call: calls.Call,
-        may_leave: stall_detection.MayLeave,
+        takeover: stall_detection.Takeover,
     ) -> messages.ResponseHead:
         if not call.is_stream:
             return await connection.read_head()
         max_wait_seconds = call.deadline - clock.monotonic()
-        return await stall_detection.read_unless_stalled(
-            connection.read_head, endpoint, max_wait_seconds, may_leave
+        return await self.detector.read_unless_stalled(
+            connection.read_head,
+            send.endpoint,
+            max_wait_seconds,
+            takeover,
+            is_direct=connection.relayed_by is None,
         )
 
-    async def _relay_stream(
+    async def _relay_body(
         self,
         connection: client.Connection,
-        endpoint: endpoints.Endpoint,
-        info: calls.AnswerInfo,
+        send: sends.Send,
+        answer: sends.Answer,
         progress: progress_module.CallProgress,
         exchange: server.Exchange,
-        may_leave: stall_detection.MayLeave,
-        reservation: held_bytes.Reservation,
-    ) -> None:
-        stream = progress.stream
-        count_before = stream.event_count
-        waiting_since = clock.monotonic()
-        max_wait_seconds = progress.call.deadline - waiting_since
-        while True:
-            chunk = await stall_detection.read_unless_stalled(
-                connection.read_chunk,
-                endpoint,
-                max_wait_seconds,
-                may_leave,
-                waiting_since,
-            )
-            if not chunk:
-                break
-            progress_before = stream.progress_count
-            try:
-                events = stream.feed(chunk)
-            except ValueError as error:
-                raise _broken_answer(endpoint, str(error)) from error
-            if events:
-                now = clock.monotonic()
-                self._record_heard(connection, now)
-                endpoint.record_progress(now)
-                # Comments show that the endpoint is alive, but the wait for
-                # the next event goes on.
-                if stream.progress_count > progress_before:
-                    progress.record_events(now)
-                    max_wait_seconds = MAX_STREAM_PAUSE_SECONDS
-                    waiting_since = now
-                await _forward_events(events, info, exchange)
-                # A slow caller is no pause of the endpoint.
-                waiting_since = clock.MonotonicTime(
-                    waiting_since + clock.monotonic() - now
-                )
-            # Most pieces end with an event, and leave nothing to hold.
-            if (stream.pending_bytes or reservation.size) and (
-                not reservation.resize(stream.pending_bytes)
-            ):
-                raise errors.AnswerNotHeld(f"endpoint {endpoint.id}")
-            if stream.has_gap:
-                raise _broken_answer(endpoint, "a stream event is missing")
-            if stream.has_excess_comments:
-                raise _broken_answer(
-                    endpoint, "too many comments between two events"
-                )
-            if stream.has_foreign_text:
-                raise _broken_answer(
-                    endpoint, "the rest of a stream has an event without id"
+    ) -> sends.Outcome:
+        """Relay an answer that is no stream, once it is complete."""
+        status, endpoint = answer.head.status, send.endpoint
+        now = clock.monotonic()
+        with self.held.reserve(connection.address) as reservation:
+            body = await connection.read_body(MAX_ANSWER_BYTES, reservation)
+            whole = messages.Response(status, answer.info.headers, body)
+            if status >= 500:
+                progress.keep_error_answer(whole, reservation.move())
+                return sends.Outcome.FAILED
+            if exchange.started:
+                raise answer_events.broken_answer(
+                    endpoint, f"status {status} to a resumed stream"
                 )
-        if not stream.ends_at_boundary:
-            raise _broken_answer(endpoint, "the stream ended inside an event")
-        progress.has_success = stream.event_count > count_before
+            endpoint.record_progress(now)
+            progress.has_success = 200 <= status < 300
+            await exchange.respond(whole)
+        return sends.Outcome.ANSWERED
+
+    async def _relay_events(
+        self,
+        answer: sends.Answer,
+        events: answer_events.AnswerEvents,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        exchange: server.Exchange,
+        takeover: takeover_module.Takeover,
+    ) -> None:
+        stream = send.stream
+        progress_before = stream.progress_count
+        if send.first_events:
+            progress.record_events(clock.monotonic())
+            await _forward_events(send.first_events, answer.info, exchange)
+            send.first_events = b""
+        while piece := await events.read(takeover):
+            if stream.progress_count > progress_before:
+                progress_before = stream.progress_count
+                progress.record_events(clock.monotonic())
+                if takeover.is_active:
+                    # This endpoint was first, and goes on.
+                    await takeover.drop()
+            await _forward_events(piece, answer.info, exchange)
+            events.check()
+        progress.has_success = stream.event_count > send.event_count_before
 
 
 def _is_announcement(info: calls.AnswerInfo) -> bool:
@@ -228,14 +252,12 @@
     return info.kind is calls.AnswerKind.ANSWER or info.limit is not None
 
 
-def _ended_early(
-    head: messages.ResponseHead, progress: progress_module.CallProgress
-) -> bool:
+def _ended_early(head: messages.ResponseHead, send: sends.Send) -> bool:
     """Return whether a stream without events was broken off.
 
     Only a resumed stream may have no events left.
     """
-    is_resumed = progress.stream.last_event_id is not None
+    is_resumed = send.stream.last_event_id is not None
     return head.ends_with_connection and not is_resumed
 
 
@@ -251,13 +273,3 @@
     with contextlib.suppress(errors.ConnectionBroken):
         async with curio.ignore_after(DISCARD_SECONDS):
             await connection.read_body(MAX_DISCARDED_BYTES)
-
-
-def _broken_answer(
-    endpoint: endpoints.Endpoint, reason: str
-) -> errors.ConnectionBroken:
-    return errors.ConnectionBroken(
-        error_codes.CONNECTION_BROKEN,
-        f"endpoint {endpoint.id}: {reason}",
-        error_codes.Execution.UNKNOWN,
-    )
--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -57,6 +57,13 @@
         self.has_foreign_text = False
         self.is_continued = self._has_passed
 
+    def continuation(self) -> "EventStream":
+        """Return the stream of another endpoint that continues this one."""
+        continued = EventStream(self.last_event_id, self.event_count)
+        continued._has_passed = self._has_passed
+        continued.is_continued = self._has_passed
+        return continued
+
     def drop_pending(self) -> None:
         """Drop the incomplete event, so that its bytes are not held."""
         self._buffer.clear()
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -3,7 +3,8 @@
 A request is resent only if it certainly has not run, or if its route allows
 another run.  A resumable stream continues on another endpoint after the last
 event that the caller has received, within the same answer.  A stalled
-endpoint is abandoned before its connection fails.
+endpoint is abandoned before its connection fails, once another one has taken
+its stream over.
 """
 
 import collections.abc
@@ -20,10 +21,14 @@
 from sycamoredale.forwarding import crash_counting
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import event_stream
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import retry_budget
 from sycamoredale.forwarding import send_log
+from sycamoredale.forwarding import sends
+from sycamoredale.forwarding import stall_detection
 from sycamoredale.forwarding import stop_plan as stop_plan_module
+from sycamoredale.forwarding import takeover as takeover_module
 from sycamoredale.forwarding import wire_protocol
 from sycamoredale.http import caller_disconnect
 from sycamoredale.http import client
@@ -31,8 +36,8 @@
 from sycamoredale.http import server
 from sycamoredale.links import connector as connector_module
 from sycamoredale.links import monitor as link_monitor
+from sycamoredale import loop_delays
 from sycamoredale.observability import logs
-from sycamoredale.requests import active_requests
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import poison
 
@@ -76,12 +81,15 @@
     held_answers: held_bytes.HeldBytes = dataclasses.field(
         default_factory=held_bytes.HeldBytes
     )
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
 
     def __post_init__(self) -> None:
         """Build the relay of answers and the pool of connections."""
         self._answer_relay = answer_relay.AnswerRelay(
             self.wire,
-            self.connector.monitor,
+            stall_detection.StallDetector(self.connector.monitor, self.delays),
             self.selector.instances,
             self.held_answers,
         )
@@ -137,10 +145,14 @@
         if progress.refusal is not None:
             raise progress.refusal
 
-    def _check_parts(self, progress: progress_module.CallProgress) -> None:
+    def _check_parts(
+        self,
+        progress: progress_module.CallProgress,
+        is_takeover: bool = False,
+    ) -> None:
         """Raise Refusal if a part of the prompt may not be sent now."""
         trial_part = progress.trial_part
-        if progress.delivered_count:
+        if is_takeover or progress.delivered_count:
             trial_part = None
         part = self.parts.find_blocking(progress.call.part_keys, trial_part)
         if part is None:
@@ -174,19 +186,23 @@
     async def _send_until_answered(
         self, progress: progress_module.CallProgress, exchange: server.Exchange
     ) -> None:
+        begun: sends.Send | None = None
         while True:
-            self._check_parts(progress)
             try:
-                endpoint = await self._select(progress, exchange)
-                outcome = await self._send(endpoint, progress, exchange)
+                if begun is None:
+                    self._check_parts(progress)
+                    endpoint = await self._select(progress, exchange)
+                    begun = self._begin_send(endpoint, progress)
+                outcome, begun = await self._send(begun, progress, exchange)
             except errors.Refusal:
                 if not progress.may_have_run:
                     raise
                 # The refusal says that the request has not run; it may have.
                 break
-            progress.record_outcome(endpoint, outcome)
-            if outcome is progress_module.Outcome.ANSWERED:
+            if outcome is sends.Outcome.ANSWERED:
                 return
+            if begun is not None:
+                continue
             if not self._may_resend(progress):
                 break
             if progress.may_have_run:
@@ -215,7 +231,11 @@
         """
         if not progress.delivered_count:
             return True
-        now = clock.monotonic()
+        return self._withdraw_from_budget(progress, clock.monotonic())
+
+    def _withdraw_from_budget(
+        self, progress: progress_module.CallProgress, now: clock.MonotonicTime
+    ) -> bool:
         service = progress.call.service.name
         if self.budget.try_withdraw(service, now):
             return True
@@ -241,55 +261,211 @@
                     raise
             await curio.sleep(CAPACITY_POLL_SECONDS)
 
-    async def _send(
+    def _begin_send(
         self,
         endpoint: endpoints.Endpoint,
         progress: progress_module.CallProgress,
-        exchange: server.Exchange,
-    ) -> progress_module.Outcome:
+        stream: event_stream.EventStream | None = None,
+    ) -> sends.Send:
         load = endpoint.load(clock.monotonic())
         progress.endpoint_loads.append(round(load, 1))
-        active_request = active_requests.start(endpoint)
-        progress.current_endpoint = endpoint.id
+        progress.open_count += 1
+        return sends.begin(endpoint, stream or progress.stream)
+
+    async def _send(
+        self,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        exchange: server.Exchange,
+    ) -> tuple[sends.Outcome, sends.Send | None]:
+        """Return how a send ended, and the one that goes on with the call.
+
+        A send that has begun elsewhere is already connected.
+        """
+        takeover = takeover_module.Takeover(
+            lambda: self._may_leave(send, progress, clock.monotonic()),
+            lambda: self._begin_elsewhere(send, progress),
+            lambda begun: self._give_up(begun, progress),
+        )
+        progress.begin_send(send)
+
+        async def relay() -> sends.Outcome:
+            if send.connection is None:
+                outcome = await self._open(send, progress)
+                if outcome is not None:
+                    return outcome
+            return await self._relay_answer(send, progress, exchange, takeover)
+
+        try:
+            outcome = await self._run(send, progress, relay)
+            progress.end_send()
+            assert outcome is not None
+            progress.record_outcome(send.endpoint, outcome, send.relayed_by)
+            if outcome is sends.Outcome.ANSWERED:
+                return outcome, None
+            return outcome, await takeover.take()
+        finally:
+            if takeover.is_active:
+                await takeover.drop()
+
+    async def _begin_elsewhere(
+        self, silent: sends.Send, progress: progress_module.CallProgress
+    ) -> sends.Send | None:
+        """Return a send that continues a stream, None if there is none.
+
+        It has read its first event, and its connection stays open.
+        """
+        call = progress.call
+        now = clock.monotonic()
+        excluded = progress.tried_ids | {silent.endpoint.id}
         try:
-            outcome = await self._send_on_connection(
-                endpoint, progress, exchange
+            endpoint = self.selector.select(call, excluded, now, True)
+        except errors.Refusal:
+            return None
+        if not self._withdraw_from_budget(progress, now):
+            return None
+        send = self._begin_send(
+            endpoint, progress, silent.stream.continuation()
+        )
+
+        async def begin() -> sends.Outcome | None:
+            outcome = await self._open(send, progress, is_takeover=True)
+            if outcome is not None:
+                return outcome
+            assert send.connection is not None
+            return await self._answer_relay.begin_elsewhere(
+                send.connection,
+                send,
+                progress,
+                takeover_module.GiveUp(
+                    lambda: self._may_leave(send, progress, clock.monotonic())
+                ),
             )
-            if outcome is progress_module.Outcome.BROKEN:
-                await self._crash_counter.record_broken(
-                    progress.call, endpoint, active_request.ran_alone
+
+        try:
+            outcome = await self._run(send, progress, begin)
+        except errors.Refusal:
+            progress.open_count -= 1
+            return None
+        except curio.CancelledError:
+            if send.is_sent:
+                progress.record_outcome(
+                    endpoint, sends.Outcome.GIVEN_UP, send.relayed_by
+                )
+            else:
+                progress.open_count -= 1
+            raise
+        if outcome is None:
+            return send
+        progress.record_outcome(endpoint, outcome, send.relayed_by)
+        return None
+
+    async def _give_up(
+        self, send: sends.Send, progress: progress_module.CallProgress
+    ) -> None:
+        """Close a send that has begun elsewhere and is not needed."""
+        await self._end_send(send, progress, False)
+        progress.record_outcome(
+            send.endpoint, sends.Outcome.GIVEN_UP, send.relayed_by
+        )
+
+    async def _run(
+        self,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        step: collections.abc.Callable[
+            [], collections.abc.Awaitable[sends.Outcome | None]
+        ],
+    ) -> sends.Outcome | None:
+        """Run a step of a send; return how it ended, None if it goes on."""
+        outcome: sends.Outcome | None = sends.Outcome.GIVEN_UP
+        ran_alone = False
+        try:
+            outcome = await self._classify(send, progress, step)
+        finally:
+            if outcome is not None:
+                ran_alone = send.active_request.ran_alone
+                is_reusable = outcome in (
+                    sends.Outcome.ANSWERED,
+                    sends.Outcome.NOT_RUN,
                 )
+                await self._end_send(send, progress, is_reusable)
+        if outcome is sends.Outcome.BROKEN:
+            await self._crash_counter.record_broken(
+                progress.call, send.endpoint, ran_alone
+            )
+        elif outcome is not None:
+            self._record_answered(progress, outcome, clock.monotonic())
+        return outcome
+
+    async def _end_send(
+        self,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        is_reusable: bool,
+    ) -> None:
+        connection, send.connection = send.connection, None
+        try:
+            if connection is None:
+                return
+            if is_reusable:
+                max_idle = self._max_idle(progress.call)
+                await self._pool.release(connection, max_idle)
             else:
-                self._record_answered(progress, outcome, clock.monotonic())
-            return outcome
+                await connection.close()
         finally:
-            active_request.finish()
+            send.release()
+
+    async def _classify(
+        self,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        step: collections.abc.Callable[
+            [], collections.abc.Awaitable[sends.Outcome | None]
+        ],
+    ) -> sends.Outcome | None:
+        """Return the outcome of a step, also if it fails."""
+        endpoint = send.endpoint
+        try:
+            return await step()
+        except errors.EndpointStalled as error:
+            outcome = sends.Outcome.STALLED
+            reason = error.message
+            if send.connection is not None:
+                progress.record_left(send.connection.unread_bytes())
+        except errors.AnswerNotHeld as error:
+            outcome, reason = sends.Outcome.GIVEN_UP, error.message
+        except errors.ConnectionBroken as error:
+            outcome, reason = sends.Outcome.BROKEN, error.message
+        send_log.log_failed_send(progress, endpoint, reason)
+        return outcome
 
     def _record_answered(
         self,
         progress: progress_module.CallProgress,
-        outcome: progress_module.Outcome,
+        outcome: sends.Outcome,
         now: clock.MonotonicTime,
     ) -> None:
         """Let an answer speak for the request and the parts of its prompt."""
         call = progress.call
-        if outcome is progress_module.Outcome.ANSWERED:
+        if outcome is sends.Outcome.ANSWERED:
             self.poison_detector.record_answer(call.fingerprint, now)
         if progress.has_success:
             self.parts.quarantine.record_answer(call.part_keys, now)
 
-    async def _send_on_connection(
+    async def _open(
         self,
-        endpoint: endpoints.Endpoint,
+        send: sends.Send,
         progress: progress_module.CallProgress,
-        exchange: server.Exchange,
-    ) -> progress_module.Outcome:
-        call = progress.call
+        is_takeover: bool = False,
+    ) -> sends.Outcome | None:
+        """Connect and send the request; return why that failed, if it did."""
+        call, endpoint = progress.call, send.endpoint
         try:
             connection = await self._connect(endpoint, call)
         except errors.NoRelayAvailable as error:
             send_log.log_failed_send(progress, endpoint, error.message)
-            return progress_module.Outcome.UNREACHED
+            return sends.Outcome.UNREACHED
         except errors.NoSocketAvailable as error:
             # No other endpoint could be reached either.
             send_log.log_failed_send(progress, endpoint, error.message)
@@ -297,70 +473,49 @@
         except errors.ConnectionFailed as error:
             endpoint.suspect(clock.monotonic(), UNREACHABLE_SUSPECT_SECONDS)
             send_log.log_failed_send(progress, endpoint, error.message)
-            return progress_module.Outcome.UNREACHED
-        progress.relayed_by = connection.relayed_by
+            return sends.Outcome.UNREACHED
+        send.connection = connection
+        send.relayed_by = connection.relayed_by
         if not connection.is_usable():
-            await connection.close()
             send_log.log_failed_send(
                 progress, endpoint, "a new connection was reset"
             )
-            return progress_module.Outcome.UNREACHED
-        is_reusable = False
-        try:
-            if not self.selector.endpoint_table.is_current(endpoint):
-                send_log.log_failed_send(
-                    progress, endpoint, "it no longer accepts requests"
-                )
-                return progress_module.Outcome.WITHDRAWN
-            self._check_parts(progress)
-            now = clock.monotonic()
-            self.selector.record_send(endpoint, now)
-            request = self.wire.request_for(
-                call,
-                endpoint.instance,
-                call.deadline - now,
-                progress.stream.last_event_id,
-                progress.begin_queueing(endpoint, now),
-            )
-            progress.is_sent = True
-            await connection.send(request)
-            outcome = await self._relay_answer(
-                connection, endpoint, progress, exchange
-            )
-            is_reusable = outcome in (
-                progress_module.Outcome.ANSWERED,
-                progress_module.Outcome.NOT_RUN,
+            return sends.Outcome.UNREACHED
+        if not self.selector.endpoint_table.is_current(endpoint):
+            send_log.log_failed_send(
+                progress, endpoint, "it no longer accepts requests"
             )
-            return outcome
-        except errors.EndpointStalled as error:
-            progress.record_left(connection.unread_bytes())
-            send_log.log_failed_send(progress, endpoint, error.message)
-            return progress_module.Outcome.STALLED
-        except errors.AnswerNotHeld as error:
-            send_log.log_failed_send(progress, endpoint, error.message)
-            return progress_module.Outcome.GIVEN_UP
-        except errors.ConnectionBroken as error:
-            send_log.log_failed_send(progress, endpoint, error.message)
-            return progress_module.Outcome.BROKEN
-        finally:
-            progress.end_queueing(endpoint)
-            await self._release_connection(connection, is_reusable, call)
+            return sends.Outcome.WITHDRAWN
+        self._check_parts(progress, is_takeover)
+        now = clock.monotonic()
+        self.selector.record_send(endpoint, now)
+        progress.queue_priority = send.begin_queueing(
+            call, is_takeover or bool(progress.sends), now
+        )
+        request = self.wire.request_for(
+            call,
+            endpoint.instance,
+            call.deadline - now,
+            send.stream.last_event_id,
+            progress.queue_priority,
+        )
+        send.is_sent = progress.is_sent = True
+        await connection.send(request)
+        return None
 
     async def _relay_answer(
         self,
-        connection: client.Connection,
-        endpoint: endpoints.Endpoint,
+        send: sends.Send,
         progress: progress_module.CallProgress,
         exchange: server.Exchange,
-    ) -> progress_module.Outcome:
+        takeover: takeover_module.Takeover,
+    ) -> sends.Outcome:
+        call, connection = progress.call, send.connection
+        assert connection is not None
         relaying = self._answer_relay.relay(
-            connection,
-            endpoint,
-            progress,
-            exchange,
-            lambda: self._may_leave(endpoint, progress, clock.monotonic()),
+            connection, send, progress, exchange, takeover
         )
-        if not progress.call.route.may_retry:
+        if not call.route.may_retry:
             # Its answer is lost for good if the connection is given up.
             return await relaying
         with self.connector.interrupted_if_silent(connection):
@@ -368,24 +523,23 @@
 
     def _may_leave(
         self,
-        endpoint: endpoints.Endpoint,
+        send: sends.Send,
         progress: progress_module.CallProgress,
         now: clock.MonotonicTime,
     ) -> bool:
-        """Return whether a call can go on elsewhere if it leaves now.
+        """Return whether a call can go on elsewhere beside this send.
 
-        Leaving costs the caller the rest of the answer unless another
-        endpoint may run it, and is at work.
+        Another endpoint may run it, and is at work.
         """
         call = progress.call
         return (
-            progress.may_resend_after_run()
+            progress.may_resend_beside()
             and self.stop_plan.may_begin(call.route, now)
             and self.budget.usage(call.service.name, now).allows_retry
             and self.parts.find_blocking(call.part_keys) is None
             and not self.poison_detector.is_poison(call.fingerprint, now)
             and self.selector.has_working_endpoint(
-                call, progress.tried_ids | {endpoint.id}, now
+                call, progress.tried_ids | {send.endpoint.id}, now
             )
         )
 
@@ -421,17 +575,6 @@
             raise
         return connection
 
-    async def _release_connection(
-        self,
-        connection: client.Connection,
-        is_reusable: bool,
-        call: calls.Call,
-    ) -> None:
-        if is_reusable:
-            await self._pool.release(connection, self._max_idle(call))
-        else:
-            await connection.close()
-
     def _max_idle(self, call: calls.Call) -> int:
         """Return how many idle connections to one endpoint to keep."""
         share = MAX_IDLE_SHARE * call.service.max_connections
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -1,7 +1,6 @@
 """Record the sends of a call and decide whether it may be resent."""
 
 import dataclasses
-import enum
 from typing import Final
 
 from sycamoredale import clock
@@ -12,6 +11,7 @@
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import event_stream
 from sycamoredale.forwarding import queue_priority as queue_priority_module
+from sycamoredale.forwarding import sends as sends_module
 from sycamoredale.http import error_responses
 from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
@@ -19,32 +19,7 @@
 
 # Limits the sends of a call whose endpoints all refuse it.
 MAX_SENDS: Final = 5
-
-
-class Outcome(enum.Enum):
-    """Classify how a send ended.
-
-    UNREACHED: no connection.  WITHDRAWN: the endpoint stopped accepting
-    requests before the send.  NOT_RUN: refused before it ran.  STALLED: the
-    endpoint made no progress.  BROKEN: the connection or the answer broke.
-    GIVEN_UP: this daemon gave the answer up.  FAILED: the endpoint answered
-    with a server error.
-    """
-
-    ANSWERED = "answered"
-    UNREACHED = "unreached"
-    WITHDRAWN = "withdrawn"
-    NOT_RUN = "not_run"
-    STALLED = "stalled"
-    BROKEN = "broken"
-    GIVEN_UP = "given_up"
-    FAILED = "failed"
-
-
-# The request was not sent.
-_UNSENT: Final = frozenset((Outcome.UNREACHED, Outcome.WITHDRAWN))
-# The request has not run.
-_UNRUN: Final = _UNSENT | {Outcome.NOT_RUN}
+Outcome = sends_module.Outcome
 
 
 @dataclasses.dataclass
@@ -52,13 +27,13 @@
     """Track the sends of a call and how much of the answer was relayed.
 
     `endpoint_loads` has the load of each selected endpoint at the time of
-    its selection.  `run_count` counts the sends that an endpoint has run.
+    its selection.  `open_count` counts the sends in progress, and `run_count`
+    those that have ended and that an endpoint has run.
     `trial_part` is the part in quarantine that the call may try once, and
     `has_success` tells whether an endpoint wrote a success to its end.
     `left_unread` has, for each endpoint that was left while its connection
-    was whole, the size of what it had sent by then.
-    `relayed_by` is the peer that relays the present send, if any, and
-    `is_sent` tells whether the endpoint may have received it.
+    was whole, the size of what it had sent by then.  `is_sent` tells whether
+    the endpoint may have received the present send.
     """
 
     call: calls.Call
@@ -67,19 +42,18 @@
     endpoint_loads: list[float] = dataclasses.field(default_factory=list)
     current_endpoint: ids.InstanceId | None = None
     left_unread: list[int] = dataclasses.field(default_factory=list)
+    open_count: int = 0
     delivered_count: int = 0
     run_count: int = 0
     may_have_run: bool = False
     is_sent: bool = False
     has_success: bool = False
     trial_part: ids.PromptPartKey | None = None
-    relayed_by: ids.DaemonId | None = None
     tried_ids: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     error_answer: messages.Response | None = None
     refusal: errors.Refusal | None = None
     caller_gone: bool = False
     queue_priority: queue_priority_module.QueuePriority | None = None
-    is_deferred: bool = False
     longest_pause_seconds: float = 0.0
     _last_events_at: clock.MonotonicTime | None = None
     _error_reservation: held_bytes.Reservation | None = None
@@ -114,27 +88,6 @@
         if unread_bytes is not None:
             self.left_unread.append(unread_bytes)
 
-    def begin_queueing(
-        self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
-    ) -> queue_priority_module.QueuePriority:
-        """Set and return the priority of the next send in the queue.
-
-        A send that is late counts as deferred on the endpoint.
-        """
-        self.queue_priority = queue_priority_module.queue_priority_of(
-            self.call, endpoint, bool(self.sends), now
-        )
-        self.is_deferred = (
-            self.queue_priority is queue_priority_module.QueuePriority.LATE
-        )
-        endpoint.deferred += self.is_deferred
-        return self.queue_priority
-
-    def end_queueing(self, endpoint: endpoints.Endpoint) -> None:
-        """Stop counting the send as deferred: it runs or has ended."""
-        endpoint.deferred -= self.is_deferred
-        self.is_deferred = False
-
     def may_resend(self) -> bool:
         """Return whether another send is safe and the route allows it."""
         if len(self.sends) >= MAX_SENDS or not self.stream.can_be_continued:
@@ -144,32 +97,44 @@
         route = self.call.route
         return route.may_retry and self.run_count < route.max_runs
 
-    def may_resend_after_run(self) -> bool:
-        """Return whether another send is allowed after one that has run."""
+    def may_resend_beside(self) -> bool:
+        """Return whether another send is allowed beside those in progress."""
         route = self.call.route
         return (
             route.may_retry
             and self.stream.can_be_continued
-            and len(self.sends) + 1 < MAX_SENDS
-            and self.run_count + 1 < route.max_runs
+            and len(self.sends) + self.open_count < MAX_SENDS
+            and self.run_count + self.open_count < route.max_runs
         )
 
+    def begin_send(self, send: sends_module.Send) -> None:
+        """Record that the caller's answer comes from this send now."""
+        self.current_endpoint = send.endpoint.id
+        self.is_sent = send.is_sent
+        self.stream = send.stream
+
+    def end_send(self) -> None:
+        """Record that the present send has ended."""
+        self.current_endpoint = None
+        self.is_sent = False
+
     def record_outcome(
-        self, endpoint: endpoints.Endpoint, outcome: Outcome
+        self,
+        endpoint: endpoints.Endpoint,
+        outcome: Outcome,
+        relayed_by: ids.DaemonId | None = None,
     ) -> None:
-        """Record the outcome of a send.
+        """Record the outcome of a send, which a peer may have relayed.
 
         A stalled stream counts as run also if no head of its answer was
         received: engines begin a run long before its first event.
         """
-        via = f"@{self.relayed_by}" if self.relayed_by else ""
+        via = f"@{relayed_by}" if relayed_by else ""
         self.sends.append(f"{endpoint.id}:{outcome.value}{via}")
-        self.relayed_by = None
-        self.is_sent = False
-        self.current_endpoint = None
         self.tried_ids.add(endpoint.id)
-        self.delivered_count += outcome not in _UNSENT
-        if outcome not in _UNRUN:
+        self.open_count -= 1
+        self.delivered_count += outcome not in sends_module.UNSENT
+        if outcome not in sends_module.UNRUN:
             self.may_have_run = True
             self.run_count += 1
 
--- a/sycamoredale/forwarding/stall_detection.py
+++ b/sycamoredale/forwarding/stall_detection.py
@@ -1,14 +1,15 @@
-"""Read from an endpoint unless it has stalled.
+"""Read from an endpoint until another one has taken its request over.
 
 A group that has lost a member accepts requests for some more seconds, but
 answers none.  Since daemons exchange the last progress of each endpoint, the
 absence of progress for all of them shows the stall early.
 
-A sound endpoint may be silent for a second as well, and then goes on.  So an
-answer is given up only if the request can go on elsewhere.
+A sound endpoint may be silent for a second as well, and then goes on.  So it
+is read until another endpoint has taken the request over.
 """
 
 import collections.abc
+import dataclasses
 import typing
 from typing import Final
 
@@ -17,6 +18,9 @@
 from sycamoredale import clock
 from sycamoredale import errors
 from sycamoredale.forwarding import endpoints
+from sycamoredale.http import client
+from sycamoredale.links import monitor
+from sycamoredale import loop_delays
 from sycamoredale.observability import logs
 
 # The longest interval between two events of a healthy engine is seven steps
@@ -24,54 +28,116 @@
 STALL_TIMEOUT_SECONDS: Final = 0.5
 # A cross-domain group takes three times as long for each step.
 CROSS_DOMAIN_STALL_TIMEOUT_SECONDS: Final = 3 * STALL_TIMEOUT_SECONDS
-# How often it is looked for another endpoint while one is stalled.
-LEAVE_CHECK_SECONDS: Final = 0.1
+# How often it is looked for another endpoint while one is stalled, and whether
+# that one has taken over.
+SEEK_INTERVAL_SECONDS: Final = 0.1
+TAKEOVER_CHECK_SECONDS: Final = 0.02
+# How soon it is noticed that the links of this daemon are dead.
+LINK_CHECK_SECONDS: Final = 0.25
 LOG: Final = logs.get("stall_detection")
 _T = typing.TypeVar("_T")
-# Returns whether the request can go on elsewhere now.
-MayLeave = collections.abc.Callable[[], bool]
-
-
-async def read_unless_stalled(
-    read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
-    endpoint: endpoints.Endpoint,
-    max_wait_seconds: float,
-    may_leave: MayLeave,
-    waiting_since: clock.MonotonicTime | None = None,
-) -> _T:
-    """Return the result of `read`; raise EndpointStalled if it takes too long.
-
-    An endpoint has stalled if it made no progress for any daemon for the
-    stall timeout.  While it makes progress for other requests, this one may
-    be queued, for up to `max_wait_seconds`.  Both count from `waiting_since`,
-    or from now.  While the request may not leave, the read goes on.
+
+
+class Takeover(typing.Protocol):
+    """Find what goes on with a request whose endpoint is silent."""
+
+    @property
+    def is_begun(self) -> bool:
+        """Return whether the silent endpoint may be left now."""
+
+    @property
+    def is_seeking(self) -> bool:
+        """Return whether another endpoint was asked and may still begin."""
+
+    async def seek(self) -> None:
+        """Begin to look for another endpoint if that is allowed now."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StallDetector:
+    """Detect endpoints that make no progress, and links that are dead.
+
+    The time in which this daemon could not read is no silence of others.
     """
-    has_logged = False
-    started = clock.monotonic() if waiting_since is None else waiting_since
-    stall_seconds = (
-        CROSS_DOMAIN_STALL_TIMEOUT_SECONDS
-        if endpoint.is_cross_domain
-        else STALL_TIMEOUT_SECONDS
+
+    links: monitor.LinkMonitor
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
     )
-    while True:
-        now = clock.monotonic()
-        stalls_at = max(started, endpoint.last_progress_at) + stall_seconds
-        left = min(stalls_at, started + max_wait_seconds) - now
-        if left <= 0:
-            reason = f"no event for {max_wait_seconds:g} s"
-            if now >= stalls_at:
+
+    def record_heard(
+        self, connection: client.Connection, now: clock.MonotonicTime
+    ) -> None:
+        """Record data of an endpoint, unless a peer has relayed it."""
+        if connection.relayed_by is None:
+            self.links.record_heard(now)
+
+    def _seconds_left(
+        self,
+        since: clock.MonotonicTime,
+        timeout_seconds: float,
+        now: clock.MonotonicTime,
+    ) -> float:
+        """Return how long a wait goes on, own delays not counted."""
+        return timeout_seconds - (now - since)
+
+    async def read_unless_stalled(
+        self,
+        read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
+        endpoint: endpoints.Endpoint,
+        max_wait_seconds: float,
+        takeover: Takeover,
+        waiting_since: clock.MonotonicTime | None = None,
+        is_direct: bool = True,
+    ) -> _T:
+        """Return the result of `read`, or raise EndpointStalled.
+
+        An endpoint has stalled if it made no progress for any daemon for the
+        stall timeout.  While it makes progress for other requests, this one
+        may be queued, for up to `max_wait_seconds`.  Both count from
+        `waiting_since`, or from now.  The read goes on until another endpoint
+        has taken over.
+        """
+        has_logged = False
+        started = clock.monotonic() if waiting_since is None else waiting_since
+        stall_seconds = (
+            CROSS_DOMAIN_STALL_TIMEOUT_SECONDS
+            if endpoint.is_cross_domain
+            else STALL_TIMEOUT_SECONDS
+        )
+        while True:
+            now = clock.monotonic()
+            stall_left = self._seconds_left(
+                max(started, endpoint.last_progress_at), stall_seconds, now
+            )
+            wait_left = self._seconds_left(started, max_wait_seconds, now)
+            reason = ""
+            if stall_left <= 0:
                 endpoint.suspect(now)
                 reason = f"no progress for {stall_seconds:g} s"
-            if may_leave():
+            elif wait_left <= 0:
+                reason = f"no event for {max_wait_seconds:g} s"
+            left = min(stall_left, wait_left)
+            if takeover.is_begun:
                 raise errors.EndpointStalled(
-                    f"endpoint {endpoint.id}: {reason}"
+                    f"endpoint {endpoint.id}: {reason or 'taken over'}"
                 )
-            if not has_logged:
-                has_logged = True
-                LOG.info("stall_waited_out", endpoint=endpoint.id, why=reason)
-            left = LEAVE_CHECK_SECONDS
-        try:
-            async with curio.timeout_after(left):
-                return await read()
-        except curio.TaskTimeout:
-            continue
+            if reason:
+                await takeover.seek()
+                if takeover.is_begun:
+                    raise errors.EndpointStalled(
+                        f"endpoint {endpoint.id}: {reason}"
+                    )
+                if not has_logged and not takeover.is_seeking:
+                    has_logged = True
+                    LOG.info(
+                        "stall_waited_out", endpoint=endpoint.id, why=reason
+                    )
+                left = SEEK_INTERVAL_SECONDS
+            if takeover.is_seeking:
+                left = min(left, TAKEOVER_CHECK_SECONDS)
+            try:
+                async with curio.timeout_after(left):
+                    return await read()
+            except curio.TaskTimeout:
+                continue
--- a/tests/test_stream_takeovers.py
+++ b/tests/test_stream_takeovers.py
@@ -81,9 +81,21 @@
     # 0.8 of the burst is used, and 0.2 for each request.
     site.forwarder.budget.burst = 1.5
 
+    async def work_elsewhere():
+        # All streams begin at the first endpoint.
+        while True:
+            now = clock.monotonic()
+            for name in ("i1", "i2", "i3"):
+                endpoint = site.endpoint_table.by_id[name]
+                endpoint.set_peer_load(100.0, now)
+                endpoint.record_progress(now)
+            await curio.sleep(0.05)
+
     async def main():
         for item in site.servers:
             await item.server.start()
+        await curio.spawn(work_elsewhere, daemon=True)
+        await curio.sleep(0.01)
         async with curio.TaskGroup() as group:
             callers = [test_forwarder.Caller() for _ in range(4)]
             for caller in callers:
