Leave streams of an isolated daemon only once a peer relays them (LOST)

Cause: once a daemon took itself for isolated and heard nothing for 0.4 s, it shut down all connections of requests that may be sent again, without asking whether a peer can relay them. Where none could, and the links came back, the answers were lost.

Change: silent links are a reason to begin a stream elsewhere, like a silent endpoint; the connection stays open until a peer has relayed the next event. Other requests are interrupted only if they may go on elsewhere at that moment. That check can still be out of date for them; their callers have nothing of an answer yet.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -515,10 +515,14 @@
         relaying = self._answer_relay.relay(
             connection, send, progress, exchange, takeover
         )
-        if not call.route.may_retry:
-            # Its answer is lost for good if the connection is given up.
+        if call.is_stream or not call.route.may_retry:
+            # A stream goes on elsewhere before its connection is given up.
+            # Without retries, the answer is lost for good with it.
             return await relaying
-        with self.connector.interrupted_if_silent(connection):
+        with self.connector.interrupted_if_silent(
+            connection,
+            lambda: self._may_leave(send, progress, clock.monotonic()),
+        ):
             return await relaying
 
     def _may_leave(
--- a/sycamoredale/forwarding/stall_detection.py
+++ b/sycamoredale/forwarding/stall_detection.py
@@ -117,7 +117,9 @@
                 reason = f"no progress for {stall_seconds:g} s"
             elif wait_left <= 0:
                 reason = f"no event for {max_wait_seconds:g} s"
-            left = min(stall_left, wait_left)
+            elif is_direct and self.links.is_silent(now):
+                reason = "the links of this daemon are silent"
+            left = min(stall_left, wait_left, LINK_CHECK_SECONDS)
             if takeover.is_begun:
                 raise errors.EndpointStalled(
                     f"endpoint {endpoint.id}: {reason or 'taken over'}"
--- a/sycamoredale/links/connector.py
+++ b/sycamoredale/links/connector.py
@@ -82,9 +82,9 @@
     _check_by_address: dict[messages.Address, _Check] = dataclasses.field(
         default_factory=dict
     )
-    _interruptible: set[client.Connection] = dataclasses.field(
-        default_factory=set
-    )
+    _may_leave_by_connection: dict[
+        client.Connection, collections.abc.Callable[[], bool]
+    ] = dataclasses.field(default_factory=dict)
     _probed_at: clock.MonotonicTime = monitor_module.NEVER
     _reached_none_at: clock.MonotonicTime = monitor_module.NEVER
     _probe_lock: curio.Lock = dataclasses.field(default_factory=curio.Lock)
@@ -231,23 +231,31 @@
 
     @contextlib.contextmanager
     def interrupted_if_silent(
-        self, connection: client.Connection
+        self,
+        connection: client.Connection,
+        may_leave: collections.abc.Callable[[], bool],
     ) -> collections.abc.Iterator[None]:
-        """Make an exchange fail once the links are found to be dead."""
+        """Make an exchange fail once the links are found to be dead.
+
+        It goes on while `may_leave` says that it has no other way.
+        """
         if connection.relayed_by is None:
-            self._interruptible.add(connection)
+            self._may_leave_by_connection[connection] = may_leave
         try:
             yield
         finally:
-            self._interruptible.discard(connection)
+            self._may_leave_by_connection.pop(connection, None)
 
     async def run(self) -> None:
         """Probe the links where that may change the conclusion."""
         while True:
             now = clock.monotonic()
             if self.monitor.is_silent(now):
-                for connection in self._interruptible:
-                    connection.abort()
+                for connection, may_leave in tuple(
+                    self._may_leave_by_connection.items()
+                ):
+                    if may_leave():
+                        connection.abort()
             addresses = self._addresses_to_probe(now)
             if addresses and now - self._probed_at >= PROBE_INTERVAL_SECONDS:
                 self._probed_at = now
