Take a retry from the budget only for a takeover that is sent (BUDGET)

Cause: a takeover took its retry before it had a connection. Where others could not be reached, the retries of other streams were used up, each tenth of a second anew where this daemon had no descriptor left.

Change: it is taken right before the request is sent.

Measured: the new test failed before (one retry used, none sent), passes.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -322,8 +322,6 @@
             endpoint = self.selector.select(call, excluded, now, True)
         except errors.Refusal:
             return None
-        if not self._withdraw_from_budget(progress, now):
-            return None
         send = self._begin_send(
             endpoint, progress, silent.stream.continuation()
         )
@@ -488,6 +486,8 @@
             return sends.Outcome.WITHDRAWN
         self._check_parts(progress, is_takeover)
         now = clock.monotonic()
+        if is_takeover and not self._withdraw_from_budget(progress, now):
+            return sends.Outcome.WITHDRAWN
         self.selector.record_send(endpoint, now)
         progress.queue_priority = send.begin_queueing(
             call, is_takeover or bool(progress.sends), now
--- a/sycamoredale/forwarding/sends.py
+++ b/sycamoredale/forwarding/sends.py
@@ -24,10 +24,10 @@
     """Classify how a send ended.
 
     UNREACHED: no connection.  WITHDRAWN: the endpoint stopped accepting
-    requests before the send.  NOT_RUN: refused before it ran.  STALLED: the
-    endpoint made no progress.  BROKEN: the connection or the answer broke.
-    GIVEN_UP: this daemon gave the answer up.  FAILED: the endpoint answered
-    with a server error.
+    requests before the send, or the retry budget was used up.  NOT_RUN:
+    refused before it ran.  STALLED: the endpoint made no progress.  BROKEN:
+    the connection or the answer broke.  GIVEN_UP: this daemon gave the answer
+    up.  FAILED: the endpoint answered with a server error.
     """
 
     ANSWERED = "answered"
--- a/tests/test_stream_takeovers.py
+++ b/tests/test_stream_takeovers.py
@@ -68,6 +68,15 @@
     _assert_whole(*_site(test_forwarder.FullEndpoint("i1")).run())
 
 
+# Guards against BUDGET: connections that fail used up the retries of others.
+def test_endpoint_that_is_not_reached_uses_no_retry():
+    site = _site(test_forwarder.FullEndpoint("i1"))
+    _assert_whole(*site.run())
+    service = site.call().service.name
+    usage = site.forwarder.budget.usage(service, clock.monotonic())
+    assert usage.retries == 0
+
+
 # Guards against LOST: the same where the other endpoint breaks off.
 @pytest.mark.parametrize("fault", ["cut", "error", "other"])
 def test_stream_is_whole_though_another_endpoint_fails(fault):
