--- a/sycamoredale/forwarding/stall_detection.py
+++ b/sycamoredale/forwarding/stall_detection.py
@@ -72,18 +72,6 @@
         if connection.relayed_by is None:
             self.links.record_heard(now)
 
-    def _seconds_left(
-        self,
-        since: clock.MonotonicTime,
-        timeout_seconds: float,
-        now: clock.MonotonicTime,
-    ) -> float:
-        """Return how long a wait goes on, own delays not counted."""
-        waited = now - since
-        if waited >= timeout_seconds:
-            waited -= self.delays.seconds_between(since, now)
-        return timeout_seconds - waited
-
     async def read_unless_stalled(
         self,
         read: collections.abc.Callable[[], collections.abc.Awaitable[_T]],
@@ -110,10 +98,14 @@
         )
         while True:
             now = clock.monotonic()
-            stall_left = self._seconds_left(
-                max(started, endpoint.last_progress_at), stall_seconds, now
-            )
-            wait_left = self._seconds_left(started, max_wait_seconds, now)
+            progress_at = max(started, endpoint.last_progress_at)
+            stall_left = progress_at + stall_seconds - now
+            wait_left = started + max_wait_seconds - now
+            if stall_left <= 0:
+                stall_left += self.delays.seconds_between(progress_at, now)
+            if wait_left <= 0:
+                wait_left += self.delays.seconds_between(started, now)
+            left = min(stall_left, wait_left, LINK_CHECK_SECONDS)
             reason = ""
             if stall_left <= 0:
                 endpoint.suspect(now)
@@ -122,25 +114,18 @@
                 reason = f"no event for {max_wait_seconds:g} s"
             elif is_direct and self.links.is_silent(now):
                 reason = "the links of this daemon are silent"
-            left = min(stall_left, wait_left, LINK_CHECK_SECONDS)
+            if reason:
+                await takeover.seek()
+                left = SEEK_INTERVAL_SECONDS
             if takeover.is_begun:
                 raise errors.EndpointStalled(
                     f"endpoint {endpoint.id}: {reason or 'taken over'}"
                 )
-            if reason:
-                await takeover.seek()
-                if takeover.is_begun:
-                    raise errors.EndpointStalled(
-                        f"endpoint {endpoint.id}: {reason}"
-                    )
-                if not has_logged and not takeover.is_seeking:
-                    has_logged = True
-                    LOG.info(
-                        "stall_waited_out", endpoint=endpoint.id, why=reason
-                    )
-                left = SEEK_INTERVAL_SECONDS
             if takeover.is_seeking:
                 left = min(left, TAKEOVER_CHECK_SECONDS)
+            elif reason and not has_logged:
+                has_logged = True
+                LOG.info("stall_waited_out", endpoint=endpoint.id, why=reason)
             try:
                 async with curio.timeout_after(left):
                     return await read()
