Bound what takeovers of streams use up, and keep one for a late event

- One late event of a hung endpoint ended the takeover, which had used the last run of the route; the call then waited until its deadline (LOST).
- Rejections during a silence used up all sends, so that none was left when the connection broke seconds later (LOST).
- A takeover without a socket was not recorded and was repeated each 20 ms (BUDGET): 36 retries of one stream.
- The endpoint that is to take over was given up in favour of the silent one that it replaces, where routes allow four runs (LOST).
- An error inside a takeover was not counted as a run (BUDGET).

--- a/sycamoredale/forwarding/answer_relay.py
+++ b/sycamoredale/forwarding/answer_relay.py
@@ -234,10 +234,10 @@
         while piece := await events.read(takeover):
             if stream.progress_count > progress_before:
                 progress_before = stream.progress_count
-                progress.record_events(clock.monotonic())
+                now = clock.monotonic()
+                progress.record_events(now)
                 if takeover.is_active:
-                    # This endpoint was first, and goes on.
-                    await takeover.drop()
+                    await takeover.record_event(now)
             await _forward_events(piece, answer.info, exchange)
             events.check()
         progress.has_success = stream.event_count > send.event_count_before
--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -64,6 +64,23 @@
         continued.is_continued = self._has_passed
         return continued
 
+    def follow(self, other: "EventStream", events: bytes) -> bytes:
+        """Go on after another stream that has passed more events meanwhile.
+
+        Returns those of the events of this one that are still new.
+        """
+        if other.progress_count == 0 or other.last_event_id is None:
+            return events
+        kept = [
+            event + event_buffer.EVENT_END
+            for event in events.split(event_buffer.EVENT_END)[:-1]
+            if (_event_id(event) or 0) > other.last_event_id
+        ]
+        self.last_event_id = max(other.last_event_id, self.last_event_id or 0)
+        self.event_count = other.event_count + len(kept)
+        self.is_continued = self._has_passed = True
+        return b"".join(kept)
+
     def drop_pending(self) -> None:
         """Drop the incomplete event, so that its bytes are not held."""
         self._buffer.clear()
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -34,6 +34,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import held_bytes
 from sycamoredale.http import server
+from sycamoredale import ids
 from sycamoredale.links import connector as connector_module
 from sycamoredale.links import monitor as link_monitor
 from sycamoredale import loop_delays
@@ -286,6 +287,7 @@
             lambda: self._may_leave(send, progress, clock.monotonic()),
             lambda: self._begin_elsewhere(send, progress),
             lambda begun: self._give_up(begun, progress),
+            progress.may_run_once_more,
         )
         progress.begin_send(send)
 
@@ -303,7 +305,12 @@
             progress.record_outcome(send.endpoint, outcome, send.relayed_by)
             if outcome is sends.Outcome.ANSWERED:
                 return outcome, None
-            return outcome, await takeover.take()
+            begun = await takeover.take()
+            if begun is not None:
+                begun.first_events = begun.stream.follow(
+                    send.stream, begun.first_events
+                )
+            return outcome, begun
         finally:
             if takeover.is_active:
                 await takeover.drop()
@@ -336,27 +343,27 @@
                 send,
                 progress,
                 takeover_module.GiveUp(
-                    lambda: self._may_leave(send, progress, clock.monotonic())
+                    lambda: self._may_leave(
+                        send, progress, clock.monotonic(), {silent.endpoint.id}
+                    )
                 ),
             )
 
+        outcome: sends.Outcome | None = sends.Outcome.GIVEN_UP
         try:
             outcome = await self._run(send, progress, begin)
         except errors.Refusal:
-            progress.open_count -= 1
-            return None
-        except curio.CancelledError:
-            if send.is_sent:
+            outcome = sends.Outcome.UNREACHED
+        except Exception:
+            LOG.exception("takeover_failed", request=call.id)
+        finally:
+            if outcome is not None:
+                if not send.is_sent and outcome not in sends.UNRUN:
+                    outcome = sends.Outcome.UNREACHED
                 progress.record_outcome(
-                    endpoint, sends.Outcome.GIVEN_UP, send.relayed_by
+                    endpoint, outcome, send.relayed_by, is_takeover=True
                 )
-            else:
-                progress.open_count -= 1
-            raise
-        if outcome is None:
-            return send
-        progress.record_outcome(endpoint, outcome, send.relayed_by)
-        return None
+        return send if outcome is None else None
 
     async def _give_up(
         self, send: sends.Send, progress: progress_module.CallProgress
@@ -364,7 +371,10 @@
         """Close a send that has begun elsewhere and is not needed."""
         await self._end_send(send, progress, False)
         progress.record_outcome(
-            send.endpoint, sends.Outcome.GIVEN_UP, send.relayed_by
+            send.endpoint,
+            sends.Outcome.GIVEN_UP,
+            send.relayed_by,
+            is_takeover=True,
         )
 
     async def _run(
@@ -530,6 +540,7 @@
         send: sends.Send,
         progress: progress_module.CallProgress,
         now: clock.MonotonicTime,
+        beside: collections.abc.Set[ids.InstanceId] = frozenset(),
     ) -> bool:
         """Return whether a call can go on elsewhere beside this send.
 
@@ -543,7 +554,9 @@
             and self.parts.find_blocking(call.part_keys) is None
             and not self.poison_detector.is_poison(call.fingerprint, now)
             and self.selector.has_working_endpoint(
-                call, progress.tried_ids | {send.endpoint.id}, now
+                call,
+                progress.tried_ids | {send.endpoint.id} | beside,
+                now,
             )
         )
 
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -19,6 +19,8 @@
 
 # Limits the sends of a call whose endpoints all refuse it.
 MAX_SENDS: Final = 5
+# Limits those that refuse a stream while its endpoint is silent.
+MAX_TAKEOVERS: Final = 4
 Outcome = sends_module.Outcome
 
 
@@ -28,7 +30,8 @@
 
     `endpoint_loads` has the load of each selected endpoint at the time of
     its selection.  `open_count` counts the sends in progress, and `run_count`
-    those that have ended and that an endpoint has run.
+    those that have ended and that an endpoint has run.  `unrun_takeovers`
+    counts those beside another send that no endpoint has run.
     `trial_part` is the part in quarantine that the call may try once, and
     `has_success` tells whether an endpoint wrote a success to its end.
     `left_unread` has, for each endpoint that was left while its connection
@@ -43,6 +46,7 @@
     current_endpoint: ids.InstanceId | None = None
     left_unread: list[int] = dataclasses.field(default_factory=list)
     open_count: int = 0
+    unrun_takeovers: int = 0
     delivered_count: int = 0
     run_count: int = 0
     may_have_run: bool = False
@@ -90,21 +94,27 @@
 
     def may_resend(self) -> bool:
         """Return whether another send is safe and the route allows it."""
-        if len(self.sends) >= MAX_SENDS or not self.stream.can_be_continued:
+        sent_count = len(self.sends) - self.unrun_takeovers
+        if sent_count >= MAX_SENDS or not self.stream.can_be_continued:
             return False
         if not self.may_have_run:
             return True
         route = self.call.route
         return route.may_retry and self.run_count < route.max_runs
 
+    def may_run_once_more(self) -> bool:
+        """Return whether the route allows a run after those in progress."""
+        return self.run_count + self.open_count < self.call.route.max_runs
+
     def may_resend_beside(self) -> bool:
         """Return whether another send is allowed beside those in progress."""
         route = self.call.route
         return (
             route.may_retry
             and self.stream.can_be_continued
-            and len(self.sends) + self.open_count < MAX_SENDS
-            and self.run_count + self.open_count < route.max_runs
+            and len(self.sends) + self.open_count < MAX_SENDS + MAX_TAKEOVERS
+            and self.unrun_takeovers < MAX_TAKEOVERS
+            and self.may_run_once_more()
         )
 
     def begin_send(self, send: sends_module.Send) -> None:
@@ -123,6 +133,7 @@
         endpoint: endpoints.Endpoint,
         outcome: Outcome,
         relayed_by: ids.DaemonId | None = None,
+        is_takeover: bool = False,
     ) -> None:
         """Record the outcome of a send, which a peer may have relayed.
 
@@ -134,6 +145,7 @@
         self.tried_ids.add(endpoint.id)
         self.open_count -= 1
         self.delivered_count += outcome not in sends_module.UNSENT
+        self.unrun_takeovers += is_takeover and outcome in sends_module.UNRUN
         if outcome not in sends_module.UNRUN:
             self.may_have_run = True
             self.run_count += 1
--- a/sycamoredale/forwarding/stall_detection.py
+++ b/sycamoredale/forwarding/stall_detection.py
@@ -49,7 +49,7 @@
     def is_seeking(self) -> bool:
         """Return whether another endpoint was asked and may still begin."""
 
-    async def seek(self) -> None:
+    async def seek(self, now: clock.MonotonicTime) -> None:
         """Begin to look for another endpoint if that is allowed now."""
 
 
@@ -115,7 +115,7 @@
             elif is_direct and self.links.is_silent(now):
                 reason = "the links of this daemon are silent"
             if reason:
-                await takeover.seek()
+                await takeover.seek(now)
                 left = SEEK_INTERVAL_SECONDS
             if takeover.is_begun:
                 raise errors.EndpointStalled(
