Take the retry before a plain request of an isolated daemon is aborted (LOST)

Cause: once a daemon took itself for isolated, it asked for each waiting request whether the budget has a retry, and aborted all of them on the same one. Of three, one was sent again; two ended though their connections were whole and the links came back after 1.2 s.

Change: the retry is taken with the question, and used by the next send.

Measured: the new test in test_isolated_daemon.py failed before, passes now.

--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -230,7 +230,8 @@
 
         A send is a retry only after an earlier one has reached an endpoint.
         """
-        if not progress.delivered_count:
+        if progress.has_retry or not progress.delivered_count:
+            progress.has_retry = False
             return True
         return self._withdraw_from_budget(progress, clock.monotonic())
 
@@ -531,7 +532,7 @@
             return await relaying
         with self.connector.interrupted_if_silent(
             connection,
-            lambda: self._may_leave(send, progress, clock.monotonic()),
+            lambda: self._take_retry(send, progress, clock.monotonic()),
         ):
             return await relaying
 
@@ -560,6 +561,19 @@
             )
         )
 
+    def _take_retry(
+        self,
+        send: sends.Send,
+        progress: progress_module.CallProgress,
+        now: clock.MonotonicTime,
+    ) -> bool:
+        """Return whether a call may leave, with a retry taken for it."""
+        progress.has_retry = progress.has_retry or (
+            self._may_leave(send, progress, now)
+            and self._withdraw_from_budget(progress, now)
+        )
+        return progress.has_retry
+
     async def _connect(
         self, endpoint: endpoints.Endpoint, call: calls.Call
     ) -> client.Connection:
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -31,7 +31,8 @@
     `endpoint_loads` has the load of each selected endpoint at the time of
     its selection.  `open_count` counts the sends in progress, and `run_count`
     those that have ended and that an endpoint has run.  `unrun_takeovers`
-    counts those beside another send that no endpoint has run.
+    counts those beside another send that no endpoint has run.  `has_retry`
+    tells whether a retry was taken from the budget for the next send.
     `trial_part` is the part in quarantine that the call may try once, and
     `has_success` tells whether an endpoint wrote a success to its end.
     `left_unread` has, for each endpoint that was left while its connection
@@ -47,6 +48,7 @@
     left_unread: list[int] = dataclasses.field(default_factory=list)
     open_count: int = 0
     unrun_takeovers: int = 0
+    has_retry: bool = False
     delivered_count: int = 0
     run_count: int = 0
     may_have_run: bool = False
--- a/tests/test_isolated_daemon.py
+++ b/tests/test_isolated_daemon.py
@@ -1,10 +1,13 @@
 """Test that callers of a daemon without links to endpoints are served."""
 
+import dataclasses
+
 import curio
 import pytest
 
 from sycamoredale import clock
 from sycamoredale import errors
+from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import update_exchange
 from sycamoredale.http import messages
@@ -150,6 +153,40 @@
     curio.run(main)
 
 
+# Guards against LOST: plain requests of an isolated daemon were aborted
+# together on a check that a single retry of the budget met for all of them.
+def test_plain_answers_of_an_isolated_daemon_are_whole_on_a_small_budget():
+    servers = [SlowEndpoint(f"i{n}") for n in range(ENDPOINTS)]
+    site = Site(*servers, build=link_fixtures.HangingConnector)
+    stream_call = site.call
+
+    def plain_call():
+        call = stream_call()
+        policy = catalogue.RetryPolicy.ANY
+        route = dataclasses.replace(call.route, retry_policy=policy)
+        return dataclasses.replace(call, route=route)
+
+    site.call = plain_call
+    # 0.8 of the burst is used, and 0.2 for each request.
+    site.forwarder.budget.burst = 0.8
+
+    async def main():
+        await site.start()
+        async with curio.TaskGroup() as group:
+            for _ in range(3):
+                await group.spawn(site.send)
+            await curio.sleep(0.5)
+            site.own.connector.cut = True
+            site.own.isolate()
+            await curio.sleep(1.2)
+            site.own.connector.cut = False
+        return group.results
+
+    for caller, progress, refusal in curio.run(main):
+        assert (refusal, progress.sends) == (None, progress.sends)
+        assert caller.finished
+
+
 # Guards against calls that wait for nothing where no daemon has links.
 def test_callers_are_refused_at_once_if_no_daemon_has_links():
     site = Site(*_endpoints())
