--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -397,7 +397,7 @@
             ),
         )
         return assembly.assemble(
-            self._node.peers, sources, self._metric_registry
+            self._node.peers, sources, self._metric_registry, self._delays
         )
 
     def _may_relay_to(self, address: messages.Address) -> bool:
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -24,6 +24,7 @@
 from sycamoredale.http import server
 from sycamoredale.links import assembly
 from sycamoredale.links import monitor as link_monitor
+from sycamoredale import loop_delays
 from sycamoredale.membership import freshness
 from sycamoredale.membership import gossip
 from sycamoredale.membership import view
@@ -59,8 +60,16 @@
 class Router:
     """Serve calls with the configuration and assignments in force."""
 
-    def __init__(self, settings: options.RouterOptions) -> None:
-        """Initialize all components without listening."""
+    def __init__(
+        self,
+        settings: options.RouterOptions,
+        delays: loop_delays.LoopDelays | None = None,
+    ) -> None:
+        """Initialize all components without listening.
+
+        `delays` are those of the event loop that runs the daemon.
+        """
+        self._delays = delays or loop_delays.LoopDelays()
         common = settings.common
         self._settings = settings
         shared = components.build(common, view.Role.ROUTER)
@@ -207,7 +216,10 @@
             lambda: self._server.draining,
         )
         built = assembly.assemble(
-            self._node.peers, sources, exposition.MetricRegistry()
+            self._node.peers,
+            sources,
+            exposition.MetricRegistry(),
+            self._delays,
         )
         built.connector.monitor.on_change.append(self._on_links_changed)
         return built
@@ -288,4 +300,8 @@
 def run(settings: options.RouterOptions) -> None:
     """Run a router until a stop signal."""
     logs.configure(settings.common.log_level, daemon=settings.common.daemon)
-    curio.run(Router(settings).run)
+    delays = loop_delays.LoopDelays()
+    curio.run(
+        Router(settings, delays).run,
+        selector=loop_delays.DelayRecordingSelector(delays),
+    )
--- a/sycamoredale/links/assembly.py
+++ b/sycamoredale/links/assembly.py
@@ -10,6 +10,7 @@
 from sycamoredale.links import relay_client
 from sycamoredale.links import relay_protocol
 from sycamoredale.links import relay_service
+from sycamoredale import loop_delays
 from sycamoredale.membership import peer_service
 from sycamoredale.observability import exposition
 
@@ -42,10 +43,13 @@
     peers: peer_service.PeerService,
     sources: LinkSources,
     metrics: exposition.MetricRegistry,
+    delays: loop_delays.LoopDelays,
 ) -> Links:
     """Return the links of a daemon, and relay for its peers."""
     built = connector.EndpointConnector(
-        monitor.LinkMonitor(lambda: len(sources.get_addresses()), metrics),
+        monitor.LinkMonitor(
+            lambda: len(sources.get_addresses()), metrics, delays=delays
+        ),
         relay_client.RelayClient(peers.members, sources.is_peer_isolated),
         sources.get_addresses,
         sources.find_waiting,
--- a/sycamoredale/links/monitor.py
+++ b/sycamoredale/links/monitor.py
@@ -14,6 +14,7 @@
 
 from sycamoredale import clock
 from sycamoredale.http import messages
+from sycamoredale import loop_delays
 from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 
@@ -51,6 +52,9 @@
     )
     on_change: list[OnChange] = dataclasses.field(default_factory=list)
     state: LinkState = LinkState.CONNECTED
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
     since: clock.MonotonicTime = NEVER
     opened_at: clock.MonotonicTime = NEVER
     heard_at: clock.MonotonicTime = NEVER
@@ -66,7 +70,10 @@
 
     def is_silent(self, now: clock.MonotonicTime) -> bool:
         """Return whether open connections are as dead as new ones."""
-        return self.is_isolated and now - self.heard_at > SILENCE_SECONDS
+        if not self.is_isolated or now - self.heard_at <= SILENCE_SECONDS:
+            return False
+        silent_seconds = self.delays.attentive_seconds(self.heard_at, now)
+        return silent_seconds > SILENCE_SECONDS
 
     def record_opened(
         self, address: messages.Address, now: clock.MonotonicTime
--- a/sycamoredale/loop_delays.py
+++ b/sycamoredale/loop_delays.py
@@ -56,6 +56,12 @@
             total += max(0.0, now - max(step, since))
         return total
 
+    def attentive_seconds(
+        self, since: clock.MonotonicTime, now: clock.MonotonicTime
+    ) -> float:
+        """Return how long others had to be heard since some time."""
+        return now - since - self.seconds_between(since, now)
+
 
 class DelayRecordingSelector(selectors.DefaultSelector):
     """Wait for events of sockets, and record how late the wait ends.
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -6,6 +6,7 @@
 from sycamoredale import clock
 from sycamoredale.http import messages
 from sycamoredale.links import monitor
+from sycamoredale import loop_delays
 
 ENDPOINTS = 8
 START = clock.MonotonicTime(1000.0)
@@ -67,6 +68,24 @@
     assert links.is_silent(START + 2)
 
 
+# Guards against LOST: an isolated daemon that was suspended ended requests on
+# connections whose answers waited in its sockets.
+def test_own_delay_is_no_silence_of_the_links():
+    links = _isolated()
+    links.delays = loop_delays.LoopDelays()
+    links.record_heard(START + 1)
+    links.delays.record(START + 1.1, START + 3.1)
+    assert not links.is_silent(START + 3.2)
+    assert links.is_silent(START + 3.6)
+
+
+def test_step_that_still_runs_is_no_silence_of_the_links():
+    links = _isolated()
+    links.delays = loop_delays.LoopDelays(step_began_at=START + 1.1)
+    links.record_heard(START + 1)
+    assert not links.is_silent(START + 2)
+
+
 # Guards against a daemon that takes lost endpoints for a fault of its own: as
 # long as it opens connections itself, it is not isolated.
 @hypothesis.given(
