Declare no suspect dead for an own delay

What callers would see: a daemon that was suspended for some seconds declares peers dead, and says so to the fleet. Until they refute it, shares of budgets are computed for fewer daemons, and other hubs and relays are used.

Cause: a suspect has four seconds to refute the suspicion. The time in which this daemon could not hear it counted as well, so that its refutation waited in the sockets when it was declared dead.

Change: the failure detector subtracts that time. Members that are dead or have left are forgotten as before.

Measured: test_own_delay_does_not_make_a_suspect_dead (four seconds, three of them suspended) failed before, passes now.

--- a/sycamoredale/daemons/components.py
+++ b/sycamoredale/daemons/components.py
@@ -5,6 +5,7 @@
 from sycamoredale import clock
 from sycamoredale.daemons import options
 from sycamoredale.http import client
+from sycamoredale import loop_delays
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
 from sycamoredale.object_api import budget
@@ -21,7 +22,9 @@
 
 
 def build(
-    settings: options.DaemonOptions, role: view.Role
+    settings: options.DaemonOptions,
+    role: view.Role,
+    delays: loop_delays.LoopDelays,
 ) -> DaemonComponents:
     """Build the components of a daemon without starting the node."""
     started = clock.wall()
@@ -40,7 +43,7 @@
         settings.seeds,
         settings.peer_advertise,
     )
-    node = node_module.Node(node_options, store, started)
+    node = node_module.Node(node_options, store, started, delays)
     live_daemons.node = node
     return DaemonComponents(store, call_budget, node)
 
--- a/sycamoredale/daemons/controller.py
+++ b/sycamoredale/daemons/controller.py
@@ -12,6 +12,7 @@
 from sycamoredale.daemons import signals
 from sycamoredale.groups import group_controller
 from sycamoredale.http import client
+from sycamoredale import loop_delays
 from sycamoredale.membership import view
 from sycamoredale.object_api import budget
 from sycamoredale.object_api import instances
@@ -26,11 +27,22 @@
 class Controller:
     """Control groups according to the configuration in force."""
 
-    def __init__(self, settings: options.ControllerOptions) -> None:
-        """Initialize all components without starting tasks."""
+    def __init__(
+        self,
+        settings: options.ControllerOptions,
+        delays: loop_delays.LoopDelays | None = None,
+    ) -> None:
+        """Initialize all components without starting tasks.
+
+        `delays` are those of the event loop that runs the daemon.
+        """
         pool = client.Pool()
         address = settings.common.platform
-        shared = components.build(settings.common, view.Role.CONTROLLER)
+        shared = components.build(
+            settings.common,
+            view.Role.CONTROLLER,
+            delays or loop_delays.LoopDelays(),
+        )
         self._node = shared.node
         self._configuration = followers.ConfigurationFollower(
             shared.store.with_priority(budget.Priority.FOLLOW),
@@ -74,4 +86,8 @@
 def run(settings: options.ControllerOptions) -> None:
     """Run a controller until a stop signal."""
     logs.configure(settings.common.log_level, daemon=settings.common.daemon)
-    curio.run(Controller(settings).run)
+    delays = loop_delays.LoopDelays()
+    curio.run(
+        Controller(settings, delays).run,
+        selector=loop_delays.DelayRecordingSelector(delays),
+    )
--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -490,7 +490,9 @@
             messages.Address(self._settings.caller_address.host, first_port),
             cores=self._settings.cores,
         )
-        return node_module.Node(options, self._store, clock.wall())
+        return node_module.Node(
+            options, self._store, clock.wall(), self._delays
+        )
 
     def _has_traffic(self) -> bool:
         return (
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -72,7 +72,7 @@
         self._delays = delays or loop_delays.LoopDelays()
         common = settings.common
         self._settings = settings
-        shared = components.build(common, view.Role.ROUTER)
+        shared = components.build(common, view.Role.ROUTER, self._delays)
         follow_store = shared.store.with_priority(budget.Priority.FOLLOW)
         self._node = shared.node
         self._store = shared.store
--- a/sycamoredale/membership/failure_detector.py
+++ b/sycamoredale/membership/failure_detector.py
@@ -4,7 +4,8 @@
 connection, because an established connection can stop delivering without
 being closed, and then indirectly through other peers.  If all probes fail,
 the peer is suspected; it is declared dead unless it refutes the suspicion
-within SUSPECT_TIMEOUT_SECONDS.  Probes that took longer than their timeouts
+within SUSPECT_TIMEOUT_SECONDS, in which this daemon had to be able to hear it.
+Probes that took longer than their timeouts
 allow are ignored, because then this daemon itself was paused.
 """
 
@@ -21,6 +22,7 @@
 from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
+from sycamoredale import loop_delays
 from sycamoredale.membership import member_updates
 from sycamoredale.membership import peer_messages
 from sycamoredale.membership import peer_service
@@ -60,6 +62,9 @@
     updates: member_updates.MemberUpdates
     send_heartbeat: SendHeartbeat
     rng: random.Random
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
     _dead_probed_at: clock.MonotonicTime = NEVER
 
     def __post_init__(self) -> None:
@@ -88,11 +93,13 @@
     def apply_timeouts(self, now: clock.MonotonicTime) -> None:
         """Declare overdue suspects dead and remove expired members."""
         for peer in list(self.members.peers()):
-            in_state_seconds = now - self.members.state_since_by_id.get(
-                peer.id, now
-            )
+            since = self.members.state_since_by_id.get(peer.id, now)
+            in_state_seconds = now - since
             if peer.state is view.PeerState.SUSPECT:
-                if in_state_seconds > SUSPECT_TIMEOUT_SECONDS:
+                heard_nothing_seconds = self.delays.attentive_seconds(
+                    since, now
+                )
+                if heard_nothing_seconds > SUSPECT_TIMEOUT_SECONDS:
                     self._set_state(peer, view.PeerState.DEAD, now)
             elif peer.state is view.PeerState.DEAD:
                 if in_state_seconds > DEAD_RETENTION_SECONDS:
--- a/sycamoredale/membership/heartbeats.py
+++ b/sycamoredale/membership/heartbeats.py
@@ -18,6 +18,7 @@
 from sycamoredale import decoding
 from sycamoredale import errors
 from sycamoredale import ids
+from sycamoredale import loop_delays
 from sycamoredale.membership import failure_detector
 from sycamoredale.membership import freshness
 from sycamoredale.membership import gossip
@@ -65,6 +66,9 @@
     get_versions: GetVersions
     on_peer_versions: OnPeerVersions
     rng: random.Random = dataclasses.field(default_factory=random.Random)
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
     _neighbour_by_id: dict[ids.DaemonId, _Neighbour] = dataclasses.field(
         default_factory=dict
     )
@@ -80,7 +84,12 @@
         """Register the handlers of heartbeats and member requests."""
         self.updates = member_updates.MemberUpdates(self.members)
         self.detector = failure_detector.FailureDetector(
-            self.members, self.peers, self.updates, self.send, self.rng
+            self.members,
+            self.peers,
+            self.updates,
+            self.send,
+            self.rng,
+            self.delays,
         )
         self.peers.register(peer_messages.HEARTBEAT_PATH, self._on_heartbeat)
         self.peers.register(peer_messages.MEMBERS_PATH, self._on_members)
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -12,6 +12,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import server
 from sycamoredale import ids
+from sycamoredale import loop_delays
 from sycamoredale.membership import freshness
 from sycamoredale.membership import gossip
 from sycamoredale.membership import heartbeats
@@ -64,6 +65,7 @@
         options: NodeOptions,
         store: objects.ObjectStore,
         started: clock.WallTime,
+        delays: loop_delays.LoopDelays | None = None,
     ) -> None:
         """Initialize the node without listening.
 
@@ -102,6 +104,7 @@
             lambda: self.versions,
             self._on_peer_versions,
             random.Random(incarnation),
+            delays or loop_delays.LoopDelays(),
         )
         self.registry: Final = registry.Registry(
             store.with_priority(budget.Priority.BACKGROUND), self.members
--- a/tests/test_membership_rules.py
+++ b/tests/test_membership_rules.py
@@ -10,10 +10,15 @@
 import pytest
 
 from sycamoredale import clock
+from sycamoredale.http import client
 from sycamoredale import ids
+from sycamoredale import loop_delays
+from sycamoredale.membership import failure_detector
 from sycamoredale.membership import freshness
 from sycamoredale.membership import gossip
+from sycamoredale.membership import member_updates
 from sycamoredale.membership import overlay
+from sycamoredale.membership import peer_service
 from sycamoredale.membership import registry
 from sycamoredale.membership import view
 from sycamoredale.object_api import objects
@@ -91,6 +96,32 @@
     assert members.alive_share() == 0.5
 
 
+async def _never_send(peer, new_connection=False):
+    raise AssertionError(f"a heartbeat was sent to {peer.id}")
+
+
+# Guards against a daemon that was suspended and declared peers dead whose
+# refutations waited in its sockets.
+def test_own_delay_does_not_make_a_suspect_dead() -> None:
+    members = _view("self")
+    members.merge(peer("a", 2, view.PeerState.SUSPECT), NOW)
+    detector = failure_detector.FailureDetector(
+        members,
+        peer_service.PeerService(members, client.Pool()),
+        member_updates.MemberUpdates(members),
+        _never_send,
+        random.Random(1),
+    )
+    detector.delays = loop_delays.LoopDelays()
+    timeout = failure_detector.SUSPECT_TIMEOUT_SECONDS
+    detector.delays.record(NOW + 1.5, NOW + 4.5)
+    detector.apply_timeouts(clock.MonotonicTime(NOW + timeout + 0.6))
+    state = members.by_id[ids.DaemonId("a")].state
+    assert state is view.PeerState.SUSPECT
+    detector.apply_timeouts(clock.MonotonicTime(NOW + timeout + 3.1))
+    assert members.by_id[ids.DaemonId("a")].state is view.PeerState.DEAD
+
+
 def test_neighbours_are_few_and_reach_every_daemon() -> None:
     everyone = [peer(f"d{n}", zone=f"zone-{n % 15}") for n in range(380)]
     successors = {p.id: _neighbours(p, everyone) for p in everyone}
