Do not leave a hub for an own delay

What callers would see: nothing directly. A daemon that was suspended for a second passed its hub over for five seconds and asked the next one, which then adds up and sends totals as well; meanwhile it knows older loads.

Cause: a hub counts as silent if no total came for a second, also if this daemon did not read its socket in that time.

Change: the selector of hubs subtracts the time in which the event loop did not read.

Measured: test_own_delay_is_no_silence_of_a_hub failed before, passes now.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -536,7 +536,7 @@
             self._node.members, PEER_UPDATE_PORT_OFFSET
         )
         own = peers.convert(self._node.members.own)
-        return hub_selection.HubSelector(own, peers.get)
+        return hub_selection.HubSelector(own, peers.get, self._delays)
 
     async def _reload_settings_on_signal(self) -> None:
         """Reload the settings at each signal unless they are invalid."""
--- a/sycamoredale/forwarding/hub_selection.py
+++ b/sycamoredale/forwarding/hub_selection.py
@@ -21,6 +21,7 @@
 from sycamoredale import clock
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale import loop_delays
 from sycamoredale.membership import view
 from sycamoredale.observability import logs
 
@@ -57,6 +58,9 @@
 
     own: UpdatePeer
     get_peers: GetPeers
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
     _peers: collections.abc.Sequence[UpdatePeer] = ()
     _ranked_by_zone: dict[ids.ZoneName, list[UpdatePeer]] = dataclasses.field(
         default_factory=dict
@@ -140,8 +144,10 @@
             LOG.info("hub_asked", hub=hub.id)
         if hub.id == self.own.id:
             return False
-        heard_at = self._heard_at.get(hub.id, NEVER)
-        return now - max(heard_at, self._asked_since) > SILENT_SECONDS
+        since = max(self._heard_at.get(hub.id, NEVER), self._asked_since)
+        if now - since <= SILENT_SECONDS:
+            return False
+        return self.delays.attentive_seconds(since, now) > SILENT_SECONDS
 
     def _refresh(self) -> None:
         peers = self.get_peers()
--- a/tests/test_update_hubs.py
+++ b/tests/test_update_hubs.py
@@ -21,6 +21,7 @@
 from sycamoredale.forwarding import update_exchange
 from sycamoredale.forwarding import update_gathering
 from sycamoredale import ids
+from sycamoredale import loop_delays
 from tests import instance_fixtures
 from tests import update_fixtures
 
@@ -209,6 +210,22 @@
     assert fleet.hubs()[0] is second
 
 
+# Guards against a daemon that was suspended and left its hub, whose totals
+# waited in its socket, for seconds.
+def test_own_delay_is_no_silence_of_a_hub():
+    fleet = _Fleet(60)
+    fleet.step(5)
+    first = fleet.hubs()[0]
+    daemon = next(d for d in fleet.daemons if d not in fleet.hubs())
+    selector = daemon.exchange.hubs
+    selector.delays = loop_delays.LoopDelays()
+    woken = clock.MonotonicTime(fleet.now + 2.0)
+    selector.delays.record(fleet.now, woken)
+    assert selector.own_hubs(woken)[0].id == first.peer.id
+    later = clock.MonotonicTime(woken + hub_selection.SILENT_SECONDS + STEP)
+    assert selector.own_hubs(later)[0].id != first.peer.id
+
+
 def test_hub_that_returns_is_asked_again():
     fleet = _Fleet(60)
     fleet.step(5)
