Read store answers that arrived during an own delay

What callers would see: after a daemon was suspended, or held up by a step of its own, its list of the store fails though the answer has arrived. It counts as a failed contact: the kind is listed again after a pause, and after a second of it the store counts as one that was away and has returned, so that entries that are gone are used for two more seconds.

Cause: an answer of more than 16 KB takes several reads. The first one after the delay succeeds, since sockets are looked at before timeouts; the second is cancelled by the timeout that has passed meanwhile.

Change: LoopDelays.within lets work go on for the seconds in which the loop could read. Reads of the store use it, and writes through its pool. Times that count from when a call was sent, as those of leases, are unchanged.

--- a/sycamoredale/daemons/components.py
+++ b/sycamoredale/daemons/components.py
@@ -33,7 +33,10 @@
         live_daemons, settings.reads_per_second, settings.writes_per_second
     )
     store = objects.ObjectStore(
-        settings.platform, client.Pool(), call_budget=call_budget
+        settings.platform,
+        client.Pool(delays=delays),
+        call_budget=call_budget,
+        delays=delays,
     )
     node_options = node_module.NodeOptions(
         settings.daemon,
--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -107,11 +107,12 @@
         self._store_contact = store_contact.StoreContact()
         self._store = store_module.PlatformStore(
             settings.store_address,
-            client.Pool(),
+            client.Pool(delays=self._delays),
             on_answer=lambda: self._store_contact.record_answer(
                 clock.monotonic()
             ),
             eras=eras.EraTracker(self._metric_registry),
+            delays=self._delays,
         )
         self._store.eras.on_change.append(
             lambda: self._store_contact.begin_era(clock.monotonic())
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -24,6 +24,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import sockets
 from sycamoredale import ids
+from sycamoredale import loop_delays
 
 # What this machine lacks for a connection: descriptors, memory or ports.
 LOCAL_ERROR_NUMBERS: Final = frozenset(
@@ -252,7 +253,8 @@
     `connect` opens a connection within a time or raises ConnectionFailed, and
     `may_reuse` decides whether an idle one may be used now.  Up to `max_open`
     connections are open, in use and idle together.  At the limit, the one
-    that is idle for longest gives its place to a new one.
+    that is idle for longest gives its place to a new one.  With `delays`, the
+    time in which this process could not read does not count against an answer.
     """
 
     connect: Connect = dataclasses.field(
@@ -265,6 +267,7 @@
         dataclasses.field(default_factory=dict)
     )
     max_open: int = sys.maxsize
+    delays: loop_delays.LoopDelays | None = None
     # One that is dropped without a close holds no place for good.
     _open: weakref.WeakSet[Connection] = dataclasses.field(
         default_factory=weakref.WeakSet
@@ -390,12 +393,16 @@
         )
         complete = False
         try:
-            async with curio.timeout_after(timeout_seconds):
-                await connection.send(request)
-                head = await connection.read_head()
-                body = await connection.read_body(max_body_bytes)
+            exchanging = _exchange(connection, request, max_body_bytes)
+            if self.delays is not None:
+                response = await self.delays.within(
+                    timeout_seconds, exchanging
+                )
+            else:
+                async with curio.timeout_after(timeout_seconds):
+                    response = await exchanging
             complete = True
-            return messages.Response(head.status, head.headers, body)
+            return response
         except curio.TaskTimeout as error:
             raise errors.ConnectionBroken(
                 error_codes.CONNECTION_BROKEN,
@@ -409,6 +416,15 @@
                 await connection.close()
 
 
+async def _exchange(
+    connection: Connection, request: messages.Request, max_body_bytes: int
+) -> messages.Response:
+    await connection.send(request)
+    head = await connection.read_head()
+    body = await connection.read_body(max_body_bytes)
+    return messages.Response(head.status, head.headers, body)
+
+
 async def open_connection(
     address: messages.Address, timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
 ) -> Connection:
--- a/sycamoredale/loop_delays.py
+++ b/sycamoredale/loop_delays.py
@@ -6,16 +6,21 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import selectors
+import typing
 from typing import Final
 
+import curio
+
 from sycamoredale import clock
 
 # Shorter steps of the loop are ordinary.
 MIN_DELAY_SECONDS: Final = 0.05
 # Longer than any timeout that is judged by what was received.
 KEPT_SECONDS: Final = 30.0
+_T = typing.TypeVar("_T")
 
 
 @dataclasses.dataclass
@@ -62,6 +67,35 @@
         """Return how long others had to be heard since some time."""
         return now - since - self.seconds_between(since, now)
 
+    async def within(
+        self,
+        seconds: float,
+        work: collections.abc.Coroutine[typing.Any, typing.Any, _T],
+    ) -> _T:
+        """Return the result of `work`, which reads what others send.
+
+        Raises TaskTimeout if it did not arrive in the seconds in which the
+        loop could read.
+        """
+        began = clock.monotonic()
+        left = seconds
+        task = await curio.spawn(work, daemon=True)
+        try:
+            while not task.terminated:
+                try:
+                    async with curio.timeout_after(left):
+                        await task.wait()
+                except curio.TaskTimeout:
+                    now = clock.monotonic()
+                    left = seconds - self.attentive_seconds(began, now)
+                    if left <= 0 and not task.terminated:
+                        raise
+        finally:
+            if not task.terminated:
+                await task.cancel()
+        result: _T = task.result
+        return result
+
 
 class DelayRecordingSelector(selectors.DefaultSelector):
     """Wait for events of sockets, and record how late the wait ends.
--- a/sycamoredale/object_api/objects.py
+++ b/sycamoredale/object_api/objects.py
@@ -21,6 +21,7 @@
 from sycamoredale.http import client
 from sycamoredale.http import messages
 from sycamoredale import ids
+from sycamoredale import loop_delays
 from sycamoredale.object_api import budget
 from sycamoredale.object_api import eras as era_module
 from sycamoredale.observability import logs
@@ -96,6 +97,9 @@
     )
     call_budget: budget.CallBudget | None = None
     priority: budget.Priority = budget.Priority.LEASE
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
 
     def with_priority(self, priority: budget.Priority) -> "ObjectStore":
         """Return a copy whose calls have another priority."""
@@ -198,14 +202,16 @@
         seconds = wait_seconds + limits.answer_seconds
         try:
             # Connecting counts as well.
-            async with curio.timeout_after(seconds):
-                response = await self.pool.call(
+            response = await self.delays.within(
+                seconds,
+                self.pool.call(
                     self.address,
                     request,
                     seconds,
                     limits.new_connection,
                     min(limits.connect_seconds, CONNECT_SHARE * seconds),
-                )
+                ),
+            )
         except curio.TaskTimeout as error:
             raise errors.StoreUnavailable(
                 error_codes.STORE_UNAVAILABLE,
