Count the time that an update waited here as its age

What callers would see: after a daemon was suspended, a removal or an evacuation takes force later than its bound.

Cause: an update of a peer says how old its knowledge of a kind is. It was counted from when the update was read. One that waited in the socket while this daemon could not run counted as new, so that the daemon took its state for current for that much longer and did not ask the store.

Change: the time in which the loop did not read since the socket was last empty is added to the age of the kinds. Reports of leases still count from when they are read, which is the safe side.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -164,6 +164,7 @@
             self._part_quarantine.receive_updates,
             lambda: self._connector.monitor.is_isolated,
             self._store_contact,
+            delays=self._delays,
         )
         self._group_controller = self._build_group_controller()
         self._stop_plan = stop_plan.StopPlan()
--- a/sycamoredale/forwarding/update_exchange.py
+++ b/sycamoredale/forwarding/update_exchange.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import typing
 from typing import Final
 
@@ -20,6 +21,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import sockets
 from sycamoredale import ids
+from sycamoredale import loop_delays
 from sycamoredale.object_api import objects
 from sycamoredale.observability import logs
 from sycamoredale.requests import part_updates
@@ -89,6 +91,9 @@
     outbox: report_updates.Outbox = dataclasses.field(
         default_factory=report_updates.Outbox
     )
+    delays: loop_delays.LoopDelays = dataclasses.field(
+        default_factory=loop_delays.LoopDelays
+    )
     _had_content: bool = False
     _lease_sent: ids.ObjectVersion = objects.ABSENT_VERSION
     _sent_at: clock.MonotonicTime = hub_selection.NEVER
@@ -312,18 +317,37 @@
             _send(sock, targets, update)
 
     async def _receive(self, sock: typing.Any) -> None:
+        empty_at = clock.monotonic()
         while True:
             data, sender = await sockets.receive_datagram(
                 sock, MAX_DATAGRAM_BYTES
             )
+            now = clock.monotonic()
+            held_seconds = self.delays.seconds_between(empty_at, now)
+            if not held_seconds or sockets.has_nothing_to_read(sock):
+                empty_at = now
             try:
-                self.receive(peer_updates.decode(data), clock.monotonic())
+                update = peer_updates.decode(data)
+                self.receive(_with_older_kinds(update, held_seconds), now)
             except ValueError as error:  # Includes msgspec.MsgspecError.
                 LOG.warning(
                     "update_malformed", sender=sender, reason=str(error)
                 )
 
 
+def _with_older_kinds(update: PeerUpdate, held_seconds: float) -> PeerUpdate:
+    """Return an update that may have waited in the socket for some time.
+
+    What is known of a kind must never count as newer than it is.
+    """
+    if not held_seconds or not update.kinds:
+        return update
+    replace = msgspec.structs.replace
+    held_ms = math.ceil(1000 * held_seconds)
+    kinds = [replace(k, age_ms=k.age_ms + held_ms) for k in update.kinds]
+    return replace(update, kinds=kinds)
+
+
 def interval_seconds(peers: int) -> float:
     """Return the seconds between two updates to a number of peers."""
     return max(INTERVAL_SECONDS, peers / MAX_DATAGRAMS_PER_SECOND)
