Refuse no request as slow for an own delay

What callers would see: 408 for a request whose bytes all arrived in time, while the daemon was suspended or held up by a step of its own.

Cause: a request of more than 16 KB takes several reads. After the delay the first one succeeds and the next is cancelled by the timeout that has passed meanwhile.

Change: the reader of requests goes on for as long as the loop could not read. Slow requests, and those that are endless, are refused as before.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -174,6 +174,7 @@
             self._service.handle,
             serves_while_draining=True,
             held_requests=self._held_requests,
+            delays=self._delays,
         )
         self._divide_descriptors()
         self._readiness = server.Server(
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -128,6 +128,7 @@
             paths_served_while_draining=frozenset(
                 (caller_service.HEALTH_PATH,)
             ),
+            delays=self._delays,
         )
 
     async def run(self) -> None:
--- a/sycamoredale/http/request_reader.py
+++ b/sycamoredale/http/request_reader.py
@@ -6,12 +6,14 @@
 import curio
 import h11
 
+from sycamoredale import clock
 from sycamoredale import error_codes
 from sycamoredale import errors
 from sycamoredale.http import exchange as exchange_module
 from sycamoredale.http import held_bytes
 from sycamoredale.http import messages
 from sycamoredale.http import sockets
+from sycamoredale import loop_delays
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,19 +32,28 @@
     connection: h11.Connection,
     limits: Limits,
     reservation: held_bytes.Reservation,
+    delays: loop_delays.LoopDelays,
 ) -> messages.Request | None:
     """Return the next request, or None at the end of the connection.
 
+    The time in which this process could not read makes no request slow.
     The body is held in the reservation.  Raises Refusal if that is denied, or
     if the request is malformed, too large or too slow.
     """
+    reader = _RequestReader(sock, connection, limits, reservation)
+    began = clock.monotonic()
+    left = limits.request_timeout_seconds
     try:
-        async with curio.timeout_after(limits.request_timeout_seconds):
-            head = await _next_event(sock, connection)
-            if not isinstance(head, h11.Request):
-                return None
-            _check_length(head, limits, reservation)
-            body = await _read_body(sock, connection, limits, reservation)
+        while True:
+            try:
+                async with curio.timeout_after(left):
+                    return await reader.read()
+            except curio.TaskTimeout:
+                now = clock.monotonic()
+                waited = delays.attentive_seconds(began, now)
+                left = limits.request_timeout_seconds - waited
+                if left <= 0:
+                    raise
     except h11.RemoteProtocolError as error:
         raise _protocol_error(error) from error
     except curio.TaskTimeout as error:
@@ -51,36 +62,52 @@
             "the request did not arrive within "
             f"{limits.request_timeout_seconds:g} s",
         ) from error
-    return messages.Request(
-        method=head.method.decode("ascii"),
-        target=head.target.decode("latin-1"),
-        headers=exchange_module.decode_headers(head.headers),
-        body=body,
-    )
 
 
-async def _read_body(
-    sock: typing.Any,
-    connection: h11.Connection,
-    limits: Limits,
-    reservation: held_bytes.Reservation,
-) -> bytes:
+@dataclasses.dataclass
+class _RequestReader:
+    """Read one request; a read that was interrupted can go on."""
+
+    sock: typing.Any
+    connection: h11.Connection
+    limits: Limits
+    reservation: held_bytes.Reservation
+    head: h11.Request | None = None
     # Small pieces would cost many times their size as objects of their own.
-    body = bytearray()
-    while True:
-        event = await _next_event(sock, connection)
-        if isinstance(event, h11.EndOfMessage):
-            return bytes(body)
-        if not isinstance(event, h11.Data):
-            raise h11.RemoteProtocolError("the request body is incomplete")
-        size = len(body) + len(event.data)
-        if size > limits.body_limit_bytes:
-            raise _body_too_large(limits)
-        if not reservation.resize(size):
-            # The trace of the refusal lives on while the rest is discarded.
-            body.clear()
-            raise _memory_limit()
-        body += event.data
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+    async def read(self) -> messages.Request | None:
+        """Return the request; raise as `read_request`."""
+        if self.head is None:
+            event = await _next_event(self.sock, self.connection)
+            if not isinstance(event, h11.Request):
+                return None
+            _check_length(event, self.limits, self.reservation)
+            self.head = event
+        await self._read_body()
+        return messages.Request(
+            method=self.head.method.decode("ascii"),
+            target=self.head.target.decode("latin-1"),
+            headers=exchange_module.decode_headers(self.head.headers),
+            body=bytes(self.body),
+        )
+
+    async def _read_body(self) -> None:
+        while True:
+            event = await _next_event(self.sock, self.connection)
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise h11.RemoteProtocolError("the request body is incomplete")
+            size = len(self.body) + len(event.data)
+            if size > self.limits.body_limit_bytes:
+                raise _body_too_large(self.limits)
+            if not self.reservation.resize(size):
+                # The trace of the refusal lives on while the rest is
+                # discarded.
+                self.body.clear()
+                raise _memory_limit()
+            self.body += event.data
 
 
 async def _next_event(sock: typing.Any, connection: h11.Connection) -> object:
--- a/sycamoredale/http/server.py
+++ b/sycamoredale/http/server.py
@@ -35,6 +35,7 @@
 from sycamoredale.http import messages
 from sycamoredale.http import request_reader
 from sycamoredale.http import sockets
+from sycamoredale import loop_delays
 from sycamoredale.observability import logs
 from sycamoredale.observability import seldom
 
@@ -79,8 +80,13 @@
         paths_served_while_draining: collections.abc.Set[str] = frozenset(),
         serves_while_draining: bool = False,
         held_requests: held_bytes.HeldBytes | None = None,
+        delays: loop_delays.LoopDelays | None = None,
     ) -> None:
-        """Configure the server, which listens from `bind` on."""
+        """Configure the server, which listens from `bind` on.
+
+        `delays` are those of the event loop that runs the server.
+        """
+        self._delays = delays or loop_delays.LoopDelays()
         self._handler = handler
         self._limits = limits
         self._request_id_header = request_id_header
@@ -291,7 +297,11 @@
         with self._held_requests.reserve() as reservation:
             try:
                 request = await request_reader.read_request(
-                    connection.sock, protocol, self._limits, reservation
+                    connection.sock,
+                    protocol,
+                    self._limits,
+                    reservation,
+                    self._delays,
                 )
             except errors.Refusal as refusal:
                 reservation.release()
