--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -107,11 +107,12 @@
         self._store_contact = store_contact.StoreContact()
         self._store = store_module.PlatformStore(
             settings.store_address,
-            client.Pool(),
+            client.Pool(delays=self._delays),
             on_answer=lambda: self._store_contact.record_answer(
                 clock.monotonic()
             ),
             eras=eras.EraTracker(self._metric_registry),
+            delays=self._delays,
         )
         self._store.eras.on_change.append(
             lambda: self._store_contact.begin_era(clock.monotonic())
@@ -163,6 +164,7 @@
             self._part_quarantine.receive_updates,
             lambda: self._connector.monitor.is_isolated,
             self._store_contact,
+            delays=self._delays,
         )
         self._group_controller = self._build_group_controller()
         self._stop_plan = stop_plan.StopPlan()
@@ -172,6 +174,7 @@
             self._service.handle,
             serves_while_draining=True,
             held_requests=self._held_requests,
+            delays=self._delays,
         )
         self._divide_descriptors()
         self._readiness = server.Server(
@@ -397,7 +400,7 @@
             ),
         )
         return assembly.assemble(
-            self._node.peers, sources, self._metric_registry
+            self._node.peers, sources, self._metric_registry, self._delays
         )
 
     def _may_relay_to(self, address: messages.Address) -> bool:
@@ -490,7 +493,9 @@
             messages.Address(self._settings.caller_address.host, first_port),
             cores=self._settings.cores,
         )
-        return node_module.Node(options, self._store, clock.wall())
+        return node_module.Node(
+            options, self._store, clock.wall(), self._delays
+        )
 
     def _has_traffic(self) -> bool:
         return (
@@ -534,7 +539,7 @@
             self._node.members, PEER_UPDATE_PORT_OFFSET
         )
         own = peers.convert(self._node.members.own)
-        return hub_selection.HubSelector(own, peers.get)
+        return hub_selection.HubSelector(own, peers.get, self._delays)
 
     async def _reload_settings_on_signal(self) -> None:
         """Reload the settings at each signal unless they are invalid."""
