Parse a series of comments at once

Cause: each of up to 8,192 blank lines in a piece of 16 KiB was split off, searched for an id and looked at line by line, 25 ms for a piece. With 60 such streams one turn of the event loop took as long as all their pieces.

Change: one regular expression matches all comments up to the next event. The number of an event is searched without splitting its lines, so that an ordinary event costs no more than before.

Ruled out: an earlier end of such streams. Their limit of 64 KiB was reached in four pieces; the time of each piece was the fault.

Of the three cases of test_pieces_full_of_comments_take_little_processor_time, [blank lines] and [empty comments] failed before.

--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -6,12 +6,19 @@
 """
 
 import dataclasses
+import re
 from typing import Final
 
 from sycamoredale.http import event_buffer
 
 ID_FIELD: Final = b"id:"
-COMMENT_PREFIX: Final = b":"
+LINE_END: Final = b"\n"
+# A series of events that have nothing but comments.  It is matched at once,
+# since a piece can hold thousands of them.
+COMMENT_STARTS: Final = b":\n"
+COMMENTS_PATTERN: Final = re.compile(
+    rb"(?:(?:\n?:[^\n]*+(?:\n:[^\n]*+)*+)?\n\n)++"
+)
 # Comments that keep a connection alive have a few bytes, one in a second.
 MAX_COMMENT_BYTES: Final = 65536
 
@@ -90,21 +97,32 @@
 
     def _filter_new(self, data: bytes) -> list[bytes]:
         passed: list[bytes] = []
-        for event in data.split(event_buffer.EVENT_END)[:-1]:
-            number = _event_id(event)
-            if number is None and _is_comment(event):
-                self._comment_bytes += len(event) + len(event_buffer.EVENT_END)
+        position = 0
+        size = len(data)
+        while position < size:
+            start = position
+            if data[start] in COMMENT_STARTS and (
+                comments := COMMENTS_PATTERN.match(data, start)
+            ):
+                position = comments.end()
+                self._comment_bytes += position - start
                 if self.has_excess_comments:
                     break
                 if not self.is_continued:
-                    passed.append(event + event_buffer.EVENT_END)
+                    passed.append(data[start:position])
                 continue
+            end = data.find(event_buffer.EVENT_END, start)
+            if end < 0:
+                break
+            position = end + len(event_buffer.EVENT_END)
+            event = data[start:position]
+            number = _event_id(event)
             if number is None and self.is_continued:
                 self.has_foreign_text = True
                 break
             if number is None:
                 self._record_progress()
-                passed.append(event + event_buffer.EVENT_END)
+                passed.append(event)
                 continue
             if self.last_event_id is not None and number <= self.last_event_id:
                 continue
@@ -117,7 +135,7 @@
             self.last_event_id = number
             self.event_count += 1
             self._record_progress()
-            passed.append(event + event_buffer.EVENT_END)
+            passed.append(event)
         return passed
 
     def _record_progress(self) -> None:
@@ -127,16 +145,12 @@
 
 
 def _event_id(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
-
-
-def _is_comment(event: bytes) -> bool:
-    """Return whether an event has nothing but comments."""
-    return all(
-        not line or line.startswith(COMMENT_PREFIX)
-        for line in event.split(b"\n")
-    )
+    """Return the number of an event, which is given with its end."""
+    start = 0
+    if not event.startswith(ID_FIELD):
+        start = event.find(LINE_END + ID_FIELD) + len(LINE_END)
+        if not start:
+            return None
+    end = event.find(LINE_END, start)
+    text = event[start + len(ID_FIELD) : end].strip()
+    return int(text) if text.isdigit() else None
--- a/tests/test_streams_of_comments.py
+++ b/tests/test_streams_of_comments.py
@@ -3,16 +3,23 @@
 import time
 
 import curio
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from sycamoredale.forwarding import event_stream
 from sycamoredale.http import messages
+from sycamoredale.http import sockets
 from tests import endless_source
 from tests import test_forwarder
 from tests import test_giving_way
 
 EVENT = test_giving_way.EVENT
 STREAM_HEAD = test_giving_way.STREAM_HEAD
+# A first token is due after 1.4 s, and each connection gets a piece in a turn
+# of the event loop.
+MAX_TURN_SECONDS = 0.4
+ENDLESS_SOURCES = 60
 
 
 @pytest.mark.parametrize(
@@ -88,3 +95,38 @@
     caller, refusal = site.run()
     assert refusal is None and caller.finished
     assert caller.body == b": queued\n\n" * 12 + test_forwarder.COMPLETE
+
+
+# Guards against blank lines and comments of several endpoints at once, which
+# held up the event loop since each of them was parsed as an event.
+@pytest.mark.parametrize("comment", [b"\n\n", b":\n\n", b": c\n: d\n\n"])
+def test_pieces_full_of_comments_take_little_processor_time(comment):
+    piece = comment * (sockets.RECEIVE_BYTES // len(comment))
+    began = time.process_time()
+    for _ in range(ENDLESS_SOURCES):
+        assert event_stream.EventStream().feed(piece) == piece
+    assert time.process_time() - began < MAX_TURN_SECONDS
+
+
+# What looks like a comment belongs to the event if another line does.
+@hypothesis.given(
+    strategies.lists(
+        strategies.sampled_from(
+            [b"\n", b"\n\n", b":", b": c\n", b"x", b"id: 9\n", b"\r"]
+        ),
+        max_size=12,
+    )
+)
+def test_continuation_drops_comments_and_nothing_else(parts):
+    first = event_stream.EventStream()
+    first.feed(EVENT)
+    data = b"".join(parts) + b"\n\n"
+    stream = first.continuation()
+    assert stream.feed(data) == b""
+    events = data.split(b"\n\n")[:-1]
+    comments = [
+        all(not line or line.startswith(b":") for line in event.split(b"\n"))
+        for event in events
+    ]
+    ends_early = stream.has_gap or stream.has_foreign_text
+    assert ends_early is not all(comments)
