Count only answers that this daemon ended as endpoint_left

Cause: a takeover that stalled was recorded like the endpoint that the caller's answer came from, so that a break of that one counted as a fault of this daemon; an exchange that this daemon aborted or gave up was not recorded at all.

Change: the last send of the call decides, and who ended it. What a connection has read and not parsed counts as unread. The events of a stream that is taken over keep their ends while they are compared with those that have been relayed.

Measured: the new test failed before (endpoint_left), passes now.

--- a/sycamoredale/forwarding/event_stream.py
+++ b/sycamoredale/forwarding/event_stream.py
@@ -78,9 +78,13 @@
         """
         if other.progress_count == 0 or other.last_event_id is None:
             return events
-        kept = [
+        known = (
             event + event_buffer.EVENT_END
             for event in events.split(event_buffer.EVENT_END)[:-1]
+        )
+        kept = [
+            event
+            for event in known
             if (_event_id(event) or 0) > other.last_event_id
         ]
         self.last_event_id = max(other.last_event_id, self.last_event_id or 0)
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -440,12 +440,18 @@
         except errors.EndpointStalled as error:
             outcome = sends.Outcome.STALLED
             reason = error.message
-            if send.connection is not None:
-                progress.record_left(send.connection.unread_bytes())
         except errors.AnswerNotHeld as error:
             outcome, reason = sends.Outcome.GIVEN_UP, error.message
         except errors.ConnectionBroken as error:
             outcome, reason = sends.Outcome.BROKEN, error.message
+        connection = send.connection
+        if send.stream is progress.stream and connection is not None:
+            ended_here = (
+                outcome is not sends.Outcome.BROKEN or connection.is_aborted
+            )
+            progress.record_left(
+                connection.unread_bytes() if ended_here else None
+            )
         send_log.log_failed_send(progress, endpoint, reason)
         return outcome
 
--- a/sycamoredale/forwarding/progress.py
+++ b/sycamoredale/forwarding/progress.py
@@ -36,7 +36,8 @@
     `trial_part` is the part in quarantine that the call may try once, and
     `has_success` tells whether an endpoint wrote a success to its end.
     `left_unread` has, for each endpoint that was left while its connection
-    was whole, the size of what it had sent by then.  `is_sent` tells whether
+    was whole, the size of what it had sent by then, and `was_left` tells
+    whether the last send ended so.  `is_sent` tells whether
     the endpoint may have received the present send.
     """
 
@@ -46,6 +47,7 @@
     endpoint_loads: list[float] = dataclasses.field(default_factory=list)
     current_endpoint: ids.InstanceId | None = None
     left_unread: list[int] = dataclasses.field(default_factory=list)
+    was_left: bool = False
     open_count: int = 0
     unrun_takeovers: int = 0
     has_retry: bool = False
@@ -90,7 +92,8 @@
         self._last_events_at = now
 
     def record_left(self, unread_bytes: int | None) -> None:
-        """Record that an endpoint is left; None if its connection ended."""
+        """Record that a send failed; None if its connection ended."""
+        self.was_left = unread_bytes is not None
         if unread_bytes is not None:
             self.left_unread.append(unread_bytes)
 
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -239,6 +239,6 @@
     """
     if not exchange.started or exchange.finished or outcome == "caller_gone":
         return None
-    if outcome == error_codes.ENDPOINT_FAILED.name and progress.left_unread:
+    if outcome == error_codes.ENDPOINT_FAILED.name and progress.was_left:
         return "endpoint_left"
     return outcome
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -221,9 +221,20 @@
         """
         return sockets.has_nothing_to_read(self._sock)
 
+    @property
+    def is_aborted(self) -> bool:
+        """Return whether this process has shut the connection down."""
+        return self._aborted
+
     def unread_bytes(self) -> int | None:
-        """Return how many bytes wait to be read, None if it has ended."""
-        return sockets.unread_bytes(self._sock)
+        """Return how many bytes wait to be read, None if it has ended.
+
+        One that this daemon has aborted had not ended.
+        """
+        if self._aborted:
+            return len(self._received)
+        waiting = sockets.unread_bytes(self._sock)
+        return None if waiting is None else waiting + len(self._received)
 
     def abort(self) -> None:
         """Shut down the socket, so that the current exchange fails."""
--- a/sycamoredale/membership/failure_detector.py
+++ b/sycamoredale/membership/failure_detector.py
@@ -5,8 +5,8 @@
 being closed, and then indirectly through other peers.  If all probes fail,
 the peer is suspected; it is declared dead unless it refutes the suspicion
 within SUSPECT_TIMEOUT_SECONDS, in which this daemon had to be able to hear it.
-Probes that took longer than their timeouts
-allow are ignored, because then this daemon itself was paused.
+Probes that took longer than their timeouts allow are ignored, because then
+this daemon itself was paused.
 """
 
 import collections.abc
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -10,10 +10,11 @@
 from tests import test_forwarder
 
 
-def _cut(caller, refusal, left_unread=()):
+def _cut(caller, refusal, *unread):
     site = test_forwarder.Site(test_forwarder.Endpoint("i0"))
     progress = progress_module.begin(site.call())
-    progress.left_unread.extend(left_unread)
+    for unread_bytes in unread:
+        progress.record_left(unread_bytes)
     return service._cut_kind(progress, caller, refusal.code.name)
 
 
@@ -28,12 +29,17 @@
 
 
 def test_answer_of_an_endpoint_that_was_left_counts_apart():
-    assert _cut(_started(), _failed(), [512]) == "endpoint_left"
+    assert _cut(_started(), _failed(), None, 512) == "endpoint_left"
     assert _cut(_started(), _failed()) == "endpoint_failed"
 
 
 def test_refusal_before_the_answer_is_no_cut():
-    assert _cut(test_forwarder.Caller(), _failed(), [512]) is None
+    assert _cut(test_forwarder.Caller(), _failed(), 512) is None
+
+
+# Guards against a count of this daemon's faults that has those of endpoints.
+def test_break_of_the_endpoint_after_one_that_was_left_counts_as_its_own():
+    assert _cut(_started(), _failed(), 512, None) == "endpoint_failed"
 
 
 def test_left_connection_that_has_ended_is_not_counted():
