Restore the descriptor limit of a daemon in the soak after overlaps

Two shortages of one daemon could overlap: the second restored the limit that the first had set, so that the daemon kept a few descriptors for the rest of the run. A second shortage now waits for the first.

--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -252,6 +252,7 @@
         self.name = name
         self.host = host
         self.incarnations: list[Incarnation] = []
+        self._is_short = asyncio.Lock()
         self._folder = folder
         self._settings = folder / f"{name}.conf"
         self._settings.write_text(settings)
@@ -303,18 +304,22 @@
 
     async def be_short(self, free_count: int, seconds: float) -> None:
         """Leave the process only some free descriptors for a time."""
-        process = self.current
-        pid, number = process.popen.pid, resource.RLIMIT_NOFILE
-        with contextlib.suppress(OSError):
-            used = len(os.listdir(f"/proc/{pid}/fd"))
-            limits = resource.prlimit(pid, number)
-            resource.prlimit(pid, number, (used + free_count, limits[1]))
-            began = time.time()
-            await asyncio.sleep(seconds)
-            process.shortages.add(time.time(), time.time() - began)
-            resource.prlimit(pid, number, limits)
-            # A reload meanwhile has taken the low limit for the one to keep.
-            process.signal(signal.SIGHUP)
+        number = resource.RLIMIT_NOFILE
+        # A second one at once would restore the limit of the first.
+        async with self._is_short:
+            process = self.current
+            pid = process.popen.pid
+            with contextlib.suppress(OSError):
+                used = len(os.listdir(f"/proc/{pid}/fd"))
+                limits = resource.prlimit(pid, number)
+                resource.prlimit(pid, number, (used + free_count, limits[1]))
+                began = time.time()
+                await asyncio.sleep(seconds)
+                process.shortages.add(time.time(), time.time() - began)
+                resource.prlimit(pid, number, limits)
+                # A reload meanwhile has taken the low limit for the one to
+                # keep.
+                process.signal(signal.SIGHUP)
 
 
 class Site:
