--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,11 +3,13 @@
 import argparse
 import asyncio
 import pathlib
+import random
 import shlex
 import signal
 import sys
 
 from tests.soak import play as play_module
+from tests.soak import site as site_module
 
 
 def run(
@@ -29,9 +31,12 @@
     parser = argparse.ArgumentParser(prog="python -m tests.soak")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15.0)
-    parser.add_argument("--daemons", type=int, default=3)
+    parser.add_argument("--daemons", type=int, help="drawn by default")
     parser.add_argument("--folder", type=pathlib.Path)
     options = parser.parse_args()
+    if options.daemons is None:
+        sizes = 4 * [site_module.FEW] + [site_module.MANY]
+        options.daemons = random.Random(f"size {options.seed}").choice(sizes)
     folder = options.folder or pathlib.Path(f"/tmp/soak-{options.seed}")
     # Ends the processes of the run too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -34,6 +34,8 @@
     got_bytes: bool = False
     is_complete: bool = False
     is_held: bool = False
+    # Its caller closed the connection before the end.
+    has_left: bool = False
     closes: bool = False
     body: bytes = b""
     reason: str = ""
@@ -66,7 +68,7 @@
         self._process = daemon.current
         self._is_kept = False
 
-    async def call(self) -> Exchange | None:
+    async def call(self, leaves_after: float | None = None) -> Exchange | None:
         """Send one request; return None unless it was sent completely."""
         if self._streams is None and not await self._connect():
             return None
@@ -75,19 +77,22 @@
             self._route, self._daemon, self._process, self._is_kept
         )
         seconds = self._route.timeout_ms / 1000 + PATIENCE_SECONDS
+        if leaves_after is not None:
+            seconds = leaves_after
         try:
             found.sent_at = time.time()
             writer.write(_request(found))
             await writer.drain()
             await finished(_read_answer(reader, found), seconds)
         except TimeoutError:
-            found.is_held = True
+            found.has_left = leaves_after is not None
+            found.is_held = not found.has_left
         except (OSError, ValueError, asyncio.IncompleteReadError) as error:
             found.reason = repr(error)
-        found.ended_at = time.time()
-        self._is_kept = True
         if not found.is_complete or found.closes:
             self.close()
+        found.ended_at = time.time()
+        self._is_kept = True
         return found
 
     async def _connect(self) -> bool:
@@ -177,6 +182,17 @@
     return status
 
 
+async def metrics(address: str) -> str:
+    """Return the metrics page of a daemon."""
+    async with asyncio.timeout(CONNECT_SECONDS), connected(address) as pair:
+        reader, writer = pair
+        writer.write(
+            b"GET /metrics HTTP/1.1\r\nHost: soak\r\n"
+            b"Connection: close\r\n\r\n"
+        )
+        return (await reader.read(-1)).decode("latin-1")
+
+
 @contextlib.asynccontextmanager
 async def connected(address: str) -> typing.AsyncIterator[typing.Any]:
     """Hold a connection."""
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -1,15 +1,17 @@
 """Be one endpoint in a process of its own, sound or faulty by command.
 
 Each line of the standard input names the faults of the following requests, or
-`quiet SECONDS`; its end is the end of the process.  The lines of the standard
-output tell of each request that was read with the faults that it met, and of
-times in which the process could not run.
+`quiet SECONDS`, or `full NEW RESUMED`, the shares of requests to reject; its
+end is the end of the process.  The lines of the standard output tell of each
+request that was read with the faults that it met, of the end of its answer or
+connection, and of times in which the process could not run.
 """
 
 import contextlib
 import json
 import os
 import random
+import select
 import socket
 import struct
 import sys
@@ -18,6 +20,7 @@
 import typing
 
 EVENTS: typing.Final = 8
+LONG_EVENTS: typing.Final = 36
 EVENT_SECONDS: typing.Final = 0.08
 WORK_SECONDS: typing.Final = 0.03
 MAX_FAULT_SECONDS: typing.Final = 20.0
@@ -51,6 +54,7 @@
         self._name = name
         self._faults = [SOUND]
         self._quiet_until = 0.0
+        self._full_shares = [0.0, 0.0]
         self._lock = threading.Lock()
         self._count = 0
         self._listener = socket.create_server((host, 0), backlog=200)
@@ -63,6 +67,8 @@
         words = line.split()
         if words[0] == "quiet":
             self._quiet_until = time.time() + float(words[1])
+        elif words[0] == "full":
+            self._full_shares = [float(share) for share in words[1:]]
         else:
             self._faults = words
 
@@ -111,21 +117,34 @@
             head = self._head(fields, "Content-Length: 0\r\nNot-Executed: 1")
             sock.sendall(head.replace(b"200 OK", b"421 Other"))
             return True
+        if random.random() < self._full_shares["last-event-id" in fields]:
+            head = self._head(fields, "Content-Length: 0\r\nNot-Executed: 1")
+            sock.sendall(head.replace(b"200 OK", b"503 Full"))
+            return True
+        try:
+            self._answer(sock, fields, words[1])
+        finally:
+            self._tell(end=fields.get("attempt-id", ""), at=time.time())
+        return True
+
+    def _answer(
+        self, sock: socket.socket, fields: dict[str, str], path: bytes
+    ) -> None:
         faults, began = list(self._faults), time.time()
         self._tell(id=fields.get("attempt-id", ""), faults=faults)
-        is_stream = words[1].startswith(b"/stream")
+        is_stream = path.startswith(b"/stream")
         first = int(fields.get("last-event-id", 0)) + 1
         for fault in faults:
             self._suffer(sock, fields, fault, is_stream)
-        time.sleep(WORK_SECONDS)
-        self._wait_while_quiet()
+        _wait(sock, WORK_SECONDS)
+        self._wait_while_quiet(sock)
         self._tell(ready=fields.get("attempt-id", ""), at=[began, time.time()])
         if is_stream:
-            self._send_events(sock, fields, range(first, EVENTS + 1))
-            return True
+            count = LONG_EVENTS if b"-long-" in path else EVENTS
+            self._send_events(sock, fields, range(first, count + 1))
+            return
         body = fields.get("attempt-id", "").encode() * random.choice((1, 9999))
         sock.sendall(self._head(fields, f"Content-Length: {len(body)}") + body)
-        return True
 
     def _head(self, fields: dict[str, str], more: str) -> bytes:
         self._count += 1
@@ -142,19 +161,19 @@
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked",
         )
 
-    def _wait_while_quiet(self) -> None:
-        time.sleep(max(0.0, self._quiet_until - time.time()))
+    def _wait_while_quiet(self, sock: socket.socket) -> None:
+        _wait(sock, self._quiet_until - time.time())
 
     def _send_events(
         self, sock: socket.socket, fields: dict[str, str], numbers: range
     ) -> None:
         data = self._stream_head(fields)
         for number in numbers:
-            self._wait_while_quiet()
+            self._wait_while_quiet(sock)
             sock.sendall(data + _event(number))
             data = b""
-            if number < EVENTS:
-                time.sleep(EVENT_SECONDS)
+            if number < numbers.stop - 1:
+                _wait(sock, EVENT_SECONDS)
         sock.sendall(data + b"0\r\n\r\n")
 
     def _suffer(
@@ -167,7 +186,7 @@
         """Return if the answer goes on; raise OSError if it ends here."""
         ends_at = time.time() + MAX_FAULT_SECONDS
         if fault == "silence":
-            time.sleep(random.uniform(0.6, 1.4))
+            _wait(sock, random.uniform(0.6, 1.4))
         elif fault == "drip":
             for byte in self._stream_head(fields)[:40]:
                 sock.sendall(bytes([byte]))
@@ -211,6 +230,16 @@
         raise OSError(fault)
 
 
+def _wait(sock: socket.socket, seconds: float) -> None:
+    """Wait; raise OSError as soon as the connection has ended."""
+    ends_at = time.time() + seconds
+    while (left := ends_at - time.time()) > 0:
+        if select.select([sock], [], [], left)[0]:
+            if not sock.recv(1, socket.MSG_PEEK):
+                raise OSError("the connection ended")
+            time.sleep(min(left, 0.02))
+
+
 def _event(number: int) -> bytes:
     event = b"id: %d\ndata: token\n\n" % number
     return b"%x\r\n%b\r\n" % (len(event), event)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,7 +1,6 @@
 """Draw disturbances from a seed, play them beside clients, and judge."""
 
 import asyncio
-import collections
 import contextlib
 import datetime
 import pathlib
@@ -17,6 +16,10 @@
 
 SLACK_SECONDS: typing.Final = 0.5
 READY_SECONDS: typing.Final = 1.0
+# A daemon that was suspended meanwhile is waited for.
+PROBE_SECONDS: typing.Final = 8.0
+LEFT_SECONDS: typing.Final = 0.5
+LEAVE_SHARE: typing.Final = 0.08
 READY_EVERY_SECONDS: typing.Final = 0.1
 MAX_RSS_MB: typing.Final = 300.0
 # Not counted: how long the interpreter takes for its exit.
@@ -25,6 +28,7 @@
 START_SECONDS: typing.Final = 30.0
 LAG_CHECK_SECONDS: typing.Final = 0.05
 REFUSALS: typing.Final = (503, 429)
+GOING_ON: typing.Final = {endpoint_module.SOUND, "silence"}
 # Beside the play: start, the last stop, recovery, the last streams, reading.
 MORE_SECONDS: typing.Final = 90.0
 # Of each route, for each daemon.
@@ -50,6 +54,7 @@
         self._own = report_module.Suspensions()
         self._quiet = report_module.Suspensions()
         self._probes: list[typing.Any] = []
+        self._cut_counts: dict[site_module.Incarnation, int] = {}
         self._version = 1
         self._is_over = False
         # So that at least one daemon stays.
@@ -63,6 +68,12 @@
             self._burst,
             self._use_up_descriptors,
         )
+        self._standstills = (
+            self._suspend,
+            self._suspend,
+            self._silence_some,
+            self._fill,
+        )
 
     async def run(self) -> None:
         """Play, within a bounded time, and end all processes."""
@@ -91,11 +102,12 @@
             asyncio.create_task(self._use(daemon, route, random.random()))
             for daemon in daemons
             for route in site_module.ROUTES
-            for _ in range(CLIENTS)
+            for _ in range(CLIENTS if len(daemons) < site_module.MANY else 1)
         ]
         await asyncio.sleep(1.0)
         await self._disturb()
         await self._recover()
+        await self._read_metrics()
         self._is_over = True
         await asyncio.gather(*clients)
         for task in watching:
@@ -109,16 +121,28 @@
             for one in self._site.faulty
             if (rng := random.Random(self._rng.random()))
         ]
+        series = [
+            self._disturb_by(kinds, ends_at, random.Random(self._rng.random()))
+            for kinds in (self._disturbances, self._standstills)
+        ]
+        await asyncio.gather(*faults, *series)
+
+    async def _disturb_by(
+        self,
+        all_kinds: tuple[typing.Any, ...],
+        ends_at: float,
+        rng: random.Random,
+    ) -> None:
         tasks = []
         kinds: list[typing.Any] = []
         while time.time() < ends_at:
             # Each kind once in a round, in a new order.
-            kinds = kinds or self._rng.sample(self._disturbances, 7)
-            daemon = self._rng.choice(self._site.daemons)
-            rng = random.Random(self._rng.random())
-            tasks.append(asyncio.create_task(kinds.pop()(daemon, rng)))
-            await asyncio.sleep(self._rng.uniform(0.2, 1.6))
-        await asyncio.gather(*faults, *tasks)
+            kinds = kinds or rng.sample(all_kinds, len(all_kinds))
+            daemon = rng.choice(self._site.daemons)
+            work = kinds.pop()(daemon, random.Random(rng.random()))
+            tasks.append(asyncio.create_task(work))
+            await asyncio.sleep(rng.uniform(0.2, 1.6))
+        await asyncio.gather(*tasks)
 
     async def _be_faulty(
         self,
@@ -203,6 +227,42 @@
             self._quiet.add(time.time() + seconds, seconds)
             await asyncio.sleep(seconds + rng.uniform(0.2, 0.5))
 
+    async def _silence_some(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        for _ in range(rng.randint(2, 6)):
+            one = rng.choice(self._site.all_endpoints)
+            seconds = rng.uniform(0.5, 1.4)
+            self.report.note(f"{one.name} is silent for {seconds:.2f} s")
+            one.order(f"quiet {seconds}")
+            one.suspensions.add(time.time() + seconds, seconds)
+            await asyncio.sleep(rng.uniform(0.1, 0.5))
+
+    async def _fill(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        new, resumed = rng.uniform(0.0, 0.6), rng.uniform(0.2, 1.0)
+        self.report.note(f"endpoints reject {new:.2f} and {resumed:.2f}")
+        for one in self._site.all_endpoints:
+            one.order(f"full {new} {resumed}")
+        await asyncio.sleep(rng.uniform(2.0, 6.0))
+        for one in self._site.all_endpoints:
+            one.order("full 0 0")
+
+    async def _suspend(
+        self, daemon: site_module.Daemon, rng: random.Random
+    ) -> None:
+        daemons = self._site.daemons
+        for _ in range(rng.randint(1, 3)):
+            some = rng.sample(daemons, rng.randint(1, len(daemons)))
+            some = rng.choice(([daemon], some, daemons))
+            seconds, pause = rng.uniform(0.3, 2.0), rng.uniform(0.2, 1.0)
+            names = ", ".join(one.current.label for one in some)
+            self.report.note(f"{names} suspended for {seconds:.2f} s")
+            await asyncio.gather(
+                *(one.suspend(seconds, pause) for one in some)
+            )
+
     async def _burst(
         self, daemon: site_module.Daemon, rng: random.Random
     ) -> None:
@@ -239,7 +299,10 @@
         for _ in range(count):
             if self._is_over:
                 break
-            found = await client.call()
+            leaves_after = None
+            if route.is_stream and random.random() < LEAVE_SHARE:
+                leaves_after = random.uniform(0.05, 2.5)
+            found = await client.call(leaves_after)
             if found is None:
                 self.report.count("no connection")
                 await asyncio.sleep(0.1)
@@ -282,6 +345,24 @@
         client.close()
         return found is not None and found.is_complete and found.status == 200
 
+    async def _read_metrics(self) -> None:
+        for daemon in self._site.daemons:
+            page = await client_module.metrics(
+                f"{daemon.host}:{site_module.METRICS_PORT}"
+            )
+            name = f'answers_cut_total{{kind="{report_module.LEFT_CUT}"}} '
+            counts = [
+                int(line.split()[-1])
+                for line in page.splitlines()
+                if name in line
+            ]
+            self.report.check(
+                report_module.READY,
+                page.startswith("HTTP/1.1 200"),
+                f"metrics of {daemon.current.label}: {page[:200]}",
+            )
+            self._cut_counts[daemon.current] = sum(counts)
+
     # The watch over the processes.
 
     async def _measure_own_lag(self) -> None:
@@ -323,7 +404,7 @@
             reason, status = "late", 0
             try:
                 status = await client_module.finished(
-                    client_module.probe(streams), 3 * READY_SECONDS
+                    client_module.probe(streams), PROBE_SECONDS
                 )
             except (OSError, IndexError, TimeoutError) as error:
                 reason = repr(error)
@@ -374,12 +455,15 @@
             )
         self._judge_probes()
         runs_by_id = self._site.runs_by_id()
+        self._judge_cuts(runs_by_id)
         for found in self._exchanges:
             self._judge_exchange(found, runs_by_id.get(found.attempt, []))
         rss = max(p.max_rss_mb for p in self._logs)
         self.report.counts["max RSS in MB"] = round(rss)
         calls = sum(p.suspensions.seconds_between(0, 1e12) for p in self._logs)
         self.report.counts["lag of daemons in ms"] = round(1000 * calls)
+        drawn = sum(p.drawn.seconds_between(0, 1e12) for p in self._logs)
+        self.report.counts["suspended in ms"] = round(1000 * drawn)
         self.report.counts["own lag in ms"] = round(
             1000 * sum(end - start for start, end in self._own.spans)
         )
@@ -387,7 +471,7 @@
 
     def _judge_probes(self) -> None:
         for process, began, took, status, reason in self._probes:
-            lost = self._own.joined(process.suspensions)
+            lost = self._own.joined(process.suspensions, process.drawn)
             took -= lost.seconds_between(began, began + took)
             self.report.check(
                 report_module.READY,
@@ -396,6 +480,22 @@
                 f"{took:.2f} s, {reason}",
             )
 
+    def _judge_cuts(self, runs_by_id: dict[str, list[list[str]]]) -> None:
+        """Judge what daemons say of the answers that they cut."""
+        for process, found in self._logs.items():
+            # Also counted: one that was left before another broke off.
+            wrong = [
+                line
+                for attempt, line in found.cut_by_id.items()
+                if _goes_on(runs_by_id.get(attempt, []))
+            ]
+            count = self._cut_counts.get(process, 0)
+            self.report.check(
+                report_module.UNCUT,
+                not wrong and count <= len(found.cut_by_id),
+                f"{process.label} counts {count}, logs {wrong[:3]}",
+            )
+
     def _judge_exchange(
         self, found: client_module.Exchange, runs: list[list[str]]
     ) -> None:
@@ -421,8 +521,14 @@
             return
         span = found.sent_at, found.ended_at
         lost = self._own.joined(
-            found.process.suspensions, self._logs[found.process].suspensions
+            found.process.suspensions,
+            found.process.drawn,
+            self._logs[found.process].suspensions,
         )
+        if found.has_left:
+            self._judge_left(found, lost, text)
+            return
+        self._judge_whole(found, runs, text)
         # What waits for a free descriptor was not accepted yet.
         shortages = found.process.shortages
         is_short = not found.is_kept and shortages.seconds_between(
@@ -446,6 +552,47 @@
                 text,
             )
 
+    def _judge_left(
+        self,
+        found: client_module.Exchange,
+        lost: report_module.Suspensions,
+        text: str,
+    ) -> None:
+        for one in self._site.endpoints[site_module.CALM]:
+            ran = [attempt for attempt, _ in one.runs].count(found.attempt)
+            ends = one.ends.get(found.attempt, [])
+            lost_here = lost.joined(one.suspensions)
+            for ended_at in [*ends, *[1e12] * (ran - len(ends))]:
+                late = ended_at - found.ended_at
+                late -= lost_here.seconds_between(found.ended_at, ended_at)
+                self.report.check(
+                    report_module.LEFT,
+                    late <= LEFT_SECONDS,
+                    f"{one.name} ended {late:.2f} s after: {text}",
+                )
+
+    def _judge_whole(
+        self, found: client_module.Exchange, runs: list[list[str]], text: str
+    ) -> None:
+        """Judge an answer that no endpoint broke off, without excuses."""
+        if found.status != 200 or not _goes_on(runs):
+            return
+        stopping_at = found.process.stopping_at or float("inf")
+        ends_at = min(found.deadline, stopping_at + site_module.GRACE_SECONDS)
+        self.report.check(
+            report_module.UNCUT,
+            found.is_complete or found.ended_at >= ends_at - 0.1,
+            text,
+        )
+        if found.route.is_stream:
+            numbers = _event_numbers(found)
+            expected = range(1, len(numbers) + 1)
+            if found.is_complete:
+                expected = range(1, found.route.event_count + 1)
+            self.report.check(
+                report_module.ORDERED, numbers == [*expected], text
+            )
+
     def _is_served(
         self,
         found: client_module.Exchange,
@@ -477,6 +624,8 @@
             return "killed"
         if found.is_held:
             return "held"
+        if found.has_left:
+            return "left"
         if found.is_complete:
             if found.status in REFUSALS:
                 return "refused"
@@ -493,17 +642,22 @@
         return "crossed" if is_stopping and not runs else "silent"
 
 
+def _goes_on(runs: list[list[str]]) -> bool:
+    """Return whether no run met a fault that ends its answer."""
+    return all(GOING_ON.issuperset(faults) for faults in runs)
+
+
 def _is_whole(found: client_module.Exchange) -> bool:
     """Return whether a success has all that a sound endpoint sends."""
     if not found.route.is_stream:
         return found.body.startswith(found.attempt.encode())
-    numbers = collections.Counter(
-        line[3:].strip()
-        for line in found.body.split(b"\n")
-        if line.startswith(b"id:")
-    )
-    expected = range(1, endpoint_module.EVENTS + 1)
-    return numbers == {str(n).encode(): 1 for n in expected}
+    return _event_numbers(found) == [*range(1, found.route.event_count + 1)]
+
+
+def _event_numbers(found: client_module.Exchange) -> list[int]:
+    """Return the numbers of the events whose line has arrived whole."""
+    lines = found.body.split(b"\n")[:-1]
+    return [int(line[3:]) for line in lines if line.startswith(b"id:")]
 
 
 def _to_time(text: str) -> float:
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -15,6 +15,9 @@
 MEMORY: typing.Final = "e: memory is bounded"
 STOPPED: typing.Final = "f: a stop ends within its grace"
 RECOVERED: typing.Final = "f: service is back"
+UNCUT: typing.Final = "g: no answer of a whole connection is cut"
+ORDERED: typing.Final = "g: events come once and in order"
+LEFT: typing.Final = "g: work of callers who left ends"
 PROMISES: typing.Final = (
     ANSWERED,
     RUN_ONCE,
@@ -25,8 +28,13 @@
     MEMORY,
     STOPPED,
     RECOVERED,
+    UNCUT,
+    ORDERED,
+    LEFT,
 )
 MAX_BUSY_MS: typing.Final = 1000
+# How daemons name an answer that they cut at a whole connection.
+LEFT_CUT: typing.Final = "endpoint_left"
 # What no daemon should ever log.
 FORBIDDEN: typing.Final = (
     "request_unanswered",
@@ -75,7 +83,7 @@
         for promise in PROMISES:
             broken = self.broken[promise]
             lines.append(
-                f"{promise:40} tried {self.tried[promise]:6}"
+                f"{promise:42} tried {self.tried[promise]:6}"
                 f"  broken {len(broken):3}"
             )
             lines += [f"    {text}" for text in broken[:5]]
@@ -120,6 +128,8 @@
 
     forbidden: list[str] = dataclasses.field(default_factory=list)
     line_count: int = 0
+    # Answers that it cut at whole connections, by its own account.
+    cut_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
     suspensions: Suspensions = dataclasses.field(default_factory=Suspensions)
 
 
@@ -130,6 +140,10 @@
         found.line_count += 1
         if any(word in line for word in FORBIDDEN):
             found.forbidden.append(line[:2000])
+        if '"call_ended"' in line:
+            fields = json.loads(line)
+            if fields.get("cut") == LEFT_CUT:
+                found.cut_by_id[fields["request"]] = line[:2000]
         if '"event_loop_delayed"' not in line:
             continue
         fields = json.loads(line)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -35,8 +35,11 @@
 GRACE_SECONDS: typing.Final = 8.0
 # Two silences of 1.3 s, one soon after the other, leave a third of it.
 PLAIN_MS: typing.Final = 4000
-# The least bears the steady load, 24 requests at once, but no burst beside it.
-MAX_FDS: typing.Final = (110, 1024, 4100)
+# The least bears the steady load, 32 requests at once, but no burst beside it.
+MAX_FDS: typing.Final = (130, 1024, 4100)
+BUDGET_BURSTS: typing.Final = (136, 20, 6)
+# Some runs have many daemons, and three times the endpoints.
+FEW, MANY = 3, 12
 TICKS_PER_SECOND: typing.Final = os.sysconf("SC_CLK_TCK")
 PORT_RNG: typing.Final = random.SystemRandom()
 
@@ -57,6 +60,14 @@
         """Return whether its answers are streams."""
         return self.kind == "streaming"
 
+    @property
+    def event_count(self) -> int:
+        """Return how many events a whole stream has."""
+        is_long = self.name.startswith("long-")
+        return (
+            endpoint_module.LONG_EVENTS if is_long else endpoint_module.EVENTS
+        )
+
     @property
     def path(self) -> str:
         """Return its path prefix, which tells endpoints what to answer."""
@@ -71,6 +82,8 @@
         Route(f"book-{service}", "non_idempotent", service, PLAIN_MS),
         Route(f"chat-{service}", "streaming", service, 5000, 3, True),
         Route(f"sum-{service}", "streaming", service, 5000),
+        Route(f"long-chat-{service}", "streaming", service, 7500, 2, True),
+        Route(f"long-sum-{service}", "streaming", service, 7500),
     )
 )
 
@@ -128,6 +141,8 @@
         self.suspensions = report_module.Suspensions()
         # From the end of each request to the beginning of its answer.
         self.work: dict[str, list[tuple[float, float]]] = {}
+        # When each answer, or its connection, ended.
+        self.ends: dict[str, list[float]] = {}
         self._service = service
         self._zone = zone
         self._born = int(time.time() * 1000)
@@ -151,11 +166,14 @@
                 spans = self.work.setdefault(fields["ready"], [])
                 spans.append(tuple(fields["at"]))
                 continue
+            if "end" in fields:
+                self.ends.setdefault(fields["end"], []).append(fields["at"])
+                continue
             self.runs.append((fields["id"], fields["faults"]))
 
     def order(self, command: str) -> None:
         """Give a command; see the module `endpoint`."""
-        if not command.startswith("quiet"):
+        if not command.startswith(("quiet", "full")):
             self.faults = command
         self._process.stdin.write(command + "\n")
         self._process.stdin.flush()
@@ -198,6 +216,10 @@
     suspensions: report_module.Suspensions = dataclasses.field(
         default_factory=report_module.Suspensions
     )
+    # When the soak had it suspended.
+    drawn: report_module.Suspensions = dataclasses.field(
+        default_factory=report_module.Suspensions
+    )
     max_rss_mb: float = 0.0
 
     def signal(self, number: int) -> None:
@@ -252,6 +274,7 @@
         self.name = name
         self.host = host
         self.incarnations: list[Incarnation] = []
+        self._is_suspended = asyncio.Lock()
         self._is_short = asyncio.Lock()
         self._folder = folder
         self._settings = folder / f"{name}.conf"
@@ -292,16 +315,30 @@
 
     async def stop(self, seconds: float) -> bool:
         """Stop as planned; return whether that took no longer."""
-        self.current.stopping_at = time.time()
+        self.current.stopping_at = began = time.time()
         self.current.signal(signal.SIGTERM)
-        ends_at = time.time() + seconds
         while self.current.popen.poll() is None:
-            if time.time() > ends_at:
+            now = time.time()
+            lost = self.current.drawn.seconds_between(began, now)
+            if now > began + seconds + lost:
                 self.kill()
                 return False
             await asyncio.sleep(0.02)
         return True
 
+    async def suspend(self, seconds: float, pause: float) -> None:
+        """Suspend the process, and let it run for a pause at least."""
+        async with self._is_suspended:
+            process, began = self.current, time.time()
+            process.drawn.add(began + seconds, seconds)
+            process.signal(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(seconds)
+            finally:
+                process.signal(signal.SIGCONT)
+            process.drawn.add(time.time(), time.time() - began)
+            await asyncio.sleep(pause)
+
     async def be_short(self, free_count: int, seconds: float) -> None:
         """Leave the process only some free descriptors for a time."""
         number = resource.RLIMIT_NOFILE
@@ -339,6 +376,8 @@
             next(self._hosts) for _ in range(daemon_count)
         ]
         self._first_port = _draw_ports(self._hosts_of_daemons)
+        self._budget_burst = rng.choice(BUDGET_BURSTS)
+        self._factor = 1 if daemon_count < MANY else 3
         self._fds = [rng.choice(MAX_FDS) for _ in range(daemon_count)]
 
     async def start(self) -> None:
@@ -346,7 +385,7 @@
         await self.store.start(next(self._hosts))
         self.store.write("config", "main", manifest(1))
         for service, counts in ENDPOINTS.items():
-            for number in range(sum(counts)):
+            for number in range(self._factor * sum(counts)):
                 one = Endpoint(
                     f"{service}-{number}",
                     service,
@@ -365,7 +404,7 @@
     @property
     def faulty(self) -> list[Endpoint]:
         """Return the endpoints that may be faulty."""
-        return self.endpoints[MIXED][ENDPOINTS[MIXED][0] :]
+        return self.endpoints[MIXED][self._factor * ENDPOINTS[MIXED][0] :]
 
     @property
     def all_endpoints(self) -> list[Endpoint]:
@@ -407,7 +446,7 @@
             "limits.cores": 1,
             "bounds.grace_s": GRACE_SECONDS,
             "bounds.retry_budget_ratio": 0.2,
-            "bounds.budget_burst": 136,
+            "bounds.budget_burst": self._budget_burst,
             "platform.addr": self.store.server.address,
         }
         return "".join(f"{name}={value}\n" for name, value in lines.items())
