--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -483,7 +483,7 @@
     def _judge_cuts(self, runs_by_id: dict[str, list[list[str]]]) -> None:
         """Judge what daemons say of the answers that they cut."""
         for process, found in self._logs.items():
-            # Also counted: one that was left before another broke off.
+            # Also counted: an endless answer that was given up.
             wrong = [
                 line
                 for attempt, line in found.cut_by_id.items()
