Do not log work within a time limit as a crashed task

Cause: the event loop logs a task that ends with an exception with its traceback. No test looked at the log.

Change: the exception leaves the task as a value.

Measured: the new test failed before (one record of curio.kernel), passes.

--- a/sycamoredale/loop_delays.py
+++ b/sycamoredale/loop_delays.py
@@ -79,7 +79,17 @@
         """
         began = clock.monotonic()
         left = seconds
-        task = await curio.spawn(work, daemon=True)
+        failures: list[Exception] = []
+
+        async def run() -> _T | None:
+            # curio logs a task that ends with an exception as crashed.
+            try:
+                return await work
+            except Exception as error:
+                failures.append(error)
+                return None
+
+        task = await curio.spawn(run, daemon=True)
         try:
             while not task.terminated:
                 try:
@@ -93,6 +103,8 @@
         finally:
             if not task.terminated:
                 await task.cancel()
+        if failures:
+            raise failures[0]
         result: _T = task.result
         return result
 
--- a/tests/test_loop_delays.py
+++ b/tests/test_loop_delays.py
@@ -130,3 +130,17 @@
 # while the daemon was suspended.
 def test_what_arrived_during_a_suspension_is_read_before_a_timeout():
     assert _suspended(READ_IN_TIME) == "data"
+
+
+# Guards against a traceback in the log for each call of the store that fails.
+def test_work_that_fails_is_not_logged_as_crashed(caplog):
+    async def fail():
+        await curio.sleep(0.01)
+        raise OSError("no answer")
+
+    async def main():
+        with pytest.raises(OSError, match="no answer"):
+            await loop_delays.LoopDelays().within(1.0, fail())
+
+    curio.run(main)
+    assert not caplog.records
