--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -64,6 +64,11 @@
 IDLE_CHECK_SECONDS: Final = 5.0
 LOG: Final = logs.get("forwarding")
 
+# Returns how a send ended, or None if it goes on.
+Step = collections.abc.Callable[
+    [], collections.abc.Awaitable[sends.Outcome | None]
+]
+
 
 @dataclasses.dataclass
 class Forwarder:
@@ -382,9 +387,7 @@
         self,
         send: sends.Send,
         progress: progress_module.CallProgress,
-        step: collections.abc.Callable[
-            [], collections.abc.Awaitable[sends.Outcome | None]
-        ],
+        step: Step,
     ) -> sends.Outcome | None:
         """Run a step of a send; return how it ended, None if it goes on."""
         outcome: sends.Outcome | None = sends.Outcome.GIVEN_UP
@@ -429,9 +432,7 @@
         self,
         send: sends.Send,
         progress: progress_module.CallProgress,
-        step: collections.abc.Callable[
-            [], collections.abc.Awaitable[sends.Outcome | None]
-        ],
+        step: Step,
     ) -> sends.Outcome | None:
         """Return the outcome of a step, also if it fails."""
         endpoint = send.endpoint
