Move the line reader and the hop-by-hop headers out of the adapter

Change: daemons/line_settings.py reads lines of settings; http/messages.py names the headers of one connection. No behaviour changes.

--- a/sycamoredale/http/messages.py
+++ b/sycamoredale/http/messages.py
@@ -13,6 +13,11 @@
 
 JSON_TYPE: Final = "application/json"
 EVENT_STREAM_TYPE: Final = "text/event-stream"
+# These apply to one connection and are not forwarded.
+HOP_BY_HOP_HEADERS: Final = frozenset(
+    "connection content-length expect keep-alive proxy-connection te "
+    "trailer transfer-encoding upgrade".split()
+)
 # An IP address or a host name; name lookups raise other errors for the rest.
 _HOST: Final = re.compile(
     r"[0-9A-Fa-f:.]{2,45}|(?=.{1,253}$)[\w-]{1,63}(\.[\w-]{1,63})*",
--- a/sycamoredale/platform/settings.py
+++ b/sycamoredale/platform/settings.py
@@ -9,7 +9,7 @@
 import pathlib
 from typing import Final
 
-from sycamoredale.daemons import settings
+from sycamoredale.daemons import line_settings
 from sycamoredale.forwarding import operator_bounds
 from sycamoredale.http import messages
 from sycamoredale import ids
@@ -42,7 +42,7 @@
 
 def read(text: str) -> ProcessSettings:
     """Parse the text of a settings file; raise InvalidSettings."""
-    reader = _LineSettingsReader(_parse_lines(text))
+    reader = line_settings.LineSettingsReader(line_settings.parse(text))
     number = reader.non_negative_number
     seconds = reader.seconds
     found = ProcessSettings(
@@ -74,28 +74,3 @@
     )
     reader.raise_findings()
     return found
-
-
-def _parse_lines(text: str) -> dict[str, str | None]:
-    pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
-    return {name.strip(): value.strip() for name, _, value in pairs}
-
-
-class _LineSettingsReader(settings.SettingsReader):
-    """Read and validate the values of settings lines."""
-
-    def describe(self, setting: str) -> str:
-        """Return how messages refer to a setting."""
-        return f"line {setting}="
-
-    def seconds(self, setting: str, default_ms: float) -> float:
-        """Return a time that is set in milliseconds."""
-        return self.non_negative_number(setting, default_ms) / 1000
-
-    def ports(self, setting: str) -> tuple[int, int]:
-        """Return the first and last port of a range `first,last`."""
-        first, _, last = self._required(setting).partition(",")
-        if first.isdigit() and last.isdigit():
-            return int(first), int(last)
-        self._report(setting, f"{first!r} to {last!r} is not a port range")
-        return (0, 0)
--- a/sycamoredale/platform/wire_format.py
+++ b/sycamoredale/platform/wire_format.py
@@ -47,12 +47,7 @@
 REPORT_REQUEST: Final = messages.Request("GET", "/v1/report")
 ORDER_PATH: Final = "/v1/order"
 DEFAULT_TIMEOUT_SECONDS: Final = 30.0
-# These apply to one connection and are not forwarded.
-_HOP_BY_HOP_HEADERS: Final = frozenset(
-    "connection content-length expect keep-alive proxy-connection te "
-    "trailer transfer-encoding upgrade".split()
-)
-_REPLACED_HEADERS: Final = _HOP_BY_HOP_HEADERS | {
+_REPLACED_HEADERS: Final = messages.HOP_BY_HOP_HEADERS | {
     _DEADLINE.lower(),
     _ORGANISATION.lower(),
     EXPECTED_INSTANCE.lower(),
@@ -116,7 +111,7 @@
     load = header_values.integers(headers.get(_LOAD), 3)
     return calls.AnswerInfo(
         _kind(call, head),
-        headers.without(_HOP_BY_HOP_HEADERS),
+        headers.without(messages.HOP_BY_HOP_HEADERS),
         calls.Load(*load) if load else None,
         header_values.decimal(headers.get(_LIMIT)),
         says_leaving(headers),
