Route calls by distance, with a subset of endpoints for each daemon

Cause: two endpoints were sampled over all zones, so that with three equal idle zones four calls of nine left their zone for nothing; 63 daemons that each send to all groups opened 12,977 connections for 14,625 requests. Change: in fleets that use hubs, endpoints of an engine are sampled in three tiers (own subset, own zone, other zones). A tier is left for calls that find no capacity in it. The round trip between zones counts against the objective.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -18,6 +18,7 @@
 from sycamoredale.forwarding import daemon_shares
 from sycamoredale.forwarding import departures
 from sycamoredale.forwarding import endpoint_selection
+from sycamoredale.forwarding import endpoint_tiers
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import forwarder
 from sycamoredale.forwarding import hub_selection
@@ -427,6 +428,10 @@
                 ),
             ),
             metrics=self._metric_registry,
+            tiers=endpoint_tiers.EndpointTiers(
+                self._node.members,
+                lambda: self._peer_updates.hubs.uses_hubs,
+            ),
         )
         budget = retry_budget.RetryBudget(
             bounds.retry_ratio,
--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -2,7 +2,8 @@
 
 Selection samples two endpoints and takes the less loaded one, as in "power of
 two choices"; all endpoints are compared only if that one is full or would
-be late.
+be late.  In a large fleet the endpoints of an engine are sampled by their
+distance; see `sycamoredale.scheduling.locality`.
 """
 
 import collections.abc
@@ -16,11 +17,15 @@
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import cold_quota
+from sycamoredale.forwarding import endpoint_tiers
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import queue_priority
 from sycamoredale import ids
 from sycamoredale.observability import exposition
+from sycamoredale.observability import logs
+from sycamoredale.scheduling import locality
+from sycamoredale.scheduling import zone_use
 
 # Cost of the network path to another zone, in queued requests.
 OTHER_ZONE_LOAD_PENALTY: Final = 0.5
@@ -49,6 +54,7 @@
 # A lost group is replaced within about two seconds; callers wait at most a
 # third of their remaining time.
 FULL_RETRY_SECONDS: Final = 1.5
+LOG: Final = logs.get("endpoint_selection")
 
 
 @dataclasses.dataclass
@@ -63,6 +69,10 @@
     metrics: exposition.MetricRegistry = dataclasses.field(
         default_factory=exposition.MetricRegistry
     )
+    tiers: endpoint_tiers.EndpointTiers | None = None
+    _zone_use: zone_use.ZoneUse[tuple[ids.ServiceName, str]] = (
+        dataclasses.field(default_factory=zone_use.ZoneUse)
+    )
 
     def select(
         self,
@@ -98,7 +108,7 @@
             if held_back:
                 raise _limited_refusal(call, held_back, now)
             raise _no_endpoint_refusal(call, len(known))
-        sampled = self._sample_least_loaded(candidates, now)
+        sampled = self._sample(call, known, candidates, now)
         is_full = _is_full(sampled, call.service, now)
         if not is_full and self._meets_objective(call, sampled, now):
             return sampled
@@ -147,6 +157,71 @@
             self.metrics.count("announced_limits", "held_back")
         return held_back
 
+    def _sample(
+        self,
+        call: calls.Call,
+        known: collections.abc.Sequence[endpoints.Endpoint],
+        candidates: collections.abc.Sequence[endpoints.Endpoint],
+        now: clock.MonotonicTime,
+    ) -> endpoints.Endpoint:
+        """Return a sampled endpoint, of the nearest tier that has capacity."""
+        engine = call.service.engine
+        if engine is None or self.tiers is None:
+            return self._sample_least_loaded(candidates, now)
+        key = call.service.name, _model_name(call)
+        by_tier = self.tiers.divide(key, known, candidates)
+        if by_tier is None:
+            return self._sample_least_loaded(candidates, now)
+        choice = locality.select(
+            by_tier,
+            lambda endpoint: self._estimate(call, engine, endpoint, now),
+            self.rng,
+        )
+        assert choice is not None
+        self._record_tier(key, choice, now)
+        return choice.endpoint
+
+    def _estimate(
+        self,
+        call: calls.Call,
+        engine: catalogue.BatchEngine,
+        endpoint: endpoints.Endpoint,
+        now: clock.MonotonicTime,
+    ) -> locality.Estimate:
+        priority = queue_priority.queue_priority_of(
+            call,
+            endpoint,
+            False,
+            now,
+            engine.round_trip_seconds(self.own_zone, endpoint.instance.zone),
+        )
+        return locality.Estimate(
+            _load_cost(endpoint, now),
+            priority is queue_priority.QueuePriority.IN_TIME,
+        )
+
+    def _record_tier(
+        self,
+        key: tuple[ids.ServiceName, str],
+        choice: locality.Choice[endpoints.Endpoint],
+        now: clock.MonotonicTime,
+    ) -> None:
+        """Count a selection, and log when this daemon leaves its zone."""
+        service, model = key
+        self.metrics.count("calls_by_zone", choice.tier.value)
+        leaves = self._zone_use.record(key, choice.tier, now)
+        if leaves is None:
+            return
+        LOG.info(
+            "zone_left" if leaves else "zone_kept",
+            service=service,
+            model=model,
+            endpoint=choice.endpoint.id,
+            zone=choice.endpoint.instance.zone,
+            load_per_slot=round(choice.estimate.load_per_slot, 2),
+            in_time=choice.estimate.is_in_time,
+        )
+
     def _sample_least_loaded(
         self,
         candidates: collections.abc.Sequence[endpoints.Endpoint],
@@ -177,12 +252,8 @@
         self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
     ) -> float:
         other_zone = endpoint.instance.zone != self.own_zone
-        deferred = endpoint.load(now) - endpoint.undeferred_load(now)
-        load = endpoint.undeferred_load(now) + DEFERRED_LOAD_WEIGHT * deferred
-        load += OTHER_ZONE_LOAD_PENALTY if other_zone else 0.0
-        cost = load / max(1, endpoint.slots)
-        if endpoint.is_cross_domain:
-            cost = CROSS_DOMAIN_BASE_COST + CROSS_DOMAIN_COST_FACTOR * cost
+        penalty = OTHER_ZONE_LOAD_PENALTY if other_zone else 0.0
+        cost = _load_cost(endpoint, now, penalty)
         # Without jitter, daemons with the same data select the same endpoint.
         return cost + COST_JITTER * self.rng.random()
 
@@ -218,6 +289,20 @@
     return call.envelope.model or ""
 
 
+def _load_cost(
+    endpoint: endpoints.Endpoint,
+    now: clock.MonotonicTime,
+    extra_load: float = 0.0,
+) -> float:
+    """Return the load per slot, adjusted for queueing and slow groups."""
+    deferred = endpoint.load(now) - endpoint.undeferred_load(now)
+    load = endpoint.undeferred_load(now) + DEFERRED_LOAD_WEIGHT * deferred
+    cost = (load + extra_load) / max(1, endpoint.slots)
+    if endpoint.is_cross_domain:
+        cost = CROSS_DOMAIN_BASE_COST + CROSS_DOMAIN_COST_FACTOR * cost
+    return cost
+
+
 def _has_recovery_probe(
     endpoint: endpoints.Endpoint, now: clock.MonotonicTime
 ) -> bool:
--- /dev/null
+++ b/sycamoredale/forwarding/endpoint_tiers.py
@@ -0,0 +1,87 @@
+"""Divide endpoints into tiers by their distance from this daemon.
+
+In a small fleet each daemon uses every endpoint often enough to keep its
+connections, and there are no tiers.
+"""
+
+import collections.abc
+import dataclasses
+
+from sycamoredale.forwarding import endpoints
+from sycamoredale import ids
+from sycamoredale.membership import view
+from sycamoredale.scheduling import endpoint_subsets
+from sycamoredale.scheduling import locality
+
+_Known = collections.abc.Sequence[endpoints.Endpoint]
+_ModelKey = tuple[ids.ServiceName, str]
+
+
+@dataclasses.dataclass
+class EndpointTiers:
+    """Divide the endpoints of a model, and keep the subset of this daemon.
+
+    `is_enabled` tells whether the fleet is large enough for tiers.
+    """
+
+    members: view.MembershipView
+    is_enabled: collections.abc.Callable[[], bool]
+    _daemons: frozenset[ids.DaemonId] = frozenset()
+    _revision: int = -1
+    # With the list from which the subset was computed: a new list replaces it
+    # when endpoints change.
+    _subset_by_model: dict[
+        _ModelKey, tuple[_Known, frozenset[ids.InstanceId]]
+    ] = dataclasses.field(default_factory=dict)
+
+    def divide(
+        self, key: _ModelKey, known: _Known, candidates: _Known
+    ) -> dict[locality.Tier, list[endpoints.Endpoint]] | None:
+        """Return the candidates by tier, None if the fleet has no tiers.
+
+        `known` are all endpoints of the model; those that cannot be used now
+        keep their places in the subset.
+        """
+        if not self.is_enabled():
+            return None
+        subset = self._subset(key, known)
+        by_tier: dict[locality.Tier, list[endpoints.Endpoint]] = {}
+        for endpoint in candidates:
+            tier = self._tier_of(endpoint, subset)
+            by_tier.setdefault(tier, []).append(endpoint)
+        return by_tier
+
+    def _tier_of(
+        self,
+        endpoint: endpoints.Endpoint,
+        subset: frozenset[ids.InstanceId],
+    ) -> locality.Tier:
+        if endpoint.id in subset:
+            return locality.Tier.SUBSET
+        if endpoint.instance.zone == self.members.own.zone:
+            return locality.Tier.ZONE
+        return locality.Tier.OTHER_ZONES
+
+    def _subset(
+        self, key: _ModelKey, known: _Known
+    ) -> frozenset[ids.InstanceId]:
+        if self._revision != self.members.revision:
+            self._refresh_daemons()
+        source, subset = self._subset_by_model.get(key, (None, frozenset()))
+        if source is not known:
+            own = self.members.own
+            near = (e.id for e in known if e.instance.zone == own.zone)
+            subset = endpoint_subsets.subset_of(near, self._daemons, own.id)
+            self._subset_by_model[key] = known, subset
+        return subset
+
+    def _refresh_daemons(self) -> None:
+        self._revision = self.members.revision
+        daemons = frozenset(
+            peer.id
+            for peer in self.members.live_routers()
+            if peer.zone == self.members.own.zone
+        )
+        if daemons != self._daemons:
+            self._daemons = daemons
+            self._subset_by_model.clear()
