Queue calls of callers that have waited behind new ones

Cause: after a loss of power of all daemons callers come back at once. Change: a caller that comes back has less time left than the others of its route. If it has certainly waited beyond the objective, its call is queued as late. The log of a call has waited_ms.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -609,6 +609,9 @@
     def _on_manifest(self) -> None:
         self._limit_callers()
         self._rebuild_endpoints()
+        self._service.caller_waits.retain(
+            frozenset(route.name for route in self._routes.current.routes)
+        )
 
     def _divide_descriptors(self) -> None:
         """Bound what opens sockets by its share of the descriptors."""
--- a/sycamoredale/forwarding/calls.py
+++ b/sycamoredale/forwarding/calls.py
@@ -37,7 +37,8 @@
 
     The fingerprint identifies the content of the request; all attempts with
     the same content have the same one.  The part keys identify the parts of
-    its prompt that other requests may have as well.
+    its prompt that other requests may have as well.  `waited_seconds` is how
+    long the caller has waited before this attempt, as far as that is known.
     """
 
     envelope: Envelope
@@ -49,6 +50,7 @@
     deadline: clock.MonotonicTime
     fingerprint: poison.Fingerprint
     part_keys: tuple[ids.PromptPartKey, ...] = ()
+    waited_seconds: float = 0.0
 
     @property
     def id(self) -> ids.RequestId:
--- a/sycamoredale/forwarding/queue_priority.py
+++ b/sycamoredale/forwarding/queue_priority.py
@@ -61,6 +61,24 @@
     return QueuePriority.IN_TIME if seconds <= left else QueuePriority.LATE
 
 
+def queue_priority_of_send(
+    call: calls.Call,
+    endpoint: endpoints.Endpoint,
+    is_continued: bool,
+    now: clock.MonotonicTime,
+) -> QueuePriority:
+    """Return the priority with regard to what the caller waited before.
+
+    Its endpoint is selected as if it were new: late calls need a short queue
+    as well.
+    """
+    priority = queue_priority_of(call, endpoint, is_continued, now)
+    is_late = call.waited_seconds > call.route.objective_seconds
+    if priority is QueuePriority.IN_TIME and is_late:
+        return QueuePriority.LATE
+    return priority
+
+
 def _first_event_seconds(
     call: calls.Call, engine: catalogue.BatchEngine, queued_ahead: float
 ) -> float:
--- a/sycamoredale/forwarding/sends.py
+++ b/sycamoredale/forwarding/sends.py
@@ -84,7 +84,7 @@
 
         A send that is late counts as deferred on the endpoint.
         """
-        priority = queue_priority_module.queue_priority_of(
+        priority = queue_priority_module.queue_priority_of_send(
             call, self.endpoint, is_continued, now
         )
         self._is_deferred = (
--- a/sycamoredale/forwarding/service.py
+++ b/sycamoredale/forwarding/service.py
@@ -24,6 +24,7 @@
 from sycamoredale.observability import logs
 from sycamoredale.requests import part_evidence
 from sycamoredale.requests import poison
+from sycamoredale.scheduling import caller_wait
 
 # A daemon that has just started reads its lists within some tenths of a
 # second, sooner than a caller would come back.
@@ -58,6 +59,9 @@
     delays: loop_delays.LoopDelays = dataclasses.field(
         default_factory=loop_delays.LoopDelays
     )
+    caller_waits: caller_wait.CallerWaits = dataclasses.field(
+        default_factory=caller_wait.CallerWaits
+    )
 
     async def handle(self, exchange: server.Exchange) -> None:
         """Answer one request."""
@@ -141,6 +145,12 @@
                 part_evidence.part_key(service.name, part)
                 for part in envelope.shared_parts
             ),
+            self.caller_waits.estimate_seconds(
+                route.name,
+                envelope.timeout_seconds,
+                route.timeout_seconds,
+                now,
+            ),
         )
 
     def _record_end(
@@ -177,6 +187,7 @@
             reason=reason,
             sends=progress.sends,
             loads=progress.endpoint_loads,
+            waited_ms=int(1000 * call.waited_seconds),
             urgency=progress.queue_priority and progress.queue_priority.value,
             at=progress.current_endpoint,
             events=progress.stream.event_count,
