Leave a zone at half of its slots, and spread calls while loads are unknown

Change: a tier has capacity up to 0.5 of its slots; without recent loads of peers there are no tiers.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -169,7 +169,7 @@
         if engine is None or self.tiers is None:
             return self._sample_least_loaded(candidates, now)
         key = call.service.name, _model_name(call)
-        by_tier = self.tiers.divide(key, known, candidates)
+        by_tier = self.tiers.divide(key, known, candidates, now)
         if by_tier is None:
             return self._sample_least_loaded(candidates, now)
         choice = locality.select(
--- a/sycamoredale/forwarding/endpoint_tiers.py
+++ b/sycamoredale/forwarding/endpoint_tiers.py
@@ -1,18 +1,25 @@
 """Divide endpoints into tiers by their distance from this daemon.
 
 In a small fleet each daemon uses every endpoint often enough to keep its
-connections, and there are no tiers.
+connections, and there are no tiers.  Nor are there any while the loads of the
+peers are not known, as in the first moments after a start: a zone may have few
+endpoints, and its daemons would fill them all at once.
 """
 
 import collections.abc
 import dataclasses
+from typing import Final
 
+from sycamoredale import clock
 from sycamoredale.forwarding import endpoints
 from sycamoredale import ids
 from sycamoredale.membership import view
 from sycamoredale.scheduling import endpoint_subsets
 from sycamoredale.scheduling import locality
 
+# Hubs send five totals a second.
+MAX_LOAD_AGE_SECONDS: Final = 1.0
+
 _Known = collections.abc.Sequence[endpoints.Endpoint]
 _ModelKey = tuple[ids.ServiceName, str]
 
@@ -35,14 +42,18 @@
     ] = dataclasses.field(default_factory=dict)
 
     def divide(
-        self, key: _ModelKey, known: _Known, candidates: _Known
+        self,
+        key: _ModelKey,
+        known: _Known,
+        candidates: _Known,
+        now: clock.MonotonicTime,
     ) -> dict[locality.Tier, list[endpoints.Endpoint]] | None:
         """Return the candidates by tier, None if the fleet has no tiers.
 
         `known` are all endpoints of the model; those that cannot be used now
         keep their places in the subset.
         """
-        if not self.is_enabled():
+        if not self.is_enabled() or not _knows_loads(candidates, now):
             return None
         subset = self._subset(key, known)
         by_tier: dict[locality.Tier, list[endpoints.Endpoint]] = {}
@@ -85,3 +96,9 @@
         if daemons != self._daemons:
             self._daemons = daemons
             self._subset_by_model.clear()
+
+
+def _knows_loads(candidates: _Known, now: clock.MonotonicTime) -> bool:
+    """Return whether the loads that peers cause are recent."""
+    known_at = max(endpoint.peer_load_at for endpoint in candidates)
+    return now - known_at <= MAX_LOAD_AGE_SECONDS
--- a/sycamoredale/scheduling/locality.py
+++ b/sycamoredale/scheduling/locality.py
@@ -20,9 +20,10 @@
 import typing
 from typing import Final
 
-# An endpoint whose batch is fuller than this may be full once the request
-# arrives, as other daemons send to it at the same time.
-MAX_LOAD_PER_SLOT: Final = 0.8
+# Up to this load nine calls of ten get their first event soon enough for an
+# objective of 250 ms; at 0.7 they no longer do, as other daemons send to the
+# endpoint at the same time.
+MAX_LOAD_PER_SLOT: Final = 0.5
 # A farther endpoint is worth a longer way if it is less loaded by this.  The
 # loads of two endpoints differ by about as much by chance.
 MIN_LOAD_GAIN: Final = 0.2
