Leave out malformed delays between zones of a manifest

A delay without its other zone, a negative or absurd one, or one that is not a number made the whole manifest malformed, so that the daemons kept the version before. Such entries are left out now and logged once for each manifest; the round trip of the two zones counts as 0.

The new tests failed in all nine cases before, and pass.

--- a/sycamoredale/decoding.py
+++ b/sycamoredale/decoding.py
@@ -4,12 +4,15 @@
 raises `MalformedInput`, so that a caller needs to expect one error only.
 """
 
+import collections.abc
 import re
 import typing
 from typing import Final
 
 import msgspec
 
+from sycamoredale.observability import logs
+
 # Deeper than any message of the system or of the platform.
 MAX_DEPTH: Final = 64
 # Numbers up to here survive each encoding, and arithmetic with them is exact.
@@ -23,6 +26,8 @@
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
+LOG: Final = logs.get("decoding")
+
 _T = typing.TypeVar("_T")
 _T_co = typing.TypeVar("_T_co", covariant=True)
 
@@ -77,6 +82,28 @@
         raise _malformed(error) from error
 
 
+def decode_hints(
+    data: bytes | msgspec.Raw, kind: type[_T]
+) -> collections.abc.Iterator[_T]:
+    """Yield the items of a JSON list, and leave out malformed ones.
+
+    What has to be served without them must not be refused for them, so they
+    are logged, once for each list.
+    """
+    malformed = 0
+    try:
+        items = decode_json(data, list[msgspec.Raw])
+    except MalformedInput:
+        items, malformed = [], 1
+    for item in items:
+        try:
+            yield decode_json(item, kind)
+        except MalformedInput:
+            malformed += 1
+    if malformed:
+        LOG.warning("hints_malformed", kind=kind.__name__, count=malformed)
+
+
 def without_deep_values(data: bytes) -> bytes:
     """Replace each value below MAX_DEPTH levels of JSON by null.
 
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -1,5 +1,7 @@
 """Decode the operators' manifest from the platform's store."""
 
+import typing
+
 import msgspec
 
 from sycamoredale import decoding
@@ -51,8 +53,8 @@
     start: str
     # The other zone.
     target_version: str
-    # One way.
-    delay_ms: float
+    # One way.  No two zones are ten seconds apart.
+    delay_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=10_000)]
 
 
 class _Engine(msgspec.Struct):
@@ -69,7 +71,7 @@
     # Mean token counts; "answer" is that of an answer.
     usual: dict[str, float] = {}
     models: list[_Model] = []
-    delays: list[_Delay] = []
+    delays: msgspec.Raw = msgspec.Raw(b"[]")
 
 
 class _Service(msgspec.Struct):
@@ -189,6 +191,6 @@
             frozenset(
                 (ids.ZoneName(d.start), ids.ZoneName(d.target_version))
             ): (d.delay_ms / 1000)
-            for d in engine.delays
+            for d in decoding.decode_hints(engine.delays, _Delay)
         },
     )
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -241,6 +241,42 @@
     assert (read.steps_per_event, read.mean_answer_tokens) == (7, 178)
 
 
+@pytest.mark.parametrize(
+    "delays",
+    [
+        "null",
+        "7",
+        '{"from": "a"}',
+        '[{"from": "b", "delay_ms": 1}, 3, null]',
+        '[{"from": "b", "target_version": "a", "delay_ms": "far"}]',
+        '[{"from": "b", "target_version": "a", "delay_ms": -1}]',
+        '[{"from": "b", "target_version": "a", "delay_ms": 1e12}]',
+        '[{"from": "b", "target_version": "a", "delay_ms": 1e999}]',
+    ],
+)
+def test_malformed_delays_between_zones_are_left_out(delays):
+    """Guard against a manifest that is refused for a hint."""
+    text = (
+        '{"version": 4, "services": [{"name": "llm", "engine": {"slots": 10,'
+        ' "delays": %s}}]}' % delays
+    )
+    engine = manifest.decode(text.encode()).service_by_name["llm"].engine
+    assert engine.round_trip_seconds("a", "b") == 0.0
+
+
+def test_delay_between_zones_is_that_of_both_ways():
+    delays = [
+        {"from": "b"},
+        {"from": "b", "target_version": "a", "delay_ms": 2},
+    ]
+    engine = {"slots": 10, "delays": delays}
+    data = {"version": 4, "services": [{"name": "llm", "engine": engine}]}
+    found = manifest.decode(json.dumps(data).encode())
+    engine = found.service_by_name["llm"].engine
+    assert engine.round_trip_seconds("a", "b") == pytest.approx(0.004)
+    assert engine.round_trip_seconds("a", "c") == 0.0
+
+
 @pytest.mark.parametrize(
     "head,kind",
     [
