Keep late calls in their zone unless another one is better

If the sampled endpoint was full or late, the least loaded endpoint of all zones was taken, with a penalty of half a request for another zone. Late calls, among them resends and takeovers, left an idle zone without a benefit, and zones at capacity exchanged them. Now all endpoints are compared tier by tier with the margin for leaving a zone. Only if that endpoint is full, the least loaded of all is taken, so that no call is refused within the margin.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -108,11 +108,14 @@
             if held_back:
                 raise _limited_refusal(call, held_back, now)
             raise _no_endpoint_refusal(call, len(known))
-        sampled = self._sample(call, known, candidates, now)
+        sampled = self._sample(call, known, candidates, now, SAMPLED_ENDPOINTS)
         is_full = _is_full(sampled, call.service, now)
         if not is_full and self._meets_objective(call, sampled, now):
             return sampled
-        best = min(candidates, key=lambda e: self._cost(e, now))
+        best = self._sample(call, known, candidates, now, len(candidates))
+        if _is_full(best, call.service, now):
+            # Another zone may have capacity within the margin for leaving.
+            best = min(candidates, key=lambda e: self._cost(e, now))
         if allow_full or not _is_full(best, call.service, now):
             return best
         if not self._meets_objective(call, best, now):
@@ -163,19 +166,21 @@
         known: collections.abc.Sequence[endpoints.Endpoint],
         candidates: collections.abc.Sequence[endpoints.Endpoint],
         now: clock.MonotonicTime,
+        sample_size: int,
     ) -> endpoints.Endpoint:
-        """Return a sampled endpoint, of the nearest tier that has capacity."""
+        """Return the best of a sample, of the nearest tier with capacity."""
         engine = call.service.engine
         if engine is None or self.tiers is None:
-            return self._sample_least_loaded(candidates, now)
+            return self._sample_least_loaded(candidates, now, sample_size)
         key = call.service.name, _model_name(call)
         by_tier = self.tiers.divide(key, known, candidates, now)
         if by_tier is None:
-            return self._sample_least_loaded(candidates, now)
+            return self._sample_least_loaded(candidates, now, sample_size)
         choice = locality.select(
             by_tier,
             lambda endpoint: self._estimate(call, engine, endpoint, now),
             self.rng,
+            sample_size,
         )
         assert choice is not None
         self._record_tier(key, choice, now)
@@ -226,6 +231,7 @@
         self,
         candidates: collections.abc.Sequence[endpoints.Endpoint],
         now: clock.MonotonicTime,
+        sample_size: int,
     ) -> endpoints.Endpoint:
         """Return the endpoint of least cost in a random sample.
 
@@ -233,7 +239,7 @@
         each selected the least loaded of all, they would all select the same
         endpoint.
         """
-        count = min(SAMPLED_ENDPOINTS, len(candidates))
+        count = min(sample_size, len(candidates))
         sampled = self.rng.sample(candidates, count)
         return min(sampled, key=lambda e: self._cost(e, now))
 
--- a/sycamoredale/scheduling/locality.py
+++ b/sycamoredale/scheduling/locality.py
@@ -84,10 +84,11 @@
     ],
     estimate: collections.abc.Callable[[EndpointT], Estimate],
     rng: random.Random,
+    sample_size: int = SAMPLED_ENDPOINTS,
 ) -> Choice[EndpointT] | None:
     """Return the endpoint for a call, or None if no tier has any."""
     chosen: Choice[EndpointT] | None = None
-    for sampled in _samples(endpoints_by_tier, estimate, rng):
+    for sampled in _samples(endpoints_by_tier, estimate, rng, sample_size):
         if chosen is None or sampled.estimate.is_worth_leaving_for(
             chosen.estimate
         ):
@@ -103,13 +104,14 @@
     ],
     estimate: collections.abc.Callable[[EndpointT], Estimate],
     rng: random.Random,
+    sample_size: int,
 ) -> collections.abc.Iterator[Choice[EndpointT]]:
-    """Yield the better one of two endpoints of each tier, nearest first."""
+    """Yield the best of a sample of each tier, nearest first."""
     for tier in Tier:
         endpoints = endpoints_by_tier.get(tier, ())
         if not endpoints:
             continue
-        count = min(SAMPLED_ENDPOINTS, len(endpoints))
+        count = min(sample_size, len(endpoints))
         yield min(
             (
                 Choice(endpoint, tier, estimate(endpoint))
--- /dev/null
+++ b/tests/test_endpoint_tiers.py
@@ -0,0 +1,119 @@
+"""Test the selection of endpoints by tiers in a large fleet."""
+
+import dataclasses
+import random
+
+import pytest
+
+from sycamoredale import clock
+from sycamoredale.forwarding import endpoint_selection
+from sycamoredale.forwarding import endpoint_tiers
+from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import instance_state
+from sycamoredale.forwarding import instance_table
+from sycamoredale import ids
+from sycamoredale.membership import view
+from tests import instance_fixtures
+from tests import test_platform_codec as codec
+
+NOW = clock.MonotonicTime(100.0)
+SLOTS = instance_fixtures.ENGINE.slots
+CALLS = 200
+# Of the first event alone.
+IN_TIME, LATE = 10.0, 0.001
+
+
+def _members(own="d0", zone="a", count=20):
+    members = view.MembershipView(
+        view.Peer(
+            ids.DaemonId(own),
+            "127.0.0.1:1",
+            ids.ZoneName(zone),
+            view.Role.ROUTER,
+            ids.Incarnation(1),
+        )
+    )
+    for number in range(1, count):
+        peer = _peer(members.own, number)
+        members.merge(peer, NOW)
+    return members
+
+
+def _peer(own, number):
+    """Return another daemon of the zone."""
+    return view.Peer(
+        ids.DaemonId(f"d{number}"),
+        own.address,
+        own.zone,
+        own.role,
+        own.incarnation,
+    )
+
+
+def _selector(zones="abc", per_zone=6, loads=None):
+    """Return a selector in zone a; `loads` are per slot, by zone."""
+    instances = instance_table.InstanceTable()
+    table = endpoints.EndpointTable(
+        instances, lambda: instance_fixtures.SERVICES, lambda: frozenset()
+    )
+    for zone in zones:
+        for number in range(per_zone):
+            key = instance_fixtures.key("large", len(instances.by_id) + 1)
+            instances.apply_listed(
+                instance_fixtures.instance(
+                    f"{zone}{number}",
+                    zone=zone,
+                    membership=(key, 0, instance_state.MemberState.OPEN),
+                ),
+                NOW,
+            )
+    selector = endpoint_selection.EndpointSelector(
+        table,
+        instances,
+        ids.ZoneName("a"),
+        instance_fixtures.cold_quota_of(1),
+        random.Random(1),
+        tiers=endpoint_tiers.EndpointTiers(_members(), lambda: True),
+    )
+    if loads is not None:
+        _set_loads(selector, loads)
+    return selector
+
+
+def _set_loads(selector, load_by_zone):
+    for endpoint in selector.endpoint_table.by_id.values():
+        load = load_by_zone[endpoint.instance.zone]
+        endpoint.set_peer_load(load * SLOTS, NOW)
+
+
+def _call(objective=IN_TIME):
+    call = codec._call([("Model", "large")])
+    route = dataclasses.replace(call.route, objective_seconds=objective)
+    return dataclasses.replace(call, route=route, arrived_at=NOW)
+
+
+def _share_of_own_zone(selector, call, **options):
+    own = 0
+    for _ in range(CALLS):
+        selected = selector.select(call, frozenset(), NOW, **options)
+        own += selected.instance.zone == "a"
+    return own / CALLS
+
+
+@pytest.mark.parametrize("objective", [IN_TIME, LATE])
+@pytest.mark.parametrize("load", [0.1, 0.9, 1.4])
+def test_equally_loaded_zones_do_not_exchange_calls(objective, load):
+    """Guard against late calls that leave their zone without a benefit."""
+    selector = _selector(loads={"a": load, "b": load - 0.05, "c": load})
+    assert _share_of_own_zone(selector, _call(objective)) == 1.0
+
+
+def test_late_call_leaves_for_a_less_loaded_zone():
+    selector = _selector(loads={"a": 1.2, "b": 0.9, "c": 1.2})
+    assert _share_of_own_zone(selector, _call(LATE)) == 0.0
+
+
+def test_call_is_not_refused_while_another_zone_has_capacity():
+    """Guard against a refusal within the margin for leaving a zone."""
+    selector = _selector(loads={"a": 1.55, "b": 1.45, "c": 1.6})
+    assert _share_of_own_zone(selector, _call(LATE)) == 0.0
