Begin with tiers only after an update of the peers

The report in an answer set the time of the load as an update of the peers does, so that the first answer after a start turned the tiers on for a second while the loads of all other endpoints were unknown. The time at which the peers were heard is kept apart.

--- a/sycamoredale/forwarding/endpoint_tiers.py
+++ b/sycamoredale/forwarding/endpoint_tiers.py
@@ -99,6 +99,11 @@
 
 
 def _knows_loads(candidates: _Known, now: clock.MonotonicTime) -> bool:
-    """Return whether the loads that peers cause are recent."""
-    known_at = max(endpoint.peer_load_at for endpoint in candidates)
-    return now - known_at <= MAX_LOAD_AGE_SECONDS
+    """Return whether the loads that peers sent are recent.
+
+    An answer tells the load of its endpoint alone.
+    """
+    return any(
+        now - endpoint.peers_heard_at <= MAX_LOAD_AGE_SECONDS
+        for endpoint in candidates
+    )
--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -51,7 +51,8 @@
     `model` is empty for a service without an engine.  The members of a
     cross-domain endpoint are in several fabric domains.  `deferred` counts
     the requests of this daemon that were sent with a low queue priority and
-    do not run yet.
+    do not run yet.  `peer_load` was set at `peer_load_at`, by an answer or by
+    the peers, and by the peers last at `peers_heard_at`.
     """
 
     instance: instance_state.Instance
@@ -64,6 +65,7 @@
     peer_load: float = 0.0
     deferred_peer_load: float = 0.0
     peer_load_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    peers_heard_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     suspect_until: clock.MonotonicTime = clock.MonotonicTime(0.0)
     suspicions: int = 0
     last_progress_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
@@ -112,7 +114,7 @@
         """Set the number of requests of the other daemons."""
         self.peer_load = load
         self.deferred_peer_load = deferred
-        self.peer_load_at = now
+        self.peer_load_at = self.peers_heard_at = now
 
     def suspect(
         self, now: clock.MonotonicTime, seconds: float = SUSPECT_SECONDS
--- a/tests/test_endpoint_tiers.py
+++ b/tests/test_endpoint_tiers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sycamoredale import clock
+from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoint_tiers
 from sycamoredale.forwarding import endpoints
@@ -117,3 +118,18 @@
     """Guard against a refusal within the margin for leaving a zone."""
     selector = _selector(loads={"a": 1.55, "b": 1.45, "c": 1.6})
     assert _share_of_own_zone(selector, _call(LATE)) == 0.0
+
+
+def test_load_reported_with_an_answer_does_not_tell_all_loads():
+    """Guard against a zone that is filled by its daemons after a start.
+
+    The first answer reports the load of its endpoint only.
+    """
+    selector = _selector()
+    first = next(iter(selector.endpoint_table.by_id.values()))
+    first.record_reported_load(calls.Load(0, 0, SLOTS), NOW)
+    # Five pairs of nine have an endpoint of the own zone.
+    share = _share_of_own_zone(selector, _call())
+    assert share == pytest.approx(5 / 9, abs=0.1)
+    _set_loads(selector, {"a": 0.0, "b": 0.0, "c": 0.0})
+    assert _share_of_own_zone(selector, _call()) == 1.0
