Treat integers of over 15 digits in headers as malformed

A Token-Count of 400 digits has no float, and one of 5,000 digits no int, so that the call failed with an internal error instead of being served with the defaults.

Both new cases failed before (one with 9 repeated 400 times was decoded, the other one raised ValueError), and pass.

--- a/sycamoredale/forwarding/header_values.py
+++ b/sycamoredale/forwarding/header_values.py
@@ -4,13 +4,15 @@
 from typing import Final
 
 BEARER_SCHEME: Final = "bearer "
+# Such an integer can be converted to a float without loss.
+MAX_DIGITS: Final = 15
 
 
 def integers(text: str | None, count: int) -> tuple[int, ...] | None:
     """Return `count` integers separated by commas, None if malformed."""
     parts = [part.strip() for part in (text or "").split(",")]
     if len(parts) != count or not all(
-        p.isascii() and p.isdigit() for p in parts
+        p.isascii() and p.isdigit() and len(p) <= MAX_DIGITS for p in parts
     ):
         return None
     return tuple(int(part) for part in parts)
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -241,6 +241,17 @@
     assert (read.steps_per_event, read.mean_answer_tokens) == (7, 178)
 
 
+@pytest.mark.parametrize("text", ["9" * 400 + ",7", "1," + "9" * 5000])
+def test_absurd_token_counts_count_as_unknown(text):
+    """Guard against a call that fails since a number has no float or int."""
+    envelope = wire_format.read_envelope(
+        messages.Request(
+            "POST", "/", messages.Headers([("Token-Count", text)])
+        )
+    )
+    assert (envelope.prompt_tokens, envelope.answer_tokens) == (0, 0)
+
+
 @pytest.mark.parametrize(
     "delays",
     [
