Count calls and bytes by the zone of their endpoint

Selections were counted and logged, also of endpoints that were then passed over for the least loaded one, and the log told only the load of the chosen endpoint. Now a send is counted by tier (sends_by_tier), an answered call and the bytes of its exchange by zone (calls_by_zone, zone_bytes; own, other), and zone_left and zone_kept tell the mean load of the own zone as well.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -21,11 +21,10 @@
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import queue_priority
+from sycamoredale.forwarding import zone_traffic
 from sycamoredale import ids
 from sycamoredale.observability import exposition
-from sycamoredale.observability import logs
 from sycamoredale.scheduling import locality
-from sycamoredale.scheduling import zone_use
 
 # Cost of the network path to another zone, in queued requests.
 OTHER_ZONE_LOAD_PENALTY: Final = 0.5
@@ -54,7 +53,6 @@
 # A lost group is replaced within about two seconds; callers wait at most a
 # third of their remaining time.
 FULL_RETRY_SECONDS: Final = 1.5
-LOG: Final = logs.get("endpoint_selection")
 
 
 @dataclasses.dataclass
@@ -70,9 +68,12 @@
         default_factory=exposition.MetricRegistry
     )
     tiers: endpoint_tiers.EndpointTiers | None = None
-    _zone_use: zone_use.ZoneUse[tuple[ids.ServiceName, str]] = (
-        dataclasses.field(default_factory=zone_use.ZoneUse)
-    )
+
+    def __post_init__(self) -> None:
+        """Count the traffic by zone in the same metrics."""
+        self.traffic = zone_traffic.ZoneTraffic(
+            self.endpoint_table, self.own_zone, self.metrics, self.tiers
+        )
 
     def select(
         self,
@@ -183,7 +184,6 @@
             sample_size,
         )
         assert choice is not None
-        self._record_tier(key, choice, now)
         return choice.endpoint
 
     def _estimate(
@@ -205,28 +205,6 @@
             priority is queue_priority.QueuePriority.IN_TIME,
         )
 
-    def _record_tier(
-        self,
-        key: tuple[ids.ServiceName, str],
-        choice: locality.Choice[endpoints.Endpoint],
-        now: clock.MonotonicTime,
-    ) -> None:
-        """Count a selection, and log when this daemon leaves its zone."""
-        service, model = key
-        self.metrics.count("calls_by_zone", choice.tier.value)
-        leaves = self._zone_use.record(key, choice.tier, now)
-        if leaves is None:
-            return
-        LOG.info(
-            "zone_left" if leaves else "zone_kept",
-            service=service,
-            model=model,
-            endpoint=choice.endpoint.id,
-            zone=choice.endpoint.instance.zone,
-            load_per_slot=round(choice.estimate.load_per_slot, 2),
-            in_time=choice.estimate.is_in_time,
-        )
-
     def _sample_least_loaded(
         self,
         candidates: collections.abc.Sequence[endpoints.Endpoint],
@@ -287,6 +265,7 @@
     ) -> None:
         """Count a request that is sent to an endpoint."""
         endpoint.limit.record_send(now)
+        self.traffic.record_send(endpoint, now)
 
 
 def _model_name(call: calls.Call) -> str:
--- a/sycamoredale/forwarding/endpoint_tiers.py
+++ b/sycamoredale/forwarding/endpoint_tiers.py
@@ -21,7 +21,7 @@
 MAX_LOAD_AGE_SECONDS: Final = 1.0
 
 _Known = collections.abc.Sequence[endpoints.Endpoint]
-_ModelKey = tuple[ids.ServiceName, str]
+ModelKey = tuple[ids.ServiceName, str]
 
 
 @dataclasses.dataclass
@@ -38,12 +38,12 @@
     # With the list from which the subset was computed: a new list replaces it
     # when endpoints change.
     _subset_by_model: dict[
-        _ModelKey, tuple[_Known, frozenset[ids.InstanceId]]
+        ModelKey, tuple[_Known, frozenset[ids.InstanceId]]
     ] = dataclasses.field(default_factory=dict)
 
     def divide(
         self,
-        key: _ModelKey,
+        key: ModelKey,
         known: _Known,
         candidates: _Known,
         now: clock.MonotonicTime,
@@ -62,6 +62,17 @@
             by_tier.setdefault(tier, []).append(endpoint)
         return by_tier
 
+    def tier_of(
+        self,
+        key: ModelKey,
+        known: _Known,
+        endpoint: endpoints.Endpoint,
+        now: clock.MonotonicTime,
+    ) -> locality.Tier | None:
+        """Return the tier of one endpoint, None if the fleet has no tiers."""
+        by_tier = self.divide(key, known, (endpoint,), now)
+        return next(iter(by_tier)) if by_tier else None
+
     def _tier_of(
         self,
         endpoint: endpoints.Endpoint,
@@ -74,7 +85,7 @@
         return locality.Tier.OTHER_ZONES
 
     def _subset(
-        self, key: _ModelKey, known: _Known
+        self, key: ModelKey, known: _Known
     ) -> frozenset[ids.InstanceId]:
         if self._revision != self.members.revision:
             self._refresh_daemons()
--- a/sycamoredale/forwarding/forwarder.py
+++ b/sycamoredale/forwarding/forwarder.py
@@ -310,6 +310,7 @@
             assert outcome is not None
             progress.record_outcome(send.endpoint, outcome, send.relayed_by)
             if outcome is sends.Outcome.ANSWERED:
+                self.selector.traffic.record_answered(send.endpoint)
                 return outcome, None
             begun = await takeover.take()
             if begun is not None:
@@ -420,6 +421,9 @@
         try:
             if connection is None:
                 return
+            self.selector.traffic.record_bytes(
+                send.endpoint, connection.take_byte_count()
+            )
             if is_reusable:
                 max_idle = self._max_idle(progress.call)
                 await self._pool.release(connection, max_idle)
--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -67,6 +67,7 @@
         self._ended = False
         self._chunks: chunked.ChunkedReader | None = None
         self._received = b""
+        self._moved_bytes = 0
         self._framing_bytes = 0
         self._turn_bytes = TURN_BYTES
         self._has_small_chunks = False
@@ -88,6 +89,7 @@
         head = self._connection.send(event) or b""
         body = self._connection.send(h11.Data(data=request.body)) or b""
         self._connection.send(h11.EndOfMessage())
+        self._moved_bytes += len(head) + len(body)
         try:
             await sockets.send_all(self._sock, head, body)
         except OSError as error:
@@ -236,6 +238,11 @@
         waiting = sockets.unread_bytes(self._sock)
         return None if waiting is None else waiting + len(self._received)
 
+    def take_byte_count(self) -> int:
+        """Return how many bytes were sent and read since the last time."""
+        count, self._moved_bytes = self._moved_bytes, 0
+        return count
+
     def abort(self) -> None:
         """Shut down the socket, so that the current exchange fails."""
         self._aborted = True
@@ -260,6 +267,7 @@
             data: bytes = await sockets.receive(self._sock)
         except OSError as error:
             raise self._broken(str(error)) from error
+        self._moved_bytes += len(data)
         if self._aborted:
             # Else an answer without a length would look complete.
             raise self._broken("the exchange was aborted")
--- a/sycamoredale/observability/exposition.py
+++ b/sycamoredale/observability/exposition.py
@@ -41,9 +41,9 @@
         """Set a gauge; `kind` is the value of its label."""
         self.gauges[name, kind] = value
 
-    def count(self, name: str, kind: str) -> None:
+    def count(self, name: str, kind: str, amount: int = 1) -> None:
         """Increment a counter; `kind` is the value of its label."""
-        self.counts[name, kind] += 1
+        self.counts[name, kind] += amount
 
     def time(
         self,
--- a/tests/test_endpoint_tiers.py
+++ b/tests/test_endpoint_tiers.py
@@ -24,7 +24,7 @@
 IN_TIME, LATE = 10.0, 0.001
 
 
-def _members(own="d0", zone="a", count=20):
+def members_of_zone(own="d0", zone="a", count=20):
     members = view.MembershipView(
         view.Peer(
             ids.DaemonId(own),
@@ -74,7 +74,7 @@
         ids.ZoneName("a"),
         instance_fixtures.cold_quota_of(1),
         random.Random(1),
-        tiers=endpoint_tiers.EndpointTiers(_members(), lambda: True),
+        tiers=endpoint_tiers.EndpointTiers(members_of_zone(), lambda: True),
     )
     if loads is not None:
         _set_loads(selector, loads)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -124,7 +124,9 @@
 class Site:
     """Run one forwarder in front of several endpoints."""
 
-    def __init__(self, *servers, may_retry=True, seconds=8.0, held=None):
+    def __init__(
+        self, *servers, may_retry=True, seconds=8.0, held=None, tiers=None
+    ):
         self.servers = servers
         instances = instance_table.InstanceTable()
         endpoint_table = endpoints.EndpointTable(
@@ -135,7 +137,10 @@
             key = instance_fixtures.key("large", epoch + 1)
             membership = (key, 0, instance_state.MemberState.OPEN)
             instance = instance_fixtures.instance(
-                item.name, membership=membership, address=item.address
+                item.name,
+                zone=getattr(item, "zone", "a"),
+                membership=membership,
+                address=item.address,
             )
             instances.apply_listed(instance, now)
             # Each endpoint has more load than the one before it.
@@ -146,6 +151,7 @@
             instances,
             ids.ZoneName("a"),
             instance_fixtures.cold_quota_of(1),
+            tiers=tiers,
         )
         self.forwarder = forwarder_module.Forwarder(
             wire_format,
--- /dev/null
+++ b/tests/test_zone_traffic.py
@@ -0,0 +1,156 @@
+"""Test what operators see of calls that leave their zone.
+
+The endpoints listen on loopback; the loads of the peers, of which there are
+none, are renewed as the total of a hub does.
+"""
+
+import collections
+import dataclasses
+import itertools
+
+import curio
+
+from sycamoredale import clock
+from sycamoredale.forwarding import endpoint_tiers
+from sycamoredale.forwarding import progress as progress_module
+from sycamoredale.forwarding import zone_traffic
+from sycamoredale.http import server
+from sycamoredale.requests import poison
+from tests import test_endpoint_tiers
+from tests import test_forwarder
+
+CALLERS = 6
+RETURN_SECONDS = 10.0
+
+
+class ZoneEndpoint(test_forwarder.Endpoint):
+    """Belong to the zone that its name begins with."""
+
+    @property
+    def zone(self):
+        """Return the zone."""
+        return self.name[0]
+
+    async def restore(self):
+        """Listen at the same address again."""
+        self.server = server.Server(self._handle)
+        self.server.bind(self.address)
+        await self.server.start()
+
+
+async def _lose(endpoints):
+    """End all connections at once, as machines without power do."""
+    for endpoint in endpoints:
+        await endpoint.server._close_listener()
+    for endpoint in endpoints:
+        for connection in list(endpoint.server._connections):
+            await connection.task.cancel(blocking=False)
+
+
+def _site(*endpoints):
+    members = test_endpoint_tiers.members_of_zone()
+    tiers = endpoint_tiers.EndpointTiers(members, lambda: True)
+    return test_forwarder.Site(*endpoints, tiers=tiers)
+
+
+def _renew_loads(site):
+    for endpoint in site.endpoint_table.by_id.values():
+        endpoint.set_peer_load(0.0, clock.monotonic())
+
+
+def _calls_by_zone(site):
+    counts = site.forwarder.selector.metrics.counts
+    return collections.Counter(
+        {
+            zone: count
+            for (name, zone), count in counts.items()
+            if name == "calls_by_zone"
+        }
+    )
+
+
+def test_bytes_are_counted_by_the_zone_of_the_endpoint():
+    """Guard against traffic between zones that nobody sees."""
+    for name, zone in [("a0", "own"), ("b0", "other")]:
+        site = _site(ZoneEndpoint(name))
+        caller, _ = site.run()
+        counts = site.forwarder.selector.metrics.counts
+        assert counts["calls_by_zone", zone] == 1
+        moved = counts["zone_bytes", zone]
+        head_bytes = 1000
+        assert len(caller.body) < moved < len(caller.body) + head_bytes
+        assert [k for n, k in counts if n == "zone_bytes"] == [zone]
+
+
+def test_change_is_logged_with_the_loads(monkeypatch):
+    """Guard against a log that tells the load of the other zone alone."""
+    logged = []
+    monkeypatch.setattr(
+        zone_traffic.LOG, "info", lambda event, **fields: logged.append(fields)
+    )
+    selector = test_endpoint_tiers._selector(
+        loads={"a": 1.2, "b": 0.4, "c": 0.9}
+    )
+    endpoint = selector.endpoint_table.by_id["b0"]
+    for _ in range(2):
+        selector.record_send(endpoint, test_endpoint_tiers.NOW)
+    assert [(f["load_per_slot"], f["own_load_per_slot"]) for f in logged] == [
+        (0.4, 1.2)
+    ]
+    assert selector.metrics.counts["sends_by_tier", "other_zones"] == 2
+
+
+def test_calls_go_on_in_another_zone_and_return():
+    """Guard against calls that fail or stay away when a zone is lost."""
+    own = [ZoneEndpoint("a0"), ZoneEndpoint("a1")]
+    site = _site(*own, ZoneEndpoint("b0"), ZoneEndpoint("b1"))
+    bodies = []
+    counts = {}
+    numbers = itertools.count()
+
+    async def renew():
+        while True:
+            _renew_loads(site)
+            await curio.sleep(0.1)
+
+    async def call_repeatedly():
+        while True:
+            caller = test_forwarder.Caller()
+            # Calls of the same content count as poison after some losses.
+            fingerprint = poison.Fingerprint(str(next(numbers)))
+            call = dataclasses.replace(site.call(), fingerprint=fingerprint)
+            progress = progress_module.begin(call)
+            await site.forwarder.run(progress, caller)
+            bodies.append(caller.body)
+
+    async def observe(seconds):
+        before = _calls_by_zone(site)
+        await curio.sleep(seconds)
+        return _calls_by_zone(site) - before
+
+    async def main():
+        for item in site.servers:
+            await item.server.start()
+        tasks = [await curio.spawn(renew)]
+        await curio.sleep(0.05)
+        tasks += [await curio.spawn(call_repeatedly) for _ in range(CALLERS)]
+        counts["before"] = await observe(0.5)
+        await _lose(own)
+        await curio.sleep(0.2)
+        counts["lost"] = await observe(0.5)
+        for endpoint in own:
+            await endpoint.restore()
+        deadline = clock.monotonic() + RETURN_SECONDS
+        while clock.monotonic() < deadline:
+            counts["after"] = await observe(0.3)
+            if set(counts["after"]) == {"own"}:
+                break
+        for task in tasks:
+            assert not task.terminated, task
+            await task.cancel()
+
+    curio.run(main)
+    assert set(counts["before"]) == {"own"}
+    assert set(counts["lost"]) == {"other"}
+    assert set(counts["after"]) == {"own"}
+    assert set(bodies) == {test_forwarder.COMPLETE}
