Lose a zone at once, and between events, in its test

The stand-in slept after its last event; a stream that was cut then had no rest, which is a failure by design. It ends with its last event now, and all connections of the zone are shut down before any task runs on.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -81,7 +81,9 @@
             if self.fault and number > self.fail_at:
                 await self._fail(exchange)
             await exchange.write(b"id: %d\ndata: x\n\n" % number)
-            await curio.sleep(self.event_seconds)
+            # A stream that breaks after its last event has no rest.
+            if number < EVENTS:
+                await curio.sleep(self.event_seconds)
         await exchange.finish()
 
     async def _fail(self, exchange):
--- a/tests/test_zone_traffic.py
+++ b/tests/test_zone_traffic.py
@@ -15,6 +15,7 @@
 from sycamoredale.forwarding import progress as progress_module
 from sycamoredale.forwarding import zone_traffic
 from sycamoredale.http import server
+from sycamoredale.http import sockets
 from sycamoredale.requests import poison
 from tests import test_endpoint_tiers
 from tests import test_forwarder
@@ -42,9 +43,12 @@
     """End all connections at once, as machines without power do."""
     for endpoint in endpoints:
         await endpoint.server._close_listener()
-    for endpoint in endpoints:
-        for connection in list(endpoint.server._connections):
-            await connection.task.cancel(blocking=False)
+    connections = [c for e in endpoints for c in e.server._connections]
+    # A request that still reaches one of them has run once.
+    for connection in connections:
+        sockets.shut_down(connection.sock, curio.socket.SHUT_RDWR)
+    for connection in connections:
+        await connection.task.cancel(blocking=False)
 
 
 def _site(*endpoints):
