Explain a selection at the metrics port of a daemon

An operator could not see why a call goes to an endpoint or is refused. GET /explain?service=&model=&prompt_tokens= runs a selection on a copy of the selector, with its own metrics and random numbers, and lists what excludes each endpoint with the predicates of the selection. Nothing is sent, and nothing that decides is changed.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -20,6 +20,7 @@
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoint_tiers
 from sycamoredale.forwarding import endpoints
+from sycamoredale.forwarding import explanation
 from sycamoredale.forwarding import forwarder
 from sycamoredale.forwarding import hub_selection
 from sycamoredale.forwarding import instance_table
@@ -570,6 +571,13 @@
         await exchange.respond(messages.Response(200 if ready else 503))
 
     async def _answer_metrics(self, exchange: server.Exchange) -> None:
+        if exchange.request.path == explanation.PATH:
+            explainer = explanation.Explainer(
+                self._service.call_forwarder.selector, self._routes
+            )
+            response = explainer.respond(exchange.request, clock.monotonic())
+            await exchange.respond(response)
+            return
         fields = [("Content-Type", exposition.CONTENT_TYPE)]
         registry = self._metric_registry
         registry.set_gauge(
--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 import random
 from typing import Final
 
@@ -55,6 +56,32 @@
 FULL_RETRY_SECONDS: Final = 1.5
 
 
+class Exclusion(enum.Enum):
+    """Classify what keeps an endpoint from being a candidate.
+
+    RECOVERY_PROBE: it was suspected, and a single request tests it.
+    """
+
+    COLD_QUOTA = "cold_quota"
+    ANNOUNCED_LIMIT = "announced_limit"
+    SUSPECT = "suspect"
+    RECOVERY_PROBE = "recovery_probe"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assessment:
+    """Describe an endpoint as a selection sees it.
+
+    `tier` is None while the daemon has no tiers.
+    """
+
+    endpoint: endpoints.Endpoint
+    tier: locality.Tier | None
+    estimate: locality.Estimate
+    is_full: bool
+    exclusions: tuple[Exclusion, ...]
+
+
 @dataclasses.dataclass
 class EndpointSelector:
     """Select among the known endpoints of a service and model."""
@@ -151,16 +178,54 @@
         now: clock.MonotonicTime,
     ) -> list[endpoints.Endpoint]:
         """Return the endpoints at the limit that they announced."""
-        held_back = [
-            e
-            for e in usable
-            if e.limit.was_limited
-            and not e.limit.may_send(e.id, self.quota.shares, now)
-        ]
+        held_back = [e for e in usable if self._is_held_back(e, now)]
         if held_back:
             self.metrics.count("announced_limits", "held_back")
         return held_back
 
+    def _is_held_back(
+        self, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
+    ) -> bool:
+        limit = endpoint.limit
+        return limit.was_limited and not limit.may_send(
+            endpoint.id, self.quota.shares, now
+        )
+
+    def assess(
+        self,
+        call: calls.Call,
+        endpoint: endpoints.Endpoint,
+        now: clock.MonotonicTime,
+    ) -> Assessment:
+        """Return how a selection for a call sees an endpoint now."""
+        engine, tier = call.service.engine, None
+        if engine is not None and self.tiers is not None:
+            key = call.service.name, _model_name(call)
+            known = self.endpoint_table.for_model(*key)
+            tier = self.tiers.tier_of(key, known, endpoint, now)
+        if engine is not None and tier is not None:
+            estimate = self._estimate(call, engine, endpoint, now)
+        else:
+            estimate = locality.Estimate(
+                _load_cost(endpoint, now),
+                self._meets_objective(call, endpoint, now),
+            )
+        applies_by_exclusion = {
+            Exclusion.COLD_QUOTA: not self._has_cold_quota(
+                endpoint, call.service, now
+            ),
+            Exclusion.ANNOUNCED_LIMIT: self._is_held_back(endpoint, now),
+            Exclusion.SUSPECT: endpoint.is_suspect(now),
+            Exclusion.RECOVERY_PROBE: _has_recovery_probe(endpoint, now),
+        }
+        return Assessment(
+            endpoint,
+            tier,
+            estimate,
+            _is_full(endpoint, call.service, now),
+            tuple(e for e, applies in applies_by_exclusion.items() if applies),
+        )
+
     def _sample(
         self,
         call: calls.Call,
