Add the command that explains where a call would go

sycamoredale explain asks a daemon over its metrics address and prints the endpoint or the refusal, and the endpoints with their tier, load and what excludes them.

--- a/sycamoredale/cli.py
+++ b/sycamoredale/cli.py
@@ -10,6 +10,7 @@
 import sycamoredale
 from sycamoredale.commands import configuration
 from sycamoredale.commands import daemons
+from sycamoredale.commands import explain
 from sycamoredale.commands import histogram
 from sycamoredale.commands import parameters
 from sycamoredale.commands import trace
@@ -44,6 +45,7 @@
     configuration.apply,
     configuration.get,
     configuration.status,
+    explain.explain,
     histogram.histogram,
     trace.trace,
 ):
