Estimate the wait of callers only after the start of a daemon

A caller with a shorter time limit than others of its route counted as one that had waited, for as long as the others called: with limits of 6 and 3 s in turn, every second call was queued as late. The estimate is for the crowd after an outage of all daemons; a timeout of the route after the first call none of these callers is left, and the wait is 0 from then on.

--- a/sycamoredale/scheduling/caller_wait.py
+++ b/sycamoredale/scheduling/caller_wait.py
@@ -6,7 +6,9 @@
 callers have certainly waited are queued behind the new ones.
 
 A caller that comes back has less time left.  Callers of one route have similar
-time limits, so that a shorter one shows the wait.
+time limits, so that a shorter one shows the wait.  Some callers always have
+short limits, so waits are estimated only until all that waited for the first
+call of this daemon are gone.
 """
 
 import dataclasses
@@ -43,6 +45,7 @@
 class CallerWaits:
     """Learn the usual time limit of each route."""
 
+    _first_at: clock.MonotonicTime | None = None
     _longest_by_route: dict[str, _LongestLimit] = dataclasses.field(
         default_factory=dict
     )
@@ -56,8 +59,13 @@
     ) -> float:
         """Return how long the caller of a request has waited at least.
 
-        Limits over the timeout of the route count as that.
+        Limits over the timeout of the route count as that.  It is 0 once a
+        timeout has passed since the first call of any route.
         """
+        if self._first_at is None:
+            self._first_at = now
+        if now - self._first_at >= timeout_seconds:
+            return 0.0
         limit_seconds = min(limit_seconds, timeout_seconds)
         longest = self._longest_by_route.setdefault(route, _LongestLimit(now))
         usual = longest.record(limit_seconds, now)
