Use tiers only in fleets of several zones

A large fleet of one zone got subsets of four endpoints as well, though it was to be served as before. Tiers are used now if a live daemon or an endpoint of the model is in another zone.

--- a/sycamoredale/forwarding/endpoint_tiers.py
+++ b/sycamoredale/forwarding/endpoint_tiers.py
@@ -34,11 +34,12 @@
     members: view.MembershipView
     is_enabled: collections.abc.Callable[[], bool]
     _daemons: frozenset[ids.DaemonId] = frozenset()
+    _has_other_zones: bool = False
     _revision: int = -1
     # With the list from which the subset was computed: a new list replaces it
     # when endpoints change.
     _subset_by_model: dict[
-        ModelKey, tuple[_Known, frozenset[ids.InstanceId]]
+        ModelKey, tuple[_Known, frozenset[ids.InstanceId] | None]
     ] = dataclasses.field(default_factory=dict)
 
     def divide(
@@ -56,6 +57,8 @@
         if not self.is_enabled() or not _knows_loads(candidates, now):
             return None
         subset = self._subset(key, known)
+        if subset is None:
+            return None
         by_tier: dict[locality.Tier, list[endpoints.Endpoint]] = {}
         for endpoint in candidates:
             tier = self._tier_of(endpoint, subset)
@@ -86,26 +89,35 @@
 
     def _subset(
         self, key: ModelKey, known: _Known
-    ) -> frozenset[ids.InstanceId]:
+    ) -> frozenset[ids.InstanceId] | None:
+        """Return the subset of this daemon, None in a fleet of one zone."""
         if self._revision != self.members.revision:
             self._refresh_daemons()
-        source, subset = self._subset_by_model.get(key, (None, frozenset()))
+        source, subset = self._subset_by_model.get(key, (None, None))
         if source is not known:
             own = self.members.own
-            near = (e.id for e in known if e.instance.zone == own.zone)
-            subset = endpoint_subsets.subset_of(near, self._daemons, own.id)
+            near = [e.id for e in known if e.instance.zone == own.zone]
+            if self._has_other_zones or len(near) < len(known):
+                subset = endpoint_subsets.subset_of(
+                    near, self._daemons, own.id
+                )
+            else:
+                subset = None
             self._subset_by_model[key] = known, subset
         return subset
 
     def _refresh_daemons(self) -> None:
         self._revision = self.members.revision
-        daemons = frozenset(
-            peer.id
-            for peer in self.members.live_routers()
-            if peer.zone == self.members.own.zone
-        )
-        if daemons != self._daemons:
+        routers = list(self.members.live_routers())
+        own_zone = self.members.own.zone
+        daemons = frozenset(p.id for p in routers if p.zone == own_zone)
+        has_other_zones = len(daemons) < len(routers)
+        if (daemons, has_other_zones) != (
+            self._daemons,
+            self._has_other_zones,
+        ):
             self._daemons = daemons
+            self._has_other_zones = has_other_zones
             self._subset_by_model.clear()
 
 
--- a/tests/test_endpoint_tiers.py
+++ b/tests/test_endpoint_tiers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from sycamoredale import clock
@@ -133,3 +134,30 @@
     assert share == pytest.approx(5 / 9, abs=0.1)
     _set_loads(selector, {"a": 0.0, "b": 0.0, "c": 0.0})
     assert _share_of_own_zone(selector, _call()) == 1.0
+
+
+def test_fleet_of_one_zone_has_no_tiers():
+    """Guard against subsets in deployments that were served without."""
+    selector = _selector(zones="a", per_zone=12, loads={"a": 0.1})
+    call = _call()
+    selected = {
+        selector.select(call, frozenset(), NOW).id for _ in range(CALLS)
+    }
+    assert len(selected) == 12
+
+
+def test_lost_endpoints_of_other_zones_leave_the_subset():
+    """Guard against new connections while the other zones are lost."""
+    selector = _selector(zones="a", per_zone=12, loads={"a": 0.1})
+    members = selector.tiers.members
+    members.merge(
+        msgspec.structs.replace(
+            _peer(members.own, 99), zone=ids.ZoneName("b")
+        ),
+        NOW,
+    )
+    call = _call()
+    selected = {
+        selector.select(call, frozenset(), NOW).id for _ in range(CALLS)
+    }
+    assert len(selected) == 4
