--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,6 +11,7 @@
 from sycamoredale import cli
 from sycamoredale.commands import explain
 from sycamoredale.daemons import entry
+from sycamoredale import errors
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import explanation
 from sycamoredale.forwarding import route_table
@@ -132,17 +133,14 @@
 
 def test_daemon_answers_beside_its_metrics():
     daemon = entry.EntryDaemon(test_descriptor_shares._settings(256))
-    answered = []
 
-    class Exchange:
-        request = messages.Request("GET", QUESTION)
-
-        async def respond(self, response):
-            answered.append(response)
+    async def main():
+        address = daemon._metrics.bind(messages.Address("127.0.0.1", 0))
+        await daemon._metrics.start()
+        return await explain.ask(address, {"service": "llm"})
 
-    curio.run(daemon._answer_metrics, Exchange())
-    assert answered[0].status == 400
-    assert b"not one of: none" in answered[0].body
+    with pytest.raises(errors.Refusal, match="not one of: none"):
+        curio.run(main)
 
 
 def _ask_over_http(explainer, **question):
@@ -175,7 +173,7 @@
 
 
 def test_command_reports_errors():
-    with pytest.raises(Exception, match="service is 'x', not one of"):
+    with pytest.raises(errors.Refusal, match="service is 'x', not one of"):
         _ask_over_http(_explainer(), service="x")
     arguments = "explain --daemon 127.0.0.1:1 --service llm"
     result = testing.CliRunner().invoke(cli.main, arguments.split())
