Replace tiers of endpoints by balanced subsets and a leaving share

Change: a near subset of six endpoints, balanced over the fleet, and a share of calls that uses a subset of all zones while the near one is busier.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -16,9 +16,9 @@
 from sycamoredale.forwarding import address_checks
 from sycamoredale.forwarding import cold_quota
 from sycamoredale.forwarding import daemon_shares
+from sycamoredale.forwarding import daemon_subsets
 from sycamoredale.forwarding import departures
 from sycamoredale.forwarding import endpoint_selection
-from sycamoredale.forwarding import endpoint_tiers
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import forwarder
 from sycamoredale.forwarding import hub_selection
@@ -428,7 +428,7 @@
                 ),
             ),
             metrics=self._metric_registry,
-            tiers=endpoint_tiers.EndpointTiers(
+            subsets=daemon_subsets.DaemonSubsets(
                 self._node.members,
                 lambda: self._peer_updates.hubs.uses_hubs,
             ),
--- a/sycamoredale/forwarding/catalogue.py
+++ b/sycamoredale/forwarding/catalogue.py
@@ -4,7 +4,6 @@
 newer version replaces it.
 """
 
-import collections.abc
 import dataclasses
 import enum
 from typing import Final
@@ -79,8 +78,7 @@
     takes `step_seconds`, plus `step_seconds_per_request` for each request.
     Events are sent after every `steps_per_event` steps.  All times of a
     cross-domain group are longer by `cross_domain_factor`.
-    `mean_answer_tokens` is 0 if it is not known.  `delay_seconds_by_zones` has
-    the one-way delay between two zones, which need not be in order.
+    `mean_answer_tokens` is 0 if it is not known.
     """
 
     slots: int
@@ -93,16 +91,6 @@
     models: tuple[Model, ...]
     steps_per_event: int = 1
     mean_answer_tokens: float = 0.0
-    delay_seconds_by_zones: collections.abc.Mapping[
-        frozenset[ids.ZoneName], float
-    ] = dataclasses.field(default_factory=dict)
-
-    def round_trip_seconds(
-        self, zone: ids.ZoneName, other: ids.ZoneName
-    ) -> float:
-        """Return the round trip between two zones, 0 if it is not known."""
-        zones = frozenset((zone, other))
-        return 2 * self.delay_seconds_by_zones.get(zones, 0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -2,13 +2,14 @@
 
 Selection samples two endpoints and takes the less loaded one, as in "power of
 two choices"; all endpoints are compared only if that one is full or would
-be late.  In a large fleet the endpoints of an engine are sampled by their
-distance; see `sycamoredale.scheduling.locality`.
+be late.  In a large fleet the endpoints of an engine are sampled from subsets;
+see `sycamoredale.scheduling.endpoint_subsets` and `.locality`.
 """
 
 import collections.abc
 import dataclasses
 import random
+import statistics
 from typing import Final
 
 from sycamoredale import clock
@@ -17,15 +18,13 @@
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
 from sycamoredale.forwarding import cold_quota
-from sycamoredale.forwarding import endpoint_tiers
+from sycamoredale.forwarding import daemon_subsets
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import instance_table
 from sycamoredale.forwarding import queue_priority
 from sycamoredale import ids
 from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
-from sycamoredale.scheduling import locality
-from sycamoredale.scheduling import zone_use
 
 # Cost of the network path to another zone, in queued requests.
 OTHER_ZONE_LOAD_PENALTY: Final = 0.5
@@ -54,6 +53,8 @@
 # A lost group is replaced within about two seconds; callers wait at most a
 # third of their remaining time.
 FULL_RETRY_SECONDS: Final = 1.5
+# Loads of peers change five times a second.
+LEAVING_INTERVAL_SECONDS: Final = 0.1
 LOG: Final = logs.get("endpoint_selection")
 
 
@@ -69,10 +70,7 @@
     metrics: exposition.MetricRegistry = dataclasses.field(
         default_factory=exposition.MetricRegistry
     )
-    tiers: endpoint_tiers.EndpointTiers | None = None
-    _zone_use: zone_use.ZoneUse[tuple[ids.ServiceName, str]] = (
-        dataclasses.field(default_factory=zone_use.ZoneUse)
-    )
+    subsets: daemon_subsets.DaemonSubsets | None = None
 
     def select(
         self,
@@ -164,63 +162,47 @@
         candidates: collections.abc.Sequence[endpoints.Endpoint],
         now: clock.MonotonicTime,
     ) -> endpoints.Endpoint:
-        """Return a sampled endpoint, of the nearest tier that has capacity."""
-        engine = call.service.engine
-        if engine is None or self.tiers is None:
-            return self._sample_least_loaded(candidates, now)
-        key = call.service.name, _model_name(call)
-        by_tier = self.tiers.divide(key, known, candidates, now)
-        if by_tier is None:
+        """Return a sampled endpoint, of a subset if this daemon has any."""
+        subsets = None
+        if call.service.engine is not None and self.subsets is not None:
+            key = call.service.name, _model_name(call)
+            subsets = self.subsets.get(key, known, now)
+        if subsets is None:
             return self._sample_least_loaded(candidates, now)
-        choice = locality.select(
-            by_tier,
-            lambda endpoint: self._estimate(call, engine, endpoint, now),
-            self.rng,
-        )
-        assert choice is not None
-        self._record_tier(key, choice, now)
-        return choice.endpoint
-
-    def _estimate(
+        self._update_leaving(call, subsets, now)
+        leaves = self.rng.random() < subsets.leaving.share
+        near = [e for e in candidates if e.id in subsets.near]
+        wide = [e for e in candidates if e.id in subsets.wide]
+        for sampled in (wide, near) if leaves else (near, wide):
+            # A single one that is left would get all calls of many daemons.
+            if len(sampled) >= SAMPLED_ENDPOINTS:
+                return self._sample_least_loaded(sampled, now)
+        return self._sample_least_loaded(candidates, now)
+
+    def _update_leaving(
         self,
         call: calls.Call,
-        engine: catalogue.BatchEngine,
-        endpoint: endpoints.Endpoint,
-        now: clock.MonotonicTime,
-    ) -> locality.Estimate:
-        priority = queue_priority.queue_priority_of(
-            call,
-            endpoint,
-            False,
-            now,
-            engine.round_trip_seconds(self.own_zone, endpoint.instance.zone),
-        )
-        return locality.Estimate(
-            _load_cost(endpoint, now),
-            priority is queue_priority.QueuePriority.IN_TIME,
-        )
-
-    def _record_tier(
-        self,
-        key: tuple[ids.ServiceName, str],
-        choice: locality.Choice[endpoints.Endpoint],
+        subsets: daemon_subsets.ModelSubsets,
         now: clock.MonotonicTime,
     ) -> None:
-        """Count a selection, and log when this daemon leaves its zone."""
-        service, model = key
-        self.metrics.count("calls_by_zone", choice.tier.value)
-        leaves = self._zone_use.record(key, choice.tier, now)
-        if leaves is None:
+        """Update the share of calls that leave the endpoints near by."""
+        leaving = subsets.leaving
+        if not leaving.is_due(now, LEAVING_INTERVAL_SECONDS):
             return
-        LOG.info(
-            "zone_left" if leaves else "zone_kept",
-            service=service,
-            model=model,
-            endpoint=choice.endpoint.id,
-            zone=choice.endpoint.instance.zone,
-            load_per_slot=round(choice.estimate.load_per_slot, 2),
-            in_time=choice.estimate.is_in_time,
-        )
+        near = [e for e in subsets.known if e.id in subsets.near]
+        if leaving.update(
+            statistics.fmean(_load_cost(e, now) for e in near),
+            statistics.fmean(_load_cost(e, now) for e in subsets.known),
+            now,
+        ):
+            LOG.info(
+                "zone_left" if leaving.is_leaving else "zone_kept",
+                service=call.service.name,
+                model=_model_name(call),
+                near_load=round(leaving.near_load, 2),
+                fleet_load=round(leaving.fleet_load, 2),
+                share=round(leaving.share, 2),
+            )
 
     def _sample_least_loaded(
         self,
@@ -281,6 +263,8 @@
     ) -> None:
         """Count a request that is sent to an endpoint."""
         endpoint.limit.record_send(now)
+        is_own = endpoint.instance.zone == self.own_zone
+        self.metrics.count("calls_by_zone", "own" if is_own else "other")
 
 
 def _model_name(call: calls.Call) -> str:
--- a/sycamoredale/forwarding/queue_priority.py
+++ b/sycamoredale/forwarding/queue_priority.py
@@ -37,12 +37,8 @@
     endpoint: endpoints.Endpoint,
     is_continued: bool,
     now: clock.MonotonicTime,
-    network_seconds: float = 0.0,
 ) -> QueuePriority:
-    """Return the priority of a call that is sent to an endpoint now.
-
-    `network_seconds` is the round trip to the endpoint.
-    """
+    """Return the priority of a call that is sent to an endpoint now."""
     if is_continued:
         return QueuePriority.CONTINUED
     engine = call.service.engine
@@ -56,7 +52,7 @@
         * model.time_factor
         * _first_event_seconds(call, engine, queued_ahead)
     )
-    elapsed = now - call.arrived_at + network_seconds
+    elapsed = now - call.arrived_at
     left = OBJECTIVE_FRACTION * call.route.objective_seconds - elapsed
     return QueuePriority.IN_TIME if seconds <= left else QueuePriority.LATE
 
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -47,14 +47,6 @@
     warm_s: float = 0.0
 
 
-class _Delay(msgspec.Struct, rename={"start": "from"}):
-    start: str
-    # The other zone.
-    target_version: str
-    # One way.
-    delay_ms: float
-
-
 class _Engine(msgspec.Struct):
     slots: int
     step_ms: float = 0.0
@@ -69,7 +61,6 @@
     # Mean token counts; "answer" is that of an answer.
     usual: dict[str, float] = {}
     models: list[_Model] = []
-    delays: list[_Delay] = []
 
 
 class _Service(msgspec.Struct):
@@ -185,10 +176,4 @@
         ),
         steps_per_event=engine.stride,
         mean_answer_tokens=engine.usual.get("answer", 0.0),
-        delay_seconds_by_zones={
-            frozenset(
-                (ids.ZoneName(d.start), ids.ZoneName(d.target_version))
-            ): (d.delay_ms / 1000)
-            for d in engine.delays
-        },
     )
--- a/sycamoredale/scheduling/locality.py
+++ b/sycamoredale/scheduling/locality.py
@@ -1,122 +1,76 @@
-"""Select an endpoint near by, and leave the zone for what does not fit there.
+"""Decide which share of the calls of a zone leaves it.
 
 Answers uneven zones: traffic between zones is slower and costs money, yet the
-endpoints of a zone are too few while its callers are many or a part of its
-endpoints is lost.
-
-Endpoints are divided into tiers by their distance.  In each tier two are
-sampled, because loads are tenths of a second old and daemons with the same
-data would all select the least loaded endpoint.  A tier is left only for a
-call for which its sample has no capacity, so that what leaves a zone is what
-does not fit.  No share has to be agreed on, and opposite waves of two zones
-need no forecast.  A farther endpoint has to be better by a margin: zones that
-are all at capacity do not exchange their calls.
+endpoints of a zone are too few while its callers are many, or while a part of
+its endpoints is lost.
+
+A daemon compares the mean load of the endpoints near by with that of all
+endpoints.  While the near ones are busier by a margin, a share of its calls
+goes to endpoints of all zones; the share grows with the difference.  Loads are
+tenths of a second old, so a call is not moved because a single endpoint looks
+busy: the daemons that move it there would fill the next one.  Below a load at
+which callers notice nothing, all calls stay.  Zones that are all busy have
+equal loads and do not exchange their calls.
 """
 
-import collections.abc
 import dataclasses
-import enum
-import random
-import typing
+import math
 from typing import Final
 
-# Up to this load nine calls of ten get their first event soon enough for an
-# objective of 250 ms; at 0.7 they no longer do, as other daemons send to the
-# endpoint at the same time.
-MAX_LOAD_PER_SLOT: Final = 0.5
-# A farther endpoint is worth a longer way if it is less loaded by this.  The
-# loads of two endpoints differ by about as much by chance.
-MIN_LOAD_GAIN: Final = 0.2
-SAMPLED_ENDPOINTS: Final = 2
-
-
-class Tier(enum.Enum):
-    """Classify endpoints by their distance.
-
-    SUBSET: those of the own zone that this daemon keeps connections to.
-    ZONE: the others of the own zone.  OTHER_ZONES: all others.
-    """
-
-    SUBSET = "subset"
-    ZONE = "zone"
-    OTHER_ZONES = "other_zones"
-
-
-EndpointT = typing.TypeVar("EndpointT")
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Estimate:
-    """Estimate how an endpoint would serve a call.
-
-    `load_per_slot` counts the requests that are there before the call, and
-    `is_in_time` tells whether the call would meet its objective, with the
-    round trip to the zone of the endpoint.
-    """
-
-    load_per_slot: float
-    is_in_time: bool
+from sycamoredale import clock
+
+# Up to this load per slot, the first event of an answer comes as soon as on an
+# idle endpoint.
+FREE_LOAD_PER_SLOT: Final = 0.3
+# The mean of six endpoints differs by a tenth from that of all by chance.
+MIN_EXCESS: Final = 1.15
+# Calls stop to leave below this, so that the decision does not alternate.
+MAX_EXCESS_AT_END: Final = 1.05
+# With an exponent of 2, two thirds of a difference are levelled out once the
+# calls that leave no longer count in the load near by.
+SHARE_EXPONENT: Final = 2.0
+# Longer than loads are old, and short against waves of demand.
+SMOOTHING_SECONDS: Final = 1.0
+
+
+@dataclasses.dataclass
+class LeavingShare:
+    """Hold the smoothed loads per slot, near by and of all endpoints."""
+
+    near_load: float = 0.0
+    fleet_load: float = 0.0
+    is_leaving: bool = False
+    _updated_at: clock.MonotonicTime | None = None
+
+    def is_due(
+        self, now: clock.MonotonicTime, interval_seconds: float
+    ) -> bool:
+        """Return whether the last update was an interval ago."""
+        updated_at = self._updated_at
+        return updated_at is None or now - updated_at >= interval_seconds
+
+    def update(
+        self, near_load: float, fleet_load: float, now: clock.MonotonicTime
+    ) -> bool:
+        """Add loads; return whether calls begin or stop to leave."""
+        weight = 1.0
+        if self._updated_at is not None:
+            age = now - self._updated_at
+            weight = 1.0 - math.exp(-age / SMOOTHING_SECONDS)
+        self._updated_at = now
+        self.near_load += weight * (near_load - self.near_load)
+        self.fleet_load += weight * (fleet_load - self.fleet_load)
+        was_leaving = self.is_leaving
+        excess = MAX_EXCESS_AT_END if was_leaving else MIN_EXCESS
+        self.is_leaving = self.near_load > max(
+            FREE_LOAD_PER_SLOT, excess * self.fleet_load
+        )
+        return self.is_leaving != was_leaving
 
     @property
-    def has_capacity(self) -> bool:
-        """Return whether a nearer endpoint like this is good enough."""
-        return self.is_in_time and self.load_per_slot < MAX_LOAD_PER_SLOT
-
-    def is_worth_leaving_for(self, nearer: "Estimate") -> bool:
-        """Return whether this one is better than a nearer one by a margin."""
-        if self.is_in_time != nearer.is_in_time:
-            return self.is_in_time
-        return self.load_per_slot <= nearer.load_per_slot - MIN_LOAD_GAIN
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice(typing.Generic[EndpointT]):
-    """Hold a selected endpoint, its tier and its estimate."""
-
-    endpoint: EndpointT
-    tier: Tier
-    estimate: Estimate
-
-
-def select(
-    endpoints_by_tier: collections.abc.Mapping[
-        Tier, collections.abc.Sequence[EndpointT]
-    ],
-    estimate: collections.abc.Callable[[EndpointT], Estimate],
-    rng: random.Random,
-) -> Choice[EndpointT] | None:
-    """Return the endpoint for a call, or None if no tier has any."""
-    chosen: Choice[EndpointT] | None = None
-    for sampled in _samples(endpoints_by_tier, estimate, rng):
-        if chosen is None or sampled.estimate.is_worth_leaving_for(
-            chosen.estimate
-        ):
-            chosen = sampled
-        if chosen.estimate.has_capacity:
-            break
-    return chosen
-
-
-def _samples(
-    endpoints_by_tier: collections.abc.Mapping[
-        Tier, collections.abc.Sequence[EndpointT]
-    ],
-    estimate: collections.abc.Callable[[EndpointT], Estimate],
-    rng: random.Random,
-) -> collections.abc.Iterator[Choice[EndpointT]]:
-    """Yield the better one of two endpoints of each tier, nearest first."""
-    for tier in Tier:
-        endpoints = endpoints_by_tier.get(tier, ())
-        if not endpoints:
-            continue
-        count = min(SAMPLED_ENDPOINTS, len(endpoints))
-        yield min(
-            (
-                Choice(endpoint, tier, estimate(endpoint))
-                for endpoint in rng.sample(endpoints, count)
-            ),
-            key=lambda choice: (
-                not choice.estimate.is_in_time,
-                choice.estimate.load_per_slot,
-            ),
-        )
+    def share(self) -> float:
+        """Return the share of the calls that leave, 0 to 1."""
+        if not self.is_leaving:
+            return 0.0
+        ratio = self.fleet_load / self.near_load
+        return 1.0 - math.pow(ratio, SHARE_EXPONENT)
