--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -107,7 +107,7 @@
     "near, fleet", [(0.0, 0.0), (0.28, 0.1), (0.9, 0.85), (1.5, 1.5)]
 )
 def test_calls_stay_while_the_zone_is_free_or_all_are_busy(near, fleet):
-    """Guard against calls that leave free zones, or that full ones exchange."""
+    """Guard against calls that leave a free zone, or that full ones swap."""
     assert _share_after(near, fleet) == 0.0
 
 
