--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -395,11 +395,13 @@
         seconds = FULL_RETRY_SECONDS
         if engine.mean_answer_tokens:
             least = min(candidates, key=lambda e: e.load(now))
+            model = call.service.model(least.model)
+            factor = model.time_factor if model is not None else 1.0
             seconds = return_time.forecast_seconds(
                 least.load(now),
                 call.urgency.load_limit * least.slots,
                 least.slots,
-                engine.usual_answer_seconds,
+                factor * engine.usual_answer_seconds,
             )
         return return_time.spread_seconds(seconds, self.rng)
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -1,5 +1,6 @@
 """Test the decoding and encoding of the platform's formats."""
 
+import dataclasses
 import json
 
 import curio
@@ -23,6 +24,7 @@
 from sycamoredale.platform import manifest
 from sycamoredale.platform import settings
 from sycamoredale.platform import wire_format
+from sycamoredale.scheduling import urgency
 from tests import instance_fixtures
 
 SETTINGS_TEXT = """node_name=edge-1
@@ -209,17 +211,23 @@
 
 
 @pytest.mark.parametrize(
-    "position, expected",
+    "position, by_level",
     [
-        (queue_priority.QueuePriority.CONTINUED, "2"),
-        (queue_priority.QueuePriority.IN_TIME, None),
-        (queue_priority.QueuePriority.LATE, "7"),
+        (queue_priority.QueuePriority.CONTINUED, ("2", "2", "2", "2", "2")),
+        (queue_priority.QueuePriority.IN_TIME, (None, "3", "4", "5", "6")),
+        (queue_priority.QueuePriority.LATE, ("7", "7", "7", "8", "9")),
     ],
 )
+@pytest.mark.parametrize("level", [None, 0, 1, 2, 3])
 def test_queue_priority_replaces_the_priority_of_the_caller(
-    position, expected
+    position, by_level, level
 ):
     call = _call([("Request-Priority", "0"), ("Model", "large")])
+    expected = by_level[0]
+    if level is not None:
+        found = urgency.Urgency(level, level)
+        call = dataclasses.replace(call, urgency=found)
+        expected = by_level[1 + level]
     sent = wire_format.request_for(
         call, instance_fixtures.instance("i-1"), 1.5, None, position
     )
--- a/tests/test_queue_priority.py
+++ b/tests/test_queue_priority.py
@@ -107,11 +107,18 @@
         ids.DaemonId("d1"), table, update_fixtures.selector("d1")
     )
     for daemon in ("d2", "d3"):
-        item = peer_updates.EndpointUpdate("i0", 6, -1, 0, 3)
+        item = peer_updates.EndpointUpdate(
+            "i0", 6, -1, 0, 3, unread_tokens=30, held_tokens=40
+        )
         exchange.receive(peer_updates.PeerUpdate(daemon, [item]), now)
     exchange.apply_peer_loads(now)
     assert endpoint.load(now) == pytest.approx(16.0)
     assert endpoint.undeferred_load(now) == pytest.approx(10.0)
+    assert endpoint.unread_tokens_at(now) == pytest.approx(60.0)
+    assert endpoint.held_tokens_at(now) == pytest.approx(80.0)
+    # A total includes what this daemon has sent itself.
+    counts = update_exchange._counts_without(item, item)
+    assert counts == (0.0, 0.0, 0.0, 0.0)
 
 
 class Engine:
