Do not demote the calls of an organisation that is alone

Cause: an organisation with all calls of a window counted as dominant, so that in overload all calls of a deployment with one organisation were one level less urgent. Change: only an organisation beside others dominates.

--- a/sycamoredale/scheduling/minimum_share.py
+++ b/sycamoredale/scheduling/minimum_share.py
@@ -85,12 +85,15 @@
         return rng.random() < owed
 
     def is_dominant(self, organisation: ids.OrganisationName | None) -> bool:
-        """Return whether an organisation has over half of the calls."""
+        """Return whether an organisation has over half of the calls.
+
+        One that has all of them takes nothing from others.
+        """
         total = len(self._arrivals)
         return (
             organisation is not None
             and total >= MIN_CALLS_TO_DOMINATE
-            and self._counts[organisation] > DOMINANT_SHARE * total
+            and DOMINANT_SHARE * total < self._counts[organisation] < total
         )
 
     def _drop_old(self, now: clock.MonotonicTime) -> None:
