--- a/benchmarks/zone_tiers.py
+++ b/benchmarks/zone_subsets.py
@@ -1,9 +1,9 @@
-"""Measure what a selection by tiers costs and how many endpoints it uses.
+"""Measure what a selection from subsets costs and how many endpoints it uses.
 
 Daemons in three zones send to 54 groups of one model, each daemon 200 calls
 in a minute.  The loads of the groups are drawn anew every fifth of a second,
 evenly up to a share of the slots.  For each number of daemons the same calls
-are selected with and without tiers, without processes or network.
+are selected with and without subsets, without processes or network.
 """
 
 import dataclasses
@@ -16,8 +16,8 @@
 from benchmarks import site
 from sycamoredale import clock
 from sycamoredale.forwarding import calls
+from sycamoredale.forwarding import daemon_subsets
 from sycamoredale.forwarding import endpoint_selection
-from sycamoredale.forwarding import endpoint_tiers
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import instance_table
@@ -50,14 +50,14 @@
 
 
 def main() -> None:
-    """Measure each size with and without tiers."""
+    """Measure each size with and without subsets."""
     for size in SIZES:
         for name, share in itertools.product(
-            ("tiers", "no tiers"), MAX_LOAD_SHARES
+            ("subsets", "all"), MAX_LOAD_SHARES
         ):
             use = Use()
             for number in range(MEASURED_DAEMONS):
-                selector = _selector(size, number, name == "tiers")
+                selector = _selector(size, number, name == "subsets")
                 _measure_daemon(selector, random.Random(number), share, use)
             _report(size, f"{name}, load up to {share:.0%}", use)
 
@@ -113,7 +113,7 @@
 
 
 def _selector(
-    size: int, number: int, has_tiers: bool
+    size: int, number: int, has_subsets: bool
 ) -> endpoint_selection.EndpointSelector:
     """Return the selector of one daemon of the first zone."""
     instances = instance_table.InstanceTable()
@@ -132,14 +132,14 @@
     members = view.MembershipView(own)
     for peer in range(size):
         members.merge(_peer(peer), START)
-    tiers = endpoint_tiers.EndpointTiers(members, lambda: True)
+    subsets = daemon_subsets.DaemonSubsets(members, lambda: True)
     return endpoint_selection.EndpointSelector(
         table,
         instances,
         own.zone,
         _FIXTURES.cold_quota_of(size),
         random.Random(number),
-        tiers=tiers if has_tiers else None,
+        subsets=subsets if has_subsets else None,
     )
 
 
--- a/sycamoredale/commands/explain.py
+++ b/sycamoredale/commands/explain.py
@@ -20,7 +20,7 @@
 
 TIMEOUT_SECONDS: Final = 5.0
 HEADER: Final = (
-    f"{'endpoint':<24} {'zone':<12} {'tier':<12} {'load':>7} {'slots':>5} "
+    f"{'endpoint':<24} {'zone':<12} {'subsets':<12} {'load':>7} {'slots':>5} "
     f"{'per slot':>8}  notes"
 )
 
@@ -82,8 +82,10 @@
         f"route {answer.route}, objective {answer.objective_ms:g} ms, "
         f"zone {answer.own_zone}"
     )
-    if not answer.has_tiers:
+    if answer.leaving_share is None:
         yield "two endpoints are sampled over all zones"
+    else:
+        yield f"{answer.leaving_share:.0%} of the calls leave the near subset"
     if answer.refusal is not None:
         retry = answer.refusal.retry_after
         after = "" if retry is None else f", retry after {retry:.1f} s"
@@ -99,12 +101,9 @@
         yield _format_candidate(candidate)
 
 
-def _order(candidate: explanation.Candidate) -> tuple[bool, str, float]:
-    tier = _TIER_ORDER.get(candidate.tier or "", "")
-    return bool(candidate.excluded_by), tier, candidate.load_per_slot
-
-
-_TIER_ORDER: Final = {"subset": "0", "zone": "1", "other_zones": "2"}
+def _order(candidate: explanation.Candidate) -> tuple[bool, bool, float]:
+    is_far = "near" not in candidate.subsets
+    return bool(candidate.excluded_by), is_far, candidate.load_per_slot
 
 
 def _format_candidate(candidate: explanation.Candidate) -> str:
@@ -113,7 +112,7 @@
     notes.append("in time" if candidate.is_in_time else "late")
     return (
         f"{candidate.endpoint:<24} {candidate.zone:<12} "
-        f"{candidate.tier or '-':<12} {candidate.load:>7.1f} "
+        f"{'+'.join(candidate.subsets) or '-':<12} {candidate.load:>7.1f} "
         f"{candidate.slots:>5} {candidate.load_per_slot:>8.2f}  "
         f"{', '.join(notes)}"
     )
--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -16,9 +16,9 @@
 from sycamoredale.forwarding import address_checks
 from sycamoredale.forwarding import cold_quota
 from sycamoredale.forwarding import daemon_shares
+from sycamoredale.forwarding import daemon_subsets
 from sycamoredale.forwarding import departures
 from sycamoredale.forwarding import endpoint_selection
-from sycamoredale.forwarding import endpoint_tiers
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import explanation
 from sycamoredale.forwarding import forwarder
@@ -133,7 +133,9 @@
         self._instances = instance_table.InstanceTable(
             departures=departures.DepartureLog(self._metric_registry)
         )
-        self._routes = route_table.RouteTable()
+        self._routes = route_table.RouteTable(
+            limits_memory=settings.limits_engine_memory
+        )
         self._evacuation_handler = object_handlers.EvacuationHandler(
             self._rebuild_endpoints
         )
@@ -429,7 +431,7 @@
                 ),
             ),
             metrics=self._metric_registry,
-            tiers=endpoint_tiers.EndpointTiers(
+            subsets=daemon_subsets.DaemonSubsets(
                 self._node.members,
                 lambda: self._peer_updates.hubs.uses_hubs,
             ),
--- a/sycamoredale/forwarding/explanation.py
+++ b/sycamoredale/forwarding/explanation.py
@@ -8,7 +8,6 @@
 import collections
 import collections.abc
 import dataclasses
-import random
 from typing import Final
 
 import msgspec
@@ -17,12 +16,12 @@
 from sycamoredale import errors
 from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import catalogue
+from sycamoredale.forwarding import daemon_subsets
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import header_values
 from sycamoredale.forwarding import route_table
 from sycamoredale.http import messages
 from sycamoredale import ids
-from sycamoredale.observability import exposition
 from sycamoredale.requests import poison
 
 PATH: Final = "/explain"
@@ -41,7 +40,7 @@
 
     endpoint: ids.InstanceId
     zone: ids.ZoneName
-    tier: str | None
+    subsets: list[str]
     load: float
     slots: int
     load_per_slot: float
@@ -62,14 +61,15 @@
     """Tell the endpoint that one selection takes now, or the refusal.
 
     Another selection may take another endpoint, since two are sampled.
-    `instances_by_zone_out` counts the instances of the service in zones that
-    are taken out.
+    `leaving_share` is the share of calls that go to the wide subset, None if
+    the daemon uses all endpoints.  `instances_by_zone_out` counts the
+    instances of the service in zones that are taken out.
     """
 
     route: str
     objective_ms: float
     own_zone: ids.ZoneName
-    has_tiers: bool
+    leaving_share: float | None
     selected: ids.InstanceId | None
     refusal: RefusalText | None
     candidates: list[Candidate]
@@ -99,11 +99,7 @@
         self, call: calls.Call, now: clock.MonotonicTime
     ) -> Explanation:
         """Return what a selection for a call does now."""
-        selector = dataclasses.replace(
-            self.selector,
-            rng=random.Random(),
-            metrics=exposition.MetricRegistry(),
-        )
+        selector = self.selector.snapshot(now)
         selected, refusal = None, None
         try:
             selected = selector.select(call, frozenset(), now).id
@@ -113,15 +109,23 @@
             )
         model = call.envelope.model or ""
         known = selector.endpoint_table.for_model(call.service.name, model)
-        assessments = [selector.assess(call, e, now) for e in known]
+        subsets = None
+        if call.service.engine is not None and selector.subsets is not None:
+            key = call.service.name, model
+            subsets = selector.subsets.get(key, known, now)
         return Explanation(
             route=call.route.name,
             objective_ms=1000 * call.route.objective_seconds,
             own_zone=selector.own_zone,
-            has_tiers=any(a.tier is not None for a in assessments),
+            leaving_share=(
+                round(subsets.leaving.share, 3) if subsets else None
+            ),
             selected=selected,
             refusal=refusal,
-            candidates=[_candidate(a, now) for a in assessments],
+            candidates=[
+                _candidate(selector.assess(call, e, now), subsets, now)
+                for e in known
+            ],
             instances_by_zone_out=self._count_zones_out(call.service.name),
         )
 
@@ -162,6 +166,8 @@
             now,
             clock.MonotonicTime(now + route.timeout_seconds),
             poison.Fingerprint(""),
+            urgency=self.routes.urgency_of(route, service, None),
+            work=self.routes.estimate_work(envelope, service),
         )
 
     def _read_service(self, request: messages.Request) -> catalogue.Service:
@@ -223,17 +229,24 @@
 
 
 def _candidate(
-    assessment: endpoint_selection.Assessment, now: clock.MonotonicTime
+    assessment: endpoint_selection.Assessment,
+    subsets: daemon_subsets.ModelSubsets | None,
+    now: clock.MonotonicTime,
 ) -> Candidate:
     endpoint = assessment.endpoint
+    ids_by_subset = (
+        {"near": subsets.near, "wide": subsets.wide} if subsets else {}
+    )
     return Candidate(
         endpoint=endpoint.id,
         zone=endpoint.instance.zone,
-        tier=assessment.tier.value if assessment.tier else None,
+        subsets=[
+            name for name, i in ids_by_subset.items() if endpoint.id in i
+        ],
         load=round(endpoint.load(now), 2),
         slots=endpoint.slots,
-        load_per_slot=round(assessment.estimate.load_per_slot, 3),
-        is_in_time=assessment.estimate.is_in_time,
+        load_per_slot=round(assessment.load_per_slot, 3),
+        is_in_time=assessment.is_in_time,
         is_full=assessment.is_full,
         excluded_by=[e.value for e in assessment.exclusions],
     )
--- a/sycamoredale/forwarding/header_values.py
+++ b/sycamoredale/forwarding/header_values.py
@@ -3,8 +3,11 @@
 import math
 from typing import Final
 
+from sycamoredale import error_codes
+from sycamoredale import errors
+
 BEARER_SCHEME: Final = "bearer "
-# Such an integer can be converted to a float without loss.
+# Longer ones are malformed: the conversion of thousands of digits raises.
 MAX_DIGITS: Final = 15
 
 
@@ -27,6 +30,22 @@
     return value if math.isfinite(value) and value >= 0 else None
 
 
+def positive_seconds(name: str, text: str | None, default: float) -> float:
+    """Return a time in milliseconds as seconds; raise Refusal."""
+    if text is None:
+        return default
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds < float("inf"):
+        raise errors.Refusal(
+            error_codes.MALFORMED_REQUEST,
+            f"{name} is {text!r}, not a positive number of milliseconds",
+        )
+    return seconds
+
+
 def entry_names(text: str | None) -> list[str]:
     """Return the names in a list of NAME:VALUE entries, "" if one lacks."""
     entries = (text or "").split(",")
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -1,12 +1,11 @@
 """Decode the operators' manifest from the platform's store."""
 
-import typing
-
 import msgspec
 
 from sycamoredale import decoding
 from sycamoredale.forwarding import catalogue
 from sycamoredale import ids
+from sycamoredale import lenient_values
 
 # How often a request of each of the platform's kinds may run.
 _RETRY_POLICY_BY_KIND = {
@@ -30,7 +29,7 @@
     timeout_ms: float = 60_000
     # Response-time objective; for a stream, until its first event.
     slo_ms: float = 1_000
-    priority: int = 0
+    priority: msgspec.Raw = msgspec.Raw()
     backend: str = ""
     traffic_split: list[_Split] = []
     # Replicas that may run one request, however often it is sent.
@@ -49,16 +48,9 @@
     warm_s: float = 0.0
 
 
-class _Delay(msgspec.Struct, rename={"start": "from"}):
-    start: str
-    # The other zone.
-    target_version: str
-    # One way.  No two zones are ten seconds apart.
-    delay_ms: typing.Annotated[float, msgspec.Meta(ge=0, le=10_000)]
-
-
 class _Engine(msgspec.Struct):
     slots: int
+    kv_capacity: msgspec.Raw = msgspec.Raw()
     step_ms: float = 0.0
     per_seq_ms: float = 0.0
     read_per_s: float = 1e6
@@ -71,7 +63,6 @@
     # Mean token counts; "answer" is that of an answer.
     usual: dict[str, float] = {}
     models: list[_Model] = []
-    delays: msgspec.Raw = msgspec.Raw(b"[]")
 
 
 class _Service(msgspec.Struct):
@@ -88,6 +79,7 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
+    priority: msgspec.Raw = msgspec.Raw()
 
 
 class _Limits(msgspec.Struct):
@@ -107,6 +99,7 @@
 
 
 _DECODER = decoding.JsonDecoder(_Manifest)
+_NUMBERS = lenient_values.LenientReader()
 
 
 def decode(data: bytes | msgspec.Raw) -> catalogue.Catalogue:
@@ -124,6 +117,10 @@
             for tenant in tenants
             for key in tenant.api_keys
         },
+        priority_by_organisation={
+            ids.OrganisationName(t.name): _NUMBERS.priority(t.priority, t.name)
+            for t in tenants
+        },
         requires_key=bool(tenants),
         limits=catalogue.Limits(
             manifest.limits.max_header_bytes,
@@ -152,7 +149,7 @@
         timeout_seconds=route.timeout_ms / 1000,
         objective_seconds=route.slo_ms / 1000,
         max_event_gap_seconds=route.gap_target_ms / 1000,
-        priority=route.priority,
+        priority=_NUMBERS.priority(route.priority, route.name) or 0,
         max_runs=max(1, route.max_attempts),
         public=route.public,
         resumable=route.resumable,
@@ -186,11 +183,6 @@
             for m in engine.models
         ),
         steps_per_event=engine.stride,
+        memory_tokens=_NUMBERS.tokens(engine.kv_capacity, "kv_capacity"),
         mean_answer_tokens=engine.usual.get("answer", 0.0),
-        delay_seconds_by_zones={
-            frozenset(
-                (ids.ZoneName(d.start), ids.ZoneName(d.target_version))
-            ): (d.delay_ms / 1000)
-            for d in decoding.decode_hints(engine.delays, _Delay)
-        },
     )
