Select slow endpoints less, and single calls for very slow ones

Cause: an endpoint that is slower by 4 or 12 gets as many calls as any other. Change: the slowdown multiplies the cost of an endpoint and the expected time to the first event. A slow endpoint costs something without requests too, as it would otherwise be the best of all. Above 2.5 it gets single trial calls while others have capacity, like a half-open endpoint. Result (tests/test_pace.py): of 300 calls, an endpoint that is slower by 4 or 12 gets none while nine others have 4 requests on 13 slots, and over 0.9 of them while the others have 26 and it has at most one.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -25,6 +25,7 @@
 from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 from sycamoredale.scheduling import locality
+from sycamoredale.scheduling import pace
 from sycamoredale.scheduling import zone_use
 
 # Cost of the network path to another zone, in queued requests.
@@ -113,6 +114,10 @@
         if not is_full and self._meets_objective(call, sampled, now):
             return sampled
         best = min(candidates, key=lambda e: self._cost(e, now))
+        if _is_full(best, call.service, now):
+            # Slow endpoints get more than trial calls if all others are full.
+            slow = [e for e in trusted if e.pace.is_slow]
+            best = min([best, *slow], key=lambda e: self._cost(e, now))
         if allow_full or not _is_full(best, call.service, now):
             return best
         if not self._meets_objective(call, best, now):
@@ -300,15 +305,15 @@
     cost = (load + extra_load) / max(1, endpoint.slots)
     if endpoint.is_cross_domain:
         cost = CROSS_DOMAIN_BASE_COST + CROSS_DOMAIN_COST_FACTOR * cost
-    return cost
+    return pace.load_cost(cost, endpoint.pace.slowdown)
 
 
 def _has_recovery_probe(
     endpoint: endpoints.Endpoint, now: clock.MonotonicTime
 ) -> bool:
-    return (
-        endpoint.is_half_open(now) and endpoint.load(now) >= HALF_OPEN_MAX_LOAD
-    )
+    """Return whether a request tests an endpoint that stalled or is slow."""
+    is_tested = endpoint.is_half_open(now) or endpoint.pace.is_slow
+    return is_tested and endpoint.load(now) >= HALF_OPEN_MAX_LOAD
 
 
 def _is_full(
--- a/sycamoredale/forwarding/queue_priority.py
+++ b/sycamoredale/forwarding/queue_priority.py
@@ -54,6 +54,7 @@
     seconds = (
         factor
         * model.time_factor
+        * endpoint.pace.slowdown
         * _first_event_seconds(call, engine, queued_ahead)
     )
     elapsed = now - call.arrived_at + network_seconds
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -13,6 +13,8 @@
 from sycamoredale.forwarding import peer_updates
 from sycamoredale.scheduling import pace
 from tests import test_forwarder
+from tests import test_queue_priority as queue_tests
+from tests import test_stale_loads
 
 PAUSE = 0.054
 PAUSES = pace.Pauses(10, PAUSE - 0.006, 0.001)
@@ -92,6 +94,30 @@
     assert own.samples and own.mean > 10.0
 
 
+# Guards against a slow endpoint that seems to be the best, as it is idle.
+@pytest.mark.parametrize(
+    "factor, load, least, most",
+    [(1, 4, 0.1, 0.3), (4, 4, 0.0, 0.0), (12, 4, 0.0, 0.0), (4, 26, 0.9, 1)],
+)
+def test_slow_endpoint_gets_little_until_others_are_full(
+    factor, load, least, most
+):
+    daemon = test_stale_loads._daemon(10, seed=4)
+    for endpoint in daemon.by_id.values():
+        endpoint.in_flight = load
+    slow = daemon.by_id["i3"]
+    slow.pace.slowdown, slow.pace.is_slow = float(factor), factor > 1
+    selected = 0
+    for number in range(300):
+        slow.in_flight = number % 2
+        now = clock.MonotonicTime(number)
+        call = test_stale_loads._call(now)
+        selected += daemon.selector.select(call, set(), now) is slow
+    assert least <= selected / 300 <= most
+    late = queue_tests.queue_priority.QueuePriority.LATE
+    assert (queue_tests._priority(slow) is late) == (factor == 12)
+
+
 # Guards against builds that cannot read each other while machines change.
 def test_builds_without_pace_read_and_are_read():
     item = peer_updates.EndpointUpdate("i0", 3, 20, 0, 1, 5.0, 50, 4, 9)
