Limit the trial calls of endpoints that were slow

Cause: an endpoint that was slow and has no recent samples seems idle and as fast as the others. Daemons learn of each other's trial calls tenths of a second later, so that it got several; while the others were full it got all calls until samples arrived. Change: one call of four may be a trial call, and an endpoint of which nothing recent is known takes no calls from full ones.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -48,6 +48,9 @@
 # A half-open endpoint may still be stalled.  One request at a time, over all
 # daemons, is enough to find out.
 HALF_OPEN_MAX_LOAD: Final = 1.0
+# Daemons hear of a trial call elsewhere after some tenths of a second.  If any
+# call could be one, an idle slow endpoint would get several by then.
+SLOW_TRIAL_SHARE: Final = 0.25
 # An instance without an engine is full with this many requests per slot.
 PLAIN_MAX_LOAD_PER_SLOT: Final = 4.0
 # Forming a group from instances with staged weights takes about this long.
@@ -101,7 +104,9 @@
             usable = [e for e in usable if e not in held_back]
         trusted = [e for e in usable if not e.is_suspect(now)]
         candidates = [
-            e for e in trusted if not _has_recovery_probe(e, now)
+            e
+            for e in trusted
+            if not _has_recovery_probe(e, now) and self._may_try(e)
         ] or trusted
         if not candidates and allow_full:
             candidates = usable
@@ -116,7 +121,9 @@
         best = min(candidates, key=lambda e: self._cost(e, now))
         if _is_full(best, call.service, now):
             # Slow endpoints get more than trial calls if all others are full.
-            slow = [e for e in trusted if e.pace.is_slow]
+            slow = [
+                e for e in trusted if e.pace.is_slow and not e.pace.is_untested
+            ]
             best = min([best, *slow], key=lambda e: self._cost(e, now))
         if allow_full or not _is_full(best, call.service, now):
             return best
@@ -146,6 +153,13 @@
             for e in known
         )
 
+    def _may_try(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether a call may find out if an endpoint is still slow."""
+        return (
+            not endpoint.pace.is_untested
+            or self.rng.random() < SLOW_TRIAL_SHARE
+        )
+
     def _held_back(
         self,
         usable: collections.abc.Iterable[endpoints.Endpoint],
--- a/sycamoredale/scheduling/pace.py
+++ b/sycamoredale/scheduling/pace.py
@@ -124,6 +124,11 @@
     _peers_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
     _heard_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
 
+    @property
+    def is_untested(self) -> bool:
+        """Return whether an endpoint was slow, and nothing recent is known."""
+        return self.is_slow and self.slowdown == 1.0
+
     def record(self, ratio: float, now: clock.MonotonicTime) -> None:
         """Record a sample of this daemon."""
         self._own.append((now, min(ratio, MAX_SLOWDOWN)))
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -97,7 +97,9 @@
 # Guards against a slow endpoint that seems to be the best, as it is idle.
 @pytest.mark.parametrize(
     "factor, load, least, most",
-    [(1, 4, 0.1, 0.3), (4, 4, 0.0, 0.0), (12, 4, 0.0, 0.0), (4, 26, 0.9, 1)],
+    [(0, 4, 0.1, 0.3), (4, 4, 0, 0), (12, 4, 0, 0), (4, 26, 0.9, 1)]
+    # Was slow, and nothing recent is known: trial calls only.
+    + [(1, 4, 0.005, 0.1), (1, 26, 0.05, 0.25)],
 )
 def test_slow_endpoint_gets_little_until_others_are_full(
     factor, load, least, most
@@ -106,7 +108,7 @@
     for endpoint in daemon.by_id.values():
         endpoint.in_flight = load
     slow = daemon.by_id["i3"]
-    slow.pace.slowdown, slow.pace.is_slow = float(factor), factor > 1
+    slow.pace.slowdown, slow.pace.is_slow = max(1.0, factor), factor > 0
     selected = 0
     for number in range(300):
         slow.in_flight = number % 2
