--- a/sycamoredale/forwarding/queue_priority.py
+++ b/sycamoredale/forwarding/queue_priority.py
@@ -95,6 +95,7 @@
     return (
         factor
         * model.time_factor
+        * endpoint.pace.slowdown
         * (
             engine.steps_per_event * step
             + prefill
