--- a/sycamoredale/commands/explain.py
+++ b/sycamoredale/commands/explain.py
@@ -109,6 +109,8 @@
 def _format_candidate(candidate: explanation.Candidate) -> str:
     notes = [f"excluded: {reason}" for reason in candidate.excluded_by]
     notes += ["full"] * candidate.is_full
+    if candidate.slowdown > 1.0:
+        notes.append(f"slow {candidate.slowdown:.1f} x")
     notes.append("in time" if candidate.is_in_time else "late")
     return (
         f"{candidate.endpoint:<24} {candidate.zone:<12} "
--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -31,6 +31,7 @@
 from sycamoredale.observability import exposition
 from sycamoredale.observability import logs
 from sycamoredale.scheduling import minimum_share
+from sycamoredale.scheduling import pace
 from sycamoredale.scheduling import return_time
 from sycamoredale.scheduling import urgency as urgency_module
 from sycamoredale.scheduling import work
@@ -55,6 +56,9 @@
 # A half-open endpoint may still be stalled.  One request at a time, over all
 # daemons, is enough to find out.
 HALF_OPEN_MAX_LOAD: Final = 1.0
+# Daemons hear of a trial call elsewhere after some tenths of a second.  If any
+# call could be one, an idle slow endpoint would get several by then.
+SLOW_TRIAL_SHARE: Final = 0.25
 # An instance without an engine is full with this many requests per slot.
 PLAIN_MAX_LOAD_PER_SLOT: Final = 4.0
 # Forming a group from instances with staged weights takes about this long.
@@ -70,8 +74,8 @@
 class Exclusion(enum.Enum):
     """Classify what keeps an endpoint from being a candidate.
 
-    RECOVERY_PROBE: it was suspected, and a single request tests it.  MEMORY:
-    the call does not fit in what is free.
+    RECOVERY_PROBE: it was suspected or is slow, and a single request tests it.
+    MEMORY: the call does not fit in what is free.
     """
 
     COLD_QUOTA = "cold_quota"
@@ -203,7 +207,9 @@
             usable = [e for e in usable if e not in held_back]
         trusted = [e for e in usable if not e.is_suspect(now)]
         candidates = [
-            e for e in trusted if not _has_recovery_probe(e, now)
+            e
+            for e in trusted
+            if not _has_recovery_probe(e, now) and self._may_try(e)
         ] or trusted
         if not candidates and allow_full:
             candidates = usable
@@ -223,6 +229,13 @@
         if not candidates:
             raise self._overloaded_refusal(call, [sampled], now)
         best = min(candidates, key=lambda e: self._cost(e, now))
+        if _is_full(best, call, now):
+            # Slow endpoints get more than trial calls if all others are full.
+            slow = [
+                e for e in trusted if e.pace.is_slow and not e.pace.is_untested
+            ]
+            slow = _with_memory(call, slow, now)
+            best = min([best, *slow], key=lambda e: self._cost(e, now))
         if allow_full:
             return best
         if not _starts_before_deadline(call, [best, *candidates], now):
@@ -255,6 +268,13 @@
             for e in known
         )
 
+    def _may_try(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether a call may find out if an endpoint is still slow."""
+        return (
+            not endpoint.pace.is_untested
+            or self.rng.random() < SLOW_TRIAL_SHARE
+        )
+
     def _held_back(
         self,
         usable: collections.abc.Iterable[endpoints.Endpoint],
@@ -485,15 +505,15 @@
     cost = (load + extra_load) / max(1, endpoint.slots)
     if endpoint.is_cross_domain:
         cost = CROSS_DOMAIN_BASE_COST + CROSS_DOMAIN_COST_FACTOR * cost
-    return cost
+    return pace.load_cost(cost, endpoint.pace.slowdown)
 
 
 def _has_recovery_probe(
     endpoint: endpoints.Endpoint, now: clock.MonotonicTime
 ) -> bool:
-    return (
-        endpoint.is_half_open(now) and endpoint.load(now) >= HALF_OPEN_MAX_LOAD
-    )
+    """Return whether a request tests an endpoint that stalled or is slow."""
+    is_tested = endpoint.is_half_open(now) or endpoint.pace.is_slow
+    return is_tested and endpoint.load(now) >= HALF_OPEN_MAX_LOAD
 
 
 def _is_full(
--- a/sycamoredale/forwarding/explanation.py
+++ b/sycamoredale/forwarding/explanation.py
@@ -46,6 +46,7 @@
     load_per_slot: float
     is_in_time: bool
     is_full: bool
+    slowdown: float
     excluded_by: list[str]
 
 
@@ -248,6 +249,7 @@
         load_per_slot=round(assessment.load_per_slot, 3),
         is_in_time=assessment.is_in_time,
         is_full=assessment.is_full,
+        slowdown=round(endpoint.pace.slowdown, 1),
         excluded_by=[e.value for e in assessment.exclusions],
     )
 
--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -50,9 +50,10 @@
     is how much longer the daemon excludes the endpoint.  `deferred` counts
     the requests that wait there with a low queue priority.  `limit` is the
     rate that the endpoint named `limit_ms_ago` in an answer to the daemon,
-    -1 if it named none; without any news both are -1.  `unread_tokens` and
-    `held_tokens` are those of the requests of the daemon, where it estimates
-    their work.
+    -1 if it named none; without any news both are -1.  `pace_total` is the
+    sum of the ratios of `pace_samples`, see `sycamoredale.scheduling.pace`.
+    `unread_tokens` and `held_tokens` are those of the requests of the daemon,
+    where it estimates their work.
     """
 
     endpoint: ids.InstanceId
@@ -62,6 +63,8 @@
     deferred: int = 0
     limit: float = -1.0
     limit_ms_ago: int = -1
+    pace_samples: int = 0
+    pace_total: float = 0.0
     unread_tokens: int = 0
     held_tokens: int = 0
 
@@ -131,7 +134,13 @@
 ) -> collections.abc.Iterator[EndpointUpdate]:
     """Yield what this daemon has to say of endpoints."""
     for e in table.by_id.values():
-        if e.in_flight or e.is_suspect(now) or e.limit.has_own_news(now):
+        pace = e.pace.statement(now)
+        if (
+            e.in_flight
+            or e.is_suspect(now)
+            or e.limit.has_own_news(now)
+            or pace.samples
+        ):
             yield EndpointUpdate(
                 e.id,
                 e.in_flight,
@@ -139,8 +148,11 @@
                 _suspect_ms(e, now),
                 e.deferred,
                 *_announcement_fields(e, now),
-                unread_tokens=e.unread_tokens,
-                held_tokens=e.held_tokens,
+                pace.samples,
+                # A whole number takes one byte, a fraction nine.
+                round(pace.total),
+                e.unread_tokens,
+                e.held_tokens,
             )
 
 
--- a/sycamoredale/forwarding/update_gathering.py
+++ b/sycamoredale/forwarding/update_gathering.py
@@ -61,12 +61,16 @@
     deferred: int = 0
     limit: float = -1.0
     limit_ms_ago: int = -1
+    pace_samples: int = 0
+    pace_total: float = 0.0
     unread_tokens: int = 0
     held_tokens: int = 0
 
     def add(self, item: EndpointUpdate, age_ms: int) -> None:
         self.in_flight += item.in_flight
         self.deferred += item.deferred
+        self.pace_samples += item.pace_samples
+        self.pace_total += item.pace_total
         self.unread_tokens += item.unread_tokens
         self.held_tokens += item.held_tokens
         self.suspect_ms = max(self.suspect_ms, item.suspect_ms - age_ms)
@@ -104,8 +108,10 @@
             total.deferred,
             total.limit,
             total.limit_ms_ago,
-            unread_tokens=total.unread_tokens,
-            held_tokens=total.held_tokens,
+            total.pace_samples,
+            round(total.pace_total),
+            total.unread_tokens,
+            total.held_tokens,
         )
         for endpoint, total in sums.items()
     ]
