Keep late calls near by unless another endpoint gains

If the sampled endpoint was full or late, the least loaded endpoint of all zones was taken, outside of the subsets. Late calls, among them resends and takeovers, left an idle zone without a benefit, and zones at capacity exchanged them. Now the least loaded near endpoint is taken unless another one is less loaded by 0.2 per slot, is in time where it is not, or has room where it has none, so that no call is refused or late for it.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -48,6 +48,9 @@
 # more a larger sample concentrates the requests of all daemons on one endpoint
 # (`tests/test_stale_loads.py`).
 SAMPLED_ENDPOINTS: Final = 2
+# A late call leaves the endpoints near by for one that is less loaded by this.
+# The loads of two endpoints differ by about as much by chance.
+MIN_LOAD_GAIN: Final = 0.2
 # Largest random addition to a cost, smaller than the cost of one request on an
 # engine.
 COST_JITTER: Final = 0.05
@@ -228,7 +231,7 @@
         candidates = _with_memory(call, candidates, now)
         if not candidates:
             raise self._overloaded_refusal(call, [sampled], now)
-        best = min(candidates, key=lambda e: self._cost(e, now))
+        best = self._best(call, known, candidates, now)
         if _is_full(best, call, now):
             # Slow endpoints get more than trial calls if all others are full.
             slow = [
@@ -336,10 +339,7 @@
         now: clock.MonotonicTime,
     ) -> endpoints.Endpoint:
         """Return a sampled endpoint, of a subset if this daemon has any."""
-        subsets = None
-        if call.service.engine is not None and self.subsets is not None:
-            key = call.service.name, _model_name(call)
-            subsets = self.subsets.get(key, known, now)
+        subsets = self.subsets_for(call, known, now)
         if subsets is None:
             return self._sample_least_loaded(candidates, now)
         self._update_leaving(call, subsets, now)
@@ -352,6 +352,44 @@
                 return self._sample_least_loaded(sampled, now)
         return self._sample_least_loaded(candidates, now)
 
+    def subsets_for(
+        self,
+        call: calls.Call,
+        known: collections.abc.Sequence[endpoints.Endpoint],
+        now: clock.MonotonicTime,
+    ) -> daemon_subsets.ModelSubsets | None:
+        """Return the subsets for a call, None if it may use all endpoints."""
+        if call.service.engine is None or self.subsets is None:
+            return None
+        key = call.service.name, _model_name(call)
+        return self.subsets.get(key, known, now)
+
+    def _best(
+        self,
+        call: calls.Call,
+        known: collections.abc.Sequence[endpoints.Endpoint],
+        candidates: collections.abc.Sequence[endpoints.Endpoint],
+        now: clock.MonotonicTime,
+    ) -> endpoints.Endpoint:
+        """Return the least loaded endpoint, near by if others gain little."""
+        best = min(candidates, key=lambda e: self._cost(e, now))
+        subsets = self.subsets_for(call, known, now)
+        near = [e for e in candidates if subsets and e.id in subsets.near]
+        if not near:
+            return best
+        nearest = min(near, key=lambda e: self._cost(e, now))
+        gain = _load_cost(nearest, now) - _load_cost(best, now)
+        if (
+            gain >= MIN_LOAD_GAIN
+            or (_is_full(nearest, call, now) and not _is_full(best, call, now))
+            or (
+                self._meets_objective(call, best, now)
+                and not self._meets_objective(call, nearest, now)
+            )
+        ):
+            return best
+        return nearest
+
     def _update_leaving(
         self,
         call: calls.Call,
--- a/sycamoredale/forwarding/explanation.py
+++ b/sycamoredale/forwarding/explanation.py
@@ -110,10 +110,7 @@
             )
         model = call.envelope.model or ""
         known = selector.endpoint_table.for_model(call.service.name, model)
-        subsets = None
-        if call.service.engine is not None and selector.subsets is not None:
-            key = call.service.name, model
-            subsets = selector.subsets.get(key, known, now)
+        subsets = selector.subsets_for(call, known, now)
         return Explanation(
             route=call.route.name,
             objective_ms=1000 * call.route.objective_seconds,
--- a/tests/test_daemon_subsets.py
+++ b/tests/test_daemon_subsets.py
@@ -100,6 +100,24 @@
     return own / CALLS
 
 
+@pytest.mark.parametrize("load", [0.1, 0.9, 1.4])
+def test_late_calls_stay_near_at_equal_loads(load):
+    """Guard against late calls that go to any endpoint without a benefit."""
+    selector = _selector(loads={"a": load, "b": load - 0.05, "c": load})
+    assert _share_of_own_zone(selector, _call(LATE)) == 1.0
+
+
+def test_late_call_goes_to_a_less_loaded_zone():
+    selector = _selector(loads={"a": 1.2, "b": 0.9, "c": 1.2})
+    assert _share_of_own_zone(selector, _call(LATE)) == 0.0
+
+
+def test_call_is_not_refused_while_another_zone_has_capacity():
+    """Guard against a refusal within the margin for leaving a zone."""
+    selector = _selector(loads={"a": 1.55, "b": 1.45, "c": 1.6})
+    assert _share_of_own_zone(selector, _call(LATE)) == 0.0
+
+
 def test_load_reported_with_an_answer_does_not_tell_all_loads():
     """Guard against a zone that is filled by its daemons after a start.
 
