--- a/sycamoredale/commands/explain.py
+++ b/sycamoredale/commands/explain.py
@@ -17,6 +17,7 @@
 from sycamoredale.forwarding import explanation
 from sycamoredale.http import client
 from sycamoredale.http import messages
+from sycamoredale.observability import exposition
 
 TIMEOUT_SECONDS: Final = 5.0
 HEADER: Final = (
@@ -58,7 +59,7 @@
     query = urllib.parse.urlencode(
         {name: value for name, value in question.items() if value is not None}
     )
-    request = messages.Request("GET", f"{explanation.PATH}?{query}")
+    request = messages.Request("GET", f"{exposition.EXPLANATION_PATH}?{query}")
     pool = client.Pool()
     try:
         response = await pool.call(daemon, request, TIMEOUT_SECONDS)
--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -20,7 +20,6 @@
 from sycamoredale.forwarding import departures
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoints
-from sycamoredale.forwarding import explanation
 from sycamoredale.forwarding import forwarder
 from sycamoredale.forwarding import hub_selection
 from sycamoredale.forwarding import instance_table
@@ -574,7 +573,10 @@
         await exchange.respond(messages.Response(200 if ready else 503))
 
     async def _answer_metrics(self, exchange: server.Exchange) -> None:
-        if exchange.request.path == explanation.PATH:
+        if exchange.request.path == exposition.EXPLANATION_PATH:
+            # Not at the start, which is bound by the time of imports.
+            from sycamoredale.forwarding import explanation
+
             explainer = explanation.Explainer(
                 self._service.call_forwarder.selector, self._routes
             )
--- a/sycamoredale/forwarding/explanation.py
+++ b/sycamoredale/forwarding/explanation.py
@@ -8,7 +8,6 @@
 import collections
 import collections.abc
 import dataclasses
-from typing import Final
 
 import msgspec
 
@@ -24,8 +23,6 @@
 from sycamoredale import ids
 from sycamoredale.requests import poison
 
-PATH: Final = "/explain"
-
 
 class InvalidQuestion(ValueError):
     """Report a question that names no call of this deployment."""
--- a/sycamoredale/observability/exposition.py
+++ b/sycamoredale/observability/exposition.py
@@ -14,6 +14,8 @@
 
 PREFIX: Final = "sycamoredale"
 _NO_ORGANISATION: Final = ids.OrganisationName("")
+# Served at the port of the metrics, beside them.
+EXPLANATION_PATH: Final = "/explain"
 CONTENT_TYPE: Final = "text/plain; version=0.0.4"
 
 
