Send a call again to endpoints of all zones

Cause: a resend used the near subset first. If its endpoint was lost with its zone, the next one was lost as well, and the runs that the route allows were used up (found in the review of the subsets). Change: a call that has excluded endpoints uses no subset, as before. Result: the new test of tests/test_daemon_subsets.py failed before.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -220,7 +220,10 @@
             if held_back:
                 raise _limited_refusal(call, held_back, now)
             raise _no_endpoint_refusal(call, len(known))
-        sampled = self._sample(call, known, candidates, now)
+        # What another endpoint has failed may have been lost with its zone, so
+        # that those near by may fail it as well.
+        subsets = None if excluded else self.subsets_for(call, known, now)
+        sampled = self._sample(call, subsets, candidates, now)
         is_full = _is_full(sampled, call, now)
         if (
             not is_full
@@ -231,7 +234,7 @@
         candidates = _with_memory(call, candidates, now)
         if not candidates:
             raise self._overloaded_refusal(call, [sampled], now)
-        best = self._best(call, known, candidates, now)
+        best = self._best(call, subsets, candidates, now)
         if _is_full(best, call, now):
             # Slow endpoints get more than trial calls if all others are full.
             slow = [
@@ -334,12 +337,11 @@
     def _sample(
         self,
         call: calls.Call,
-        known: collections.abc.Sequence[endpoints.Endpoint],
+        subsets: daemon_subsets.ModelSubsets | None,
         candidates: collections.abc.Sequence[endpoints.Endpoint],
         now: clock.MonotonicTime,
     ) -> endpoints.Endpoint:
-        """Return a sampled endpoint, of a subset if this daemon has any."""
-        subsets = self.subsets_for(call, known, now)
+        """Return a sampled endpoint, of a subset if there are any."""
         if subsets is None:
             return self._sample_least_loaded(candidates, now)
         self._update_leaving(call, subsets, now)
@@ -367,13 +369,12 @@
     def _best(
         self,
         call: calls.Call,
-        known: collections.abc.Sequence[endpoints.Endpoint],
+        subsets: daemon_subsets.ModelSubsets | None,
         candidates: collections.abc.Sequence[endpoints.Endpoint],
         now: clock.MonotonicTime,
     ) -> endpoints.Endpoint:
         """Return the least loaded endpoint, near by if others gain little."""
         best = min(candidates, key=lambda e: self._cost(e, now))
-        subsets = self.subsets_for(call, known, now)
         near = [e for e in candidates if subsets and e.id in subsets.near]
         if not near:
             return best
--- a/tests/test_daemon_subsets.py
+++ b/tests/test_daemon_subsets.py
@@ -131,3 +131,14 @@
     assert share == pytest.approx(5 / 9, abs=0.1)
     _set_loads(selector, {"a": 0.0, "b": 0.0, "c": 0.0})
     assert _share_of_own_zone(selector, _call()) == 1.0
+
+
+def test_resend_is_not_limited_to_endpoints_near_by():
+    """Guard against a call that is lost again with the rest of its zone."""
+    selector = _selector(loads={"a": 0.0, "b": 0.0, "c": 0.0})
+    excluded = frozenset(("a0",))
+    zones = {
+        selector.select(_call(), excluded, NOW, True).instance.zone
+        for _ in range(CALLS)
+    }
+    assert zones == {"a", "b", "c"}
