Reject peer updates whose counts cannot be added up

Cause: the counts of an endpoint in an update were not checked. A hub rounds `pace_total`, so that NaN or infinity from one peer raised in the task that sends updates and applies loads; two counts of 2**63 gave a sum that cannot be encoded, with the same effect. A negative count lowered the load that others see.

Change: `decode` treats an update as malformed if a count is not within 0 to 2**53, and sums stop at that bound so that others accept them. The types of the fields stay as they are, since formats are only extended.

--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -126,7 +126,29 @@
 
 def decode(data: bytes) -> PeerUpdate:
     """Decode a datagram; raise ValueError."""
-    return _DECODER.decode(data)
+    update = _DECODER.decode(data)
+    for item in update.endpoints:
+        _check_counts(item)
+    return update
+
+
+def _check_counts(item: EndpointUpdate) -> None:
+    """Raise MalformedInput if the counts cannot be added up and sent on.
+
+    NaN, infinity and numbers of over 64 bits can be neither.
+    """
+    counts = (
+        item.in_flight,
+        item.deferred,
+        item.pace_samples,
+        item.pace_total,
+        item.unread_tokens,
+        item.held_tokens,
+    )
+    if not all(0 <= count <= decoding.MAX_INTEGER for count in counts):
+        raise decoding.MalformedInput(
+            f"a count of endpoint {item.endpoint!r} is out of range"
+        )
 
 
 def endpoint_updates(
--- a/sycamoredale/forwarding/update_gathering.py
+++ b/sycamoredale/forwarding/update_gathering.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale.forwarding import departures as departures_module
 from sycamoredale.forwarding import kind_updates
 from sycamoredale.forwarding import peer_updates
@@ -38,6 +39,7 @@
 PeerUpdate = peer_updates.PeerUpdate
 EndpointUpdate = peer_updates.EndpointUpdate
 _T = typing.TypeVar("_T")
+_Number = typing.TypeVar("_Number", int, float)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,12 +69,12 @@
     held_tokens: int = 0
 
     def add(self, item: EndpointUpdate, age_ms: int) -> None:
-        self.in_flight += item.in_flight
-        self.deferred += item.deferred
-        self.pace_samples += item.pace_samples
-        self.pace_total += item.pace_total
-        self.unread_tokens += item.unread_tokens
-        self.held_tokens += item.held_tokens
+        self.in_flight = _bounded(self.in_flight + item.in_flight)
+        self.deferred = _bounded(self.deferred + item.deferred)
+        self.pace_samples = _bounded(self.pace_samples + item.pace_samples)
+        self.pace_total = _bounded(self.pace_total + item.pace_total)
+        self.unread_tokens = _bounded(self.unread_tokens + item.unread_tokens)
+        self.held_tokens = _bounded(self.held_tokens + item.held_tokens)
         self.suspect_ms = max(self.suspect_ms, item.suspect_ms - age_ms)
         if item.progress_ms_ago >= 0:
             self.progress_ms_ago = _newer(
@@ -85,6 +87,11 @@
                 self.limit_ms_ago = limit_ms_ago
 
 
+def _bounded(total: _Number) -> _Number:
+    """Return a sum that other daemons accept, whatever a peer has sent."""
+    return min(total, decoding.MAX_INTEGER)
+
+
 def _newer(age_ms: int, other_age_ms: int) -> int:
     """Return the smaller age; a negative one is unknown."""
     return other_age_ms if age_ms < 0 else min(age_ms, other_age_ms)
--- a/tests/test_update_hubs.py
+++ b/tests/test_update_hubs.py
@@ -11,6 +11,7 @@
 import pytest
 
 from sycamoredale import clock
+from sycamoredale import decoding
 from sycamoredale.forwarding import departures
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import hub_selection
@@ -310,6 +311,38 @@
     assert (total.limit, total.limit_ms_ago) == (3.0, 400)
 
 
+@pytest.mark.parametrize(
+    "counts",
+    [
+        [1, -1, 0, 0, -1.0, -1, 4, float("nan"), 0, 0],
+        [1, -1, 0, 0, -1.0, -1, 4, float("inf"), 0, 0],
+        [1, -1, 0, 0, -1.0, -1, -4, 4.0, 0, 0],
+        [1, -1, 0, 0, -1.0, -1, 4, 4.0, -1, -1],
+        [1, -1, 0, 0, -1.0, -1, 4, 4.0, 0, 2**64 - 1],
+        [-1, -1, 0, 0, -1.0, -1, 4, 4.0, 0, 0],
+    ],
+)
+def test_update_that_cannot_be_added_up_is_malformed(counts):
+    """Guard against a value of one peer that ends the task that sends."""
+    rows = ["d1", [["i0", *counts]]]
+    with pytest.raises(ValueError):
+        peer_updates.decode(msgspec.msgpack.encode(rows))
+
+
+def test_sum_of_the_largest_counts_is_accepted_by_other_daemons():
+    """Guard against sums that cannot be encoded, or that nobody reads."""
+    most = decoding.MAX_INTEGER
+    item = peer_updates.EndpointUpdate(
+        "i0", most, -1, 0, most, -1.0, -1, most, float(most), most, most
+    )
+    update = peer_updates.PeerUpdate(ids.DaemonId("d1"), [item])
+    received = update_gathering.Received(update, 10.0, 11.0)
+    sums = update_gathering.add_up([received] * 3, 10.0)
+    passed_on = peer_updates.PeerUpdate(ids.DaemonId("d2"), sums)
+    found = peer_updates.decode(peer_updates.encode(passed_on))
+    assert found.endpoints[0].held_tokens == most
+
+
 def _play_paces(fleet, seconds, ratio_by_daemon, names=("i1", "i2", "i3")):
     """Let daemons take a sample of each endpoint at each step."""
     for _ in range(int(seconds / STEP)):
