Use defaults for numbers of an engine that would stop its calls

Cause: `slots` or `read_per_s` of 0 in the manifest made the forecast of the first event divide by 0 for each call, and a negative rate made long prompts seem early. `usual.answer` was not checked either: a negative one lowered the tokens held, and 1e300 gave a count that no update can carry.

Change: out of bounds, `slots` counts as 1, `read_per_s` as its default and `usual.answer` as unknown, logged once for each service.

Result: the new test fails for each of its three values before and passes after. test_urgency, test_platform_codec, test_odd_entries, test_message_formats and test_platform_boundary: 401 passed, 1 expected failure.

--- a/sycamoredale/lenient_values.py
+++ b/sycamoredale/lenient_values.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import typing
 from typing import Final
 
 from sycamoredale.observability import logs
@@ -18,10 +19,12 @@
 MAX_LOGGED_CHARACTERS: Final = 40
 LOG: Final = logs.get("values")
 
+_Number = typing.TypeVar("_Number", int, float)
+
 
 @dataclasses.dataclass
 class LenientReader:
-    """Read whole numbers, and log invalid ones once."""
+    """Read numbers, and log invalid ones once."""
 
     _logged: set[tuple[str, str]] = dataclasses.field(default_factory=set)
 
@@ -50,6 +53,20 @@
             return 0, 0
         return counts[0] or 0, counts[1] or 0
 
+    def bounded(
+        self,
+        value: _Number,
+        bounds: tuple[_Number, _Number],
+        default: _Number,
+        field: str,
+        owner: str,
+    ) -> _Number:
+        """Return a number, the default if it is out of bounds."""
+        if bounds[0] <= value <= bounds[1]:
+            return value
+        self._log_once(field, owner, str(value))
+        return default
+
     def _number(
         self,
         text: str | bytes | None,
@@ -69,6 +86,10 @@
             value = -1.0
         if minimum <= value <= maximum and value.is_integer():
             return int(value)
+        self._log_once(field, owner, text)
+        return None
+
+    def _log_once(self, field: str, owner: str, text: str | bytes) -> None:
         key = field, owner
         if key not in self._logged and len(self._logged) < MAX_LOGGED:
             self._logged.add(key)
@@ -78,4 +99,3 @@
                 owner=owner,
                 value=str(text[:MAX_LOGGED_CHARACTERS]),
             )
-        return None
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -13,6 +13,10 @@
     "non_idempotent": catalogue.RetryPolicy.ONCE,
     "streaming": catalogue.RetryPolicy.STREAM,
 }
+# For engines that state no rate, or one that is of no use.
+_DEFAULT_READ_PER_S = 1e6
+_MAX_READ_PER_S = 1e12
+_MAX_SLOTS = 2**31
 
 
 class _Split(msgspec.Struct):
@@ -53,7 +57,7 @@
     kv_capacity: msgspec.Raw = msgspec.Raw()
     step_ms: float = 0.0
     per_seq_ms: float = 0.0
-    read_per_s: float = 1e6
+    read_per_s: float = _DEFAULT_READ_PER_S
     loads_per_s: float = 1.0
     loads_at_once: int = 1
     # Time factor of a group that spans fabric domains.
@@ -163,16 +167,26 @@
         max_connections=service.max_conns,
         cold_seconds=service.warmup_s,
         cold_requests_per_second=service.warmup_per_s,
-        engine=_engine(service.engine) if service.engine else None,
+        engine=(
+            _engine(service.engine, service.name) if service.engine else None
+        ),
     )
 
 
-def _engine(engine: _Engine) -> catalogue.BatchEngine:
+def _engine(engine: _Engine, service: str) -> catalogue.BatchEngine:
     return catalogue.BatchEngine(
-        slots=engine.slots,
+        slots=_NUMBERS.bounded(
+            engine.slots, (1, _MAX_SLOTS), 1, "slots", service
+        ),
         step_seconds=engine.step_ms / 1000,
         step_seconds_per_request=engine.per_seq_ms / 1000,
-        prefill_tokens_per_second=engine.read_per_s,
+        prefill_tokens_per_second=_NUMBERS.bounded(
+            engine.read_per_s,
+            (1.0, _MAX_READ_PER_S),
+            _DEFAULT_READ_PER_S,
+            "read_per_s",
+            service,
+        ),
         loads_per_second=engine.loads_per_s,
         max_concurrent_loads=engine.loads_at_once,
         cross_domain_factor=engine.far_x,
@@ -184,5 +198,11 @@
         ),
         steps_per_event=engine.stride,
         memory_tokens=_NUMBERS.tokens(engine.kv_capacity, "kv_capacity"),
-        mean_answer_tokens=engine.usual.get("answer", 0.0),
+        mean_answer_tokens=_NUMBERS.bounded(
+            engine.usual.get("answer", 0.0),
+            (0.0, float(lenient_values.MAX_CALL_TOKENS)),
+            0.0,
+            "usual.answer",
+            service,
+        ),
     )
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -315,6 +315,36 @@
     assert [entry["owner"] for entry in logged] == ["r1"]
 
 
+@pytest.mark.parametrize("text", ["0", "-3", "1e300"])
+def test_bad_numbers_of_an_engine_stop_no_call(text):
+    """Guard against a division by 0, and against negative or huge tokens."""
+    slots = "0" if text == "1e300" else text
+    engine = f'{{"slots": {slots}, "read_per_s": {text}, "step_ms": 8, '
+    engine += f'"usual": {{"answer": {text}}}, "kv_capacity": 9000, '
+    engine += '"models": [{"name": "large", "size": 1}]}'
+    found = manifest.decode(
+        '{"version": 3, "services": [{"name": "llm", "engine": '
+        f"{engine}}}]}}".encode()
+    )
+    table = route_table.RouteTable(limits_memory=True)
+    table.activate(found)
+    call = codec._call([("Model", "large"), ("Token-Count", "40,0")])
+    service = found.service_by_name["llm"]
+    estimated = table.estimate_work(call.envelope, service)
+    assert estimated.memory_tokens == 40
+    known = endpoints.Endpoint(
+        instance_fixtures.instance("i0"), "large", service.engine.slots
+    )
+    call = call_of(
+        NOW,
+        urgency=LEVELS.urgency_of(0, False),
+        work=estimated,
+    )
+    call = dataclasses.replace(call, service=service)
+    selector = selector_of([known], random.Random(1))
+    assert selector.select(call, set(), NOW) is known
+
+
 @pytest.mark.parametrize(
     "hint, tokens, expected",
     [
