Go on to decay the tokens of silent peers after an answer

Cause: an answer that reports a load sets the time from which what peers reported decays, but the tokens kept their old values. While peers were silent, each answer made their tokens count in full again, so that an endpoint seemed out of memory, and late, as long as it answered calls.

Change: the tokens are decayed to the time of the report first.

Result: the new test, with reports at 1, 2 and 3 s, found 4000 unread tokens before and 500 after. test_urgency, test_queue_priority, test_forwarding_rules and test_daemon_subsets pass.

--- a/sycamoredale/forwarding/endpoints.py
+++ b/sycamoredale/forwarding/endpoints.py
@@ -128,6 +128,10 @@
         """
         if now - self.peer_load_at < PEER_LOAD_FRESH_SECONDS:
             return
+        # An answer reports no tokens: those of the peers go on to decay.
+        decay = self._decay(now)
+        self.unread_peer_tokens *= decay
+        self.held_peer_tokens *= decay
         total = load.running + load.waiting
         self.peer_load = float(max(0, total - self.in_flight))
         self.deferred_peer_load = 0.0
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -17,6 +17,7 @@
 
 from sycamoredale import clock
 from sycamoredale import errors
+from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import event_stream
@@ -422,6 +423,18 @@
     assert (known.unread_tokens, known.held_tokens) == (0, 0)
 
 
+def test_reported_load_does_not_renew_the_tokens_of_silent_peers():
+    """Guard against an endpoint that seems full while it answers calls."""
+    known = endpoint("i0")
+    known.set_peer_load(8.0, NOW, 0.0, 4000.0, 8000.0)
+    for second in (1.0, 2.0, 3.0):
+        now = clock.MonotonicTime(NOW + second)
+        known.record_reported_load(calls.Load(1, 0, 10), now)
+    assert known.load(now) == 1.0
+    assert known.unread_tokens_at(now) == pytest.approx(500.0)
+    assert known.held_tokens_at(now) == pytest.approx(1000.0)
+
+
 def test_unread_prompts_delay_the_first_event():
     """Guard against long prompts that count as little as short ones."""
     known = endpoint("i0")
