Refuse a call with a level only if no endpoint would serve it

Cause: a call was refused if the endpoint of least cost was full and late, or the call was sent there though it would begin after the deadline. The cost weights deferred requests by 0.3 and has no unread tokens, so that another endpoint could have room, or be in time, at a higher cost.

Change: with levels, the other candidates are asked before a refusal, and the least loaded one that would serve the call is taken. Calls without levels are selected and refused as before.

Result: of three new cases two were refused and one was sent to the endpoint that would begin after the deadline; all three are served now.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -228,7 +228,7 @@
         if (
             not is_full
             and self._meets_objective(call, sampled, now)
-            and _starts_before_deadline(call, [sampled], now)
+            and _starts_before_deadline(call, sampled, now)
         ):
             return sampled
         candidates = _with_memory(call, candidates, now)
@@ -242,15 +242,28 @@
             ]
             slow = _with_memory(call, slow, now)
             best = min([best, *slow], key=lambda e: self._cost(e, now))
-        if allow_full:
+        if allow_full or self._would_serve(call, best, now):
             return best
-        if not _starts_before_deadline(call, [best, *candidates], now):
-            raise self._overloaded_refusal(call, candidates, now)
-        if _is_full(best, call, now) and (
-            not self._meets_objective(call, best, now)
-        ):
+        others = [
+            e
+            for e in candidates
+            if call.urgency is not None and self._would_serve(call, e, now)
+        ]
+        if not others:
             raise self._overloaded_refusal(call, candidates, now)
-        return best
+        return self._best(call, subsets, others, now)
+
+    def _would_serve(
+        self,
+        call: calls.Call,
+        endpoint: endpoints.Endpoint,
+        now: clock.MonotonicTime,
+    ) -> bool:
+        """Return whether a call may be sent to an endpoint and is of use."""
+        return _starts_before_deadline(call, endpoint, now) and (
+            not _is_full(endpoint, call, now)
+            or self._meets_objective(call, endpoint, now)
+        )
 
     def has_working_endpoint(
         self,
@@ -595,21 +608,16 @@
 
 
 def _starts_before_deadline(
-    call: calls.Call,
-    candidates: collections.abc.Iterable[endpoints.Endpoint],
-    now: clock.MonotonicTime,
+    call: calls.Call, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
 ) -> bool:
-    """Return whether any endpoint is expected to begin the answer by then.
+    """Return whether an endpoint is expected to begin the answer by then.
 
     Without levels no call is refused for this.
     """
     if call.urgency is None:
         return True
-    left = call.deadline - now
-    return any(
-        queue_priority.first_event_seconds(call, endpoint, now) <= left
-        for endpoint in candidates
-    )
+    seconds = queue_priority.first_event_seconds(call, endpoint, now)
+    return seconds <= call.deadline - now
 
 
 def _no_endpoint_refusal(call: calls.Call, count: int) -> errors.Refusal:
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -11,6 +11,7 @@
 import contextlib
 import dataclasses
 import heapq
+import math
 import random
 
 import pytest
@@ -411,6 +412,36 @@
         assert found == expected
 
 
+@pytest.mark.parametrize(
+    "first_load, first_deferred, load, deferred",
+    [
+        (1.5, 0.5, 1.2, 0.0),  # The other one is not full.
+        (1.5, 0.5, 1.6, 0.6),  # The call is in time only there.
+        (0.9, 0.0, 1.2, 0.0),  # It begins before its deadline only there.
+    ],
+)
+def test_call_goes_to_an_endpoint_that_would_serve_it(
+    first_load, first_deferred, load, deferred
+):
+    """Guard against a refusal for the state of the least loaded endpoint."""
+    slots = ENGINE.slots
+    first = endpoint(
+        "i0",
+        in_flight=math.ceil(first_load * slots),
+        deferred=math.ceil(first_deferred * slots),
+        unread_tokens=1_000_000,
+    )
+    other = endpoint(
+        "i1",
+        in_flight=math.ceil(load * slots),
+        deferred=math.ceil(deferred * slots),
+    )
+    selector = selector_of([first, other], random.Random(1))
+    for _ in range(30):
+        call = call_of(NOW, objective=1.0, urgency=LEVELS.urgency_of(0, False))
+        assert selector.select(call, set(), NOW) is other
+
+
 def test_tokens_are_counted_until_they_are_read_and_released():
     known = endpoint("i0")
     call = call_of(NOW, work=work.Work(700, 100))
