Use slow endpoints if the others have no memory for a call

Cause: endpoints that count as slow are left out of the candidates while they have a request, and were taken in again only if the best of the others was full by its load. If the others had no memory for the call, it was refused though a slow endpoint had it.

Change: without candidates that have memory, the slow endpoints are the candidates.

Result: the new test was refused before and selects the slow endpoint now. test_urgency, test_endpoint_selection, test_pace, test_stale_loads and test_explain pass.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -231,16 +231,17 @@
             and _starts_before_deadline(call, sampled, now)
         ):
             return sampled
-        candidates = _with_memory(call, candidates, now)
+        # Slow endpoints get more than trial calls if all others are full, or
+        # have no memory for the call.
+        slow = [
+            e for e in trusted if e.pace.is_slow and not e.pace.is_untested
+        ]
+        slow = _with_memory(call, slow, now)
+        candidates = _with_memory(call, candidates, now) or slow
         if not candidates:
             raise self._overloaded_refusal(call, [sampled], now)
         best = self._best(call, subsets, candidates, now)
         if _is_full(best, call, now):
-            # Slow endpoints get more than trial calls if all others are full.
-            slow = [
-                e for e in trusted if e.pace.is_slow and not e.pace.is_untested
-            ]
-            slow = _with_memory(call, slow, now)
             best = min([best, *slow], key=lambda e: self._cost(e, now))
         if allow_full or self._would_serve(call, best, now):
             return best
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -442,6 +442,16 @@
         assert selector.select(call, set(), NOW) is other
 
 
+def test_slow_endpoint_is_used_if_the_others_have_no_memory():
+    """Guard against a refusal while an endpoint has memory for the call."""
+    healthy = endpoint("i0", held_tokens=995)
+    slow = endpoint("i1", held_tokens=100, in_flight=1)
+    slow.pace.slowdown, slow.pace.is_slow = 4.0, True
+    selector = selector_of([healthy, slow], random.Random(1))
+    call = call_of(NOW, work=work.Work(30, 20, 1000))
+    assert selector.select(call, set(), NOW) is slow
+
+
 def test_tokens_are_counted_until_they_are_read_and_released():
     known = endpoint("i0")
     call = call_of(NOW, work=work.Work(700, 100))
