Let a slow endpoint recover also by few samples

Cause: an endpoint ended to count as slow with four samples below 2 in 2 s, or after 10 s without any sample. An answer of four events is one sample. Where such answers are the only ones and calls come every second, there were one or two samples in each window, so that a recovered endpoint got single trial calls for ever.

Change: the 10 s count from the last time at which the samples showed the endpoint slow, instead of from the last sample.

Result: the new test, one sample a second at the usual pace, found no recovery in 29 s before, and one now; with samples of 4.0 there is none. test_pace, test_urgency, test_update_hubs, test_queue_priority and test_stale_loads: 113 passed.

--- a/sycamoredale/scheduling/pace.py
+++ b/sycamoredale/scheduling/pace.py
@@ -41,7 +41,8 @@
 SLOW_ABOVE: Final = 2.5
 # Below `SLOW_ABOVE`, so that an endpoint near it does not change at each look.
 HEALTHY_BELOW: Final = 2.0
-# A slow endpoint that nobody has sent anything for so long counts as usual.
+# A slow endpoint that did not seem slow for so long counts as usual.  Short
+# answers give fewer than four samples in a window.
 FORGET_SECONDS: Final = 10.0
 # The median of two endpoints is decided by one of them.
 MIN_COMPARED: Final = 3
@@ -122,7 +123,7 @@
     )
     _peers: Sum = NONE
     _peers_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
-    _heard_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
+    _seen_slow_at: clock.MonotonicTime = clock.MonotonicTime(0.0)
 
     @property
     def is_untested(self) -> bool:
@@ -159,8 +160,8 @@
     def update(self, now: clock.MonotonicTime) -> Change | None:
         """Set the slowdown from the samples of all daemons."""
         known = self.statement(now).plus(self.peers(now))
-        if known.samples:
-            self._heard_at = now
+        if known.mean >= HEALTHY_BELOW:
+            self._seen_slow_at = now
         # One trial call on a slow endpoint gives two samples in a window.
         enough = 1 if self.is_slow else MIN_SAMPLES
         mean = known.mean if known.samples >= enough else 1.0
@@ -177,7 +178,7 @@
     def _has_recovered(self, known: Sum, now: clock.MonotonicTime) -> bool:
         if known.samples >= MIN_SAMPLES:
             return known.mean < HEALTHY_BELOW
-        return now - self._heard_at >= FORGET_SECONDS
+        return now - self._seen_slow_at >= FORGET_SECONDS
 
     def reset(self) -> None:
         """Forget everything."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -68,6 +68,24 @@
     assert slowest == pytest.approx(factor, rel=0.1)
 
 
+@pytest.mark.parametrize("ratio, recovers", [(1.0, True), (4.0, False)])
+def test_endpoint_with_few_samples_recovers(ratio, recovers):
+    """Guard against trial calls for ever where answers are short.
+
+    An answer of four events is one sample, and calls come every second.
+    """
+    endpoint = pace.EndpointPace()
+    for _ in range(4):
+        endpoint.record(4.0, BEGAN_AT)
+    assert endpoint.update(BEGAN_AT) is pace.Change.BEGAN
+    changes = set()
+    for second in range(1, 30):
+        now = clock.MonotonicTime(BEGAN_AT + second)
+        endpoint.record(ratio, now)
+        changes.add(endpoint.update(now))
+    assert (pace.Change.ENDED in changes) is recovers
+
+
 def test_events_of_one_read_are_one_sample_and_own_delays_are_none():
     for idle, delay, expected in ((0, 0, 1), (0.5, 0, 0), (0, 0.1, 0)):
         endpoint = pace.EndpointPace()
