Refuse no call at an idle endpoint for the size of its own prompt

Cause: with levels, a call was refused if its first event was expected after its deadline at every candidate. The time to read its own prompt counted, so that a wrong `Token-Count`, or a small `read_per_s` in the manifest, led to refusals by idle endpoints, with a Retry-After that could not help.

Change: at an endpoint without requests the own prompt does not count for this decision. A deadline before the first step still does.

--- a/sycamoredale/forwarding/endpoint_selection.py
+++ b/sycamoredale/forwarding/endpoint_selection.py
@@ -613,11 +613,15 @@
 ) -> bool:
     """Return whether an endpoint is expected to begin the answer by then.
 
-    Without levels no call is refused for this.
+    Without levels no call is refused for this.  Nor is one refused for its
+    own prompt by an endpoint without requests: the stated size may be wrong,
+    and the call would not be served later either.
     """
     if call.urgency is None:
         return True
-    seconds = queue_priority.first_event_seconds(call, endpoint, now)
+    seconds = queue_priority.first_event_seconds(
+        call, endpoint, now, counts_own_prompt=not endpoint.is_idle(now)
+    )
     return seconds <= call.deadline - now
 
 
--- a/sycamoredale/forwarding/queue_priority.py
+++ b/sycamoredale/forwarding/queue_priority.py
@@ -73,7 +73,10 @@
 
 
 def first_event_seconds(
-    call: calls.Call, endpoint: endpoints.Endpoint, now: clock.MonotonicTime
+    call: calls.Call,
+    endpoint: endpoints.Endpoint,
+    now: clock.MonotonicTime,
+    counts_own_prompt: bool = True,
 ) -> float:
     """Return the expected seconds to the first event, 0 without an engine."""
     engine = call.service.engine
@@ -83,7 +86,9 @@
     step = engine.full_step_seconds
     slot_interval = engine.usual_answer_seconds / engine.slots
     load = endpoint.undeferred_load(now)
-    prompt_tokens = float(call.envelope.prompt_tokens)
+    prompt_tokens = 0.0
+    if counts_own_prompt:
+        prompt_tokens += call.envelope.prompt_tokens
     if call.urgency is not None:
         prompt_tokens += endpoint.unread_tokens_at(now)
         if call.urgency.gives_way:
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -412,6 +412,19 @@
         assert found == expected
 
 
+def test_long_prompt_is_not_refused_by_an_endpoint_without_requests():
+    """Guard against a call that is refused for ever for its size."""
+    known = endpoint("i0")
+    selector = selector_of([known], random.Random(1))
+    call = call_of(NOW, urgency=LEVELS.urgency_of(0, False))
+    envelope = dataclasses.replace(call.envelope, prompt_tokens=2**20)
+    call = dataclasses.replace(call, envelope=envelope)
+    assert selector.select(call, set(), NOW) is known
+    known.in_flight = 1
+    with pytest.raises(errors.Refusal):
+        selector.select(call, set(), NOW)
+
+
 @pytest.mark.parametrize(
     "first_load, first_deferred, load, deferred",
     [
