Reject absurd ages in peer updates as well

Cause: a hub adds the time that it kept an update to the ages of the last progress and of the announced limit. An age near 2**64 of one peer gave a sum that cannot be encoded, which ends the task that sends.

Change: such ages are malformed, as absurd counts are, and sums of ages stop at the same bound.

--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -133,7 +133,7 @@
 
 
 def _check_counts(item: EndpointUpdate) -> None:
-    """Raise MalformedInput if the counts cannot be added up and sent on.
+    """Raise MalformedInput if the item cannot be added up and sent on.
 
     NaN, infinity and numbers of over 64 bits can be neither.
     """
@@ -145,9 +145,13 @@
         item.unread_tokens,
         item.held_tokens,
     )
-    if not all(0 <= count <= decoding.MAX_INTEGER for count in counts):
+    ages = item.progress_ms_ago, item.limit_ms_ago
+    if not (
+        all(0 <= count <= decoding.MAX_INTEGER for count in counts)
+        and all(age <= decoding.MAX_INTEGER for age in ages)
+    ):
         raise decoding.MalformedInput(
-            f"a count of endpoint {item.endpoint!r} is out of range"
+            f"a count or age of endpoint {item.endpoint!r} is out of range"
         )
 
 
--- a/sycamoredale/forwarding/update_gathering.py
+++ b/sycamoredale/forwarding/update_gathering.py
@@ -78,10 +78,10 @@
         self.suspect_ms = max(self.suspect_ms, item.suspect_ms - age_ms)
         if item.progress_ms_ago >= 0:
             self.progress_ms_ago = _newer(
-                self.progress_ms_ago, item.progress_ms_ago + age_ms
+                self.progress_ms_ago, _bounded(item.progress_ms_ago + age_ms)
             )
         if item.limit_ms_ago >= 0:
-            limit_ms_ago = item.limit_ms_ago + age_ms
+            limit_ms_ago = _bounded(item.limit_ms_ago + age_ms)
             if _newer(self.limit_ms_ago, limit_ms_ago) == limit_ms_ago:
                 self.limit = item.limit
                 self.limit_ms_ago = limit_ms_ago
--- a/tests/test_update_hubs.py
+++ b/tests/test_update_hubs.py
@@ -320,6 +320,8 @@
         [1, -1, 0, 0, -1.0, -1, 4, 4.0, -1, -1],
         [1, -1, 0, 0, -1.0, -1, 4, 4.0, 0, 2**64 - 1],
         [-1, -1, 0, 0, -1.0, -1, 4, 4.0, 0, 0],
+        [1, 2**64 - 1, 0, 0, -1.0, -1, 4, 4.0, 0, 0],
+        [1, -1, 0, 0, 5.0, 2**64 - 1, 4, 4.0, 0, 0],
     ],
 )
 def test_update_that_cannot_be_added_up_is_malformed(counts):
@@ -333,11 +335,11 @@
     """Guard against sums that cannot be encoded, or that nobody reads."""
     most = decoding.MAX_INTEGER
     item = peer_updates.EndpointUpdate(
-        "i0", most, -1, 0, most, -1.0, -1, most, float(most), most, most
+        "i0", most, most, 0, most, 5.0, most, most, float(most), most, most
     )
     update = peer_updates.PeerUpdate(ids.DaemonId("d1"), [item])
     received = update_gathering.Received(update, 10.0, 11.0)
-    sums = update_gathering.add_up([received] * 3, 10.0)
+    sums = update_gathering.add_up([received] * 3, 10.5)
     passed_on = peer_updates.PeerUpdate(ids.DaemonId("d2"), sums)
     found = peer_updates.decode(peer_updates.encode(passed_on))
     assert found.endpoints[0].held_tokens == most
