Limit the levels of routes by the constant of the least urgent one

Cause: `urgency_of` limited the rank by a bare 2, which holds only while the least urgent level is 3.

Change: the level is limited by `LEAST_URGENT`; no level changes.

--- a/sycamoredale/scheduling/urgency.py
+++ b/sycamoredale/scheduling/urgency.py
@@ -61,12 +61,11 @@
 
     def urgency_of(self, priority: int, is_preferred: bool) -> Urgency:
         """Return the urgency of a call by the priority of its route."""
-        last_rank = len(self.priorities) - 1
-        least = Level(min(1 + last_rank, LEAST_URGENT))
+        least = Level(min(len(self.priorities), LEAST_URGENT))
         level = MOST_URGENT
         if not is_preferred:
-            rank = min(bisect.bisect_left(self.priorities, priority), 2)
-            level = Level(1 + rank)
+            rank = bisect.bisect_left(self.priorities, priority)
+            level = Level(min(1 + rank, LEAST_URGENT))
         return Urgency(level, level, least)
 
 
