Log a bad kv_capacity for each service

Cause: `kv_capacity` was read without its owner, so that the bad value of one service kept that of another one from being logged.

Change: the service is the owner, as for the other numbers of an engine.

Result: the new test found one line without an owner before, and one for each of two services now. test_urgency and test_platform_codec: 110 passed.

--- a/sycamoredale/lenient_values.py
+++ b/sycamoredale/lenient_values.py
@@ -38,9 +38,10 @@
         field: str,
         minimum: int = 0,
         maximum: int = MAX_HELD_TOKENS,
+        owner: str = "",
     ) -> int:
         """Return a number of tokens, 0 if it is absent or invalid."""
-        return self._number(text, minimum, maximum, field, "") or 0
+        return self._number(text, minimum, maximum, field, owner) or 0
 
     def token_counts(self, text: str | None, field: str) -> tuple[int, int]:
         """Return two numbers separated by a comma, 0 if either is invalid."""
--- a/sycamoredale/platform/manifest.py
+++ b/sycamoredale/platform/manifest.py
@@ -197,7 +197,9 @@
             for m in engine.models
         ),
         steps_per_event=engine.stride,
-        memory_tokens=_NUMBERS.tokens(engine.kv_capacity, "kv_capacity"),
+        memory_tokens=_NUMBERS.tokens(
+            engine.kv_capacity, "kv_capacity", owner=service
+        ),
         mean_answer_tokens=_NUMBERS.bounded(
             engine.usual.get("answer", 0.0),
             (0.0, float(lenient_values.MAX_CALL_TOKENS)),
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -317,6 +317,20 @@
     assert [entry["owner"] for entry in logged] == ["r1"]
 
 
+def test_bad_memory_is_logged_for_each_service(monkeypatch):
+    """Guard against one service that hides the bad value of another."""
+    logged = []
+    log = type("Log", (), {"warning": lambda *args, **kw: logged.append(kw)})
+    monkeypatch.setattr(lenient_values, "LOG", log())
+    monkeypatch.setattr(manifest, "_NUMBERS", lenient_values.LenientReader())
+    services = ", ".join(
+        f'{{"name": "{name}", "engine": {{"slots": 1, "kv_capacity": -1}}}}'
+        for name in ("a", "b")
+    )
+    manifest.decode(f'{{"version": 1, "services": [{services}]}}'.encode())
+    assert [entry["owner"] for entry in logged] == ["a", "b"]
+
+
 @pytest.mark.parametrize("text", ["0", "-3", "1e300"])
 def test_bad_numbers_of_an_engine_stop_no_call(text):
     """Guard against a division by 0, and against negative or huge tokens."""
