--- a/sycamoredale/forwarding/peer_updates.py
+++ b/sycamoredale/forwarding/peer_updates.py
@@ -126,7 +126,33 @@
 
 def decode(data: bytes) -> PeerUpdate:
     """Decode a datagram; raise ValueError."""
-    return _DECODER.decode(data)
+    update = _DECODER.decode(data)
+    for item in update.endpoints:
+        _check_counts(item)
+    return update
+
+
+def _check_counts(item: EndpointUpdate) -> None:
+    """Raise MalformedInput if the item cannot be added up and sent on.
+
+    NaN, infinity and numbers of over 64 bits can be neither.
+    """
+    counts = (
+        item.in_flight,
+        item.deferred,
+        item.pace_samples,
+        item.pace_total,
+        item.unread_tokens,
+        item.held_tokens,
+    )
+    ages = item.progress_ms_ago, item.limit_ms_ago
+    if not (
+        all(0 <= count <= decoding.MAX_INTEGER for count in counts)
+        and all(age <= decoding.MAX_INTEGER for age in ages)
+    ):
+        raise decoding.MalformedInput(
+            f"a count or age of endpoint {item.endpoint!r} is out of range"
+        )
 
 
 def endpoint_updates(
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -11,12 +11,14 @@
 import contextlib
 import dataclasses
 import heapq
+import math
 import random
 
 import pytest
 
 from sycamoredale import clock
 from sycamoredale import errors
+from sycamoredale.forwarding import calls
 from sycamoredale.forwarding import endpoint_selection
 from sycamoredale.forwarding import endpoints
 from sycamoredale.forwarding import event_stream
@@ -315,6 +317,50 @@
     assert [entry["owner"] for entry in logged] == ["r1"]
 
 
+def test_bad_memory_is_logged_for_each_service(monkeypatch):
+    """Guard against one service that hides the bad value of another."""
+    logged = []
+    log = type("Log", (), {"warning": lambda *args, **kw: logged.append(kw)})
+    monkeypatch.setattr(lenient_values, "LOG", log())
+    monkeypatch.setattr(manifest, "_NUMBERS", lenient_values.LenientReader())
+    services = ", ".join(
+        f'{{"name": "{name}", "engine": {{"slots": 1, "kv_capacity": -1}}}}'
+        for name in ("a", "b")
+    )
+    manifest.decode(f'{{"version": 1, "services": [{services}]}}'.encode())
+    assert [entry["owner"] for entry in logged] == ["a", "b"]
+
+
+@pytest.mark.parametrize("text", ["0", "-3", "1e300"])
+def test_bad_numbers_of_an_engine_stop_no_call(text):
+    """Guard against a division by 0, and against negative or huge tokens."""
+    slots = "0" if text == "1e300" else text
+    engine = f'{{"slots": {slots}, "read_per_s": {text}, "step_ms": 8, '
+    engine += f'"usual": {{"answer": {text}}}, "kv_capacity": 9000, '
+    engine += '"models": [{"name": "large", "size": 1}]}'
+    found = manifest.decode(
+        '{"version": 3, "services": [{"name": "llm", "engine": '
+        f"{engine}}}]}}".encode()
+    )
+    table = route_table.RouteTable(limits_memory=True)
+    table.activate(found)
+    call = codec._call([("Model", "large"), ("Token-Count", "40,0")])
+    service = found.service_by_name["llm"]
+    estimated = table.estimate_work(call.envelope, service)
+    assert estimated.memory_tokens == 40
+    known = endpoints.Endpoint(
+        instance_fixtures.instance("i0"), "large", service.engine.slots
+    )
+    call = call_of(
+        NOW,
+        urgency=LEVELS.urgency_of(0, False),
+        work=estimated,
+    )
+    call = dataclasses.replace(call, service=service)
+    selector = selector_of([known], random.Random(1))
+    assert selector.select(call, set(), NOW) is known
+
+
 @pytest.mark.parametrize(
     "hint, tokens, expected",
     [
@@ -380,6 +426,59 @@
         assert found == expected
 
 
+def test_long_prompt_is_not_refused_by_an_endpoint_without_requests():
+    """Guard against a call that is refused for ever for its size."""
+    known = endpoint("i0")
+    selector = selector_of([known], random.Random(1))
+    call = call_of(NOW, urgency=LEVELS.urgency_of(0, False))
+    envelope = dataclasses.replace(call.envelope, prompt_tokens=2**20)
+    call = dataclasses.replace(call, envelope=envelope)
+    assert selector.select(call, set(), NOW) is known
+    known.in_flight = 1
+    with pytest.raises(errors.Refusal):
+        selector.select(call, set(), NOW)
+
+
+@pytest.mark.parametrize(
+    "first_load, first_deferred, load, deferred",
+    [
+        (1.5, 0.5, 1.2, 0.0),  # The other one is not full.
+        (1.5, 0.5, 1.6, 0.6),  # The call is in time only there.
+        (0.9, 0.0, 1.2, 0.0),  # It begins before its deadline only there.
+    ],
+)
+def test_call_goes_to_an_endpoint_that_would_serve_it(
+    first_load, first_deferred, load, deferred
+):
+    """Guard against a refusal for the state of the least loaded endpoint."""
+    slots = ENGINE.slots
+    first = endpoint(
+        "i0",
+        in_flight=math.ceil(first_load * slots),
+        deferred=math.ceil(first_deferred * slots),
+        unread_tokens=1_000_000,
+    )
+    other = endpoint(
+        "i1",
+        in_flight=math.ceil(load * slots),
+        deferred=math.ceil(deferred * slots),
+    )
+    selector = selector_of([first, other], random.Random(1))
+    for _ in range(30):
+        call = call_of(NOW, objective=1.0, urgency=LEVELS.urgency_of(0, False))
+        assert selector.select(call, set(), NOW) is other
+
+
+def test_slow_endpoint_is_used_if_the_others_have_no_memory():
+    """Guard against a refusal while an endpoint has memory for the call."""
+    healthy = endpoint("i0", held_tokens=995)
+    slow = endpoint("i1", held_tokens=100, in_flight=1)
+    slow.pace.slowdown, slow.pace.is_slow = 4.0, True
+    selector = selector_of([healthy, slow], random.Random(1))
+    call = call_of(NOW, work=work.Work(30, 20, 1000))
+    assert selector.select(call, set(), NOW) is slow
+
+
 def test_tokens_are_counted_until_they_are_read_and_released():
     known = endpoint("i0")
     call = call_of(NOW, work=work.Work(700, 100))
@@ -392,6 +491,18 @@
     assert (known.unread_tokens, known.held_tokens) == (0, 0)
 
 
+def test_reported_load_does_not_renew_the_tokens_of_silent_peers():
+    """Guard against an endpoint that seems full while it answers calls."""
+    known = endpoint("i0")
+    known.set_peer_load(8.0, NOW, 0.0, 4000.0, 8000.0)
+    for second in (1.0, 2.0, 3.0):
+        now = clock.MonotonicTime(NOW + second)
+        known.record_reported_load(calls.Load(1, 0, 10), now)
+    assert known.load(now) == 1.0
+    assert known.unread_tokens_at(now) == pytest.approx(500.0)
+    assert known.held_tokens_at(now) == pytest.approx(1000.0)
+
+
 def test_unread_prompts_delay_the_first_event():
     """Guard against long prompts that count as little as short ones."""
     known = endpoint("i0")
