--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -32,10 +32,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--daemons", type=int, help="drawn by default")
+    parser.add_argument("--fleet", action="store_true", help="use hubs")
     parser.add_argument("--folder", type=pathlib.Path)
     options = parser.parse_args()
     if options.daemons is None:
         sizes = 4 * [site_module.FEW] + [site_module.MANY]
+        if options.fleet:
+            sizes = [*site_module.FLEETS]
         options.daemons = random.Random(f"size {options.seed}").choice(sizes)
     folder = options.folder or pathlib.Path(f"/tmp/soak-{options.seed}")
     # Ends the processes of the run too.
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -120,6 +120,7 @@
         "Request-Deadline": str(found.route.timeout_ms),
         "Authorization": f"Bearer {site_module.KEY}",
         "Content-Length": "6",
+        "Model": site_module.MODEL,
     }
     lines = [f"POST {found.route.path}x HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
