Kill and start all daemons of a fleet once in the soak

Change: after the disturbances all daemons of a fleet are killed at once and started 0.7 to 1.3 s later while callers go on. Callers whose daemon was killed come back with the time that they have left, at least 0.6 of the limit; those of long streams with the whole limit, since a slow endpoint needs up to 6.6 of their 7.5 s. A new promise: from the moment at which all daemons are ready again, each route at each daemon answers within RECOVER_SECONDS, as after the disturbances. The deadlines that are checked are those that the callers state.

--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -15,6 +15,9 @@
 PATIENCE_SECONDS: typing.Final = 12.0
 CONNECT_SECONDS: typing.Final = 3.0
 EVENT_SECONDS: typing.Final = 0.5
+# Of the time limit, for a caller who comes back.  A slow endpoint needs 2.3 s
+# of these 3 s for a short stream, but more for a long one than would be left.
+MIN_LEFT_SHARE: typing.Final = 0.6
 
 
 @dataclasses.dataclass
@@ -28,6 +31,8 @@
     attempt: str = dataclasses.field(
         default_factory=lambda: uuid.uuid4().hex[:16]
     )
+    # What its caller has left.
+    timeout_ms: int = 0
     sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
@@ -43,7 +48,7 @@
     @property
     def deadline(self) -> float:
         """Return when the daemon has to have ended it."""
-        return self.sent_at + self.route.timeout_ms / 1000
+        return self.sent_at + self.timeout_ms / 1000
 
     def describe(self) -> str:
         """Return what a reader of the logs needs."""
@@ -68,7 +73,9 @@
         self._process = daemon.current
         self._is_kept = False
 
-    async def call(self, leaves_after: float | None = None) -> Exchange | None:
+    async def call(
+        self, leaves_after: float | None = None, spent_seconds: float = 0.0
+    ) -> Exchange | None:
         """Send one request; return None unless it was sent completely."""
         if self._streams is None and not await self._connect():
             return None
@@ -76,7 +83,10 @@
         found = Exchange(
             self._route, self._daemon, self._process, self._is_kept
         )
-        seconds = self._route.timeout_ms / 1000 + PATIENCE_SECONDS
+        share = 1 - 1000 * spent_seconds / self._route.timeout_ms
+        share = 1.0 if found.route.is_long else max(MIN_LEFT_SHARE, share)
+        found.timeout_ms = int(share * self._route.timeout_ms)
+        seconds = found.timeout_ms / 1000 + PATIENCE_SECONDS
         if leaves_after is not None:
             seconds = leaves_after
         try:
@@ -117,7 +127,7 @@
     fields = {
         "Host": site_module.HOST_NAME,
         "Attempt-Id": found.attempt,
-        "Request-Deadline": str(found.route.timeout_ms),
+        "Request-Deadline": str(found.timeout_ms),
         "Authorization": f"Bearer {site_module.KEY}",
         "Content-Length": "6",
         "Model": site_module.MODEL,
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -77,15 +77,16 @@
             self._silence_some,
             self._fill,
         )
-        self._pauses = PAUSES
+        self._pauses, self._more_seconds = PAUSES, MORE_SECONDS
         if self._site.is_fleet:
             self._standstills += (self._slow,)
             self._pauses = FLEET_PAUSES
+            self._more_seconds += START_SECONDS + RECOVER_SECONDS
 
     async def run(self) -> None:
         """Play, within a bounded time, and end all processes."""
         try:
-            async with asyncio.timeout(self._seconds + MORE_SECONDS):
+            async with asyncio.timeout(self._seconds + self._more_seconds):
                 await self._site.start()
                 await self._run_all()
         finally:
@@ -113,7 +114,10 @@
         ]
         await asyncio.sleep(1.0)
         await self._disturb()
-        await self._recover()
+        await self._recover(report_module.RECOVERED)
+        if self._site.is_fleet:
+            await self._restart_all()
+            await self._recover(report_module.RETURNED)
         await self._read_metrics()
         self._is_over = True
         await asyncio.gather(*clients)
@@ -266,6 +270,14 @@
             one.order(f"slow {factor} {seconds}")
         await asyncio.sleep(seconds)
 
+    async def _restart_all(self) -> None:
+        self.report.note("all daemons are killed")
+        daemons = self._site.daemons
+        for daemon in daemons:
+            daemon.kill()
+        await asyncio.sleep(self._rng.uniform(0.7, 1.3))
+        await asyncio.gather(*(self._start(daemon) for daemon in daemons))
+
     async def _suspend(
         self, daemon: site_module.Daemon, rng: random.Random
     ) -> None:
@@ -313,13 +325,21 @@
     ) -> None:
         client = client_module.Client(daemon, route)
         await asyncio.sleep(pause)
+        # When the caller of a call that a killed daemon lost has sent it.
+        asked_at: float | None = None
         for _ in range(count):
             if self._is_over:
                 break
+            began = time.time()
+            spent = began - (asked_at or began)
             leaves_after = None
             if route.is_stream and random.random() < LEAVE_SHARE:
                 leaves_after = random.uniform(0.05, 2.5)
-            found = await client.call(leaves_after)
+            found = await client.call(leaves_after, spent)
+            is_lost = found is None or found.process.killed_at is not None
+            asked_at = asked_at or began
+            if not (is_lost and self._site.is_fleet):
+                asked_at = None
             if found is None:
                 self.report.count("no connection")
                 await asyncio.sleep(0.1)
@@ -330,9 +350,9 @@
             await asyncio.sleep(seconds)
         client.close()
 
-    async def _recover(self) -> None:
+    async def _recover(self, promise: str) -> None:
         began = time.time()
-        self.report.note("the disturbances have ended")
+        self.report.note(f"wait until {promise}")
         while True:
             asked = await asyncio.gather(
                 *(
@@ -350,7 +370,7 @@
         )
         self.report.note(f"service is back after {seconds:.2f} s")
         self.report.check(
-            report_module.RECOVERED,
+            promise,
             all(asked) and seconds <= allowed,
             f"{seconds:.2f} s, {asked.count(False)} of {len(asked)} fail",
         )
@@ -633,7 +653,7 @@
         for one in calm:
             lost.spans += one.work.get(found.attempt, [])
         seconds = lost.seconds_between(found.sent_at, found.ended_at)
-        return seconds + SLACK_SECONDS >= found.route.timeout_ms / 1000
+        return seconds + SLACK_SECONDS >= found.timeout_ms / 1000
 
     def _classify(
         self, found: client_module.Exchange, runs: list[list[str]]
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -15,6 +15,7 @@
 MEMORY: typing.Final = "e: memory is bounded"
 STOPPED: typing.Final = "f: a stop ends within its grace"
 RECOVERED: typing.Final = "f: service is back"
+RETURNED: typing.Final = "f: service is back after a start of all"
 UNCUT: typing.Final = "g: no answer of a whole connection is cut"
 ORDERED: typing.Final = "g: events come once and in order"
 LEFT: typing.Final = "g: work of callers who left ends"
@@ -28,6 +29,7 @@
     MEMORY,
     STOPPED,
     RECOVERED,
+    RETURNED,
     UNCUT,
     ORDERED,
     LEFT,
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -77,10 +77,14 @@
     @property
     def event_count(self) -> int:
         """Return how many events a whole stream has."""
-        is_long = self.name.startswith("long-")
-        return (
-            endpoint_module.LONG_EVENTS if is_long else endpoint_module.EVENTS
-        )
+        if self.is_long:
+            return endpoint_module.LONG_EVENTS
+        return endpoint_module.EVENTS
+
+    @property
+    def is_long(self) -> bool:
+        """Return whether its answers are long streams."""
+        return self.name.startswith("long-")
 
     @property
     def path(self) -> str:
