Do not ask peers after a daemon has left

Ruled out: nothing else; other tasks that begin late are possible. Change: a daemon in the state LEFT asks no peers. Result: tests/test_leaving_daemon.py failed before.

--- a/sycamoredale/membership/heartbeats.py
+++ b/sycamoredale/membership/heartbeats.py
@@ -283,6 +283,10 @@
     async def _query_peers_when_stale(self, now: clock.MonotonicTime) -> None:
         if not self.freshness.is_stale(now):
             return
+        if self.members.own.state is view.PeerState.LEFT:
+            # A task that begins while the event loop shuts down makes the
+            # process fail.
+            return
         if now - self._peers_queried_at < STALE_QUERY_INTERVAL_SECONDS:
             return
         self._peers_queried_at = now
