--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,8 @@
 """A lease term that the owner resumes gives its group epochs out again.
 
-The owner of the lease does not hear the store for 1.9 s, from any time on;
-with CUT=renewal for 1.3 s, from the arrival of a renewal on.  Later a replica
-is added and the head of a group is lost, so that a group is formed.
+The owner of the lease does not hear the store for 1.3 s, from the arrival of a
+renewal on; with CUT=any for 1.9 s, from any time on.  Later a replica is added
+and the head of a group is lost, so that a group is formed.
 """
 
 import asyncio
@@ -19,8 +19,8 @@
 
 SERVICE = "sycamore-pool"
 MODEL = replica.Model("rada7437b5", 3, 12.0, 1.1)
-CUT_SECONDS_FROM_RENEWAL = 1.3
-CUT_SECONDS = 1.9
+CUT_SECONDS = 1.3
+CUT_SECONDS_AT_ANY_TIME = 1.9
 RENEWAL_SECONDS = 1.2
 HOSTS = [f"i-{number}0aa{number}1f" for number in range(1, 7)]
 ADDED = "i-00c497f048"
@@ -48,7 +48,7 @@
         ),
     )
     renewals: asyncio.Queue[asyncio.Future[None]] = asyncio.Queue()
-    at_any_time = os.environ.get("CUT") != "renewal"
+    at_any_time = os.environ.get("CUT") == "any"
 
     def cut_path(daemon: str) -> None:
         site.store.path_by_daemon[daemon].answers_pass.clear()
@@ -72,11 +72,11 @@
         renewed = asyncio.get_running_loop().create_future()
         renewals.put_nowait(renewed)
         daemon = await renewed
-        seconds = CUT_SECONDS_FROM_RENEWAL
+        seconds = CUT_SECONDS
         if at_any_time:
             await asyncio.sleep(random.uniform(0.0, RENEWAL_SECONDS))
             cut_path(daemon)
-            seconds = CUT_SECONDS
+            seconds = CUT_SECONDS_AT_ANY_TIME
         await asyncio.sleep(seconds)
         site.store.path_by_daemon[daemon].answers_pass.set()
         site.recorder.write("path_healed", daemon=daemon)
