--- a/review/6/case.py
+++ b/review/6/case.py
@@ -64,7 +64,7 @@
     await site.start_daemons(3)
     for name in HOSTS:
         await add(fleet, name)
-    await wait_for_open(fleet, 2)
+    await replica.wait_for_open(fleet, 2)
     fleet.has_traffic = True
     site.spawn(site.send_streams(MODEL.name, 8.0))
     await asyncio.sleep(4.0)
@@ -105,19 +105,5 @@
     return added
 
 
-async def wait_for_open(fleet: replica.Fleet, count: int) -> None:
-    """Wait until groups are open; raise OSError after half a minute."""
-    for _ in range(300):
-        opened = [
-            r
-            for r in fleet.by_id.values()
-            if r.group and r.group.state == "open"
-        ]
-        if len(opened) >= count:
-            return
-        await asyncio.sleep(0.1)
-    raise OSError("the groups did not open")
-
-
 if __name__ == "__main__":
     site_module.run(case, FOLDER / "record.txt")
