--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,14 +1,13 @@
-"""An odd entry under the id of a head frees the members of its group.
+"""A group is opened again though its members were ordered into another one.
 
-Another writer leaves an entry of a service that no manifest names, with its
-own time of start, under the id of a sound open head.  The head writes its own
-entry again with its next heartbeat.
+A member of a group is out of reach of the daemons for a moment, so that its
+head is closed.  The head is ordered into another group; the order is not
+answered and carried out some seconds later.  Then the member is back.
 """
 
 import asyncio
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
@@ -19,7 +18,8 @@
 SERVICE = "sycamore-pool"
 MODEL = replica.Model("rada7437b5", 3, 12.0, 1.1)
 NAMES = [f"i-{number:02x}4c{number:02x}09fe" for number in range(1, 13)]
-WATCHED_SECONDS = 12.0
+LATE_SECONDS = 5.0
+MAX_CUT_SECONDS = 5.0
 
 
 async def case(site: site_module.Site) -> None:
@@ -51,36 +51,26 @@
             break
         await asyncio.sleep(0.1)
     await asyncio.sleep(4.0)
-    head = heads[0]
-    # A heartbeat that follows at once would hide the entry from the daemons.
-    registered_at = head.last_registered
-    while head.last_registered == registered_at:
-        await asyncio.sleep(0.01)
     if site.trouble:
-        odd = {
-            "backend": "node-agent",
-            "addr": head.address,
-            "zone": head.zone,
-            "version": "v1",
-            "slots": 1,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "seq": 0,
-            "born": int(time.time() * 1000),
-        }
-        site.recorder.write("odd_entry", name=head.id, entry=odd)
-        await site.store.put("servers", head.id, odd)
-    runs = fleet.runs_by_replica[head.id]
-    await asyncio.sleep(WATCHED_SECONDS)
-    site.recorder.write(
-        "runs_at_head",
-        replica=head.id,
-        before=runs,
-        after=fleet.runs_by_replica[head.id] - runs,
-    )
+        await disturb(fleet, heads[0])
+    await asyncio.sleep(LATE_SECONDS + 3.0)
     if not fleet.runs:
         raise OSError("no request has run")
 
 
+async def disturb(fleet: replica.Fleet, head: replica.Replica) -> None:
+    """Cut a member off until the members have been ordered elsewhere."""
+    assert head.group is not None
+    stay, lost = (fleet.by_id[name] for name in head.group.members[1:])
+    head.late_seconds = stay.late_seconds = LATE_SECONDS
+    lost.cut(from_store=False)
+    waiting = [
+        asyncio.create_task(r.took_late.wait()) for r in (head, stay)
+    ]
+    await asyncio.wait(waiting, timeout=MAX_CUT_SECONDS)
+    head.late_seconds = stay.late_seconds = 0.0
+    lost.heal()
+
+
 if __name__ == "__main__":
     site_module.run(case, FOLDER / "record.txt")
--- a/review/standins-2/replica.py
+++ b/review/standins-2/replica.py
@@ -149,7 +149,9 @@
         self.is_running = True
         self.is_cut = False
         self.last_registered = 0.0
-        self.orders_held_until = 0.0
+        # Without an answer, a join is carried out so much later.
+        self.late_seconds = 0.0
+        self.took_late = asyncio.Event()
         self._requests: set[asyncio.Task[None]] = set()
         self._connections: set[asyncio.StreamWriter] = set()
         self._join_task: asyncio.Task[None] | None = None
@@ -329,7 +331,12 @@
             await self._write(writer, http.json_answer(200, body))
             return True
         if request.target == "/v1/order":
-            status = await self._order(json.loads(request.body))
+            order = json.loads(request.body)
+            if order["operation"] == "join" and self.late_seconds:
+                self.took_late.set()
+                await self._carry_out_late(order)
+                return False
+            status = await self._order(order)
             await self._write(writer, http.json_answer(status, {}))
             return True
         return await self._stream(request, attempt, writer)
@@ -339,6 +346,13 @@
         writer.write(data)
         await writer.drain()
 
+    async def _carry_out_late(self, order: dict[str, typing.Any]) -> None:
+        self.fleet.recorder.write(
+            "order_unanswered", replica=self.id, order=order
+        )
+        await asyncio.sleep(self.late_seconds)
+        await self._order(order)
+
     async def _order(self, order: dict[str, typing.Any]) -> int:
         status = await self._carry_out(order)
         self.fleet.recorder.write(
