--- a/review/7/case.py
+++ b/review/7/case.py
@@ -64,9 +64,7 @@
     stay, lost = (fleet.by_id[name] for name in head.group.members[1:])
     head.late_seconds = stay.late_seconds = LATE_SECONDS
     lost.cut(from_store=False)
-    waiting = [
-        asyncio.create_task(r.took_late.wait()) for r in (head, stay)
-    ]
+    waiting = [asyncio.create_task(r.took_late.wait()) for r in (head, stay)]
     await asyncio.wait(waiting, timeout=MAX_CUT_SECONDS)
     head.late_seconds = stay.late_seconds = 0.0
     lost.heal()
--- a/review/standins-2/replica.py
+++ b/review/standins-2/replica.py
@@ -77,7 +77,9 @@
         self.runs = 0
         self.runs_by_replica: collections.Counter[str] = collections.Counter()
 
-    def judge_run(self, replica: "Replica", group: Group, request: str) -> None:
+    def judge_run(
+        self, replica: "Replica", group: Group, request: str
+    ) -> None:
         """Check PARTIAL for a request that begins to run."""
         self.runs += 1
         self.runs_by_replica[replica.id] += 1
@@ -277,9 +279,7 @@
         member = self.fleet.by_id.get(name)
         if member is None or not member.is_running:
             return True
-        return (
-            member.group is None or member.group.identity != group.identity
-        )
+        return member.group is None or member.group.identity != group.identity
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -371,9 +371,7 @@
             if order["model"] in self.staged:
                 return 200
             if self.staging is None or self.staging.done():
-                self.staging = asyncio.create_task(
-                    self._stage(order["model"])
-                )
+                self.staging = asyncio.create_task(self._stage(order["model"]))
             return 202
         group = self.group
         if (
@@ -507,9 +505,7 @@
             )
             await self._write(writer, answer)
             return True
-        task = asyncio.create_task(
-            self._run(request, attempt, group, writer)
-        )
+        task = asyncio.create_task(self._run(request, attempt, group, writer))
         self._requests.add(task)
         task.add_done_callback(self._requests.discard)
         try:
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -136,9 +136,7 @@
                 )
             except asyncio.TimeoutError:
                 pass
-        return http.json_answer(
-            200, {"events": found(), "at": self.revision}
-        )
+        return http.json_answer(200, {"events": found(), "at": self.revision})
 
     async def _change(
         self,
