review: the stand-in counts orders alone in seq

Cause: PROTOCOL.md says that seq increases with each order that begins something; the stand-in raised it with changes of state as well. Change: those five increments are gone.

--- a/review/standins-2/replica.py
+++ b/review/standins-2/replica.py
@@ -269,7 +269,6 @@
                 )
             elif time.monotonic() - group.still_since >= STALL_SECONDS:
                 group.state = "broken"
-                self.seq += 1
                 self.fleet.recorder.write("head_broken", replica=self.id)
                 await self.register()
 
@@ -447,7 +446,6 @@
         await asyncio.sleep(seconds)
         self.staged = [group.model]
         group.state = "ready"
-        self.seq += 1
         self.fleet.was_ready.add((*group.identity, self.id))
         self.fleet.recorder.write(
             "ready", replica=self.id, group=group.name, rank=group.rank
@@ -460,7 +458,6 @@
             seconds *= EARLY_LOAD_FACTOR
         await asyncio.sleep(seconds)
         self.staged = [name]
-        self.seq += 1
         self.fleet.recorder.write("staged", replica=self.id, model=name)
         await self.register()
 
@@ -468,7 +465,6 @@
         await asyncio.sleep(FORM_SECONDS)
         if self.group is group and group.state == "ready":
             group.state = "open"
-            self.seq += 1
             self.fleet.recorder.write(
                 "open", replica=self.id, group=group.name
             )
@@ -480,7 +476,6 @@
         if self.group is group and group.state == "closing":
             group.state = "ready"
             group.still_since = None
-            self.seq += 1
             await self.register()
 
     def _end_requests(self) -> None:
