Never resume a term of a lease that has ended

The owner of the lease "groups" renewed it, and the answer came after the former term had expired but before the renewed one had. Lease._adopt_own_write then gave the daemon the lease again under the same epoch, and FormationPlanner.begin_term counted the epochs of groups from 0: a new group got the name and epoch of a living one.

An epoch could be entered again in three ways: by a late answer to a renewal, by a read of the own last write after a release that had failed, and by a renewal in flight while the lease was released. Now a lease continues a term only while it is held; an epoch that has ended is never entered again. The daemon acquires the next epoch with one more write, without a wait, since nobody else has written.

Ruled out: the path of the answers themselves.

Both tests of the lease failed before (epoch 1, 2 expected), and so did the one of the controller (one key for two groups). The state machine checks now that an ended epoch is not held again, and releases may fail in it.

--- a/sycamoredale/groups/reported_group_controller.py
+++ b/sycamoredale/groups/reported_group_controller.py
@@ -176,9 +176,12 @@
             except errors.StoreUnavailable as error:
                 self._store_unavailable = True
                 LOG.warning("lease_renewal_failed", reason=error.message)
-            now_held = self.lease.is_held(clock.monotonic())
+            now = clock.monotonic()
+            now_held = self.lease.is_held(now)
             if held != now_held:
                 LOG.info("lease_changed", held=now_held)
+            if held and not now_held and self.lease.can_acquire(now):
+                continue  # The term ended before its renewal was answered.
             await curio.sleep(self._pause_seconds(now_held))
 
     def _can_skip_poll(self, now: clock.MonotonicTime) -> bool:
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -19,6 +19,11 @@
 Each write carries an id.  When the answer to a write is lost, the object is
 read: if it contains the id, the write took effect, and the lease counts from
 the time at which the write was sent.
+
+A term that has expired or was given up is never resumed, although the answer
+to its last renewal may show that the renewal took effect: the owner may have
+dropped what it knew of that term.  It acquires the lease again under the
+next epoch, without a wait.
 """
 
 import dataclasses
@@ -41,6 +46,7 @@
 RENEWALS_PER_LEASE: Final = 2
 CLOCK_RATE_ALLOWANCE: Final = 0.01
 NO_OWNER: Final = ids.DaemonId("")
+NO_EPOCH: Final = ids.Epoch(0)
 NEVER: Final = clock.MonotonicTime(float("-inf"))
 
 ReadClock = clock.ReadClock
@@ -92,6 +98,8 @@
     read_clock: ReadClock = clock.monotonic
     lease_seconds: float = LEASE_SECONDS
     term: Term | None = None
+    # The greatest epoch of this daemon's terms, the present one included.
+    _last_epoch: ids.Epoch = NO_EPOCH
     _observation: Observation | None = None
     _report: OwnerReport | None = None
     # Until when the last term of this daemon and one of a former era may last.
@@ -262,7 +270,11 @@
             assert self._observation is not None
             last = self._observation.record
             epoch = ids.Epoch(last.epoch + 1 if last else 1)
-            epoch = max(epoch, self.store.eras.first_epoch())
+            epoch = max(
+                epoch,
+                ids.Epoch(self._last_epoch + 1),
+                self.store.eras.first_epoch(),
+            )
             expected = self._observation.version
         record = LeaseRecord(owner, epoch, write_id, self.lease_seconds)
         return record, expected
@@ -276,19 +288,35 @@
                 self.term = None
             return
         sent_at = self._sent_at_by_write_id[record.write_id]
-        acquired_at = sent_at
-        if self.term is not None and self.term.epoch == record.epoch:
-            acquired_at = self.term.acquired_at
         expires_at = clock.MonotonicTime(sent_at + record.lease_seconds)
-        term = Term(record.epoch, observation.version, acquired_at, expires_at)
-        self.term = term if now < expires_at else None
         self._own_until = max(self._own_until, expires_at)
+        acquired_at = self._acquired_at(record.epoch, sent_at, now)
+        if acquired_at is None or now >= expires_at:
+            self.term = None
+        else:
+            self.term = Term(
+                record.epoch, observation.version, acquired_at, expires_at
+            )
+            self._last_epoch = record.epoch
         self._sent_at_by_write_id = {
             write_id: time
             for write_id, time in self._sent_at_by_write_id.items()
             if time >= sent_at
         }
 
+    def _acquired_at(
+        self,
+        epoch: ids.Epoch,
+        sent_at: clock.MonotonicTime,
+        now: clock.MonotonicTime,
+    ) -> clock.MonotonicTime | None:
+        """Return when the term of an own write began, None if it has ended."""
+        if epoch > self._last_epoch:
+            return sent_at
+        if self.term is None or not self.is_held(now):
+            return None
+        return self.term.acquired_at if self.term.epoch == epoch else None
+
     async def _put(
         self, record: LeaseRecord, expected: ids.ObjectVersion
     ) -> ids.ObjectVersion:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -49,6 +49,7 @@
             for n, rate in enumerate(RATES)
         ]
         self.highest_epoch = 0
+        self.ended_epoch = 0
         self.copy = self.store.take_copy()
         self.reports: list[ids.ObjectVersion] = []
 
@@ -73,9 +74,14 @@
             pass
         self.store.write_outcome = fake_store.WriteOutcome.ANSWERED
 
-    @stateful.rule(daemon=DAEMONS)
-    def release(self, daemon: int) -> None:
-        curio.run(self.leases[daemon].release)
+    @stateful.rule(daemon=DAEMONS, outcome=WRITE_OUTCOMES)
+    def release(self, daemon: int, outcome: fake_store.WriteOutcome) -> None:
+        self.store.write_outcome = outcome
+        try:
+            curio.run(self.leases[daemon].release)
+        except errors.StoreUnavailable:
+            pass
+        self.store.write_outcome = fake_store.WriteOutcome.ANSWERED
 
     @stateful.rule(seconds=strategies.sampled_from((0.1, 1.4, 5.98, 6.07)))
     def wait(self, seconds: float) -> None:
@@ -101,6 +107,9 @@
         if held and held[0].term is not None:
             assert held[0].term.epoch >= self.highest_epoch
             self.highest_epoch = held[0].term.epoch
+            assert self.highest_epoch > self.ended_epoch
+        if not held:
+            self.ended_epoch = self.highest_epoch
 
 
 TestLease = LeaseMachine.TestCase
@@ -234,3 +243,32 @@
     stored = store.by_name["lease/domain"]
     record = msgspec.json.decode(stored.value, type=leases.LeaseRecord)
     assert record.epoch == 2
+
+
+# Guards against PARTIAL: an epoch that its owner had left was entered again,
+# and the epochs of groups were counted from the start.
+def test_late_answer_to_a_renewal_does_not_resume_an_expired_term() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    lease = _lease(store, time, "c1")
+    assert curio.run(lease.renew_or_acquire)
+    time.now += leases.LEASE_SECONDS * 0.6
+    store.on_effect = lambda: time.advance(leases.LEASE_SECONDS * 0.5)
+    assert not curio.run(lease.renew_or_acquire)
+    store.on_effect = lambda: None
+    assert curio.run(lease.renew_or_acquire)
+    assert lease.term is not None
+    assert lease.term.epoch == 2
+
+
+# Guards against PARTIAL: the same after a release that had failed.
+def test_term_is_not_resumed_after_a_failed_release() -> None:
+    time, store = Time(), fake_store.FakeStore()
+    lease = _lease(store, time, "c1")
+    assert curio.run(lease.renew_or_acquire)
+    store.down = True
+    with pytest.raises(errors.StoreUnavailable):
+        curio.run(lease.release)
+    store.down = False
+    assert curio.run(lease.renew_or_acquire)
+    assert lease.term is not None
+    assert lease.term.epoch == 2
--- a/tests/test_reported_group_controller.py
+++ b/tests/test_reported_group_controller.py
@@ -308,3 +308,52 @@
             assert not holder.lease.is_held(clock.monotonic())
 
     curio.run(main)
+
+
+class SlowStore(memory_store.MemoryStore):
+    """Delay the answer to each write on request."""
+
+    answer_seconds = 0.0
+
+    async def put(self, *args):
+        version = await super().put(*args)
+        await curio.sleep(self.answer_seconds)
+        return version
+
+
+def _restart_all(table):
+    for known in list(table.by_id.values()):
+        table.apply_listed(
+            instance_fixtures.instance(
+                known.id, started_ms=known.started_ms + 1
+            ),
+            clock.monotonic(),
+        )
+
+
+# Guards against PARTIAL: a new group got the name and epoch of another one
+# after a renewal that was answered late.
+def test_epochs_of_groups_are_not_reused_after_a_late_renewal():
+    store = SlowStore()
+    table = _table(3)
+    engines = Engines(table)
+    controller = _controller(store, "d1", table, engines)
+
+    def held():
+        return controller.lease.is_held(clock.monotonic())
+
+    async def main():
+        await curio.spawn(controller.run, daemon=True)
+        await _until(lambda: _open_heads(table))
+        store.answer_seconds = 1.3
+        await _until(lambda: not held())
+        store.answer_seconds = 0.0
+        await _until(held, 1.3)
+        _restart_all(table)
+        before = len(engines.received)
+        await _until(lambda: _open_heads(table))
+        keys = [o.key for _, o in engines.received if _is_join(o)]
+        assert len(engines.received) > before
+        assert len(set(keys)) == 2
+
+    curio.run(main)
