--- a/sycamoredale/groups/reported_group_controller.py
+++ b/sycamoredale/groups/reported_group_controller.py
@@ -232,6 +232,7 @@
         self._active_since = clock.monotonic()
         self._list_complete = False
         self.lifecycle = group_lifecycle.GroupLifecycle()
+        LOG.info("group_term_began", epoch=term.epoch)
         self.formation.begin_term(term.epoch, self.lifecycle)
         prober = report_probing.ReportProber(
             self.engines.report,
