Do not begin a lease term of the groups twice

Found by listing the ways in which an epoch is entered twice.

Now a daemon that leaves a term while it holds the lease releases it, and the planner counts on if a term is begun again, as after a crash of the task. Both tests failed before: the same epoch, and the same key, twice.

--- a/sycamoredale/groups/formation_planner.py
+++ b/sycamoredale/groups/formation_planner.py
@@ -50,11 +50,12 @@
     def begin_term(
         self, term: ids.Epoch, lifecycle: group_lifecycle.GroupLifecycle
     ) -> None:
-        """Restart the epoch counter for a new lease term."""
+        """Begin a lease term; a term that is begun again counts on."""
+        if term != self.term:
+            self._epochs = 0
         self.term = term
         self.lifecycle = lifecycle
         self.stagings = staging_tracker.StagingTracker()
-        self._epochs = 0
 
     def record_unanswered(
         self, item: reported.DueOrder, now: clock.MonotonicTime
--- a/sycamoredale/groups/reported_group_controller.py
+++ b/sycamoredale/groups/reported_group_controller.py
@@ -139,13 +139,14 @@
 
     async def _run_terms(self) -> None:
         while True:
-            if not self.lease.is_held(clock.monotonic()):
+            term = self.lease.term
+            if term is None or not self._holds_lease(term.epoch):
                 await curio.sleep(ROUND_INTERVAL_SECONDS)
                 continue
-            if self.is_isolated():
+            if not self.is_isolated():
+                await self._run_term(term)
+            if self._holds_lease(term.epoch):
                 await self._step_down()
-                continue
-            await self._run_term()
 
     async def stop(self) -> None:
         """Release the lease and do not acquire it again."""
@@ -223,11 +224,8 @@
             return LEASE_POLL_SECONDS
         return free_at - now + LEASE_FREE_SLACK_SECONDS
 
-    async def _run_term(self) -> None:
-        """Run rounds until the present lease term ends."""
-        term = self.lease.term
-        if term is None:
-            return
+    async def _run_term(self, term: leases.Term) -> None:
+        """Run rounds until the lease term ends or this daemon is isolated."""
         self.probe_statuses.by_id.clear()
         self._active_since = clock.monotonic()
         self._list_complete = False
--- a/tests/test_reported_group_controller.py
+++ b/tests/test_reported_group_controller.py
@@ -8,9 +8,11 @@
 from sycamoredale.forwarding import instance_state
 from sycamoredale.forwarding import instance_table
 from sycamoredale.groups import formation_planner
+from sycamoredale.groups import group_lifecycle
 from sycamoredale.groups import load_rate
 from sycamoredale.groups import reported
 from sycamoredale.groups import reported_group_controller
+from sycamoredale import ids
 from sycamoredale import leases
 from tests import fake_store
 from tests import instance_fixtures
@@ -357,3 +359,51 @@
         assert len(set(keys)) == 2
 
     curio.run(main)
+
+
+# Guards against PARTIAL: a daemon that was isolated for a moment entered its
+# term again and counted the epochs of groups from the start.
+def test_term_is_not_entered_again_after_a_short_isolation():
+    table = _table(3)
+    controller = _controller(
+        memory_store.MemoryStore(), "d1", table, Engines(table)
+    )
+    begun = []
+    isolated_checks = [0]
+    begin_term = controller.formation.begin_term
+
+    def record_term(term, lifecycle):
+        begun.append(term)
+        begin_term(term, lifecycle)
+
+    def is_isolated():
+        isolated_checks[0] -= 1
+        return isolated_checks[0] == 0
+
+    controller.formation.begin_term = record_term
+    controller.is_isolated = is_isolated
+
+    async def main():
+        await curio.spawn(controller.run, daemon=True)
+        await _until(lambda: begun)
+        while len(begun) < 2:
+            term = controller.lease.term
+            if term is not None and term.epoch == begun[-1]:
+                isolated_checks[0] = 1
+            await curio.sleep(0.1)
+        assert len(set(begun)) == 2
+
+    curio.run(main)
+
+
+def test_epochs_of_a_term_that_is_begun_again_are_counted_on():
+    planner = formation_planner.FormationPlanner(
+        load_rate.LoadRateLimiter(5.0), lambda: False, lambda: {}
+    )
+    table = _table(3)
+    keys = []
+    for _ in range(2):
+        planner.begin_term(ids.Epoch(1), group_lifecycle.GroupLifecycle())
+        snapshot = instance_fixtures.snapshot(table.by_id.values(), 10.0)
+        keys.extend(d.order.key for d in planner.due_orders(snapshot))
+    assert len(set(keys)) == 2
