Send an order only in the lease term in which it was decided

The guard of an order asked whether the lease is held, not in which term. An order that was decided in one term, and whose connection opened in a later term of the same daemon, was sent then, although the lifecycle of the later term knew nothing of it. The reconciler of the own interface had the same guard.

Lease.check takes the epoch of the term now.

--- a/sycamoredale/groups/domain_reconciler.py
+++ b/sycamoredale/groups/domain_reconciler.py
@@ -100,12 +100,13 @@
         await self.prober.probe_all(targets, self.health_table)
         if await self._suspects_local_fault(targets, shared):
             return
-        snapshot = self._take_snapshot(shared)
-        current = await self._plan_and_write(snapshot)
-        await self._send_orders(current.assignment, snapshot)
+        term = self.lease.term_at(self.lease.read_clock())
+        snapshot = self._take_snapshot(shared, term)
+        current = await self._plan_and_write(snapshot, term.epoch)
+        await self._send_orders(current.assignment, snapshot, term.epoch)
 
     async def _plan_and_write(
-        self, snapshot: repair.DomainSnapshot
+        self, snapshot: repair.DomainSnapshot, epoch: ids.Epoch
     ) -> assignment_store.VersionedAssignment:
         current = self.assignments.get(self.domain)
         plan_input = planning.PlanInput(
@@ -116,7 +117,7 @@
         planned = self._plan(current.assignment, plan_input)
         if planned is current.assignment:
             return current
-        self._check_lease()
+        self._check_lease(epoch)
         try:
             current = await self.assignments.write(planned, current.version)
         except (errors.VersionConflict, errors.OutcomeUnknown):
@@ -146,20 +147,26 @@
         return plan.assignment
 
     async def _send_orders(
-        self, assignment: model.Assignment, snapshot: repair.DomainSnapshot
+        self,
+        assignment: model.Assignment,
+        snapshot: repair.DomainSnapshot,
+        epoch: ids.Epoch,
     ) -> None:
         due = list(order_planning.due_orders(assignment, snapshot))
         allowed = await self._limit_fetches(assignment, due, snapshot)
         async with curio.TaskGroup() as group:
             for item in allowed:
-                await group.spawn(self._send_order, item)
+                await group.spawn(self._send_order, item, epoch)
 
-    async def _send_order(self, item: order_planning.DueOrder) -> None:
+    async def _send_order(
+        self, item: order_planning.DueOrder, epoch: ids.Epoch
+    ) -> None:
+        """Send an order unless the term in which it was decided has ended."""
         address = messages.parse_address(item.address)
         asked_at = self.lease.read_clock()
 
         def guard() -> None:
-            self._check_lease()
+            self._check_lease(epoch)
             self.health_table.record_order(
                 item.instance, self.lease.read_clock()
             )
@@ -263,7 +270,9 @@
                 )
         return self.fault_detector.update(count, now)
 
-    def _take_snapshot(self, shared: SharedState) -> repair.DomainSnapshot:
+    def _take_snapshot(
+        self, shared: SharedState, term: leases.Term
+    ) -> repair.DomainSnapshot:
         now = self.lease.read_clock()
         draining = {
             group.id: self._draining_since.get(group.id, now)
@@ -276,7 +285,7 @@
             shared.listed_by_id,
             self.health_table,
             draining,
-            self._lease_acquired_at(),
+            term.acquired_at,
             now,
         )
 
@@ -301,14 +310,8 @@
             s for s in states if s is not None
         )
 
-    def _lease_acquired_at(self) -> clock.MonotonicTime:
-        self._check_lease()
-        term = self.lease.term
-        assert term is not None
-        return term.acquired_at
-
-    def _check_lease(self) -> None:
-        self.lease.check(self.lease.read_clock())
+    def _check_lease(self, epoch: ids.Epoch) -> None:
+        self.lease.check(self.lease.read_clock(), epoch)
 
 
 def _within_fetch_limits(
--- a/sycamoredale/groups/reported_group_controller.py
+++ b/sycamoredale/groups/reported_group_controller.py
@@ -247,20 +247,15 @@
         try:
             while self._holds_lease(term.epoch) and not self.is_isolated():
                 if prober.may_act():
-                    await self._run_round()
+                    await self._run_round(term.epoch)
                 await curio.sleep(ROUND_INTERVAL_SECONDS)
         finally:
             await probing.cancel()
 
     def _holds_lease(self, epoch: ids.Epoch) -> bool:
-        term = self.lease.term
-        return (
-            self.lease.is_held(clock.monotonic())
-            and term is not None
-            and term.epoch == epoch
-        )
+        return self.lease.is_held_in(epoch, clock.monotonic())
 
-    async def _run_round(self) -> None:
+    async def _run_round(self, epoch: ids.Epoch) -> None:
         now = clock.monotonic()
         snapshot = self._take_snapshot(now)
         if not snapshot.services or not self._is_list_complete(now):
@@ -269,7 +264,7 @@
         due = list(self.lifecycle.due_orders(snapshot))
         due.extend(self.formation.due_orders(snapshot))
         for item in due:
-            await curio.spawn(self._send_order, item, daemon=True)
+            await curio.spawn(self._send_order, item, epoch, daemon=True)
 
     def _is_list_complete(self, now: clock.MonotonicTime) -> bool:
         """Return whether the instances of a new installation are all listed.
@@ -347,9 +342,14 @@
             self.instances.incarnations.ended_ids(),
         )
 
-    async def _send_order(self, item: reported.DueOrder) -> None:
+    async def _send_order(
+        self, item: reported.DueOrder, epoch: ids.Epoch
+    ) -> None:
+        """Send an order unless the term in which it was decided has ended."""
+        lifecycle = self.lifecycle
+
         def guard() -> None:
-            self.lease.check(clock.monotonic())
+            self.lease.check(clock.monotonic(), epoch)
 
         outcome = "accepted"
         try:
@@ -359,7 +359,7 @@
             outcome = error.message
             self.formation.record_unanswered(item, clock.monotonic())
         now = clock.monotonic()
-        self.lifecycle.record_outcome(item, outcome == "accepted", now)
+        lifecycle.record_outcome(item, outcome == "accepted", now)
         LOG.info(
             "order_given",
             instance=item.instance.id,
--- a/sycamoredale/leases.py
+++ b/sycamoredale/leases.py
@@ -126,6 +126,14 @@
         """Return whether this daemon may act as the owner now."""
         return self.term is not None and now < self.term.expires_at
 
+    def is_held_in(self, epoch: ids.Epoch, now: clock.MonotonicTime) -> bool:
+        """Return whether the term with an epoch lasts now."""
+        return (
+            self.term is not None
+            and self.term.epoch == epoch
+            and self.is_held(now)
+        )
+
     @property
     def last_owner_is_self(self) -> bool:
         """Return whether the last record that was read names this daemon."""
@@ -163,13 +171,23 @@
             return None
         return max(_free_at(self._observation), self._former_until)
 
-    def check(self, now: clock.MonotonicTime) -> None:
-        """Raise LeaseLost unless this daemon may act as the owner now."""
-        if not self.is_held(now):
+    def term_at(self, now: clock.MonotonicTime) -> Term:
+        """Return the present term; raise LeaseLost if there is none."""
+        if self.term is None or not self.is_held(now):
             raise errors.LeaseLost(
                 error_codes.LEASE_LOST,
                 f"daemon {self.owner!r} does not hold lease {self.name!r}",
             )
+        return self.term
+
+    def check(self, now: clock.MonotonicTime, epoch: ids.Epoch) -> None:
+        """Raise LeaseLost unless the term with an epoch lasts now."""
+        if not self.is_held_in(epoch, now):
+            raise errors.LeaseLost(
+                error_codes.LEASE_LOST,
+                f"daemon {self.owner!r} does not hold lease {self.name!r} "
+                f"in epoch {epoch}",
+            )
 
     async def renew_or_acquire(self) -> bool:
         """Renew the lease, or acquire it if it is free.
@@ -313,9 +331,9 @@
         """Return when the term of an own write began, None if it has ended."""
         if epoch > self._last_epoch:
             return sent_at
-        if self.term is None or not self.is_held(now):
+        if self.term is None or not self.is_held_in(epoch, now):
             return None
-        return self.term.acquired_at if self.term.epoch == epoch else None
+        return self.term.acquired_at
 
     async def _put(
         self, record: LeaseRecord, expected: ids.ObjectVersion
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -183,7 +183,7 @@
     assert not curio.run(second.renew_or_acquire)
     time.now += leases.LEASE_SECONDS * 0.03
     with pytest.raises(errors.LeaseLost):
-        first.check(first.read_clock())
+        first.check(first.read_clock(), ids.Epoch(1))
     assert curio.run(second.renew_or_acquire)
     assert not curio.run(first.renew_or_acquire)
 
@@ -235,7 +235,7 @@
     time.now += leases.LEASE_SECONDS * 0.9
     with pytest.raises(errors.StoreUnavailable):
         curio.run(lease.renew_or_acquire)
-    lease.check(lease.read_clock())
+    lease.check(lease.read_clock(), ids.Epoch(1))
     time.now += leases.LEASE_SECONDS * 0.2
     assert not lease.is_held(lease.read_clock())
     store.down = False
--- a/tests/test_reported_group_controller.py
+++ b/tests/test_reported_group_controller.py
@@ -407,3 +407,37 @@
         snapshot = instance_fixtures.snapshot(table.by_id.values(), 10.0)
         keys.extend(d.order.key for d in planner.due_orders(snapshot))
     assert len(set(keys)) == 2
+
+
+class SlowEngines(Engines):
+    """Accept connections only after an event."""
+
+    def __init__(self, table):
+        super().__init__(table)
+        self.connected = curio.Event()
+        self.waiting = 0
+
+    async def order(self, instance, order, guard):
+        self.waiting += 1
+        await self.connected.wait()
+        return await super().order(instance, order, guard)
+
+
+# Guards against TWO: an order was decided in one term and sent in the next
+# one of the same daemon, which knew nothing of it.
+def test_order_is_not_sent_in_a_later_term():
+    table = _table(3)
+    engines = SlowEngines(table)
+    controller = _controller(memory_store.MemoryStore(), "d1", table, engines)
+
+    async def main():
+        await curio.spawn(controller.run, daemon=True)
+        await _until(lambda: engines.waiting == 3)
+        await controller.lease.release()
+        await _until(lambda: controller.lease.is_held(clock.monotonic()))
+        await engines.connected.set()
+        await _until(lambda: _open_heads(table))
+        first = [o.key.epoch for _, o in engines.received][0]
+        assert first > 2 * formation_planner.EPOCHS_PER_TERM
+
+    curio.run(main)
