Test late joins around a short cut against simulated engines

A directed schedule does: each instance in turn is cut off until the others are ordered elsewhere, the joins are late, and the controller stays or changes.

--- a/tests/test_group_safety.py
+++ b/tests/test_group_safety.py
@@ -11,6 +11,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from sycamoredale import clock
 from sycamoredale.forwarding import instance_state
@@ -109,6 +110,23 @@
         if reached and outcome == "late":
             self.late.append((engine.name, engine.incarnation, item.order))
 
+    @stateful.rule(
+        index=INDEXES,
+        outcomes=strategies.lists(OUTCOMES, min_size=1, max_size=4),
+        changes_controller=strategies.booleans(),
+    )
+    def cut_briefly(self, index, outcomes, changes_controller):
+        """Lose an instance until the others have been ordered elsewhere."""
+        engine = self.engines[f"i{index}"]
+        was_visible, engine.visible = engine.visible, False
+        self.round(["accepted"])
+        self.wait(0.2)
+        self.round(outcomes)
+        engine.visible = was_visible
+        if changes_controller:
+            self.other_controller()
+        self.round(["accepted"])
+
     @stateful.rule(seconds=strategies.sampled_from((0.2, 1.0, 3.0, 7.0)))
     def wait(self, seconds):
         steps = int(seconds / 0.2)
@@ -269,3 +287,29 @@
 TestSite.settings = hypothesis.settings(
     max_examples=150, stateful_step_count=40
 )
+
+
+# Guards against TWO: a group was opened again while joins of its members to
+# another group were in flight, by the same controller or by the next one.
+@pytest.mark.parametrize("index", range(COUNT))
+@pytest.mark.parametrize("changes_controller", [False, True])
+@pytest.mark.parametrize("seconds_until_late", [0.2, 3.0, 7.0])
+def test_joins_are_late_after_a_short_cut(
+    index, changes_controller, seconds_until_late
+):
+    site = Site()
+    for _ in range(3):
+        site.round(["accepted"])
+        site.wait(3.0)
+    opened = [e for e in site.engines.values() if e.state is State.OPEN]
+    assert len(opened) == 2
+    site.cut_briefly(index, ["late"], changes_controller)
+    site.wait(seconds_until_late)
+    site.round(["accepted"])
+    while site.late:
+        site.deliver_late(0)
+    for _ in range(8):
+        site.round(["accepted"])
+        site.wait(1.0)
+    opened = [e for e in site.engines.values() if e.state is State.OPEN]
+    assert len(opened) == 2
