Treat an answer whose status is not between 200 and 599 as broken

Statuses under 200, as the 000 that the users saw elsewhere, and of two or four digits never reached a caller, but only because h11 rejects them, and no test said so.

PROTOCOL.md returns a replica's status unchanged, and RFC 9110 (section 15) says that values outside of 100 to 599 are invalid and are treated as a failure of the server. An invalid status is no status of HTTP that could be returned, and a caller's library may fail on it, so the RFC decides: the request is sent again if it may run again, else refused with 502 endpoint_failed and execution unknown. The check stands where all answers are read, so it holds for endpoints of both interfaces, answers that a peer relays, reports, health answers and the store.

--- a/sycamoredale/http/client.py
+++ b/sycamoredale/http/client.py
@@ -39,6 +39,8 @@
 MAX_IDLE_PER_ADDRESS: Final = 32
 CONNECT_TIMEOUT_SECONDS: Final = 2.0
 MAX_INTERIM_ANSWERS: Final = 16
+# RFC 9110, section 15: others are invalid and show a failure of the server.
+FINAL_STATUSES: Final = range(200, 600)
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 # Chunks cost processor time each; those of 32 bytes have this much framing.
 MAX_FRAMING_SHARE: Final = 0.25
@@ -104,6 +106,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise self._broken("the response has no final head")
+        if event.status_code not in FINAL_STATUSES:
+            raise self._broken(f"status {event.status_code} is invalid")
         headers = messages.Headers(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
