--- a/tests/test_reported_group_controller.py
+++ b/tests/test_reported_group_controller.py
@@ -396,6 +396,7 @@
     curio.run(main)
 
 
+# Guards against PARTIAL: the same after a crash of the controller's task.
 def test_epochs_of_a_term_that_is_begun_again_are_counted_on():
     planner = formation_planner.FormationPlanner(
         load_rate.LoadRateLimiter(5.0), lambda: False, lambda: {}
