Let heads of earlier controllers leave without a condition

The order to leave carried the number of orders that the head had taken, from its entry in the list.

The condition goes. A head that an earlier owner has opened within the last tenths of a second may now be told to leave; its members join again.

--- a/sycamoredale/groups/group_lifecycle.py
+++ b/sycamoredale/groups/group_lifecycle.py
@@ -189,11 +189,10 @@
                 yield group_teardown.teardown_order(group, head, teardown)
         elif self._must_rejoin(group):
             if not self._is_closing(group, snapshot.now):
-                # Not carried out if an order of an earlier controller to open
-                # the head was accepted since the report.
-                leave = reported.Leave(group.key, head.orders_taken)
                 yield reported.DueOrder(
-                    head, leave, "other join orders may be in flight"
+                    head,
+                    reported.Leave(group.key),
+                    "other join orders may be in flight",
                 )
         elif group.is_ready:
             tracker = self._head_tracker_by_key.setdefault(
--- a/sycamoredale/groups/reported.py
+++ b/sycamoredale/groups/reported.py
@@ -58,14 +58,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leave:
-    """Order an instance to leave its group.
-
-    With `orders_taken`, the instance rejects the order if it has accepted
-    another number of orders since its start.
-    """
+    """Order an instance to leave its group."""
 
     key: GroupKey
-    orders_taken: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamoredale/platform/engine_client.py
+++ b/sycamoredale/platform/engine_client.py
@@ -138,10 +138,7 @@
 
 @order_body.register
 def _(order: reported.Leave) -> dict[str, typing.Any]:
-    body = {"operation": "leave", **_group(order.key)}
-    if order.orders_taken is not None:
-        body["expected"] = order.orders_taken
-    return body
+    return {"operation": "leave", **_group(order.key)}
 
 
 @order_body.register
