--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -277,6 +277,7 @@
         self.host, self.port = host, port
         self.service, self.slots = service, slots
         self.work_s = 0.03
+        self.cold_s = 0.0
         self.queue = 24
         self.lives = 0
         self.id = None
@@ -309,7 +310,9 @@
             "version": "1",
             "slots": self.slots,
             "state": self.state,
-            "cold_left_ms": 0,
+            "cold_left_ms": max(
+                0, int(1000 * (self.cold_s - time.time()) + self.born)
+            ),
             "seq": 0,
             "born": self.born,
         }
