--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Daemons that stop are not counted, and still use their share of a cold replica.
+"""Daemons that stop are not counted, and still fill a cold replica.
 
 Machines of the system are stopped and started in turn while two replicas are
 added, which are cold at first. Without the disruption no machine is stopped.
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -278,6 +278,8 @@
         self.service, self.slots = service, slots
         self.work_s = 0.03
         self.cold_s = 0.0
+        # Whether a restart has the id that the replica had.
+        self.keeps_id = False
         self.queue = 24
         self.lives = 0
         self.id = None
@@ -289,7 +291,8 @@
     async def start(self):
         """Begin a lifetime: listen, and register in the store."""
         self.lives += 1
-        self.id = f"i-{self.name}-{self.lives}"
+        if not self.keeps_id or self.id is None:
+            self.id = f"i-{self.name}-{self.lives}"
         self.born = int(time.time() * 1000)
         self.running = self.waiting = 0
         self.slot = asyncio.Semaphore(self.slots)
