--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,7 @@
-"""Daemons that stop are not counted, and still fill a cold replica.
+"""A rolling restart makes the fleet forget which request crashes replicas.
 
-Machines of the system are stopped and started in turn while two replicas are
-added, which are cold at first. Without the disruption no machine is stopped.
+One request crashes each replica that begins to run it. It comes again every
+0.8 s, with the same path, caller and body, at any machine that is ready.
 """
 
 import asyncio
@@ -9,142 +9,134 @@
 import random
 import signal
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins-3"))
 
 import deployment  # noqa: E402
 
-DAEMONS = 9
-ROLLED = 4
-ROLL_GAP_S = 1.3
-ADDED = 2
-CLIENTS = 60
-THINK_S = 0.2
-WARMUP_S = 3.0
-WARMUP_PER_S = 26
-FACTOR, BURST = 1.5, 5
-# An arrival is some milliseconds later than its send; with a window that is
-# shorter by far more than that, both lie in one second.
-WINDOW_S = 0.95
-
-
-async def exchange(reader, writer, site, attempt):
-    fields = [
-        ("Host", "app.example"),
-        ("Attempt-Id", attempt),
-        ("Request-Deadline", "2500"),
-        ("Authorization", "Bearer key-a"),
-    ]
-    request = f"GET /look/{attempt} HTTP/1.1"
-    writer.write(deployment.encode(request, fields))
-    await writer.drain()
-    return await asyncio.wait_for(deployment.read_message(reader), 3.5)
-
-
-async def client(site, rng):
-    """Send requests, each on a new channel as the platform forwards it."""
-    while True:
-        ready = site.ready_daemons()
-        if not ready:
-            await asyncio.sleep(0.1)
-            continue
-        daemon = rng.choice(ready)
-        try:
-            reader, writer = await asyncio.open_connection(
-                daemon.host, site.front
-            )
-        except OSError:
-            await asyncio.sleep(0.1)
-            continue
-        try:
-            attempt = site.attempt_id()
-            site.record.write("send", attempt, daemon.name)
-            first, _, _ = await exchange(reader, writer, site, attempt)
-            site.record.write("answer", attempt, first.split(" ")[1])
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-            site.record.write("closed", daemon.name)
-        finally:
-            writer.close()
-        await asyncio.sleep(rng.uniform(0.5, 1.5) * THINK_S)
+DAEMONS = 7
+CONTACT_S = 3.0
+FIRST_PHASE_S = 10.0
+ROLL_GAP_S = 6.0
+COMES_AGAIN_S = 0.8
+LAST_PHASE_S = 10.0
+TARGET = "/book/order-17"
+BODY = b'{"bottle": 17}'
+MAX_RETRIES = 3
 
 
 async def play(site):
     rng = random.Random()
-    arrivals = {}
+    arrivals = []
 
     def on_run(replica, request):
-        if replica.id in arrivals:
-            arrivals[replica.id].append(site.record.now())
-        return 0.02
+        if request.target != TARGET:
+            return 0.03
+        by_id[request.attempt].append(time.monotonic())
+        arrivals.append((time.monotonic(), request.attempt))
+        return None
 
-    for replica in site.replicas + site.spare:
+    for replica in site.replicas:
         replica.on_run = on_run
-    clients = [
-        asyncio.ensure_future(client(site, rng)) for _ in range(CLIENTS)
-    ]
-    await asyncio.sleep(5.0)
-
-    async def stop_and_start(daemon):
-        daemon.send_signal(signal.SIGTERM)
-        await daemon.wait_exit(8.0)
-        daemon.start()
-
-    async def roll():
-        for daemon in site.daemons[:ROLLED]:
-            tasks.append(asyncio.ensure_future(stop_and_start(daemon)))
-            await asyncio.sleep(ROLL_GAP_S)
-
-    tasks = []
+    by_id = {}
+    daemon_by_id = {}
+    statuses = []
+
+    async def comes_again():
+        turn = 0
+        while True:
+            ready = site.ready_daemons()
+            turn = (turn + 1) % len(site.daemons)
+            if ready:
+                # The machines in turn, but for those that are not ready.
+                in_turn = site.daemons[turn:] + site.daemons[:turn]
+                daemon = next(d for d in in_turn if d in ready)
+                # The id is known before the request can arrive.
+                attempt = site.attempt_id()
+                by_id[attempt] = []
+                daemon_by_id[attempt] = daemon, daemon.calm_since
+                site.record.write("send", attempt, daemon.name, TARGET)
+                try:
+                    answer = await deployment.call(
+                        daemon.host,
+                        site.front,
+                        "POST",
+                        TARGET,
+                        [
+                            ("Host", "app.example"),
+                            ("Attempt-Id", attempt),
+                            ("Request-Deadline", "2500"),
+                            ("Authorization", "Bearer key-a"),
+                        ],
+                        BODY,
+                        3.5,
+                    )
+                    status = answer.status
+                except (
+                    OSError,
+                    asyncio.TimeoutError,
+                    asyncio.IncompleteReadError,
+                ) as error:
+                    status = repr(error)
+                statuses.append(status)
+                site.record.write("answer", attempt, daemon.name, status)
+            await asyncio.sleep(COMES_AGAIN_S)
+
+    async def others():
+        """Sound requests, all different."""
+        count = 0
+        while True:
+            await asyncio.sleep(0.1)
+            ready = site.ready_daemons()
+            if ready:
+                count += 1
+                asyncio.ensure_future(
+                    site.request(
+                        rng.choice(ready),
+                        "GET",
+                        f"/look/thing-{count}",
+                        key="key-b",
+                    )
+                )
+
+    tasks = [asyncio.ensure_future(t()) for t in (comes_again, others)]
+    await asyncio.sleep(FIRST_PHASE_S)
     if deployment.TROUBLE:
-        tasks.append(asyncio.ensure_future(roll()))
-    cold_until = {}
-    for replica in site.spare:
-        await asyncio.sleep(1.0)
-        replica.cold_s = WARMUP_S
-        started = site.record.now()
-        await replica.start()
-        arrivals[replica.id] = []
-        cold_until[replica.id] = started + WARMUP_S
-    await asyncio.sleep(10.0)
-    for task in clients:
+        for daemon in site.daemons:
+            daemon.send_signal(signal.SIGTERM)
+            await daemon.wait_exit(8.0)
+            daemon.start()
+            until = time.monotonic() + 10
+            while not daemon.in_rotation and time.monotonic() < until:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(ROLL_GAP_S)
+    else:
+        await asyncio.sleep(DAEMONS * 10.0)
+    await asyncio.sleep(LAST_PHASE_S)
+    for task in tasks:
         task.cancel()
 
-    bound = WARMUP_PER_S * FACTOR + BURST
-    most = 0
-    for name, times in arrivals.items():
-        times = [at for at in times if at < cold_until[name]]
-        found = max(
-            (
-                sum(at <= other < at + WINDOW_S for other in times)
-                for at in times
-            ),
-            default=0,
-        )
-        most = max(most, found)
-        site.record.say(
-            f"{name}: {len(times)} requests while cold,",
-            f"at most {found} in {WINDOW_S:g} s (allowed in 1 s: {bound:g})",
-        )
-    return most > bound
-
-
-class ColdSite(deployment.Site):
-    """A site whose replicas are cold after they were added."""
-
-    def __init__(self, here):
-        super().__init__(here, daemons=DAEMONS, replicas=3 + ADDED)
-        self.spare = self.replicas[3:]
-        self.replicas = self.replicas[:3]
-
-    def manifest(self):
-        found = super().manifest()
-        found["services"][0] |= {
-            "warmup_s": WARMUP_S,
-            "warmup_per_s": WARMUP_PER_S,
-        }
-        return found
+    arrivals.sort()
+    site.record.say("arrivals of the request at replicas:", len(arrivals))
+    late = []
+    if len(arrivals) >= 3:
+        third_at = arrivals[2][0]
+        for at, attempt in arrivals[3:]:
+            daemon, calm_since = daemon_by_id[attempt]
+            if at <= third_at + CONTACT_S:
+                continue
+            if at - calm_since < CONTACT_S or daemon.calm_since > at:
+                continue  # The machine was not in touch.
+            late.append(attempt)
+            site.record.write("late retry", attempt, daemon.name)
+    site.record.say(
+        f"retries later than {CONTACT_S:g} s after the third crash, from",
+        f"machines in touch: {len(late)} (allowed: {MAX_RETRIES})",
+    )
+    return len(late) > MAX_RETRIES
 
 
 if __name__ == "__main__":
-    deployment.main(play, ColdSite(HERE))
+    deployment.main(play, deployment.Site(HERE, daemons=DAEMONS, replicas=3))
