Send notices again to a peer that has started again

Cause, one of two: a notice recorded the ids of the daemons that it was sent to, and not their lives. A daemon that comes back under its id has lost what it knew, and counted as told.

Change: the receivers are recorded with their incarnation. All topics gain: of those in use, reports on endpoints and cold slots are published once, and nothing else told them to a started daemon; usage is published again and again.

Ruled out: the sequences of the origin, which rise over its restarts. An incarnation also rises when a daemon refutes a suspicion; it then gets the notices of the last minute again and ignores them by their sequence.

The test failed before: the started daemon got no notice ([] in place of the notice). A notice still lives for 60 s and a verdict for an hour; that is the other cause, which this does not touch.

--- a/sycamoredale/membership/gossip.py
+++ b/sycamoredale/membership/gossip.py
@@ -5,7 +5,8 @@
 effort: invariants are enforced by the object API, never by notices.
 
 A notice is sent at most once to each neighbour and dropped after its
-lifetime.  Notices of an urgent topic are sent immediately; the others wait
+lifetime.  A neighbour that has started again under its id has lost what it
+knew, and is sent the notices again.  Notices of an urgent topic are sent immediately; the others wait
 for the next heartbeat.  The notices of one heartbeat are limited in bytes.
 A topic that a later build has added is passed on, least urgent.
 """
@@ -65,7 +66,9 @@
 
 
 Subscriber = collections.abc.Callable[[Notice], None]
+GetIncarnation = collections.abc.Callable[[ids.DaemonId], ids.Incarnation]
 _Key = tuple[str, str, ids.DaemonId]
+_Receiver = tuple[ids.DaemonId, ids.Incarnation]
 
 
 @dataclasses.dataclass
@@ -73,7 +76,7 @@
     notice: Notice
     size_bytes: int
     expires_at: clock.MonotonicTime
-    sent_to: set[ids.DaemonId]
+    sent_to: set[_Receiver]
 
 
 @dataclasses.dataclass
@@ -82,6 +85,7 @@
 
     `first_sequence` must increase with each start under the same id, since
     peers ignore sequences that are not higher than the last one they saw.
+    `get_incarnation` returns the last known incarnation of a peer.
     """
 
     own_id: ids.DaemonId
@@ -89,6 +93,7 @@
         default_factory=dict
     )
     first_sequence: int = 0
+    get_incarnation: GetIncarnation = lambda peer: ids.Incarnation(0)
     has_urgent: bool = False
     _sequence: int = 0
     _queued_by_key: collections.OrderedDict[_Key, _QueuedNotice] = (
@@ -136,13 +141,14 @@
                 queued is not None
                 and notice.sequence == queued.notice.sequence
             ):
-                queued.sent_to.add(sender)
+                queued.sent_to.add(self._receiver(sender))
             if notice.sequence <= self._sequence_by_key.get(key, -1):
                 continue
             if notice.origin == self.own_id:
                 continue
             size_bytes = len(msgspec.json.encode(notice))
-            self._enqueue(notice, size_bytes, now, {sender, notice.origin})
+            sent_to = {self._receiver(d) for d in (sender, notice.origin)}
+            self._enqueue(notice, size_bytes, now, sent_to)
             self.deliver(notice)
 
     def dequeue(
@@ -153,10 +159,11 @@
     ) -> list[Notice]:
         """Return notices not yet sent to a peer, most urgent first."""
         self._expire(now)
+        receiver = self._receiver(peer)
         unsent = [
             entry
             for entry in self._queued_by_key.values()
-            if peer not in entry.sent_to
+            if receiver not in entry.sent_to
         ]
         unsent.sort(key=lambda entry: _rank(entry.notice.topic))
         notices_to_send: list[Notice] = []
@@ -164,7 +171,7 @@
             if queued.size_bytes > max_bytes:
                 break
             max_bytes -= queued.size_bytes
-            queued.sent_to.add(peer)
+            queued.sent_to.add(receiver)
             notices_to_send.append(queued.notice)
         return notices_to_send
 
@@ -178,14 +185,14 @@
             key = (notice.topic, notice.key, notice.origin)
             queued = self._queued_by_key.get(key)
             if queued is not None and queued.notice == notice:
-                queued.sent_to.discard(peer)
+                queued.sent_to.discard(self._receiver(peer))
 
     def _enqueue(
         self,
         notice: Notice,
         size_bytes: int,
         now: clock.MonotonicTime,
-        sent_to: set[ids.DaemonId],
+        sent_to: set[_Receiver],
     ) -> None:
         key = (notice.topic, notice.key, notice.origin)
         expires_at = clock.MonotonicTime(now + NOTICE_LIFETIME_SECONDS)
@@ -202,6 +209,9 @@
         if notice.topic in URGENT_TOPICS:
             self.has_urgent = True
 
+    def _receiver(self, peer: ids.DaemonId) -> _Receiver:
+        return peer, self.get_incarnation(peer)
+
     def _expire(self, now: clock.MonotonicTime) -> None:
         while self._queued_by_key:
             key, oldest = next(iter(self._queued_by_key.items()))
--- a/sycamoredale/membership/node.py
+++ b/sycamoredale/membership/node.py
@@ -85,7 +85,9 @@
             )
         )
         self.gossip: Final = gossip.Gossip(
-            options.daemon, first_sequence=gossip.first_sequence(started)
+            options.daemon,
+            first_sequence=gossip.first_sequence(started),
+            get_incarnation=self.members.incarnation_of,
         )
         self.freshness: Final = freshness.Freshness()
         self.pool: Final = client.Pool()
--- a/sycamoredale/membership/view.py
+++ b/sycamoredale/membership/view.py
@@ -140,6 +140,11 @@
             self.state_since_by_id.pop(peer, None)
             self.revision += 1
 
+    def incarnation_of(self, peer: ids.DaemonId) -> ids.Incarnation:
+        """Return the last known incarnation of a daemon, 0 without any."""
+        known = self.by_id.get(peer)
+        return known.incarnation if known else ids.Incarnation(0)
+
     def peers(self) -> collections.abc.Iterator[Peer]:
         """Yield all daemons except this one."""
         return (p for p in self.by_id.values() if p.id != self.own.id)
--- a/tests/test_membership_rules.py
+++ b/tests/test_membership_rules.py
@@ -176,6 +176,33 @@
     assert len(received) == 1
 
 
+# Guards against BUDGET: a daemon that came back under its id was taken for one
+# that had been told already, so a crash of an endpoint was never told to it.
+def test_notice_is_sent_again_to_a_peer_that_has_started_again() -> None:
+    peer = view.Peer(
+        ids.DaemonId("b"),
+        "127.0.0.1:1",
+        ids.ZoneName("z"),
+        view.Role.ROUTER,
+        ids.Incarnation(1),
+    )
+    own = msgspec.structs.replace(peer, id=ids.DaemonId("a"))
+    members = view.MembershipView(own)
+    now = clock.monotonic()
+    members.merge(peer, now)
+    sender = gossip.Gossip(own.id)
+    sender.get_incarnation = members.incarnation_of
+    notice = sender.publish(gossip.Topic.POISON, "k", 1)
+    assert sender.dequeue(peer.id, 4096, now) == [notice]
+    assert sender.dequeue(peer.id, 4096, now) == []
+    started_again = msgspec.structs.replace(
+        peer, incarnation=ids.Incarnation(2)
+    )
+    members.merge(started_again, now)
+    assert sender.dequeue(peer.id, 4096, now) == [notice]
+    assert sender.dequeue(peer.id, 4096, now) == []
+
+
 # Guards against heartbeats that a daemon cannot read because one notice in
 # them has a topic of a later build.
 def test_notice_of_an_unknown_topic_is_read_and_passed_on() -> None:
