Keep the age of crashes and answers that are told late

Cause: a notice had no age, and handle_notice took the time of its arrival. A notice also began a new life of 60 s at each daemon that passed it on.

Change: a notice is sent with its age, and expires 60 s after it was published, wherever it is. Reports of a crash and of an answer say how long before the report they were.

Formats: fields with a default at the end; an earlier build passes a notice on as a new one, as before.

Tests: three new ones fail before (a notice had no age to construct or compare). Those that compared whole notices leave the age out, or compare it where it is known: a notice of an unknown topic is passed on unchanged but for an age of 40,000 ms after 40 s.

--- a/sycamoredale/membership/gossip.py
+++ b/sycamoredale/membership/gossip.py
@@ -6,8 +6,9 @@
 
 A notice is sent at most once to each neighbour and dropped after its
 lifetime.  A neighbour that has started again under its id has lost what it
-knew, and is sent the notices again.  Notices of an urgent topic are sent immediately; the others wait
-for the next heartbeat.  The notices of one heartbeat are limited in bytes.
+knew, and is sent the notices again.  Notices of an urgent topic are sent
+immediately; the others wait for the next heartbeat.  The notices of one
+heartbeat are limited in bytes.
 A topic that a later build has added is passed on, least urgent.
 """
 
@@ -55,7 +56,9 @@
 class Notice(msgspec.Struct, frozen=True, array_like=True):
     """Carry one value of a daemon; a higher sequence replaces a lower.
 
-    The topic is a `Topic` or the name of a later one.
+    The topic is a `Topic` or the name of a later one.  The value was
+    published `age_ms` before the notice was sent; builds that do not know the
+    age pass the notice on as a new one.
     """
 
     topic: str
@@ -63,6 +66,11 @@
     origin: ids.DaemonId
     sequence: int
     payload: msgspec.Raw
+    age_ms: int = 0
+
+    def published_at(self, now: clock.MonotonicTime) -> clock.MonotonicTime:
+        """Return when the value of a notice that arrives now was new."""
+        return clock.MonotonicTime(now - max(0, self.age_ms) / 1000)
 
 
 Subscriber = collections.abc.Callable[[Notice], None]
@@ -75,9 +83,13 @@
 class _QueuedNotice:
     notice: Notice
     size_bytes: int
-    expires_at: clock.MonotonicTime
+    published_at: clock.MonotonicTime
     sent_to: set[_Receiver]
 
+    def with_age(self, now: clock.MonotonicTime) -> Notice:
+        age_ms = max(0, int(1000 * (now - self.published_at)))
+        return msgspec.structs.replace(self.notice, age_ms=age_ms)
+
 
 @dataclasses.dataclass
 class Gossip:
@@ -148,7 +160,8 @@
                 continue
             size_bytes = len(msgspec.json.encode(notice))
             sent_to = {self._receiver(d) for d in (sender, notice.origin)}
-            self._enqueue(notice, size_bytes, now, sent_to)
+            published_at = notice.published_at(now)
+            self._enqueue(notice, size_bytes, published_at, sent_to)
             self.deliver(notice)
 
     def dequeue(
@@ -172,7 +185,7 @@
                 break
             max_bytes -= queued.size_bytes
             queued.sent_to.add(receiver)
-            notices_to_send.append(queued.notice)
+            notices_to_send.append(queued.with_age(now))
         return notices_to_send
 
     def requeue(
@@ -184,21 +197,23 @@
         for notice in notices:
             key = (notice.topic, notice.key, notice.origin)
             queued = self._queued_by_key.get(key)
-            if queued is not None and queued.notice == notice:
+            if (
+                queued is not None
+                and queued.notice.sequence == notice.sequence
+            ):
                 queued.sent_to.discard(self._receiver(peer))
 
     def _enqueue(
         self,
         notice: Notice,
         size_bytes: int,
-        now: clock.MonotonicTime,
+        published_at: clock.MonotonicTime,
         sent_to: set[_Receiver],
     ) -> None:
         key = (notice.topic, notice.key, notice.origin)
-        expires_at = clock.MonotonicTime(now + NOTICE_LIFETIME_SECONDS)
         self._queued_by_key.pop(key, None)
         self._queued_by_key[key] = _QueuedNotice(
-            notice, size_bytes, expires_at, sent_to
+            notice, size_bytes, published_at, sent_to
         )
         if len(self._queued_by_key) > MAX_QUEUED_NOTICES:
             self._queued_by_key.popitem(last=False)
@@ -213,10 +228,13 @@
         return peer, self.get_incarnation(peer)
 
     def _expire(self, now: clock.MonotonicTime) -> None:
-        while self._queued_by_key:
-            key, oldest = next(iter(self._queued_by_key.items()))
-            if oldest.expires_at > now:
-                return
+        since = now - NOTICE_LIFETIME_SECONDS
+        expired = [
+            key
+            for key, queued in self._queued_by_key.items()
+            if queued.published_at <= since
+        ]
+        for key in expired:
             del self._queued_by_key[key]
 
 
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -6,17 +6,15 @@
 that ran alone, lower for one that ran concurrently with others, and lowest
 if other endpoints of the same fabric domain were lost at the same time.
 Daemons exchange notices of crashes, so that each of them counts the crashes
-of all.
+of all; `sycamoredale.requests.crash_evidence` keeps them.
 
 A poison request has no answer, since it crashes each endpoint that runs it.
 So an answer at any daemon refutes the crashes before it, and those that follow
 at once.  Requests that have been answered lately need more crashes.
 """
 
-import collections.abc
 import dataclasses
 import hashlib
-import typing
 from typing import Final
 
 import msgspec
@@ -29,6 +27,7 @@
 from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.observability import logs
 from sycamoredale.requests import call as call_module
+from sycamoredale.requests import crash_evidence
 from sycamoredale.requests import part_evidence
 
 MAX_CRASHES_PER_CALL: Final = 3
@@ -38,40 +37,35 @@
 CONCURRENT_WEIGHT: Final = 0.7
 CORRELATED_WEIGHT: Final = 0.1
 CORRELATION_WINDOW_SECONDS: Final = 5.0
-RETENTION_SECONDS: Final = 3600.0
-MAX_FINGERPRINTS: Final = 4096
-# Of answered requests; those that are asked for often stay.
-MAX_ANSWERED: Final = 1024
-MAX_CRASHES_PER_FINGERPRINT: Final = 32
 MAX_NOTICES_PER_SECOND: Final = 20
 LOG: Final = logs.get("poison")
 CONTENT_FIELDS: Final = ("model", "messages", "prompt", "adapter")
 
-Fingerprint = typing.NewType("Fingerprint", str)
+Fingerprint = ids.Fingerprint
 
 
 class Crash(msgspec.Struct, frozen=True):
-    """Report that an endpoint was lost while it ran a request."""
+    """Report that an endpoint was lost while it ran a request.
+
+    It was lost `ms_ago` before the report.
+    """
 
     fingerprint: Fingerprint
     endpoint: ids.EndpointId
     domain: ids.DomainName
     alone: bool
+    ms_ago: int = 0
 
 
 class Answered(msgspec.Struct, frozen=True):
     """Report that an endpoint has answered a request, despite crashes.
 
-    An earlier build finds no crash in it, and ignores it.
+    The answer came `ms_ago` before the report.  An earlier build finds no
+    crash in it, and ignores it.
     """
 
     answered: Fingerprint
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _TimedCrash:
-    crash: Crash
-    time: clock.MonotonicTime
+    ms_ago: int = 0
 
 
 @dataclasses.dataclass
@@ -82,12 +76,8 @@
     """
 
     gossip: gossip_module.Gossip | None = None
-    _crashes_by_fingerprint: dict[Fingerprint, list[_TimedCrash]] = (
-        dataclasses.field(default_factory=dict)
-    )
-    # The one that was answered last comes last.
-    _answered_at: dict[Fingerprint, clock.MonotonicTime] = dataclasses.field(
-        default_factory=dict
+    evidence: crash_evidence.CrashEvidence = dataclasses.field(
+        default_factory=crash_evidence.CrashEvidence
     )
     _notice_times: list[clock.MonotonicTime] = dataclasses.field(
         default_factory=list
@@ -95,7 +85,7 @@
 
     def check(self, call: call_module.Call, now: clock.MonotonicTime) -> None:
         """Raise Refusal if the request of the call is a poison request."""
-        if self._crashes_by_fingerprint:
+        if self.evidence.losses_by_fingerprint:
             self.check_fingerprint(fingerprint_of(call), now)
 
     def check_fingerprint(
@@ -105,7 +95,7 @@
         if not self.is_poison(fingerprint, now):
             return
         raise refusal(
-            len(self._recent(fingerprint, now)),
+            len(self.evidence.recent_losses(fingerprint, now)),
             error_codes.Execution.NOT_RUN,
         )
 
@@ -125,9 +115,12 @@
 
         Returns whether further requests with the fingerprint are refused.
         """
-        if self._add(crash, now, now if lost_at is None else lost_at):
+        at = now if lost_at is None else lost_at
+        if self._add(crash, at, now):
             key = f"{crash.fingerprint}:{crash.endpoint}"
-            self._publish(key, crash, now)
+            ms_ago = max(0, int(1000 * (now - at)))
+            told = msgspec.structs.replace(crash, ms_ago=ms_ago)
+            self._publish(key, told, now)
         return self.is_poison(crash.fingerprint, now)
 
     def record_answer_to(
@@ -137,62 +130,67 @@
 
         Without any crash the fingerprint is not worth its computation.
         """
-        if self._crashes_by_fingerprint:
+        if self.evidence.losses_by_fingerprint:
             self.record_answer(fingerprint_of(call), now)
 
     def record_answer(
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> None:
         """Forget the crashes of a request that an endpoint has answered."""
-        self._keep_answer(fingerprint, now)
-        if fingerprint in self._crashes_by_fingerprint:
-            self._refute(fingerprint, now)
+        refuted = self.evidence.record_answer(fingerprint, now)
+        if refuted:
+            LOG.info(
+                "crashes_refuted", fingerprint=fingerprint, crashes=refuted
+            )
+            self._publish_answer(fingerprint, now)
 
     def handle_notice(
         self, notice: gossip_module.Notice, now: clock.MonotonicTime
     ) -> None:
         """Apply the crash or the answer that another daemon has seen."""
+        told_at = notice.published_at(now)
         try:
             crash = decoding.decode_json(notice.payload, Crash)
         except msgspec.DecodeError:
-            self._handle_answered(notice, now)
-        else:
-            if not self._add(crash, now, now):
-                self._publish_answer(crash.fingerprint, now)
+            self._handle_answered(notice, told_at)
+            return
+        lost_at = clock.MonotonicTime(told_at - max(0, crash.ms_ago) / 1000)
+        self._add(crash, lost_at, now)
+        if self.evidence.is_refuted(crash.fingerprint, lost_at):
+            self._publish_answer(crash.fingerprint, now)
 
     def _handle_answered(
-        self, notice: gossip_module.Notice, now: clock.MonotonicTime
+        self, notice: gossip_module.Notice, told_at: clock.MonotonicTime
     ) -> None:
         try:
-            answered = decoding.decode_json(notice.payload, Answered).answered
+            report = decoding.decode_json(notice.payload, Answered)
         except msgspec.DecodeError:
             return
-        self._keep_answer(answered, now)
-        self._crashes_by_fingerprint.pop(answered, None)
-
-    def _keep_answer(
-        self, fingerprint: Fingerprint, now: clock.MonotonicTime
-    ) -> None:
-        self._answered_at.pop(fingerprint, None)
-        self._answered_at[fingerprint] = now
-        if len(self._answered_at) > MAX_ANSWERED:
-            del self._answered_at[next(iter(self._answered_at))]
+        at = clock.MonotonicTime(told_at - max(0, report.ms_ago) / 1000)
+        self.evidence.record_answer(report.answered, at)
 
-    def _refute(
-        self, fingerprint: Fingerprint, now: clock.MonotonicTime
-    ) -> None:
-        """Forget the crashes of a request, here and at the peers."""
-        crashes = self._crashes_by_fingerprint.pop(fingerprint, [])
-        LOG.info(
-            "crashes_refuted", fingerprint=fingerprint, crashes=len(crashes)
+    def _add(
+        self,
+        crash: Crash,
+        lost_at: clock.MonotonicTime,
+        now: clock.MonotonicTime,
+    ) -> bool:
+        """Return whether the crash was unknown and is not refuted."""
+        incarnation = part_evidence.incarnation_key(
+            ids.InstanceId(crash.endpoint), 0
+        )
+        loss = crash_evidence.Loss(lost_at, crash.domain, crash.alone)
+        return self.evidence.record_loss(
+            crash.fingerprint, incarnation, loss, now
         )
-        if crashes:
-            self._publish_answer(fingerprint, now)
 
     def _publish_answer(
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> None:
-        self._publish(f"{fingerprint}:answered", Answered(fingerprint), now)
+        answered_at = self.evidence.answered_at(fingerprint)
+        ms_ago = max(0, int(1000 * (now - answered_at)))
+        report = Answered(fingerprint, ms_ago)
+        self._publish(f"{fingerprint}:answered", report, now)
 
     def _publish(
         self, key: str, value: Crash | Answered, now: clock.MonotonicTime
@@ -207,81 +205,39 @@
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> float:
         """Return the sum of the weights of the crashes of a request."""
+        losses = self.evidence.recent_losses(fingerprint, now)
+        was_answered = (
+            self.evidence.answered_at(fingerprint) != part_evidence.NEVER
+        )
         return sum(
-            self._weight(timed) for timed in self._recent(fingerprint, now)
+            self._weight(loss, losses, was_answered)
+            for loss in losses.values()
         )
 
-    def _recent(
-        self, fingerprint: Fingerprint, now: clock.MonotonicTime
-    ) -> list[_TimedCrash]:
-        crashes = self._crashes_by_fingerprint.get(fingerprint, [])
-        return [c for c in crashes if c.time > now - RETENTION_SECONDS]
-
-    def _weight(self, timed: _TimedCrash) -> float:
-        if self._is_correlated(timed):
+    def _weight(
+        self,
+        loss: crash_evidence.Loss,
+        losses: crash_evidence.Losses,
+        was_answered: bool,
+    ) -> float:
+        if self._is_correlated(loss, losses):
             return CORRELATED_WEIGHT
-        was_answered = timed.crash.fingerprint in self._answered_at
-        if timed.crash.alone and not was_answered:
+        if loss.alone and not was_answered:
             return ALONE_WEIGHT
         return CONCURRENT_WEIGHT
 
-    def _is_correlated(self, timed: _TimedCrash) -> bool:
+    def _is_correlated(
+        self, loss: crash_evidence.Loss, losses: crash_evidence.Losses
+    ) -> bool:
         # Endpoints that were lost while they ran the same request are not
         # counted as a correlated failure, as the request may be the cause.
-        crash = timed.crash
-        endpoints = {
-            c.crash.endpoint
-            for c in self._crashes_by_fingerprint[crash.fingerprint]
-        }
         return any(
-            other.crash.domain == crash.domain
-            and other.crash.endpoint not in endpoints
-            and abs(other.time - timed.time) <= CORRELATION_WINDOW_SECONDS
-            for other in self._all_crashes()
+            other.domain == loss.domain
+            and incarnation not in losses
+            and abs(other.at - loss.at) <= CORRELATION_WINDOW_SECONDS
+            for incarnation, other in self.evidence.all_losses()
         )
 
-    def _all_crashes(self) -> collections.abc.Iterator[_TimedCrash]:
-        for crashes in self._crashes_by_fingerprint.values():
-            yield from crashes
-
-    def _add(
-        self,
-        crash: Crash,
-        now: clock.MonotonicTime,
-        lost_at: clock.MonotonicTime,
-    ) -> bool:
-        """Return whether the crash counts, which an answer may refute."""
-        answered_at = self._answered_at.get(crash.fingerprint)
-        if (
-            answered_at is not None
-            and lost_at - answered_at < part_evidence.ANSWER_CLEARS_SECONDS
-        ):
-            self._refute(crash.fingerprint, now)
-            return False
-        # Each endpoint counts once, with its latest crash.
-        retained = [
-            timed
-            for timed in self._recent(crash.fingerprint, now)
-            if timed.crash.endpoint != crash.endpoint
-        ]
-        retained.append(_TimedCrash(crash, now))
-        # Reinserted last, which orders the fingerprints by the time of their
-        # latest crash.
-        self._crashes_by_fingerprint.pop(crash.fingerprint, None)
-        self._crashes_by_fingerprint[crash.fingerprint] = retained[
-            -MAX_CRASHES_PER_FINGERPRINT:
-        ]
-        while self._should_evict_oldest(now):
-            oldest = next(iter(self._crashes_by_fingerprint))
-            del self._crashes_by_fingerprint[oldest]
-        return True
-
-    def _should_evict_oldest(self, now: clock.MonotonicTime) -> bool:
-        if len(self._crashes_by_fingerprint) > MAX_FINGERPRINTS:
-            return True
-        oldest = next(iter(self._crashes_by_fingerprint))
-        return not self._recent(oldest, now)
-
 
 def fingerprint_of(call: call_module.Call) -> Fingerprint:
     """Return the fingerprint of a call, independent of its caller."""
--- a/tests/test_membership_rules.py
+++ b/tests/test_membership_rules.py
@@ -1,6 +1,7 @@
 """Test the rules of views, the overlay, gossip and freshness."""
 
 import collections.abc
+import itertools
 import random
 import typing
 
@@ -163,10 +164,10 @@
     new = sender.publish(gossip.Topic.POISON, "k", 2)
     now = clock.monotonic()
     name = ids.DaemonId("b")
-    assert sender.dequeue(name, 4096, now) == [new]
+    assert _without_ages(sender.dequeue(name, 4096, now)) == [new]
     assert sender.dequeue(name, 4096, now) == []
     sender.requeue(name, [new])
-    assert sender.dequeue(name, 4096, now) == [new]
+    assert _without_ages(sender.dequeue(name, 4096, now)) == [new]
     receiver.receive([new, old, new], sender.own_id, now)
     assert [n.payload for n in received] == [msgspec.Raw(b"2")]
     assert receiver.dequeue(sender.own_id, 4096, now) == []
@@ -193,13 +194,13 @@
     sender = gossip.Gossip(own.id)
     sender.get_incarnation = members.incarnation_of
     notice = sender.publish(gossip.Topic.POISON, "k", 1)
-    assert sender.dequeue(peer.id, 4096, now) == [notice]
+    assert _without_ages(sender.dequeue(peer.id, 4096, now)) == [notice]
     assert sender.dequeue(peer.id, 4096, now) == []
     started_again = msgspec.structs.replace(
         peer, incarnation=ids.Incarnation(2)
     )
     members.merge(started_again, now)
-    assert sender.dequeue(peer.id, 4096, now) == [notice]
+    assert _without_ages(sender.dequeue(peer.id, 4096, now)) == [notice]
     assert sender.dequeue(peer.id, 4096, now) == []
 
 
@@ -213,8 +214,32 @@
     now = clock.monotonic()
     receiver.receive([notice], ids.DaemonId("a"), now)
     passed_on = receiver.dequeue(ids.DaemonId("c"), 4096, now)
-    assert passed_on == [known, notice]
-    assert msgspec.json.encode(passed_on[1]) == data
+    assert _without_ages(passed_on) == [known, notice]
+    later = clock.MonotonicTime(now + 40.0)
+    passed_on_later = receiver.dequeue(ids.DaemonId("d"), 4096, later)
+    encoded = msgspec.json.encode(passed_on_later[1])
+    assert encoded == data.removesuffix(b"]") + b",40000]"
+
+
+# Guards against a notice that counts as new at each daemon that it reaches.
+def test_notice_keeps_its_age_from_daemon_to_daemon() -> None:
+    now = clock.monotonic()
+    daemons = [gossip.Gossip(ids.DaemonId(n)) for n in "abc"]
+    received: list[gossip.Notice] = []
+    daemons[2].subscribe(gossip.Topic.POISON, received.append)
+    daemons[0].publish(gossip.Topic.POISON, "k", 1)
+    for sender, receiver in itertools.pairwise(daemons):
+        now = clock.MonotonicTime(now + 20.0)
+        notices = sender.dequeue(receiver.own_id, 4096, now)
+        receiver.receive(notices, sender.own_id, now)
+    published_ago = now - received[0].published_at(now)
+    assert published_ago == pytest.approx(40.0, abs=0.5)
+    now = clock.MonotonicTime(now + 21.0)
+    assert daemons[2].dequeue(ids.DaemonId("d"), 4096, now) == []
+
+
+def _without_ages(notices: list[gossip.Notice]) -> list[gossip.Notice]:
+    return [msgspec.structs.replace(n, age_ms=0) for n in notices]
 
 
 def test_urgent_notices_are_sent_first_within_byte_limit() -> None:
@@ -225,8 +250,8 @@
     assert sender.has_urgent
     now = clock.monotonic()
     peer_id = ids.DaemonId("b")
-    assert sender.dequeue(peer_id, 500, now) == [poison]
-    assert sender.dequeue(peer_id, 500, now) == [usage]
+    assert _without_ages(sender.dequeue(peer_id, 500, now)) == [poison]
+    assert _without_ages(sender.dequeue(peer_id, 500, now)) == [usage]
 
 
 @hypothesis.given(
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -15,6 +15,7 @@
 from sycamoredale.http import messages
 from sycamoredale.membership import gossip
 from sycamoredale.requests import call
+from sycamoredale.requests import crash_evidence
 from sycamoredale.requests import poison
 from tests import processes
 from tests import sites
@@ -32,7 +33,7 @@
         detector.check(_call(organisation="another", max_tokens=5), NOW + 2)
     assert refused.value.code.name == "request_crashes_endpoints"
     detector.check(_call(prompt="another"), NOW + 2)
-    detector.check(_call(), NOW + poison.RETENTION_SECONDS + 2)
+    detector.check(_call(), NOW + crash_evidence.RETENTION_SECONDS + 2)
 
 
 def test_one_endpoint_counts_once() -> None:
@@ -136,6 +137,37 @@
         detector.check(_call(), NOW)
 
 
+# Guards against crashes that count for an hour from the moment at which a
+# daemon is told of them, and so never expire in a fleet.
+def test_crash_that_is_told_late_expires_with_its_origin() -> None:
+    detector = poison.PoisonDetector()
+    for number in range(2):
+        payload = msgspec.Raw(msgspec.json.encode(_crash(f"e{number}", "d1")))
+        notice = gossip.Notice(
+            gossip.Topic.POISON, f"k{number}", "r", 1, payload, age_ms=50_000
+        )
+        detector.handle_notice(notice, NOW)
+    expires_at = NOW - 50.0 + crash_evidence.RETENTION_SECONDS
+    with pytest.raises(errors.Refusal):
+        detector.check(_call(), expires_at - 1.0)
+    detector.check(_call(), expires_at + 1.0)
+
+
+# Guards against an answer that is told late and refutes the crashes since.
+def test_answer_that_is_told_late_refutes_no_later_crash() -> None:
+    detector = poison.PoisonDetector()
+    for number in range(3):
+        detector.record_crash(_crash(f"e{number}", "d1"), NOW)
+    answered = poison.Answered(poison.fingerprint_of(_call()))
+    payload = msgspec.Raw(msgspec.json.encode(answered))
+    notice = gossip.Notice(
+        gossip.Topic.POISON, "k", "r", 1, payload, age_ms=30_000
+    )
+    detector.handle_notice(notice, NOW + 1.0)
+    with pytest.raises(errors.Refusal):
+        detector.check(_call(), NOW + 1.0)
+
+
 class _Peers:
     """Deliver each notice to the detectors of all other daemons."""
 
@@ -193,9 +225,10 @@
 
 def test_memory_of_answers_is_bounded() -> None:
     detector = poison.PoisonDetector()
-    for number in range(poison.MAX_ANSWERED + 100):
+    for number in range(crash_evidence.MAX_ANSWERED + 100):
         detector.record_answer(poison.Fingerprint(f"f{number}"), NOW + number)
-    assert len(detector._answered_at) == poison.MAX_ANSWERED
+    answered = detector.evidence.answered_at_by_fingerprint
+    assert len(answered) == crash_evidence.MAX_ANSWERED
 
 
 # Draws ordinary crashes beneath a common request and beneath one that ends
@@ -239,10 +272,11 @@
 
 def test_memory_is_bounded() -> None:
     detector = poison.PoisonDetector()
-    for number in range(poison.MAX_FINGERPRINTS + 100):
+    for number in range(crash_evidence.MAX_FINGERPRINTS + 100):
         crash = poison.Crash(f"f{number}", "e1", "d1", True)
         detector.record_crash(crash, NOW + number / 1000)
-    assert len(detector._crashes_by_fingerprint) == poison.MAX_FINGERPRINTS
+    losses = detector.evidence.losses_by_fingerprint
+    assert len(losses) == crash_evidence.MAX_FINGERPRINTS
 
 
 def test_poison_request_crashes_two_engines_at_most() -> None:
