Hand the evidence on crashing requests to daemons that start

Cause, two of two: a verdict holds for an hour, and what carries it lives for 60 s. A daemon that starts later is told by nobody, whatever its id.

Change: a daemon that starts asks up to eight daemons that have run for long, three at once, until one of them is informed, and takes requests only then, or 0.25 s after its lists are known. A daemon that is not informed itself says so, so daemons that start together do not believe each other; if all that were asked are absent or not informed, there is nobody to learn from. Losses, answers and their ages are handed over, 512 requests of 8 losses at most, the strongest first. Every 2 s a daemon compares a digest with that of one peer and merges what differs: a notice that was lost, or that was left out beyond 20 a second, is made good. Earlier builds answer 404, and after 10 s the daemon goes on without them.

Weighed: the evidence in the datagrams between peers, as for parts of prompts, which hold few items, go out at any time and through hubs once only; a longer life of notices, which grows with the fleet and reaches no daemon that starts later still; a record in the store, which costs a write for each crash, and is worth it for a verdict only.

The router of the product's own interface learns in the same way.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -62,6 +62,7 @@
 from sycamoredale.platform import settings as settings_module
 from sycamoredale.platform import store as store_module
 from sycamoredale.platform import wire_format
+from sycamoredale.requests import evidence_exchange
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import part_quarantine
 from sycamoredale.requests import poison
@@ -144,6 +145,12 @@
             lambda: self._evacuation_handler.zones_out,
         )
         self._node = self._build_node()
+        self._poison_detector = self._build_poison_detector()
+        self._evidence_exchange = evidence_exchange.EvidenceExchange(
+            self._poison_detector.evidence,
+            self._node.registry,
+            self._node.peers,
+        )
         self._links = self._build_links()
         self._connector = self._links.connector
         self._probe_pool = client.Pool(self._connector.open_direct)
@@ -203,6 +210,7 @@
         self._server.bind(self._settings.caller_address)
         await self._server.start()
         await self._node.start()
+        await self._spawn("evidence", self._evidence_exchange.run)
         await self._spawn(
             "peer_updates", self._peer_updates.run, self._peer_update_address()
         )
@@ -449,7 +457,7 @@
                 wire_format,
                 selector,
                 budget,
-                self._build_poison_detector(),
+                self._poison_detector,
                 part_admission.PartAdmission(
                     self._part_quarantine,
                     self._quarantine_records.claim_trial,
@@ -474,11 +482,16 @@
         }
 
     def _is_ready(self) -> bool:
-        """Return whether the manifest and the instances are known."""
+        """Return whether the manifest and the instances are known.
+
+        Then requests wait a little for the evidence of peers on those that
+        crash endpoints.
+        """
         instances = self._watcher_by_kind[object_kinds.INSTANCE_KIND]
         return (
             self._routes.current.version > 0
             and instances.version != objects.ABSENT_VERSION
+            and self._evidence_exchange.may_serve(clock.monotonic())
         )
 
     def _build_poison_detector(self) -> poison.PoisonDetector:
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -38,6 +38,7 @@
 from sycamoredale.requests import claim_service
 from sycamoredale.requests import claim_writer
 from sycamoredale.requests import dispatch
+from sycamoredale.requests import evidence_exchange
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import part_gossip
 from sycamoredale.requests import part_quarantine
@@ -94,12 +95,18 @@
         self._part_gossip = part_gossip.PartGossip(
             self._gossip, self._part_quarantine
         )
+        self._poison_detector = poison.PoisonDetector(self._gossip)
+        self._evidence_exchange = evidence_exchange.EvidenceExchange(
+            self._poison_detector.evidence,
+            self._node.registry,
+            self._node.peers,
+        )
         self._dispatcher = dispatch.Dispatcher(
             self._selector,
             client.Pool(
                 self._links.connector.open, self._links.connector.may_reuse
             ),
-            poison.PoisonDetector(self._node.gossip),
+            self._poison_detector,
             parts=part_admission.PartAdmission(
                 self._part_quarantine, self._quarantine_records.claim_trial
             ),
@@ -145,6 +152,7 @@
             "liveness": self._dispatcher.liveness_monitor.run,
             "quarantine": self._quarantine_records.run,
             "part_gossip": self._part_gossip.run,
+            "evidence": self._evidence_exchange.run,
             "links": self._links.connector.run,
         }
         for name, run_task in run_by_name.items():
@@ -169,7 +177,10 @@
         LOG.info("router_stopped", complete=complete, settled=settled)
 
     def _is_ready(self) -> bool:
-        return self._configuration.accepted.generation > 0
+        return (
+            self._configuration.accepted.generation > 0
+            and self._evidence_exchange.may_serve(clock.monotonic())
+        )
 
     def _current_configuration(self) -> config_model.Configuration:
         return self._configuration.accepted.configuration
@@ -269,7 +280,7 @@
         self._node.peers.register(claim_service.PEER_PATH, service.answer_peer)
         self._node.gossip.subscribe(
             gossip.Topic.POISON,
-            lambda notice: self._dispatcher.poison_detector.handle_notice(
+            lambda notice: self._poison_detector.handle_notice(
                 notice, clock.monotonic()
             ),
         )
--- a/sycamoredale/requests/crash_evidence.py
+++ b/sycamoredale/requests/crash_evidence.py
@@ -226,10 +226,10 @@
         if report.answered_ms_ago >= 0:
             at = _ago(report.answered_ms_ago, now)
             known_at = self.answered_at(report.fingerprint)
-            if at > known_at + TRANSFER_TOLERANCE_SECONDS:
+            has_news = at > known_at + TRANSFER_TOLERANCE_SECONDS
+            if has_news:
                 self.record_answer(report.fingerprint, at)
-                self._contest(report.fingerprint)
-                has_news = True
+            self._contest(report.fingerprint)
         for item in report.losses:
             lost_at = _ago(item.ms_ago, now)
             if lost_at > now - RETENTION_SECONDS:
