Keep the verdicts on crashing requests in the store

Cause: the evidence is in the memory of daemons alone; if all end, nobody is left who could hand it on.

Each daemon lists the records when it starts.

Weighed: the records of prompt parts in place of a second kind. They hold the number of trials and no losses, and a verdict on a part needs three different requests; a verdict on one request that comes again would never stand there. The price is one more list for each start.

Ruled out: a record for each crash. A single crash is forgotten only if all daemons end within the second after it; the next one counts from there.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -67,6 +67,7 @@
 from sycamoredale.requests import part_quarantine
 from sycamoredale.requests import poison
 from sycamoredale.requests import quarantine_records
+from sycamoredale.requests import verdict_records
 from sycamoredale import supervision
 
 # The load balancer probes once a second and removes an instance after two
@@ -146,10 +147,14 @@
         )
         self._node = self._build_node()
         self._poison_detector = self._build_poison_detector()
+        self._verdict_records = verdict_records.VerdictRecords(
+            self._store, self._poison_detector, self._holds_lease
+        )
         self._evidence_exchange = evidence_exchange.EvidenceExchange(
             self._poison_detector.evidence,
             self._node.registry,
             self._node.peers,
+            lambda: self._verdict_records.is_loaded,
         )
         self._links = self._build_links()
         self._connector = self._links.connector
@@ -202,6 +207,7 @@
             await self._spawn(f"watch_{kind}", watcher.run)
         await self._spawn("watch_check", self._check_watchers)
         await self._spawn("quarantine", self._quarantine_records.run)
+        await self._spawn("verdicts", self._verdict_records.run)
         host = self._settings.caller_address.host
         self._metrics.bind(messages.Address(host, METRICS_PORT))
         await self._metrics.start()
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -44,6 +44,7 @@
 from sycamoredale.requests import part_quarantine
 from sycamoredale.requests import poison
 from sycamoredale.requests import quarantine_records
+from sycamoredale.requests import verdict_records
 from sycamoredale.routing import cache_event_poller
 from sycamoredale.routing import cold_start_limiter
 from sycamoredale.routing import cold_start_record_store
@@ -96,10 +97,14 @@
             self._gossip, self._part_quarantine
         )
         self._poison_detector = poison.PoisonDetector(self._gossip)
+        self._verdict_records = verdict_records.VerdictRecords(
+            self._store, self._poison_detector, self._node.is_watcher
+        )
         self._evidence_exchange = evidence_exchange.EvidenceExchange(
             self._poison_detector.evidence,
             self._node.registry,
             self._node.peers,
+            lambda: self._verdict_records.is_loaded,
         )
         self._dispatcher = dispatch.Dispatcher(
             self._selector,
@@ -153,6 +158,7 @@
             "quarantine": self._quarantine_records.run,
             "part_gossip": self._part_gossip.run,
             "evidence": self._evidence_exchange.run,
+            "verdicts": self._verdict_records.run,
             "links": self._links.connector.run,
         }
         for name, run_task in run_by_name.items():
--- a/sycamoredale/requests/evidence_exchange.py
+++ b/sycamoredale/requests/evidence_exchange.py
@@ -10,6 +10,7 @@
 nobody to learn from.
 """
 
+import collections.abc
 import dataclasses
 import enum
 import random
@@ -71,11 +72,15 @@
 
 @dataclasses.dataclass
 class EvidenceExchange:
-    """Learn the evidence of peers, and tell them that of this daemon."""
+    """Learn the evidence of peers, and tell them that of this daemon.
+
+    `has_records` returns whether the records in the store are known.
+    """
 
     evidence: crash_evidence.CrashEvidence
     registry: registry_module.Registry
     peers: peer_service.PeerService
+    has_records: collections.abc.Callable[[], bool] = lambda: True
     rng: random.Random = dataclasses.field(default_factory=random.Random)
     read_clock: clock.ReadClock = clock.monotonic
     is_informed: bool = False
@@ -87,13 +92,15 @@
         self.peers.register(PATH, self._answer_peer)
 
     def may_serve(self, now: clock.MonotonicTime) -> bool:
-        """Return whether requests need not wait for the evidence of peers.
+        """Return whether requests need not wait for what others know.
 
         The wait begins with the first call.
         """
         if self._waiting_since is None:
             self._waiting_since = now
-        return self.is_informed or now - self._waiting_since > MAX_WAIT_SECONDS
+        if self.is_informed and self.has_records():
+            return True
+        return now - self._waiting_since > MAX_WAIT_SECONDS
 
     async def run(self) -> None:
         """Learn the evidence of peers, then compare it until cancelled."""
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -107,6 +107,16 @@
         """Return whether the fingerprint is that of a poison request."""
         return self.score(fingerprint, now) >= SCORE_THRESHOLD
 
+    def refused(self, now: clock.MonotonicTime) -> list[Fingerprint]:
+        """Return the poison requests, the one that crashed first first."""
+        return [
+            fingerprint
+            for fingerprint, losses in (
+                self.evidence.losses_by_fingerprint.items()
+            )
+            if len(losses) > 1 and self.is_poison(fingerprint, now)
+        ]
+
     def record_crash(
         self,
         crash: Crash,
--- a/tests/test_evidence_exchange.py
+++ b/tests/test_evidence_exchange.py
@@ -87,8 +87,8 @@
             self.detector.evidence,
             registry.Registry(None, self.members, has_listed=True),
             self,
-            random.Random(number),
-            lambda: network.now,
+            rng=random.Random(number),
+            read_clock=lambda: network.now,
         )
 
     def register(self, path, handler):
@@ -259,6 +259,19 @@
     assert started.refuses()
 
 
+def test_requests_wait_for_the_records_in_the_store():
+    network, daemons = _fleet(2)
+    exchange = daemons[0].exchange
+    is_loaded = False
+    exchange.has_records = lambda: is_loaded
+    assert not exchange.may_serve(network.now)
+    is_loaded = True
+    assert exchange.may_serve(network.now)
+    is_loaded = False
+    network.now += evidence_exchange.MAX_WAIT_SECONDS + 0.01
+    assert exchange.may_serve(network.now)
+
+
 def test_earlier_builds_that_cannot_answer_hold_nobody_up(monkeypatch):
     monkeypatch.setattr(evidence_exchange, "MAX_LEARNING_SECONDS", 0.0)
     network, daemons = _fleet(2)
