Let crashing requests at the same time not hide each other

Cause: a crash counts 0.1 in place of 1 if another endpoint of its domain was lost within 5 s with another request, which is meant for a domain that goes dark. All replicas without an engine have the same empty domain, and the other request may be as suspect as this one.

Change: endpoints without a domain have only the moment in common (50 ms, as for parts of prompts). Losses of a request that is itself suspect, by three crashes or by its score, explain no others.

--- a/sycamoredale/requests/crash_evidence.py
+++ b/sycamoredale/requests/crash_evidence.py
@@ -92,13 +92,6 @@
         since = now - RETENTION_SECONDS
         return {key: loss for key, loss in losses.items() if loss.at > since}
 
-    def all_losses(
-        self,
-    ) -> collections.abc.Iterator[tuple[ids.IncarnationKey, Loss]]:
-        """Yield the losses of all requests."""
-        for losses in self.losses_by_fingerprint.values():
-            yield from losses.items()
-
     def answered_at(self, fingerprint: ids.Fingerprint) -> clock.MonotonicTime:
         """Return the time of the last known answer, NEVER without any."""
         return max(
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -13,6 +13,7 @@
 at once.  Requests that have been answered lately need more crashes.
 """
 
+import collections.abc
 import dataclasses
 import hashlib
 from typing import Final
@@ -37,11 +38,14 @@
 CONCURRENT_WEIGHT: Final = 0.7
 CORRELATED_WEIGHT: Final = 0.1
 CORRELATION_WINDOW_SECONDS: Final = 5.0
+# A request with so many may be the cause of its crashes.
+SUSPECT_CRASHES: Final = 3
 MAX_NOTICES_PER_SECOND: Final = 20
 LOG: Final = logs.get("poison")
 CONTENT_FIELDS: Final = ("model", "messages", "prompt", "adapter")
 
 Fingerprint = ids.Fingerprint
+_IsSuspect = collections.abc.Callable[[Fingerprint, clock.MonotonicTime], bool]
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -105,6 +109,9 @@
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> bool:
         """Return whether the fingerprint is that of a poison request."""
+        crashes = len(self.evidence.recent_losses(fingerprint, now))
+        if crashes * ALONE_WEIGHT < SCORE_THRESHOLD:
+            return False
         return self.score(fingerprint, now) >= SCORE_THRESHOLD
 
     def refused(self, now: clock.MonotonicTime) -> list[Fingerprint]:
@@ -216,38 +223,78 @@
     def score(
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> float:
-        """Return the sum of the weights of the crashes of a request."""
+        """Return the sum of the weights of the crashes of a request.
+
+        Crashes that other suspect requests explain make none of its crashes a
+        correlated failure.
+        """
+        return self._score(fingerprint, now, self._is_suspect)
+
+    def _is_suspect(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> bool:
+        """Return whether a request may be the cause of its crashes."""
+        if self._has_many_crashes(fingerprint, now):
+            return True
+        if len(self.evidence.recent_losses(fingerprint, now)) < 2:
+            return False
+        score = self._score(fingerprint, now, self._has_many_crashes)
+        return score >= SCORE_THRESHOLD
+
+    def _has_many_crashes(
+        self, fingerprint: Fingerprint, now: clock.MonotonicTime
+    ) -> bool:
         losses = self.evidence.recent_losses(fingerprint, now)
+        return len(losses) >= SUSPECT_CRASHES
+
+    def _score(
+        self,
+        fingerprint: Fingerprint,
+        now: clock.MonotonicTime,
+        is_suspect: _IsSuspect,
+    ) -> float:
+        losses = self.evidence.recent_losses(fingerprint, now)
+        if not losses:
+            return 0.0
         was_answered = (
             self.evidence.answered_at(fingerprint) != part_evidence.NEVER
         )
+        weight = ALONE_WEIGHT if not was_answered else CONCURRENT_WEIGHT
         return sum(
-            self._weight(loss, losses, was_answered)
+            (
+                CORRELATED_WEIGHT
+                if self._is_correlated(loss, losses, now, is_suspect)
+                else weight if loss.alone else CONCURRENT_WEIGHT
+            )
             for loss in losses.values()
         )
 
-    def _weight(
+    def _is_correlated(
         self,
         loss: crash_evidence.Loss,
         losses: crash_evidence.Losses,
-        was_answered: bool,
-    ) -> float:
-        if self._is_correlated(loss, losses):
-            return CORRELATED_WEIGHT
-        if loss.alone and not was_answered:
-            return ALONE_WEIGHT
-        return CONCURRENT_WEIGHT
-
-    def _is_correlated(
-        self, loss: crash_evidence.Loss, losses: crash_evidence.Losses
+        now: clock.MonotonicTime,
+        is_suspect: _IsSuspect,
     ) -> bool:
+        """Return whether other endpoints of the domain were lost as well."""
+        # Endpoints without a domain have nothing in common but the moment.
+        window_seconds = (
+            CORRELATION_WINDOW_SECONDS
+            if loss.domain != part_evidence.NO_DOMAIN
+            else part_evidence.SIMULTANEOUS_SECONDS
+        )
         # Endpoints that were lost while they ran the same request are not
         # counted as a correlated failure, as the request may be the cause.
         return any(
             other.domain == loss.domain
             and incarnation not in losses
-            and abs(other.at - loss.at) <= CORRELATION_WINDOW_SECONDS
-            for incarnation, other in self.evidence.all_losses()
+            and abs(other.at - loss.at) <= window_seconds
+            and not is_suspect(other_fingerprint, now)
+            for (
+                other_fingerprint,
+                others,
+            ) in self.evidence.losses_by_fingerprint.items()
+            for incarnation, other in others.items()
         )
 
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -96,6 +96,38 @@
         detector.check(_call(), NOW)
 
 
+# Guards against BUDGET: requests that crash endpoints at the same time were
+# taken for the victims of a domain, and hid each other (review/11).
+@pytest.mark.parametrize("domain", ["", "d1"])
+@pytest.mark.parametrize("pause", [0.1, 0.3, 1.0, 4.0])
+@pytest.mark.parametrize("count", [2, 3, 5, 12])
+def test_poison_requests_do_not_hide_each_other(
+    count: int, pause: float, domain: str
+) -> None:
+    peers = _Peers(3)
+    endpoints = (f"e{n}" for n in itertools.count())
+    requests = [_call(f"poison {n}") for n in range(count)]
+    third_crash_at: dict[int, float] = {}
+    crashes = [0] * count
+    late = [0] * count
+    for _ in range(30):
+        for number, request in enumerate(requests):
+            peers.now += pause / count
+            fingerprint = poison.fingerprint_of(request)
+            detector = peers.detectors[number % 3]
+            if detector.is_poison(fingerprint, peers.now):
+                continue
+            detector.record_crash(
+                _crash(next(endpoints), domain, request), peers.now
+            )
+            crashes[number] += 1
+            if crashes[number] == 3:
+                third_crash_at[number] = peers.now
+            late[number] += peers.now > third_crash_at.get(number, 1e9) + 3.0
+    assert max(late) <= 3
+    assert max(crashes) <= 6
+
+
 def test_crashes_of_all_routers_are_counted() -> None:
     detectors = [poison.PoisonDetector() for _ in range(2)]
     for number, detector in enumerate(detectors):
