Count daemons that leave among those that share a limit

Cause: a daemon that has announced its end was no longer counted, so the others divided its share among themselves at once. It goes on for its grace, with a share of the same size; its own count was short by itself, so that its share grew as well.

Change: a daemon that leaves counts until its grace has passed, for the cold quota and for all else that is divided, the retry budget among it.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -550,7 +550,8 @@
         """Return an upper estimate of the daemons that share a limit.
 
         It includes suspected and dead daemons, because a daemon that is
-        merely disconnected continues to use its share.
+        merely disconnected continues to use its share, and leaving ones, which
+        serve until the end of their grace period.
         """
         member_count = len(self._member_ids())
         if not self._node.registry.has_listed:
@@ -558,8 +559,10 @@
         return member_count
 
     def _member_ids(self) -> list[ids.DaemonId]:
-        members = self._node.members.by_id.values()
-        return [p.id for p in members if p.state is not view.PeerState.LEFT]
+        senders = self._node.members.possible_senders(
+            self._settings.bounds.grace_seconds, clock.monotonic()
+        )
+        return [peer.id for peer in senders]
 
     def _build_hub_selector(self) -> hub_selection.HubSelector:
         peers = hub_selection.MemberPeers(
--- a/sycamoredale/membership/view.py
+++ b/sycamoredale/membership/view.py
@@ -165,6 +165,23 @@
             p for p in self.by_id.values() if p.state is not PeerState.LEFT
         )
 
+    def possible_senders(
+        self, leaving_seconds: float, now: clock.MonotonicTime
+    ) -> collections.abc.Iterator[Peer]:
+        """Yield the daemons that may still send requests, including this one.
+
+        Those that have announced their end go on for `leaving_seconds`, and
+        those that count as dead may only be disconnected.
+        """
+        for peer in self.by_id.values():
+            left_at = self.state_since_by_id.get(peer.id, now)
+            if (
+                peer.state is not PeerState.LEFT
+                or peer.id == self.own.id
+                or now - left_at < leaving_seconds
+            ):
+                yield peer
+
     def alive_share(self) -> float:
         """Return the alive fraction of the voters, including this daemon.
 
--- a/tests/test_leaving_daemon.py
+++ b/tests/test_leaving_daemon.py
@@ -1,14 +1,18 @@
 """Test what a daemon that leaves does no more."""
 
 import curio
+import msgspec
 import pytest
 
 from sycamoredale import clock
+from sycamoredale.daemons import entry
 from sycamoredale.http import messages
 from sycamoredale import ids
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
+from sycamoredale.platform import settings
 from tests import memory_store
+from tests import test_platform_codec
 
 
 class _Store(memory_store.MemoryStore):
@@ -58,3 +62,37 @@
 
     curio.run(run)
     assert len(asked) == expected
+
+
+# Guards against FAILBACK: daemons that had announced their end went on for
+# their grace, while the others divided their shares of a cold replica among
+# themselves (review/15).
+@pytest.mark.parametrize("seconds_ago, expected", [(0.0, 3), (30.0, 2)])
+def test_leaving_daemon_keeps_its_share_until_its_grace_ends(
+    seconds_ago, expected
+):
+    daemon = entry.EntryDaemon(
+        settings.read(test_platform_codec.SETTINGS_TEXT)
+    )
+    node = daemon._node
+    node.registry.has_listed = True
+    now = clock.monotonic()
+    peers = [
+        view.Peer(
+            ids.DaemonId(f"d{number}"),
+            f"127.0.0.1:{number}",
+            ids.ZoneName("a"),
+            view.Role.ROUTER,
+            ids.Incarnation(1),
+        )
+        for number in (1, 2)
+    ]
+    for peer in peers:
+        node.members.merge(peer, now)
+    left = msgspec.structs.replace(peers[0], state=view.PeerState.LEFT)
+    node.members.merge(left, clock.MonotonicTime(now - seconds_ago))
+    assert daemon._count_daemons() == expected
+    assert (peers[0].id in daemon._member_ids()) == (expected == 3)
+    # The one that leaves itself takes no greater share either.
+    node.members.update_own(state=view.PeerState.LEFT)
+    assert daemon._count_daemons() == expected
