Play a crashing request in the soak

Beside all else one request comes every 0.8 s, at any daemon that is up, and crashes each endpoint that runs it; the endpoint is back 3 s later under a new id. The promise is that of the target: no more than three retries later than 3 s after the third crash, from daemons that were ready and ran undisturbed for 3 s.

--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -3,9 +3,10 @@
 Each line of the standard input names the faults of the following requests, or
 `quiet SECONDS`, or `slow FACTOR SECONDS` for the pauses between events, or
 `full NEW RESUMED`, the shares of requests to reject; its end is the end of the
-process.  The lines of the standard output tell of each request that was read
-with the faults that it met, of the end of its answer or connection, and of
-times in which the process could not run.
+process, as is a request whose path begins with `CRASHING_PATH`.  The lines of
+the standard output tell of each request that was read with the faults that it
+met, of the end of its answer or connection, and of times in which the process
+could not run.
 """
 
 import contextlib
@@ -28,6 +29,7 @@
 LAG_CHECK_SECONDS: typing.Final = 0.05
 BLOCK_BYTES: typing.Final = 32768
 SOUND: typing.Final = "sound"
+CRASHING_PATH: typing.Final = b"/plain-crash/"
 # What follows the request, or the head of the answer.
 ENDLESS_HEADS: typing.Final = {
     "endless-line": b"j" * 64,
@@ -134,6 +136,9 @@
             head = self._head(fields, "Content-Length: 0\r\nNot-Executed: 1")
             sock.sendall(head.replace(b"200 OK", b"503 Full"))
             return True
+        if words[1].startswith(CRASHING_PATH):
+            self._tell(crash=fields.get("attempt-id", ""), at=time.time())
+            os._exit(1)
         try:
             self._answer(sock, fields, words[1])
         finally:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -10,6 +10,7 @@
 import typing
 
 from tests.soak import client as client_module
+from tests.soak import crashing
 from tests.soak import endpoint as endpoint_module
 from tests.soak import report as report_module
 from tests.soak import site as site_module
@@ -53,6 +54,7 @@
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._site = site_module.Site(self._rng, daemon_count, folder)
+        self._crashing = crashing.CrashingRequest(self._site)
         self._exchanges: list[client_module.Exchange] = []
         self._own = report_module.Suspensions()
         self._quiet = report_module.Suspensions()
@@ -112,6 +114,7 @@
             for route in site_module.ROUTES
             for _ in range(CLIENTS if len(daemons) < site_module.MANY else 1)
         ]
+        watching.append(asyncio.create_task(self._crashing.run()))
         await asyncio.sleep(1.0)
         await self._disturb()
         await self._recover(report_module.RECOVERED)
@@ -492,6 +495,7 @@
                 f"{process.label} ended with {process.popen.returncode}",
             )
         self._judge_probes()
+        self._crashing.judge(self.report)
         runs_by_id = self._site.runs_by_id()
         self._judge_cuts(runs_by_id)
         for found in self._exchanges:
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -19,6 +19,7 @@
 UNCUT: typing.Final = "g: no answer of a whole connection is cut"
 ORDERED: typing.Final = "g: events come once and in order"
 LEFT: typing.Final = "g: work of callers who left ends"
+CRASHES: typing.Final = "h: a crashing request is stopped"
 PROMISES: typing.Final = (
     ANSWERED,
     RUN_ONCE,
@@ -33,6 +34,7 @@
     UNCUT,
     ORDERED,
     LEFT,
+    CRASHES,
 )
 MAX_BUSY_MS: typing.Final = 1000
 # How daemons name an answer that they cut at a whole connection.
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -30,7 +30,7 @@
 HOST_NAME: typing.Final = "soak.example"
 KEY: typing.Final = "key-soak"
 ZONES: typing.Final = ("zone-a", "zone-b", "zone-c")
-CALM, MIXED = "calm-app", "mixed-app"
+CALM, MIXED, CRASHING = "calm-app", "mixed-app", "crashing-app"
 ENDPOINTS: typing.Final = {CALM: (4, 0), MIXED: (4, 5)}
 METRICS_PORT: typing.Final = 9464
 GRACE_SECONDS: typing.Final = 8.0
@@ -105,6 +105,10 @@
     )
 )
 
+CRASHING_ROUTE: typing.Final = Route(
+    "crash", "non_idempotent", CRASHING, PLAIN_MS
+)
+
 
 def manifest(version: int, is_fleet: bool) -> dict[str, typing.Any]:
     """Return a version; each has a route and a key of its own."""
@@ -124,7 +128,7 @@
             "resumable": route.resumable,
             "gap_target_ms": 300,
         }
-        for route in ROUTES
+        for route in (*ROUTES, CRASHING_ROUTE)
     ]
     more = {**routes[0], "name": "more", "path_prefix": f"/more-{version}/"}
     return {
@@ -139,7 +143,7 @@
                 "tls": False,
                 "engine": engines.get(name),
             }
-            for name in ENDPOINTS
+            for name in (*ENDPOINTS, CRASHING)
         ],
         "tenants": [{"name": "soak", "api_keys": [KEY, f"key-{version}"]}],
         "limits": {
@@ -165,6 +169,8 @@
         self.work: dict[str, list[tuple[float, float]]] = {}
         # When each answer, or its connection, ended.
         self.ends: dict[str, list[float]] = {}
+        # When it crashed, under which request.
+        self.crashes: list[tuple[float, str]] = []
         self._service = service
         self._zone = zone
         self._report: dict[str, typing.Any] = {"seq": 0}
@@ -189,6 +195,9 @@
             if "lag" in fields:
                 self.suspensions.add(fields["at"], fields["lag"])
                 continue
+            if "crash" in fields:
+                self.crashes.append((fields["at"], fields["crash"]))
+                continue
             if "ready" in fields:
                 spans = self.work.setdefault(fields["ready"], [])
                 spans.append(tuple(fields["at"]))
@@ -198,6 +207,11 @@
                 continue
             self.runs.append((fields["id"], fields["faults"]))
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self._process.poll() is not None
+
     def order(self, command: str) -> None:
         """Give a command; see the module `endpoint`."""
         if not command.startswith(("quiet", "full", "slow")):
@@ -272,6 +286,17 @@
                     masks |= int(line.split()[1], 16)
         return bool(masks >> (signal.SIGHUP - 1) & 1)
 
+    def is_undisturbed(self, start: float, end: float) -> bool:
+        """Return whether it was ready and ran all the while."""
+        ends = self.stopping_at, self.killed_at
+        lost = self.drawn.joined(self.suspensions, self.shortages)
+        return (
+            self.ready_at is not None
+            and self.ready_at <= start
+            and not any(at is not None and at <= end for at in ends)
+            and not lost.seconds_between(start, end)
+        )
+
     def cpu_seconds(self) -> float:
         """Return the processor time that it has used."""
         with contextlib.suppress(OSError, IndexError):
@@ -394,6 +419,7 @@
         self.store = store_module.Store()
         self.daemons: list[Daemon] = []
         self.endpoints: dict[str, list[Endpoint]] = {s: [] for s in ENDPOINTS}
+        self.crashing: list[Endpoint] = []
         # Runs beside each other must not draw the same addresses.
         net = f"127.{PORT_RNG.randint(130, 250)}.{PORT_RNG.randint(1, 250)}"
         self._hosts = (f"{net}.{n}" for n in range(1, 250))
@@ -413,6 +439,7 @@
     async def start(self) -> None:
         """Start the store, the endpoints and then the daemons."""
         await self.store.start(next(self._hosts))
+        self._crashing_host = next(self._hosts)
         self.write_manifest(1)
         for service, counts in ENDPOINTS.items():
             for number in range(self._factors[service] * sum(counts)):
@@ -432,6 +459,15 @@
             )
             self.daemons[-1].start()
 
+    def start_crashing(self, name: str) -> Endpoint:
+        """Start an endpoint of the service with the crashing request."""
+        zone = self._zones[len(self.crashing) % len(self._zones)]
+        host = self._crashing_host
+        one = Endpoint(name, CRASHING, host, zone, False)
+        self.crashing.append(one)
+        self.store.write("servers", one.name, one.entry())
+        return one
+
     def write_manifest(self, version: int) -> None:
         """Write a version of the manifest to the store."""
         self.store.write("config", "main", manifest(version, self.is_fleet))
@@ -459,7 +495,7 @@
         """End all processes."""
         for daemon in self.daemons:
             daemon.kill()
-        for one in self.all_endpoints:
+        for one in (*self.all_endpoints, *self.crashing):
             one.kill()
         self.store.server.crash()
 
