Begin no task for peers' evidence in a daemon that leaves

Found by reading the diff: a daemon that is told to stop in the first seconds after its start went on asking its peers, in tasks of their own, and curio asserts that no task begins during its shutdown.

Change: a daemon that leaves has no peers to ask. The pause between two rounds of questions doubles, so that hundreds of daemons that start together among unreachable ones do not ask each of them four times a second for ten seconds.

The test failed before (four questions, 2 expected).

--- a/sycamoredale/requests/evidence_exchange.py
+++ b/sycamoredale/requests/evidence_exchange.py
@@ -34,7 +34,8 @@
 # Peers that are asked at the start, some of them at once.
 MAX_PEERS_ASKED: Final = 8
 PEERS_ASKED_AT_ONCE: Final = 3
-ASK_AGAIN_SECONDS: Final = 0.2
+# Doubles each time.
+FIRST_ASK_AGAIN_SECONDS: Final = 0.2
 # Afterwards a daemon counts as informed, for example among earlier builds.
 MAX_LEARNING_SECONDS: Final = 10.0
 # Requests wait no longer for peers that do not answer.
@@ -122,6 +123,7 @@
     async def _learn(self) -> None:
         """Ask peers until one is informed, or until nobody can be."""
         began = self.read_clock()
+        pause = FIRST_ASK_AGAIN_SECONDS
         while self.read_clock() - began < MAX_LEARNING_SECONDS:
             others = self._others()
             if not others and not self.registry.has_listed:
@@ -132,7 +134,8 @@
                 break
             if _Outcome.UNKNOWN not in outcomes:
                 break
-            await curio.sleep(ASK_AGAIN_SECONDS)
+            await curio.sleep(pause)
+            pause *= 2
         self.is_informed = True
         LOG.info(
             "evidence_learned",
@@ -161,7 +164,12 @@
         return self.rng.sample(older, min(MAX_PEERS_ASKED, len(older)))
 
     def _others(self) -> list[view.Peer]:
+        """Return the peers to ask, none while this daemon leaves."""
         members = self.registry.members
+        if members.own.state is view.PeerState.LEFT:
+            # A task that begins while the event loop shuts down makes the
+            # process fail.
+            return []
         return [p for p in members.live_routers() if p.id != members.own.id]
 
     async def _ask(self, peer: view.Peer) -> _Outcome:
--- a/tests/test_evidence_exchange.py
+++ b/tests/test_evidence_exchange.py
@@ -236,7 +236,7 @@
 
 
 def test_peers_that_cannot_be_reached_are_asked_again(monkeypatch):
-    monkeypatch.setattr(evidence_exchange, "ASK_AGAIN_SECONDS", 0.001)
+    monkeypatch.setattr(evidence_exchange, "FIRST_ASK_AGAIN_SECONDS", 0.001)
     network, daemons = _fleet(3)
     for daemon in daemons:
         daemon.lose(0)
@@ -281,6 +281,24 @@
     assert started.exchange.is_informed
 
 
+# Guards against a daemon that is told to stop soon after its start and ends
+# with an error, since a task begins while its event loop shuts down.
+def test_daemon_that_leaves_asks_no_peers(monkeypatch):
+    network, daemons = _fleet(3)
+    asked = []
+
+    async def ask(peer):
+        asked.append(peer.id)
+        return evidence_exchange._Outcome.ABSENT
+
+    monkeypatch.setattr(daemons[0].exchange, "_ask", ask)
+    daemons[0].learn()
+    assert len(asked) == 2
+    daemons[0].members.update_own(state=view.PeerState.LEFT)
+    daemons[0].learn()
+    assert len(asked) == 2
+
+
 def test_daemons_with_the_same_evidence_send_none():
     network, daemons = _fleet(2)
     for daemon in daemons:
