Bound the time that verdicts take in a storm of crashing requests

Found by reading the diff: with 200 requests that crash endpoints at the same time, each with three losses, a scan of all verdicts took 1.7 s, and the daemon with the lease makes one every half a second; a single check took 41 ms.

Change: losses near a loss are found in lists that are sorted by time, whether a request is suspect is computed once a second, and the list of refused requests once for each change, or every 10 s.

--- a/sycamoredale/requests/crash_evidence.py
+++ b/sycamoredale/requests/crash_evidence.py
@@ -7,8 +7,10 @@
 same time everywhere, however late a daemon is told.
 """
 
+import bisect
 import collections.abc
 import dataclasses
+import itertools
 import typing
 from typing import Final
 
@@ -66,12 +68,19 @@
 
 
 Losses = dict[ids.IncarnationKey, Loss]
+_LossOfRequest = tuple[
+    clock.MonotonicTime, ids.IncarnationKey, ids.Fingerprint
+]
 _TimeByFingerprint = dict[ids.Fingerprint, clock.MonotonicTime]
 
 
 @dataclasses.dataclass
 class CrashEvidence:
-    """Collect the losses and the last answer of each request."""
+    """Collect the losses and the last answer of each request.
+
+    `revision` increases with each change of the losses, and with the first
+    answer to a request that has any.
+    """
 
     losses_by_fingerprint: dict[ids.Fingerprint, Losses] = dataclasses.field(
         default_factory=dict
@@ -79,11 +88,18 @@
     answered_at_by_fingerprint: _TimeByFingerprint = dataclasses.field(
         default_factory=dict
     )
+    revision: int = 0
     # Kept apart, since frequent requests would displace them.
     _contested_at_by_fingerprint: _TimeByFingerprint = dataclasses.field(
         default_factory=dict
     )
 
+    # In order of time.
+    _losses_by_domain: dict[ids.DomainName, list[_LossOfRequest]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    _sorted_revision: int = 0
+
     def recent_losses(
         self, fingerprint: ids.Fingerprint, now: clock.MonotonicTime
     ) -> Losses:
@@ -92,6 +108,34 @@
         since = now - RETENTION_SECONDS
         return {key: loss for key, loss in losses.items() if loss.at > since}
 
+    def losses_near(
+        self, loss: Loss, seconds: float
+    ) -> collections.abc.Iterator[tuple[ids.IncarnationKey, ids.Fingerprint]]:
+        """Yield what was lost in the domain of a loss at about its time."""
+        if self._sorted_revision != self.revision:
+            self._sort_losses()
+        losses = self._losses_by_domain.get(loss.domain, [])
+        first = bisect.bisect_left(
+            losses, loss.at - seconds, key=lambda entry: entry[0]
+        )
+        for at, incarnation, fingerprint in itertools.islice(
+            losses, first, None
+        ):
+            if at > loss.at + seconds:
+                return
+            yield incarnation, fingerprint
+
+    def _sort_losses(self) -> None:
+        self._sorted_revision = self.revision
+        self._losses_by_domain = {}
+        for fingerprint, losses in self.losses_by_fingerprint.items():
+            for incarnation, loss in losses.items():
+                self._losses_by_domain.setdefault(loss.domain, []).append(
+                    (loss.at, incarnation, fingerprint)
+                )
+        for entries in self._losses_by_domain.values():
+            entries.sort()
+
     def answered_at(self, fingerprint: ids.Fingerprint) -> clock.MonotonicTime:
         """Return the time of the last known answer, NEVER without any."""
         return max(
@@ -126,6 +170,7 @@
         known = losses.get(incarnation)
         if known is not None and known.at <= loss.at:
             return False
+        self.revision += 1
         losses[incarnation] = loss
         # Inserted last, which orders the fingerprints by their last loss.
         self.losses_by_fingerprint.pop(fingerprint, None)
@@ -152,11 +197,13 @@
         }
         if left:
             self.losses_by_fingerprint[fingerprint] = left
+        self.revision += len(left) < len(losses)
         return len(losses) - len(left)
 
     def _contest(self, fingerprint: ids.Fingerprint) -> None:
         """Keep the answer to a request that was on a lost endpoint."""
         answered_at = self.answered_at(fingerprint)
+        self.revision += fingerprint not in self._contested_at_by_fingerprint
         self._contested_at_by_fingerprint.pop(fingerprint, None)
         self._contested_at_by_fingerprint[fingerprint] = answered_at
         _limit(self._contested_at_by_fingerprint, MAX_CONTESTED)
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -40,6 +40,8 @@
 CORRELATION_WINDOW_SECONDS: Final = 5.0
 # A request with so many may be the cause of its crashes.
 SUSPECT_CRASHES: Final = 3
+# Without news, crashes only expire.
+REFUSED_TTL_SECONDS: Final = 10.0
 MAX_NOTICES_PER_SECOND: Final = 20
 LOG: Final = logs.get("poison")
 CONTENT_FIELDS: Final = ("model", "messages", "prompt", "adapter")
@@ -88,6 +90,12 @@
     _notice_times: list[clock.MonotonicTime] = dataclasses.field(
         default_factory=list
     )
+    _is_suspect_by_fingerprint: dict[Fingerprint, bool] = dataclasses.field(
+        default_factory=dict
+    )
+    _suspects_state: tuple[int, int] = (0, 0)
+    _refused: list[Fingerprint] = dataclasses.field(default_factory=list)
+    _refused_state: tuple[int, int] = (0, 0)
 
     def check(self, call: call_module.Call, now: clock.MonotonicTime) -> None:
         """Raise Refusal if the request of the call is a poison request."""
@@ -116,13 +124,15 @@
 
     def refused(self, now: clock.MonotonicTime) -> list[Fingerprint]:
         """Return the poison requests, the one that crashed first first."""
-        return [
-            fingerprint
-            for fingerprint, losses in (
-                self.evidence.losses_by_fingerprint.items()
-            )
-            if len(losses) > 1 and self.is_poison(fingerprint, now)
-        ]
+        state = self.evidence.revision, int(now / REFUSED_TTL_SECONDS)
+        if self._refused_state != state:
+            self._refused_state = state
+            self._refused = [
+                fingerprint
+                for fingerprint in self.evidence.losses_by_fingerprint
+                if self.is_poison(fingerprint, now)
+            ]
+        return self._refused
 
     def record_crash(
         self,
@@ -234,16 +244,26 @@
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> bool:
         """Return whether a request may be the cause of its crashes."""
-        if self._has_many_crashes(fingerprint, now):
-            return True
-        if len(self.evidence.recent_losses(fingerprint, now)) < 2:
-            return False
-        score = self._score(fingerprint, now, self._has_many_crashes)
-        return score >= SCORE_THRESHOLD
+        # Crashes expire, so what is known holds for a second at most.
+        state = self.evidence.revision, int(now)
+        if self._suspects_state != state:
+            self._suspects_state = state
+            self._is_suspect_by_fingerprint.clear()
+        known = self._is_suspect_by_fingerprint.get(fingerprint)
+        if known is None:
+            known = self._is_suspect_by_fingerprint[fingerprint] = (
+                self._has_many_crashes(fingerprint, now)
+                or self._score(fingerprint, now, self._has_many_crashes)
+                >= SCORE_THRESHOLD
+            )
+        return known
 
     def _has_many_crashes(
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> bool:
+        losses = self.evidence.losses_by_fingerprint.get(fingerprint, {})
+        if len(losses) < SUSPECT_CRASHES:
+            return False
         losses = self.evidence.recent_losses(fingerprint, now)
         return len(losses) >= SUSPECT_CRASHES
 
@@ -286,15 +306,10 @@
         # Endpoints that were lost while they ran the same request are not
         # counted as a correlated failure, as the request may be the cause.
         return any(
-            other.domain == loss.domain
-            and incarnation not in losses
-            and abs(other.at - loss.at) <= window_seconds
-            and not is_suspect(other_fingerprint, now)
-            for (
-                other_fingerprint,
-                others,
-            ) in self.evidence.losses_by_fingerprint.items()
-            for incarnation, other in others.items()
+            incarnation not in losses and not is_suspect(other, now)
+            for incarnation, other in self.evidence.losses_near(
+                loss, window_seconds
+            )
         )
 
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import itertools
 import json
+import time
 
 import hypothesis
 from hypothesis import strategies
@@ -128,6 +129,22 @@
     assert max(crashes) <= 6
 
 
+# Guards against a daemon that is busy for long with the evidence of a storm.
+def test_verdicts_in_a_storm_take_little_time() -> None:
+    detector = poison.PoisonDetector()
+    endpoints = (f"e{n}" for n in itertools.count())
+    now = NOW
+    for _ in range(3):
+        for number in range(100):
+            now += 0.01
+            crash = poison.Crash(f"f{number}", next(endpoints), "d1", True)
+            detector.record_crash(crash, now)
+    began = time.process_time()
+    for _ in range(1000):
+        assert len(detector.refused(now)) == 100
+    assert time.process_time() - began < 1.0
+
+
 def test_crashes_of_all_routers_are_counted() -> None:
     detectors = [poison.PoisonDetector() for _ in range(2)]
     for number, detector in enumerate(detectors):
