--- a/sycamoredale/requests/crash_evidence.py
+++ b/sycamoredale/requests/crash_evidence.py
@@ -10,7 +10,6 @@
 import bisect
 import collections.abc
 import dataclasses
-import itertools
 import typing
 from typing import Final
 
@@ -31,7 +30,8 @@
 # At most about 350 KB together.
 MAX_SENT_REQUESTS: Final = 512
 MAX_SENT_LOSSES: Final = 8
-# An answer does not become later by the time that a report of it takes.
+# An age is that of the moment of sending, so a report makes an answer seem
+# later by the time that it takes.
 TRANSFER_TOLERANCE_SECONDS: Final = 1.0
 NO_EVIDENCE: Final = ""
 
@@ -89,12 +89,12 @@
         default_factory=dict
     )
     revision: int = 0
-    # Kept apart, since frequent requests would displace them.
+    # Answers to requests that were on lost endpoints.  Kept apart, since the
+    # answers to other requests would displace them within seconds.
     _contested_at_by_fingerprint: _TimeByFingerprint = dataclasses.field(
         default_factory=dict
     )
-
-    # In order of time.
+    # In the order of their times, as of the revision.
     _losses_by_domain: dict[ids.DomainName, list[_LossOfRequest]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -115,14 +115,10 @@
         if self._sorted_revision != self.revision:
             self._sort_losses()
         losses = self._losses_by_domain.get(loss.domain, [])
-        first = bisect.bisect_left(
-            losses, loss.at - seconds, key=lambda entry: entry[0]
-        )
-        for at, incarnation, fingerprint in itertools.islice(
-            losses, first, None
-        ):
-            if at > loss.at + seconds:
-                return
+        first = bisect.bisect_left(losses, loss.at - seconds, key=_time_of)
+        last = bisect.bisect_right(losses, loss.at + seconds, key=_time_of)
+        for index in range(first, last):
+            _, incarnation, fingerprint = losses[index]
             yield incarnation, fingerprint
 
     def _sort_losses(self) -> None:
@@ -297,6 +293,10 @@
     return xxhash.xxh3_64_hexdigest("\n".join(lines).encode())
 
 
+def _time_of(entry: _LossOfRequest) -> clock.MonotonicTime:
+    return entry[0]
+
+
 def _strength(report: RequestReport) -> tuple[bool, float]:
     """Rank requests with several losses first, then by their latest news."""
     ages = [loss.ms_ago for loss in report.losses]
--- a/sycamoredale/requests/evidence_exchange.py
+++ b/sycamoredale/requests/evidence_exchange.py
@@ -36,12 +36,12 @@
 PEERS_ASKED_AT_ONCE: Final = 3
 # Doubles each time.
 FIRST_ASK_AGAIN_SECONDS: Final = 0.2
-# Afterwards a daemon counts as informed, for example among earlier builds.
+# Then a daemon counts as informed: earlier builds never tell that they are.
 MAX_LEARNING_SECONDS: Final = 10.0
 # Requests wait no longer for peers that do not answer.
 MAX_WAIT_SECONDS: Final = 0.25
 COMPARE_SECONDS: Final = 2.0
-# While the evidence differs and a peer has no news all the same.
+# Reached while evidence differs that neither of two daemons can send.
 MAX_COMPARE_SECONDS: Final = 32.0
 LOG: Final = logs.get("requests.evidence_exchange")
 
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -123,7 +123,7 @@
         return self.score(fingerprint, now) >= SCORE_THRESHOLD
 
     def refused(self, now: clock.MonotonicTime) -> list[Fingerprint]:
-        """Return the poison requests, the one that crashed first first."""
+        """Return the poison requests, in the order of their last crashes."""
         state = self.evidence.revision, int(now / REFUSED_TTL_SECONDS)
         if self._refused_state != state:
             self._refused_state = state
@@ -244,7 +244,7 @@
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> bool:
         """Return whether a request may be the cause of its crashes."""
-        # Crashes expire, so what is known holds for a second at most.
+        # Computed again each second, since crashes expire.
         state = self.evidence.revision, int(now)
         if self._suspects_state != state:
             self._suspects_state = state
