Assemble the crash detection of both daemons in one place

Found by reading the change: the platform's daemon and the router of the own interface each built and wired detector, exchange and records, and subscribed to the notices. No change of behaviour.

--- a/sycamoredale/daemons/entry.py
+++ b/sycamoredale/daemons/entry.py
@@ -45,7 +45,6 @@
 from sycamoredale import leases
 from sycamoredale.links import assembly
 from sycamoredale import loop_delays
-from sycamoredale.membership import gossip as gossip_module
 from sycamoredale.membership import node as node_module
 from sycamoredale.membership import view
 from sycamoredale.object_api import eras
@@ -62,12 +61,10 @@
 from sycamoredale.platform import settings as settings_module
 from sycamoredale.platform import store as store_module
 from sycamoredale.platform import wire_format
-from sycamoredale.requests import evidence_exchange
+from sycamoredale.requests import crash_detection
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import part_quarantine
-from sycamoredale.requests import poison
 from sycamoredale.requests import quarantine_records
-from sycamoredale.requests import verdict_records
 from sycamoredale import supervision
 
 # The load balancer probes once a second and removes an instance after two
@@ -146,15 +143,8 @@
             lambda: self._evacuation_handler.zones_out,
         )
         self._node = self._build_node()
-        self._poison_detector = self._build_poison_detector()
-        self._verdict_records = verdict_records.VerdictRecords(
-            self._store, self._poison_detector, self._holds_lease
-        )
-        self._evidence_exchange = evidence_exchange.EvidenceExchange(
-            self._poison_detector.evidence,
-            self._node.registry,
-            self._node.peers,
-            lambda: self._verdict_records.is_loaded,
+        self._crash_detection = crash_detection.assemble(
+            self._node, self._store, self._holds_lease
         )
         self._links = self._build_links()
         self._connector = self._links.connector
@@ -207,7 +197,7 @@
             await self._spawn(f"watch_{kind}", watcher.run)
         await self._spawn("watch_check", self._check_watchers)
         await self._spawn("quarantine", self._quarantine_records.run)
-        await self._spawn("verdicts", self._verdict_records.run)
+        await self._spawn("verdicts", self._crash_detection.records.run)
         host = self._settings.caller_address.host
         self._metrics.bind(messages.Address(host, METRICS_PORT))
         await self._metrics.start()
@@ -216,7 +206,7 @@
         self._server.bind(self._settings.caller_address)
         await self._server.start()
         await self._node.start()
-        await self._spawn("evidence", self._evidence_exchange.run)
+        await self._spawn("evidence", self._crash_detection.exchange.run)
         await self._spawn(
             "peer_updates", self._peer_updates.run, self._peer_update_address()
         )
@@ -463,7 +453,7 @@
                 wire_format,
                 selector,
                 budget,
-                self._poison_detector,
+                self._crash_detection.detector,
                 part_admission.PartAdmission(
                     self._part_quarantine,
                     self._quarantine_records.claim_trial,
@@ -497,19 +487,8 @@
         return (
             self._routes.current.version > 0
             and instances.version != objects.ABSENT_VERSION
-            and self._evidence_exchange.may_serve(clock.monotonic())
-        )
-
-    def _build_poison_detector(self) -> poison.PoisonDetector:
-        gossip = self._node.gossip
-        poison_detector = poison.PoisonDetector(gossip)
-        gossip.subscribe(
-            gossip_module.Topic.POISON,
-            lambda notice: poison_detector.handle_notice(
-                notice, clock.monotonic()
-            ),
+            and self._crash_detection.exchange.may_serve(clock.monotonic())
         )
-        return poison_detector
 
     def _build_node(self) -> node_module.Node:
         first_port = self._settings.peer_ports[0]
--- a/sycamoredale/daemons/router.py
+++ b/sycamoredale/daemons/router.py
@@ -37,14 +37,12 @@
 from sycamoredale.requests import call
 from sycamoredale.requests import claim_service
 from sycamoredale.requests import claim_writer
+from sycamoredale.requests import crash_detection
 from sycamoredale.requests import dispatch
-from sycamoredale.requests import evidence_exchange
 from sycamoredale.requests import part_admission
 from sycamoredale.requests import part_gossip
 from sycamoredale.requests import part_quarantine
-from sycamoredale.requests import poison
 from sycamoredale.requests import quarantine_records
-from sycamoredale.requests import verdict_records
 from sycamoredale.routing import cache_event_poller
 from sycamoredale.routing import cold_start_limiter
 from sycamoredale.routing import cold_start_record_store
@@ -96,22 +94,15 @@
         self._part_gossip = part_gossip.PartGossip(
             self._gossip, self._part_quarantine
         )
-        self._poison_detector = poison.PoisonDetector(self._gossip)
-        self._verdict_records = verdict_records.VerdictRecords(
-            self._store, self._poison_detector, self._node.is_watcher
-        )
-        self._evidence_exchange = evidence_exchange.EvidenceExchange(
-            self._poison_detector.evidence,
-            self._node.registry,
-            self._node.peers,
-            lambda: self._verdict_records.is_loaded,
+        self._crash_detection = crash_detection.assemble(
+            self._node, self._store, self._node.is_watcher
         )
         self._dispatcher = dispatch.Dispatcher(
             self._selector,
             client.Pool(
                 self._links.connector.open, self._links.connector.may_reuse
             ),
-            self._poison_detector,
+            self._crash_detection.detector,
             parts=part_admission.PartAdmission(
                 self._part_quarantine, self._quarantine_records.claim_trial
             ),
@@ -157,8 +148,8 @@
             "liveness": self._dispatcher.liveness_monitor.run,
             "quarantine": self._quarantine_records.run,
             "part_gossip": self._part_gossip.run,
-            "evidence": self._evidence_exchange.run,
-            "verdicts": self._verdict_records.run,
+            "evidence": self._crash_detection.exchange.run,
+            "verdicts": self._crash_detection.records.run,
             "links": self._links.connector.run,
         }
         for name, run_task in run_by_name.items():
@@ -185,7 +176,7 @@
     def _is_ready(self) -> bool:
         return (
             self._configuration.accepted.generation > 0
-            and self._evidence_exchange.may_serve(clock.monotonic())
+            and self._crash_detection.exchange.may_serve(clock.monotonic())
         )
 
     def _current_configuration(self) -> config_model.Configuration:
@@ -284,12 +275,6 @@
             writer, self._node.members, self._node.peers
         )
         self._node.peers.register(claim_service.PEER_PATH, service.answer_peer)
-        self._node.gossip.subscribe(
-            gossip.Topic.POISON,
-            lambda notice: self._poison_detector.handle_notice(
-                notice, clock.monotonic()
-            ),
-        )
         return at_most_once.AtMostOnceRunner(
             self._dispatcher, service, self._admission.admit
         )
