Compute ages in one place

An age of a peer's evidence on parts that is below zero counts as none now, as it does for whole requests.

--- a/sycamoredale/clock.py
+++ b/sycamoredale/clock.py
@@ -25,3 +25,13 @@
 def wall() -> WallTime:
     """Return the wall clock time in seconds since the epoch."""
     return WallTime(time.time())
+
+
+def ms_since(at: MonotonicTime, now: MonotonicTime) -> int:
+    """Return the age of a time in milliseconds, 0 if it is to come."""
+    return max(0, int(1000 * (now - at)))
+
+
+def ms_before(ms: int, now: MonotonicTime) -> MonotonicTime:
+    """Return the time some milliseconds ago; it is never to come."""
+    return MonotonicTime(now - max(0, ms) / 1000)
--- a/sycamoredale/forwarding/store_contact.py
+++ b/sycamoredale/forwarding/store_contact.py
@@ -81,7 +81,9 @@
         """
         if self.heard_at == NEVER or not self._knows_since(now):
             return NO_AGES
-        return _age_ms(self.since, now), _age_ms(self.heard_at, now)
+        return clock.ms_since(self.since, now), clock.ms_since(
+            self.heard_at, now
+        )
 
     def receive(self, ages: Ages, now: clock.MonotonicTime) -> None:
         """Join the interval of a peer, or take it if it is later."""
@@ -109,7 +111,3 @@
 
     def _knows_since(self, now: clock.MonotonicTime) -> bool:
         return not self._is_first or now - self.since >= SETTLE_SECONDS
-
-
-def _age_ms(at: clock.MonotonicTime, now: clock.MonotonicTime) -> int:
-    return max(0, int(1000 * (now - at)))
--- a/sycamoredale/forwarding/update_gathering.py
+++ b/sycamoredale/forwarding/update_gathering.py
@@ -103,7 +103,7 @@
     """Return one update for each endpoint that any of the updates names."""
     sums: dict[ids.InstanceId, _Sum] = collections.defaultdict(_Sum)
     for entry in received:
-        age_ms = max(0, int(1000 * (now - entry.at)))
+        age_ms = clock.ms_since(entry.at, now)
         for item in entry.update.endpoints:
             sums[item.endpoint].add(item, age_ms)
     return [
--- a/sycamoredale/membership/gossip.py
+++ b/sycamoredale/membership/gossip.py
@@ -70,7 +70,7 @@
 
     def published_at(self, now: clock.MonotonicTime) -> clock.MonotonicTime:
         """Return when the value of a notice that arrives now was new."""
-        return clock.MonotonicTime(now - max(0, self.age_ms) / 1000)
+        return clock.ms_before(self.age_ms, now)
 
 
 Subscriber = collections.abc.Callable[[Notice], None]
@@ -87,7 +87,7 @@
     sent_to: set[_Receiver]
 
     def with_age(self, now: clock.MonotonicTime) -> Notice:
-        age_ms = max(0, int(1000 * (now - self.published_at)))
+        age_ms = clock.ms_since(self.published_at, now)
         return msgspec.structs.replace(self.notice, age_ms=age_ms)
 
 
--- a/sycamoredale/requests/crash_evidence.py
+++ b/sycamoredale/requests/crash_evidence.py
@@ -237,11 +237,13 @@
         return RequestReport(
             fingerprint,
             [
-                LossReport(key, _ms_ago(loss.at, now), loss.domain, loss.alone)
+                LossReport(
+                    key, clock.ms_since(loss.at, now), loss.domain, loss.alone
+                )
                 for key, loss in losses.items()
             ],
             (
-                _ms_ago(answered_at, now)
+                clock.ms_since(answered_at, now)
                 if answered_at > now - RETENTION_SECONDS
                 else -1
             ),
@@ -260,14 +262,14 @@
     ) -> bool:
         has_news = False
         if report.answered_ms_ago >= 0:
-            at = _ago(report.answered_ms_ago, now)
+            at = clock.ms_before(report.answered_ms_ago, now)
             known_at = self.answered_at(report.fingerprint)
             has_news = at > known_at + TRANSFER_TOLERANCE_SECONDS
             if has_news:
                 self.record_answer(report.fingerprint, at)
             self._contest(report.fingerprint)
         for item in report.losses:
-            lost_at = _ago(item.ms_ago, now)
+            lost_at = clock.ms_before(item.ms_ago, now)
             if lost_at > now - RETENTION_SECONDS:
                 loss = Loss(lost_at, item.domain, item.alone)
                 has_news |= self.record_loss(
@@ -316,11 +318,3 @@
     """Drop the entries that were inserted first."""
     while len(by_fingerprint) > count:
         del by_fingerprint[next(iter(by_fingerprint))]
-
-
-def _ms_ago(at: clock.MonotonicTime, now: clock.MonotonicTime) -> int:
-    return max(0, int(1000 * (now - at)))
-
-
-def _ago(ms_ago: int, now: clock.MonotonicTime) -> clock.MonotonicTime:
-    return clock.MonotonicTime(now - max(0, ms_ago) / 1000)
--- a/sycamoredale/requests/part_quarantine.py
+++ b/sycamoredale/requests/part_quarantine.py
@@ -253,7 +253,7 @@
         is_new = False
         evidence.position = max(evidence.position, update.position)
         for loss in update.losses:
-            at = _ago(loss.age_ms, now)
+            at = clock.ms_before(loss.age_ms, now)
             if self._admit_incarnation(loss.incarnation, at):
                 is_new |= evidence.record_loss(
                     loss.incarnation, loss.requests, at, loss.domain
@@ -261,7 +261,9 @@
         if update.losses and evidence.own_answered_at != part_evidence.NEVER:
             self._contest(update.part, is_new, now)
         if update.answered_ms_ago >= 0:
-            evidence.record_answer(_ago(update.answered_ms_ago, now))
+            evidence.record_answer(
+                clock.ms_before(update.answered_ms_ago, now)
+            )
             is_new |= update.part in self.quarantine_by_part
         if update.version != objects.ABSENT_VERSION:
             record = Record(update.version, update.trials)
@@ -429,7 +431,3 @@
     evidence: part_evidence.PartEvidence,
 ) -> clock.MonotonicTime:
     return max(evidence.last_loss_at(), evidence.answered_at)
-
-
-def _ago(age_ms: int, now: clock.MonotonicTime) -> clock.MonotonicTime:
-    return clock.MonotonicTime(now - age_ms / 1000)
--- a/sycamoredale/requests/part_updates.py
+++ b/sycamoredale/requests/part_updates.py
@@ -81,7 +81,7 @@
     return [
         LossUpdate(
             incarnation,
-            max(0, int(1000 * (now - loss.at))),
+            clock.ms_since(loss.at, now),
             sorted(loss.requests)[:MAX_REQUESTS],
             loss.domain,
         )
--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -147,8 +147,9 @@
         at = now if lost_at is None else lost_at
         if self._add(crash, at, now):
             key = f"{crash.fingerprint}:{crash.endpoint}:{crash.started_ms}"
-            ms_ago = max(0, int(1000 * (now - at)))
-            told = msgspec.structs.replace(crash, ms_ago=ms_ago)
+            told = msgspec.structs.replace(
+                crash, ms_ago=clock.ms_since(at, now)
+            )
             self._publish(key, told, now)
         return self.is_poison(crash.fingerprint, now)
 
@@ -183,7 +184,7 @@
         except msgspec.DecodeError:
             self._handle_answered(notice, told_at)
             return
-        lost_at = clock.MonotonicTime(told_at - max(0, crash.ms_ago) / 1000)
+        lost_at = clock.ms_before(crash.ms_ago, told_at)
         self._add(crash, lost_at, now)
         if self.evidence.is_refuted(crash.fingerprint, lost_at):
             self._publish_answer(crash.fingerprint, now)
@@ -195,7 +196,7 @@
             report = decoding.decode_json(notice.payload, Answered)
         except msgspec.DecodeError:
             return
-        at = clock.MonotonicTime(told_at - max(0, report.ms_ago) / 1000)
+        at = clock.ms_before(report.ms_ago, told_at)
         self.evidence.record_answer(report.answered, at)
 
     def _add(
@@ -217,8 +218,7 @@
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> None:
         answered_at = self.evidence.answered_at(fingerprint)
-        ms_ago = max(0, int(1000 * (now - answered_at)))
-        report = Answered(fingerprint, ms_ago)
+        report = Answered(fingerprint, clock.ms_since(answered_at, now))
         self._publish(f"{fingerprint}:answered", report, now)
 
     def _publish(
