Call a store that is down now and then for the records of verdicts

Found by reading the change: while the store was down the writer listed the records twice a second, or tried each due record twice a second. Now the first call that fails ends a pass, and the next one comes after a second more.

With it, what is known without news has one time to live (10 s) in place of two, and the test on earlier builds plays peers that answer 404; it ended before it asked any and could not fail.

--- a/sycamoredale/requests/poison.py
+++ b/sycamoredale/requests/poison.py
@@ -41,7 +41,7 @@
 # A request with so many may be the cause of its crashes.
 SUSPECT_CRASHES: Final = 3
 # Without news, crashes only expire.
-REFUSED_TTL_SECONDS: Final = 10.0
+VERDICT_TTL_SECONDS: Final = 10.0
 MAX_NOTICES_PER_SECOND: Final = 20
 LOG: Final = logs.get("poison")
 CONTENT_FIELDS: Final = ("model", "messages", "prompt", "adapter")
@@ -93,9 +93,8 @@
     _is_suspect_by_fingerprint: dict[Fingerprint, bool] = dataclasses.field(
         default_factory=dict
     )
-    _suspects_state: tuple[int, int] = (0, 0)
-    _refused: list[Fingerprint] = dataclasses.field(default_factory=list)
-    _refused_state: tuple[int, int] = (0, 0)
+    _refused: list[Fingerprint] | None = None
+    _verdicts_state: tuple[int, int] = (0, 0)
 
     def check(self, call: call_module.Call, now: clock.MonotonicTime) -> None:
         """Raise Refusal if the request of the call is a poison request."""
@@ -124,9 +123,8 @@
 
     def refused(self, now: clock.MonotonicTime) -> list[Fingerprint]:
         """Return the poison requests, in the order of their last crashes."""
-        state = self.evidence.revision, int(now / REFUSED_TTL_SECONDS)
-        if self._refused_state != state:
-            self._refused_state = state
+        self._forget_stale_verdicts(now)
+        if self._refused is None:
             self._refused = [
                 fingerprint
                 for fingerprint in self.evidence.losses_by_fingerprint
@@ -134,6 +132,13 @@
             ]
         return self._refused
 
+    def _forget_stale_verdicts(self, now: clock.MonotonicTime) -> None:
+        state = self.evidence.revision, int(now / VERDICT_TTL_SECONDS)
+        if self._verdicts_state != state:
+            self._verdicts_state = state
+            self._refused = None
+            self._is_suspect_by_fingerprint.clear()
+
     def record_crash(
         self,
         crash: Crash,
@@ -244,11 +249,7 @@
         self, fingerprint: Fingerprint, now: clock.MonotonicTime
     ) -> bool:
         """Return whether a request may be the cause of its crashes."""
-        # Computed again each second, since crashes expire.
-        state = self.evidence.revision, int(now)
-        if self._suspects_state != state:
-            self._suspects_state = state
-            self._is_suspect_by_fingerprint.clear()
+        self._forget_stale_verdicts(now)
         known = self._is_suspect_by_fingerprint.get(fingerprint)
         if known is None:
             known = self._is_suspect_by_fingerprint[fingerprint] = (
--- a/sycamoredale/requests/verdict_records.py
+++ b/sycamoredale/requests/verdict_records.py
@@ -79,11 +79,11 @@
             await curio.sleep(LIST_RETRY_SECONDS)
         while True:
             await curio.sleep(SYNC_INTERVAL_SECONDS)
-            if self.is_writer():
-                await self.synchronize(self.read_clock())
-            else:
+            if not self.is_writer():
                 # Another writer changes the records from now on.
                 self._listed_at = part_evidence.NEVER
+            elif not await self.synchronize(self.read_clock()):
+                await curio.sleep(LIST_RETRY_SECONDS)
 
     async def load(self) -> bool:
         """Apply the records in the store; return whether it answered."""
@@ -105,11 +105,14 @@
         self.is_loaded = True
         return True
 
-    async def synchronize(self, now: clock.MonotonicTime) -> None:
-        """Write records of new verdicts and remove those that ended."""
+    async def synchronize(self, now: clock.MonotonicTime) -> bool:
+        """Write records of new verdicts and remove those that ended.
+
+        Returns whether all calls to the store have succeeded.
+        """
         if now - self._listed_at >= LIST_INTERVAL_SECONDS:
             if not await self.load():
-                return
+                return False
         self._refused_since_by_fingerprint = {
             fingerprint: self._refused_since_by_fingerprint.get(
                 fingerprint, now
@@ -118,12 +121,18 @@
         }
         refused_since = self._refused_since_by_fingerprint
         stored = self._version_by_fingerprint
-        for fingerprint in list(stored.keys() - refused_since.keys()):
-            await self._try(self._remove(fingerprint))
-        for fingerprint, since in refused_since.items():
-            is_due = fingerprint not in stored and now - since >= HOLD_SECONDS
-            if is_due and len(stored) < MAX_RECORDS:
-                await self._try(self._write(fingerprint, now))
+        try:
+            for fingerprint in list(stored.keys() - refused_since.keys()):
+                await self._remove(fingerprint)
+            for fingerprint, since in refused_since.items():
+                is_new = fingerprint not in stored
+                is_due = is_new and now - since >= HOLD_SECONDS
+                if is_due and len(stored) < MAX_RECORDS:
+                    await self._write(fingerprint, now)
+        except errors.SycamoredaleError as error:
+            LOG.info("record_call_failed", reason=error.message)
+            return False
+        return True
 
     def _read(
         self, stored_objects: collections.abc.Iterable[objects.StoredObject]
@@ -193,9 +202,3 @@
             pass
         del self._version_by_fingerprint[fingerprint]
         LOG.info("verdict_removed", request=fingerprint)
-
-    async def _try(self, call: collections.abc.Awaitable[None]) -> None:
-        try:
-            await call
-        except errors.SycamoredaleError as error:
-            LOG.info("record_call_failed", reason=error.message)
--- a/tests/test_evidence_exchange.py
+++ b/tests/test_evidence_exchange.py
@@ -273,12 +273,32 @@
 
 
 def test_earlier_builds_that_cannot_answer_hold_nobody_up(monkeypatch):
-    monkeypatch.setattr(evidence_exchange, "MAX_LEARNING_SECONDS", 0.0)
-    network, daemons = _fleet(2)
-    network.cut = {daemons[1].address}
+    """Ask peers that have no such path, and answer 404."""
+    monkeypatch.setattr(evidence_exchange, "FIRST_ASK_AGAIN_SECONDS", 0.0001)
+    network, daemons = _fleet(3)
+    questions = []
+
+    async def answer_404(body):
+        questions.append(network.now)
+        network.now += 1.0
+        raise errors.ConnectionBroken(
+            error_codes.CONNECTION_BROKEN,
+            "answered status 404",
+            error_codes.Execution.UNKNOWN,
+        )
+
+    for daemon in daemons[1:]:
+        daemon.handlers_by_path[evidence_exchange.PATH] = answer_404
+    network.stop(daemons[0])
     started = network.start("d0")
+    began = network.now
+    assert not started.exchange.may_serve(began)
     started.learn()
     assert started.exchange.is_informed
+    assert 1 < len(questions) <= evidence_exchange.MAX_LEARNING_SECONDS + 2
+    started.lose(0)
+    started.lose(1)
+    assert started.refuses()
 
 
 # Guards against a daemon that is told to stop soon after its start and ends
--- a/tests/test_verdict_records.py
+++ b/tests/test_verdict_records.py
@@ -148,6 +148,20 @@
     assert store.by_name
 
 
+# Guards against a writer that calls a store that is down over and over: each
+# verdict was tried twice a second.
+def test_store_that_is_down_is_called_now_and_then():
+    store = memory_store.MemoryStore()
+    daemon = Daemon(store)
+    for number in range(20):
+        daemon.lose(0, 1, fingerprint=ids.Fingerprint(f"{number:032}"))
+    daemon.synchronize()
+    store.faults.extend([memory_store.Fault.REFUSED] * 100)
+    daemon.now += 2.0
+    assert not KERNEL.run(daemon.records.synchronize, daemon.now)
+    assert store.writes == 1
+
+
 def test_record_that_the_store_has_lost_is_written_again():
     store, daemon = _store_with_verdict()
     store.by_name.clear()
